Rpc: Carry frames between entries over TCP

Frames may be lost when a connection breaks; the modules above are written for loss, so nothing is repeated here. Memory for a frame grows with what has arrived and not with what was announced.

--- /dev/null
+++ b/tests/rpc/peer_transport_test.cc
@@ -0,0 +1,155 @@
+#include "chervilspar/rpc/peer_transport.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace chervilspar::rpc {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kGenerousWait = std::chrono::seconds(20);
+
+/// Frames as they came in, with a wait for the n-th.
+class Inbox {
+ public:
+  void Add(std::string frame) {
+    const std::lock_guard lock(this->mutex);
+    this->frames.push_back(std::move(frame));
+    this->arrived.notify_all();
+  }
+
+  std::vector<std::string> WaitFor(std::size_t count) {
+    std::unique_lock lock(this->mutex);
+    this->arrived.wait_for(lock, kGenerousWait, [&] { return this->frames.size() >= count; });
+    return this->frames;
+  }
+
+ private:
+  std::mutex mutex;
+  std::condition_variable arrived;
+  std::vector<std::string> frames;
+};
+
+std::uint16_t FreePort(asio::io_context& context) {
+  asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
+  return probe.local_endpoint().port();
+}
+
+class PeerTransportTest : public testing::Test {
+ protected:
+  PeerTransportTest() : work(asio::make_work_guard(this->context)) {
+    this->runner = std::thread([this] { this->context.run(); });
+  }
+
+  ~PeerTransportTest() override {
+    this->work.reset();
+    this->context.stop();
+    this->runner.join();
+  }
+
+  std::unique_ptr<PeerTransport> Open(const std::string& address, Inbox& inbox,
+                                      TransportLimits limits = {}) {
+    auto transport = OpenPeerTransport(this->context, address, limits, [&inbox](std::string frame) {
+      inbox.Add(std::move(frame));
+    });
+    EXPECT_TRUE(transport.HasValue());
+    return std::move(transport).Value();
+  }
+
+  std::string Address() { return "127.0.0.1:" + std::to_string(FreePort(this->context)); }
+
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  std::thread runner;
+};
+
+TEST_F(PeerTransportTest, DeliversFramesInOrder) {
+  Inbox inbox;
+  Inbox unused;
+  const std::string address = this->Address();
+  const auto receiver = this->Open(address, inbox);
+  const auto sender = this->Open(this->Address(), unused);
+  const std::string large(300'000, 'x');
+  sender->Send(address, "first");
+  sender->Send(address, large);
+  sender->Send(address, "last");
+  EXPECT_EQ(inbox.WaitFor(3), (std::vector<std::string>{"first", large, "last"}));
+}
+
+struct GarbageCase {
+  std::string name;
+  std::string bytes;
+};
+
+class GarbageFrameTest : public PeerTransportTest,
+                         public testing::WithParamInterface<GarbageCase> {};
+
+// Something that is no entry connects to the port between entries and announces a frame of four
+// gigabytes, or sends half a header and falls silent. If the entry allocated what was announced it
+// would be killed for memory, and callers would lose it. It must drop the connection and go on
+// receiving from its real peers.
+TEST_P(GarbageFrameTest, RealPeersAreStillHeard) {
+  Inbox inbox;
+  Inbox unused;
+  const std::string address = this->Address();
+  const auto receiver = this->Open(address, inbox);
+  const auto colon = address.rfind(':');
+  asio::ip::tcp::socket stranger(this->context);
+  stranger.connect({asio::ip::make_address(address.substr(0, colon)),
+                    static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+  boost::system::error_code ignored;
+  asio::write(stranger, asio::buffer(GetParam().bytes), ignored);
+  const auto sender = this->Open(this->Address(), unused);
+  sender->Send(address, "real");
+  EXPECT_EQ(inbox.WaitFor(1), (std::vector<std::string>{"real"}));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, GarbageFrameTest,
+                         testing::Values(GarbageCase{"HugeLength", "\xff\xff\xff\xff garbage"},
+                                         GarbageCase{"ZeroLength", std::string(4, '\0')},
+                                         GarbageCase{"HalfHeader", std::string(2, '\0')},
+                                         GarbageCase{"Http", "GET / HTTP/1.1\r\n\r\n"}),
+                         [](const auto& info) { return info.param.name; });
+
+// A peer is replaced: its connection breaks and what was queued for it is lost. The sender must
+// connect again by itself, or the replacement would never hear of a withdrawn key.
+TEST_F(PeerTransportTest, ReconnectsToAReplacedPeer) {
+  Inbox inbox;
+  Inbox unused;
+  const std::string address = this->Address();
+  const auto sender = this->Open(this->Address(), unused);
+  sender->Send(address, "nobody listens yet");
+  const auto receiver = this->Open(address, inbox);
+  std::vector<std::string> frames;
+  const auto deadline = std::chrono::steady_clock::now() + kGenerousWait;
+  while (frames.empty() && std::chrono::steady_clock::now() < deadline) {
+    sender->Send(address, "again");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    frames = inbox.WaitFor(0);
+  }
+  EXPECT_FALSE(frames.empty());
+}
+
+TEST_F(PeerTransportTest, RefusesAnAddressInUseWithTheReason) {
+  Inbox inbox;
+  const std::string address = this->Address();
+  const auto first = this->Open(address, inbox);
+  // A second listener on the same port only fails while the first one listens, since both reuse
+  // the address.
+  const auto second = OpenPeerTransport(this->context, address, {}, [](const std::string&) {});
+  ASSERT_FALSE(second.HasValue());
+  EXPECT_EQ(second.LastReason().code, ErrorCode::kUnavailable);
+}
+
+}  // namespace
+}  // namespace chervilspar::rpc
