--- /dev/null
+++ b/include/chervilspar/idempotency/uuid_v7.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string_view>
+
+#include "chervilspar/base/ids.h"
+#include "chervilspar/base/random.h"
+#include "chervilspar/base/result.h"
+#include "chervilspar/base/time.h"
+
+namespace chervilspar::idempotency {
+
+/// A UUID of version 7 (RFC 9562): its first 48 bits are the Unix time in milliseconds at which it
+/// was made.
+struct UuidV7 {
+  /// Canonical lower-case text. The same UUID in two spellings must not be two requests.
+  RequestId id;
+  /// By the clock of whoever made it.
+  WallTime minted;
+
+  friend bool operator==(const UuidV7&, const UuidV7&) = default;
+};
+
+/// Errors: `kInvalidArgument` with field `Idempotency-Key`.
+Result<UuidV7> ParseUuidV7(std::string_view text);
+
+UuidV7 MakeUuidV7(WallTime now, Random& random);
+
+}  // namespace chervilspar::idempotency
