--- /dev/null
+++ b/include/chervilspar/scheduling/team_share.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "chervilspar/base/ids.h"
+
+namespace chervilspar::scheduling {
+
+enum class UrgentRight { kMayNot, kMay };
+
+/// A team as the scheduler sees it.
+struct TeamShare {
+  TeamId team;
+  /// Weight when everything is full; above zero.
+  double share = 1.0;
+  UrgentRight urgent = UrgentRight::kMayNot;
+
+  friend bool operator==(const TeamShare&, const TeamShare&) = default;
+};
+
+}  // namespace chervilspar::scheduling
