Dispatch: Decide admission, order, placement and repeats for one service

One object per service joins the parts: admission bounded by predicted wait, start-time fair queueing over teams charged by measured run time, slots divided over teams and entries from the entries' reports, health with bounded ejection, and repeated tries within a budget.

--- a/include/chervilspar/dispatch/service_shard.h
+++ b/include/chervilspar/dispatch/service_shard.h
@@ -78,8 +78,9 @@
 /// of `Expire`, or `Cancel`.
 ///
 /// The driver calls `Next` until it returns nothing after each `Admit`, `OnFinished`,
-/// `OnLimitFreed`, `OnPeerReport` and at least every 10 ms while `WaitingCount()` is not zero, and
-/// calls `Expire` and `Preemptions` every 100 ms.
+/// `OnLimitFreed` and `OnPeerReport`; while `WaitingCount()` is not zero, calls `Expire` and then
+/// `Next` at least every 10 ms (both are cheap when nothing is due); and calls `Preemptions` and
+/// `Expire` every 100 ms.
 class ServiceShard {
  public:
   ServiceShard(ServiceId service, EntryId self, ZoneId zone, ShardOptions options = {});
@@ -94,6 +95,10 @@
   /// the list are still counted until they end.
   void SetEndpoints(const std::vector<load_balancing::Endpoint>& endpoints, TimePoint now);
 
+  /// Takes the sizes of all VMs in the service's pools, also of those that are away now. A request
+  /// that fits none of them is refused for good. Without sizes nothing is refused for its size.
+  void SetShapes(std::vector<admission::Requirement> shapes);
+
   Admission Admit(const admission::Ticket& ticket, TimePoint now, Random& random);
   /// The next ticket to send, if a slot, a permitted team and a fit endpoint come together.
   std::optional<Start> Next(TimePoint now, scheduling::QuotaGate& gate, Random& random);
--- a/include/chervilspar/scheduling/shard_report.h
+++ b/include/chervilspar/scheduling/shard_report.h
@@ -16,8 +16,6 @@
   std::uint32_t demand = 0;
   /// Slots that it holds now.
   std::uint32_t running = 0;
-  /// Slot time used since the entry started, in milliseconds; only differences matter.
-  std::uint64_t used_ms = 0;
 
   friend bool operator==(const TeamLoad&, const TeamLoad&) = default;
 };
@@ -38,7 +36,10 @@
   std::vector<EndpointLoad> endpoints;
   /// Endpoints that this entry has ejected.
   std::vector<VmId> ejected;
-  /// Urgent requests that have waited for some time, and the age of the oldest.
+  /// Urgent tasks running.
+  std::uint32_t urgent_running = 0;
+  /// Urgent requests that wait and for which this entry has no task of its own to stop, and the age
+  /// of the oldest.
   std::uint32_t urgent_waiting = 0;
   Duration urgent_age = Duration::zero();
 
--- /dev/null
+++ b/src/load_balancing/balancer.cc
@@ -0,0 +1,273 @@
+#include "chervilspar/load_balancing/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "chervilspar/base/assert.h"
+#include "chervilspar/load_balancing/slot_split.h"
+
+#include "load_balancing/placement_policy.h"
+#include "load_balancing/slot_table.h"
+
+namespace chervilspar::load_balancing {
+
+namespace {
+
+/// A probe is a request of some caller. Idempotent ones go first, since a failed probe is tried
+/// again elsewhere; when none comes for this long, any request may be the probe.
+constexpr Duration kProbeByAnyAfter = std::chrono::seconds(10);
+/// How long a draining endpoint is left alone; the configuration takes it out within seconds.
+constexpr Duration kDrainingPause = std::chrono::seconds(1);
+/// Slot seconds that an entry may be behind or ahead of its part; more would let an entry that had
+/// nothing to do take more than its part for long afterwards.
+constexpr double kMostCredit = 2.0;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+}  // namespace
+
+Balancer::Balancer(ZoneId zone, BalancerOptions options)
+    : zone(std::move(zone)),
+      options(options),
+      table(std::make_unique<SlotTable>()),
+      policy(MakePlacementPolicy(options.placement)) {}
+
+Balancer::~Balancer() = default;
+
+void Balancer::SetEndpoints(const std::vector<Endpoint>& endpoints, TimePoint now) {
+  this->table->SetEndpoints(endpoints, this->zone, now);
+  this->ejecting_peers.assign(this->table->Count(), 0);
+  this->ejected.clear();
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    const EndpointState& state = this->table->At(index);
+    if (state.is_listed && state.health.State() != HealthState::kHealthy) {
+      this->ejected.push_back(index);
+    }
+  }
+}
+
+bool Balancer::IsInSplit(std::uint32_t index) const {
+  const EndpointState& state = this->table->At(index);
+  return state.is_listed && state.health.State() == HealthState::kHealthy &&
+         this->ejecting_peers[index] * 2 <= this->peer_count;
+}
+
+void Balancer::SetParts(const std::vector<scheduling::EntryPart>& entries, const EntryId& self,
+                        TimePoint now) {
+  this->UpdateCredit(now);
+  std::vector<std::uint32_t> indexes;
+  std::vector<Endpoint> usable;
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    this->table->Change(index).split = 0.0;
+    if (this->IsInSplit(index)) {
+      indexes.push_back(index);
+      usable.push_back(this->table->At(index).endpoint);
+    }
+  }
+  const std::vector<double> split = SplitSlots(usable, entries, self);
+  for (std::size_t place = 0; place < indexes.size(); ++place) {
+    this->table->Change(indexes[place]).split = split[place];
+  }
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    this->table->Refile(index, now);
+  }
+  this->part = 0.0;
+  for (const double slots : split) {
+    this->part += slots;
+  }
+}
+
+void Balancer::SetPeers(const std::vector<const scheduling::ShardReport*>& reports, TimePoint now) {
+  this->peer_count = reports.size();
+  this->ejecting_peers.assign(this->table->Count(), 0);
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    this->table->Change(index).foreign = 0;
+  }
+  for (const scheduling::ShardReport* report : reports) {
+    for (const scheduling::EndpointLoad& load : report->endpoints) {
+      const auto index = this->table->Find(load.endpoint);
+      if (index) {
+        this->table->Change(*index).foreign += load.in_flight;
+      }
+    }
+    for (const VmId& endpoint : report->ejected) {
+      const auto index = this->table->Find(endpoint);
+      if (index) {
+        ++this->ejecting_peers[*index];
+      }
+    }
+  }
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    this->table->Refile(index, now);
+  }
+}
+
+void Balancer::UpdateCredit(TimePoint now) {
+  const double seconds =
+      static_cast<double>((now - this->credit_at).count()) / kMicrosecondsPerSecond;
+  this->credit_at = now;
+  this->credit += (this->part - static_cast<double>(this->in_flight)) * seconds;
+  this->credit = std::clamp(this->credit, -kMostCredit, kMostCredit);
+}
+
+PartUse Balancer::PartUseNow() const {
+  const auto held = static_cast<double>(this->in_flight);
+  if (held + 1.0 <= this->part) {
+    return PartUse::kBelow;
+  }
+  return held<this->part&& this->credit> 0.0 ? PartUse::kDue : PartUse::kUsedUp;
+}
+
+bool Balancer::HasFreeSlot(TimePoint now) {
+  this->table->Resume(now);
+  this->UpdateCredit(now);
+  for (const std::uint32_t index : this->ejected) {
+    const EndpointHealth& health = this->table->At(index).health;
+    if (health.State() == HealthState::kEjected && health.ProbeAt() <= now) {
+      return true;
+    }
+  }
+  return this->policy->HasCandidate(*this->table, this->PartUseNow());
+}
+
+scheduling::Slot Balancer::Find(const admission::Ticket& ticket, TimePoint now, Random& random) {
+  this->table->Resume(now);
+  this->UpdateCredit(now);
+  auto index = this->DueProbe(ticket, now);
+  if (index) {
+    this->table->Change(*index).health.StartProbe();
+    return {scheduling::SlotAnswer::kFound, this->table->At(*index).endpoint.id};
+  }
+  const PartUse part_use = this->PartUseNow();
+  index = this->policy->Choose(*this->table, ticket, part_use, random);
+  if (!index && ticket.work_class == admission::WorkClass::kUrgent &&
+      !this->table->open.IsEmpty()) {
+    // A slot that was cleared for urgent work may be at any endpoint.
+    const std::uint32_t any = this->table->open.Sample(random);
+    if (this->table->Fits(any, ticket.requirement)) {
+      index = any;
+    }
+  }
+  if (index) {
+    return {scheduling::SlotAnswer::kFound, this->table->At(*index).endpoint.id};
+  }
+  const bool is_misfit = !this->table->AllFit(ticket.requirement) &&
+                         this->policy->HasCandidate(*this->table, part_use);
+  return {is_misfit ? scheduling::SlotAnswer::kNotForThis : scheduling::SlotAnswer::kNoneFree, {}};
+}
+
+std::optional<std::uint32_t> Balancer::DueProbe(const admission::Ticket& ticket,
+                                                TimePoint now) const {
+  const Duration wait = ticket.idempotency == admission::Idempotency::kIdempotent
+                            ? Duration::zero()
+                            : kProbeByAnyAfter;
+  for (const std::uint32_t index : this->ejected) {
+    const EndpointState& state = this->table->At(index);
+    if (state.health.State() == HealthState::kEjected && state.health.ProbeAt() + wait <= now &&
+        state.paused_until <= now && state.Own() < state.endpoint.slots &&
+        this->table->Fits(index, ticket.requirement)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+void Balancer::OnSent(const VmId& endpoint, const admission::Ticket& ticket, TimePoint overdue_at,
+                      TimePoint now) {
+  this->UpdateCredit(now);
+  const auto index = this->table->Find(endpoint);
+  CHERVILSPAR_ASSERT(index);
+  this->table->Change(*index).in_flight.push_back({ticket.id, now, overdue_at});
+  ++this->in_flight;
+  this->table->Refile(*index, now);
+}
+
+void Balancer::OnFull(std::uint32_t index, TimePoint now) {
+  EndpointState& state = this->table->Change(index);
+  state.pause = state.pause == Duration::zero()
+                    ? this->options.first_full_pause
+                    : std::min(state.pause * 2, this->options.longest_full_pause);
+  const std::uint32_t others = state.endpoint.slots - std::min(state.Own(), state.endpoint.slots);
+  state.foreign = std::max(state.foreign, others);
+  this->table->PauseUntil(index, now + state.pause, now);
+}
+
+void Balancer::OnEnded(const VmId& endpoint, const admission::Ticket& ticket, Outcome outcome,
+                       Duration measured, Duration expected, TimePoint now, Random& random) {
+  this->UpdateCredit(now);
+  const auto found = this->table->Find(endpoint);
+  CHERVILSPAR_ASSERT(found);
+  const std::uint32_t index = *found;
+  EndpointState& state = this->table->Change(index);
+  std::erase_if(state.in_flight, [&](const SentTask& task) { return task.ticket == ticket.id; });
+  --this->in_flight;
+  if (outcome == Outcome::kFull) {
+    this->OnFull(index, now);
+  } else if (outcome == Outcome::kDraining) {
+    this->table->PauseUntil(index, now + kDrainingPause, now);
+  } else {
+    // The slot that this task leaves is free.
+    state.pause = Duration::zero();
+    this->table->PauseUntil(index, now, now);
+  }
+  const Evidence evidence = this->Judge(ticket, outcome);
+  const bool has_run =
+      outcome == Outcome::kCompleted || (outcome == Outcome::kLost && measured > expected);
+  if (has_run) {
+    state.health.OnRun(measured, expected);
+  }
+  state.health.OnEvidence(evidence);
+  if (state.health.State() == HealthState::kProbing) {
+    const bool is_slow = has_run && std::log(static_cast<double>(measured.count() + 1) /
+                                             static_cast<double>(expected.count() + 1)) >
+                                        std::log(this->options.slow_factor);
+    this->EndProbe(index, is_slow ? Evidence::kBad : evidence, now, random);
+  } else if (state.health.FailuresInRow() >= this->options.failures_to_eject) {
+    this->EjectIfAllowed(index, now, random);
+  }
+  this->table->Refile(index, now);
+}
+
+void Balancer::HoldForUrgent(const VmId& endpoint, TimePoint until, TimePoint now) {
+  const auto index = this->table->Find(endpoint);
+  if (index) {
+    this->table->Change(*index).held_until = until;
+    this->table->Refile(*index, now);
+  }
+}
+
+double Balancer::UsableSlots() const {
+  double slots = 0.0;
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    slots += this->IsInSplit(index) ? this->table->At(index).endpoint.slots : 0.0;
+  }
+  return slots;
+}
+
+std::size_t Balancer::UsableEndpoints() const {
+  std::size_t count = 0;
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    count += this->table->At(index).is_listed ? 1 : 0;
+  }
+  return count - std::min(count, this->ejected.size());
+}
+
+std::vector<scheduling::EndpointLoad> Balancer::OwnLoads() const {
+  std::vector<scheduling::EndpointLoad> loads;
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    const EndpointState& state = this->table->At(index);
+    if (state.Own() > 0) {
+      loads.push_back({state.endpoint.id, state.Own()});
+    }
+  }
+  return loads;
+}
+
+std::vector<VmId> Balancer::Ejected() const {
+  std::vector<VmId> ids;
+  for (const std::uint32_t index : this->ejected) {
+    ids.push_back(this->table->At(index).endpoint.id);
+  }
+  return ids;
+}
+
+}  // namespace chervilspar::load_balancing
--- /dev/null
+++ b/src/load_balancing/balancer_health.cc
@@ -0,0 +1,152 @@
+#include <algorithm>
+#include <cmath>
+
+#include "chervilspar/base/assert.h"
+#include "chervilspar/load_balancing/balancer.h"
+
+#include "load_balancing/placement_policy.h"
+#include "load_balancing/slot_table.h"
+
+namespace chervilspar::load_balancing {
+
+namespace {
+
+/// Tasks at an endpoint before its speed is judged.
+constexpr std::uint32_t kSamplesToJudge = 5;
+/// Tasks overdue at an endpoint, at least, and as a part of its tasks in flight, that speak
+/// against it.
+constexpr std::uint32_t kOverdueTasks = 2;
+constexpr double kOverduePart = 0.5;
+/// When this part of all tasks is overdue, the cause is not one endpoint.
+constexpr double kOverdueEverywhere = 0.25;
+/// A team whose tasks fail more often than this fails by itself.
+constexpr double kTeamFails = 0.5;
+constexpr double kTeamSmoothing = 0.1;
+/// Bound on memory; teams that fail are few.
+constexpr std::size_t kMostTeamsTracked = 4096;
+
+}  // namespace
+
+std::size_t Balancer::MostEjected() const {
+  std::size_t listed = 0;
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    listed += this->table->At(index).is_listed ? 1 : 0;
+  }
+  if (listed < 2) {
+    return 0;
+  }
+  const double most = this->options.most_ejected * static_cast<double>(listed);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(most));
+}
+
+void Balancer::EjectIfAllowed(std::uint32_t index, TimePoint now, Random& random) {
+  EndpointState& state = this->table->Change(index);
+  const bool is_out = state.health.State() != HealthState::kHealthy;
+  if (this->options.ejection == Ejection::kOff || is_out || !state.is_listed ||
+      this->ejected.size() >= this->MostEjected()) {
+    return;
+  }
+  state.health.Eject(now, this->options, random.Unit());
+  this->ejected.push_back(index);
+  this->table->Refile(index, now);
+}
+
+void Balancer::EndProbe(std::uint32_t index, Evidence evidence, TimePoint now, Random& random) {
+  EndpointHealth& health = this->table->Change(index).health;
+  if (evidence == Evidence::kBad) {
+    health.Eject(now, this->options, random.Unit());
+    return;
+  }
+  if (evidence == Evidence::kNone) {
+    health.AbandonProbe(now);
+    return;
+  }
+  health.OnGoodProbe(now);
+  if (health.State() == HealthState::kHealthy) {
+    std::erase(this->ejected, index);
+  }
+}
+
+Evidence Balancer::Judge(const admission::Ticket& ticket, Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kFull:
+    case Outcome::kDraining:
+    case Outcome::kLate:
+    case Outcome::kUnfit:
+    case Outcome::kStopped:
+      return Evidence::kNone;
+    case Outcome::kUnreachable:
+      return Evidence::kBad;
+    case Outcome::kCompleted:
+    case Outcome::kFailed:
+    case Outcome::kLost:
+      break;
+  }
+  if (this->failure_rate_of.size() >= kMostTeamsTracked) {
+    this->failure_rate_of.clear();
+  }
+  const bool is_good = outcome == Outcome::kCompleted;
+  double& rate = this->failure_rate_of[ticket.team];
+  rate += kTeamSmoothing * ((is_good ? 0.0 : 1.0) - rate);
+  if (is_good) {
+    return Evidence::kGood;
+  }
+  return rate > kTeamFails ? Evidence::kNone : Evidence::kBad;
+}
+
+double Balancer::MedianSlowness() const {
+  std::vector<double> values;
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    const EndpointState& state = this->table->At(index);
+    if (state.is_listed && state.health.Samples() >= kSamplesToJudge) {
+      values.push_back(state.health.Slowness());
+    }
+  }
+  if (values.size() < 2) {
+    // Nothing to compare with; zero means "as long as expected".
+    return 0.0;
+  }
+  // The lower one of an even number: of two endpoints, the slow one must not be its own measure.
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+bool Balancer::IsMuchSlower(std::uint32_t index, double median) const {
+  const EndpointHealth& health = this->table->At(index).health;
+  return health.Samples() >= kSamplesToJudge &&
+         health.Slowness() - median > std::log(this->options.slow_factor);
+}
+
+void Balancer::Review(TimePoint now, Random& random) {
+  const double median = this->MedianSlowness();
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    if (this->IsMuchSlower(index, median)) {
+      this->EjectIfAllowed(index, now, random);
+    }
+  }
+  this->ReviewOverdue(now, random);
+}
+
+void Balancer::ReviewOverdue(TimePoint now, Random& random) {
+  std::vector<std::uint32_t> overdue(this->table->Count(), 0);
+  std::size_t total = 0;
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    for (const SentTask& task : this->table->At(index).in_flight) {
+      overdue[index] += task.overdue_at <= now ? 1 : 0;
+    }
+    total += overdue[index];
+  }
+  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
+    const auto own = static_cast<double>(this->table->At(index).Own());
+    const std::size_t elsewhere = total - overdue[index];
+    const double others = std::max(1.0, static_cast<double>(this->in_flight) - own);
+    const bool is_silent = overdue[index] >= kOverdueTasks && overdue[index] >= kOverduePart * own;
+    const bool is_everywhere = static_cast<double>(elsewhere) > kOverdueEverywhere * others;
+    if (is_silent && !is_everywhere) {
+      this->EjectIfAllowed(index, now, random);
+    }
+  }
+}
+
+}  // namespace chervilspar::load_balancing
--- /dev/null
+++ b/src/load_balancing/placement_policy.cc
@@ -0,0 +1,181 @@
+#include "load_balancing/placement_policy.h"
+
+#include <initializer_list>
+
+#include "chervilspar/base/assert.h"
+
+namespace chervilspar::load_balancing {
+
+namespace {
+
+/// Random tries before a whole set is searched for a VM that is large enough.
+constexpr int kMostSamples = 4;
+
+/// A random element that fits.
+std::optional<std::uint32_t> ChooseFit(const SlotTable& table, const IndexedSet& set,
+                                       const admission::Requirement& requirement, Random& random) {
+  if (set.IsEmpty()) {
+    return std::nullopt;
+  }
+  for (int sample = 0; sample < kMostSamples; ++sample) {
+    const std::uint32_t index = set.Sample(random);
+    if (table.Fits(index, requirement)) {
+      return index;
+    }
+  }
+  for (const std::uint32_t index : set.Items()) {
+    if (table.Fits(index, requirement)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+/// The better of two random elements: faster by measurement when the difference is plain, else the
+/// less loaded one.
+std::optional<std::uint32_t> ChooseOfTwo(const SlotTable& table, const IndexedSet& set,
+                                         const admission::Requirement& requirement,
+                                         Random& random) {
+  const auto first = ChooseFit(table, set, requirement, random);
+  const auto second = ChooseFit(table, set, requirement, random);
+  if (!first || !second) {
+    return first;
+  }
+  return table.At(*second).Load() < table.At(*first).Load() ? second : first;
+}
+
+class SplitPlacement : public PlacementPolicy {
+ public:
+  explicit SplitPlacement(bool lends) : lends(lends) {}
+
+  std::optional<std::uint32_t> Choose(const SlotTable& table, const admission::Ticket& ticket,
+                                      PartUse part, Random& random) override {
+    if (part != PartUse::kUsedUp) {
+      for (const IndexedSet* set : {&table.own_local, &table.own_remote}) {
+        const auto own = ChooseFit(table, *set, ticket.requirement, random);
+        if (own) {
+          return own;
+        }
+      }
+    }
+    if (part == PartUse::kDue) {
+      const auto due = ChooseFit(table, table.edge, ticket.requirement, random);
+      if (due) {
+        return due;
+      }
+    }
+    if (!this->lends) {
+      return std::nullopt;
+    }
+    for (const IndexedSet* set : {&table.idle_local, &table.idle_remote}) {
+      const auto idle = ChooseOfTwo(table, *set, ticket.requirement, random);
+      if (idle) {
+        return idle;
+      }
+    }
+    if (part != PartUse::kUsedUp) {
+      // A slot is due to this entry and none is known to be free: someone holds one too many.
+      return ChooseFit(table, table.open, ticket.requirement, random);
+    }
+    return std::nullopt;
+  }
+
+  bool HasCandidate(const SlotTable& table, PartUse part) const override {
+    const bool has_own = !table.own_local.IsEmpty() || !table.own_remote.IsEmpty();
+    const bool has_idle = !table.idle_local.IsEmpty() || !table.idle_remote.IsEmpty();
+    if (this->lends && has_idle) {
+      return true;
+    }
+    if (part == PartUse::kUsedUp) {
+      return false;
+    }
+    return has_own || (part == PartUse::kDue && !table.edge.IsEmpty()) ||
+           (this->lends && !table.open.IsEmpty());
+  }
+
+ private:
+  bool lends;
+};
+
+/// Looks only at this entry's own tasks in flight.
+class OwnCountsPlacement final : public PlacementPolicy {
+ public:
+  std::optional<std::uint32_t> Choose(const SlotTable& table, const admission::Ticket& ticket,
+                                      PartUse, Random&) override {
+    std::optional<std::uint32_t> best;
+    for (const std::uint32_t index : table.open.Items()) {
+      if (table.Fits(index, ticket.requirement) &&
+          (!best || table.At(index).Own() < table.At(*best).Own())) {
+        best = index;
+      }
+    }
+    return best;
+  }
+
+  bool HasCandidate(const SlotTable& table, PartUse) const override {
+    return !table.open.IsEmpty();
+  }
+};
+
+/// The less loaded of two random endpoints, by own and reported tasks.
+class TwoChoicesPlacement final : public PlacementPolicy {
+ public:
+  std::optional<std::uint32_t> Choose(const SlotTable& table, const admission::Ticket& ticket,
+                                      PartUse, Random& random) override {
+    return ChooseOfTwo(table, table.open, ticket.requirement, random);
+  }
+
+  bool HasCandidate(const SlotTable& table, PartUse) const override {
+    return !table.open.IsEmpty();
+  }
+};
+
+/// One endpoint after the other.
+class RoundRobinPlacement final : public PlacementPolicy {
+ public:
+  std::optional<std::uint32_t> Choose(const SlotTable& table, const admission::Ticket& ticket,
+                                      PartUse, Random&) override {
+    const auto& items = table.open.Items();
+    std::optional<std::uint32_t> best;
+    std::uint32_t best_distance = 0;
+    const auto count = static_cast<std::uint32_t>(table.Count());
+    for (const std::uint32_t index : items) {
+      const std::uint32_t distance = (index + count - this->next % count) % count;
+      if (table.Fits(index, ticket.requirement) && (!best || distance < best_distance)) {
+        best = index;
+        best_distance = distance;
+      }
+    }
+    if (best) {
+      this->next = *best + 1;
+    }
+    return best;
+  }
+
+  bool HasCandidate(const SlotTable& table, PartUse) const override {
+    return !table.open.IsEmpty();
+  }
+
+ private:
+  std::uint32_t next = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<PlacementPolicy> MakePlacementPolicy(Placement placement) {
+  switch (placement) {
+    case Placement::kSplitWithLending:
+      return std::make_unique<SplitPlacement>(true);
+    case Placement::kFixedSplit:
+      return std::make_unique<SplitPlacement>(false);
+    case Placement::kOwnCounts:
+      return std::make_unique<OwnCountsPlacement>();
+    case Placement::kTwoChoices:
+      return std::make_unique<TwoChoicesPlacement>();
+    case Placement::kRoundRobin:
+      return std::make_unique<RoundRobinPlacement>();
+  }
+  CHERVILSPAR_ASSERT(false);
+}
+
+}  // namespace chervilspar::load_balancing
