--- /dev/null
+++ b/include/chervilspar/cli/main.h
@@ -0,0 +1,25 @@
+#pragma once
+
+namespace chervilspar::cli {
+
+/// Exit codes of every command; `--help` lists them.
+enum class ExitCode : int {
+  kOk = 0,
+  /// The command ran and the answer is "no": a fault in the inventory, a rejected publish.
+  kRefused = 1,
+  /// Flags or environment variables are wrong; nothing was done.
+  kUsage = 2,
+  /// No entry could be reached; nothing was done.
+  kUnreachable = 3,
+  /// The outcome isn't known: an answer was lost after it may have taken effect.
+  kUnknown = 4,
+  /// Part of the answer is missing, such as entries that `timeline` couldn't reach.
+  kPartial = 5,
+  /// The entry ended by a failure of its own.
+  kInternal = 70,
+};
+
+/// The program: parses the command line and runs a command. Returns the exit code.
+int Main(int argc, char** argv);
+
+}  // namespace chervilspar::cli
--- a/include/chervilspar/config_log/fleet_state.h
+++ b/include/chervilspar/config_log/fleet_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,7 +27,15 @@
 };
 
 /// What was observed of a VM, as recorded in the log. Only this decides in the fold.
-enum class VmCondition { kAvailable, kFailed, kLeaving };
+enum class VmCondition {
+  kAvailable,
+  kFailed,
+  kLeaving,
+  /// Published and never yet observed; does not count as available.
+  kUnseen,
+};
+
+const char* ToString(VmCondition condition);
 
 /// What a maintenance step does to its VM.
 enum class StepAction {
@@ -38,6 +47,8 @@
   kRetire,
 };
 
+const char* ToString(StepAction action);
+
 /// How far a step has come. Steps only go forward.
 enum class StepPhase {
   /// The VM is claimed and draining. The step may still be withdrawn.
@@ -46,6 +57,8 @@
   kActing,
 };
 
+const char* ToString(StepPhase phase);
+
 /// A maintenance step that holds its VM.
 struct Step {
   StepId id;
@@ -69,12 +82,28 @@
   std::optional<StepId> step;
   /// When the last reboot step ended; the epoch if none did.
   WallTime last_maintained;
+  /// Platform's time of the newest observation folded; older ones are rejected.
+  WallTime observed_at;
+  /// The last step that ended on this VM; its id never starts another one here.
+  std::optional<StepId> last_step;
+  /// The pool that the last accepted publish named, when a move step has changed the pool since.
+  std::optional<PoolId> declared_pool;
   /// Drained for good by a retire step.
   bool retired = false;
 
   friend bool operator==(const VmStatus&, const VmStatus&) = default;
 };
 
+/// The parts read so far of a publish that is larger than one record.
+struct PendingPublish {
+  /// Offset of its first part; the oldest one gives way when there are too many.
+  Offset first_offset = 0;
+  std::uint32_t count = 0;
+  std::map<std::uint32_t, std::string> parts;
+
+  friend bool operator==(const PendingPublish&, const PendingPublish&) = default;
+};
+
 /// The state that every entry folds from the log, the same everywhere at the same offset.
 struct FleetState {
   /// Offset of the next record to fold.
@@ -86,6 +115,9 @@
   /// Keys in force. A key in `withdrawn` never comes back.
   std::map<KeyDigest, TeamId> keys;
   std::set<KeyDigest> withdrawn;
+  std::map<RecordId, PendingPublish> pending_publishes;
+  /// Ids of the newest folded records, oldest first; see `kMaxRecentRecords`.
+  std::deque<RecordId> recent_records;
 
   friend bool operator==(const FleetState&, const FleetState&) = default;
 };
--- a/include/chervilspar/inventory/inventory.h
+++ b/include/chervilspar/inventory/inventory.h
@@ -54,6 +54,20 @@
   friend bool operator==(const Pool&, const Pool&) = default;
 };
 
+/// What operators declare about a service: what one of its jobs needs, and who may submit it.
+struct Service {
+  ServiceId id;
+  /// What one job needs; zero when nothing is known. A job that needs more than every VM of the
+  /// service's pools has is refused.
+  std::uint32_t job_cores = 0;
+  std::uint32_t job_memory_mb = 0;
+  std::uint32_t job_accelerators = 0;
+  /// Teams that may submit requests to it; empty means every team.
+  std::vector<TeamId> teams;
+
+  friend bool operator==(const Service&, const Service&) = default;
+};
+
 /// A group of submitters of one client account; the unit of keys, shares and limits.
 struct Team {
   TeamId id;
@@ -150,6 +164,7 @@
 /// The whole configuration, keyed by id, so that two inventories compare object by object.
 struct Inventory {
   std::map<ZoneId, Zone> zones;
+  std::map<ServiceId, Service> services;
   std::map<PoolId, Pool> pools;
   std::map<VmId, Vm> vms;
   std::map<TeamId, Team> teams;
--- /dev/null
+++ b/include/chervilspar/telemetry/hybrid_clock.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "chervilspar/base/time.h"
+
+namespace chervilspar::telemetry {
+
+/// A stamp of a hybrid logical clock: close to the wall clock, and later than everything that the
+/// stamping process had heard of. Orders events over all processes.
+struct HybridTime {
+  WallTime wall;
+  /// Orders stamps with the same wall part.
+  std::uint32_t logical = 0;
+
+  friend auto operator<=>(const HybridTime&, const HybridTime&) = default;
+};
+
+/// Hybrid logical clock (Kulkarni et al., "Logical Physical Clocks", 2014).
+///
+/// What can go wrong: one VM's wall clock is an hour ahead, and every process that hears from it
+/// stamps its events an hour ahead, too, for good. So a peer's stamp pushes this clock no further
+/// than `max_ahead` beyond the own wall clock; such stamps are counted.
+class HybridClock {
+ public:
+  explicit HybridClock(Duration max_ahead) : max_ahead(max_ahead) {}
+
+  /// A stamp for an event here, later than all stamps before it.
+  HybridTime Stamp(WallTime wall_now);
+
+  /// Takes in a peer's stamp. Returns the own stamp for the reception.
+  HybridTime Observe(const HybridTime& remote, WallTime wall_now);
+
+  /// How many stamps were further ahead than allowed.
+  std::uint64_t RefusedStamps() const { return this->refused; }
+
+ private:
+  HybridTime Advance(const HybridTime& floor, WallTime wall_now);
+
+  Duration max_ahead;
+  HybridTime last;
+  std::uint64_t refused = 0;
+};
+
+}  // namespace chervilspar::telemetry
