Membership, quota, idempotency: Decide who may own, lend and run

Cause: without these, a limit split over entries is exceeded when the holder of a unit is paused, replaced or cut off, and a non-idempotent request runs twice when its caller asks again through another entry.

So a gap in versions asks for the agreement of all, not just of the losers.

--- a/include/chervilspar/idempotency/request_registry.h
+++ b/include/chervilspar/idempotency/request_registry.h
@@ -26,6 +26,9 @@
   /// Most ids remembered. At about 220 bytes each this is 44 MB, and at the hour's age it carries
   /// 55 non-idempotent requests a second for each owner.
   std::size_t capacity = 200000;
+  /// How far a caller's clock may be ahead. Ids from further ahead are refused, and an owner's
+  /// first moments are answered by "may have run" for this long.
+  Duration max_caller_ahead = std::chrono::seconds(1);
 };
 
 /// Safety mechanisms of `RequestRegistry` that a test may take out.
@@ -34,8 +37,6 @@
   membership::Guard birth = membership::Guard::kOn;
   /// Ids whose owner changed are not run before all entries have the new list.
   membership::Guard joint_rule = membership::Guard::kOn;
-  /// An owner that has not read the log to its end runs nothing.
-  membership::Guard read_to_end = membership::Guard::kOn;
   /// Ids from the future are refused.
   membership::Guard future = membership::Guard::kOn;
   /// What was forgotten may have run.
@@ -89,11 +90,16 @@
   };
 
   Registration Decide(const Key& key, const Attempt& attempt, WallTime wall_now);
-  std::optional<Registration> DecideKnown(Record& record, const Attempt& attempt) const;
-  std::optional<Registration> DecideOwnership(const Key& key) const;
+  Registration DecideKnown(Record& record, const Key& key, const Attempt& attempt) const;
+  Registration DecideNew(const Key& key, const Attempt& attempt, WallTime wall_now);
+  std::optional<Registration> FindNotOwned(const RequestId& id) const;
   std::optional<WallTime> BirthFor(const RequestId& id) const;
+  bool MayPredateBirth(const Key& key) const;
   bool MakeRoom(WallTime wall_now);
-  void Forget(std::map<Key, Record>::iterator oldest);
+  void ForgetOldest();
+  void RaiseUnknown(WallTime until);
+  /// Largest lead of an id's time over this clock's reading when an earlier owner accepted it.
+  Duration Margin() const { return this->bounds.max_caller_ahead + this->max_clock_skew; }
 
   membership::Self self;
   Duration max_clock_skew;
@@ -101,6 +107,7 @@
   RegistryGuards guards;
   bool may_own = false;
   membership::EntryList current;
+  /// Whether all entries have been known to act by one list in this life, or there was none yet.
   bool agreed_once = false;
   /// Lists since the last one that all entries had applied, the current one last.
   std::vector<std::set<EntryId>> unsettled_lists;
--- a/include/chervilspar/membership/membership.h
+++ b/include/chervilspar/membership/membership.h
@@ -30,6 +30,9 @@
   ZoneId zone;
 };
 
+/// The entries of a folded state.
+EntryList EntryListOf(const config_log::FleetState& state);
+
 /// Safety mechanisms of `Membership` that a test may take out.
 struct MembershipGuards {
   /// An entry owns nothing until it has read the log to its end since its start.
@@ -127,8 +130,9 @@
     TimePoint heard_at;
   };
 
-  Agreement Reached(config_log::ConfigVersion vouched, config_log::ConfigVersion own,
-                    const std::set<EntryId>& reached) const;
+  Agreement AgreementOn(config_log::ConfigVersion by_all, const std::set<EntryId>& reached) const;
+  void UpdateFormer(const EntryList& next);
+  bool MayKnow(const Heartbeat& heartbeat) const;
   bool IsStale(const Peer& known, const Heartbeat& heartbeat, TimePoint now) const;
   void TakeReports(const Heartbeat& heartbeat);
   void NoteAgreement();
@@ -138,6 +142,8 @@
   EntryList list;
   /// Former entries, of the list and of this life's earlier lists, that are still awaited.
   std::set<EntryId> former;
+  /// Former entries that have come to a version that all have reached.
+  std::set<EntryId> released;
   LogProgress log_progress = LogProgress::kCatchingUp;
   config_log::Offset next_offset = 0;
   config_log::ConfigVersion settled_version = 0;
--- a/include/chervilspar/quota/messages.h
+++ b/include/chervilspar/quota/messages.h
@@ -32,12 +32,18 @@
 /// Answers a request; `units` of zero declines it.
 struct LoanGrant {
   std::uint64_t request_number = 0;
+  /// The life of the borrower that asked. Its successor counts requests anew and must not take the
+  /// grant for an answer to its own.
+  membership::Incarnation borrower_incarnation;
   LoanKey loan;
   TeamId team;
   std::uint32_t units = 0;
   /// The borrower may start tasks on the loan for this long after it *sent the request*, by its own
   /// clock. The lender counts from the later moment at which it sent the grant.
   Duration lease = Duration::zero();
+  /// Longest task lease of tasks on this loan. The borrower may already act by a configuration that
+  /// allows longer ones than the lender waits for.
+  Duration task_lease = Duration::zero();
 
   friend bool operator==(const LoanGrant&, const LoanGrant&) = default;
 };
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,234 @@
+#include "chervilspar/membership/membership.h"
+
+#include <algorithm>
+
+#include "chervilspar/base/assert.h"
+
+namespace chervilspar::membership {
+
+namespace {
+
+/// Most senders remembered that the current list doesn't name. An entry that is behind hears from
+/// entries that it can't know yet; a broken sender must not fill its memory.
+constexpr std::size_t kMaxUnlistedPeers = 64;
+
+}  // namespace
+
+EntryList EntryListOf(const config_log::FleetState& state) {
+  EntryList list;
+  list.version = state.version;
+  for (const auto& [id, entry] : state.inventory.entries) {
+    list.entries.insert(id);
+  }
+  return list;
+}
+
+Membership::Membership(Self self, TimePoint started, MembershipGuards guards)
+    : self(std::move(self)), guards(guards), last_tick(started) {}
+
+void Membership::OnConfiguration(const EntryList& list) {
+  CHERVILSPAR_ASSERT(list.version >= this->list.version);
+  if (list.version == this->list.version) {
+    return;
+  }
+  this->UpdateFormer(list);
+  this->list = list;
+  this->applied.clear();
+  this->settled.clear();
+  for (const auto& [id, peer] : this->peers) {
+    this->TakeReports(peer.last);
+  }
+  this->NoteAgreement();
+}
+
+void Membership::UpdateFormer(const EntryList& next) {
+  if (this->guards.await_former == Guard::kOff) {
+    return;
+  }
+  this->former.insert(this->list.entries.begin(), this->list.entries.end());
+  for (const EntryId& id : next.former) {
+    if (!this->released.contains(id)) {
+      this->former.insert(id);
+    }
+  }
+  for (const EntryId& id : next.entries) {
+    this->former.erase(id);
+    this->released.erase(id);
+  }
+  for (const EntryId& id : next.gone) {
+    this->former.erase(id);
+  }
+}
+
+void Membership::OnReadToEnd() { this->log_progress = LogProgress::kReadToEnd; }
+
+void Membership::OnFolded(config_log::Offset next_offset) {
+  CHERVILSPAR_ASSERT(next_offset >= this->next_offset);
+  this->next_offset = next_offset;
+}
+
+void Membership::OnSettled(config_log::ConfigVersion version) {
+  CHERVILSPAR_ASSERT(version >= this->settled_version);
+  CHERVILSPAR_ASSERT(version <= this->list.version);
+  this->settled_version = version;
+  this->NoteAgreement();
+}
+
+HeartbeatNews Membership::OnHeartbeat(const Heartbeat& heartbeat, TimePoint now) {
+  if (heartbeat.from == this->self.id || !this->MayKnow(heartbeat)) {
+    return HeartbeatNews::kIgnored;
+  }
+  const auto found = this->peers.find(heartbeat.from);
+  if (found != this->peers.end() && this->IsStale(found->second, heartbeat, now)) {
+    return HeartbeatNews::kIgnored;
+  }
+  HeartbeatNews news = HeartbeatNews::kNothing;
+  if (found == this->peers.end()) {
+    news = HeartbeatNews::kNewPeer;
+  } else if (found->second.last.incarnation != heartbeat.incarnation) {
+    news = HeartbeatNews::kNewIncarnation;
+  }
+  this->peers[heartbeat.from] = Peer{heartbeat, now};
+  this->TakeReports(heartbeat);
+  this->NoteAgreement();
+  return news;
+}
+
+bool Membership::MayKnow(const Heartbeat& heartbeat) const {
+  const EntryId& from = heartbeat.from;
+  if (this->list.entries.contains(from) || this->former.contains(from) ||
+      this->peers.contains(from)) {
+    return true;
+  }
+  const bool is_ahead = heartbeat.applied_version > this->list.version;
+  return (is_ahead || this->list.version == 0) &&
+         this->peers.size() < this->list.entries.size() + kMaxUnlistedPeers;
+}
+
+bool Membership::IsStale(const Peer& known, const Heartbeat& heartbeat, TimePoint now) const {
+  if (heartbeat.incarnation == known.last.incarnation) {
+    return heartbeat.sent_at < known.last.sent_at;
+  }
+  // The replacement's wall clock may be behind its predecessor's. Once the predecessor is silent,
+  // any other life is the newer one.
+  return heartbeat.incarnation < known.last.incarnation && now - known.heard_at < kSilentAfter;
+}
+
+void Membership::TakeReports(const Heartbeat& heartbeat) {
+  const config_log::ConfigVersion version = this->list.version;
+  if (heartbeat.applied_version == version) {
+    this->applied.insert(heartbeat.from);
+  }
+  if (heartbeat.settled_version == version) {
+    this->settled.insert(heartbeat.from);
+  }
+  if (heartbeat.applied_by_all == version) {
+    this->applied_by_all = version;
+  }
+  if (heartbeat.settled_by_all == version) {
+    this->settled_by_all = version;
+  }
+}
+
+void Membership::NoteAgreement() {
+  if (this->Applied().IsReachedByAll()) {
+    this->applied_by_all = this->list.version;
+  }
+  if (this->Settled().IsReachedByAll()) {
+    this->settled_by_all = this->list.version;
+  }
+  const bool both = this->list.version > 0 && this->applied_by_all == this->list.version &&
+                    this->settled_by_all == this->list.version;
+  if (both) {
+    // A former entry that has come to this version owns nothing from here on, until it is listed
+    // again; it may be switched off.
+    this->released.insert(this->former.begin(), this->former.end());
+    this->former.clear();
+  }
+}
+
+std::optional<Pause> Membership::Tick(TimePoint now) {
+  CHERVILSPAR_ASSERT(now >= this->last_tick);
+  const Pause pause{this->last_tick, now};
+  this->last_tick = now;
+  if (pause.until - pause.from < kPauseThreshold) {
+    return std::nullopt;
+  }
+  return pause;
+}
+
+Heartbeat Membership::MakeHeartbeat(HybridTime sent_at) const {
+  Heartbeat heartbeat;
+  heartbeat.from = this->self.id;
+  heartbeat.incarnation = this->self.incarnation;
+  heartbeat.zone = this->self.zone;
+  heartbeat.next_offset = this->next_offset;
+  heartbeat.log_progress = this->log_progress;
+  heartbeat.applied_version = this->list.version;
+  heartbeat.settled_version = this->settled_version;
+  heartbeat.applied_by_all = this->applied_by_all;
+  heartbeat.settled_by_all = this->settled_by_all;
+  heartbeat.sent_at = sent_at;
+  return heartbeat;
+}
+
+std::set<EntryId> Membership::Audience() const {
+  std::set<EntryId> audience = this->list.entries;
+  audience.insert(this->former.begin(), this->former.end());
+  audience.erase(this->self.id);
+  return audience;
+}
+
+PeerView Membership::View(const EntryId& peer, TimePoint now) const {
+  const auto found = this->peers.find(peer);
+  if (found == this->peers.end()) {
+    return {};
+  }
+  const bool is_fresh = now - found->second.heard_at < kSilentAfter;
+  return {is_fresh ? Freshness::kFresh : Freshness::kSilent, found->second.last,
+          found->second.heard_at};
+}
+
+std::vector<EntryId> Membership::FreshPeers(TimePoint now) const {
+  std::vector<EntryId> fresh;
+  for (const auto& [id, peer] : this->peers) {
+    if (now - peer.heard_at < kSilentAfter) {
+      fresh.push_back(id);
+    }
+  }
+  return fresh;
+}
+
+bool Membership::MayOwn() const {
+  return this->guards.read_to_end == Guard::kOff || this->log_progress == LogProgress::kReadToEnd;
+}
+
+Agreement Membership::Applied() const {
+  std::set<EntryId> reached = this->applied;
+  reached.insert(this->self.id);
+  return this->AgreementOn(this->applied_by_all, reached);
+}
+
+Agreement Membership::Settled() const {
+  std::set<EntryId> reached = this->settled;
+  if (this->settled_version == this->list.version) {
+    reached.insert(this->self.id);
+  }
+  return this->AgreementOn(this->settled_by_all, reached);
+}
+
+Agreement Membership::AgreementOn(config_log::ConfigVersion by_all,
+                                  const std::set<EntryId>& reached) const {
+  Agreement agreement;
+  agreement.version = this->list.version;
+  if (by_all == this->list.version) {
+    return agreement;
+  }
+  std::set<EntryId> asked = this->list.entries;
+  asked.insert(this->former.begin(), this->former.end());
+  std::set_difference(asked.begin(), asked.end(), reached.begin(), reached.end(),
+                      std::inserter(agreement.awaiting, agreement.awaiting.end()));
+  return agreement;
+}
+
+}  // namespace chervilspar::membership
--- /dev/null
+++ b/src/quota/task_table.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "chervilspar/base/ids.h"
+#include "chervilspar/base/time.h"
+#include "chervilspar/quota/messages.h"
+
+namespace chervilspar::quota {
+
+/// A task that counts as running.
+struct CountedTask {
+  TeamId team;
+  /// The loan that it runs on; none for an own unit.
+  std::optional<LoanKey> loan;
+  /// When it must have ended, whatever was heard of it.
+  TimePoint counts_until;
+};
+
+/// The tasks that this entry has started, until they are known, or certain, to have ended.
+class TaskTable {
+ public:
+  bool Contains(const TaskId& task) const { return this->tasks.contains(task); }
+  void Add(const TaskId& task, const CountedTask& counted);
+  /// Removes a task; none when it isn't known.
+  std::optional<CountedTask> Remove(const TaskId& task);
+  /// Removes and returns the tasks that must have ended by now.
+  std::vector<CountedTask> RemoveEnded(TimePoint now);
+  /// Moves one task of the team from a loan to an own unit; the loan that it ran on.
+  std::optional<LoanKey> MoveToOwnUnit(const TeamId& team);
+
+  std::uint32_t OnOwnUnits(const TeamId& team) const;
+  std::uint32_t Running(const TeamId& team) const;
+  /// Teams with a task here.
+  std::set<TeamId> Teams() const;
+  bool IsEmpty() const { return this->tasks.empty(); }
+
+ private:
+  struct TeamTasks {
+    std::uint32_t on_own_units = 0;
+    std::set<TaskId> on_loans;
+  };
+
+  void Uncount(const TaskId& task, const CountedTask& counted);
+
+  std::map<TaskId, CountedTask> tasks;
+  std::set<std::pair<TimePoint, TaskId>> by_end;
+  std::map<TeamId, TeamTasks> teams;
+};
+
+}  // namespace chervilspar::quota
