--- a/include/chervilspar/quota/quota.h
+++ b/include/chervilspar/quota/quota.h
@@ -106,7 +106,7 @@
 /// for `wall_now`, from which the start-by time for endpoints is made.
 class Quota {
  public:
-  Quota(membership::Self self, TimePoint started, LendingPolicy policy = {},
+  Quota(const membership::Self& self, TimePoint started, LendingPolicy policy = {},
         QuotaGuards guards = {});
   ~Quota();
   Quota(Quota&&) noexcept;
--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -15,8 +15,9 @@
   return kNames.at(static_cast<std::size_t>(refusal));
 }
 
-Quota::Quota(membership::Self self, TimePoint started, LendingPolicy policy, QuotaGuards guards)
-    : state(std::make_unique<State>(std::move(self), started, policy, guards)) {}
+Quota::Quota(const membership::Self& self, TimePoint started, LendingPolicy policy,
+             QuotaGuards guards)
+    : state(std::make_unique<State>(self, started, policy, guards)) {}
 
 Quota::~Quota() = default;
 Quota::Quota(Quota&&) noexcept = default;
