Http, Platform: Serve, call and read the platform with bounded resources

A client that closes a connection after anything but one whole answer, so that a late answer meets no other request.

The first form of the VM list filter kept the newest sequence number only; a platform that starts its count anew would then have been ignored until it had caught up, so the age of the list counts too.

--- a/include/chervilspar/http/client.h
+++ b/include/chervilspar/http/client.h
@@ -20,8 +20,8 @@
 struct ClientLimits {
   /// Connections to one address, idle and busy. An endpoint takes 64 at once from all entries.
   std::size_t connections_per_address = 16;
-  std::size_t header_bytes = 16U * 1024;
-  std::size_t body_bytes = 16U * 1024 * 1024;
+  std::size_t header_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{16} * 1024 * 1024;
   Duration connect_timeout = std::chrono::seconds(1);
   /// An idle connection older than this is not used again; must be below the idle timeout of the
   /// servers, or requests meet connections that are just being closed.
--- a/include/chervilspar/http/server.h
+++ b/include/chervilspar/http/server.h
@@ -18,8 +18,8 @@
 
 /// Bounds that keep callers from holding a server's memory or connections.
 struct ServerLimits {
-  std::size_t header_bytes = 16U * 1024;
-  std::size_t body_bytes = 1024U * 1024;
+  std::size_t header_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{1024} * 1024;
   /// Connections open at once; above that a new one is answered 503 and closed.
   std::size_t connections = 4096;
   /// How long a connection may wait between two requests.
@@ -55,7 +55,8 @@
  public:
   virtual ~Handler() = default;
   /// Answers one request, on the connection's executor. `caller` is cancelled when the caller
-  /// hangs up before the answer is there; what is returned then is dropped.
+  /// hangs up before the answer is there; the answer is then still offered to the socket, as the
+  /// caller may have closed its sending side only.
   /// An exception is a programming error and answers 500.
   virtual boost::asio::awaitable<Response> Handle(Request request,
                                                   std::shared_ptr<CancelToken> caller) = 0;
@@ -78,10 +79,9 @@
   /// Listens at `address` and spreads connections over `contexts`, each of which must be run by one
   /// thread. `handler` and `observer` outlive the server; `observer` may be null. Port 0 takes a
   /// free port.
-  static Result<std::unique_ptr<Server>> Listen(std::vector<boost::asio::io_context*> contexts,
-                                                const SocketAddress& address,
-                                                const ServerLimits& limits, Handler& handler,
-                                                ServerObserver* observer = nullptr);
+  static Result<std::unique_ptr<Server>> Listen(
+      const std::vector<boost::asio::io_context*>& contexts, const SocketAddress& address,
+      const ServerLimits& limits, Handler& handler, ServerObserver* observer = nullptr);
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
   /// Closes the listener. Connections that are still open live on until their context stops.
--- a/include/chervilspar/platform/log_service.h
+++ b/include/chervilspar/platform/log_service.h
@@ -12,7 +12,6 @@
 #include "chervilspar/base/time.h"
 #include "chervilspar/base/verdict.h"
 #include "chervilspar/config_log/fleet_state.h"
-#include "chervilspar/http/cancel_token.h"
 
 namespace chervilspar::platform {
 
--- a/include/chervilspar/platform/vm_list_filter.h
+++ b/include/chervilspar/platform/vm_list_filter.h
@@ -11,9 +11,13 @@
 
 /// What is odd about a VM list.
 enum class VmListFault {
-  /// The sequence is lower than one seen before: an answer overtaken on its way.
+  /// The sequence is lower than one seen before and the list no younger: an answer overtaken on its
+  /// way. It is not used.
   kWentBackwards,
-  /// The same sequence as before with other contents.
+  /// The sequence is lower but the list is younger: the platform started anew. It is used, or this
+  /// entry would hold on to an old list until the platform's count has caught up.
+  kSequenceReset,
+  /// The same sequence as before with other contents; used if it is younger.
   kChangedWithoutSequence,
   /// A VM stands in the list twice; the worse state counts.
   kRepeatedVm,
--- /dev/null
+++ b/src/http/connection_pool.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "chervilspar/base/socket_address.h"
+#include "chervilspar/base/time.h"
+#include "chervilspar/http/client.h"
+
+namespace chervilspar::http {
+
+/// Idle connections by address, and the count of all that are open, bounded for each address.
+/// Safe to use from several threads.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  /// One of the connections to an address, from dialling until it is closed or given back.
+  class Lease {
+   public:
+    Lease(std::shared_ptr<ConnectionPool> pool, SocketAddress address, Socket socket);
+    Lease(const Lease&) = delete;
+    Lease& operator=(const Lease&) = delete;
+    /// Closes the connection unless it was given back.
+    ~Lease();
+
+    Socket socket;
+    /// Whether it was idle before, and thus is connected.
+    bool is_reused = false;
+
+    /// Makes the connection available to the next request. Only after a whole answer, with nothing
+    /// left over.
+    void GiveBack();
+
+   private:
+    std::shared_ptr<ConnectionPool> pool;
+    SocketAddress address;
+    bool is_given_back = false;
+  };
+
+  explicit ConnectionPool(const ClientLimits& limits) : limits(limits) {}
+
+  /// An idle connection, if there is a usable one, or an unconnected socket; null when as many
+  /// as allowed are busy. Prefers connections of the given executor.
+  std::unique_ptr<Lease> Acquire(const SocketAddress& address,
+                                 const boost::asio::any_io_executor& executor);
+  void CloseStale();
+  /// Closes idle connections and those that are given back later.
+  void Shut();
+  std::size_t ConnectionCount() const;
+
+ private:
+  struct Idle {
+    Socket socket;
+    TimePoint since;
+  };
+  struct PerAddress {
+    std::vector<Idle> idle;
+    /// Idle and leased connections.
+    std::size_t open = 0;
+  };
+
+  std::optional<Socket> TakeIdle(PerAddress& entry, const boost::asio::any_io_executor& executor);
+  void Return(const SocketAddress& address, Socket socket);
+  void Forget(const SocketAddress& address);
+
+  ClientLimits limits;
+  SystemClock clock;
+  mutable std::mutex mutex;
+  std::map<SocketAddress, PerAddress> addresses;
+  bool is_shut = false;
+};
+
+}  // namespace chervilspar::http
--- /dev/null
+++ b/tests/http/client_test.cc
@@ -0,0 +1,165 @@
+#include "chervilspar/http/client.h"
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "chervilspar/http/blocking_client.h"
+
+#include "raw_peer.h"
+
+namespace chervilspar::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kGenerous = std::chrono::seconds(20);
+const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+struct EndpointCase {
+  std::string name;
+  /// What the endpoint sends before it closes the connection.
+  std::string answer;
+  Verdict verdict;
+  ErrorCode code;
+};
+
+class FaultyEndpointTest : public testing::TestWithParam<EndpointCase> {};
+
+// An endpoint dies, cuts its answer short or talks nonsense after it has got the request. Whether
+// it ran the request can't be known, and a doubled deposit charge must not come of a guess.
+TEST_P(FaultyEndpointTest, GivesTheRightVerdict) {
+  RawServer server(1, [](RawServer::Socket& socket, int) {
+    RawServer::ReadHeader(socket);
+    RawServer::Write(socket, GetParam().answer);
+  });
+  BlockingClient client;
+  const Exchange exchange = client.Call(server.Address(), {"GET", "/", {}, {}}, kGenerous);
+  EXPECT_EQ(exchange.verdict, GetParam().verdict);
+  if (!exchange.response) {
+    EXPECT_EQ(exchange.reason.code, GetParam().code);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, FaultyEndpointTest,
+    testing::Values(
+        EndpointCase{"Whole", kOk, Verdict::kCompleted, {}},
+        EndpointCase{"NoAnswer", "", Verdict::kMayHaveRun, ErrorCode::kUnavailable},
+        EndpointCase{"ShortBody", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+                     Verdict::kMayHaveRun, ErrorCode::kDataLoss},
+        EndpointCase{"HalfHeader", "HTTP/1.1 200 OK\r\nConte", Verdict::kMayHaveRun,
+                     ErrorCode::kDataLoss},
+        EndpointCase{"Garbage", "\x01\x02\x03 what\r\n\r\n", Verdict::kMayHaveRun,
+                     ErrorCode::kMalformed},
+        EndpointCase{"SaysNotRun",
+                     "HTTP/1.1 503 Busy\r\nChervilspar-Not-Run: full\r\nContent-Length: 0\r\n\r\n",
+                     Verdict::kNotRun,
+                     {}},
+        EndpointCase{"PlainServerError",
+                     "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                     Verdict::kCompleted,
+                     {}},
+        EndpointCase{"NotRunWithSuccess",
+                     "HTTP/1.1 200 OK\r\nChervilspar-Not-Run: full\r\nContent-Length: 0\r\n\r\n",
+                     Verdict::kCompleted,
+                     {}}),
+    [](const testing::TestParamInfo<EndpointCase>& info) { return info.param.name; });
+
+TEST(ClientTest, NobodyListeningIsNotRun) {
+  SocketAddress address;
+  {
+    boost::asio::io_context io;
+    const boost::asio::ip::tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    address = {"127.0.0.1", probe.local_endpoint().port()};
+  }
+  BlockingClient client;
+  const Exchange exchange = client.Call(address, {"GET", "/", {}, {}}, kGenerous);
+  EXPECT_EQ(exchange.verdict, Verdict::kNotRun);
+  EXPECT_EQ(exchange.reason.code, ErrorCode::kUnavailable);
+}
+
+// An endpoint answers only after the request was given up. On a kept connection that answer would
+// be the next caller's; here the next request meets a new connection and its own answer.
+TEST(ClientTest, ALateAnswerNeverMeetsTheNextRequest) {
+  RawServer server(2, [](RawServer::Socket& socket, int connection) {
+    RawServer::ReadHeader(socket);
+    if (connection == 0) {
+      std::this_thread::sleep_for(milliseconds(100));
+      RawServer::Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+    } else {
+      RawServer::Write(socket, kOk);
+    }
+  });
+  BlockingClient client;
+  const Exchange first = client.Call(server.Address(), {"GET", "/1", {}, {}}, milliseconds(30));
+  EXPECT_EQ(first.verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(first.reason.code, ErrorCode::kDeadlineExceeded);
+  const Exchange second = client.Call(server.Address(), {"GET", "/2", {}, {}}, kGenerous);
+  ASSERT_EQ(second.verdict, Verdict::kCompleted);
+  EXPECT_EQ(second.response->body, "ok");
+}
+
+// An endpoint sends more than one answer to one request. The surplus would be taken for the next
+// request's answer if the connection stayed in the pool.
+TEST(ClientTest, SurplusBytesEndTheConnection) {
+  RawServer server(2, [](RawServer::Socket& socket, int connection) {
+    RawServer::ReadHeader(socket);
+    const std::string surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+    RawServer::Write(socket, connection == 0 ? kOk + surplus : kOk);
+  });
+  BlockingClient client;
+  EXPECT_EQ(client.Call(server.Address(), {"GET", "/1", {}, {}}, kGenerous).response->body, "ok");
+  EXPECT_EQ(client.Call(server.Address(), {"GET", "/2", {}, {}}, kGenerous).response->body, "ok");
+}
+
+// An endpoint closes a kept connection while it is idle. Writing the next request into it would
+// end in "may have run" for a request that surely did not; the look at the socket before use
+// makes it go over a new connection.
+TEST(ClientTest, AStaleConnectionIsNotUsed) {
+  std::atomic<int> closed = 0;
+  RawServer server(2, [&closed](RawServer::Socket& socket, int) {
+    RawServer::ReadHeader(socket);
+    RawServer::Write(socket, kOk);
+    socket.close();
+    ++closed;
+  });
+  BlockingClient client;
+  EXPECT_EQ(client.Call(server.Address(), {"GET", "/1", {}, {}}, kGenerous).verdict,
+            Verdict::kCompleted);
+  while (closed == 0) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(client.Call(server.Address(), {"GET", "/2", {}, {}}, kGenerous).verdict,
+            Verdict::kCompleted);
+}
+
+// The caller of a request hangs up while an endpoint works on it. The exchange ends at once, and
+// what it says is that the request may have run.
+TEST(ClientTest, CancellingEndsTheExchange) {
+  const auto cancel = CancelToken::Create();
+  RawServer server(1, [&cancel](RawServer::Socket& socket, int) {
+    RawServer::ReadHeader(socket);
+    cancel->Cancel();
+    RawServer::ReadHeader(socket);
+  });
+  BlockingClient client;
+  const Exchange exchange = client.Call(server.Address(), {"GET", "/", {}, {}}, kGenerous, cancel);
+  EXPECT_EQ(exchange.verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(client.Call(server.Address(), {"GET", "/", {}, {}}, kGenerous, cancel).verdict,
+            Verdict::kNotRun);
+}
+
+// A caller's text that ends up in a header must not be able to start a header of its own.
+TEST(ClientTest, RefusesALineBreakInAHeader) {
+  BlockingClient client;
+  const Exchange exchange =
+      client.Call({"127.0.0.1", 1}, {"GET", "/", {{"X", "a\r\nY: b"}}, {}}, kGenerous);
+  EXPECT_EQ(exchange.verdict, Verdict::kNotRun);
+  EXPECT_EQ(exchange.reason.code, ErrorCode::kInvalidArgument);
+}
+
+}  // namespace
+}  // namespace chervilspar::http
