--- a/include/chervilspar/config_log/appender.h
+++ b/include/chervilspar/config_log/appender.h
@@ -84,7 +84,6 @@
   /// A record was folded.
   AppendActions OnFolded(const FoldOutcome& outcome, TimePoint now);
 
-  /// The follower jumped over records by taking a snapshot: what was not read back stays unknown.
   /// Sends what is due and gives up what is late.
   AppendActions OnTick(TimePoint now);
 
--- a/include/chervilspar/config_log/folder.h
+++ b/include/chervilspar/config_log/folder.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_set>
 
@@ -22,7 +23,7 @@
 /// Most publishes in parts that may be unfinished at once, and most parts of one. Older ones give
 /// way, so that an author that died half way leaves nothing behind for good.
 constexpr std::size_t kMaxPendingPublishes = 4;
-constexpr std::uint32_t kMaxPublishParts = 64;
+constexpr std::uint32_t kMaxPublishParts = 24;
 
 /// What the fold did with a record.
 enum class FoldVerdict {
@@ -87,9 +88,14 @@
 
  private:
   friend class FoldVisitor;
+  friend class PublishFold;
 
   void RebuildIndexes();
+  /// Adds (+1) or takes away (-1) what a VM contributes to its pool's counts. Each change of a VM
+  /// stands between the two.
+  void CountVm(const VmId& vm, int sign);
   void Remember(const RecordId& id);
+  FoldOutcome Pass(FoldVerdict verdict, const RecordId& record, std::optional<Reason> reason);
 
   FleetState state;
   std::map<PoolId, PoolCounts> counts;
--- a/include/chervilspar/config_log/log_follower.h
+++ b/include/chervilspar/config_log/log_follower.h
@@ -110,6 +110,8 @@
 
   void FoldRecord(const LogRecord& record, FollowUpdate& update, TimePoint now);
   void CollectChunk(const SnapshotChunk& chunk, TimePoint now);
+  /// Reads on for a whole snapshot after a gap.
+  void SeekSnapshot(const ReadBatch& batch, FollowUpdate& update, TimePoint now);
   bool TryInstall(const ChunkSet& chunks, FollowUpdate& update);
   void KeepInTail(const LogRecord& record);
 
--- a/src/config_log/fleet_state.cc
+++ b/src/config_log/fleet_state.cc
@@ -2,6 +2,42 @@
 
 namespace chervilspar::config_log {
 
+const char* ToString(VmCondition condition) {
+  switch (condition) {
+    case VmCondition::kAvailable:
+      return "available";
+    case VmCondition::kFailed:
+      return "failed";
+    case VmCondition::kLeaving:
+      return "leaving";
+    case VmCondition::kUnseen:
+      return "unseen";
+  }
+  return "unseen";
+}
+
+const char* ToString(StepAction action) {
+  switch (action) {
+    case StepAction::kReboot:
+      return "reboot";
+    case StepAction::kMove:
+      return "move";
+    case StepAction::kRetire:
+      return "retire";
+  }
+  return "reboot";
+}
+
+const char* ToString(StepPhase phase) {
+  switch (phase) {
+    case StepPhase::kDraining:
+      return "draining";
+    case StepPhase::kActing:
+      return "acting";
+  }
+  return "draining";
+}
+
 bool IsAvailable(const FleetState& state, const VmId& vm) {
   const auto found = state.vm_status.find(vm);
   if (found == state.vm_status.end()) {
