--- a/tests/standins/endpoint_group.cc
+++ b/tests/standins/endpoint_group.cc
@@ -28,6 +28,9 @@
   if (name == "ledger") {
     return this->LedgerLines();
   }
+  if (name == "availability") {
+    return this->AvailabilityLines();
+  }
   if (name == "peaks") {
     return this->Peaks();
   }
@@ -51,6 +54,20 @@
   return lines;
 }
 
+std::string EndpointGroup::AvailabilityLines() const {
+  std::string lines;
+  for (const auto& endpoint : this->endpoints) {
+    for (const AvailabilityLine& line : endpoint->Availability()) {
+      const json::object object{{"vm", line.vm},
+                                {"at_us", line.at_us},
+                                {"available", line.is_available},
+                                {"cause", line.cause}};
+      lines += json::serialize(object) + "\n";
+    }
+  }
+  return lines;
+}
+
 /// Most tasks of each team that ran at once on these endpoints.
 std::string EndpointGroup::Peaks() const {
   struct Edge {
--- a/tests/standins/endpoint_standin.cc
+++ b/tests/standins/endpoint_standin.cc
@@ -64,7 +64,11 @@
     co_return JsonReply(this->Usage());
   }
   if (request.target == "/v1/drain" || request.target == "/v1/undrain") {
-    this->draining = request.target == "/v1/drain";
+    const bool wants_drain = request.target == "/v1/drain";
+    if (this->draining != wants_drain) {
+      this->draining = wants_drain;
+      this->Note(!wants_drain, wants_drain ? "drain" : "undrain");
+    }
     co_return JsonReply(R"({"running":)" + std::to_string(this->running.size()) + "}");
   }
   const bool is_task = segments.size() >= 3 && segments[1] == "tasks";
@@ -218,8 +222,7 @@
   if (wants_down && !this->is_down) {
     this->TakeDown(Order::kCutByFailure);
   } else if (!wants_down && this->is_down) {
-    this->is_down = false;
-    this->server.Start();
+    this->BringBack();
   }
   const std::int64_t reboot_ms = IntegerOr(switches, "reboot_ms", 0);
   if (reboot_ms > 0 && !this->is_down) {
@@ -233,15 +236,30 @@
     task.order = order;
   }
   this->server.Stop();
+  this->Note(false, order == Order::kCutByReboot ? "reboot" : "failure");
+}
+
+void EndpointStandin::BringBack() {
+  this->is_down = false;
+  this->draining = false;
+  this->server.Start();
+  this->Note(true, "back");
+}
+
+void EndpointStandin::Start() {
+  this->server.Start();
+  this->Note(true, "start");
+}
+
+void EndpointStandin::Note(bool is_available, std::string cause) {
+  this->availability.push_back({this->vm, UnixMicros(), is_available, std::move(cause)});
 }
 
 asio::awaitable<void> EndpointStandin::Reboot(std::int64_t span_ms) {
   this->TakeDown(Order::kCutByReboot);
   co_await Sleep(milliseconds(span_ms));
-  this->draining = false;
   if (this->is_down) {
-    this->is_down = false;
-    this->server.Start();
+    this->BringBack();
   }
 }
 
--- a/tests/standins/endpoint_standin.h
+++ b/tests/standins/endpoint_standin.h
@@ -23,6 +23,15 @@
   std::string outcome = "running";
 };
 
+/// When an endpoint became, or ceased to be, able to take tasks.
+struct AvailabilityLine {
+  std::string vm;
+  std::int64_t at_us = 0;
+  bool is_available = true;
+  /// "start", "drain", "undrain", "reboot", "failure" or "back".
+  std::string cause;
+};
+
 /// An endpoint: slots, task leases, start-by check, cancel, drain, usage with a lag. What it ran is
 /// kept in a ledger over reboots, for the outside observer.
 ///
@@ -35,11 +44,12 @@
   EndpointStandin(boost::asio::io_context& io, std::string vm, SocketAddress address,
                   std::size_t slots, std::size_t connections);
 
-  void Start() { this->server.Start(); }
+  void Start();
   boost::asio::awaitable<Reply> Handle(http::Request request) override;
   void Apply(const boost::json::object& switches);
   const std::string& Vm() const { return this->vm; }
   const std::vector<LedgerLine>& Ledger() const { return this->ledger; }
+  const std::vector<AvailabilityLine>& Availability() const { return this->availability; }
   std::size_t Running() const { return this->running.size(); }
   bool IsDraining() const { return this->draining; }
 
@@ -60,6 +70,8 @@
   Reply Cancel(const std::string& id);
   std::string Usage();
   void TakeDown(Order order);
+  void BringBack();
+  void Note(bool is_available, std::string cause);
   boost::asio::awaitable<void> Reboot(std::int64_t span_ms);
 
   boost::asio::io_context& io;
@@ -69,6 +81,7 @@
   std::map<std::string, Task> running;
   std::map<std::string, std::size_t> seen;
   std::vector<LedgerLine> ledger;
+  std::vector<AvailabilityLine> availability;
   std::string usage;
   std::int64_t usage_at_us = 0;
   bool draining = false;
@@ -82,7 +95,8 @@
 };
 
 /// The endpoints of one process, controlled together: switches go to the endpoint named by `vm`, or
-/// to all. Reports: `ledger` (JSON lines) and `peaks` (most tasks at once by team).
+/// to all. Reports: `ledger` and `availability` (JSON lines), `peaks` (most tasks at once by team),
+/// `states`.
 class EndpointGroup final : public Controlled {
  public:
   void Add(std::unique_ptr<EndpointStandin> endpoint);
@@ -91,6 +105,7 @@
 
  private:
   std::string LedgerLines() const;
+  std::string AvailabilityLines() const;
   std::string Peaks() const;
   std::string States() const;
 
