--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -13,6 +13,7 @@
 #include "chervilspar/inventory/delta.h"
 #include "chervilspar/inventory/document.h"
 #include "chervilspar/telemetry/timeline.h"
+
 #include "entry/json_answer.h"
 #include "entry/wakeup.h"
 
@@ -66,6 +67,10 @@
                       504);
 }
 
+http::Response WithdrawalAnswer(bool is_logged) {
+  return JsonAnswer({{"applied", true}, {"logged", is_logged}});
+}
+
 /// A body as a JSON object; none when it is something else.
 std::optional<json::object> ReadObject(const std::string& body) {
   boost::system::error_code error;
@@ -91,8 +96,7 @@
     : context(context), parts(parts) {}
 
 bool OperatorApi::IsOperator(const http::Request& request) const {
-  const std::string_view given =
-      request.headers.Find("Authorization").value_or(std::string_view());
+  const std::string_view given = request.headers.Find("Authorization").value_or(std::string_view());
   if (!given.starts_with(kBearer)) {
     return false;
   }
@@ -142,9 +146,8 @@
   const json::value* document = body ? body->if_contains("inventory") : nullptr;
   const json::value* base = body ? body->if_contains("base_version") : nullptr;
   if (document == nullptr || base == nullptr || !base->is_int64()) {
-    co_return ReasonAnswer({ErrorCode::kMalformed, "body",
-                            "expected {\"base_version\":N,\"inventory\":{...}}"},
-                           400);
+    co_return ReasonAnswer(
+        {ErrorCode::kMalformed, "body", "expected {\"base_version\":N,\"inventory\":{...}}"}, 400);
   }
   const inventory::ParseOutcome parsed = inventory::ParseAll(json::serialize(*document));
   if (!parsed.inventory) {
@@ -159,14 +162,13 @@
   if (base->as_int64() != state->version) {
     co_return ReasonAnswer({ErrorCode::kConflict, "base_version",
                             "made from version " + std::to_string(base->as_int64()) +
-                                ", but version " + std::to_string(state->version) +
-                                " is in force"},
+                                ", but version " + std::to_string(state->version) + " is in force"},
                            409);
   }
   const RecordId id = this->parts.config.MakeRecordId("publish");
-  Result<std::vector<config_log::Record>> records = config_log::MakePublishRecords(
-      id, this->context.self.id, this->context.WallNow(),
-      config_log::MakePublish(*state, *parsed.inventory));
+  Result<std::vector<config_log::Record>> records =
+      config_log::MakePublishRecords(id, this->context.self.id, this->context.WallNow(),
+                                     config_log::MakePublish(*state, *parsed.inventory));
   if (!records) {
     co_return ReasonAnswer(records.LastReason(), 413);
   }
@@ -179,8 +181,7 @@
     co_return NotAnObject();
   }
   const TeamId team{TextOf(*body, "team")};
-  const Result<config_log::KeyDigest> digest =
-      config_log::ParseKeyDigest(TextOf(*body, "digest"));
+  const Result<config_log::KeyDigest> digest = config_log::ParseKeyDigest(TextOf(*body, "digest"));
   if (!digest) {
     co_return ReasonAnswer(digest.LastReason(), 400);
   }
@@ -190,7 +191,8 @@
   const RecordId id = this->parts.config.MakeRecordId("key");
   config_log::Record record{id, this->context.self.id, this->context.WallNow(),
                             config_log::KeyGiven{*digest, team}};
-  co_return AppendAnswer(co_await this->Append(id, {std::move(record)}));
+  std::vector<config_log::Record> records(1, std::move(record));
+  co_return AppendAnswer(co_await this->Append(id, std::move(records)));
 }
 
 asio::awaitable<http::Response> OperatorApi::WithdrawKey(std::string digest) {
@@ -201,7 +203,7 @@
   this->parts.config.Withdraw(*parsed);
   // In force here and on its way to the peers; the log follows when it answers.
   const bool is_logged = this->parts.config.State()->withdrawn.contains(*parsed);
-  co_return JsonAnswer({{"applied", true}, {"logged", is_logged}});
+  co_return WithdrawalAnswer(is_logged);
 }
 
 asio::awaitable<config_log::AppendOutcome> OperatorApi::Append(
