--- /dev/null
+++ b/tests/scenario_runner/main.cc
@@ -0,0 +1,76 @@
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+
+#include "scenario.h"
+
+namespace chervilspar::scenario {
+namespace {
+
+constexpr int kFailed = 1;
+constexpr int kBadScript = 2;
+
+int RunFile(const RunSettings& settings, const std::string& file) {
+  std::ifstream stream(file);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  const Result<std::vector<ScriptLine>> script = ParseScript(text.str());
+  Scenario scenario(settings);
+  const Status known = script ? scenario.Words().Check(*script) : Status(script.LastReason());
+  if (!stream || !known) {
+    std::fprintf(stderr, "%s: %s\n", file.c_str(),
+                 stream ? ToString(known.LastReason()).c_str() : "can't be read");
+    return kBadScript;
+  }
+  const Status run = RunScript(*script, scenario.Words());
+  if (!run) {
+    std::printf("FAILED %s: %s\noutput in %s\n", file.c_str(), ToString(run.LastReason()).c_str(),
+                settings.out_dir.c_str());
+    return kFailed;
+  }
+  const Result<Counters> counters = scenario.Conclude();
+  if (!counters) {
+    std::printf("FAILED %s: %s\n", file.c_str(), ToString(counters.LastReason()).c_str());
+    return kFailed;
+  }
+  std::printf("%s\n%s %s\n", counters->ToJson().c_str(), counters->IsClean() ? "passed" : "FAILED",
+              file.c_str());
+  return counters->IsClean() ? 0 : kFailed;
+}
+
+RunSettings MakeSettings(const std::string& bin_dir, const std::string& out_dir) {
+  RunSettings settings{bin_dir, out_dir};
+  if (out_dir.empty()) {
+    settings.out_dir = bin_dir + "/scenario-out/" + std::to_string(getpid());
+  }
+  std::filesystem::create_directories(settings.out_dir);
+  return settings;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app("Runs scenarios against real processes on loopback.");
+  app.require_subcommand(1);
+  std::string bin_dir = "build";
+  std::string out_dir;
+  std::string file;
+  int exit_code = 0;
+  app.add_option("--bin-dir", bin_dir, "build directory with the programs");
+  app.add_option("--out-dir", out_dir, "where output of the processes goes");
+  CLI::App* run = app.add_subcommand("run", "run one script");
+  run->add_option("file", file)->required();
+  run->callback([&] { exit_code = RunFile(MakeSettings(bin_dir, out_dir), file); });
+  CLI::App* words = app.add_subcommand("words", "print all statements");
+  words->callback(
+      [&] { std::printf("%s", Scenario(MakeSettings(bin_dir, out_dir)).Words().Help().c_str()); });
+  CLI11_PARSE(app, argc, argv);
+  return exit_code;
+}
+
+}  // namespace
+}  // namespace chervilspar::scenario
+
+int main(int argc, char** argv) { return chervilspar::scenario::Main(argc, argv); }
