--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -16,8 +16,8 @@
 constexpr std::string_view kBearer = "Bearer ";
 
 Rejection BadRequest(std::string_view field, std::string message) {
-  return {400, "invalid-argument", std::string(field) + ": " + std::move(message),
-          Verdict::kNotRun, Duration::zero()};
+  return {400, "invalid-argument", std::string(field) + ": " + std::move(message), Verdict::kNotRun,
+          Duration::zero()};
 }
 
 std::string_view Find(const http::Headers& headers, std::string_view name) {
@@ -58,8 +58,8 @@
   const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(kMaxTimeout);
   if (error != std::errc() || end != text->data() + text->size() || millis < 1 ||
       millis > longest.count()) {
-    return BadRequest(kName, "expected whole milliseconds from 1 to " +
-                                 std::to_string(longest.count()));
+    return BadRequest(kName,
+                      "expected whole milliseconds from 1 to " + std::to_string(longest.count()));
   }
   out.timeout = std::chrono::milliseconds(millis);
   return std::nullopt;
@@ -86,15 +86,14 @@
   if (!fault) {
     fault = ReadFlag(headers, "Chervilspar-Urgent", is_urgent);
   }
-  out.idempotency = is_idempotent ? admission::Idempotency::kIdempotent
-                                  : admission::Idempotency::kNotIdempotent;
+  out.idempotency =
+      is_idempotent ? admission::Idempotency::kIdempotent : admission::Idempotency::kNotIdempotent;
   out.work_class = is_urgent ? admission::WorkClass::kUrgent : admission::WorkClass::kNormal;
   return fault;
 }
 
 std::optional<Rejection> ReadTarget(const http::Request& request, CallerRequest& out) {
-  const std::vector<std::string_view> parts =
-      http::PathSegments(http::PathOf(request.target));
+  const std::vector<std::string_view> parts = http::PathSegments(http::PathOf(request.target));
   const bool is_request =
       parts.size() == 4 && parts[0] == "v1" && parts[1] == "services" && parts[3] == "requests";
   if (!is_request) {
--- a/src/entry/config_plane.cc
+++ b/src/entry/config_plane.cc
@@ -106,8 +106,8 @@
     is_news = !is_folded && this->overlay.Withdraw(digest);
   }
   if (is_news) {
-    this->context.Note({.kind = telemetry::EventKind::kKeyWithdrawn,
-                        .why = "a withdrawal came ahead of the log"});
+    this->context.Note(
+        {.kind = telemetry::EventKind::kKeyWithdrawn, .why = "a withdrawal came ahead of the log"});
     this->listener.OnWithdrawals({digest});
     this->append_wakeup.notify_all();
   }
@@ -303,8 +303,8 @@
 void ConfigPlane::AppendOne(const config_log::Record& record) {
   const platform::AppendOutcome outcome =
       this->log->Append(config_log::EncodeRecord(record), this->context.settings.log_timeout);
-  this->context.metrics.Count({"chervilspar_log_appends_total",
-                               {{"result", std::string(ToString(outcome.verdict))}}});
+  this->context.metrics.Count(
+      {"chervilspar_log_appends_total", {{"result", std::string(ToString(outcome.verdict))}}});
   const std::lock_guard lock(this->append_mutex);
   if (outcome.offset) {
     this->appender.OnAnswer(record.id, *outcome.offset);
--- a/src/entry/config_plane.h
+++ b/src/entry/config_plane.h
@@ -15,6 +15,7 @@
 #include "chervilspar/config_log/key_overlay.h"
 #include "chervilspar/config_log/log_follower.h"
 #include "chervilspar/platform/log_service.h"
+
 #include "entry/entry_context.h"
 
 namespace chervilspar::entry {
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -53,8 +53,11 @@
 }
 
 TryEnd Lost(std::string message) {
-  return {Outcome::kLost, Verdict::kMayHaveRun, std::nullopt,
-          {ErrorCode::kDataLoss, "endpoint", std::move(message)}, Duration::zero()};
+  return {Outcome::kLost,
+          Verdict::kMayHaveRun,
+          std::nullopt,
+          {ErrorCode::kDataLoss, "endpoint", std::move(message)},
+          Duration::zero()};
 }
 
 }  // namespace
@@ -76,8 +79,8 @@
   out.headers.Add("Chervilspar-Team", order.start.start.ticket.team.text);
   out.headers.Add("Chervilspar-Request-Id", order.request.text);
   out.headers.Add("Chervilspar-Start-By-Unix-Ms", std::to_string(start_by));
-  out.headers.Add("Chervilspar-Task-Lease-Ms", std::to_string(std::max<std::int64_t>(
-                                                   1, ToMillis(lease))));
+  out.headers.Add("Chervilspar-Task-Lease-Ms",
+                  std::to_string(std::max<std::int64_t>(1, ToMillis(lease))));
   if (!request.content_type.empty()) {
     out.headers.Add("Content-Type", request.content_type);
   }
@@ -100,7 +103,9 @@
     if (*said == "duplicate") {
       return Lost("the endpoint had seen the task before");
     }
-    return {OutcomeOfNotRun(*said), Verdict::kNotRun, std::nullopt,
+    return {OutcomeOfNotRun(*said),
+            Verdict::kNotRun,
+            std::nullopt,
             {ErrorCode::kUnavailable, "endpoint", "not run: " + std::string(*said)},
             Duration::zero()};
   }
@@ -121,9 +126,8 @@
     co_return TryEnd{.reason = {ErrorCode::kUnavailable, "endpoint", "no longer takes new work"}};
   }
   const TimePoint sent_at = this->context.Now();
-  http::Exchange exchange =
-      co_await this->client.Send(*address, this->MakeRequest(order, request), order.left,
-                                 pending->ExchangeToken());
+  http::Exchange exchange = co_await this->client.Send(*address, this->MakeRequest(order, request),
+                                                       order.left, pending->ExchangeToken());
   TryEnd end = this->Judge(std::move(exchange), order);
   end.measured = this->context.Now() - sent_at;
   if (end.verdict == Verdict::kMayHaveRun) {
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -8,6 +8,7 @@
 #include "chervilspar/base/verdict.h"
 #include "chervilspar/http/client.h"
 #include "chervilspar/load_balancing/endpoint.h"
+
 #include "entry/caller_request.h"
 #include "entry/entry_context.h"
 #include "entry/limit_keeper.h"
--- a/src/entry/endpoint_view.cc
+++ b/src/entry/endpoint_view.cc
@@ -12,12 +12,11 @@
   std::vector<scheduling::TeamShare> teams;
   for (const auto& [id, team] : inventory.teams) {
     const bool is_open = service == nullptr || service->teams.empty();
-    const bool is_listed =
-        is_open ||
-        std::find(service->teams.begin(), service->teams.end(), id) != service->teams.end();
+    const bool is_listed = is_open || std::find(service->teams.begin(), service->teams.end(), id) !=
+                                          service->teams.end();
     if (is_listed) {
-      const auto urgent = team.may_be_urgent ? scheduling::UrgentRight::kMay
-                                             : scheduling::UrgentRight::kMayNot;
+      const auto urgent =
+          team.may_be_urgent ? scheduling::UrgentRight::kMay : scheduling::UrgentRight::kMayNot;
       teams.push_back({id, team.share, urgent});
     }
   }
--- a/src/entry/endpoint_view.h
+++ b/src/entry/endpoint_view.h
@@ -5,6 +5,7 @@
 
 #include "chervilspar/base/ids.h"
 #include "chervilspar/config_log/fleet_state.h"
+
 #include "entry/service_host.h"
 
 /// Which endpoints may get new work, from the folded state and from how fresh this entry's view is.
--- a/src/entry/json_answer.cc
+++ b/src/entry/json_answer.cc
@@ -13,10 +13,9 @@
 }
 
 http::Response ReasonAnswer(const Reason& reason, unsigned status) {
-  return JsonAnswer({{"code", ToString(reason.code)},
-                     {"field", reason.field},
-                     {"message", reason.message}},
-                    status);
+  return JsonAnswer(
+      {{"code", ToString(reason.code)}, {"field", reason.field}, {"message", reason.message}},
+      status);
 }
 
 }  // namespace chervilspar::entry
--- a/src/entry/limit_keeper.cc
+++ b/src/entry/limit_keeper.cc
@@ -20,8 +20,7 @@
     return scheduling::GateAnswer::kMayStart;
   }
   const TaskId task = this->keeper.NextTask();
-  const auto permit =
-      this->keeper.quota.TryStart(team, task, now, this->keeper.context.WallNow());
+  const auto permit = this->keeper.quota.TryStart(team, task, now, this->keeper.context.WallNow());
   if (!permit) {
     return scheduling::GateAnswer::kAtLimit;
   }
--- a/src/entry/limit_keeper.h
+++ b/src/entry/limit_keeper.h
@@ -10,6 +10,7 @@
 #include "chervilspar/config_log/fleet_state.h"
 #include "chervilspar/quota/quota.h"
 #include "chervilspar/scheduling/quota_gate.h"
+
 #include "entry/entry_context.h"
 #include "entry/peer_sender.h"
 
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -13,6 +13,7 @@
 #include "chervilspar/inventory/delta.h"
 #include "chervilspar/inventory/document.h"
 #include "chervilspar/telemetry/timeline.h"
+
 #include "entry/json_answer.h"
 #include "entry/wakeup.h"
 
@@ -91,8 +92,7 @@
     : context(context), parts(parts) {}
 
 bool OperatorApi::IsOperator(const http::Request& request) const {
-  const std::string_view given =
-      request.headers.Find("Authorization").value_or(std::string_view());
+  const std::string_view given = request.headers.Find("Authorization").value_or(std::string_view());
   if (!given.starts_with(kBearer)) {
     return false;
   }
@@ -142,9 +142,8 @@
   const json::value* document = body ? body->if_contains("inventory") : nullptr;
   const json::value* base = body ? body->if_contains("base_version") : nullptr;
   if (document == nullptr || base == nullptr || !base->is_int64()) {
-    co_return ReasonAnswer({ErrorCode::kMalformed, "body",
-                            "expected {\"base_version\":N,\"inventory\":{...}}"},
-                           400);
+    co_return ReasonAnswer(
+        {ErrorCode::kMalformed, "body", "expected {\"base_version\":N,\"inventory\":{...}}"}, 400);
   }
   const inventory::ParseOutcome parsed = inventory::ParseAll(json::serialize(*document));
   if (!parsed.inventory) {
@@ -159,14 +158,13 @@
   if (base->as_int64() != state->version) {
     co_return ReasonAnswer({ErrorCode::kConflict, "base_version",
                             "made from version " + std::to_string(base->as_int64()) +
-                                ", but version " + std::to_string(state->version) +
-                                " is in force"},
+                                ", but version " + std::to_string(state->version) + " is in force"},
                            409);
   }
   const RecordId id = this->parts.config.MakeRecordId("publish");
-  Result<std::vector<config_log::Record>> records = config_log::MakePublishRecords(
-      id, this->context.self.id, this->context.WallNow(),
-      config_log::MakePublish(*state, *parsed.inventory));
+  Result<std::vector<config_log::Record>> records =
+      config_log::MakePublishRecords(id, this->context.self.id, this->context.WallNow(),
+                                     config_log::MakePublish(*state, *parsed.inventory));
   if (!records) {
     co_return ReasonAnswer(records.LastReason(), 413);
   }
@@ -179,8 +177,7 @@
     co_return NotAnObject();
   }
   const TeamId team{TextOf(*body, "team")};
-  const Result<config_log::KeyDigest> digest =
-      config_log::ParseKeyDigest(TextOf(*body, "digest"));
+  const Result<config_log::KeyDigest> digest = config_log::ParseKeyDigest(TextOf(*body, "digest"));
   if (!digest) {
     co_return ReasonAnswer(digest.LastReason(), 400);
   }
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -8,6 +8,7 @@
 #include <boost/json/fwd.hpp>
 
 #include "chervilspar/http/server.h"
+
 #include "entry/config_plane.h"
 #include "entry/entry_context.h"
 #include "entry/limit_keeper.h"
@@ -38,8 +39,8 @@
   boost::asio::awaitable<http::Response> GiveKey(const http::Request& request);
   boost::asio::awaitable<http::Response> WithdrawKey(std::string digest);
   /// Appends and waits until the records' fate is known.
-  boost::asio::awaitable<config_log::AppendOutcome> Append(
-      RecordId subject, std::vector<config_log::Record> records);
+  boost::asio::awaitable<config_log::AppendOutcome> Append(RecordId subject,
+                                                           std::vector<config_log::Record> records);
   http::Response Status() const;
   http::Response Inventory() const;
   http::Response Events() const;
--- a/src/entry/peer_plane.cc
+++ b/src/entry/peer_plane.cc
@@ -27,9 +27,8 @@
 Status PeerPlane::Open(boost::asio::io_context& io) {
   rpc::TransportLimits limits;
   limits.frame_bytes = kPeerFrameBytes;
-  auto opened =
-      rpc::OpenPeerTransport(io, this->context.settings.peer_address, limits,
-                             [this](const std::string& frame) { this->OnFrame(frame); });
+  auto opened = rpc::OpenPeerTransport(io, this->context.settings.peer_address, limits,
+                                       [this](const std::string& frame) { this->OnFrame(frame); });
   if (!opened) {
     return opened.LastReason();
   }
@@ -144,11 +143,11 @@
 }
 
 void PeerPlane::NotePause(const membership::Pause& pause) {
-  const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(
-      pause.until - pause.from);
-  this->context.Note({.kind = telemetry::EventKind::kPauseNoticed,
-                      .why = "the process stood still for " + std::to_string(length.count()) +
-                             " ms"});
+  const auto length =
+      std::chrono::duration_cast<std::chrono::milliseconds>(pause.until - pause.from);
+  this->context.Note(
+      {.kind = telemetry::EventKind::kPauseNoticed,
+       .why = "the process stood still for " + std::to_string(length.count()) + " ms"});
   telemetry::Log(telemetry::LogLevel::kWarning, "pause_noticed",
                  "the process stood still for " + std::to_string(length.count()) + " ms");
 }
@@ -257,8 +256,7 @@
 void PeerPlane::OnCatchUpRequest(const rpc::CatchUpRequest& request) {
   ConfigPlane::CatchUp catch_up = this->targets.config->CatchUpFrom(request.from_offset);
   if (!catch_up.records.empty()) {
-    this->SendToAddress(request.reply_address,
-                        rpc::CatchUpRecords{std::move(catch_up.records)});
+    this->SendToAddress(request.reply_address, rpc::CatchUpRecords{std::move(catch_up.records)});
   } else if (!catch_up.state.empty()) {
     this->SendToAddress(request.reply_address, rpc::CatchUpState{std::move(catch_up.state)});
   }
@@ -270,8 +268,8 @@
   const TimePoint now = this->context.Now();
   for (const auto& [entry, zone] : this->zones) {
     const membership::PeerView view = this->membership.View(entry, now);
-    const bool was_heard = view.freshness != membership::Freshness::kUnknown &&
-                           now - view.heard_at <= kViewBound;
+    const bool was_heard =
+        view.freshness != membership::Freshness::kUnknown && now - view.heard_at <= kViewBound;
     if (was_heard && view.last.next_offset <= this->own_offset) {
       in_agreement.insert(zone);
     }
--- a/src/entry/peer_plane.h
+++ b/src/entry/peer_plane.h
@@ -10,6 +10,7 @@
 #include "chervilspar/membership/membership.h"
 #include "chervilspar/rpc/peer_message.h"
 #include "chervilspar/rpc/peer_transport.h"
+
 #include "entry/config_plane.h"
 #include "entry/endpoint_view.h"
 #include "entry/entry_context.h"
--- a/src/entry/pending_request.h
+++ b/src/entry/pending_request.h
@@ -14,6 +14,7 @@
 #include "chervilspar/http/cancel_token.h"
 #include "chervilspar/idempotency/messages.h"
 #include "chervilspar/quota/quota.h"
+
 #include "entry/wakeup.h"
 
 namespace chervilspar::entry {
--- a/src/entry/request_ledger.cc
+++ b/src/entry/request_ledger.cc
@@ -105,8 +105,7 @@
   }
 }
 
-void RequestLedger::OnRegister(const EntryId& from,
-                               const idempotency::RegisterRequest& request) {
+void RequestLedger::OnRegister(const EntryId& from, const idempotency::RegisterRequest& request) {
   idempotency::RegisterReply reply;
   {
     const std::lock_guard lock(this->registry_mutex);
--- a/src/entry/request_ledger.h
+++ b/src/entry/request_ledger.h
@@ -9,6 +9,7 @@
 #include "chervilspar/config_log/fleet_state.h"
 #include "chervilspar/idempotency/request_client.h"
 #include "chervilspar/idempotency/request_registry.h"
+
 #include "entry/entry_context.h"
 #include "entry/peer_sender.h"
 #include "entry/pending_request.h"
--- a/src/entry/request_pipeline.cc
+++ b/src/entry/request_pipeline.cc
@@ -112,8 +112,8 @@
 std::optional<Rejection> RequestPipeline::CheckKeyFreshness(
     const config_log::FleetState& state) const {
   const Duration limit = state.inventory.service_rules.key_staleness_limit;
-  const bool has_news = this->parts.config.WasLogReadWithin(limit) ||
-                        this->parts.peers.WasPeerHeardWithin(limit);
+  const bool has_news =
+      this->parts.config.WasLogReadWithin(limit) || this->parts.peers.WasPeerHeardWithin(limit);
   if (has_news) {
     return std::nullopt;
   }
@@ -178,8 +178,8 @@
 // The owner is asked before admission: a refusal says "not run", and that is only true when no
 // earlier try with the same id has run, which none but the owner can tell.
 asio::awaitable<std::optional<Rejection>> RequestPipeline::Register(Job& job) {
-  const auto origin = job.request.id.IsEmpty() ? idempotency::KeyOrigin::kEntry
-                                               : idempotency::KeyOrigin::kCaller;
+  const auto origin =
+      job.request.id.IsEmpty() ? idempotency::KeyOrigin::kEntry : idempotency::KeyOrigin::kCaller;
   job.attempt = this->parts.ledger.Begin(job.id, job.pending);
   const TimePoint until = std::min(job.deadline, this->context.Now() + kOwnerTimeout);
   while (job.attempt) {
@@ -227,8 +227,7 @@
     if (news.is_caller_gone || is_too_late) {
       const bool was_waiting = job.host->Cancel(job.ticket) == dispatch::CancelResult::kForgotten;
       if (was_waiting) {
-        co_return Rejection{503, "cancelled", "the caller hung up", job.verdict,
-                            Duration::zero()};
+        co_return Rejection{503, "cancelled", "the caller hung up", job.verdict, Duration::zero()};
       }
       // Started or given up between the two looks; the news is there or on its way.
     }
@@ -236,8 +235,8 @@
   }
 }
 
-asio::awaitable<std::optional<RequestPipeline::Answer>> RequestPipeline::TryOnce(
-    Job& job, StartOrder order) {
+asio::awaitable<std::optional<RequestPipeline::Answer>> RequestPipeline::TryOnce(Job& job,
+                                                                                 StartOrder order) {
   TaskOrder task;
   task.address = job.host->AddressOf(order.start.endpoint);
   task.service = job.request.service;
@@ -250,8 +249,7 @@
                       .vm = order.start.endpoint});
   TryEnd end = co_await this->parts.dispatcher.Send(std::move(task), job.request, job.pending);
   job.verdict = LessCertain(job.verdict, end.verdict);
-  const dispatch::TryResult result =
-      job.host->OnFinished(order, end.outcome, end.measured);
+  const dispatch::TryResult result = job.host->OnFinished(order, end.outcome, end.measured);
   this->parts.services.OnLimitFreed(job.team);
   if (result.after == dispatch::AfterTry::kWaitsAgain) {
     this->context.Note({.kind = telemetry::EventKind::kRequestRetried,
@@ -274,8 +272,7 @@
     return FromRefusal(*result.refusal, job.verdict);
   }
   if (job.verdict == Verdict::kNotRun) {
-    return Rejection{503, "not-run", end.reason.message, Verdict::kNotRun,
-                     std::chrono::seconds(1)};
+    return Rejection{503, "not-run", end.reason.message, Verdict::kNotRun, std::chrono::seconds(1)};
   }
   const bool is_timeout = this->context.Now() >= job.deadline;
   return Rejection{is_timeout ? 504U : 502U, is_timeout ? "deadline-exceeded" : "answer-lost",
@@ -300,14 +297,12 @@
   const auto* rejection = std::get_if<Rejection>(&answer);
   const Verdict verdict = rejection == nullptr ? Verdict::kCompleted : rejection->verdict;
   const std::string code = rejection == nullptr ? "answered" : rejection->code;
-  this->context.metrics.Count({"chervilspar_requests_total",
-                               {{"code", code},
-                                {"team", job.team.text},
-                                {"verdict", ToString(verdict)}}});
+  this->context.metrics.Count(
+      {"chervilspar_requests_total",
+       {{"code", code}, {"team", job.team.text}, {"verdict", ToString(verdict)}}});
   const Duration span = this->context.Now() - job.arrived;
-  this->context.metrics.Sample(
-      {"chervilspar_request_seconds", {{"verdict", ToString(verdict)}}},
-      std::chrono::duration<double>(span).count());
+  this->context.metrics.Sample({"chervilspar_request_seconds", {{"verdict", ToString(verdict)}}},
+                               std::chrono::duration<double>(span).count());
   if (rejection != nullptr) {
     return ToResponse(*rejection, job.id);
   }
--- a/src/entry/request_pipeline.h
+++ b/src/entry/request_pipeline.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "chervilspar/http/server.h"
+
 #include "entry/caller_request.h"
 #include "entry/config_plane.h"
 #include "entry/dispatcher.h"
--- a/src/entry/service_host.cc
+++ b/src/entry/service_host.cc
@@ -44,8 +44,8 @@
                                             load_balancing::Outcome outcome, Duration measured) {
   const std::lock_guard lock(this->mutex);
   const admission::TicketId ticket = order.start.ticket.id;
-  dispatch::TryResult result = this->shard.OnFinished(
-      ticket, order.start.endpoint, outcome, measured, this->context.Now(), this->random);
+  dispatch::TryResult result = this->shard.OnFinished(ticket, order.start.endpoint, outcome,
+                                                      measured, this->context.Now(), this->random);
   if (result.after == dispatch::AfterTry::kAnswer) {
     this->Forget(ticket);
   }
--- a/src/entry/service_host.h
+++ b/src/entry/service_host.h
@@ -10,6 +10,7 @@
 
 #include "chervilspar/base/random.h"
 #include "chervilspar/dispatch/service_shard.h"
+
 #include "entry/entry_context.h"
 #include "entry/limit_keeper.h"
 #include "entry/pending_request.h"
--- a/src/entry/service_plane.cc
+++ b/src/entry/service_plane.cc
@@ -33,9 +33,9 @@
   // A service that is gone keeps its shard without endpoints, so that its running requests end
   // in order and its waiting ones are refused.
   for (const auto& host : this->All()) {
-    const bool is_known = std::any_of(
-        state.inventory.pools.begin(), state.inventory.pools.end(),
-        [&](const auto& pool) { return pool.second.service == host->Service(); });
+    const bool is_known =
+        std::any_of(state.inventory.pools.begin(), state.inventory.pools.end(),
+                    [&](const auto& pool) { return pool.second.service == host->Service(); });
     if (!is_known) {
       host->Configure({});
     }
--- a/src/entry/service_plane.h
+++ b/src/entry/service_plane.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "chervilspar/rpc/peer_message.h"
+
 #include "entry/endpoint_view.h"
 #include "entry/entry_context.h"
 #include "entry/limit_keeper.h"
--- a/src/entry/wakeup.h
+++ b/src/entry/wakeup.h
@@ -14,7 +14,8 @@
 /// wait at once, so that none is missed between looking at shared state and waiting.
 class Wakeup : public std::enable_shared_from_this<Wakeup> {
  public:
-  /// `executor` is the one that the waiting coroutine runs on; it must not run two handlers at once.
+  /// `executor` is the one that the waiting coroutine runs on; it must not run two handlers at
+  /// once.
   explicit Wakeup(boost::asio::any_io_executor executor);
 
   /// Safe to call from any thread.
--- a/tests/scenario_runner/call_record.h
+++ b/tests/scenario_runner/call_record.h
@@ -20,6 +20,8 @@
   TeamId team;
   ServiceId service;
   std::uint32_t count = 1;
+  /// Before the first request.
+  Duration delay = Duration::zero();
   /// Between two requests.
   Duration every = Duration::zero();
   std::int64_t work_ms = 10;
--- a/tests/scenario_runner/callers.cc
+++ b/tests/scenario_runner/callers.cc
@@ -97,6 +97,7 @@
 
 asio::awaitable<void> Callers::RunPlan(CallPlan plan) {
   const ScopeGuard leave([this] { this->Ended(); });
+  co_await Sleep(plan.delay);
   for (std::uint32_t i = 0; i < plan.count; ++i) {
     this->Began();
     asio::co_spawn(this->threads.Context(i % this->threads.Count()),
--- a/tests/scenario_runner/fleet.cc
+++ b/tests/scenario_runner/fleet.cc
@@ -59,6 +59,11 @@
       plan(shape, this->ports),
       operator_key(Sha256Hex("operator" + std::to_string(UnixMicros()))) {}
 
+Fleet::Fleet(const RunSettings& settings, const inventory::Inventory& given)
+    : settings(settings),
+      plan(given, this->ports),
+      operator_key(Sha256Hex("operator" + std::to_string(UnixMicros()))) {}
+
 void Fleet::Spawn(const std::string& name, const std::vector<std::string>& arguments) {
   this->standins[name] =
       std::make_unique<ChildProcess>(arguments, this->settings.out_dir + "/" + name + ".log");
@@ -72,6 +77,9 @@
       arguments.insert(arguments.end(), {"--endpoint", id.text + "=" + vm.address});
     }
   }
+  const inventory::Vm& any = this->plan.inventory.vms.begin()->second;
+  arguments.insert(arguments.end(), {"--slots", std::to_string(any.slots), "--connections",
+                                     std::to_string(any.connections)});
   return arguments;
 }
 
@@ -256,6 +264,14 @@
   return exchange.response->body;
 }
 
+Duration Fleet::EndpointCpuTime() const {
+  Duration sum = Duration::zero();
+  for (const auto& [zone, control] : this->plan.endpoint_controls) {
+    sum += this->standins.at("endpoints-" + zone.text)->CpuTime();
+  }
+  return sum;
+}
+
 int Fleet::RunCommand(const std::vector<std::string>& arguments, const std::string& output_file) {
   std::vector<std::string> command = {this->settings.bin_dir + "/chervilspar"};
   command.insert(command.end(), arguments.begin(), arguments.end());
--- a/tests/scenario_runner/fleet.h
+++ b/tests/scenario_runner/fleet.h
@@ -35,6 +35,7 @@
 class Fleet {
  public:
   Fleet(const RunSettings& settings, const FleetShape& shape);
+  Fleet(const RunSettings& settings, const inventory::Inventory& given);
 
   void StartStandins();
   void StartEntry(const EntryId& entry);
@@ -58,6 +59,8 @@
   /// JSON lines of a report over all endpoint processes.
   std::string EndpointReport(const std::string& name);
   Result<std::string> VmListReport();
+  /// Processor time of all endpoint processes.
+  Duration EndpointCpuTime() const;
 
   /// An operator's call to an entry.
   http::Exchange Operate(const EntryId& entry, const std::string& method, const std::string& target,
--- a/tests/scenario_runner/fleet_plan.cc
+++ b/tests/scenario_runner/fleet_plan.cc
@@ -14,10 +14,27 @@
 
 }  // namespace
 
-FleetPlan::FleetPlan(const FleetShape& shape, FreePorts& ports)
+FleetPlan::FleetPlan(FreePorts& ports)
     : log{ports.Next(), ports.Next()},
       vm_list{ports.Next(), ports.Next()},
-      relay_control(ports.Next()) {
+      relay_control(ports.Next()) {}
+
+FleetPlan::FleetPlan(inventory::Inventory given, FreePorts& ports) : FleetPlan(ports) {
+  this->inventory = std::move(given);
+  for (const auto& [zone, unused] : this->inventory.zones) {
+    this->endpoint_controls[zone] = ports.Next();
+  }
+  for (auto& [id, entry] : this->inventory.entries) {
+    entry.peer_address = ToString(ports.Next());
+    entry.http_address = ToString(ports.Next());
+  }
+  for (auto& [id, vm] : this->inventory.vms) {
+    vm.address = ToString(ports.Next());
+  }
+  this->AddPairs(ports);
+}
+
+FleetPlan::FleetPlan(const FleetShape& shape, FreePorts& ports) : FleetPlan(ports) {
   this->AddZones(shape.zones, ports);
   this->AddEntries(shape.entries, ports);
   for (std::uint32_t i = 1; i <= shape.services; ++i) {
--- a/tests/scenario_runner/fleet_plan.h
+++ b/tests/scenario_runner/fleet_plan.h
@@ -45,6 +45,8 @@
 class FleetPlan {
  public:
   FleetPlan(const FleetShape& shape, FreePorts& ports);
+  /// A given inventory with its addresses replaced by free ones on loopback.
+  FleetPlan(inventory::Inventory given, FreePorts& ports);
 
   /// The inventory as the runner would publish it next; scripts change it before they do.
   inventory::Inventory inventory;
@@ -62,6 +64,7 @@
   }
 
  private:
+  explicit FleetPlan(FreePorts& ports);
   void AddZones(std::uint32_t count, FreePorts& ports);
   void AddEntries(std::uint32_t count, FreePorts& ports);
   void AddService(std::uint32_t number, std::uint32_t workers, FreePorts& ports);
--- a/tests/scenario_runner/main.cc
+++ b/tests/scenario_runner/main.cc
@@ -6,6 +6,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include "bench_http.h"
+#include "demo.h"
 #include "scenario.h"
 
 namespace chervilspar::scenario {
@@ -13,6 +15,7 @@
 
 constexpr int kFailed = 1;
 constexpr int kBadScript = 2;
+constexpr int kBenchSeconds = 3;
 
 int RunFile(const RunSettings& settings, const std::string& file) {
   std::ifstream stream(file);
@@ -66,6 +69,16 @@
   CLI::App* words = app.add_subcommand("words", "print all statements");
   words->callback(
       [&] { std::printf("%s", Scenario(MakeSettings(bin_dir, out_dir)).Words().Help().c_str()); });
+  std::string inventory_file;
+  CLI::App* demo = app.add_subcommand("demo", "half a minute in the life of a fleet");
+  demo->add_option("--inventory", inventory_file)->required();
+  demo->callback([&] { exit_code = RunDemo(MakeSettings(bin_dir, out_dir), inventory_file); });
+  int seconds = kBenchSeconds;
+  CLI::App* bench = app.add_subcommand("bench-http", "measure the way through an entry");
+  bench->add_option("--seconds", seconds, "for each row");
+  bench->callback([&] {
+    exit_code = RunBenchHttp(MakeSettings(bin_dir, out_dir), std::chrono::seconds(seconds));
+  });
   CLI11_PARSE(app, argc, argv);
   return exit_code;
 }
