Dispatch: Divide slots by reported demand and wait for less of the deadline

All entries now divide by what each has reported, smoothed; edges of a part are preferred by fraction; only an entry that stays behind its part seeks elsewhere.

--- a/bench/outcome.cc
+++ b/bench/outcome.cc
@@ -47,6 +47,16 @@
   return asked > 0.0 ? refused / asked : 0.0;
 }
 
+double RunOutcome::RefusedLater() const {
+  double accepted = 0.0;
+  double later = 0.0;
+  for (const TeamOutcome& team : this->teams) {
+    accepted += static_cast<double>(team.accepted);
+    later += static_cast<double>(team.refused_later);
+  }
+  return accepted > 0.0 ? later / accepted : 0.0;
+}
+
 double RunOutcome::WorstShareError() const {
   double shares = 0.0;
   std::size_t seconds = 0;
--- a/bench/outcome.h
+++ b/bench/outcome.h
@@ -52,6 +52,8 @@
   double AcceptedInTime() const;
   double InTime() const;
   double RefusedPart() const;
+  /// Of the accepted requests, refused while they waited.
+  double RefusedLater() const;
   /// Largest deviation of a team's part from its weighted share, over windows of ten seconds,
   /// as a part of the share.
   double WorstShareError() const;
--- a/bench/simulated_experiment.cc
+++ b/bench/simulated_experiment.cc
@@ -54,6 +54,7 @@
   return {{"goodput", outcome.Goodput(), Better::kHigher},
           {"accepted in time", outcome.AcceptedInTime(), Better::kHigher},
           {"refused", outcome.RefusedPart(), Better::kLower},
+          {"refused later", outcome.RefusedLater(), Better::kLower},
           {"wait p50 s", Quantile(Join(outcome, &TeamOutcome::waits), 0.5), Better::kLower},
           {"wait p99 s", Quantile(Join(outcome, &TeamOutcome::waits), 0.99), Better::kLower},
           {"refused after p99 s", refused_at, Better::kLower},
--- a/include/chervilspar/admission/admission_controller.h
+++ b/include/chervilspar/admission/admission_controller.h
@@ -26,7 +26,7 @@
   /// change in load quickly.
   Duration longest_wait = std::chrono::seconds(5);
   /// Part of the time to the deadline that prediction may use up; the rest covers its error.
-  double deadline_part = 0.8;
+  double deadline_part = 0.6;
   /// Bounds of `Refusal::retry_after` before jitter.
   Duration shortest_retry_after = std::chrono::seconds(1);
   Duration longest_retry_after = std::chrono::seconds(30);
--- a/include/chervilspar/dispatch/service_shard.h
+++ b/include/chervilspar/dispatch/service_shard.h
@@ -116,8 +116,10 @@
   /// Units of the team's limit have come back, so it may start again.
   void OnLimitFreed(const TeamId& team);
 
-  /// What the other entries need to know; send every `ShardOptions::report_period`.
-  scheduling::ShardReport LocalReport(TimePoint now) const;
+  /// What the other entries need to know; make and send one every `ShardOptions::report_period`.
+  /// This entry, too, divides the slots by the demand that it has last reported, so that all
+  /// entries work with the same figures.
+  scheduling::ShardReport LocalReport(TimePoint now);
   /// Takes a peer's report that was made `age` ago. Reports of one peer replace each other; a peer
   /// that is silent for `ShardOptions::peer_timeout` no longer counts.
   void OnPeerReport(const EntryId& peer, const ZoneId& peer_zone,
--- a/include/chervilspar/load_balancing/balancer.h
+++ b/include/chervilspar/load_balancing/balancer.h
@@ -40,9 +40,10 @@
   Balancer& operator=(const Balancer&) = delete;
 
   void SetEndpoints(const std::vector<Endpoint>& endpoints, TimePoint now);
-  /// Takes this entry's part among all entries.
+  /// Takes this entry's part among all entries. While the fleet has `idle_slots`, slots of others
+  /// may be borrowed.
   void SetParts(const std::vector<scheduling::EntryPart>& entries, const EntryId& self,
-                TimePoint now);
+                double idle_slots, TimePoint now);
   /// Takes what the other entries report of their tasks and ejections.
   void SetPeers(const std::vector<const scheduling::ShardReport*>& reports, TimePoint now);
 
@@ -92,6 +93,7 @@
   std::unordered_map<TeamId, double> failure_rate_of;
   /// This entry's part of all slots, and how much slot time it is behind (or ahead, if negative).
   double part = 0.0;
+  double idle_slots = 0.0;
   double credit = 0.0;
   TimePoint credit_at;
   std::size_t in_flight = 0;
--- a/src/dispatch/division.cc
+++ b/src/dispatch/division.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "dispatch/service_shard_state.h"
 
@@ -11,8 +12,37 @@
 constexpr Duration kLongestBetween = std::chrono::milliseconds(100);
 constexpr Duration kShortestBetween = std::chrono::milliseconds(25);
 
+/// Part of the way from the last reported demand to the present one. Queues of few requests go up
+/// and down by tens of percent all the time; following that moves slots between entries for
+/// nothing, and each move makes tries that meet full endpoints.
+constexpr double kDemandSmoothing = 0.25;
+/// A demand this many times larger or smaller than the smoothed one is a change and no noise.
+constexpr double kDemandJump = 2.0;
+
+double Smooth(double before, double now) {
+  const bool is_jump = now > before * kDemandJump || now * kDemandJump < before;
+  return is_jump ? now : before + kDemandSmoothing * (now - before);
+}
+
 }  // namespace
 
+std::vector<scheduling::TeamLoad> ServiceShard::State::ReportLoads(TimePoint now) {
+  this->reported = this->OwnLoads();
+  std::unordered_map<TeamId, double> smooth;
+  for (scheduling::TeamLoad& load : this->reported) {
+    const auto before = this->smooth_demand.find(load.team);
+    const auto demand = static_cast<double>(load.demand);
+    const double smoothed =
+        before == this->smooth_demand.end() ? demand : Smooth(before->second, demand);
+    smooth.emplace(load.team, smoothed);
+    load.demand = static_cast<std::uint32_t>(std::lround(smoothed));
+  }
+  this->smooth_demand = std::move(smooth);
+  this->reported_at = now;
+  this->must_divide = true;
+  return this->reported;
+}
+
 std::vector<scheduling::TeamLoad> ServiceShard::State::OwnLoads() const {
   std::vector<scheduling::TeamLoad> loads;
   for (const scheduling::TeamUse& use : this->queue.ActiveTeams()) {
@@ -41,13 +71,15 @@
   this->balancer.SetPeers(reports, now);
   const double slots = this->balancer.UsableSlots();
   const scheduling::ShareScope scope = this->options.scheduling.scope;
-  this->division = this->shares.Divide(this->OwnLoads(), this->queue, slots, scope);
+  const bool is_reported = now - this->reported_at <= this->options.report_period * 2;
+  const auto loads = is_reported ? this->reported : this->OwnLoads();
+  this->division = this->shares.Divide(loads, this->queue, slots, scope);
   if (this->options.balancer.placement == load_balancing::Placement::kFixedSplit) {
     for (scheduling::EntryPart& entry : this->division.entries) {
       entry.slots = slots / static_cast<double>(this->division.entries.size());
     }
   }
-  this->balancer.SetParts(this->division.entries, this->self, now);
+  this->balancer.SetParts(this->division.entries, this->self, this->division.idle_slots, now);
   this->part_of.clear();
   this->active_shares = 0.0;
   for (const scheduling::TeamPart& part : this->division.teams) {
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -109,11 +109,11 @@
   return actions;
 }
 
-scheduling::ShardReport ServiceShard::LocalReport(TimePoint now) const {
-  const State& shard = *this->state;
+scheduling::ShardReport ServiceShard::LocalReport(TimePoint now) {
+  State& shard = *this->state;
   scheduling::ShardReport report;
   report.service = shard.service;
-  report.teams = shard.OwnLoads();
+  report.teams = shard.ReportLoads(now);
   report.endpoints = shard.balancer.OwnLoads();
   report.ejected = shard.balancer.Ejected();
   report.urgent_running = static_cast<std::uint32_t>(shard.queue.UrgentRunning());
--- a/src/dispatch/service_shard_state.h
+++ b/src/dispatch/service_shard_state.h
@@ -61,6 +61,8 @@
   /// Slots that a team can count on here if it asks for as many as it can get.
   double SlotsWithin(const TeamId& team) const;
   std::vector<scheduling::TeamLoad> OwnLoads() const;
+  /// The loads to report, smoothed; kept for dividing.
+  std::vector<scheduling::TeamLoad> ReportLoads(TimePoint now);
   /// Divides the slots anew when reports or the configuration have changed, or the last time is
   /// some time ago.
   void DivideIfDue(TimePoint now);
@@ -102,6 +104,9 @@
   double active_shares = 0.0;
   /// Running tasks whose slot was asked back.
   std::size_t preempting = 0;
+  std::vector<scheduling::TeamLoad> reported;
+  std::unordered_map<TeamId, double> smooth_demand;
+  TimePoint reported_at;
   TimePoint divided_at;
   TimePoint reviewed_at;
   bool must_divide = true;
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -21,6 +21,12 @@
 /// Slot seconds that an entry may be behind or ahead of its part; more would let an entry that had
 /// nothing to do take more than its part for long afterwards.
 constexpr double kMostCredit = 2.0;
+/// Slot seconds behind its part at which an entry looks for free slots that are not its own. The
+/// few milliseconds between the end of a task and the start of the next don't add up to that.
+constexpr double kCreditToSeek = 0.5;
+/// Below this the fleet counts as full. Then a slot that looks free in a report is one whose owner
+/// is about to fill it again, and taking it sends the owner on to take another's.
+constexpr double kIdleToBorrow = 0.5;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
 }  // namespace
@@ -52,8 +58,9 @@
 }
 
 void Balancer::SetParts(const std::vector<scheduling::EntryPart>& entries, const EntryId& self,
-                        TimePoint now) {
+                        double idle, TimePoint now) {
   this->UpdateCredit(now);
+  this->idle_slots = idle;
   std::vector<std::uint32_t> indexes;
   std::vector<Endpoint> usable;
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
@@ -112,7 +119,7 @@
 PartUse Balancer::PartUseNow() const {
   const auto held = static_cast<double>(this->in_flight);
   if (held + 1.0 <= this->part) {
-    return PartUse::kBelow;
+    return this->credit >= kCreditToSeek ? PartUse::kBehind : PartUse::kBelow;
   }
   return held<this->part&& this->credit> 0.0 ? PartUse::kDue : PartUse::kUsedUp;
 }
@@ -183,8 +190,11 @@
 
 void Balancer::OnFull(std::uint32_t index, TimePoint now) {
   EndpointState& state = this->table->Change(index);
+  const bool is_own_slot = state.Own() + 1.0 <= state.split;
+  const Duration first =
+      is_own_slot ? this->options.first_full_pause : this->options.longest_full_pause;
   state.pause = state.pause == Duration::zero()
-                    ? this->options.first_full_pause
+                    ? first
                     : std::min(state.pause * 2, this->options.longest_full_pause);
   const std::uint32_t others = state.endpoint.slots - std::min(state.Own(), state.endpoint.slots);
   state.foreign = std::max(state.foreign, others);
--- a/src/load_balancing/placement_policy.cc
+++ b/src/load_balancing/placement_policy.cc
@@ -50,21 +50,14 @@
 
   std::optional<std::uint32_t> Choose(const SlotTable& table, const admission::Ticket& ticket,
                                       PartUse part, Random& random) override {
-    if (part != PartUse::kUsedUp) {
-      for (const IndexedSet* set : {&table.own_local, &table.own_remote}) {
-        const auto own = ChooseFit(table, *set, ticket.requirement, random);
-        if (own) {
-          return own;
-        }
+    const bool is_due = part != PartUse::kMayBorrow && part != PartUse::kUsedUp;
+    if (is_due) {
+      const auto own = this->ChooseOwn(table, ticket, random);
+      if (own) {
+        return own;
       }
     }
-    if (part == PartUse::kDue) {
-      const auto due = ChooseFit(table, table.edge, ticket.requirement, random);
-      if (due) {
-        return due;
-      }
-    }
-    if (!this->lends) {
+    if (!this->lends || part == PartUse::kUsedUp) {
       return std::nullopt;
     }
     for (const IndexedSet* set : {&table.idle_local, &table.idle_remote}) {
@@ -73,27 +66,52 @@
         return idle;
       }
     }
-    if (part != PartUse::kUsedUp) {
-      // A slot is due to this entry and none is known to be free: someone holds one too many.
-      return ChooseFit(table, table.open, ticket.requirement, random);
-    }
-    return std::nullopt;
+    return part == PartUse::kBehind ? ChooseFit(table, table.open, ticket.requirement, random)
+                                    : std::nullopt;
   }
 
   bool HasCandidate(const SlotTable& table, PartUse part) const override {
-    const bool has_own = !table.own_local.IsEmpty() || !table.own_remote.IsEmpty();
-    const bool has_idle = !table.idle_local.IsEmpty() || !table.idle_remote.IsEmpty();
-    if (this->lends && has_idle) {
-      return true;
-    }
     if (part == PartUse::kUsedUp) {
       return false;
     }
-    return has_own || (part == PartUse::kDue && !table.edge.IsEmpty()) ||
-           (this->lends && !table.open.IsEmpty());
+    const bool has_idle = !table.idle_local.IsEmpty() || !table.idle_remote.IsEmpty();
+    if (part == PartUse::kMayBorrow) {
+      return this->lends && has_idle;
+    }
+    const bool has_own =
+        !table.own_local.IsEmpty() || !table.own_remote.IsEmpty() || !table.edge.IsEmpty();
+    const bool may_seek = part == PartUse::kBehind && !table.open.IsEmpty();
+    return has_own || (this->lends && (has_idle || may_seek));
   }
 
  private:
+  std::optional<std::uint32_t> ChooseOwn(const SlotTable& table, const admission::Ticket& ticket,
+                                         Random& random) const {
+    for (const IndexedSet* set : {&table.own_local, &table.own_remote}) {
+      const auto own = ChooseFit(table, *set, ticket.requirement, random);
+      if (own) {
+        return own;
+      }
+    }
+    return this->LargestEdge(table, ticket.requirement);
+  }
+
+  /// An entry's part has two edges at most, in its own zone and two elsewhere. The neighbour
+  /// prefers its larger fraction, too, so that they seldom want the same slot.
+  std::optional<std::uint32_t> LargestEdge(const SlotTable& table,
+                                           const admission::Requirement& requirement) const {
+    std::optional<std::uint32_t> largest;
+    double largest_part = 0.0;
+    for (const std::uint32_t index : table.edge.Items()) {
+      const double part = table.At(index).split - table.At(index).Own();
+      if (part > largest_part && table.Fits(index, requirement)) {
+        largest = index;
+        largest_part = part;
+      }
+    }
+    return largest;
+  }
+
   bool lends;
 };
 
--- a/src/load_balancing/placement_policy.h
+++ b/src/load_balancing/placement_policy.h
@@ -12,11 +12,15 @@
 
 /// What the entry as a whole may take beyond the endpoints' own state.
 enum class PartUse : int {
+  /// It has held less than its part for so long that others must hold its slots.
+  kBehind,
   /// It holds less than its part of the slots.
   kBelow,
   /// It holds about its part, and has used less than that so far: one slot more is due to it.
   kDue,
-  /// It holds its part.
+  /// It holds its part, and the fleet is not full.
+  kMayBorrow,
+  /// It holds its part, and the fleet is full.
   kUsedUp,
 };
 
