--- a/bench/main.cc
+++ b/bench/main.cc
@@ -14,6 +14,8 @@
 ExperimentList AllExperiments() {
   ExperimentList list;
   chervilspar::bench::AddOverloadPatterns(list);
+  chervilspar::bench::AddWorkPatterns(list);
+  chervilspar::bench::AddFaultPatterns(list);
   // Experiments of maintenance waves and of slopes go here.
   return list;
 }
--- a/bench/outcome.h
+++ b/bench/outcome.h
@@ -21,18 +21,22 @@
   std::uint64_t failed = 0;
   std::uint64_t lost = 0;
   std::uint64_t cancelled = 0;
-  /// Seconds from arrival to the start at an endpoint, and to the caller's whole answer.
+  /// Seconds from arrival to the start at an endpoint, and to the caller's whole answer, of normal
+  /// requests that are not among the long ones.
   std::vector<double> waits;
   std::vector<double> answers;
+  std::vector<double> long_waits;
   std::vector<double> urgent_waits;
   /// Seconds from asking to being refused.
   std::vector<double> refusal_times;
-  /// Slot seconds used at endpoints, for each whole second of the run.
-  std::vector<double> used_by_second;
+  /// Slot seconds used at endpoints, for each tenth of a second of the run.
+  std::vector<double> used_by_tick;
   /// Slot seconds of answers that came in time.
   double good_seconds = 0.0;
 };
 
+inline constexpr double kTicksPerSecond = 10.0;
+
 /// What one run gave.
 struct RunOutcome {
   std::vector<TeamOutcome> teams;
--- a/bench/simulated_experiment.cc
+++ b/bench/simulated_experiment.cc
@@ -29,6 +29,22 @@
   return variants;
 }
 
+std::vector<Variant> ComparedExperiment::Variants(const Options& options) const {
+  std::vector<Variant> variants;
+  for (const Way& way : this->ways) {
+    variants.push_back({way.label, [this, options, way](std::uint64_t seed) {
+                          Scenario without = this->make_without(options);
+                          Scenario with = this->make_with(options);
+                          without.seed = seed;
+                          with.seed = seed;
+                          way.change(without);
+                          way.change(with);
+                          return this->judge(Simulate(without), Simulate(with));
+                        }});
+  }
+  return variants;
+}
+
 std::vector<TeamLoadSpec> EqualTeams(std::uint32_t count, double slots, double load) {
   std::vector<TeamLoadSpec> teams;
   for (std::uint32_t index = 0; index < count; ++index) {
--- a/bench/simulated_experiment.h
+++ b/bench/simulated_experiment.h
@@ -48,6 +48,38 @@
   std::vector<Way> ways;
 };
 
+/// Two scenarios run with several ways of deciding: one without what the pattern is about, to be
+/// compared with.
+class ComparedExperiment final : public TableExperiment {
+ public:
+  using MakeScenario = std::function<Scenario(const Options&)>;
+  using Judge =
+      std::function<std::vector<Metric>(const RunOutcome& without, const RunOutcome& with)>;
+
+  ComparedExperiment(std::string name, std::string about, MakeScenario make_without,
+                     MakeScenario make_with, Judge judge, std::vector<Way> ways = ProductAndPlain())
+      : name(std::move(name)),
+        about(std::move(about)),
+        make_without(std::move(make_without)),
+        make_with(std::move(make_with)),
+        judge(std::move(judge)),
+        ways(std::move(ways)) {}
+
+  std::string Name() const override { return this->name; }
+
+ protected:
+  std::string About() const override { return this->about; }
+  std::vector<Variant> Variants(const Options& options) const override;
+
+ private:
+  std::string name;
+  std::string about;
+  MakeScenario make_without;
+  MakeScenario make_with;
+  Judge judge;
+  std::vector<Way> ways;
+};
+
 /// `count` teams named `t0`, `t1`, ... that share `load` times the capacity of `slots` evenly, all
 /// with a share of one.
 std::vector<TeamLoadSpec> EqualTeams(std::uint32_t count, double slots, double load);
--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -40,7 +40,8 @@
     TeamOutcome result;
     result.name = team.name;
     result.share = team.share;
-    result.used_by_second.assign(static_cast<std::size_t>(this->outcome.measured_seconds), 0.0);
+    result.used_by_tick.assign(
+        static_cast<std::size_t>(this->outcome.measured_seconds * kTicksPerSecond), 0.0);
     this->outcome.teams.push_back(std::move(result));
     this->team_randoms.emplace_back(StableHash(team.name, scenario.seed));
     if (team.upper_limit > 0) {
@@ -139,8 +140,8 @@
   request.team = team;
   const auto any = static_cast<std::uint32_t>(random.Below(this->entries.size()));
   request.entry = spec.arrivals == Arrivals::kOneEntry ? spec.entry % this->scenario.entries : any;
-  const bool is_long = random.Unit() < spec.long_part;
-  const double mean = ToSeconds(spec.mean_run) * (is_long ? spec.long_factor : 1.0);
+  request.is_long = random.Unit() < spec.long_part;
+  const double mean = ToSeconds(spec.mean_run) * (request.is_long ? spec.long_factor : 1.0);
   request.run_time = std::max(FromSeconds(this->Exponential(random) * mean), Duration(100));
   request.ticket.team = TeamId{spec.name};
   const bool is_idempotent = random.Unit() < spec.idempotent_part;
--- a/bench/simulation_state.h
+++ b/bench/simulation_state.h
@@ -27,6 +27,7 @@
   Duration run_time = Duration::zero();
   TimePoint asked_at;
   std::uint32_t asks = 1;
+  bool is_long = false;
   bool is_measured = false;
   bool was_accepted = false;
   bool is_answered = false;
--- a/bench/simulation_tasks.cc
+++ b/bench/simulation_tasks.cc
@@ -58,8 +58,11 @@
   if (request.is_measured && !request.is_answered) {
     const double wait = ToSeconds(now - request.ticket.arrived);
     TeamOutcome& team = this->outcome.teams[request.team];
-    const bool is_urgent = request.ticket.work_class == admission::WorkClass::kUrgent;
-    (is_urgent ? team.urgent_waits : team.waits).push_back(wait);
+    if (request.ticket.work_class == admission::WorkClass::kUrgent) {
+      team.urgent_waits.push_back(wait);
+    } else {
+      (request.is_long ? team.long_waits : team.waits).push_back(wait);
+    }
   }
   ++endpoint.running;
   Task task;
@@ -208,7 +211,9 @@
   if (is_good) {
     ++team.in_time;
     const TimePoint at_caller = now + this->scenario.caller_delay;
-    team.answers.push_back(ToSeconds(at_caller - request.asked_at));
+    if (!request.is_long) {
+      team.answers.push_back(ToSeconds(at_caller - request.asked_at));
+    }
   } else if (result == Outcome::kStopped && request.is_cancelled) {
     ++team.cancelled;
   } else if (result == Outcome::kLost) {
@@ -220,14 +225,16 @@
 
 void Simulation::CountUse(const Task& task, TimePoint ended) {
   std::vector<double>& used =
-      this->outcome.teams[this->requests.at(task.request).team].used_by_second;
-  double from = std::max(0.0, this->Seconds(task.started) - this->scenario.warm_up);
-  const double to =
-      std::min(this->Seconds(ended) - this->scenario.warm_up, static_cast<double>(used.size()));
+      this->outcome.teams[this->requests.at(task.request).team].used_by_tick;
+  const auto tick_of = [this](TimePoint when) {
+    return (this->Seconds(when) - this->scenario.warm_up) * kTicksPerSecond;
+  };
+  double from = std::max(0.0, tick_of(task.started));
+  const double to = std::min(tick_of(ended), static_cast<double>(used.size()));
   while (from < to) {
-    const auto second = static_cast<std::size_t>(from);
-    const double end = std::min(to, static_cast<double>(second + 1));
-    used[second] += end - from;
+    const auto tick = static_cast<std::size_t>(from);
+    const double end = std::min(to, static_cast<double>(tick + 1));
+    used[tick] += (end - from) / kTicksPerSecond;
     from = end;
   }
 }
