Prove: Run several entries' modules under faults before an outside observer

Virtual time, fakes for log, network, endpoints and callers; the observer sees only what endpoints ran, callers got and operators published.

--- a/include/chervilspar/membership/agreement.h
+++ b/include/chervilspar/membership/agreement.h
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "chervilspar/base/ids.h"
+#include "chervilspar/base/time.h"
 #include "chervilspar/config_log/fleet_state.h"
 
 namespace chervilspar::membership {
@@ -14,8 +15,11 @@
   /// Entries of earlier configurations that are no longer listed and that no operator has declared
   /// gone. They may be cut off and still act by an old configuration.
   std::set<EntryId> former;
-  /// Entries declared gone by an operator's record; nothing is awaited from them.
+  /// Entries declared gone by an operator's record. They do nothing new; what they began may still
+  /// run for `longest_run`.
   std::set<EntryId> gone;
+  /// Longest that a task may still run whose entry, or whose lender, is gone.
+  Duration longest_run = Duration::zero();
 
   friend bool operator==(const EntryList&, const EntryList&) = default;
 };
--- a/include/chervilspar/membership/membership.h
+++ b/include/chervilspar/membership/membership.h
@@ -136,6 +136,7 @@
   bool IsStale(const Peer& known, const Heartbeat& heartbeat, TimePoint now) const;
   void TakeReports(const Heartbeat& heartbeat);
   void NoteAgreement();
+  void ReleaseGone(TimePoint now);
 
   Self self;
   MembershipGuards guards;
@@ -144,6 +145,9 @@
   std::set<EntryId> former;
   /// Former entries that have come to a version that all have reached.
   std::set<EntryId> released;
+  /// Gone entries that are still awaited to have settled, until a time on the own clock; no time
+  /// before the first tick after the news.
+  std::map<EntryId, std::optional<TimePoint>> gone_until;
   LogProgress log_progress = LogProgress::kCatchingUp;
   config_log::Offset next_offset = 0;
   config_log::ConfigVersion settled_version = 0;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -56,7 +56,11 @@
     this->released.erase(id);
   }
   for (const EntryId& id : next.gone) {
-    this->former.erase(id);
+    const bool was_awaited = this->former.erase(id) > 0;
+    if (was_awaited) {
+      // Its tasks may run on; they count as unsettled until they must have ended.
+      this->gone_until.try_emplace(id, std::nullopt);
+    }
   }
 }
 
@@ -151,12 +155,23 @@
   CHERVILSPAR_ASSERT(now >= this->last_tick);
   const Pause pause{this->last_tick, now};
   this->last_tick = now;
+  this->ReleaseGone(now);
   if (pause.until - pause.from < kPauseThreshold) {
     return std::nullopt;
   }
   return pause;
 }
 
+void Membership::ReleaseGone(TimePoint now) {
+  for (auto gone = this->gone_until.begin(); gone != this->gone_until.end();) {
+    if (!gone->second) {
+      gone->second = now + this->list.longest_run;
+    }
+    gone = *gone->second <= now ? this->gone_until.erase(gone) : std::next(gone);
+  }
+  this->NoteAgreement();
+}
+
 Heartbeat Membership::MakeHeartbeat(HybridTime sent_at) const {
   Heartbeat heartbeat;
   heartbeat.from = this->self.id;
@@ -214,7 +229,13 @@
   if (this->settled_version == this->list.version) {
     reached.insert(this->self.id);
   }
-  return this->AgreementOn(this->settled_by_all, reached);
+  Agreement agreement = this->AgreementOn(this->settled_by_all, reached);
+  if (this->settled_by_all != this->list.version) {
+    for (const auto& [id, until] : this->gone_until) {
+      agreement.awaiting.insert(id);
+    }
+  }
+  return agreement;
 }
 
 Agreement Membership::AgreementOn(config_log::ConfigVersion by_all,
--- /dev/null
+++ b/tests/prove/entry_process.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "chervilspar/base/verdict.h"
+#include "chervilspar/idempotency/request_client.h"
+#include "chervilspar/idempotency/request_registry.h"
+#include "chervilspar/membership/membership.h"
+#include "chervilspar/quota/quota.h"
+
+#include "tests/prove/config_feed.h"
+#include "tests/prove/endpoint.h"
+#include "tests/prove/guards.h"
+#include "tests/prove/observer.h"
+
+namespace chervilspar::prove {
+
+class World;
+
+/// A request as a caller sends it.
+struct Call {
+  RequestId request;
+  TeamId team;
+  Duration length = Duration::zero();
+  /// How long the entry may keep it waiting.
+  Duration patience = Duration::zero();
+  std::function<void(Observer::Answer, std::string)> answer;
+};
+
+/// One life of an entry: the pure modules, and as little around them as carries their messages,
+/// like the entry of the product.
+class EntryProcess : public std::enable_shared_from_this<EntryProcess> {
+ public:
+  EntryProcess(World& world, membership::Self self, std::uint32_t zone, Duration clock_offset,
+               Duration boot_offset);
+
+  void Start();
+  void Kill() { this->is_dead = true; }
+  void Pause() { ++this->pauses; }
+  void Resume();
+
+  /// Runs what has come in: at once, when the pause ends, or never.
+  void Run(std::function<void()> action);
+
+  void OnCall(const Call& call);
+  void OnCallCancelled(const RequestId& request);
+  void OnHeartbeat(const membership::Heartbeat& heartbeat);
+  void OnLending(const quota::LendingMessage& message);
+  void OnRegister(const idempotency::RegisterRequest& request);
+  void OnRegisterReply(const idempotency::RegisterReply& reply);
+  void OnOutcome(const idempotency::OutcomeReport& report, const EntryId& from);
+  void OnOutcomeSeen(const idempotency::OutcomeSeen& seen);
+  void OnPeerConfig(const ConfigPtr& config);
+
+  bool IsUp() const { return !this->is_dead && this->pauses == 0; }
+  bool IsDead() const { return this->is_dead; }
+  const membership::Self& Me() const { return this->self; }
+  std::uint32_t Zone() const { return this->zone; }
+  const ConfigPtr& Current() const { return this->config; }
+  TimePoint StartedAt() const { return this->started_at; }
+  void CountGuards() const;
+
+ private:
+  struct Open {
+    Call call;
+    idempotency::Attempt attempt;
+    TimePoint deadline;
+    bool is_queued = false;
+    std::uint32_t sends = 0;
+    TaskId task;
+    std::uint32_t endpoint = 0;
+    VerdictTracker tracker;
+  };
+
+  TimePoint Now() const;
+  WallTime Wall() const;
+  void Tick();
+  void Beat();
+  void ReadLog();
+  void OnLogAnswer(const LogAnswer& answer);
+  void Adopt(const ConfigPtr& config);
+  void Refresh();
+  void Send(const EntryId& to, std::function<void(EntryProcess&)> deliver);
+  void SendLending(const std::vector<quota::LendingMessage>& messages);
+  void SendOutcome(const std::optional<idempotency::OutgoingOutcome>& outcome);
+  void OnRegisterTimeout(std::uint64_t number);
+  void Enqueue(std::uint64_t number);
+  void StartWaiting();
+  bool TryDispatch(std::uint64_t number);
+  void SendTask(std::uint64_t number, const quota::StartPermit& permit);
+  void OnTaskAnswer(std::uint64_t number, const TaskId& task, TaskAnswer answer,
+                    const std::string& body);
+  void OnTaskTimeout(std::uint64_t number, const TaskId& task);
+  void CancelTask(const TaskId& task, std::uint32_t endpoint);
+  void GiveUpWaiting(std::uint64_t number);
+  void Finish(std::uint64_t number, Verdict verdict, const std::string& body);
+  void Later(Duration delay, std::function<void()> action);
+
+  World& world;
+  membership::Self self;
+  std::uint32_t zone;
+  Duration clock_offset;
+  Duration boot_offset;
+  TimePoint started_at;
+  bool is_dead = false;
+  int pauses = 0;
+  std::deque<std::function<void()>> inbox;
+
+  ConfigPtr config;
+  bool has_read_to_end = false;
+  membership::Membership membership;
+  quota::Quota quota;
+  idempotency::RequestRegistry registry;
+  idempotency::RequestClient client;
+  std::map<std::uint64_t, Open> open;
+  std::map<TeamId, std::deque<std::uint64_t>> queues;
+  std::uint64_t last_task = 0;
+  std::uint64_t ticks = 0;
+};
+
+}  // namespace chervilspar::prove
--- /dev/null
+++ b/tests/prove/observer.cc
@@ -0,0 +1,149 @@
+#include "tests/prove/observer.h"
+
+#include <algorithm>
+
+namespace chervilspar::prove {
+
+namespace {
+
+/// A published configuration must be in force at every entry within this, once nothing is wrong.
+constexpr std::int64_t kInForceWithinUs = 9'000'000;
+
+}  // namespace
+
+void Observer::OnLimitPublished(std::int64_t now, const std::string& team, std::uint32_t limit) {
+  this->teams[team].limits.push_back({limit, now, std::nullopt});
+}
+
+void Observer::OnCalm(std::int64_t since, std::int64_t now) {
+  for (auto& [name, team] : this->teams) {
+    for (std::size_t at = 0; at + 1 < team.limits.size(); ++at) {
+      const bool was_replaced_before = team.limits[at + 1].from <= since;
+      if (was_replaced_before && !team.limits[at].over) {
+        team.limits[at].over = now + this->longest_run_us;
+      }
+    }
+  }
+}
+
+std::uint32_t Observer::Allowed(const Team& team, std::int64_t now) const {
+  std::uint32_t most = 0;
+  for (const Limit& limit : team.limits) {
+    if (!limit.over || now < *limit.over) {
+      most = std::max(most, limit.limit);
+    }
+  }
+  return most;
+}
+
+void Observer::OnTaskStarted(std::int64_t now, const std::string& task, const std::string& team,
+                             const std::string& request) {
+  ++this->tasks_started;
+  if (!this->tasks.emplace(task, Task{team, request}).second) {
+    this->Violate(now, "task " + task + " was started twice");
+  }
+  Team& of = this->teams[team];
+  ++of.running;
+  const std::uint32_t allowed = this->Allowed(of, now);
+  if (of.running > allowed) {
+    this->Violate(now, "limit: team " + team + " runs " + std::to_string(of.running) + " of " +
+                           std::to_string(allowed));
+  }
+  if (this->in_last_phase) {
+    of.most_in_last_phase = std::max(of.most_in_last_phase, of.running);
+  }
+  Request& asked = this->requests[request];
+  ++asked.starts;
+  if (asked.starts > 1) {
+    this->Violate(now, "at most once: request " + request + " ran twice");
+  }
+  if (!this->HasOpenTry(asked)) {
+    this->Violate(now, "not run: request " + request + " ran after its tries were answered so");
+  }
+}
+
+bool Observer::HasOpenTry(const Request& request) const {
+  return std::any_of(request.tries.begin(), request.tries.end(), [&](std::uint64_t number) {
+    return this->tries.at(number).answer != Answer::kNotRun;
+  });
+}
+
+void Observer::OnTaskEnded(std::int64_t /*now*/, const std::string& task) {
+  const auto found = this->tasks.find(task);
+  if (found == this->tasks.end()) {
+    return;
+  }
+  --this->teams[found->second.team].running;
+  this->tasks.erase(found);
+}
+
+std::uint64_t Observer::OnTry(std::int64_t /*now*/, const std::string& request) {
+  this->tries.push_back({request, std::nullopt});
+  this->requests[request].tries.push_back(this->tries.size() - 1);
+  return this->tries.size() - 1;
+}
+
+void Observer::OnAnswer(std::int64_t now, std::uint64_t number, Answer answer,
+                        const std::string& body) {
+  Try& answered = this->tries.at(number);
+  if (answered.answer) {
+    this->Violate(now, "request " + answered.request + " was answered twice");
+  }
+  answered.answer = answer;
+  const std::uint32_t starts = this->requests[answered.request].starts;
+  if (answer == Answer::kNotRun && starts > 0) {
+    this->Violate(now, "not run: request " + answered.request + " had run");
+  }
+  const bool is_completed = answer == Answer::kCompleted || answer == Answer::kCompletedEarlier;
+  if (is_completed && starts == 0) {
+    this->Violate(now, "completed: request " + answered.request + " had not run");
+  }
+  if (answer == Answer::kCompleted && body != answered.request) {
+    this->Violate(now, "own answer: " + answered.request + " got the answer to " + body);
+  }
+}
+
+void Observer::OnVersionSeen(std::int64_t now, const std::string& entry, std::uint64_t life,
+                             std::int64_t version, std::int64_t published) {
+  Seen& last = this->seen[entry];
+  if (last.life == life && version < last.version) {
+    this->Violate(now, "configuration: entry " + entry + " went back to " +
+                           std::to_string(version) + " from " + std::to_string(last.version));
+  }
+  last = {life, version};
+  if (version < published) {
+    this->Violate(now, "configuration: entry " + entry + " is at " + std::to_string(version) +
+                           " although " + std::to_string(published) + " was published " +
+                           std::to_string(kInForceWithinUs / 1'000'000) + " s before");
+  }
+}
+
+void Observer::BeginLastPhase(std::int64_t /*now*/) {
+  this->in_last_phase = true;
+  for (auto& [name, team] : this->teams) {
+    team.most_in_last_phase = team.running;
+  }
+}
+
+void Observer::CheckLastPhase(std::int64_t now) {
+  for (const auto& [name, team] : this->teams) {
+    const std::uint32_t limit = team.limits.empty() ? 0 : team.limits.back().limit;
+    if (team.most_in_last_phase < limit) {
+      this->Violate(now, "lost unit: team " + name + " reached only " +
+                             std::to_string(team.most_in_last_phase) + " of " +
+                             std::to_string(limit));
+    }
+  }
+}
+
+std::uint64_t Observer::Answered(Answer answer) const {
+  return static_cast<std::uint64_t>(
+      std::count_if(this->tries.begin(), this->tries.end(),
+                    [&](const Try& sent) { return sent.answer == answer; }));
+}
+
+void Observer::Violate(std::int64_t now, const std::string& what) {
+  this->violations.push_back(std::to_string(now / 1000) + " ms: " + what);
+}
+
+}  // namespace chervilspar::prove
--- /dev/null
+++ b/tests/prove/world.cc
@@ -0,0 +1,140 @@
+#include "tests/prove/world.h"
+
+#include <array>
+#include <utility>
+
+namespace chervilspar::prove {
+
+namespace {
+
+constexpr std::size_t kEndpointsPerZone = 2;
+constexpr WallTime kWallEpoch = WallTime(std::chrono::hours(500000));
+constexpr std::array<std::uint32_t, kTeams> kFirstLimits = {1, 2, 5, 9};
+/// An endpoint of the own zone is taken this often.
+constexpr double kOwnZoneFirst = 0.7;
+
+}  // namespace
+
+EntryId EntryAt(std::size_t slot) { return EntryId{"e" + std::to_string(slot + 1)}; }
+
+TeamId TeamAt(std::size_t team) { return TeamId{"team" + std::to_string(team + 1)}; }
+
+World::World(const Case& run, const GuardSet& guards, Coverage& coverage, Timeline::Mode mode)
+    : run(run),
+      guards(guards),
+      coverage(coverage),
+      timeline(mode),
+      simulation(run.seed),
+      network(this->simulation),
+      observer(kLongestRun.count() + std::chrono::microseconds(Seconds(1)).count()),
+      entries(kEntrySlots),
+      is_retired(kEntrySlots, false) {
+  const Duration half_skew = kMaxClockSkew / 2;
+  for (std::size_t at = 0; at < kZones * kEndpointsPerZone; ++at) {
+    this->endpoints.push_back(
+        std::make_unique<Endpoint>(*this, static_cast<std::uint32_t>(at % kZones),
+                                   this->simulation.Between(-half_skew, half_skew)));
+  }
+}
+
+Outcome World::Run() {
+  for (std::size_t slot = 0; slot < kEntrySlots; ++slot) {
+    this->StartEntry(slot);
+  }
+  this->simulation.At(TimePoint(Seconds(1)), [this] {
+    Publish first;
+    first.entries.emplace();
+    for (std::size_t slot = 0; slot < kFirstEntries; ++slot) {
+      first.entries->insert(EntryAt(slot));
+    }
+    for (std::size_t team = 0; team < kTeams; ++team) {
+      first.upper_limits[TeamAt(team)] = kFirstLimits.at(team);
+    }
+    this->Append(first);
+  });
+  for (const Fault& fault : this->run.faults) {
+    this->simulation.At(fault.Begin(), [this, fault] { this->Begin(fault); });
+  }
+  this->IssueRequests();
+  this->WatchCalm();
+  this->simulation.At(kLastPhase, [this] { this->AskForMoreThanTheLimits(); });
+  this->simulation.RunUntil(kEnd);
+  this->observer.CheckLastPhase(this->NowUs());
+  for (const auto& life : this->former_lives) {
+    life->CountGuards();
+  }
+  for (const auto& life : this->entries) {
+    life->CountGuards();
+  }
+  return {this->observer.Violations(), this->timeline.Lines(), this->simulation.EventsRun()};
+}
+
+WallTime World::WallAt(Duration clock_offset) const {
+  return kWallEpoch + this->simulation.Now().time_since_epoch() + clock_offset;
+}
+
+void World::StartEntry(std::size_t slot) {
+  const Duration half_skew = kMaxClockSkew / 2;
+  const Duration clock_offset = this->simulation.Between(-half_skew, half_skew);
+  const Duration boot_offset = this->simulation.Between(Seconds(1), Seconds(100000));
+  membership::Self self;
+  self.id = EntryAt(slot);
+  self.incarnation = {this->WallAt(clock_offset), ++this->last_life};
+  const auto zone = static_cast<std::uint32_t>(slot % kZones);
+  self.zone = ZoneId{"zone" + std::to_string(zone)};
+  this->entries.at(slot) =
+      std::make_shared<EntryProcess>(*this, self, zone, clock_offset, boot_offset);
+  this->Note("entry " + self.id.text + " starts, life " + std::to_string(this->last_life));
+  this->entries.at(slot)->Start();
+}
+
+void World::KillEntry(std::size_t slot, Duration replaced_after) {
+  this->Note("entry " + EntryAt(slot).text + " is killed");
+  this->entries.at(slot)->Kill();
+  this->former_lives.push_back(this->entries.at(slot));
+  this->Hold(replaced_after, [this, slot] {
+    if (!this->is_retired.at(slot)) {
+      this->former_lives.push_back(this->entries.at(slot));
+      this->StartEntry(slot);
+    }
+  });
+}
+
+std::size_t World::LiveSlot(std::uint32_t choice) const {
+  for (std::size_t tried = 0; tried < kEntrySlots; ++tried) {
+    const std::size_t slot = (choice + tried) % kEntrySlots;
+    const bool is_listed = this->log.Newest().entries.contains(EntryAt(slot));
+    if (is_listed && !this->entries.at(slot)->IsDead()) {
+      return slot;
+    }
+  }
+  return 0;
+}
+
+void World::SendToEntry(std::uint32_t from_zone, const EntryId& to,
+                        std::function<void(EntryProcess&)> deliver) {
+  for (std::size_t slot = 0; slot < kEntrySlots; ++slot) {
+    if (EntryAt(slot) != to) {
+      continue;
+    }
+    const auto zone = static_cast<std::uint32_t>(slot % kZones);
+    this->network.Send(from_zone, zone, [this, slot, deliver = std::move(deliver)] {
+      // Whoever lives at the address when the message comes gets it.
+      const std::shared_ptr<EntryProcess> life = this->entries.at(slot);
+      life->Run([life, deliver] { deliver(*life); });
+    });
+    return;
+  }
+}
+
+std::uint32_t World::PickEndpoint(std::uint32_t zone) {
+  const auto count = static_cast<std::uint32_t>(this->endpoints.size());
+  const auto any = static_cast<std::uint32_t>(this->simulation.Dice().Below(count));
+  if (!this->simulation.Chance(kOwnZoneFirst)) {
+    return any;
+  }
+  const std::uint32_t in_zone = any / kZones;
+  return in_zone * kZones + zone;
+}
+
+}  // namespace chervilspar::prove
