--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "entry/settings_view.h"
+
 namespace chervilspar::entry {
 
 namespace asio = boost::asio;
@@ -25,16 +27,6 @@
   return limits;
 }
 
-http::Routes RoutesOf(const EntrySettings& settings) {
-  std::vector<std::string> texts;
-  for (const Route& route : settings.routes) {
-    texts.push_back(route.from + "=" + route.to);
-  }
-  auto routes = http::Routes::Parse(texts);
-  CHERVILSPAR_ASSERT(routes.HasValue());  // Checked with the settings.
-  return std::move(routes).Value();
-}
-
 std::int64_t ToMillis(Duration span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
@@ -62,9 +54,10 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(const EntryContext& context, LimitKeeper& limits)
+Dispatcher::Dispatcher(const EntryContext& context, LimitKeeper& limits, DrainWatch& drains)
     : context(context),
       limits(limits),
+      drains(drains),
       client(LimitsOf(context.settings), RoutesOf(context.settings)) {}
 
 http::Request Dispatcher::MakeRequest(const TaskOrder& order, const CallerRequest& request) const {
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -10,6 +10,7 @@
 #include "chervilspar/load_balancing/endpoint.h"
 
 #include "entry/caller_request.h"
+#include "entry/drain_watch.h"
 #include "entry/entry_context.h"
 #include "entry/limit_keeper.h"
 #include "entry/pending_request.h"
@@ -41,7 +42,7 @@
 /// outcome from what was seen on the wire.
 class Dispatcher {
  public:
-  Dispatcher(const EntryContext& context, LimitKeeper& limits);
+  Dispatcher(const EntryContext& context, LimitKeeper& limits, DrainWatch& drains);
 
   boost::asio::awaitable<TryEnd> Send(TaskOrder order, const CallerRequest& request,
                                       std::shared_ptr<PendingRequest> pending);
@@ -60,6 +61,7 @@
 
   const EntryContext& context;
   LimitKeeper& limits;
+  DrainWatch& drains;
   http::Client client;
 };
 
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -9,11 +9,11 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "chervilspar/base/assert.h"
 #include "chervilspar/platform/http_platform.h"
 #include "chervilspar/telemetry/logger.h"
 
 #include "entry/json_answer.h"
+#include "entry/settings_view.h"
 
 namespace chervilspar::entry {
 
@@ -34,22 +34,6 @@
 constexpr Duration kLoanGrace = std::chrono::seconds(2);
 constexpr Duration kPollPeriod = std::chrono::milliseconds(20);
 
-SocketAddress CheckedAddress(const std::string& text) {
-  Result<SocketAddress> address = ParseSocketAddress(text);
-  CHERVILSPAR_ASSERT(address.HasValue());  // Checked with the settings.
-  return std::move(address).Value();
-}
-
-http::Routes CheckedRoutes(const EntrySettings& settings) {
-  std::vector<std::string> texts;
-  for (const Route& route : settings.routes) {
-    texts.push_back(route.from + "=" + route.to);
-  }
-  Result<http::Routes> routes = http::Routes::Parse(texts);
-  CHERVILSPAR_ASSERT(routes.HasValue());  // Checked with the settings.
-  return std::move(routes).Value();
-}
-
 http::ServerLimits LimitsOf(const EntrySettings& settings) {
   http::ServerLimits limits;
   limits.header_bytes = settings.max_header_bytes;
@@ -73,12 +57,12 @@
       services(context, this->limits),
       config(context,
              platform::MakeHttpLogService(CheckedAddress(context.settings.log_address),
-                                          CheckedRoutes(context.settings)),
+                                          RoutesOf(context.settings)),
              *this),
-      maintenance(context, this->config, this->peers,
+      maintenance(context, this->config, this->peers, this->drains,
                   platform::MakeHttpVmListService(CheckedAddress(context.settings.vm_list_address),
-                                                  CheckedRoutes(context.settings))),
-      dispatcher(context, this->limits),
+                                                  RoutesOf(context.settings))),
+      dispatcher(context, this->limits, this->drains),
       pipeline(context, {this->config, this->peers, this->limits, this->ledger, this->services,
                          this->dispatcher}),
       operators(context,
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -11,6 +11,7 @@
 
 #include "entry/config_plane.h"
 #include "entry/dispatcher.h"
+#include "entry/drain_watch.h"
 #include "entry/entry_context.h"
 #include "entry/limit_keeper.h"
 #include "entry/maintenance_plane.h"
@@ -74,6 +75,7 @@
   RequestLedger ledger;
   ServicePlane services;
   ConfigPlane config;
+  DrainWatch drains;
   MaintenancePlane maintenance;
   Dispatcher dispatcher;
   RequestPipeline pipeline;
--- a/src/entry/maintenance_plane.cc
+++ b/src/entry/maintenance_plane.cc
@@ -4,7 +4,7 @@
 #include <iterator>
 #include <utility>
 
-#include "chervilspar/telemetry/logger.h"
+#include "entry/plan_json.h"
 
 namespace chervilspar::entry {
 
@@ -12,18 +12,25 @@
 
 /// The platform's list lags by seconds; reading it more often tells nothing more.
 constexpr Duration kRoundPeriod = std::chrono::milliseconds(500);
+/// While steps are under way, their answers are looked at more often.
+constexpr Duration kBusyRoundPeriod = std::chrono::milliseconds(100);
+/// A plan costs a pass over all VMs; what it acts on changes within seconds.
+constexpr Duration kPlanPeriod = std::chrono::seconds(1);
 constexpr Duration kRecordTimeout = std::chrono::seconds(5);
 
 }  // namespace
 
 MaintenancePlane::MaintenancePlane(const EntryContext& context, ConfigPlane& config,
-                                   PeerPlane& peers,
+                                   PeerPlane& peers, DrainWatch& drains,
                                    std::unique_ptr<platform::VmListService> vm_list)
     : context(context),
       config(config),
       peers(peers),
       vm_list(std::move(vm_list)),
-      observer(context) {}
+      drains(drains),
+      observer(context),
+      planner(context.self.id),
+      steps(context, config, *this->vm_list, drains) {}
 
 MaintenancePlane::~MaintenancePlane() { this->Stop(); }
 
@@ -48,7 +55,9 @@
     lock.unlock();
     this->Round();
     lock.lock();
-    this->stop_wakeup.wait_for(lock, kRoundPeriod, [this] { return this->stopping; });
+    const bool is_busy = this->steps.RunningSteps() > 0;
+    this->stop_wakeup.wait_for(lock, is_busy ? kBusyRoundPeriod : kRoundPeriod,
+                               [this] { return this->stopping; });
   }
 }
 
@@ -59,6 +68,53 @@
   }
   this->ReadVmList(*state);
   this->AppendObservations(*state);
+  const maintenance::Observations observations = this->Observe(*state);
+  // An entry that has not read the log to its end acts on a state that may be long past.
+  const bool may_plan = this->config.HasReachedEnd();
+  if (may_plan && this->context.Now() - this->planned_at >= kPlanPeriod) {
+    this->planned_at = this->context.Now();
+    maintenance::Plan next =
+        this->planner.MakePlan(*state, observations, this->context.WallNow());
+    this->steps.Begin(next, *state);
+    for (const VmId& vm : next.undrains) {
+      this->steps.Undrain(*state, vm);
+    }
+    this->KeepPlan(std::move(next));
+  }
+  this->steps.Round(observations);
+}
+
+maintenance::Observations MaintenancePlane::Observe(const config_log::FleetState& state) {
+  maintenance::Observations observations;
+  observations.live_entries = this->peers.LiveEntries();
+  const VmListView view = this->observer.View();
+  if (!view.read_at) {
+    return observations;
+  }
+  observations.vm_list_age = this->context.Now() - *view.read_at;
+  const std::set<VmId> draining = this->drains.Draining();
+  for (const auto& [id, vm] : state.inventory.vms) {
+    maintenance::VmObservation seen;
+    seen.age = observations.vm_list_age;
+    seen.drain_state = draining.contains(id) ? maintenance::DrainState::kDraining
+                                             : maintenance::DrainState::kUnknown;
+    seen.failing_since = this->observer.FailingSince(id);
+    observations.vms.emplace(id, seen);
+  }
+  for (const platform::ListedVm& listed : view.list.vms) {
+    const auto seen = observations.vms.find(listed.vm);
+    if (seen != observations.vms.end()) {
+      seen->second.listing = listed.state == platform::VmState::kLive
+                                 ? maintenance::VmListing::kLive
+                                 : maintenance::VmListing::kLeaving;
+    }
+  }
+  return observations;
+}
+
+void MaintenancePlane::KeepPlan(maintenance::Plan next) {
+  const std::lock_guard lock(this->plan_mutex);
+  this->plan = std::move(next);
 }
 
 void MaintenancePlane::ReadVmList(const config_log::FleetState& state) {
@@ -86,6 +142,9 @@
   }
 }
 
-boost::json::value MaintenancePlane::PlanAsJson() const { return boost::json::object(); }
+boost::json::value MaintenancePlane::PlanAsJson() const {
+  const std::lock_guard lock(this->plan_mutex);
+  return PlanToJson(this->plan);
+}
 
 }  // namespace chervilspar::entry
--- a/src/entry/vm_observer.cc
+++ b/src/entry/vm_observer.cc
@@ -38,6 +38,15 @@
   return leaving;
 }
 
+std::optional<WallTime> VmObserver::FailingSince(const VmId& vm) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->unlisted_since.find(vm);
+  if (found == this->unlisted_since.end()) {
+    return std::nullopt;
+  }
+  return this->context.WallNow() - (this->context.Now() - found->second);
+}
+
 VmCondition VmObserver::ConditionOf(const VmId& vm, const std::map<VmId, platform::VmState>& seen,
                                     VmCondition known, TimePoint now) {
   const auto found = seen.find(vm);
--- a/src/entry/vm_observer.h
+++ b/src/entry/vm_observer.h
@@ -44,6 +44,8 @@
   std::vector<config_log::VmsObserved> Due(const config_log::FleetState& state, std::size_t turn);
 
   VmListView View() const;
+  /// Since when the VM has been missing from the list, if it is.
+  std::optional<WallTime> FailingSince(const VmId& vm) const;
   /// VMs that the list calls leaving.
   std::set<VmId> ListedLeaving() const;
 
