--- /dev/null
+++ b/src/maintenance/wave_selector.cc
@@ -0,0 +1,264 @@
+#include "wave_selector.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <queue>
+#include <tuple>
+#include <utility>
+
+#include "chervilspar/base/assert.h"
+#include "chervilspar/maintenance/planner.h"
+
+namespace chervilspar::maintenance {
+
+namespace {
+
+using config_log::StepAction;
+
+StepAction ActionFor(Need need) {
+  switch (need) {
+    case Need::kMove:
+      return StepAction::kMove;
+    case Need::kRetire:
+      return StepAction::kRetire;
+    case Need::kNone:
+    case Need::kReboot:
+      return StepAction::kReboot;
+  }
+  CHERVILSPAR_ASSERT(false);
+}
+
+}  // namespace
+
+WaveSelector::WaveSelector(const FleetView& view, const WaveShape& shape, std::uint32_t width)
+    : view(view),
+      shape(shape),
+      width(width),
+      held(view.held),
+      rack_limit(std::max<std::uint32_t>(view.state->inventory.maintenance.max_per_rack, 1)),
+      pools(view.pools.size()),
+      held_in_rack(view.held_in_rack),
+      zone_rank(view.held_in_zone.size()),
+      is_selected(view.vms.size()) {
+  for (Index i = 0; i < this->pools.size(); ++i) {
+    this->pools[i].room = FleetView::RoomNow(view.pools[i]);
+    this->pools[i].zones = view.pools[i].held_zones;
+  }
+  this->CollectDue();
+}
+
+void WaveSelector::CollectDue() {
+  std::vector<std::uint32_t> due_in_zone(this->zone_rank.size());
+  for (Index i = 0; i < this->view.vms.size(); ++i) {
+    const VmView& vm = this->view.vms[i];
+    if (vm.need == Need::kNone || vm.status->retired) {
+      continue;
+    }
+    if (vm.step) {
+      this->Wait(i, WaitReason::kStepRunning);
+      continue;
+    }
+    this->pools[vm.pool].due.push_back(i);
+    ++due_in_zone[vm.zone];
+  }
+  // The wave stays in the zone that it works in, and otherwise begins where most is due.
+  std::vector<Index> order(this->zone_rank.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::sort(order.begin(), order.end(), [&](Index left, Index right) {
+    const auto& held = this->view.held_in_zone;
+    return std::tuple(held[left], due_in_zone[left], right) >
+           std::tuple(held[right], due_in_zone[right], left);
+  });
+  for (Index rank = 0; rank < order.size(); ++rank) {
+    this->zone_rank[order[rank]] = rank;
+  }
+  for (PoolCursor& cursor : this->pools) {
+    this->SortDue(cursor);
+  }
+}
+
+void WaveSelector::SortDue(PoolCursor& cursor) const {
+  const auto key = [this, &cursor](Index index) {
+    const VmView& vm = this->view.vms[index];
+    const bool is_routine = vm.need == Need::kReboot;
+    const bool is_elsewhere =
+        std::find(cursor.zones.begin(), cursor.zones.end(), vm.zone) == cursor.zones.end();
+    return std::tuple(is_routine, is_elsewhere, this->zone_rank[vm.zone], vm.last_maintained,
+                      index);
+  };
+  std::sort(cursor.due.begin(), cursor.due.end(),
+            [&key](Index left, Index right) { return key(left) > key(right); });
+}
+
+void WaveSelector::SelectFills() {
+  for (const SpareFill& fill : this->shape.Fills()) {
+    for (std::uint32_t i = 0; i < fill.count; ++i) {
+      const auto spare = this->FindSpare(fill.pool);
+      if (!spare) {
+        break;
+      }
+      this->Hold(*spare, StepAction::kMove, this->view.pools[fill.pool].pool->id);
+    }
+  }
+}
+
+void WaveSelector::SelectReturns() {
+  for (Index i = 0; i < this->view.vms.size(); ++i) {
+    const VmView& vm = this->view.vms[i];
+    if (!vm.is_lent || !vm.is_available || vm.need != Need::kNone || this->is_selected[i]) {
+      continue;
+    }
+    const PoolView& pool = this->view.pools[vm.pool];
+    const bool has_rack_room = this->held_in_rack[vm.rack] < this->rack_limit;
+    const bool is_whole = pool.available + pool.held == pool.members;
+    if (is_whole && has_rack_room && !this->shape.HasWork(vm.pool) &&
+        this->pools[vm.pool].room >= 1) {
+      this->Hold(i, StepAction::kMove, vm.status->declared_pool);
+    }
+  }
+}
+
+std::optional<Index> WaveSelector::FindSpare(Index for_pool) const {
+  const std::uint32_t accelerators = this->NeededAccelerators(for_pool);
+  std::vector<std::uint32_t> members_in_zone(this->zone_rank.size());
+  for (const Index vm : this->view.pools[for_pool].vms) {
+    members_in_zone[this->view.vms[vm].zone] += this->view.vms[vm].is_available ? 1 : 0;
+  }
+  std::optional<Index> best;
+  for (Index pool = 0; pool < this->pools.size(); ++pool) {
+    if (this->view.pools[pool].pool->kind != inventory::PoolKind::kSpare ||
+        this->pools[pool].room <= 0) {
+      continue;
+    }
+    for (const Index candidate : this->view.pools[pool].vms) {
+      const VmView& vm = this->view.vms[candidate];
+      if (this->held_in_rack[vm.rack] >= this->rack_limit || this->is_selected[candidate] ||
+          !this->IsSpareUsable(vm, accelerators)) {
+        continue;
+      }
+      // The zone with the fewest VMs left gets the spare.
+      const bool is_better =
+          !best || members_in_zone[vm.zone] < members_in_zone[this->view.vms[*best].zone];
+      best = is_better ? candidate : *best;
+    }
+  }
+  return best;
+}
+
+bool WaveSelector::IsSpareUsable(const VmView& vm, std::uint32_t accelerators) const {
+  const bool stays = vm.need == Need::kNone || vm.need == Need::kReboot;
+  return vm.is_available && stays && vm.vm->accelerators >= accelerators;
+}
+
+std::uint32_t WaveSelector::NeededAccelerators(Index pool) const {
+  std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
+  for (const Index vm : this->view.pools[pool].vms) {
+    fewest = std::min(fewest, this->view.vms[vm].vm->accelerators);
+  }
+  return this->view.pools[pool].vms.empty() ? 0 : fewest;
+}
+
+void WaveSelector::SelectDue() {
+  using Priority = std::pair<double, Index>;
+  std::priority_queue<Priority> queue;
+  for (Index i = 0; i < this->pools.size(); ++i) {
+    if (!this->pools[i].due.empty()) {
+      queue.emplace(this->shape.Laxity(i), i);
+    }
+  }
+  while (!queue.empty()) {
+    const auto [laxity, pool] = queue.top();
+    queue.pop();
+    if (!this->SelectOne(pool)) {
+      continue;
+    }
+    // One step less is one step's share of the pool's way less.
+    const auto left = static_cast<double>(this->pools[pool].due.size());
+    queue.emplace(laxity * left / (left + 1.0), pool);
+  }
+}
+
+bool WaveSelector::SelectOne(Index pool) {
+  PoolCursor& cursor = this->pools[pool];
+  while (!cursor.due.empty()) {
+    const Index index = cursor.due.back();
+    cursor.due.pop_back();
+    if (this->is_selected[index]) {
+      continue;
+    }
+    const VmView& vm = this->view.vms[index];
+    const auto obstacle = this->FindObstacle(vm, cursor);
+    if (obstacle) {
+      this->Wait(index, *obstacle);
+      continue;
+    }
+    this->Hold(index, ActionFor(vm.need), vm.to_pool);
+    return true;
+  }
+  return false;
+}
+
+std::optional<WaitReason> WaveSelector::FindObstacle(const VmView& vm,
+                                                     const PoolCursor& cursor) const {
+  if (!vm.is_available) {
+    return WaitReason::kVmUnavailable;
+  }
+  if (vm.to_pool && !this->view.FindPool(*vm.to_pool)) {
+    return WaitReason::kNoTarget;
+  }
+  if (cursor.room < 1) {
+    return WaitReason::kPoolBudget;
+  }
+  if (this->held_in_rack[vm.rack] >= this->rack_limit) {
+    return WaitReason::kRackLimit;
+  }
+  const bool is_held_zone =
+      std::find(cursor.zones.begin(), cursor.zones.end(), vm.zone) != cursor.zones.end();
+  const std::size_t zones = cursor.zones.size() + (is_held_zone ? 0 : 1);
+  if (zones > 1 && cursor.room < 1 + static_cast<std::int64_t>(kSecondZoneRoom)) {
+    return WaitReason::kOtherZone;
+  }
+  if (this->held >= this->width) {
+    return WaitReason::kWaveWidth;
+  }
+  return std::nullopt;
+}
+
+void WaveSelector::Hold(Index index, StepAction action, std::optional<PoolId> to_pool) {
+  const VmView& vm = this->view.vms[index];
+  PoolCursor& cursor = this->pools[vm.pool];
+  --cursor.room;
+  if (std::find(cursor.zones.begin(), cursor.zones.end(), vm.zone) == cursor.zones.end()) {
+    cursor.zones.push_back(vm.zone);
+  }
+  const bool is_spare = this->view.pools[vm.pool].pool->kind == inventory::PoolKind::kSpare;
+  this->held += is_spare && action == StepAction::kMove ? 0 : 1;
+  ++this->held_in_rack[vm.rack];
+  this->is_selected[index] = true;
+  this->selections.push_back(Selection{index, action, std::move(to_pool)});
+}
+
+void WaveSelector::Wait(Index index, WaitReason reason) {
+  const VmView& vm = this->view.vms[index];
+  this->waits.push_back(VmWait{vm.vm->id, reason, vm.vm->pool, vm.vm->rack});
+}
+
+void WaveSelector::WaitAll(WaitReason reason) {
+  for (PoolCursor& cursor : this->pools) {
+    for (const Index index : cursor.due) {
+      if (!this->is_selected[index]) {
+        this->Wait(index, this->view.vms[index].is_lost ? WaitReason::kVmUnavailable : reason);
+      }
+    }
+    cursor.due.clear();
+  }
+}
+
+std::vector<VmWait> WaveSelector::TakeWaits() {
+  std::sort(this->waits.begin(), this->waits.end(),
+            [](const VmWait& left, const VmWait& right) { return left.vm < right.vm; });
+  return std::move(this->waits);
+}
+
+}  // namespace chervilspar::maintenance
--- /dev/null
+++ b/src/maintenance/wave_selector.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "chervilspar/maintenance/plan.h"
+
+#include "fleet_view.h"
+#include "wave_shape.h"
+
+namespace chervilspar::maintenance {
+
+/// A step to begin.
+struct Selection {
+  Index vm = 0;
+  config_log::StepAction action = config_log::StepAction::kReboot;
+  std::optional<PoolId> to_pool;
+};
+
+/// Chooses the steps that a wave begins now. Keeps its own counts of what is held, so that the
+/// steps chosen together respect budgets, racks and zones as if each were claimed before the next.
+class WaveSelector {
+ public:
+  /// `width` is the number of VMs that the wave may hold at once.
+  WaveSelector(const FleetView& view, const WaveShape& shape, std::uint32_t width);
+
+  /// Moves spare VMs into the pools that are to get some.
+  void SelectFills();
+  /// Moves lent VMs back to the spare pool once their pools have no work and no losses.
+  void SelectReturns();
+  /// Due steps, pools with the longest way to go first.
+  void SelectDue();
+  /// Records why each due VM waits, for a wave that begins nothing.
+  void WaitAll(WaitReason reason);
+
+  std::vector<Selection> TakeSelections() { return std::move(this->selections); }
+  std::vector<VmWait> TakeWaits();
+
+ private:
+  struct PoolCursor {
+    std::int64_t room = 0;
+    std::vector<Index> zones;
+    /// Due VMs, the next one to claim last.
+    std::vector<Index> due;
+  };
+
+  void CollectDue();
+  void SortDue(PoolCursor& cursor) const;
+  /// Claims the next VM of the pool that may be claimed now; says whether there was one.
+  bool SelectOne(Index pool);
+  std::optional<WaitReason> FindObstacle(const VmView& vm, const PoolCursor& cursor) const;
+  std::optional<Index> FindSpare(Index for_pool) const;
+  bool IsSpareUsable(const VmView& vm, std::uint32_t accelerators) const;
+  std::uint32_t NeededAccelerators(Index pool) const;
+  void Hold(Index vm, config_log::StepAction action, std::optional<PoolId> to_pool);
+  void Wait(Index vm, WaitReason reason);
+
+  const FleetView& view;
+  const WaveShape& shape;
+  std::uint32_t width;
+  std::uint32_t held;
+  std::uint32_t rack_limit;
+  std::vector<PoolCursor> pools;
+  std::vector<std::uint32_t> held_in_rack;
+  std::vector<std::uint32_t> zone_rank;
+  std::vector<bool> is_selected;
+  std::vector<Selection> selections;
+  std::vector<VmWait> waits;
+};
+
+}  // namespace chervilspar::maintenance
