--- /dev/null
+++ b/tests/maintenance/planner_test.cc
@@ -0,0 +1,381 @@
+#include "chervilspar/maintenance/planner.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "bench/wave_fleet.h"
+#include "fleet_fixture.h"
+
+namespace chervilspar::maintenance {
+namespace {
+
+using bench::ServingPool;
+using config_log::Step;
+using config_log::StepAction;
+using config_log::StepPhase;
+using config_log::VmCondition;
+
+Plan PlanFor(const FleetFixture& fleet) {
+  return Planner(kEntryA).MakePlan(fleet.state, fleet.observations, kNow);
+}
+
+std::map<PoolId, std::size_t> ClaimsByPool(const Plan& plan) {
+  std::map<PoolId, std::size_t> claims;
+  for (const Step& step : plan.claims) {
+    ++claims[step.from_pool];
+  }
+  return claims;
+}
+
+std::size_t CountWaits(const Plan& plan, WaitReason reason) {
+  return static_cast<std::size_t>(
+      std::count_if(plan.waits.begin(), plan.waits.end(),
+                    [reason](const VmWait& wait) { return wait.reason == reason; }));
+}
+
+/// A fleet, what happens to it, and what the plan has to be.
+struct PlanCase {
+  std::string name;
+  std::function<void(FleetFixture&)> arrange;
+  /// Claims in the first pool.
+  std::size_t claims = 0;
+  /// A reason that some VM must wait for, if any must.
+  std::optional<WaitReason> reason;
+};
+
+class PlannerTableTest : public testing::TestWithParam<PlanCase> {};
+
+TEST_P(PlannerTableTest, ClaimsInTheFirstPool) {
+  FleetFixture fleet;
+  GetParam().arrange(fleet);
+  const Plan plan = PlanFor(fleet);
+  EXPECT_EQ(ClaimsByPool(plan)[ServingPool(0)], GetParam().claims);
+  if (GetParam().reason) {
+    EXPECT_GT(CountWaits(plan, *GetParam().reason), 0U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ordinary, PlannerTableTest,
+    testing::Values(PlanCase{"OneBelowTheSlack", [](FleetFixture&) {}, 1, WaitReason::kPoolBudget},
+                    PlanCase{"NothingDue",
+                             [](FleetFixture& fleet) {
+                               fleet.SetMaintained(kNow - std::chrono::hours(1));
+                             },
+                             0, std::nullopt},
+                    PlanCase{"DueBeforeTheInterval",
+                             [](FleetFixture& fleet) {
+                               fleet.SetMaintained(kNow - std::chrono::hours(24 * 45));
+                             },
+                             1, WaitReason::kPoolBudget},
+                    PlanCase{"RoutineTurnedOff",
+                             [](FleetFixture& fleet) {
+                               fleet.state.inventory.maintenance.every = Duration::zero();
+                             },
+                             0, std::nullopt}),
+    [](const auto& info) { return info.param.name; });
+
+// Room is gone before the wave begins, or is not known to be there. Draining a VM all the same
+// would leave the pool below its budget once one more VM fails.
+INSTANTIATE_TEST_SUITE_P(
+    Room, PlannerTableTest,
+    testing::Values(
+        PlanCase{"OneVmFailed",
+                 [](FleetFixture& fleet) { fleet.SetCondition(0, VmCondition::kFailed); }, 0,
+                 WaitReason::kPoolBudget},
+        PlanCase{"OneVmNeverObserved",
+                 [](FleetFixture& fleet) { fleet.observations.vms.erase(fleet.VmAt(0)); }, 0,
+                 WaitReason::kVmUnavailable},
+        PlanCase{"OneVmNotSeenForAMinute",
+                 [](FleetFixture& fleet) {
+                   fleet.observations.vms[fleet.VmAt(0)].age = std::chrono::minutes(1);
+                 },
+                 0, WaitReason::kPoolBudget},
+        PlanCase{"OneVmLeaving",
+                 [](FleetFixture& fleet) {
+                   fleet.observations.vms[fleet.VmAt(0)].listing = VmListing::kLeaving;
+                 },
+                 0, WaitReason::kVmUnavailable},
+        PlanCase{"OneStepRunning", [](FleetFixture& fleet) { fleet.HoldVm(0); }, 0,
+                 WaitReason::kStepRunning},
+        PlanCase{
+            "ListTooOld",
+            [](FleetFixture& fleet) { fleet.observations.vm_list_age = std::chrono::minutes(1); },
+            0, WaitReason::kStaleView}),
+    [](const auto& info) { return info.param.name; });
+
+// A rack loses its power or a zone is cut while steps hold VMs elsewhere: the losses add up. Steps
+// of one wave keep to one VM of a rack and, unless there is room, to one zone of a pool.
+INSTANTIATE_TEST_SUITE_P(Domains, PlannerTableTest,
+                         testing::Values(PlanCase{"RackHoldsAStep",
+                                                  [](FleetFixture& fleet) {
+                                                    fleet.SetSlack(3);
+                                                    fleet.PutInRack(kAllVms, "shared");
+                                                    fleet.HoldVm(15);
+                                                  },
+                                                  0, WaitReason::kRackLimit},
+                                         PlanCase{"NoRoomForASecondZone",
+                                                  [](FleetFixture& fleet) {
+                                                    fleet.SetSlack(3);
+                                                    fleet.PutInZone(0, "own-zone");
+                                                    fleet.HoldVm(0);
+                                                  },
+                                                  0, WaitReason::kOtherZone},
+                                         PlanCase{"RoomForASecondZone",
+                                                  [](FleetFixture& fleet) {
+                                                    fleet.SetSlack(4);
+                                                    fleet.SetOnlyDuePool(0);
+                                                    fleet.PutInZone(0, "own-zone");
+                                                    fleet.HoldVm(0);
+                                                  },
+                                                  1, std::nullopt}),
+                         [](const auto& info) { return info.param.name; });
+
+// A reboot with a bad image kills VM after VM. Nobody is awake at night to stop it, so the wave
+// stops itself and the rest of the fleet goes on serving.
+INSTANTIATE_TEST_SUITE_P(
+    Stopping, PlannerTableTest,
+    testing::Values(PlanCase{"TwoDidNotSurviveTheirStep",
+                             [](FleetFixture& fleet) {
+                               fleet.FailAfterStep(20);
+                               fleet.FailAfterStep(30);
+                             },
+                             0, WaitReason::kWaveStopped},
+                    PlanCase{"OneDidNot", [](FleetFixture& fleet) { fleet.FailAfterStep(20); }, 1,
+                             std::nullopt},
+                    PlanCase{"TwoFailedWhileTheirPoolWasWorkedOn",
+                             [](FleetFixture& fleet) {
+                               fleet.HoldVm(20);
+                               fleet.FailNow(21);
+                               fleet.FailNow(22);
+                             },
+                             0, WaitReason::kWaveStopped},
+                    PlanCase{"TwoFailedElsewhereAndEarlier",
+                             [](FleetFixture& fleet) {
+                               fleet.SetCondition(21, VmCondition::kFailed);
+                               fleet.SetCondition(22, VmCondition::kFailed);
+                             },
+                             1, std::nullopt}),
+    [](const auto& info) { return info.param.name; });
+
+// A rack fails while the wave drains VMs of the same pools. The drains that have not come to the
+// reboot are undone, as many as it takes; one that acts can't be undone.
+TEST(PlannerTest, RackFailureWithdrawsDrainingSteps) {
+  FleetFixture fleet;
+  fleet.SetSlack(3);
+  fleet.HoldVm(0);
+  fleet.HoldVm(3);
+  fleet.HoldVm(6, StepPhase::kActing);
+  EXPECT_TRUE(PlanFor(fleet).withdrawals.size() == 1) << "three held leave no room for a failure";
+  fleet.FailNow(1);
+  const Plan plan = PlanFor(fleet);
+  ASSERT_EQ(plan.withdrawals.size(), 2U);
+  for (const StepWithdrawal& withdrawal : plan.withdrawals) {
+    EXPECT_NE(withdrawal.step, fleet.StepOf(6));
+    EXPECT_EQ(withdrawal.cause.reason, WaitReason::kPoolBudget);
+  }
+}
+
+// The list of VMs stops for a minute. Nothing is known to have failed, so nothing is undone: a late
+// list must not cost a round of drains.
+TEST(PlannerTest, StaleListWithdrawsNothing) {
+  FleetFixture fleet;
+  fleet.HoldVm(0);
+  fleet.observations.vm_list_age = std::chrono::minutes(1);
+  EXPECT_TRUE(PlanFor(fleet).withdrawals.empty());
+}
+
+TEST(PlannerTest, VmLostWhileDrainingIsGivenUp) {
+  FleetFixture fleet;
+  fleet.HoldVm(0);
+  fleet.FailNow(0);
+  const Plan plan = PlanFor(fleet);
+  ASSERT_EQ(plan.withdrawals.size(), 1U);
+  EXPECT_EQ(plan.withdrawals[0].cause.reason, WaitReason::kVmUnavailable);
+}
+
+// Two VMs of a pool are gone for longer than a reboot lasts, and the next failure would break the
+// budget. A VM of the spare pool fills in although the wave itself has no room.
+TEST(PlannerTest, SpareVmsFillInForLostOnes) {
+  FleetFixture fleet;
+  fleet.SetCondition(0, VmCondition::kFailed);
+  fleet.SetCondition(3, VmCondition::kFailed);
+  const Plan plan = PlanFor(fleet);
+  const auto moves = std::count_if(plan.claims.begin(), plan.claims.end(), [](const Step& step) {
+    return step.action == StepAction::kMove && step.from_pool == bench::kSparePool &&
+           step.to_pool == ServingPool(0);
+  });
+  EXPECT_EQ(moves, 1);
+}
+
+// A VM that has just gone may merely be rebooting. While the budget holds, no spare VM is moved for
+// it; below the budget it is moved at once.
+TEST(PlannerTest, SpareVmsWaitForAFreshLossUnlessTheBudgetIsBroken) {
+  FleetFixture fleet;
+  fleet.FailNow(0);
+  fleet.FailNow(3);
+  const auto moves = [&fleet] {
+    const Plan plan = PlanFor(fleet);
+    return std::count_if(plan.claims.begin(), plan.claims.end(),
+                         [](const Step& step) { return step.to_pool == ServingPool(0); });
+  };
+  EXPECT_EQ(moves(), 0);
+  fleet.FailNow(6);
+  EXPECT_EQ(moves(), 1);
+}
+
+// The losses are over and the wave is done: the lent VM goes home, or the spare pool would be empty
+// at the next failure.
+TEST(PlannerTest, LentVmReturnsToTheSparePool) {
+  FleetFixture fleet;
+  fleet.SetMaintained(kNow);
+  fleet.Lend(50, ServingPool(0));
+  const Plan plan = PlanFor(fleet);
+  ASSERT_EQ(plan.claims.size(), 1U);
+  EXPECT_EQ(plan.claims[0].to_pool, bench::kSparePool);
+  fleet.SetCondition(0, VmCondition::kFailed);
+  EXPECT_TRUE(PlanFor(fleet).claims.empty()) << "a pool with losses keeps it";
+}
+
+// A pool whose budget leaves no room at all would never be maintained; a spare VM makes the room.
+TEST(PlannerTest, SpareVmMakesRoomInATightPool) {
+  FleetFixture fleet;
+  fleet.SetSlack(1);
+  const Plan plan = PlanFor(fleet);
+  const auto claims = ClaimsByPool(plan);
+  EXPECT_EQ(claims.count(ServingPool(0)), 0U);
+  EXPECT_GT(claims.at(bench::kSparePool), 0U);
+}
+
+TEST(PlannerTest, MovesComeBeforeRoutine) {
+  FleetFixture fleet;
+  fleet.MoveOut({inventory::MoveTarget{fleet.VmAt(9), ServingPool(1)}});
+  const Plan plan = PlanFor(fleet);
+  const auto move = std::find_if(plan.claims.begin(), plan.claims.end(),
+                                 [](const Step& step) { return step.action == StepAction::kMove; });
+  ASSERT_NE(move, plan.claims.end());
+  EXPECT_EQ(move->vm, fleet.VmAt(9));
+}
+
+TEST(PlannerTest, MoveToAnUnknownPoolWaits) {
+  FleetFixture fleet;
+  fleet.MoveOut({inventory::MoveTarget{fleet.VmAt(9), PoolId{"nowhere"}}});
+  EXPECT_EQ(CountWaits(PlanFor(fleet), WaitReason::kNoTarget), 1U);
+}
+
+// An executor is gone. Exactly one of the live entries takes its step over, whichever of them
+// plans; one that ranks lower than the executor waits, for it may only be cut off from it.
+TEST(PlannerTest, OneEntryTakesOver) {
+  FleetFixture fleet;
+  fleet.HoldVm(0);
+  fleet.ExecutorOf(0) = EntryId{"gone"};
+  fleet.state.steps.at(fleet.StepOf(0)).claimed_at = kNow - std::chrono::minutes(8);
+  const auto first = Planner(kEntryA).MakePlan(fleet.state, fleet.observations, kNow);
+  const auto second = Planner(kEntryB).MakePlan(fleet.state, fleet.observations, kNow);
+  ASSERT_EQ(first.take_overs.size(), 1U);
+  EXPECT_EQ(first.take_overs, second.take_overs);
+  EXPECT_TRUE(fleet.observations.live_entries.contains(first.take_overs[0].new_executor));
+}
+
+TEST(PlannerTest, EntriesThatAreCutApartDoNotTakeAStepInTurns) {
+  FleetFixture fleet;
+  fleet.HoldVm(0);
+  Step& step = fleet.state.steps.at(fleet.StepOf(0));
+  int taken = 0;
+  for (int round = 0; round < 10; ++round) {
+    const EntryId reader = step.executor == kEntryA ? kEntryB : kEntryA;
+    fleet.observations.live_entries = {reader};
+    const Plan plan = Planner(reader).MakePlan(fleet.state, fleet.observations, kNow);
+    if (!plan.take_overs.empty()) {
+      step.executor = reader;
+      ++taken;
+    }
+  }
+  EXPECT_LE(taken, 1);
+}
+
+// An executor died between the drain and its record. The endpoint refuses work although no step
+// holds its VM, and its slots would be lost until somebody looked.
+TEST(PlannerTest, ForgottenDrainIsUndone) {
+  FleetFixture fleet;
+  fleet.observations.vms[fleet.VmAt(4)].drain_state = DrainState::kDraining;
+  fleet.observations.vms[fleet.VmAt(0)].drain_state = DrainState::kDraining;
+  fleet.HoldVm(0);
+  EXPECT_EQ(PlanFor(fleet).undrains, std::vector<VmId>{fleet.VmAt(4)});
+}
+
+TEST(PlannerTest, OnlyOneEntryAppends) {
+  FleetFixture fleet;
+  EXPECT_TRUE(Planner(kEntryA).MakePlan(fleet.state, fleet.observations, kNow).is_own_turn);
+  EXPECT_FALSE(Planner(kEntryB).MakePlan(fleet.state, fleet.observations, kNow).is_own_turn);
+}
+
+TEST(PlannerTest, EachWaitExplainsItself) {
+  FleetFixture fleet;
+  for (const VmWait& wait : PlanFor(fleet).waits) {
+    EXPECT_NE(Explain(wait).find(wait.vm.text), std::string::npos);
+  }
+}
+
+/// What the last look just before the reboot has to say.
+struct CheckCase {
+  std::string name;
+  std::function<void(FleetFixture&)> arrange;
+  ActVerdict expected = ActVerdict::kAct;
+};
+
+class FinalCheckTest : public testing::TestWithParam<CheckCase> {};
+
+// Between the plan and the reboot lies a drain of minutes, in which VMs fail and views grow old. A
+// reboot on the strength of the plan alone would take the pool below its budget.
+TEST_P(FinalCheckTest, LooksAgain) {
+  FleetFixture fleet;
+  fleet.HoldVm(0);
+  GetParam().arrange(fleet);
+  EXPECT_EQ(CheckBeforeActing(fleet.state, fleet.observations, fleet.StepOf(0)),
+            GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, FinalCheckTest,
+    testing::Values(
+        CheckCase{"AllWell", [](FleetFixture&) {}, ActVerdict::kAct},
+        CheckCase{"OneFailure", [](FleetFixture& fleet) { fleet.FailNow(1); }, ActVerdict::kAct},
+        CheckCase{"TwoFailures",
+                  [](FleetFixture& fleet) {
+                    fleet.FailNow(1);
+                    fleet.FailNow(2);
+                  },
+                  ActVerdict::kWithdraw},
+        CheckCase{"TwoFailuresThatOnlyTheListShows",
+                  [](FleetFixture& fleet) {
+                    fleet.observations.vms[fleet.VmAt(1)].listing = VmListing::kUnlisted;
+                    fleet.observations.vms[fleet.VmAt(2)].listing = VmListing::kUnlisted;
+                  },
+                  ActVerdict::kWithdraw},
+        CheckCase{"TwoUnseen",
+                  [](FleetFixture& fleet) {
+                    fleet.observations.vms.erase(fleet.VmAt(1));
+                    fleet.observations.vms[fleet.VmAt(2)].age = std::chrono::minutes(1);
+                  },
+                  ActVerdict::kWait},
+        CheckCase{
+            "OldList",
+            [](FleetFixture& fleet) { fleet.observations.vm_list_age = std::chrono::minutes(1); },
+            ActVerdict::kWait},
+        CheckCase{"OwnVmGone",
+                  [](FleetFixture& fleet) {
+                    fleet.observations.vms[fleet.VmAt(0)].listing = VmListing::kUnlisted;
+                  },
+                  ActVerdict::kWithdraw},
+        CheckCase{"StepIsNoMore", [](FleetFixture& fleet) { fleet.state.steps.clear(); },
+                  ActVerdict::kWithdraw}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace chervilspar::maintenance
--- /dev/null
+++ b/tests/maintenance/step_executor_test.cc
@@ -0,0 +1,362 @@
+#include "chervilspar/maintenance/step_executor.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "chervilspar/base/assert.h"
+
+namespace chervilspar::maintenance {
+namespace {
+
+using config_log::Step;
+using config_log::StepAction;
+using config_log::StepPhase;
+
+const EntryId kSelf{"entry-a"};
+const EntryId kOther{"entry-b"};
+const StepId kStep{"step-1"};
+
+Step MakeStep(StepAction action, StepPhase phase = StepPhase::kDraining) {
+  Step step;
+  step.id = kStep;
+  step.vm = VmId{"vm-1"};
+  step.action = action;
+  step.from_pool = PoolId{"pool"};
+  step.phase = phase;
+  step.executor = kSelf;
+  return step;
+}
+
+Step HeldBy(const EntryId& executor, StepPhase phase) {
+  Step step = MakeStep(StepAction::kReboot, phase);
+  step.executor = executor;
+  return step;
+}
+
+TimePoint At(int seconds) { return TimePoint(std::chrono::seconds(seconds)); }
+
+RecordReadBack Accepted(StepRecord record) {
+  return RecordReadBack{record, RecordVerdict::kAccepted};
+}
+
+RecordReadBack Rejected(StepRecord record) {
+  return RecordReadBack{record, RecordVerdict::kRejected};
+}
+
+VmDescribed Described(std::uint64_t boot, const StepId& last_step,
+                      PlatformVmState state = PlatformVmState::kLive) {
+  return VmDescribed{state, boot, last_step};
+}
+
+/// An input at a second of the run and the stage that must follow.
+struct Move {
+  int at = 0;
+  StepInput input;
+  ExecutorStage stage = ExecutorStage::kClaiming;
+};
+
+enum class Start { kClaim, kTakeOver, kResume };
+
+struct StageCase {
+  std::string name;
+  Start start = Start::kClaim;
+  Step step;
+  std::vector<Move> moves;
+};
+
+StepExecutor Begin(const StageCase& stage_case) {
+  const inventory::MaintenanceRules rules;
+  switch (stage_case.start) {
+    case Start::kClaim:
+      return StepExecutor::Claim(stage_case.step, rules, At(0));
+    case Start::kTakeOver:
+      return StepExecutor::TakeOver(stage_case.step, rules, At(0));
+    case Start::kResume:
+      return StepExecutor::Resume(stage_case.step, rules, At(0));
+  }
+  CHERVILSPAR_ASSERT(false);
+}
+
+class StepExecutorStageTest : public testing::TestWithParam<StageCase> {};
+
+TEST_P(StepExecutorStageTest, GoesThroughItsStages) {
+  StepExecutor executor = Begin(GetParam());
+  int number = 0;
+  for (const Move& move : GetParam().moves) {
+    executor.Handle(move.input, At(move.at));
+    EXPECT_EQ(executor.Stage(), move.stage)
+        << "move " << number << ", is " << ToString(executor.Stage());
+    ++number;
+  }
+}
+
+using enum ExecutorStage;
+
+const std::vector<Move> kUpToActing = {
+    {0, Tick{}, kClaiming},
+    {1, Accepted(StepRecord::kClaim), kDraining},
+    {2, DrainAnswer{3}, kDraining},
+    {9, DrainAnswer{0}, kChecking},
+    {9, FinalCheckAnswer{ActVerdict::kAct}, kEnteringAct},
+    {10, Accepted(StepRecord::kActing), kConfirmingDrain},
+};
+
+std::vector<Move> Then(std::vector<Move> first, const std::vector<Move>& second) {
+  first.insert(first.end(), second.begin(), second.end());
+  return first;
+}
+
+/// One tick each second, the stage staying the same.
+std::vector<Move> Ticks(int from, int to, ExecutorStage stage) {
+  std::vector<Move> moves;
+  for (int second = from; second <= to; ++second) {
+    moves.push_back(Move{second, Tick{}, stage});
+  }
+  return moves;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Actions, StepExecutorStageTest,
+    testing::Values(StageCase{"Reboot", Start::kClaim, MakeStep(StepAction::kReboot),
+                              Then(kUpToActing,
+                                   {{10, DrainAnswer{0}, kRebooting},
+                                    {11, RebootAnswer{}, kAwaitingBoot},
+                                    {12, Described(1, kStep, PlatformVmState::kRebooting),
+                                     kAwaitingBoot},
+                                    {90, Described(2, kStep), kUndraining},
+                                    {91, UndrainAnswer{}, kRecordingDone},
+                                    {92, Accepted(StepRecord::kDone), kFinished}})},
+                    StageCase{"Move", Start::kClaim, MakeStep(StepAction::kMove),
+                              Then(kUpToActing, {{10, DrainAnswer{0}, kUndraining},
+                                                 {11, UndrainAnswer{}, kRecordingDone},
+                                                 {12, Accepted(StepRecord::kDone), kFinished}})},
+                    StageCase{"RetireStaysDrained", Start::kClaim, MakeStep(StepAction::kRetire),
+                              Then(kUpToActing, {{10, DrainAnswer{0}, kRecordingDone},
+                                                 {12, Accepted(StepRecord::kDone), kFinished}})}),
+    [](const auto& info) { return info.param.name; });
+
+// A claim that lost against another one is read back as rejected. Going on with it would drain a VM
+// that another step holds.
+INSTANTIATE_TEST_SUITE_P(
+    Claims, StepExecutorStageTest,
+    testing::Values(StageCase{"RejectedClaimEnds",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{1, Rejected(StepRecord::kClaim), kFinished}}},
+                    StageCase{"UnreadClaimStays",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{1, StepSeen{}, kClaiming}, {60, Tick{}, kClaiming}}},
+                    StageCase{"UnreadClaimIsGivenUp", Start::kClaim, MakeStep(StepAction::kReboot),
+                              Then(Ticks(0, 60, kClaiming), {{61, Tick{}, kFinished}})},
+                    StageCase{"ClaimSeenInSnapshot",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{1, StepSeen{HeldBy(kSelf, StepPhase::kDraining)}, kDraining}}}),
+    [](const auto& info) { return info.param.name; });
+
+// A task runs longer than the rules let a drain wait. The drain is given up, so that its caller
+// gets the answer; the VM goes back to work and comes again later.
+INSTANTIATE_TEST_SUITE_P(
+    Undoing, StepExecutorStageTest,
+    testing::Values(StageCase{"LongTask",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{0, Accepted(StepRecord::kClaim), kDraining},
+                               {119, DrainAnswer{1}, kDraining},
+                               {121, Tick{}, kUndoing},
+                               {122, UndrainAnswer{}, kRecordingWithdrawn},
+                               {123, Accepted(StepRecord::kWithdrawn), kFinished}}},
+                    StageCase{"EndpointGoneWhileUndoing", Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              Then(Then({{0, Accepted(StepRecord::kClaim), kDraining},
+                                         {5, WithdrawAsked{}, kUndoing}},
+                                        Ticks(6, 125, kUndoing)),
+                                   {{126, Tick{}, kRecordingWithdrawn}})},
+                    StageCase{"FinalCheckWaitsForFreshViews",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{0, Accepted(StepRecord::kClaim), kDraining},
+                               {5, DrainAnswer{0}, kChecking},
+                               {6, FinalCheckAnswer{ActVerdict::kWait}, kChecking},
+                               {121, Tick{}, kUndoing}}},
+                    StageCase{"FinalCheckFindsBudgetShort",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{0, Accepted(StepRecord::kClaim), kDraining},
+                               {5, DrainAnswer{0}, kChecking},
+                               {6, FinalCheckAnswer{ActVerdict::kWithdraw}, kUndoing}}},
+                    StageCase{"FoldRefusesToAct",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{0, Accepted(StepRecord::kClaim), kDraining},
+                               {5, DrainAnswer{0}, kChecking},
+                               {6, FinalCheckAnswer{ActVerdict::kAct}, kEnteringAct},
+                               {7, StepSeen{HeldBy(kSelf, StepPhase::kDraining)}, kEnteringAct},
+                               {7, Rejected(StepRecord::kActing), kUndoing}}},
+                    StageCase{"TooLateToWithdraw",
+                              Start::kClaim,
+                              MakeStep(StepAction::kReboot),
+                              {{0, Accepted(StepRecord::kClaim), kDraining},
+                               {5, DrainAnswer{0}, kChecking},
+                               {6, FinalCheckAnswer{ActVerdict::kAct}, kEnteringAct},
+                               {7, WithdrawAsked{}, kEnteringAct}}}),
+    [](const auto& info) { return info.param.name; });
+
+// The executor dies at some point of a step and another entry takes it over, or comes back without
+// its memory. A user would notice a VM that stays drained for good, or is rebooted a second time.
+INSTANTIATE_TEST_SUITE_P(
+    TakingOver, StepExecutorStageTest,
+    testing::Values(StageCase{"WhileDraining",
+                              Start::kTakeOver,
+                              MakeStep(StepAction::kReboot),
+                              {{0, Tick{}, kTakingOver},
+                               {0, StepSeen{HeldBy(kOther, StepPhase::kDraining)}, kTakingOver},
+                               {1, StepSeen{HeldBy(kSelf, StepPhase::kDraining)}, kDraining}}},
+                    StageCase{"OneEntryWasFaster",
+                              Start::kTakeOver,
+                              MakeStep(StepAction::kReboot),
+                              {{0, StepSeen{HeldBy(kOther, StepPhase::kDraining)}, kTakingOver},
+                               {1, Rejected(StepRecord::kTakeOver), kFinished}}},
+                    StageCase{"ActBeganAfterThePlan",
+                              Start::kTakeOver,
+                              MakeStep(StepAction::kReboot),
+                              {{0, Accepted(StepRecord::kTakeOver), kTakingOver},
+                               {1, StepSeen{HeldBy(kSelf, StepPhase::kActing)}, kInspecting}}},
+                    StageCase{"BeforeTheReboot",
+                              Start::kResume,
+                              MakeStep(StepAction::kReboot, StepPhase::kActing),
+                              {{0, Tick{}, kInspecting},
+                               {1, Described(1, StepId{}), kConfirmingDrain},
+                               {2, DrainAnswer{0}, kRebooting}}},
+                    StageCase{"DuringTheReboot",
+                              Start::kResume,
+                              MakeStep(StepAction::kReboot, StepPhase::kActing),
+                              {{1, Described(1, kStep, PlatformVmState::kRebooting), kAwaitingBoot},
+                               {50, Described(2, kStep), kUndraining}}},
+                    StageCase{"AfterTheReboot",
+                              Start::kResume,
+                              MakeStep(StepAction::kReboot, StepPhase::kActing),
+                              {{1, Described(2, kStep), kAwaitingBoot},
+                               {2, Described(2, kStep), kUndraining}}},
+                    StageCase{"MoveAfterActing",
+                              Start::kResume,
+                              MakeStep(StepAction::kMove, StepPhase::kActing),
+                              {{0, Tick{}, kConfirmingDrain}, {1, DrainAnswer{0}, kUndraining}}}),
+    [](const auto& info) { return info.param.name; });
+
+// An executor is paused; meanwhile its step is taken over and ended. When it wakes up it must not
+// touch the VM any more, which by then may be held by the next step.
+INSTANTIATE_TEST_SUITE_P(
+    LosingTheStep, StepExecutorStageTest,
+    testing::Values(
+        StageCase{"StepEnded",
+                  Start::kClaim,
+                  MakeStep(StepAction::kReboot),
+                  {{0, Accepted(StepRecord::kClaim), kDraining}, {600, StepSeen{}, kFinished}}},
+        StageCase{
+            "StepTakenOver", Start::kClaim, MakeStep(StepAction::kReboot),
+            Then(kUpToActing, {{600, StepSeen{HeldBy(kOther, StepPhase::kActing)}, kFinished}})},
+        StageCase{"SecondCopyOfARecordIsRejected", Start::kClaim, MakeStep(StepAction::kReboot),
+                  Then(kUpToActing, {{11, Rejected(StepRecord::kActing), kConfirmingDrain},
+                                     {11, Rejected(StepRecord::kClaim), kConfirmingDrain}})},
+        StageCase{"DoneByAnother", Start::kClaim, MakeStep(StepAction::kRetire),
+                  Then(kUpToActing, {{10, DrainAnswer{0}, kRecordingDone},
+                                     {11, Rejected(StepRecord::kDone), kFinished}})}),
+    [](const auto& info) { return info.param.name; });
+
+// The executor's process stops, or is cut off, for a quarter of an hour in the middle of an act,
+// and all its timeouts have run out when it goes on. Taking that for the VM's silence would reboot
+// a VM unasked, or mark one as failed that came back long ago and reboot it a second time.
+INSTANTIATE_TEST_SUITE_P(
+    Paused, StepExecutorStageTest,
+    testing::Values(StageCase{"BeforeTheSecondDrain", Start::kClaim, MakeStep(StepAction::kReboot),
+                              Then(kUpToActing, {{900, Tick{}, kConfirmingDrain},
+                                                 {901, DrainAnswer{1}, kConfirmingDrain}})},
+                    StageCase{"DuringTheReboot", Start::kClaim, MakeStep(StepAction::kReboot),
+                              Then(kUpToActing, {{10, DrainAnswer{0}, kRebooting},
+                                                 {11, RebootAnswer{}, kAwaitingBoot},
+                                                 {900, Tick{}, kAwaitingBoot},
+                                                 {900, Described(2, kStep), kUndraining}})},
+                    StageCase{"WhileUndraining", Start::kClaim, MakeStep(StepAction::kMove),
+                              Then(kUpToActing, {{10, DrainAnswer{0}, kUndraining},
+                                                 {900, Tick{}, kUndraining},
+                                                 {901, UndrainAnswer{}, kRecordingDone}})}),
+    [](const auto& info) { return info.param.name; });
+
+// The VM goes wrong while the step acts: its endpoint lets a task in after the first drain, it dies
+// before the reboot, or it does not come back.
+INSTANTIATE_TEST_SUITE_P(
+    TroubleWhileActing, StepExecutorStageTest,
+    testing::Values(
+        StageCase{"TaskAfterTheFirstDrain", Start::kClaim, MakeStep(StepAction::kReboot),
+                  Then(kUpToActing, {{11, DrainAnswer{1}, kConfirmingDrain},
+                                     {500, Tick{}, kConfirmingDrain},
+                                     {501, DrainAnswer{0}, kRebooting}})},
+        StageCase{
+            "DiesBeforeTheReboot", Start::kClaim, MakeStep(StepAction::kReboot),
+            Then(Then(kUpToActing, Ticks(11, 130, kConfirmingDrain)), {{131, Tick{}, kRebooting}})},
+        StageCase{"StillUpAfterTheRebootWasAsked", Start::kClaim, MakeStep(StepAction::kReboot),
+                  Then(kUpToActing, {{10, DrainAnswer{0}, kRebooting},
+                                     {10, Described(7, StepId{}), kRebooting},
+                                     {11, RebootAnswer{}, kAwaitingBoot},
+                                     {12, Described(7, kStep), kAwaitingBoot},
+                                     {60, Described(8, kStep), kUndraining}})},
+        StageCase{"RebootAnswerLost", Start::kClaim, MakeStep(StepAction::kReboot),
+                  Then(kUpToActing,
+                       {{10, DrainAnswer{0}, kRebooting},
+                        {11, Described(1, kStep, PlatformVmState::kRebooting), kAwaitingBoot}})},
+        StageCase{"DoesNotComeBack", Start::kClaim, MakeStep(StepAction::kReboot),
+                  Then(kUpToActing,
+                       {{10, DrainAnswer{0}, kRebooting},
+                        {11, RebootAnswer{}, kAwaitingBoot},
+                        {312, Tick{}, kAwaitingBoot},
+                        {312, Described(1, kStep, PlatformVmState::kRebooting), kRecordingDone}})}),
+    [](const auto& info) { return info.param.name; });
+
+// The record says that the VM failed, so that it is not counted as maintained and the wave can see
+// the harm that it does.
+TEST(StepExecutorTest, VmThatDoesNotComeBackIsRecordedAsFailed) {
+  StepExecutor executor =
+      StepExecutor::Resume(MakeStep(StepAction::kReboot, StepPhase::kActing), {}, At(0));
+  executor.Handle(Described(1, kStep, PlatformVmState::kRebooting), At(1));
+  const auto outputs = executor.Handle(Described(1, kStep, PlatformVmState::kRebooting), At(400));
+  const AppendRecord expected{StepRecord::kDone, ActResult::kVmFailed};
+  EXPECT_EQ(outputs, std::vector<StepOutput>{expected});
+}
+
+// An entry that is cut off from the log never reads its claim back. It repeats the record at a
+// slow pace, gives up after a while, and touches neither endpoint nor platform.
+TEST(StepExecutorTest, WithoutReadBackNothingButTheClaimIsSent) {
+  StepExecutor executor = StepExecutor::Claim(MakeStep(StepAction::kReboot), {}, At(0));
+  const std::vector<StepOutput> claim{AppendRecord{StepRecord::kClaim}};
+  int sent = 0;
+  for (int second = 0; second < 600; ++second) {
+    const auto outputs = executor.Handle(Tick{}, At(second));
+    if (!outputs.empty()) {
+      EXPECT_EQ(outputs, claim);
+      ++sent;
+    }
+  }
+  EXPECT_EQ(sent, 13);
+  EXPECT_TRUE(executor.IsFinished());
+}
+
+// Answers may come twice or late. A repeated one must not push the step past a stage.
+TEST(StepExecutorTest, RepeatedAnswersChangeNothing) {
+  StepExecutor executor = StepExecutor::Claim(MakeStep(StepAction::kReboot), {}, At(0));
+  for (const Move& move : kUpToActing) {
+    executor.Handle(move.input, At(move.at));
+    const ExecutorStage stage = executor.Stage();
+    const bool is_drain = std::holds_alternative<DrainAnswer>(move.input);
+    if (!is_drain) {
+      EXPECT_TRUE(executor.Handle(move.input, At(move.at)).empty());
+    }
+    EXPECT_EQ(executor.Stage(), stage);
+  }
+}
+
+}  // namespace
+}  // namespace chervilspar::maintenance
