--- a/bench/work_patterns.cc
+++ b/bench/work_patterns.cc
@@ -106,13 +106,13 @@
   return scenario;
 }
 
-/// Lower work of 20 s a task fills every slot; one team asks for little, all urgent.
+/// Lower work of some minutes a task fills every slot; one team asks for little, all urgent.
 Scenario UrgentAmongLong(const Options& options) {
   Scenario scenario = UsualFleet(options, 0.0);
   for (TeamLoadSpec& team : scenario.teams) {
-    team.mean_run = std::chrono::seconds(20);
-    team.timeout = std::chrono::seconds(200);
-    team.rate = scenario.Slots() * 2.0 / 20.0 / static_cast<double>(scenario.teams.size());
+    team.mean_run = std::chrono::seconds(300);
+    team.timeout = std::chrono::seconds(2000);
+    team.rate = scenario.Slots() * 10.0 / 300.0 / static_cast<double>(scenario.teams.size());
   }
   TeamLoadSpec urgent;
   urgent.name = "urgent";
@@ -177,7 +177,7 @@
       "cancellations", "1.5 times the capacity, half of the callers leave after 200 ms",
       Cancellations, UsualMetrics));
   list.push_back(std::make_unique<SimulatedExperiment>(
-      "urgent", "tasks of 20 s fill every slot; 5 urgent requests a second", UrgentAmongLong,
+      "urgent", "tasks of 300 s fill every slot; 5 urgent requests a second", UrgentAmongLong,
       JudgeUrgent, WithoutPreemption()));
 }
 
--- a/include/chervilspar/admission/admission_controller.h
+++ b/include/chervilspar/admission/admission_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -43,6 +44,8 @@
   /// Its run time, from measurements of like requests: the mean, and what 99 of 100 stay below.
   Duration run_time = Duration::zero();
   Duration slow_run_time = Duration::zero();
+  /// Measurements behind them.
+  std::uint32_t run_time_samples = 0;
   /// Requests of all teams waiting in this shard.
   std::size_t waiting = 0;
   /// Endpoints that can be used now.
--- a/include/chervilspar/scheduling/run_time_estimator.h
+++ b/include/chervilspar/scheduling/run_time_estimator.h
@@ -14,6 +14,8 @@
   Duration mean = Duration::zero();
   /// About the 99th percentile.
   Duration slow = Duration::zero();
+  /// Like requests of the same team measured so far.
+  std::uint32_t samples = 0;
 
   friend bool operator==(const RunTimeEstimate&, const RunTimeEstimate&) = default;
 };
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -11,6 +11,11 @@
 /// half a second, which is longer than the queue needs to notice and refuse the first of them.
 constexpr double kJitterPart = 0.5;
 
+/// Measurements of like requests before the deadline is judged by them.
+constexpr std::uint32_t kSamplesToRefuse = 8;
+/// Part of the requests with too little time that is let through all the same.
+constexpr double kTryAnyway = 0.02;
+
 Duration Scale(Duration span, double factor) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
 }
@@ -34,7 +39,10 @@
                    this->RetryAfter(this->options.shortest_retry_after, random)};
   }
   const Duration left = ticket.deadline - now;
-  if (prediction.run_time > left) {
+  // A request that is refused is not measured, so a run time that was long for a while would be
+  // believed for good: some are let through to find out.
+  const bool is_known = prediction.run_time_samples >= kSamplesToRefuse;
+  if (is_known && prediction.run_time > left && random.Unit() >= kTryAnyway) {
     return Refusal{RefusalCode::kDeadlineUnreachable,
                    "like requests run for " + Milliseconds(prediction.run_time) +
                        ", the deadline is in " + Milliseconds(left),
--- a/src/dispatch/prediction.cc
+++ b/src/dispatch/prediction.cc
@@ -31,7 +31,7 @@
 scheduling::RunTimeEstimate ServiceShard::State::Estimate(const admission::Ticket& ticket) const {
   const bool has_word = ticket.declared_run_time > Duration::zero();
   if (this->options.scheduling.cost == scheduling::CostBasis::kDeclared && has_word) {
-    return {ticket.declared_run_time, ticket.declared_run_time};
+    return {ticket.declared_run_time, ticket.declared_run_time, 0};
   }
   return this->estimator.Expect(ticket.team, ticket.declared_run_time);
 }
@@ -57,7 +57,7 @@
   // Room for a slow run, but not more than half of the caller's time: a caller with little time
   // is better served by a try that will probably do than by a refusal.
   const Duration half = (ticket.deadline - ticket.arrived) / 2;
-  return ticket.deadline - std::max(estimate.mean, std::min(estimate.slow, half));
+  return ticket.deadline - std::min(estimate.slow, half);
 }
 
 double ServiceShard::State::SlotsWithin(const TeamId& team) const {
@@ -87,6 +87,7 @@
   admission::Prediction prediction;
   prediction.run_time = estimate.mean;
   prediction.slow_run_time = estimate.slow;
+  prediction.run_time_samples = estimate.samples;
   prediction.waiting = this->queue.WaitingCount();
   prediction.endpoints = this->balancer.UsableEndpoints();
   const Duration ahead = this->queue.CostAhead(ticket.team, lane);
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -191,11 +191,14 @@
 void Balancer::OnFull(std::uint32_t index, TimePoint now) {
   EndpointState& state = this->table->Change(index);
   const bool is_own_slot = state.Own() + 1.0 <= state.split;
-  const Duration first =
-      is_own_slot ? this->options.first_full_pause : this->options.longest_full_pause;
-  state.pause = state.pause == Duration::zero()
-                    ? first
-                    : std::min(state.pause * 2, this->options.longest_full_pause);
+  const bool is_fleet_full = this->idle_slots < kIdleToBorrow;
+  if (!is_own_slot && is_fleet_full) {
+    state.pause = this->options.longest_full_pause;
+  } else if (state.pause == Duration::zero()) {
+    state.pause = this->options.first_full_pause;
+  } else {
+    state.pause = std::min(state.pause * 2, this->options.longest_full_pause);
+  }
   const std::uint32_t others = state.endpoint.slots - std::min(state.Own(), state.endpoint.slots);
   state.foreign = std::max(state.foreign, others);
   this->table->PauseUntil(index, now + state.pause, now);
--- a/src/load_balancing/placement_policy.cc
+++ b/src/load_balancing/placement_policy.cc
@@ -66,8 +66,8 @@
         return idle;
       }
     }
-    return part == PartUse::kBehind ? ChooseFit(table, table.open, ticket.requirement, random)
-                                    : std::nullopt;
+    const bool may_seek = part == PartUse::kBehind || part == PartUse::kMayBorrow;
+    return may_seek ? ChooseFit(table, table.open, ticket.requirement, random) : std::nullopt;
   }
 
   bool HasCandidate(const SlotTable& table, PartUse part) const override {
@@ -76,7 +76,7 @@
     }
     const bool has_idle = !table.idle_local.IsEmpty() || !table.idle_remote.IsEmpty();
     if (part == PartUse::kMayBorrow) {
-      return this->lends && has_idle;
+      return this->lends && !table.open.IsEmpty();
     }
     const bool has_own =
         !table.own_local.IsEmpty() || !table.own_remote.IsEmpty() || !table.edge.IsEmpty();
--- a/src/scheduling/fair_queue.cc
+++ b/src/scheduling/fair_queue.cc
@@ -15,6 +15,8 @@
 constexpr Duration kParkTime = std::chrono::milliseconds(50);
 /// Teams passed over in one call because their first request fits no free endpoint.
 constexpr int kMostMisfits = 8;
+/// Slot seconds for each slot of its part that an idle team may save up.
+constexpr double kSavedSeconds = 0.25;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr double kSmallestWeight = 1e-3;
 
@@ -99,8 +101,9 @@
   }
   this->Unfile(index);
   if (was_idle) {
-    // A team must not save up the time in which it asked for nothing.
-    queue.start = std::max(queue.start, this->virtual_time);
+    // A team must not save up the time in which it asked for nothing, but for a little: requests
+    // of a small team come in clusters, and on average it still stays below its share.
+    queue.start = std::max(queue.start, this->virtual_time - kSavedSeconds);
   }
   this->File(index);
 }
--- a/src/scheduling/run_time_estimator.cc
+++ b/src/scheduling/run_time_estimator.cc
@@ -42,19 +42,22 @@
   if (this->service.samples == 0) {
     const auto guess = Duration(static_cast<Duration::rep>(kFirstGuessUs));
     const Duration first = declared > Duration::zero() ? declared : guess;
-    return {first, first};
+    return {first, first, 0};
   }
   double mean = this->service.mean;
   double deviation = this->service.deviation;
+  std::uint32_t samples = 0;
   const auto found = this->teams.find(team);
   if (found != this->teams.end()) {
     const Track& own = found->second.at(BucketOf(declared));
+    samples = own.samples;
     const double part = own.samples / (own.samples + kPriorSamples);
     mean += part * (own.mean - mean);
     deviation += part * (own.deviation - deviation);
   }
   const double slow = mean + kSlowDeviations * deviation;
-  return {Duration(static_cast<Duration::rep>(mean)), Duration(static_cast<Duration::rep>(slow))};
+  return {Duration(static_cast<Duration::rep>(mean)), Duration(static_cast<Duration::rep>(slow)),
+          samples};
 }
 
 void RunTimeEstimator::Observe(const TeamId& team, Duration declared, Duration measured) {
