Load balancing: Let entries borrow idle slots

The condition that lets an entry beyond its part borrow while the fleet has idle slots was never reached, so a half idle pool made requests wait for 30 ms.

--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -121,7 +121,11 @@
   if (held + 1.0 <= this->part) {
     return this->credit >= kCreditToSeek ? PartUse::kBehind : PartUse::kBelow;
   }
-  return held<this->part&& this->credit> 0.0 ? PartUse::kDue : PartUse::kUsedUp;
+  const bool is_behind = this->credit > 0.0;
+  if (held < this->part && is_behind) {
+    return PartUse::kDue;
+  }
+  return this->idle_slots >= kIdleToBorrow ? PartUse::kMayBorrow : PartUse::kUsedUp;
 }
 
 bool Balancer::HasFreeSlot(TimePoint now) {
