--- a/include/chervilspar/load_balancing/balancer_options.h
+++ b/include/chervilspar/load_balancing/balancer_options.h
@@ -40,10 +40,10 @@
   Duration longest_probe_after = std::chrono::seconds(60);
   /// A return is forgiven after this long; an ejection before that waits longer than the last.
   Duration forgive_after = std::chrono::seconds(30);
-  /// How long an endpoint that said "full" is left alone: at first, doubling up to the longest while
-  /// it repeats. A slot of this entry's own is asked for sooner than one that is another's, too,
-  /// which is often full and at once paused for longest. Tasks take tens of milliseconds, so asking
-  /// more often finds no more slots.
+  /// How long an endpoint that said "full" is left alone: at first, doubling up to the longest
+  /// while it repeats. A slot of this entry's own is asked for sooner than one that is another's,
+  /// too, which is often full and at once paused for longest. Tasks take tens of milliseconds, so
+  /// asking more often finds no more slots.
   Duration first_full_pause = std::chrono::milliseconds(4);
   Duration longest_full_pause = std::chrono::milliseconds(64);
 
--- a/src/entry/maintenance_plane.cc
+++ b/src/entry/maintenance_plane.cc
@@ -73,8 +73,7 @@
   const bool may_plan = this->config.HasReachedEnd();
   if (may_plan && this->context.Now() - this->planned_at >= kPlanPeriod) {
     this->planned_at = this->context.Now();
-    maintenance::Plan next =
-        this->planner.MakePlan(*state, observations, this->context.WallNow());
+    maintenance::Plan next = this->planner.MakePlan(*state, observations, this->context.WallNow());
     this->steps.Begin(next, *state);
     for (const VmId& vm : next.undrains) {
       this->steps.Undrain(*state, vm);
--- a/src/entry/step_runner.cc
+++ b/src/entry/step_runner.cc
@@ -6,6 +6,7 @@
 
 #include "chervilspar/base/assert.h"
 #include "chervilspar/maintenance/planner.h"
+
 #include "entry/settings_view.h"
 
 namespace chervilspar::entry {
@@ -192,22 +193,21 @@
   this->context.Note(std::move(event));
   const RecordId id = record.id;
   const maintenance::StepRecord kind = append.record;
-  this->config.Submit(
-      id, {std::move(record)}, kRecordTimeout,
-      [this, step, kind](const config_log::AppendOutcome& outcome) {
-        const bool is_accepted = outcome.result == config_log::AppendResult::kAccepted;
-        if (!is_accepted && outcome.result != config_log::AppendResult::kRejected) {
-          return;  // Not known; the executor appends again.
-        }
-        const auto verdict = is_accepted ? maintenance::RecordVerdict::kAccepted
-                                         : maintenance::RecordVerdict::kRejected;
-        const std::lock_guard lock(this->mutex);
-        this->read_backs.push_back({step, {kind, verdict}});
-      });
+  this->config.Submit(id, {std::move(record)}, kRecordTimeout,
+                      [this, step, kind](const config_log::AppendOutcome& outcome) {
+                        const bool is_accepted =
+                            outcome.result == config_log::AppendResult::kAccepted;
+                        if (!is_accepted && outcome.result != config_log::AppendResult::kRejected) {
+                          return;  // Not known; the executor appends again.
+                        }
+                        const auto verdict = is_accepted ? maintenance::RecordVerdict::kAccepted
+                                                         : maintenance::RecordVerdict::kRejected;
+                        const std::lock_guard lock(this->mutex);
+                        this->read_backs.push_back({step, {kind, verdict}});
+                      });
 }
 
-config_log::Record StepRunner::MakeRecord(const Job& job,
-                                          const maintenance::AppendRecord& append) {
+config_log::Record StepRunner::MakeRecord(const Job& job, const maintenance::AppendRecord& append) {
   const config_log::Step& step = job.executor.Current();
   config_log::Record record;
   record.author = this->context.self.id;
@@ -226,10 +226,10 @@
       record.body = config_log::StepActing{step.id, step.executor};
       break;
     case maintenance::StepRecord::kDone:
-      record.body = config_log::StepDone{
-          step.id, append.result == maintenance::ActResult::kSucceeded
-                       ? config_log::StepResult::kSucceeded
-                       : config_log::StepResult::kVmFailed};
+      record.body =
+          config_log::StepDone{step.id, append.result == maintenance::ActResult::kSucceeded
+                                            ? config_log::StepResult::kSucceeded
+                                            : config_log::StepResult::kVmFailed};
       break;
     case maintenance::StepRecord::kWithdrawn:
       record.body = config_log::StepWithdrawn{step.id, job.withdraw_cause};
@@ -248,8 +248,7 @@
   http::Request request;
   request.method = "POST";
   request.target = path;
-  const http::Exchange exchange =
-      this->client.Call(*parsed, std::move(request), kCallTimeout);
+  const http::Exchange exchange = this->client.Call(*parsed, std::move(request), kCallTimeout);
   if (!exchange.response || exchange.response->status != 200) {
     return std::nullopt;
   }
--- a/src/entry/step_runner.h
+++ b/src/entry/step_runner.h
@@ -12,6 +12,7 @@
 #include "chervilspar/maintenance/plan.h"
 #include "chervilspar/maintenance/step_executor.h"
 #include "chervilspar/platform/vm_list_service.h"
+
 #include "entry/config_plane.h"
 #include "entry/drain_watch.h"
 #include "entry/entry_context.h"
