--- a/tests/config_log/fold_fixture.h
+++ b/tests/config_log/fold_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -68,6 +69,15 @@
   int next_id = 0;
 };
 
+/// Publishes the current inventory with a change.
+inline FoldOutcome PublishOf(FoldBench& bench,
+                             const std::function<void(inventory::Inventory&)>& change) {
+  inventory::Inventory wanted = bench.State().inventory;
+  change(wanted);
+  return bench.Apply(
+      Publish{bench.State().version, inventory::Diff(bench.State().inventory, wanted)});
+}
+
 inline KeyDigest TestDigest(const std::string& name) { return DigestOf(name); }
 
 }  // namespace chervilspar::config_log
