--- a/include/chervilspar/cli/main.h
+++ b/include/chervilspar/cli/main.h
@@ -9,13 +9,17 @@
   kRefused = 1,
   /// Flags or environment variables are wrong; nothing was done.
   kUsage = 2,
-  /// No entry could be reached; nothing was done.
+  /// No entry could be reached, or the log took nothing; nothing was done.
   kUnreachable = 3,
   /// The outcome isn't known: an answer was lost after it may have taken effect.
   kUnknown = 4,
+  /// An entry could not start.
+  kStartFailed = 5,
+  /// An entry shut down and had to give up requests in flight.
+  kCut = 6,
   /// Part of the answer is missing, such as entries that `timeline` couldn't reach.
-  kPartial = 5,
-  /// The entry ended by a failure of its own.
+  kPartial = 7,
+  /// The program ended by a failure of its own.
   kInternal = 70,
 };
 
--- /dev/null
+++ b/src/cli/flags.cc
@@ -0,0 +1,119 @@
+#include "cli/flags.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "chervilspar/inventory/document.h"
+
+namespace chervilspar::cli {
+
+namespace {
+
+std::string VariableFor(const std::string& flag) {
+  std::string name = "CHERVILSPAR_";
+  for (const char c : flag.substr(2)) {
+    name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+  }
+  return name;
+}
+
+}  // namespace
+
+CLI::Option* AddFlag(CLI::App& app, const std::string& name, std::string& value,
+                     const std::string& description) {
+  return app.add_option(name, value, description)->envname(VariableFor(name));
+}
+
+CLI::Option* AddListFlag(CLI::App& app, const std::string& name, std::vector<std::string>& values,
+                         const std::string& description) {
+  return app.add_option(name, values, description)
+      ->envname(VariableFor(name))
+      ->delimiter(',')
+      ->allow_extra_args(false);
+}
+
+void AddEntryFlags(CLI::App& app, entry::RawEntrySettings& raw) {
+  AddFlag(app, "--id", raw.id, "Name of this entry, as in the inventory");
+  AddFlag(app, "--zone", raw.zone, "Availability zone of this entry");
+  AddFlag(app, "--http-address", raw.http_address, "ip:port for callers and operators");
+  AddFlag(app, "--peer-address", raw.peer_address, "ip:port for other entries");
+  AddFlag(app, "--log-address", raw.log_address, "ip:port of the platform's log service");
+  AddFlag(app, "--vm-list-address", raw.vm_list_address, "ip:port of the platform's VM list");
+  AddListFlag(app, "--seed-peer", raw.seed_peers,
+              "ip:port of another entry to take the state from when the log is down");
+  AddListFlag(app, "--route", raw.routes, "FROM=TO: connect to TO in place of FROM");
+  AddListFlag(app, "--operator-key-digest", raw.operator_key_digests,
+              "SHA-256 in hex of a key that may publish");
+  AddFlag(app, "--threads", raw.threads, "Worker threads [2]");
+  AddFlag(app, "--max-connections", raw.max_connections, "Connections of callers [2048]");
+  AddFlag(app, "--max-header-bytes", raw.max_header_bytes, "Largest request header [16384]");
+  AddFlag(app, "--max-body-bytes", raw.max_body_bytes, "Largest request body [1048576]");
+  AddFlag(app, "--read-timeout", raw.read_timeout, "For reading one request [10s]");
+  AddFlag(app, "--write-timeout", raw.write_timeout, "For writing one answer [10s]");
+  AddFlag(app, "--idle-timeout", raw.idle_timeout, "For a connection without request [60s]");
+  AddFlag(app, "--log-timeout", raw.log_timeout, "For one call to the platform [2s]");
+  AddFlag(app, "--peer-timeout", raw.peer_timeout, "For one call to another entry [1s]");
+  AddFlag(app, "--heartbeat-interval", raw.heartbeat_interval, "Between heartbeats [250ms]");
+  AddFlag(app, "--drain-deadline", raw.drain_deadline,
+          "Longest that a shutdown waits for requests in flight [60s]");
+  AddFlag(app, "--log-level", raw.log_level, "debug, info, warning or error [info]");
+  AddFlag(app, "--log-file", raw.log_file, "Append log lines to this file [standard error]");
+  AddFlag(app, "--event-ring-size", raw.event_ring_size, "Events kept for the time line [16384]");
+  AddFlag(app, "--snapshot-max-age", raw.snapshot_max_age,
+          "Write a snapshot at least this often; a quarter of the log's retention [1h]");
+}
+
+void AddOperatorFlags(CLI::App& app, RawOperatorFlags& raw) {
+  AddListFlag(app, "--entry", raw.entries, "ip:port of an entry; several are tried in order");
+  AddFlag(app, "--operator-key", raw.operator_key,
+          "The operator's key; better given in the variable or file, as all users of a VM can see "
+          "flags");
+  AddFlag(app, "--operator-key-file", raw.operator_key_file, "File that holds the operator's key");
+  AddFlag(app, "--timeout", raw.timeout, "For one call to an entry [30s]");
+  AddListFlag(app, "--route", raw.routes, "FROM=TO: connect to TO in place of FROM");
+}
+
+OperatorFlagsOutcome CheckOperatorFlags(const RawOperatorFlags& raw) {
+  OperatorFlagsOutcome outcome;
+  OperatorOptions options;
+  const auto add = [&outcome](const char* flag, std::string message) {
+    outcome.faults.push_back(Reason{ErrorCode::kInvalidArgument, flag, std::move(message)});
+  };
+  options.entries = raw.entries;
+  if (raw.entries.empty()) {
+    add("--entry",
+        "the value is missing; give the HTTP address of an entry, such as "
+        "10.0.0.1:8080");
+  }
+  for (const std::string& address : raw.entries) {
+    if (const Status status = inventory::CheckAddress(address); !status) {
+      add("--entry", status.LastReason().message);
+    }
+  }
+  options.operator_key = raw.operator_key;
+  if (!raw.operator_key_file.empty()) {
+    const Result<std::string> text = ReadFile(raw.operator_key_file);
+    if (text) {
+      options.operator_key = text->substr(0, text->find_first_of("\r\n"));
+    } else {
+      add("--operator-key-file", '"' + raw.operator_key_file + "\" can't be read");
+    }
+  }
+  if (options.operator_key.empty() && raw.operator_key_file.empty()) {
+    add("--operator-key",
+        "the key is missing; set CHERVILSPAR_OPERATOR_KEY or give "
+        "--operator-key-file");
+  }
+  const Result<Duration> timeout = inventory::ParseDuration(raw.timeout);
+  if (!timeout || *timeout <= Duration::zero()) {
+    add("--timeout", '"' + raw.timeout + "\" should be a span of time above zero, such as 30s");
+  } else {
+    options.timeout = *timeout;
+  }
+  if (outcome.faults.empty()) {
+    outcome.options = std::move(options);
+  }
+  return outcome;
+}
+
+}  // namespace chervilspar::cli
