--- a/src/inventory/object_codec.cc
+++ b/src/inventory/object_codec.cc
@@ -1,6 +1,6 @@
 #include "inventory/object_codec.h"
 
-#include <limits>
+#include <cmath>
 
 namespace chervilspar::inventory {
 
@@ -41,6 +41,15 @@
   return weights;
 }
 
+/// Whole numbers are written as such, "2" and not "2E0", since people read and edit them.
+boost::json::value Number(double number) {
+  constexpr double kHighestExact = 9007199254740992.0;
+  if (std::trunc(number) == number && std::abs(number) < kHighestExact) {
+    return static_cast<std::int64_t>(number);
+  }
+  return number;
+}
+
 boost::json::string Text(Duration duration) {
   return boost::json::string(FormatDuration(duration));
 }
@@ -224,7 +233,7 @@
 boost::json::value Write(const Team& team) {
   boost::json::object object{{"id", team.id.text},
                              {"client_account", team.client_account.text},
-                             {"share", team.share},
+                             {"share", Number(team.share)},
                              {"upper_limit", team.upper_limit}};
   if (team.may_be_urgent) {
     object["may_be_urgent"] = true;
@@ -260,10 +269,10 @@
           {"max_per_rack", rules.max_per_rack},
           {"stop_after_failures", rules.stop_after_failures},
           {"weights",
-           {{"buffer_cost", rules.weights.buffer_cost},
-            {"roll_out_time", rules.weights.roll_out_time},
-            {"moves", rules.weights.moves},
-            {"share_distance", rules.weights.share_distance}}}};
+           {{"buffer_cost", Number(rules.weights.buffer_cost)},
+            {"roll_out_time", Number(rules.weights.roll_out_time)},
+            {"moves", Number(rules.weights.moves)},
+            {"share_distance", Number(rules.weights.share_distance)}}}};
 }
 
 boost::json::value Write(const ServiceRules& rules) {
--- a/tests/inventory/document_test.cc
+++ b/tests/inventory/document_test.cc
@@ -104,7 +104,7 @@
                   "from 1 to 4096"},
         FaultCase{"NumberTooLarge", R"("connections":64)", R"("connections":70000)",
                   "/vms/0/connections", "65535"},
-        FaultCase{"ShareZero", R"("share":2E0)", R"("share":0)", "/teams/0/share", "a number from"},
+        FaultCase{"ShareZero", R"("share":2)", R"("share":0)", "/teams/0/share", "a number from"},
         FaultCase{"WordForTruth", R"("may_be_urgent":true)", R"("may_be_urgent":"yes")",
                   "/teams/0/may_be_urgent", "true or false"},
         FaultCase{"AddressWithoutPort", "127.0.0.1:9000", "127.0.0.1", "/vms/0/address",
@@ -148,7 +148,7 @@
 TEST(DocumentTest, ReportsAllFaultsAtOnce) {
   std::string text = Serialize(SampleInventory());
   text = Replaced(text, R"("cores":64)", R"("cores":0)");
-  text = Replaced(text, R"("share":2E0)", R"("share":-1)");
+  text = Replaced(text, R"("share":2)", R"("share":-1)");
   text = Replaced(text, R"("every":"7w")", R"("every":"soon")");
   EXPECT_EQ(ParseAll(text).faults.size(), 3U);
 }
