--- a/tests/cli/program_test.cc
+++ b/tests/cli/program_test.cc
@@ -26,7 +26,7 @@
 /// Runs the program against fake entries.
 class ProgramTest : public testing::Test {
  protected:
-  ExitCode Run(std::vector<std::string> arguments) {
+  ExitCode Run(const std::vector<std::string>& arguments) {
     const Console console{this->out, this->err, this->clock};
     return RunProgram(arguments, this->runner, console);
   }
@@ -36,11 +36,11 @@
     for (const char* flag : {"--entry", kFirst, "--entry", kSecond, "--operator-key", "secret"}) {
       arguments.emplace_back(flag);
     }
-    return this->Run(std::move(arguments));
+    return this->Run(arguments);
   }
 
   std::string WriteFile(const std::string& name, const std::string& text) {
-    const std::string path = testing::TempDir() + "chervilspar_program_test_" + name;
+    std::string path = testing::TempDir() + "chervilspar_program_test_" + name;
     std::ofstream(path) << text;
     this->files.push_back(path);
     return path;
