--- a/tests/inventory/check_test.cc
+++ b/tests/inventory/check_test.cc
@@ -153,9 +153,9 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Deployments, ExampleTest, testing::Values("fjallabunadur", "costa-azul"),
+INSTANTIATE_TEST_SUITE_P(Deployments, ExampleTest, testing::Values("rental-firm", "certification-firm"),
                          [](const auto& info) {
-                           return info.param == "costa-azul" ? "CostaAzul" : "Fjallabunadur";
+                           return info.param == "rental-firm" ? "RentalFirm" : "CertificationFirm";
                          });
 
 }  // namespace
