--- a/tests/scenario_runner/child_process.cc
+++ b/tests/scenario_runner/child_process.cc
@@ -32,6 +32,7 @@
     putenv(const_cast<char*>(variable.c_str()));
   }
   std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     pointers.push_back(const_cast<char*>(argument.c_str()));
   }
--- a/tests/scenario_runner/demo.cc
+++ b/tests/scenario_runner/demo.cc
@@ -177,7 +177,7 @@
 }
 
 Status Demo::Run() {
-  const Status prepared = this->Prepare();
+  Status prepared = this->Prepare();
   if (!prepared) {
     return prepared;
   }
--- a/tests/scenario_runner/endpoint_words.cc
+++ b/tests/scenario_runner/endpoint_words.cc
@@ -34,7 +34,7 @@
   }
   const std::string name = R"({"vm":")" + vm + R"(")";
   if (!switches.empty()) {
-    const Status status = this->fleet->Control(vm, name + "," + switches + "}");
+    Status status = this->fleet->Control(vm, name + "," + switches + "}");
     if (!status) {
       return status;
     }
@@ -53,7 +53,7 @@
       continue;
     }
     is_found = true;
-    const Status status = this->SwitchVm(id.text, switches, state);
+    Status status = this->SwitchVm(id.text, switches, state);
     if (!status) {
       return status;
     }
--- a/tests/scenario_runner/fleet.cc
+++ b/tests/scenario_runner/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <signal.h>
+#include <thread>
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -23,6 +24,8 @@
 constexpr Duration kHealthTimeout = std::chrono::milliseconds(500);
 constexpr Duration kCommandTimeout = seconds(60);
 constexpr unsigned kOk = 200;
+constexpr int kListenTries = 500;
+constexpr std::chrono::milliseconds kListenPoll(20);
 
 Status StatusOf(const http::Exchange& exchange) {
   if (!exchange.response) {
@@ -104,6 +107,23 @@
   for (const auto& [zone, control] : this->plan.endpoint_controls) {
     this->Spawn("endpoints-" + zone.text, this->EndpointArguments(zone));
   }
+  std::vector<SocketAddress> controls = {this->plan.log.control, this->plan.vm_list.control,
+                                         this->plan.relay_control};
+  for (const auto& [zone, control] : this->plan.endpoint_controls) {
+    controls.push_back(control);
+  }
+  for (const SocketAddress& control : controls) {
+    this->AwaitListening(control);
+  }
+}
+
+void Fleet::AwaitListening(const SocketAddress& control) {
+  for (int i = 0; i < kListenTries; ++i) {
+    if (this->client.Call(control, {"GET", "/control/", {}, {}}, kControlTimeout).response) {
+      return;
+    }
+    std::this_thread::sleep_for(kListenPoll);
+  }
 }
 
 void Fleet::StartEntry(const EntryId& id) {
@@ -208,7 +228,7 @@
   const std::string key =
       Sha256Hex(team.text + std::to_string(++this->keys_made) + this->operator_key);
   const json::object body{{"team", team.text}, {"digest", Sha256Hex(key)}};
-  const Status status =
+  Status status =
       StatusOf(this->Operate(entry, "POST", "/v1/operator/keys", json::serialize(body)));
   if (status) {
     this->keys[team] = key;
@@ -219,7 +239,7 @@
 
 Status Fleet::WithdrawKey(const TeamId& team, const EntryId& entry) {
   const std::string digest = Sha256Hex(this->KeyOf(team));
-  const Status status = StatusOf(this->Operate(entry, "DELETE", "/v1/operator/keys/" + digest, ""));
+  Status status = StatusOf(this->Operate(entry, "DELETE", "/v1/operator/keys/" + digest, ""));
   if (status) {
     this->withdrawals[team] = UnixMicros();
   }
--- a/tests/scenario_runner/fleet.h
+++ b/tests/scenario_runner/fleet.h
@@ -74,6 +74,8 @@
   const RunSettings& Settings() const { return this->settings; }
 
  private:
+  /// Blocks until a stand-in takes switches.
+  void AwaitListening(const SocketAddress& control);
   void Spawn(const std::string& name, const std::vector<std::string>& arguments);
   std::vector<std::string> EndpointArguments(const ZoneId& zone) const;
   std::string Standin() const { return this->settings.bin_dir + "/tests/chervilspar_standin"; }
--- a/tests/scenario_runner/operator_words.cc
+++ b/tests/scenario_runner/operator_words.cc
@@ -16,7 +16,7 @@
 
 void Scenario::AddOperatorWords() {
   this->vocabulary.Add("publish via <entry>", [this](const Arguments& a) -> Status {
-    const Status status = this->fleet->Publish(EntryId{a[0]});
+    Status status = this->fleet->Publish(EntryId{a[0]});
     this->publishes += status ? 1 : 0;
     return status;
   });
@@ -39,7 +39,7 @@
   });
   this->vocabulary.Add("give keys via <entry>", [this](const Arguments& a) -> Status {
     for (const auto& [team, unused] : this->fleet->Plan().inventory.teams) {
-      const Status status = this->fleet->GiveKey(team, EntryId{a[0]});
+      Status status = this->fleet->GiveKey(team, EntryId{a[0]});
       if (!status) {
         return status;
       }
@@ -60,7 +60,7 @@
   });
   this->vocabulary.Add("expect all publishes counted once", [this](const Arguments&) -> Status {
     for (const EntryId& entry : this->fleet->EntryIds()) {
-      const Status status = this->ExpectVersion(entry.text, this->publishes);
+      Status status = this->ExpectVersion(entry.text, this->publishes);
       if (!status) {
         return status;
       }
--- a/tests/scenario_runner/script.cc
+++ b/tests/scenario_runner/script.cc
@@ -103,18 +103,20 @@
   return status;
 }
 
+/// The first part runs on this thread: the kernel ends a child when the thread that started it
+/// ends, so processes are only started by lines of one part or by a first part.
 Status RunLine(const ScriptLine& line, const Vocabulary& vocabulary) {
-  std::vector<std::future<Status>> running;
-  for (const std::vector<std::string>& part : line.parts) {
-    running.push_back(std::async(std::launch::async, [&line, &part, &vocabulary] {
-      return RunPart(part, line.within, vocabulary);
+  std::vector<std::future<Status>> others;
+  for (std::size_t i = 1; i < line.parts.size(); ++i) {
+    others.push_back(std::async(std::launch::async, [&line, i, &vocabulary] {
+      return RunPart(line.parts[i], line.within, vocabulary);
     }));
   }
-  Status status = Done{};
-  for (std::future<Status>& part : running) {
-    Status part_status = part.get();
-    if (!part_status) {
-      status = part_status;
+  Status status = RunPart(line.parts.front(), line.within, vocabulary);
+  for (std::future<Status>& other : others) {
+    Status other_status = other.get();
+    if (status && !other_status) {
+      status = other_status;
     }
   }
   return status;
