--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "chervilspar/base/assert.h"
+#include "chervilspar/base/hash.h"
 
 namespace chervilspar::http {
 
@@ -42,15 +43,18 @@
   this->pool->Return(this->address, std::move(this->socket));
 }
 
+ConnectionPool::Shard& ConnectionPool::ShardOf(const SocketAddress& address) {
+  return this->shards[StableHash(address.ip, address.port) % kShards];
+}
+
 std::unique_ptr<ConnectionPool::Lease> ConnectionPool::Acquire(
     const SocketAddress& address, const asio::any_io_executor& executor) {
-  const std::lock_guard lock(this->mutex);
-  PerAddress& entry = this->addresses[address];
-  if (std::optional<Socket> idle = this->TakeIdle(entry, executor)) {
-    auto lease = std::make_unique<Lease>(this->shared_from_this(), address, std::move(*idle));
-    lease->is_reused = true;
-    return lease;
+  if (std::unique_ptr<Lease> idle = this->AcquireIdle(address, executor)) {
+    return idle;
   }
+  Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  PerAddress& entry = shard.addresses[address];
   if (entry.open >= this->limits.connections_per_address) {
     return nullptr;
   }
@@ -58,29 +62,48 @@
   return std::make_unique<Lease>(this->shared_from_this(), address, Socket(executor));
 }
 
-std::optional<ConnectionPool::Socket> ConnectionPool::TakeIdle(
-    PerAddress& entry, const asio::any_io_executor& executor) {
+std::unique_ptr<ConnectionPool::Lease> ConnectionPool::AcquireIdle(
+    const SocketAddress& address, const asio::any_io_executor& executor) {
   const TimePoint oldest = this->clock.Now() - this->limits.idle_timeout;
-  while (!entry.idle.empty()) {
-    // The one used last is the least likely to be stale.
-    auto found = std::find_if(entry.idle.rbegin(), entry.idle.rend(), [&](const Idle& idle) {
-      return const_cast<Idle&>(idle).socket.get_executor() == executor;
-    });
-    const auto chosen =
-        found == entry.idle.rend() ? std::prev(entry.idle.end()) : std::prev(found.base());
-    Idle idle = std::move(*chosen);
-    entry.idle.erase(chosen);
-    if (idle.since >= oldest && IsQuiet(idle.socket)) {
-      return std::move(idle.socket);
+  Shard& shard = this->ShardOf(address);
+  while (true) {
+    std::optional<Idle> idle;
+    {
+      const std::lock_guard lock(shard.mutex);
+      idle = PopIdle(shard.addresses[address], executor);
+    }
+    if (!idle) {
+      return nullptr;
+    }
+    // An unusable one is closed and no longer counted when its lease ends.
+    auto lease =
+        std::make_unique<Lease>(this->shared_from_this(), address, std::move(idle->socket));
+    if (idle->since >= oldest && IsQuiet(lease->socket)) {
+      lease->is_reused = true;
+      return lease;
     }
-    --entry.open;
   }
-  return std::nullopt;
+}
+
+std::optional<ConnectionPool::Idle> ConnectionPool::PopIdle(PerAddress& entry,
+                                                            const asio::any_io_executor& executor) {
+  if (entry.idle.empty()) {
+    return std::nullopt;
+  }
+  // The one used last is the least likely to be stale.
+  const auto own = std::find_if(entry.idle.rbegin(), entry.idle.rend(),
+                                [&](Idle& idle) { return idle.socket.get_executor() == executor; });
+  const auto chosen =
+      own == entry.idle.rend() ? std::prev(entry.idle.end()) : std::prev(own.base());
+  Idle idle = std::move(*chosen);
+  entry.idle.erase(chosen);
+  return idle;
 }
 
 void ConnectionPool::Return(const SocketAddress& address, Socket socket) {
-  const std::lock_guard lock(this->mutex);
-  PerAddress& entry = this->addresses[address];
+  Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  PerAddress& entry = shard.addresses[address];
   CHERVILSPAR_ASSERT(entry.open > 0);
   if (this->is_shut) {
     --entry.open;
@@ -90,36 +113,43 @@
 }
 
 void ConnectionPool::Forget(const SocketAddress& address) {
-  const std::lock_guard lock(this->mutex);
-  PerAddress& entry = this->addresses[address];
+  Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  PerAddress& entry = shard.addresses[address];
   CHERVILSPAR_ASSERT(entry.open > 0);
   --entry.open;
 }
 
 void ConnectionPool::CloseStale() {
-  const std::lock_guard lock(this->mutex);
   const TimePoint oldest = this->clock.Now() - this->limits.idle_timeout;
-  for (auto entry = this->addresses.begin(); entry != this->addresses.end();) {
-    entry->second.open -=
-        std::erase_if(entry->second.idle, [&](const Idle& idle) { return idle.since < oldest; });
-    entry = entry->second.open == 0 ? this->addresses.erase(entry) : std::next(entry);
+  for (Shard& shard : this->shards) {
+    const std::lock_guard lock(shard.mutex);
+    for (auto entry = shard.addresses.begin(); entry != shard.addresses.end();) {
+      entry->second.open -=
+          std::erase_if(entry->second.idle, [&](const Idle& idle) { return idle.since < oldest; });
+      entry = entry->second.open == 0 ? shard.addresses.erase(entry) : std::next(entry);
+    }
   }
 }
 
 void ConnectionPool::Shut() {
-  const std::lock_guard lock(this->mutex);
   this->is_shut = true;
-  for (auto& [address, entry] : this->addresses) {
-    entry.open -= entry.idle.size();
-    entry.idle.clear();
+  for (Shard& shard : this->shards) {
+    const std::lock_guard lock(shard.mutex);
+    for (auto& [address, entry] : shard.addresses) {
+      entry.open -= entry.idle.size();
+      entry.idle.clear();
+    }
   }
 }
 
 std::size_t ConnectionPool::ConnectionCount() const {
-  const std::lock_guard lock(this->mutex);
   std::size_t count = 0;
-  for (const auto& [address, entry] : this->addresses) {
-    count += entry.open;
+  for (const Shard& shard : this->shards) {
+    const std::lock_guard lock(shard.mutex);
+    for (const auto& [address, entry] : shard.addresses) {
+      count += entry.open;
+    }
   }
   return count;
 }
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <atomic>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -66,16 +68,27 @@
     /// Idle and leased connections.
     std::size_t open = 0;
   };
+  /// The addresses whose hash falls here, under one lock, so that threads which dial different
+  /// endpoints don't wait for each other.
+  struct Shard {
+    mutable std::mutex mutex;
+    std::map<SocketAddress, PerAddress> addresses;
+  };
+  static constexpr std::size_t kShards = 16;
 
-  std::optional<Socket> TakeIdle(PerAddress& entry, const boost::asio::any_io_executor& executor);
+  Shard& ShardOf(const SocketAddress& address);
+  /// The idle connection to look at next, out of the pool but still counted.
+  static std::optional<Idle> PopIdle(PerAddress& entry,
+                                     const boost::asio::any_io_executor& executor);
+  std::unique_ptr<Lease> AcquireIdle(const SocketAddress& address,
+                                     const boost::asio::any_io_executor& executor);
   void Return(const SocketAddress& address, Socket socket);
   void Forget(const SocketAddress& address);
 
   ClientLimits limits;
   SystemClock clock;
-  mutable std::mutex mutex;
-  std::map<SocketAddress, PerAddress> addresses;
-  bool is_shut = false;
+  std::array<Shard, kShards> shards;
+  std::atomic<bool> is_shut = false;
 };
 
 }  // namespace chervilspar::http
