--- a/tests/scenario_runner/main.cc
+++ b/tests/scenario_runner/main.cc
@@ -1,4 +1,5 @@
 #include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -8,6 +9,7 @@
 
 #include "bench_http.h"
 #include "demo.h"
+#include "load_loop.h"
 #include "scenario.h"
 
 namespace chervilspar::scenario {
@@ -45,6 +47,34 @@
   return counters->IsClean() ? 0 : kFailed;
 }
 
+/// A closed loop of one team's callers on one service of a running entry.
+int RunCalls(const std::string& entry, const std::string& service, std::uint32_t connections,
+             int seconds) {
+  const Result<SocketAddress> address = ParseSocketAddress(entry);
+  const char* key = std::getenv("CHERVILSPAR_TEAM_KEY");
+  if (!address || key == nullptr) {
+    std::fprintf(stderr, "--entry must be IP:PORT and CHERVILSPAR_TEAM_KEY be set\n");
+    return kBadScript;
+  }
+  LoadSettings load;
+  load.address = *address;
+  load.connections = connections;
+  load.span = std::chrono::seconds(seconds);
+  load.make = [&](std::uint64_t number) {
+    http::Request request{"POST", "/v1/services/" + service + "/requests", {}, {}};
+    request.headers.Add("Authorization", std::string("Bearer ") + key);
+    request.body = R"({"work_ms":10,"number":)" + std::to_string(number) + "}";
+    return request;
+  };
+  const LoadResult result = RunLoad(load);
+  std::printf("%llu answered, %llu failed, %.0f a second, p50 %lld us, p99 %lld us\n",
+              static_cast<unsigned long long>(result.answered),
+              static_cast<unsigned long long>(result.failed), result.Rate(),
+              static_cast<long long>(result.p50.count()),
+              static_cast<long long>(result.p99.count()));
+  return result.answered > 0 ? 0 : kFailed;
+}
+
 RunSettings MakeSettings(const std::string& bin_dir, const std::string& out_dir) {
   RunSettings settings{bin_dir, out_dir};
   if (out_dir.empty()) {
@@ -79,6 +109,15 @@
   bench->callback([&] {
     exit_code = RunBenchHttp(MakeSettings(bin_dir, out_dir), std::chrono::seconds(seconds));
   });
+  std::string entry;
+  std::string service;
+  std::uint32_t connections = 1;
+  CLI::App* call = app.add_subcommand("call", "load one service of a running entry");
+  call->add_option("--entry", entry, "IP:PORT")->required();
+  call->add_option("--service", service)->required();
+  call->add_option("--connections", connections);
+  call->add_option("--seconds", seconds);
+  call->callback([&] { exit_code = RunCalls(entry, service, connections, seconds); });
   CLI11_PARSE(app, argc, argv);
   return exit_code;
 }
--- a/tests/scenario_runner/scenario.cc
+++ b/tests/scenario_runner/scenario.cc
@@ -31,6 +31,7 @@
   this->AddEndpointWords();
   this->AddNetworkWords();
   this->AddMaintenanceWords();
+  this->AddGarbageWords();
 }
 
 Status Scenario::MakeFleet(const Arguments& pairs) {
--- a/tests/scenario_runner/scenario.h
+++ b/tests/scenario_runner/scenario.h
@@ -29,6 +29,7 @@
   void AddEndpointWords();
   void AddNetworkWords();
   void AddMaintenanceWords();
+  void AddGarbageWords();
 
   Status MakeFleet(const Arguments& pairs);
   Status SignalEntry(const std::string& entry, int signal);
