--- a/tests/scenario_runner/garbage_words.cc
+++ b/tests/scenario_runner/garbage_words.cc
@@ -39,7 +39,7 @@
 /// What a scanner, a broken client and an attacker send.
 std::vector<std::string> Garbage() {
   const std::string head = "POST /v1/services/s1/requests HTTP/1.1\r\nHost: a\r\n";
-  return {Noise(), "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+  return {Noise(), "\x16\x03\x01\x02\x01\xfc\x03\x03",
           // A frame that claims two gigabytes.
           std::string("\x7f\xff\xff\xff", 4) + "short", std::string("\xff\xff\xff\xff", 4), head,
           head + "Content-Length: 99999999999999999999\r\n\r\n",
