--- a/tests/scenario_runner/fleet_plan.cc
+++ b/tests/scenario_runner/fleet_plan.cc
@@ -81,6 +81,7 @@
   entry.service = ServiceId{service};
   entry.min_available = workers > 2 ? workers - 2 : 1;
   this->inventory.pools[entry.id] = entry;
+  this->inventory.services[entry.service].id = entry.service;
   for (std::uint32_t i = 0; i < workers; ++i) {
     this->AddVm(service + "-" + std::to_string(i + 1), pool, i, ports);
   }
