--- a/tests/scenario_runner/bench_http.cc
+++ b/tests/scenario_runner/bench_http.cc
@@ -28,6 +28,7 @@
 constexpr std::size_t kIdleConnections = 1'000;
 /// More slots and connections than any load here uses, so that the endpoint is never what refuses.
 constexpr std::uint32_t kPlenty = 1'024;
+constexpr unsigned kOk = 200;
 constexpr Duration kStartTimeout = std::chrono::seconds(30);
 const EntryId kEntry{"e1"};
 const TeamId kTeam{"t1"};
@@ -123,8 +124,9 @@
                         Await([this] { return this->fleet.IsReady(kEntry); }) &&
                         Await([this] { return this->fleet.GiveKey(kTeam, kEntry).HasValue(); });
   Callers callers(this->fleet);
-  const bool is_served =
-      is_ready && Await([&] { return callers.Probe(kTeam, ServiceId{"s1"}, kEntry) == 200; });
+  const bool is_served = is_ready && Await([&] {
+                           return callers.Probe(kTeam, ServiceId{"s1"}, kEntry, kOk).HasValue();
+                         });
   if (!is_served) {
     return Reason{ErrorCode::kUnavailable, "", "the entry serves nothing"};
   }
--- a/tests/scenario_runner/callers.cc
+++ b/tests/scenario_runner/callers.cc
@@ -197,7 +197,8 @@
                     !is_text("request", call.request.text);
 }
 
-unsigned Callers::Probe(const TeamId& team, const ServiceId& service, const EntryId& entry) {
+Status Callers::Probe(const TeamId& team, const ServiceId& service, const EntryId& entry,
+                      unsigned status) {
   CallPlan plan;
   plan.team = team;
   plan.service = service;
@@ -208,7 +209,14 @@
   http::BlockingClient own;
   const http::Exchange exchange = own.Call(this->fleet.HttpAddress(entry), MakeRequest(call),
                                            milliseconds(plan.timeout_ms + kPatienceMs));
-  return exchange.response ? exchange.response->status : 0;
+  if (!exchange.response) {
+    return exchange.reason;
+  }
+  if (exchange.response->status != status) {
+    return Reason{ErrorCode::kUnavailable, std::to_string(exchange.response->status),
+                  exchange.response->body};
+  }
+  return Done{};
 }
 
 void Callers::Keep(CallRecord record) {
--- a/tests/scenario_runner/callers.h
+++ b/tests/scenario_runner/callers.h
@@ -25,8 +25,8 @@
   ~Callers();
 
   void Start(const CallPlan& plan);
-  /// One request, of which nothing is recorded; the answer's status, 0 without one.
-  unsigned Probe(const TeamId& team, const ServiceId& service, const EntryId& entry);
+  /// One request, of which nothing is recorded; done when it is answered with `status`.
+  Status Probe(const TeamId& team, const ServiceId& service, const EntryId& entry, unsigned status);
   /// Blocks until all plans have ended; false after `timeout`.
   bool WaitUntilDone(Duration timeout);
   std::vector<CallRecord> Records() const;
--- a/tests/scenario_runner/demo.cc
+++ b/tests/scenario_runner/demo.cc
@@ -21,6 +21,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kStartTimeout = seconds(30);
+constexpr unsigned kOk = 200;
 constexpr Duration kEndTimeout = seconds(60);
 constexpr Duration kLoadSpan = seconds(28);
 /// Mean requests a second of one team to one service.
@@ -109,15 +110,16 @@
   }
   const TeamId last_team = std::prev(this->Inventory().teams.end())->first;
   const ServiceId service = this->Inventory().pools.begin()->second.service;
-  return status ? Await("keys at all entries",
-                        [&] {
-                          const std::vector<EntryId> entries = this->Entries();
-                          return std::all_of(
-                              entries.begin(), entries.end(), [&](const EntryId& entry) {
-                                return this->callers.Probe(last_team, service, entry) == 200;
-                              });
-                        })
-                : status;
+  return status
+             ? Await("keys at all entries",
+                     [&] {
+                       const std::vector<EntryId> entries = this->Entries();
+                       return std::all_of(
+                           entries.begin(), entries.end(), [&](const EntryId& entry) {
+                             return this->callers.Probe(last_team, service, entry, kOk).HasValue();
+                           });
+                     })
+             : status;
 }
 
 /// Each team asks each service at its mean, in bursts that go round the services.
--- a/tests/scenario_runner/operator_words.cc
+++ b/tests/scenario_runner/operator_words.cc
@@ -124,11 +124,7 @@
 }
 
 Status Scenario::ExpectStatus(const std::string& team, const std::string& entry, unsigned wanted) {
-  const unsigned status = this->callers->Probe(TeamId{team}, ServiceId{"s1"}, EntryId{entry});
-  if (status != wanted) {
-    return Reason{ErrorCode::kUnavailable, "", "the entry answered " + std::to_string(status)};
-  }
-  return Done{};
+  return this->callers->Probe(TeamId{team}, ServiceId{"s1"}, EntryId{entry}, wanted);
 }
 
 Status Scenario::RunCheck(int expected_exit) {
