Admission: Leave room for the spread of waits; count new demand as an even part

A team whose demand is new at an entry had its whole fleet share there or next to nothing, depending on its other entries: now an even part.

--- a/include/chervilspar/admission/admission_controller.h
+++ b/include/chervilspar/admission/admission_controller.h
@@ -26,8 +26,12 @@
   /// told to come back is better off than one in a long queue, and a short queue follows a
   /// change in load quickly.
   Duration longest_wait = std::chrono::seconds(5);
-  /// Part of the time to the deadline that prediction may use up; the rest covers its error.
-  double deadline_part = 0.6;
+  /// Part of the time to the deadline that a slow case may use up; the rest covers what predictions
+  /// don't see, such as slots going to other entries.
+  double deadline_part = 0.85;
+  /// Standard deviations of the wait that a slow case is above its mean. At 2.3, 1 in 100 waits
+  /// longer, by the normal approximation.
+  double slow_deviations = 2.3;
   /// Bounds of `Refusal::retry_after` before jitter.
   Duration shortest_retry_after = std::chrono::seconds(1);
   Duration longest_retry_after = std::chrono::seconds(30);
@@ -39,8 +43,10 @@
 
 /// What the scheduler predicts for one more request of a team.
 struct Prediction {
-  /// Until the request would start.
+  /// Until the request would start: mean and standard deviation. The fewer slots a team has here,
+  /// the more the wait depends on how long each of the few requests ahead runs.
   Duration wait = Duration::zero();
+  Duration wait_deviation = Duration::zero();
   /// Its run time, from measurements of like requests: the mean, and what 99 of 100 stay below.
   Duration run_time = Duration::zero();
   Duration slow_run_time = Duration::zero();
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -52,7 +52,9 @@
     return std::nullopt;
   }
   const Duration usable = Scale(left, this->options.deadline_part) - prediction.slow_run_time;
-  if (prediction.wait <= std::min(usable, this->options.longest_wait)) {
+  const Duration slow_wait =
+      prediction.wait + Scale(prediction.wait_deviation, this->options.slow_deviations);
+  if (slow_wait <= usable && prediction.wait <= this->options.longest_wait) {
     return std::nullopt;
   }
   return Refusal{RefusalCode::kOverloaded, "the predicted wait is " + Milliseconds(prediction.wait),
--- a/src/dispatch/division.cc
+++ b/src/dispatch/division.cc
@@ -104,8 +104,12 @@
   }
   const auto part = this->part_of.find(team.team);
   if (part == this->part_of.end() || part->second.local_slots == 0.0) {
+    // Until the next reports say where the team's demand is: a team that is busy at other entries
+    // has its share there, and would get it twice.
+    const auto entries = static_cast<double>(this->division.entries.size());
+    const double fraction = part == this->part_of.end() ? 1.0 : 1.0 / entries;
     const double level = this->division.slots_per_share;
-    this->queue.SetWeight(team.team, team.share * (level > 0.0 ? level : 1.0));
+    this->queue.SetWeight(team.team, team.share * (level > 0.0 ? level : 1.0) * fraction);
   }
 }
 
--- a/src/dispatch/prediction.cc
+++ b/src/dispatch/prediction.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "dispatch/service_shard_state.h"
 
@@ -10,11 +11,22 @@
 constexpr int kLongFactor = 4;
 /// Slots that a team is predicted to get are never taken as fewer: predictions divide by them.
 constexpr double kFewestSlots = 0.25;
+/// Standard deviations from the mean to the slow run time, for exponential run times.
+constexpr double kDeviationsToSlow = 3.6;
 
 Duration SpreadOver(Duration cost, double slots) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(cost.count()) / slots));
 }
 
+/// The sum of the run times of the requests ahead, each with the deviation of its kind, spread over
+/// the slots.
+Duration WaitDeviation(Duration ahead, const scheduling::RunTimeEstimate& estimate, double slots) {
+  const double mean = std::max(static_cast<double>(estimate.mean.count()), 1.0);
+  const double deviation = (static_cast<double>(estimate.slow.count()) - mean) / kDeviationsToSlow;
+  const double requests = static_cast<double>(ahead.count()) / mean;
+  return Duration(static_cast<Duration::rep>(std::sqrt(requests) * deviation / slots));
+}
+
 bool Fits(const admission::Requirement& shape, const admission::Requirement& requirement) {
   return shape.cores >= requirement.cores && shape.memory_mb >= requirement.memory_mb &&
          shape.accelerators >= requirement.accelerators;
@@ -71,7 +83,11 @@
     shares += use.share;
   } else {
     fleet += part->second.slots;
-    local_fraction = part->second.slots > 0.0 ? part->second.local_slots / part->second.slots : 1.0;
+    // Demand that is new here is in no report yet; it soon draws an even part.
+    local_fraction = 1.0 / static_cast<double>(this->division.entries.size());
+    if (part->second.slots > 0.0) {
+      local_fraction = std::max(local_fraction, part->second.local_slots / part->second.slots);
+    }
   }
   fleet = std::max(fleet, all * use.share / std::max(shares, use.share));
   double slots = std::min(fleet, all) * local_fraction;
@@ -100,7 +116,9 @@
     prediction.wait = SpreadOver(ahead, std::max(slots, 1.0));
     return prediction;
   }
-  prediction.wait = SpreadOver(ahead + next_slot, this->SlotsWithin(ticket.team));
+  const double slots = this->SlotsWithin(ticket.team);
+  prediction.wait = SpreadOver(ahead + next_slot, slots);
+  prediction.wait_deviation = WaitDeviation(ahead + next_slot, estimate, slots);
   return prediction;
 }
 
