--- a/src/quota/entitlement.cc
+++ b/src/quota/entitlement.cc
@@ -21,6 +21,8 @@
       this->Extend(team, 0);
     }
   }
+  this->TakeBase();
+  this->WorkOutOwned();
 }
 
 void Entitlement::Extend(const TeamId& team, std::uint32_t upper_limit) {
@@ -45,12 +47,22 @@
   // With no configuration in the whole log, nobody has ever owned a unit.
   this->has_base = this->limits.version == 0;
   this->BeginWindows();
+  this->TakeBase();
+  this->WorkOutOwned();
 }
 
 void Entitlement::OnSettled(const membership::Agreement& settled) {
+  if (settled == this->settled) {
+    return;
+  }
   this->settled = settled;
-  if (this->ownership == Ownership::kNone || settled.version != this->limits.version ||
-      !settled.IsReachedByAll()) {
+  this->TakeBase();
+  this->WorkOutOwned();
+}
+
+void Entitlement::TakeBase() {
+  if (this->ownership == Ownership::kNone || this->settled.version != this->limits.version ||
+      !this->settled.IsReachedByAll()) {
     return;
   }
   this->has_base = true;
@@ -72,20 +84,27 @@
 
 std::uint32_t Entitlement::Owned(const TeamId& team) const {
   const auto found = this->windows.find(team);
-  if (found == this->windows.end() || this->ownership == Ownership::kNone) {
+  return found == this->windows.end() ? 0 : found->second.owned;
+}
+
+void Entitlement::WorkOutOwned() {
+  for (auto& [team, window] : this->windows) {
+    window.owned = this->OwnedOf(window);
+    CHERVILSPAR_ASSERT(window.owned <= window.own_part);
+  }
+}
+
+std::uint32_t Entitlement::OwnedOf(const Window& window) const {
+  if (this->ownership == Ownership::kNone) {
     return 0;
   }
-  const Window& window = found->second;
   if (this->joint_rule == membership::Guard::kOff) {
     return window.own_part;
   }
   if (!this->has_base) {
     return 0;
   }
-  const std::uint32_t owned =
-      this->MayOthersHoldMore(window) ? window.own_smallest : window.own_part;
-  CHERVILSPAR_ASSERT(owned <= window.own_part);
-  return owned;
+  return this->MayOthersHoldMore(window) ? window.own_smallest : window.own_part;
 }
 
 bool Entitlement::MayOthersHoldMore(const Window& window) const {
--- a/src/quota/entitlement.h
+++ b/src/quota/entitlement.h
@@ -46,12 +46,17 @@
   struct Window {
     std::uint32_t own_part = 0;
     std::uint32_t own_smallest = 0;
+    /// What may be used now; worked out on each change, and read on each request.
+    std::uint32_t owned = 0;
     std::map<EntryId, std::uint32_t> parts;
     std::map<EntryId, std::uint32_t> largest;
   };
 
+  void TakeBase();
   void BeginWindows();
   void Extend(const TeamId& team, std::uint32_t upper_limit);
+  void WorkOutOwned();
+  std::uint32_t OwnedOf(const Window& window) const;
   bool MayOthersHoldMore(const Window& window) const;
 
   EntryId self;
--- a/tests/prove/callers.cc
+++ b/tests/prove/callers.cc
@@ -10,9 +10,11 @@
 namespace {
 
 constexpr Duration kToEntry = std::chrono::milliseconds(3);
-constexpr Duration kBetweenRequests = std::chrono::milliseconds(120);
+constexpr Duration kBetweenRequests = std::chrono::milliseconds(100);
 /// Callers' clocks; most are right, some are ahead or behind.
-constexpr Duration kCallerClockSpread = std::chrono::milliseconds(1500);
+constexpr Duration kCallerClockSpread = std::chrono::milliseconds(600);
+constexpr Duration kWrongClockSpread = std::chrono::seconds(8);
+constexpr double kClockIsWrong = 0.1;
 constexpr std::uint32_t kMostTries = 5;
 constexpr double kGivesUp = 0.1;
 constexpr double kAnswerLost = 0.1;
@@ -46,7 +48,9 @@
 void World::Ask(const TeamId& team, Duration length, Duration patience, std::uint32_t tries,
                 std::size_t slot) {
   auto request = std::make_shared<Asked>();
-  const Duration clock = this->simulation.Between(-kCallerClockSpread, kCallerClockSpread);
+  const bool is_wrong = this->simulation.Chance(kClockIsWrong);
+  const Duration spread = is_wrong ? kWrongClockSpread : kCallerClockSpread;
+  const Duration clock = this->simulation.Between(-spread, spread);
   request->request = idempotency::MakeUuidV7(this->WallAt(clock), this->simulation.Dice()).id;
   request->team = team;
   request->length = length;
@@ -93,7 +97,7 @@
   if (request->is_answered || request->tries_left == 0 || this->simulation.Chance(kGivesUp)) {
     return;
   }
-  this->simulation.After(this->simulation.Between(Seconds(0.001), Seconds(1)), [this, request] {
+  this->simulation.After(this->simulation.Between(Seconds(0.001), Seconds(3)), [this, request] {
     if (request->tries_left > 0) {
       this->Try(request, this->simulation.Dice().Below(kEntrySlots));
     }
--- a/tests/prove/entry_process.cc
+++ b/tests/prove/entry_process.cc
@@ -16,8 +16,8 @@
 idempotency::RegistryBounds SmallBounds() {
   idempotency::RegistryBounds bounds;
   bounds.max_age = std::chrono::seconds(60);
-  bounds.min_age = std::chrono::seconds(30);
-  bounds.capacity = 2000;
+  bounds.min_age = std::chrono::seconds(8);
+  bounds.capacity = 60;
   return bounds;
 }
 
--- a/tests/prove/entry_requests.cc
+++ b/tests/prove/entry_requests.cc
@@ -16,6 +16,7 @@
 /// An answer of an endpoint that takes longer counts as lost.
 constexpr Duration kTaskTimeout = kMaxTaskLease + std::chrono::seconds(2);
 constexpr std::uint32_t kSendsPerRequest = 3;
+constexpr double kSlowConnect = 0.1;
 
 Observer::Answer AnswerOf(Verdict verdict) {
   switch (verdict) {
@@ -125,9 +126,12 @@
   open.tracker = VerdictTracker();
   ++open.sends;
   open.endpoint = this->world.PickEndpoint(this->zone);
-  // The process may be paused between the check and the moment the bytes leave.
-  this->Later(std::chrono::microseconds(200),
-              [this, number, permit = *permit] { this->SendTask(number, permit); });
+  // The process may be paused between the check and the moment the bytes leave, and a connection
+  // may take its time.
+  const bool is_slow = this->world.Sim().Chance(kSlowConnect);
+  const Duration gap = is_slow ? this->world.Sim().Between(Duration::zero(), Seconds(1.5))
+                               : std::chrono::microseconds(200);
+  this->Later(gap, [this, number, permit = *permit] { this->SendTask(number, permit); });
   return true;
 }
 
--- a/tests/prove/network.cc
+++ b/tests/prove/network.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr double kLost = 0.15;
-constexpr double kDoubled = 0.15;
-constexpr double kLate = 0.1;
+constexpr double kLost = 0.1;
+constexpr double kDoubled = 0.3;
+constexpr double kLate = 0.25;
 
 }  // namespace
 
