Config log, membership: Remember entries taken off the list until declared gone

An entry that an earlier list named, and that is cut off, goes on using its part of the limits and its request ids, and nobody in the new list waits for it. The fold now keeps who was taken off, and a record, entry-gone, carries an operator's word that such an entry is gone for good; the fold rejects it for an entry that is still listed.

Membership no longer asserts that news of settling comes in order: callers on several threads may deliver it crossed, and older news changes nothing.

--- a/include/chervilspar/config_log/fleet_state.h
+++ b/include/chervilspar/config_log/fleet_state.h
@@ -115,6 +115,11 @@
   /// Keys in force. A key in `withdrawn` never comes back.
   std::map<KeyDigest, TeamId> keys;
   std::set<KeyDigest> withdrawn;
+  /// Entries that earlier configurations listed, that are no longer listed, and that no operator
+  /// has declared gone. They may be cut off and still act by a configuration that lists them.
+  std::set<EntryId> former_entries;
+  /// Former entries that an operator has declared gone.
+  std::set<EntryId> gone_entries;
   std::map<RecordId, PendingPublish> pending_publishes;
   /// Ids of the newest folded records, oldest first; see `kMaxRecentRecords`.
   std::deque<RecordId> recent_records;
--- a/include/chervilspar/config_log/record.h
+++ b/include/chervilspar/config_log/record.h
@@ -105,6 +105,15 @@
   friend bool operator==(const StepWithdrawn&, const StepWithdrawn&) = default;
 };
 
+/// An operator's word that an entry no longer listed is gone for good: its VM is deleted or
+/// switched off. Until then the others wait for it to confirm that it has left, since it may be cut
+/// off and still use its part of the limits. A wrong word can take a team above its limit.
+struct EntryGone {
+  EntryId entry;
+
+  friend bool operator==(const EntryGone&, const EntryGone&) = default;
+};
+
 /// One chunk of a snapshot of the folded state. The fold passes over it; `LogFollower` starts from
 /// the newest whole one when older records are gone.
 struct SnapshotChunk {
@@ -121,7 +130,7 @@
 
 using RecordBody =
     std::variant<Publish, PublishPart, KeyGiven, KeyWithdrawn, VmsObserved, StepClaimed, StepActing,
-                 StepTakenOver, StepDone, StepWithdrawn, SnapshotChunk>;
+                 StepTakenOver, StepDone, StepWithdrawn, SnapshotChunk, EntryGone>;
 
 /// One record of the log.
 struct Record {
--- a/include/chervilspar/membership/membership.h
+++ b/include/chervilspar/membership/membership.h
@@ -91,7 +91,7 @@
   /// The log has been read to an end that was its end at a moment after this process's start.
   void OnReadToEnd();
   void OnFolded(config_log::Offset next_offset);
-  /// `quota::Quota` has come within the split of this configuration.
+  /// `quota::Quota` has come within the split of this configuration. Older news is passed over.
   void OnSettled(config_log::ConfigVersion version);
 
   HeartbeatNews OnHeartbeat(const Heartbeat& heartbeat, TimePoint now);
--- a/src/config_log/fold_visitor.cc
+++ b/src/config_log/fold_visitor.cc
@@ -284,6 +284,17 @@
   return Accept();
 }
 
+FoldDecision FoldVisitor::operator()(const EntryGone& body) {
+  FleetState& state = this->folder.state;
+  if (!state.former_entries.contains(body.entry)) {
+    return Reject(ErrorCode::kConflict,
+                  Named("entry", body.entry.text) + " is not one that was taken off the list");
+  }
+  state.former_entries.erase(body.entry);
+  state.gone_entries.insert(body.entry);
+  return Accept();
+}
+
 FoldDecision FoldVisitor::operator()(const SnapshotChunk&) {
   return FoldDecision{FoldVerdict::kPassedOver, std::nullopt, std::nullopt};
 }
--- a/src/config_log/fold_visitor.h
+++ b/src/config_log/fold_visitor.h
@@ -33,6 +33,7 @@
   FoldDecision operator()(const StepDone& body);
   FoldDecision operator()(const StepWithdrawn& body);
   FoldDecision operator()(const SnapshotChunk& body);
+  FoldDecision operator()(const EntryGone& body);
 
  private:
   /// Why the claim can't stand; nothing when it can.
--- a/src/config_log/publish_fold.cc
+++ b/src/config_log/publish_fold.cc
@@ -215,6 +215,19 @@
   }
 }
 
+/// An entry that is taken off the list, and is cut off, goes on using its part of the limits. Its
+/// successors in the list must know whom to wait for, also those that start later and never saw the
+/// list that named it.
+void PublishFold::NoteFormerEntries() {
+  FleetState& state = this->folder.state;
+  const auto& changes = this->publish.delta.entries;
+  state.former_entries.insert(changes.removed.begin(), changes.removed.end());
+  for (const auto& [id, entry] : changes.put) {
+    state.former_entries.erase(id);
+    state.gone_entries.erase(id);
+  }
+}
+
 void PublishFold::ApplyInPlace() {
   inventory::Inventory& current = this->folder.state.inventory;
   const inventory::InventoryDelta& delta = this->publish.delta;
@@ -224,6 +237,7 @@
   this->ApplyVms();
   this->RemoveTeamKeys();
   ApplyChanges(current.teams, delta.teams);
+  this->NoteFormerEntries();
   ApplyChanges(current.entries, delta.entries);
   if (delta.move) {
     current.move = delta.move->move;
--- a/src/config_log/publish_fold.h
+++ b/src/config_log/publish_fold.h
@@ -37,6 +37,7 @@
   void ApplyInPlace();
   void ApplyVms();
   void RemoveTeamKeys();
+  void NoteFormerEntries();
 
   Folder& folder;
   const Publish& publish;
--- a/src/config_log/record_codec.cc
+++ b/src/config_log/record_codec.cc
@@ -79,6 +79,9 @@
             {"count", body.count},
             {"text", body.text}};
   }
+  boost::json::object operator()(const EntryGone& body) const {
+    return {{"entry", body.entry.text}};
+  }
 };
 
 KeyDigest ReadDigest(JsonFields& fields) {
@@ -210,6 +213,9 @@
   if (type == "snapshot-chunk") {
     return ReadSnapshotChunk(fields);
   }
+  if (type == "entry-gone") {
+    return EntryGone{EntryId{fields.Text("entry")}};
+  }
   return std::nullopt;
 }
 
--- a/src/config_log/state_codec.cc
+++ b/src/config_log/state_codec.cc
@@ -126,6 +126,14 @@
   state.pending_publishes.emplace(id, std::move(pending));
 }
 
+boost::json::array WriteEntries(const std::set<EntryId>& entries) {
+  boost::json::array json;
+  for (const EntryId& entry : entries) {
+    json.emplace_back(entry.text);
+  }
+  return json;
+}
+
 boost::json::object WriteState(const FleetState& state) {
   boost::json::object vms;
   for (const auto& [id, status] : state.vm_status) {
@@ -151,11 +159,18 @@
   for (const RecordId& id : state.recent_records) {
     recent.emplace_back(id.text);
   }
-  return {{"state", kRecordVersion},       {"next_offset", state.next_offset},
-          {"version", state.version},      {"inventory", inventory::ToJson(state.inventory)},
-          {"vms", std::move(vms)},         {"steps", std::move(steps)},
-          {"keys", std::move(keys)},       {"withdrawn", std::move(withdrawn)},
-          {"pending", std::move(pending)}, {"recent", std::move(recent)}};
+  return {{"state", kRecordVersion},
+          {"next_offset", state.next_offset},
+          {"version", state.version},
+          {"inventory", inventory::ToJson(state.inventory)},
+          {"vms", std::move(vms)},
+          {"steps", std::move(steps)},
+          {"keys", std::move(keys)},
+          {"withdrawn", std::move(withdrawn)},
+          {"pending", std::move(pending)},
+          {"recent", std::move(recent)},
+          {"former", WriteEntries(state.former_entries)},
+          {"gone", WriteEntries(state.gone_entries)}};
 }
 
 void ReadStatuses(JsonFields& fields, FleetState& state) {
@@ -216,6 +231,20 @@
   }
 }
 
+std::set<EntryId> ReadEntries(JsonFields& fields, std::string_view name) {
+  std::set<EntryId> entries;
+  const boost::json::array* json = fields.RequireArray(name);
+  for (std::size_t i = 0; json != nullptr && i < json->size(); ++i) {
+    const boost::json::string* text = (*json)[i].if_string();
+    if (text == nullptr) {
+      fields.MarkBroken();
+      return entries;
+    }
+    entries.insert(EntryId{std::string(*text)});
+  }
+  return entries;
+}
+
 void ReadRecords(JsonFields& fields, FleetState& state) {
   const boost::json::array* pending = fields.RequireArray("pending");
   for (std::size_t i = 0; pending != nullptr && i < pending->size(); ++i) {
@@ -286,6 +315,8 @@
   ReadSteps(fields, state);
   ReadKeys(fields, state);
   ReadRecords(fields, state);
+  state.former_entries = ReadEntries(fields, "former");
+  state.gone_entries = ReadEntries(fields, "gone");
   if (fields.IsBroken()) {
     return Malformed("a field of the state is missing or broken");
   }
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -12,6 +12,9 @@
 /// entries that it can't know yet; a broken sender must not fill its memory.
 constexpr std::size_t kMaxUnlistedPeers = 64;
 
+/// Covers the start window of a task, which may be longer than a short loan, and clock drift.
+constexpr Duration kLongestRunMargin = std::chrono::seconds(3);
+
 }  // namespace
 
 EntryList EntryListOf(const config_log::FleetState& state) {
@@ -20,6 +23,11 @@
   for (const auto& [id, entry] : state.inventory.entries) {
     list.entries.insert(id);
   }
+  list.former = state.former_entries;
+  list.gone = state.gone_entries;
+  const inventory::ServiceRules& rules = state.inventory.service_rules;
+  list.longest_run =
+      rules.loan_lease + rules.max_task_lease + rules.max_clock_skew + kLongestRunMargin;
   return list;
 }
 
@@ -72,9 +80,7 @@
 }
 
 void Membership::OnSettled(config_log::ConfigVersion version) {
-  CHERVILSPAR_ASSERT(version >= this->settled_version);
-  CHERVILSPAR_ASSERT(version <= this->list.version);
-  this->settled_version = version;
+  this->settled_version = std::max(this->settled_version, version);
   this->NoteAgreement();
 }
 
--- a/tests/config_log/folder_test.cc
+++ b/tests/config_log/folder_test.cc
@@ -73,6 +73,28 @@
   EXPECT_TRUE(bench.State().keys.empty());
 }
 
+// An entry is taken off the list while its zone is cut off, and goes on using its part of the
+// limits. An entry that starts later, from a snapshot, must know that it has to wait for it.
+TEST(FolderTest, EntryTakenOffTheListIsRememberedUntilDeclaredGone) {
+  FoldBench bench;
+  bench.Start();
+  const EntryId entry = bench.State().inventory.entries.begin()->first;
+  EXPECT_EQ(bench.Apply(EntryGone{entry}).verdict, FoldVerdict::kRejected);
+  PublishOf(bench, [&entry](auto& wanted) { wanted.entries.erase(entry); });
+  EXPECT_TRUE(bench.State().former_entries.contains(entry));
+  const Result<FleetState> read = DecodeState(EncodeState(bench.State()));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(*read, bench.State());
+  EXPECT_EQ(bench.Apply(EntryGone{entry}).verdict, FoldVerdict::kAccepted);
+  EXPECT_FALSE(bench.State().former_entries.contains(entry));
+  EXPECT_TRUE(bench.State().gone_entries.contains(entry));
+  PublishOf(bench, [&entry](auto& wanted) {
+    wanted.entries[entry] = inventory::SampleInventory().entries.at(entry);
+  });
+  EXPECT_TRUE(bench.State().former_entries.empty());
+  EXPECT_TRUE(bench.State().gone_entries.empty());
+}
+
 TEST(FolderTest, MemoryOfIdsIsBounded) {
   FoldBench bench;
   for (std::size_t i = 0; i < kMaxRecentRecords + 100; ++i) {
