Prove, membership: Run with the real fold, follower, appender and keys

Ruled out: the wait for the dead entry's tasks (60 s of quiet passed). Now a list is passed over only when it is equal; the table case fails without that.

--- a/include/chervilspar/membership/membership.h
+++ b/include/chervilspar/membership/membership.h
@@ -86,7 +86,7 @@
  public:
   Membership(Self self, TimePoint started, MembershipGuards guards = {});
 
-  /// An accepted configuration was folded. Versions must not go back.
+  /// A record was folded. Versions must not go back; an entry may be declared gone within one.
   void OnConfiguration(const EntryList& list);
   /// The log has been read to an end that was its end at a moment after this process's start.
   void OnReadToEnd();
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -36,13 +36,16 @@
 
 void Membership::OnConfiguration(const EntryList& list) {
   CHERVILSPAR_ASSERT(list.version >= this->list.version);
-  if (list.version == this->list.version) {
+  if (list == this->list) {
     return;
   }
+  const bool is_new_version = list.version > this->list.version;
   this->UpdateFormer(list);
   this->list = list;
-  this->applied.clear();
-  this->settled.clear();
+  if (is_new_version) {
+    this->applied.clear();
+    this->settled.clear();
+  }
   for (const auto& [id, peer] : this->peers) {
     this->TakeReports(peer.last);
   }
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -108,6 +108,11 @@
                       {List(1, {"e1", "e2", "e3"}), WithGone(List(2, {"e1", "e2"}), {"e3"})},
                       {Beat("e2", 2)},
                       {}},
+        AgreementCase{"DeclaredGoneWithinTheVersion",
+                      {List(1, {"e1", "e2", "e3"}), List(2, {"e1", "e2"}),
+                       WithGone(List(2, {"e1", "e2"}), {"e3"})},
+                      {Beat("e2", 2)},
+                      {}},
         AgreementCase{
             "VouchedFor", {List(2, {"e1", "e2", "e3"})}, {Vouching(Beat("e2", 2), 2)}, {}},
         AgreementCase{"VouchedForAnOlderOne",
--- a/tests/prove/callers.cc
+++ b/tests/prove/callers.cc
@@ -62,9 +62,12 @@
 
 void World::Try(const std::shared_ptr<Asked>& request, std::size_t slot) {
   --request->tries_left;
-  const std::uint64_t number = this->observer.OnTry(this->NowUs(), request->request.text);
+  const std::string key = this->KeyFor(request->team);
+  const std::uint64_t number =
+      this->observer.OnTry(this->NowUs(), request->request.text, key, this->CalmNow());
   const auto is_over = std::make_shared<bool>(false);
-  Call call{request->request, request->team, request->length, request->patience, {}};
+  Call call{request->request, DigestFor(key),    request->team,
+            request->length,  request->patience, {}};
   call.answer = [this, request, number, is_over](Observer::Answer answer, const std::string& body) {
     this->simulation.After(kToEntry, [=, this] {
       if (*is_over || this->simulation.Chance(kAnswerLost)) {
@@ -134,7 +137,7 @@
   for (std::size_t team = 0; team < kTeams; ++team) {
     const std::size_t slot =
         this->LiveSlot(static_cast<std::uint32_t>(this->simulation.Dice().Below(kEntrySlots)));
-    const auto limit = this->log.Newest().upper_limits.at(TeamAt(team));
+    const auto limit = this->Newest().inventory.teams.at(TeamAt(team)).upper_limit;
     for (std::uint32_t sent = 0; sent < 2 * limit + 5; ++sent) {
       this->Ask(TeamAt(team), Seconds(9.5), Seconds(9), 1, slot);
     }
--- a/tests/prove/entry_process.cc
+++ b/tests/prove/entry_process.cc
@@ -21,6 +21,14 @@
   return bounds;
 }
 
+config_log::SnapshotPolicy FrequentSnapshots() {
+  config_log::SnapshotPolicy policy;
+  policy.max_records = 40;
+  policy.max_age = std::chrono::seconds(5);
+  policy.spread = std::chrono::seconds(2);
+  return policy;
+}
+
 }  // namespace
 
 EntryProcess::EntryProcess(World& world, membership::Self self, std::uint32_t zone,
@@ -31,7 +39,8 @@
       clock_offset(clock_offset),
       boot_offset(boot_offset),
       started_at(world.Sim().Now()),
-      config(std::make_shared<const Config>()),
+      follower(self.id, FrequentSnapshots(), world.Sim().Now() + boot_offset),
+      appender(config_log::AppendPolicy{}),
       membership(self, world.Sim().Now() + boot_offset, world.Guards().membership),
       quota(self, world.Sim().Now() + boot_offset, {}, world.Guards().quota),
       registry(self, kMaxClockSkew, SmallBounds(), world.Guards().registry),
@@ -80,7 +89,10 @@
   if (this->ticks % kTicksPerBeat == 0) {
     this->Beat();
     this->registry.Tick(this->Wall());
+    this->ShareWithdrawals();
+    this->WriteSnapshotIfDue();
   }
+  this->OnAppends(this->appender.OnTick(this->Now()));
   this->Refresh();
   this->StartWaiting();
   this->SendLending(this->quota.Tick(this->Now()));
@@ -100,73 +112,19 @@
 void EntryProcess::OnHeartbeat(const membership::Heartbeat& heartbeat) {
   this->membership.OnHeartbeat(heartbeat, this->Now());
   this->Refresh();
-  if (heartbeat.next_offset > this->config->next_offset) {
+  const config_log::Offset from = this->Current()->next_offset;
+  if (heartbeat.next_offset > from) {
     const EntryId me = this->self.id;
-    this->Send(heartbeat.from, [me](EntryProcess& peer) {
-      peer.Send(me, [config = peer.Current()](EntryProcess& back) { back.OnPeerConfig(config); });
-    });
-  }
-}
-
-void EntryProcess::OnPeerConfig(const ConfigPtr& config) {
-  if (config->next_offset > this->config->next_offset) {
-    this->Adopt(config);
+    this->Send(heartbeat.from, [me, from](EntryProcess& peer) { peer.TellPeer(me, from); });
   }
 }
 
-void EntryProcess::ReadLog() {
-  this->world.Net().SendOnce(this->zone, kPlatform, [life = this->shared_from_this()] {
-    const FakeLog& log = life->world.Log();
-    if (log.IsDown()) {
-      return;
-    }
-    const LogAnswer answer = log.Read(life->config->next_offset);
-    life->world.Net().SendOnce(kPlatform, life->zone, [life, answer] {
-      life->Run([life, answer] { life->OnLogAnswer(answer); });
-    });
-  });
-}
-
-void EntryProcess::OnLogAnswer(const LogAnswer& answer) {
-  const auto start = answer.snapshot
-                         ? answer.snapshot->next_offset
-                         : answer.end - static_cast<config_log::Offset>(answer.records.size());
-  ConfigPtr next = this->config;
-  if (answer.snapshot && answer.snapshot->next_offset > next->next_offset) {
-    next = answer.snapshot;
-  }
-  for (std::size_t at = 0; at < answer.records.size(); ++at) {
-    if (start + static_cast<config_log::Offset>(at) == next->next_offset) {
-      next = std::make_shared<const Config>(Fold(*next, answer.records[at]));
-    }
-  }
-  if (next->next_offset > this->config->next_offset) {
-    this->Adopt(next);
-  }
-  if (!this->has_read_to_end && this->config->next_offset >= answer.end) {
-    this->has_read_to_end = true;
-    this->membership.OnReadToEnd();
-    this->Refresh();
-  }
-}
-
-void EntryProcess::Adopt(const ConfigPtr& config) {
-  this->config = config;
-  this->membership.OnFolded(config->next_offset);
-  this->membership.OnConfiguration(config->List());
-  this->quota.OnConfiguration(config->Limits(), this->Now());
-  this->registry.OnConfiguration(config->List(), kMaxClockSkew);
-  this->client.OnConfiguration(config->List());
-  this->Refresh();
-}
-
 void EntryProcess::Refresh() {
   if (this->membership.MayOwn()) {
     this->quota.OnMayOwn(this->Now());
     this->registry.OnMayOwn();
   }
-  this->membership.OnSettled(
-      std::max(this->quota.SettledVersion(this->Now()), config_log::ConfigVersion{0}));
+  this->membership.OnSettled(this->quota.SettledVersion(this->Now()));
   this->quota.OnSettled(this->membership.Settled(), this->Now());
   this->registry.OnApplied(this->membership.Applied(), this->Wall());
   this->quota.SetLenders(this->membership.FreshPeers(this->Now()));
--- a/tests/prove/entry_process.h
+++ b/tests/prove/entry_process.h
@@ -9,13 +9,16 @@
 #include <vector>
 
 #include "chervilspar/base/verdict.h"
+#include "chervilspar/config_log/appender.h"
+#include "chervilspar/config_log/key_overlay.h"
+#include "chervilspar/config_log/log_follower.h"
 #include "chervilspar/idempotency/request_client.h"
 #include "chervilspar/idempotency/request_registry.h"
 #include "chervilspar/membership/membership.h"
 #include "chervilspar/quota/quota.h"
 
-#include "tests/prove/config_feed.h"
 #include "tests/prove/endpoint.h"
+#include "tests/prove/fake_log.h"
 #include "tests/prove/guards.h"
 #include "tests/prove/observer.h"
 
@@ -26,6 +29,7 @@
 /// A request as a caller sends it.
 struct Call {
   RequestId request;
+  config_log::KeyDigest key;
   TeamId team;
   Duration length = Duration::zero();
   /// How long the entry may keep it waiting.
@@ -33,6 +37,11 @@
   std::function<void(Observer::Answer, std::string)> answer;
 };
 
+/// Changes a copy of the inventory into what an operator wants.
+using Change = std::function<void(inventory::Inventory&)>;
+
+using StatePtr = std::shared_ptr<const config_log::FleetState>;
+
 /// One life of an entry: the pure modules, and as little around them as carries their messages,
 /// like the entry of the product.
 class EntryProcess : public std::enable_shared_from_this<EntryProcess> {
@@ -56,13 +65,20 @@
   void OnRegisterReply(const idempotency::RegisterReply& reply);
   void OnOutcome(const idempotency::OutcomeReport& report, const EntryId& from);
   void OnOutcomeSeen(const idempotency::OutcomeSeen& seen);
-  void OnPeerConfig(const ConfigPtr& config);
+  void OnPeerState(const StatePtr& peer_state);
+  void OnPeerTail(const std::vector<config_log::LogRecord>& tail);
+  void OnPublish(const Change& change, const std::map<std::string, std::uint32_t>& limits);
+  void OnDeclareGone(const EntryId& entry);
+  /// Tells by `done` when the key is in the log.
+  void OnGiveKey(const config_log::KeyDigest& key, const TeamId& team, std::function<void()> done);
+  void OnWithdrawKey(const config_log::KeyDigest& key, std::function<void()> done);
+  void OnPeerWithdrawals(const std::set<config_log::KeyDigest>& keys);
 
   bool IsUp() const { return !this->is_dead && this->pauses == 0; }
   bool IsDead() const { return this->is_dead; }
   const membership::Self& Me() const { return this->self; }
   std::uint32_t Zone() const { return this->zone; }
-  const ConfigPtr& Current() const { return this->config; }
+  StatePtr Current() const { return this->follower.State(); }
   TimePoint StartedAt() const { return this->started_at; }
   void CountGuards() const;
 
@@ -83,8 +99,16 @@
   void Tick();
   void Beat();
   void ReadLog();
-  void OnLogAnswer(const LogAnswer& answer);
-  void Adopt(const ConfigPtr& config);
+  void OnUpdate(const config_log::FollowUpdate& update);
+  void OnAppends(const config_log::AppendActions& actions);
+  void AppendToLog(const config_log::Record& record);
+  void Submit(const RecordId& subject, const std::vector<config_log::Record>& records,
+              Duration patience, std::function<void()> done);
+  RecordId NextRecordId();
+  void WriteSnapshotIfDue();
+  void ShareWithdrawals();
+  void TellPeer(const EntryId& peer, config_log::Offset from);
+  void AdoptState();
   void Refresh();
   void Send(const EntryId& to, std::function<void(EntryProcess&)> deliver);
   void SendLending(const std::vector<quota::LendingMessage>& messages);
@@ -112,8 +136,11 @@
   int pauses = 0;
   std::deque<std::function<void()>> inbox;
 
-  ConfigPtr config;
-  bool has_read_to_end = false;
+  config_log::LogFollower follower;
+  config_log::Appender appender;
+  config_log::KeyOverlay overlay;
+  std::map<RecordId, std::function<void()>> when_in_force;
+  std::uint64_t last_record = 0;
   membership::Membership membership;
   quota::Quota quota;
   idempotency::RequestRegistry registry;
--- a/tests/prove/entry_requests.cc
+++ b/tests/prove/entry_requests.cc
@@ -33,6 +33,12 @@
 }  // namespace
 
 void EntryProcess::OnCall(const Call& call) {
+  const std::optional<TeamId> team = this->overlay.Authenticate(*this->Current(), call.key);
+  if (!team) {
+    this->world.Count("entry refused: key");
+    call.answer(Observer::Answer::kUnauthenticated, "");
+    return;
+  }
   const auto begun = this->client.Begin(call.request, this->Now());
   if (!begun) {
     call.answer(AnswerOf(idempotency::VerdictWithoutOwner(KeyOrigin::kCaller)), "");
@@ -41,6 +47,7 @@
   const std::uint64_t number = begun->request.attempt.number;
   Open open;
   open.call = call;
+  open.call.team = *team;
   open.attempt = begun->request.attempt;
   open.deadline = this->Now() + call.patience;
   this->open.emplace(number, open);
--- a/tests/prove/fault.cc
+++ b/tests/prove/fault.cc
@@ -6,7 +6,8 @@
   constexpr std::array<const char*, kFaultKinds> kNames = {
       "kill-entry",    "pause-entry",   "cut-zones",       "cut-platform",     "log-outage",
       "retention-gap", "bad-network",   "kill-endpoint",   "failing-endpoint", "burst",
-      "cancel-wave",   "publish-limit", "publish-entries", "operator-race",    "retire-entry"};
+      "cancel-wave",   "publish-limit", "publish-entries", "operator-race",    "retire-entry",
+      "withdraw-key",  "key-race"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/tests/prove/fault.h
+++ b/tests/prove/fault.h
@@ -28,8 +28,10 @@
   kPublishEntries,
   kOperatorRace,
   kRetireEntry,
+  kWithdrawKey,
+  kKeyRace,
 };
-inline constexpr std::size_t kFaultKinds = 15;
+inline constexpr std::size_t kFaultKinds = 17;
 const char* ToString(FaultKind kind);
 
 /// One fault. `target` and `extra` choose what it meets; each kind reads them in its own way.
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -10,6 +10,8 @@
 constexpr Duration kCalmFor = std::chrono::seconds(10);
 constexpr Duration kInForceWithin = std::chrono::seconds(9);
 constexpr std::uint32_t kLargestLimit = 10;
+/// Snapshots are written about every 5 s; only an outage leaves none within this.
+constexpr Duration kRetention = std::chrono::seconds(12);
 
 }  // namespace
 
@@ -45,7 +47,7 @@
       this->Hold(fault.Lasts(), [this] { this->log.EndOutage(); });
       break;
     case FaultKind::kRetentionGap:
-      this->log.DropOldRecords();
+      this->log.DropOlderThan(this->simulation.Now() - kRetention);
       break;
     case FaultKind::kBadNetwork:
       this->network.BeginBad();
@@ -77,6 +79,12 @@
     case FaultKind::kRetireEntry:
       this->RetireEntry(fault);
       break;
+    case FaultKind::kWithdrawKey:
+      this->ReplaceKey(fault);
+      break;
+    case FaultKind::kKeyRace:
+      this->RaceOnKey(fault);
+      break;
   }
 }
 
@@ -89,87 +97,88 @@
   });
 }
 
-void World::Append(const Publish& publish) {
-  const config_log::ConfigVersion before = this->log.Newest().version;
-  this->log.NoteTime(this->simulation.Now());
-  this->log.Append(publish);
-  if (this->log.Newest().version == before) {
-    this->Count("fold rejected: stale base");
-    return;
-  }
-  for (const auto& [team, limit] : publish.upper_limits) {
-    this->observer.OnLimitPublished(this->NowUs(), team.text, limit);
-  }
-  this->Note("version " + std::to_string(before + 1) + " is published");
+void World::Publish(std::uint32_t choice, const Change& change,
+                    const std::map<std::string, std::uint32_t>& limits) {
+  const std::shared_ptr<EntryProcess> entry = this->AnyUpEntry(choice);
+  entry->Run([entry, change, limits] { entry->OnPublish(change, limits); });
 }
 
 void World::PublishLimit(const Fault& fault) {
-  if (this->log.IsDown()) {
-    return;
-  }
-  Publish publish;
-  publish.base_version = this->log.Newest().version;
-  publish.upper_limits[TeamAt(fault.target % kTeams)] = 1 + fault.extra % kLargestLimit;
-  this->Append(publish);
-  if (fault.extra % 3 == 0) {
-    // The answer was lost and the operator publishes once more.
-    this->Append(publish);
-  }
+  const TeamId team = TeamAt(fault.target % kTeams);
+  const std::uint32_t limit = 1 + fault.extra % kLargestLimit;
+  this->Publish(fault.target,
+                [team, limit](inventory::Inventory& wanted) {
+                  if (wanted.teams.contains(team)) {
+                    wanted.teams.at(team).upper_limit = limit;
+                  }
+                },
+                {{team.text, limit}});
 }
 
 void World::PublishEntries(const Fault& fault) {
-  if (this->log.IsDown()) {
-    return;
-  }
-  Publish publish;
-  publish.base_version = this->log.Newest().version;
-  std::set<EntryId> entries = this->log.Newest().entries;
   const std::size_t slot = fault.target % kEntrySlots;
-  const bool is_listed = entries.contains(EntryAt(slot));
-  if (is_listed && entries.size() > 2) {
-    entries.erase(EntryAt(slot));
-  } else if (!is_listed && !this->is_retired.at(slot)) {
-    entries.insert(EntryAt(slot));
-  }
-  publish.entries = entries;
-  this->Append(publish);
+  const bool may_join = !this->is_retired.at(slot);
+  this->Publish(fault.extra,
+                [slot, may_join](inventory::Inventory& wanted) {
+                  const bool is_listed = wanted.entries.contains(EntryAt(slot));
+                  if (is_listed && wanted.entries.size() > 2) {
+                    wanted.entries.erase(EntryAt(slot));
+                  } else if (!is_listed && may_join) {
+                    wanted.entries[EntryAt(slot)] = EntryVmAt(slot);
+                  }
+                },
+                {});
 }
 
 void World::RaceOperators(const Fault& fault) {
-  if (this->log.IsDown()) {
-    return;
-  }
-  for (std::uint32_t operators = 0; operators < 2; ++operators) {
-    Publish publish;
-    publish.base_version = this->log.Newest().version - operators;
-    publish.upper_limits[TeamAt(fault.target % kTeams)] =
-        1 + (fault.extra + operators * 7) % kLargestLimit;
-    this->Append(publish);
-  }
+  Fault other = fault;
+  other.extra += 7;
+  other.target += kTeams;
+  this->PublishLimit(fault);
+  this->PublishLimit(other);
 }
 
 void World::RetireEntry(const Fault& fault) {
   const std::size_t slot = this->LiveSlot(fault.target);
-  std::set<EntryId> entries = this->log.Newest().entries;
-  entries.erase(EntryAt(slot));
   const auto retired = std::count(this->is_retired.begin(), this->is_retired.end(), true);
-  if (this->log.IsDown() || entries.size() < 2 || retired >= 2) {
+  if (retired >= 2) {
     return;
   }
   this->is_retired.at(slot) = true;
-  this->Note("entry " + EntryAt(slot).text + " is killed for good and declared gone");
+  this->Note("entry " + EntryAt(slot).text + " is killed for good");
   this->entries.at(slot)->Kill();
-  Publish publish;
-  publish.base_version = this->log.Newest().version;
-  publish.entries = entries;
-  publish.gone.insert(EntryAt(slot));
-  this->Append(publish);
+  this->DeclareGone(slot, fault.extra);
+}
+
+/// Takes the dead entry off the list and declares it gone, again and again until both are in force.
+void World::DeclareGone(std::size_t slot, std::uint32_t choice) {
+  if (this->Newest().gone_entries.contains(EntryAt(slot))) {
+    return;
+  }
+  const std::shared_ptr<EntryProcess> entry = this->AnyUpEntry(choice);
+  if (this->Newest().inventory.entries.contains(EntryAt(slot))) {
+    this->Publish(choice,
+                  [slot](inventory::Inventory& wanted) {
+                    if (wanted.entries.size() > 2) {
+                      wanted.entries.erase(EntryAt(slot));
+                    }
+                  },
+                  {});
+  } else {
+    entry->Run([entry, slot] { entry->OnDeclareGone(EntryAt(slot)); });
+  }
+  this->simulation.After(Seconds(1), [this, slot, choice] { this->DeclareGone(slot, choice + 1); });
+}
+
+Observer::Calm World::CalmNow() const {
+  const bool is_calm =
+      this->active_faults == 0 && this->simulation.Now() - this->calm_since >= kCalmFor;
+  return is_calm ? Observer::Calm::kYes : Observer::Calm::kNo;
 }
 
 void World::WatchCalm() {
   const TimePoint now = this->simulation.Now();
-  const bool is_calm = this->active_faults == 0 && now - this->calm_since >= kCalmFor;
-  if (is_calm) {
+  if (this->CalmNow() == Observer::Calm::kYes) {
     this->observer.OnCalm((now - kCalmFor).time_since_epoch().count(), this->NowUs());
     this->CheckVersions();
   }
@@ -178,7 +187,7 @@
 
 void World::CheckVersions() {
   const TimePoint now = this->simulation.Now();
-  const config_log::ConfigVersion published = this->log.PublishedBy(now - kInForceWithin);
+  const std::int64_t published = this->ledger.VersionBy(now - kInForceWithin);
   for (const std::shared_ptr<EntryProcess>& life : this->entries) {
     if (life->IsUp() && now - life->StartedAt() >= kCalmFor) {
       this->observer.OnVersionSeen(this->NowUs(), life->Me().id.text, life->Me().incarnation.nonce,
--- a/tests/prove/observer.cc
+++ b/tests/prove/observer.cc
@@ -60,14 +60,45 @@
   if (!this->HasOpenTry(asked)) {
     this->Violate(now, "not run: request " + request + " ran after its tries were answered so");
   }
+  if (!this->IsAllowed(asked, team)) {
+    this->Violate(now, "key: request " + request + " ran for team " + team +
+                           " with no key in force of that team");
+  }
 }
 
 bool Observer::HasOpenTry(const Request& request) const {
   return std::any_of(request.tries.begin(), request.tries.end(), [&](std::uint64_t number) {
-    return this->tries.at(number).answer != Answer::kNotRun;
+    const std::optional<Answer>& answer = this->tries.at(number).answer;
+    return answer != Answer::kNotRun && answer != Answer::kUnauthenticated;
   });
 }
 
+bool Observer::IsAllowed(const Request& request, const std::string& team) const {
+  return std::any_of(request.tries.begin(), request.tries.end(), [&](std::uint64_t number) {
+    const Try& sent = this->tries.at(number);
+    const auto key = this->keys.find(sent.key);
+    return !sent.is_forbidden && key != this->keys.end() && key->second.team == team;
+  });
+}
+
+void Observer::OnKeyGiven(const std::string& key, const std::string& team) {
+  this->keys[key].team = team;
+}
+
+void Observer::OnKeyWithdrawn(std::int64_t now, const std::string& key) {
+  std::optional<std::int64_t>& withdrawn_at = this->keys[key].withdrawn_at;
+  withdrawn_at = withdrawn_at.value_or(now);
+}
+
+bool Observer::IsForbidden(const std::string& key, std::int64_t now, Calm calm) const {
+  const auto found = this->keys.find(key);
+  if (found == this->keys.end()) {
+    return true;
+  }
+  return found->second.withdrawn_at && calm == Calm::kYes &&
+         now - *found->second.withdrawn_at >= kInForceWithinUs;
+}
+
 void Observer::OnTaskEnded(std::int64_t /*now*/, const std::string& task) {
   const auto found = this->tasks.find(task);
   if (found == this->tasks.end()) {
@@ -77,8 +108,9 @@
   this->tasks.erase(found);
 }
 
-std::uint64_t Observer::OnTry(std::int64_t /*now*/, const std::string& request) {
-  this->tries.push_back({request, std::nullopt});
+std::uint64_t Observer::OnTry(std::int64_t now, const std::string& request, const std::string& key,
+                              Calm calm) {
+  this->tries.push_back({request, key, this->IsForbidden(key, now, calm), std::nullopt});
   this->requests[request].tries.push_back(this->tries.size() - 1);
   return this->tries.size() - 1;
 }
@@ -91,6 +123,9 @@
   }
   answered.answer = answer;
   const std::uint32_t starts = this->requests[answered.request].starts;
+  if (answer == Answer::kUnauthenticated) {
+    return;
+  }
   if (answer == Answer::kNotRun && starts > 0) {
     this->Violate(now, "not run: request " + answered.request + " had run");
   }
--- a/tests/prove/observer.h
+++ b/tests/prove/observer.h
@@ -13,7 +13,9 @@
 /// modules. Times are microseconds of true time.
 class Observer {
  public:
-  enum class Answer { kNotRun, kMayHaveRun, kCompleted, kCompletedEarlier };
+  enum class Answer { kNotRun, kMayHaveRun, kCompleted, kCompletedEarlier, kUnauthenticated };
+  /// Whether every entry has had time to hear of what was done before.
+  enum class Calm { kNo, kYes };
 
   /// Longest that a task may go on after the configuration that allowed it has been replaced and
   /// all entries have had time to learn of it.
@@ -28,8 +30,13 @@
                      const std::string& request);
   void OnTaskEnded(std::int64_t now, const std::string& task);
 
+  void OnKeyGiven(const std::string& key, const std::string& team);
+  /// An operator has been told that the key is withdrawn for good.
+  void OnKeyWithdrawn(std::int64_t now, const std::string& key);
+
   /// A caller sends a try; its number.
-  std::uint64_t OnTry(std::int64_t now, const std::string& request);
+  std::uint64_t OnTry(std::int64_t now, const std::string& request, const std::string& key,
+                      Calm calm);
   /// `body` names the request whose result it is.
   void OnAnswer(std::int64_t now, std::uint64_t number, Answer answer, const std::string& body);
 
@@ -60,8 +67,14 @@
   };
   struct Try {
     std::string request;
+    std::string key;
+    bool is_forbidden = false;
     std::optional<Answer> answer;
   };
+  struct Key {
+    std::string team;
+    std::optional<std::int64_t> withdrawn_at;
+  };
   struct Request {
     std::uint32_t starts = 0;
     std::vector<std::uint64_t> tries;
@@ -77,6 +90,8 @@
 
   std::uint32_t Allowed(const Team& team, std::int64_t now) const;
   bool HasOpenTry(const Request& request) const;
+  bool IsAllowed(const Request& request, const std::string& team) const;
+  bool IsForbidden(const std::string& key, std::int64_t now, Calm calm) const;
   void Violate(std::int64_t now, const std::string& what);
 
   std::int64_t longest_run_us;
@@ -84,6 +99,7 @@
   std::map<std::string, Task> tasks;
   std::map<std::string, Request> requests;
   std::map<std::string, Seen> seen;
+  std::map<std::string, Key> keys;
   std::vector<Try> tries;
   std::vector<std::string> violations;
   std::uint64_t tasks_started = 0;
--- a/tests/prove/world.cc
+++ b/tests/prove/world.cc
@@ -19,6 +19,33 @@
 
 TeamId TeamAt(std::size_t team) { return TeamId{"team" + std::to_string(team + 1)}; }
 
+inventory::Inventory FirstInventory() {
+  inventory::Inventory first;
+  for (std::uint32_t zone = 0; zone < kZones; ++zone) {
+    const ZoneId id{"zone" + std::to_string(zone)};
+    first.zones[id] = {id, RegionId{"region"}};
+  }
+  for (std::size_t slot = 0; slot < kFirstEntries; ++slot) {
+    first.entries[EntryAt(slot)] = EntryVmAt(slot);
+  }
+  for (std::size_t team = 0; team < kTeams; ++team) {
+    inventory::Team& made = first.teams[TeamAt(team)];
+    made.id = TeamAt(team);
+    made.client_account.text = "account" + std::to_string(team);
+    made.upper_limit = kFirstLimits.at(team);
+  }
+  first.service_rules.max_task_lease = kMaxTaskLease;
+  first.service_rules.loan_lease = kLoanLease;
+  first.service_rules.max_clock_skew = kMaxClockSkew;
+  return first;
+}
+
+inventory::EntryVm EntryVmAt(std::size_t slot) {
+  const std::string host = "10.0.0." + std::to_string(slot + 1);
+  return {EntryAt(slot), ZoneId{"zone" + std::to_string(slot % kZones)}, host + ":7000",
+          host + ":8000"};
+}
+
 World::World(const Case& run, const GuardSet& guards, Coverage& coverage, Timeline::Mode mode)
     : run(run),
       guards(guards),
@@ -26,9 +53,12 @@
       timeline(mode),
       simulation(run.seed),
       network(this->simulation),
-      observer(kLongestRun.count() + std::chrono::microseconds(Seconds(1)).count()),
+      observer((kLongestRun + Seconds(1)).count()),
+      ledger(this->observer),
+      log(this->ledger),
       entries(kEntrySlots),
-      is_retired(kEntrySlots, false) {
+      is_retired(kEntrySlots, false),
+      keys(kTeams) {
   const Duration half_skew = kMaxClockSkew / 2;
   for (std::size_t at = 0; at < kZones * kEndpointsPerZone; ++at) {
     this->endpoints.push_back(
@@ -42,16 +72,15 @@
     this->StartEntry(slot);
   }
   this->simulation.At(TimePoint(Seconds(1)), [this] {
-    Publish first;
-    first.entries.emplace();
-    for (std::size_t slot = 0; slot < kFirstEntries; ++slot) {
-      first.entries->insert(EntryAt(slot));
+    std::map<std::string, std::uint32_t> limits;
+    const inventory::Inventory first = FirstInventory();
+    for (const auto& [id, team] : first.teams) {
+      limits[id.text] = team.upper_limit;
     }
-    for (std::size_t team = 0; team < kTeams; ++team) {
-      first.upper_limits[TeamAt(team)] = kFirstLimits.at(team);
-    }
-    this->Append(first);
+    this->Publish(
+        0, [first](inventory::Inventory& wanted) { wanted = first; }, limits);
   });
+  this->simulation.At(TimePoint(Seconds(1.7)), [this] { this->GiveFirstKeys(); });
   for (const Fault& fault : this->run.faults) {
     this->simulation.At(fault.Begin(), [this, fault] { this->Begin(fault); });
   }
@@ -103,7 +132,7 @@
 std::size_t World::LiveSlot(std::uint32_t choice) const {
   for (std::size_t tried = 0; tried < kEntrySlots; ++tried) {
     const std::size_t slot = (choice + tried) % kEntrySlots;
-    const bool is_listed = this->log.Newest().entries.contains(EntryAt(slot));
+    const bool is_listed = this->Newest().inventory.entries.contains(EntryAt(slot));
     if (is_listed && !this->entries.at(slot)->IsDead()) {
       return slot;
     }
@@ -111,6 +140,27 @@
   return 0;
 }
 
+const config_log::FleetState& World::Newest() const {
+  const config_log::FleetState* newest = nullptr;
+  for (const std::shared_ptr<EntryProcess>& life : this->entries) {
+    const config_log::FleetState& state = *life->Current();
+    if (newest == nullptr || state.next_offset > newest->next_offset) {
+      newest = &state;
+    }
+  }
+  return *newest;
+}
+
+std::shared_ptr<EntryProcess> World::AnyUpEntry(std::uint32_t choice) const {
+  for (std::size_t tried = 0; tried < kEntrySlots; ++tried) {
+    const std::shared_ptr<EntryProcess>& life = this->entries.at((choice + tried) % kEntrySlots);
+    if (life->IsUp()) {
+      return life;
+    }
+  }
+  return this->entries.front();
+}
+
 void World::SendToEntry(std::uint32_t from_zone, const EntryId& to,
                         std::function<void(EntryProcess&)> deliver) {
   for (std::size_t slot = 0; slot < kEntrySlots; ++slot) {
--- a/tests/prove/world.h
+++ b/tests/prove/world.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "tests/prove/config_feed.h"
 #include "tests/prove/coverage.h"
 #include "tests/prove/endpoint.h"
 #include "tests/prove/entry_process.h"
+#include "tests/prove/fake_log.h"
 #include "tests/prove/fault.h"
 #include "tests/prove/guards.h"
 #include "tests/prove/network.h"
@@ -35,6 +35,8 @@
   Simulation& Sim() { return this->simulation; }
   Network& Net() { return this->network; }
   FakeLog& Log() { return this->log; }
+  PublishLedger& Ledger() { return this->ledger; }
+  Observer::Calm CalmNow() const;
   Observer& Watch() { return this->observer; }
   const GuardSet& Guards() const { return this->guards; }
   void Note(const std::string& text) { this->timeline.Add(this->simulation.Now(), text); }
@@ -82,7 +84,21 @@
   void PublishEntries(const Fault& fault);
   void RaceOperators(const Fault& fault);
   void RetireEntry(const Fault& fault);
-  void Append(const Publish& publish);
+  void DeclareGone(std::size_t slot, std::uint32_t choice);
+
+  // Keys (keys.cc).
+  void GiveFirstKeys();
+  void GiveKey(std::size_t team, std::uint32_t choice);
+  void WithdrawKey(const std::string& key, std::uint32_t choice);
+  void ReplaceKey(const Fault& fault);
+  void RaceOnKey(const Fault& fault);
+  /// The key that a caller of the team sends: mostly the newest, at times an old or a wrong one.
+  std::string KeyFor(const TeamId& team);
+  /// Asks an entry to publish a change of the configuration that it knows.
+  void Publish(std::uint32_t choice, const Change& change,
+               const std::map<std::string, std::uint32_t>& limits);
+  std::shared_ptr<EntryProcess> AnyUpEntry(std::uint32_t choice) const;
+  const config_log::FleetState& Newest() const;
   void CancelWave();
   void Burst(const Fault& fault);
   void WatchCalm();
@@ -94,8 +110,9 @@
   Timeline timeline;
   Simulation simulation;
   Network network;
-  FakeLog log;
   Observer observer;
+  PublishLedger ledger;
+  FakeLog log;
   std::vector<std::unique_ptr<Endpoint>> endpoints;
   std::vector<std::shared_ptr<EntryProcess>> entries;
   std::vector<Duration> entry_clock_offsets;
@@ -103,6 +120,8 @@
   std::vector<std::shared_ptr<EntryProcess>> former_lives;
   std::vector<std::shared_ptr<Asked>> asked;
   std::uint64_t last_life = 0;
+  std::vector<std::vector<std::string>> keys;
+  std::uint64_t last_key = 0;
   int active_faults = 0;
   TimePoint calm_since;
 };
@@ -115,6 +134,11 @@
 /// Entries of the first configuration; the last slot joins and leaves.
 inline constexpr std::size_t kFirstEntries = 6;
 inline constexpr std::size_t kTeams = 4;
+/// What the operators start with.
+inventory::Inventory FirstInventory();
+inventory::EntryVm EntryVmAt(std::size_t slot);
+config_log::KeyDigest DigestFor(const std::string& key);
+
 inline constexpr TimePoint kRequestsEnd = TimePoint(std::chrono::seconds(62));
 inline constexpr TimePoint kLastPhase = TimePoint(std::chrono::seconds(85));
 inline constexpr TimePoint kEnd = TimePoint(std::chrono::seconds(100));
