Quota: Ask less often after declines, and tell who was declined

Cause: when a team is at its limit everywhere, each entry with a waiting request asked every other about ten times a second. With hundreds of such teams that is far above what control may send. Now the pause doubles with each decline, up to 3 s, and a lender that has units again tells those that it declined.

--- a/include/chervilspar/quota/messages.h
+++ b/include/chervilspar/quota/messages.h
@@ -29,7 +29,8 @@
   friend bool operator==(const LoanRequest&, const LoanRequest&) = default;
 };
 
-/// Answers a request; `units` of zero declines it.
+/// Answers a request; `units` of zero declines it. With request number zero it answers none: it
+/// tells an entry that was declined that the sender now has units to lend.
 struct LoanGrant {
   std::uint64_t request_number = 0;
   /// The life of the borrower that asked. Its successor counts requests anew and must not take the
--- a/include/chervilspar/quota/quota.h
+++ b/include/chervilspar/quota/quota.h
@@ -29,8 +29,10 @@
   Duration return_after_idle = std::chrono::milliseconds(500);
   /// A request without an answer is given up after this, and the next entry is asked.
   Duration request_timeout = std::chrono::milliseconds(200);
-  /// An entry that declined is not asked for the same team again for this long.
+  /// An entry that declined is not asked for the same team again for this long, doubled with each
+  /// decline in a row up to `longest_pause`, unless it tells that it has units now.
   Duration pause_after_decline = std::chrono::milliseconds(100);
+  Duration longest_pause = std::chrono::seconds(3);
 };
 
 /// Safety mechanisms of `Quota` that a test may take out.
--- a/src/quota/quota_lending.cc
+++ b/src/quota/quota_lending.cc
@@ -55,9 +55,28 @@
                                  counts_until);
     CHERVILSPAR_ASSERT(this->UsedOfOwn(request.team) <= this->Owned(request.team));
   }
+  if (grant.units == 0 && !this->is_shutting_down) {
+    this->declined_borrowers[request.team].insert(message.from);
+  }
   this->To(message.from).grants.push_back(grant);
 }
 
+void Quota::State::TellWhoWasDeclined() {
+  for (auto team = this->declined_borrowers.begin(); team != this->declined_borrowers.end();) {
+    const bool can_lend = this->FreeOfOwn(team->first) > 0 && !this->waiting.contains(team->first);
+    if (!can_lend) {
+      ++team;
+      continue;
+    }
+    for (const EntryId& borrower : team->second) {
+      LoanGrant hint;
+      hint.team = team->first;
+      this->To(borrower).grants.push_back(hint);
+    }
+    team = this->declined_borrowers.erase(team);
+  }
+}
+
 std::uint32_t Quota::State::Offer(const LoanRequest& request) const {
   const std::uint32_t idle = this->FreeOfOwn(request.team);
   const bool needs_them = this->waiting.contains(request.team);
@@ -70,12 +89,17 @@
 }
 
 void Quota::State::OnGrant(const LoanGrant& grant, const EntryId& from, TimePoint now) {
+  if (grant.request_number == 0) {
+    this->choice.OnWilling(grant.team, from);
+    this->AskFor(grant.team, now);
+    return;
+  }
   switch (this->borrowed.OnGrant(grant, from, now)) {
     case GrantUse::kTaken:
-      this->declined_at.erase({grant.team, from});
+      this->choice.OnWilling(grant.team, from);
       return;
     case GrantUse::kDeclined:
-      this->declined_at[{grant.team, from}] = now;
+      this->choice.OnDeclined(grant.team, from, now);
       this->AskFor(grant.team, now);
       return;
     case GrantUse::kLate:
@@ -98,7 +122,7 @@
   if (has >= found->second) {
     return;
   }
-  const EntryId* lender = this->NextLender(team, now);
+  const EntryId* lender = this->choice.Next(team, this->lenders, now);
   if (lender == nullptr) {
     return;
   }
@@ -106,33 +130,18 @@
   this->To(*lender).requests.push_back({number, team, need - has});
 }
 
-const EntryId* Quota::State::NextLender(const TeamId& team, TimePoint now) {
-  std::size_t& next = this->next_lender[team];
-  for (std::size_t tried = 0; tried < this->lenders.size(); ++tried) {
-    const EntryId& lender = this->lenders[(next + tried) % this->lenders.size()];
-    const auto declined = this->declined_at.find({team, lender});
-    const bool may_ask = declined == this->declined_at.end() ||
-                         now - declined->second >= this->policy.pause_after_decline;
-    if (may_ask) {
-      // Stay with this lender while it lends; a decline moves on to the next.
-      next = (next + tried) % this->lenders.size();
-      return &lender;
-    }
-  }
-  return nullptr;
-}
-
 void Quota::State::Tick(TimePoint now) {
   this->Expire(now);
   for (const EntryId& silent : this->borrowed.ForgetUnanswered(now, this->policy.request_timeout)) {
     for (const auto& [team, count] : this->waiting) {
-      this->declined_at[{team, silent}] = now;
+      this->choice.OnDeclined(team, silent, now);
     }
   }
   for (const auto& [team, count] : this->waiting) {
     this->MoveTasksToOwnUnits(team, now);
     this->AskFor(team, now);
   }
+  this->TellWhoWasDeclined();
   this->Return(now);
 }
 
--- a/src/quota/quota_state.cc
+++ b/src/quota/quota_state.cc
@@ -16,7 +16,8 @@
       guards(guards),
       entitlement(self.id, guards.joint_rule),
       lent(self.id, self.incarnation),
-      borrowed(self.incarnation, guards) {}
+      borrowed(self.incarnation, guards),
+      choice(policy) {}
 
 void Quota::State::OnConfiguration(const Limits& limits, TimePoint now) {
   if (limits.version == this->limits.version) {
@@ -25,8 +26,8 @@
   this->Expire(now);
   this->limits = limits;
   this->NoteLongestWait();
-  this->declined_at.clear();
-  this->next_lender.clear();
+  this->choice.Clear();
+  this->declined_borrowers.clear();
   this->entitlement.OnLimits(limits);
 }
 
--- a/src/quota/quota_state.h
+++ b/src/quota/quota_state.h
@@ -12,6 +12,7 @@
 #include "borrower_book.h"
 #include "entitlement.h"
 #include "lender_book.h"
+#include "lender_choice.h"
 #include "task_table.h"
 
 namespace chervilspar::quota {
@@ -71,7 +72,7 @@
   std::uint32_t Offer(const LoanRequest& request) const;
   void OnGrant(const LoanGrant& grant, const EntryId& from, TimePoint now);
   void AskFor(const TeamId& team, TimePoint now);
-  const EntryId* NextLender(const TeamId& team, TimePoint now);
+  void TellWhoWasDeclined();
   void Return(TimePoint now);
   void Count(QuotaRefusal refusal) { ++this->refusals.at(static_cast<std::size_t>(refusal)); }
   LendingMessage& To(const EntryId& entry);
@@ -95,8 +96,9 @@
   std::map<EntryId, LendingMessage> outbox;
   /// Highest request number seen of each borrower's life: a repeated request is not lent on twice.
   std::map<EntryId, std::pair<membership::Incarnation, std::uint64_t>> last_requests;
-  std::map<std::pair<TeamId, EntryId>, TimePoint> declined_at;
-  std::map<TeamId, std::size_t> next_lender;
+  LenderChoice choice;
+  /// Who asked for units of a team in vain, to be told when there are some.
+  std::map<TeamId, std::set<EntryId>> declined_borrowers;
 };
 
 }  // namespace chervilspar::quota
--- a/tests/quota/quota_test.cc
+++ b/tests/quota/quota_test.cc
@@ -45,6 +45,42 @@
                                          BorrowCase{"LimitOfZero", 0, 3, 3, 0, 0}),
                          [](const auto& info) { return info.param.name; });
 
+/// Requests for loans that e1 sends in a time, with e2 at its limit throughout.
+std::size_t RequestsSent(LendingPair& pair, double from, double until) {
+  std::size_t sent = 0;
+  for (double at = from; at < until; at += 0.05) {
+    std::vector<LendingMessage> messages = pair.e1.Tick(At(at));
+    for (const LendingMessage& message : messages) {
+      sent += message.requests.size();
+    }
+    Exchange(pair.e1, pair.e2, messages, At(at));
+  }
+  return sent;
+}
+
+// A team is at its limit everywhere and requests wait at every entry. If each kept asking the
+// others at a fixed pace, a few such teams would use up all that control may send.
+TEST(QuotaTest, AsksLessAndLessWhileAllIsInUse) {
+  LendingPair pair(2);
+  ASSERT_EQ(pair.StartAll(pair.e1, 0), 1U);
+  ASSERT_EQ(pair.StartAll(pair.e2, 0), 1U);
+  pair.e1.SetWaiting(pair.team, 1);
+  EXPECT_LE(RequestsSent(pair, 0, 10), 10U);
+}
+
+// After many declines the borrower asks only every few seconds. Without a word from the lender a
+// unit that is free again would lie idle for that long, while a request waits for it.
+TEST(QuotaTest, LenderTellsWhenItHasUnitsAgain) {
+  LendingPair pair(2);
+  ASSERT_EQ(pair.StartAll(pair.e1, 0), 1U);
+  ASSERT_TRUE(pair.e2.TryStart(pair.team, TaskId{"busy"}, At(0), Wall(0)));
+  pair.e1.SetWaiting(pair.team, 1);
+  RequestsSent(pair, 0, 10);
+  pair.e2.OnEnded(TaskId{"busy"}, At(10));
+  Exchange(pair.e1, pair.e2, pair.e2.Tick(At(10.05)), At(10.05));
+  EXPECT_EQ(pair.StartAll(pair.e1, 10.05), 1U);
+}
+
 TEST(QuotaTest, UnitsComeBackWhenTheBorrowerIsIdle) {
   LendingPair pair(10);
   pair.Borrow(10, 0.1);
