--- a/include/chervilspar/membership/membership.h
+++ b/include/chervilspar/membership/membership.h
@@ -86,12 +86,12 @@
  public:
   Membership(Self self, TimePoint started, MembershipGuards guards = {});
 
-  /// An accepted configuration was folded. Versions must not go back.
+  /// A record was folded. Versions must not go back; an entry may be declared gone within one.
   void OnConfiguration(const EntryList& list);
   /// The log has been read to an end that was its end at a moment after this process's start.
   void OnReadToEnd();
   void OnFolded(config_log::Offset next_offset);
-  /// `quota::Quota` has come within the split of this configuration.
+  /// `quota::Quota` has come within the split of this configuration. Older news is passed over.
   void OnSettled(config_log::ConfigVersion version);
 
   HeartbeatNews OnHeartbeat(const Heartbeat& heartbeat, TimePoint now);
--- a/tests/prove/callers.cc
+++ b/tests/prove/callers.cc
@@ -10,9 +10,11 @@
 namespace {
 
 constexpr Duration kToEntry = std::chrono::milliseconds(3);
-constexpr Duration kBetweenRequests = std::chrono::milliseconds(120);
+constexpr Duration kBetweenRequests = std::chrono::milliseconds(100);
 /// Callers' clocks; most are right, some are ahead or behind.
-constexpr Duration kCallerClockSpread = std::chrono::milliseconds(1500);
+constexpr Duration kCallerClockSpread = std::chrono::milliseconds(600);
+constexpr Duration kWrongClockSpread = std::chrono::seconds(8);
+constexpr double kClockIsWrong = 0.1;
 constexpr std::uint32_t kMostTries = 5;
 constexpr double kGivesUp = 0.1;
 constexpr double kAnswerLost = 0.1;
@@ -46,7 +48,9 @@
 void World::Ask(const TeamId& team, Duration length, Duration patience, std::uint32_t tries,
                 std::size_t slot) {
   auto request = std::make_shared<Asked>();
-  const Duration clock = this->simulation.Between(-kCallerClockSpread, kCallerClockSpread);
+  const bool is_wrong = this->simulation.Chance(kClockIsWrong);
+  const Duration spread = is_wrong ? kWrongClockSpread : kCallerClockSpread;
+  const Duration clock = this->simulation.Between(-spread, spread);
   request->request = idempotency::MakeUuidV7(this->WallAt(clock), this->simulation.Dice()).id;
   request->team = team;
   request->length = length;
@@ -58,9 +62,12 @@
 
 void World::Try(const std::shared_ptr<Asked>& request, std::size_t slot) {
   --request->tries_left;
-  const std::uint64_t number = this->observer.OnTry(this->NowUs(), request->request.text);
+  const std::string key = this->KeyFor(request->team);
+  const std::uint64_t number =
+      this->observer.OnTry(this->NowUs(), request->request.text, key, this->CalmNow());
   const auto is_over = std::make_shared<bool>(false);
-  Call call{request->request, request->team, request->length, request->patience, {}};
+  Call call{request->request, DigestFor(key),    request->team,
+            request->length,  request->patience, {}};
   call.answer = [this, request, number, is_over](Observer::Answer answer, const std::string& body) {
     this->simulation.After(kToEntry, [=, this] {
       if (*is_over || this->simulation.Chance(kAnswerLost)) {
@@ -93,7 +100,7 @@
   if (request->is_answered || request->tries_left == 0 || this->simulation.Chance(kGivesUp)) {
     return;
   }
-  this->simulation.After(this->simulation.Between(Seconds(0.001), Seconds(1)), [this, request] {
+  this->simulation.After(this->simulation.Between(Seconds(0.001), Seconds(3)), [this, request] {
     if (request->tries_left > 0) {
       this->Try(request, this->simulation.Dice().Below(kEntrySlots));
     }
@@ -130,7 +137,7 @@
   for (std::size_t team = 0; team < kTeams; ++team) {
     const std::size_t slot =
         this->LiveSlot(static_cast<std::uint32_t>(this->simulation.Dice().Below(kEntrySlots)));
-    const auto limit = this->log.Newest().upper_limits.at(TeamAt(team));
+    const auto limit = this->Newest().inventory.teams.at(TeamAt(team)).upper_limit;
     for (std::uint32_t sent = 0; sent < 2 * limit + 5; ++sent) {
       this->Ask(TeamAt(team), Seconds(9.5), Seconds(9), 1, slot);
     }
