--- a/tests/scenario_runner/fleet_plan.cc
+++ b/tests/scenario_runner/fleet_plan.cc
@@ -45,8 +45,8 @@
   this->AddPairs(ports);
   using std::chrono::milliseconds;
   using std::chrono::seconds;
-  this->inventory.service_rules.max_task_lease = seconds(10);
-  this->inventory.service_rules.loan_lease = seconds(2);
+  this->inventory.service_rules.max_task_lease = seconds(4);
+  this->inventory.service_rules.loan_lease = seconds(1);
   this->inventory.service_rules.max_clock_skew = milliseconds(200);
   this->inventory.maintenance.drain_timeout = seconds(20);
   this->inventory.maintenance.reboot_timeout = seconds(20);
