--- a/tests/scenario_runner/call_record.h
+++ b/tests/scenario_runner/call_record.h
@@ -58,6 +58,8 @@
   std::int64_t ended_us = 0;
   CallEnd end = CallEnd::kSilence;
   unsigned status = 0;
+  /// The code of an error answer, or why there is no answer.
+  std::string code;
   Verdict verdict = Verdict::kMayHaveRun;
   /// Called completed, but the answer is not that of this request.
   bool is_wrong = false;
--- a/tests/scenario_runner/callers.cc
+++ b/tests/scenario_runner/callers.cc
@@ -175,6 +175,7 @@
   record.idempotency = call.plan.idempotency;
   record.verdict = exchange.verdict;
   if (!exchange.response) {
+    record.code = ToString(exchange.reason);
     const bool is_silence = exchange.reason.code == ErrorCode::kDeadlineExceeded;
     const bool is_unsent = exchange.verdict == Verdict::kNotRun;
     record.end =
@@ -184,11 +185,13 @@
   record.end = CallEnd::kAnswered;
   record.status = exchange.response->status;
   record.verdict = VerdictOf(*exchange.response);
+  boost::system::error_code error;
+  const json::value body = json::parse(exchange.response->body, error);
   if (record.verdict != Verdict::kCompleted) {
+    const json::value* code = body.is_object() ? body.get_object().if_contains("code") : nullptr;
+    record.code = code != nullptr && code->is_string() ? code->get_string().c_str() : "no code";
     return;
   }
-  boost::system::error_code error;
-  const json::value body = json::parse(exchange.response->body, error);
   const auto is_text = [&](std::string_view name, const std::string& expected) {
     const json::value* value = body.as_object().if_contains({name.data(), name.size()});
     return value != nullptr && value->is_string() && value->get_string() == expected;
--- a/tests/scenario_runner/main.cc
+++ b/tests/scenario_runner/main.cc
@@ -33,8 +33,8 @@
   }
   const Status run = RunScript(*script, scenario.Words());
   if (!run) {
-    std::printf("FAILED %s: %s\noutput in %s\n", file.c_str(), ToString(run.LastReason()).c_str(),
-                settings.out_dir.c_str());
+    std::printf("%sFAILED %s: %s\noutput in %s\n", scenario.Summary().c_str(), file.c_str(),
+                ToString(run.LastReason()).c_str(), settings.out_dir.c_str());
     return kFailed;
   }
   const Result<Counters> counters = scenario.Conclude();
@@ -42,8 +42,8 @@
     std::printf("FAILED %s: %s\n", file.c_str(), ToString(counters.LastReason()).c_str());
     return kFailed;
   }
-  std::printf("%s\n%s %s\n", counters->ToJson().c_str(), counters->IsClean() ? "passed" : "FAILED",
-              file.c_str());
+  std::printf("%s%s\n%s %s\n", scenario.Summary().c_str(), counters->ToJson().c_str(),
+              counters->IsClean() ? "passed" : "FAILED", file.c_str());
   return counters->IsClean() ? 0 : kFailed;
 }
 
--- a/tests/scenario_runner/scenario.cc
+++ b/tests/scenario_runner/scenario.cc
@@ -62,6 +62,20 @@
   return count;
 }
 
+std::string Scenario::Summary() const {
+  std::map<std::string, int> counts;
+  for (const CallRecord& call :
+       this->callers ? this->callers->Records() : std::vector<CallRecord>{}) {
+    ++counts[call.plan + " at " + call.entry.text + ": " + ToString(call.verdict) + " " +
+             std::to_string(call.status) + " " + call.code];
+  }
+  std::string text;
+  for (const auto& [what, count] : counts) {
+    text += "  " + std::to_string(count) + " x " + what + "\n";
+  }
+  return text;
+}
+
 Result<Counters> Scenario::Conclude() {
   if (!this->fleet) {
     return Fault("the script has no 'fleet' line");
--- a/tests/scenario_runner/scenario.h
+++ b/tests/scenario_runner/scenario.h
@@ -20,6 +20,8 @@
   /// Waits for the callers, collects what they and the endpoints saw, and counts. Reasons tell what
   /// should be zero and is not.
   Result<Counters> Conclude();
+  /// How often attempts of each plan ended in which way, one line each.
+  std::string Summary() const;
 
  private:
   void AddProcessWords();
