--- a/tests/scenario_runner/scenario.cc
+++ b/tests/scenario_runner/scenario.cc
@@ -1,7 +1,10 @@
 #include "scenario.h"
 
 #include <charconv>
-#include <cstdio>
+#include <fstream>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace chervilspar::scenario {
 
@@ -62,7 +65,26 @@
   return count;
 }
 
+void Scenario::WriteCalls() const {
+  std::ofstream file(this->settings.out_dir + "/calls.jsonl");
+  for (const CallRecord& call : this->callers->Records()) {
+    file << boost::json::object{{"plan", call.plan},
+                                {"team", call.team.text},
+                                {"request", call.request.text},
+                                {"entry", call.entry.text},
+                                {"sent_us", call.sent_us},
+                                {"ended_us", call.ended_us},
+                                {"status", call.status},
+                                {"verdict", ToString(call.verdict)},
+                                {"code", call.code}}
+         << "\n";
+  }
+}
+
 std::string Scenario::Summary() const {
+  if (this->callers) {
+    this->WriteCalls();
+  }
   std::map<std::string, int> counts;
   for (const CallRecord& call :
        this->callers ? this->callers->Records() : std::vector<CallRecord>{}) {
--- a/tests/scenario_runner/scenario.h
+++ b/tests/scenario_runner/scenario.h
@@ -24,6 +24,8 @@
   std::string Summary() const;
 
  private:
+  /// Leaves all attempts beside the processes' output, as JSON lines.
+  void WriteCalls() const;
   void AddProcessWords();
   void AddOperatorWords();
   void AddCallWords();
--- a/tests/scenario_runner/script.cc
+++ b/tests/scenario_runner/script.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPollInterval(50);
+/// The line from which on `at` counts; without it that is the script's first line.
+constexpr const char* kClockStarts = "clock starts";
 
 std::vector<std::string> Words(const std::string& text) {
   std::istringstream stream(text);
@@ -161,6 +163,10 @@
   return script;
 }
 
+Vocabulary::Vocabulary() {
+  this->Add(kClockStarts, [](const Arguments&) { return Status(Done{}); });
+}
+
 void Vocabulary::Add(const std::string& pattern, Action action) {
   this->entries.push_back({Words(pattern), std::move(action)});
 }
@@ -213,8 +219,11 @@
 
 Status RunScript(const std::vector<ScriptLine>& script, const Vocabulary& vocabulary) {
   const SystemClock clock;
-  const TimePoint start = clock.Now();
+  TimePoint start = clock.Now();
   for (const ScriptLine& line : script) {
+    if (line.text == kClockStarts) {
+      start = clock.Now();
+    }
     if (line.at && clock.Now() < start + *line.at) {
       std::this_thread::sleep_for(start + *line.at - clock.Now());
     }
--- a/tests/scenario_runner/script.h
+++ b/tests/scenario_runner/script.h
@@ -18,7 +18,7 @@
 struct ScriptLine {
   int number = 0;
   std::string text;
-  /// From `at TIME`: not before this long after the script's start.
+  /// From `at TIME`: not before this long after the last `clock starts`, or the script's start.
   std::optional<Duration> at;
   /// From `within TIME`: tried again until it holds or this has passed.
   std::optional<Duration> within;
@@ -36,6 +36,7 @@
 /// perhaps `...` for any further words.
 class Vocabulary {
  public:
+  Vocabulary();
   void Add(const std::string& pattern, Action action);
   /// The first line that no pattern fits, as a reason with its number.
   Status Check(const std::vector<ScriptLine>& script) const;
