--- a/tests/scenario_runner/call_record.h
+++ b/tests/scenario_runner/call_record.h
@@ -63,6 +63,8 @@
   Verdict verdict = Verdict::kMayHaveRun;
   /// Called completed, but the answer is not that of this request.
   bool is_wrong = false;
+  /// Called completed by an earlier attempt, whose answer went elsewhere.
+  bool is_completed_earlier = false;
   /// No further attempt follows.
   bool is_last = false;
 };
--- a/tests/scenario_runner/fleet.h
+++ b/tests/scenario_runner/fleet.h
@@ -23,11 +23,13 @@
   friend bool operator==(const RunSettings&, const RunSettings&) = default;
 };
 
-/// A moment at which an entry was killed, in wall microseconds: what it had in flight then is not
-/// held against it.
+/// A kill of an entry, in wall microseconds: what it had in flight then is not held against it.
 struct Kill {
   EntryId entry;
+  /// Just before the signal.
   std::int64_t at_us = 0;
+  /// When the process was gone.
+  std::int64_t gone_us = 0;
 };
 
 /// The processes of a scenario: stand-ins, relay and entries. Everything that a script does to them
--- a/tests/scenario_runner/judge.cc
+++ b/tests/scenario_runner/judge.cc
@@ -91,6 +91,10 @@
     const bool is_checked = !request.IsEmpty() && !idempotent.contains(request);
     counters.ran_twice += is_checked && count > 1 ? 1 : 0;
   }
+  for (const CallRecord& call : evidence.calls) {
+    const bool is_untrue = call.is_completed_earlier && !starts.contains(call.request);
+    counters.wrong_answers += is_untrue ? 1 : 0;
+  }
   for (const RequestId& request : CalledNotRun(evidence.calls)) {
     counters.wrong_answers += starts.contains(request) ? 1 : 0;
   }
