--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -96,6 +96,9 @@
     if (*said == "duplicate") {
       return Lost("the endpoint had seen the task before");
     }
+    if (*said == "draining") {
+      this->drains.OnDraining(order.start.start.endpoint);
+    }
     return {OutcomeOfNotRun(*said),
             Verdict::kNotRun,
             std::nullopt,
@@ -104,7 +107,8 @@
   }
   // What goes wrong otherwise: an answer meant for another task reaches this caller, who reads
   // somebody else's booking as its own.
-  if (response.headers.Find("Chervilspar-Task-Id") != std::string_view(order.start.task.text)) {
+  const std::string_view expected = order.start.task.text;
+  if (response.headers.Find("Chervilspar-Task-Id") != expected) {
     return Lost("the answer names another task");
   }
   const Outcome outcome = response.status >= 500 ? Outcome::kFailed : Outcome::kCompleted;
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -191,7 +191,8 @@
   const RecordId id = this->parts.config.MakeRecordId("key");
   config_log::Record record{id, this->context.self.id, this->context.WallNow(),
                             config_log::KeyGiven{*digest, team}};
-  std::vector<config_log::Record> records(1, std::move(record));
+  std::vector<config_log::Record> records;
+  records.push_back(std::move(record));
   co_return AppendAnswer(co_await this->Append(id, std::move(records)));
 }
 
@@ -283,13 +284,17 @@
 json::array OperatorApi::PoolRows() const {
   json::array rows;
   const auto state = this->parts.config.State();
+  std::map<PoolId, std::uint32_t> vms;
+  std::map<PoolId, std::uint32_t> available;
+  for (const auto& [id, vm] : state->inventory.vms) {
+    ++vms[vm.pool];
+    available[vm.pool] += config_log::IsAvailable(*state, id) ? 1 : 0;
+  }
   for (const auto& [id, pool] : state->inventory.pools) {
-    const auto vms = std::count_if(state->inventory.vms.begin(), state->inventory.vms.end(),
-                                   [&](const auto& vm) { return vm.second.pool == id; });
     rows.push_back({{"pool", id.text},
                     {"service", pool.service.text},
-                    {"vms", vms},
-                    {"available", config_log::AvailableCount(*state, id)},
+                    {"vms", vms[id]},
+                    {"available", available[id]},
                     {"min_available", pool.min_available}});
   }
   return rows;
--- a/src/entry/pending_request.cc
+++ b/src/entry/pending_request.cc
@@ -4,9 +4,8 @@
 
 namespace chervilspar::entry {
 
-PendingRequest::PendingRequest(boost::asio::any_io_executor executor)
-    : wakeup(std::make_shared<Wakeup>(std::move(executor))),
-      exchange(http::CancelToken::Create()) {}
+PendingRequest::PendingRequest(const boost::asio::any_io_executor& executor)
+    : wakeup(std::make_shared<Wakeup>(executor)), exchange(http::CancelToken::Create()) {}
 
 void PendingRequest::OnStart(StartOrder order) {
   {
--- a/src/entry/pending_request.h
+++ b/src/entry/pending_request.h
@@ -38,7 +38,7 @@
 /// it. Thread-safe.
 class PendingRequest {
  public:
-  explicit PendingRequest(boost::asio::any_io_executor executor);
+  explicit PendingRequest(const boost::asio::any_io_executor& executor);
 
   void OnStart(StartOrder order);
   void OnGivenUp(admission::Refusal refusal);
--- a/src/entry/request_pipeline.cc
+++ b/src/entry/request_pipeline.cc
@@ -62,7 +62,7 @@
   job.arrived = this->context.Now();
   auto read = ReadCallerRequest(std::move(request));
   if (auto* rejection = std::get_if<Rejection>(&read)) {
-    co_return this->ToHttp(job, *std::move(rejection));
+    co_return this->ToHttp(job, std::move(*rejection));
   }
   job.request = std::get<CallerRequest>(std::move(read));
   job.deadline = job.arrived + job.request.timeout;
@@ -165,7 +165,7 @@
   while (true) {
     std::variant<StartOrder, Rejection> start = co_await this->AwaitStart(job);
     if (auto* rejection = std::get_if<Rejection>(&start)) {
-      co_return *std::move(rejection);
+      co_return std::move(*rejection);
     }
     std::optional<Answer> answer =
         co_await this->TryOnce(job, std::get<StartOrder>(std::move(start)));
--- a/src/entry/vm_observer.cc
+++ b/src/entry/vm_observer.cc
@@ -88,6 +88,7 @@
     }
   }
   std::vector<config_log::VmsObserved> records;
+  records.reserve(due.size());
   for (auto& [condition, vms] : due) {
     records.push_back({condition, std::move(vms), this->view.list.as_of});
   }
--- a/src/entry/wakeup.cc
+++ b/src/entry/wakeup.cc
@@ -1,7 +1,5 @@
 #include "entry/wakeup.h"
 
-#include <utility>
-
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,7 +8,7 @@
 
 namespace asio = boost::asio;
 
-Wakeup::Wakeup(asio::any_io_executor executor) : timer(std::move(executor)) {}
+Wakeup::Wakeup(const asio::any_io_executor& executor) : timer(executor) {}
 
 void Wakeup::Notify() {
   asio::dispatch(this->timer.get_executor(), [self = this->shared_from_this()] {
--- a/src/entry/wakeup.h
+++ b/src/entry/wakeup.h
@@ -16,7 +16,7 @@
  public:
   /// `executor` is the one that the waiting coroutine runs on; it must not run two handlers at
   /// once.
-  explicit Wakeup(boost::asio::any_io_executor executor);
+  explicit Wakeup(const boost::asio::any_io_executor& executor);
 
   /// Safe to call from any thread.
   void Notify();
--- a/tests/inventory/check_test.cc
+++ b/tests/inventory/check_test.cc
@@ -153,7 +153,8 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Deployments, ExampleTest, testing::Values("rental-firm", "certification-firm"),
+INSTANTIATE_TEST_SUITE_P(Deployments, ExampleTest,
+                         testing::Values("rental-firm", "certification-firm"),
                          [](const auto& info) {
                            return info.param == "rental-firm" ? "RentalFirm" : "CertificationFirm";
                          });
