--- a/tests/scenario_runner/scenario.h
+++ b/tests/scenario_runner/scenario.h
@@ -20,8 +20,12 @@
   /// Waits for the callers, collects what they and the endpoints saw, and counts. Reasons tell what
   /// should be zero and is not.
   Result<Counters> Conclude();
+  /// How often attempts of each plan ended in which way, one line each.
+  std::string Summary() const;
 
  private:
+  /// Leaves all attempts beside the processes' output, as JSON lines.
+  void WriteCalls() const;
   void AddProcessWords();
   void AddOperatorWords();
   void AddCallWords();
