--- a/bench/work_patterns.cc
+++ b/bench/work_patterns.cc
@@ -82,6 +82,37 @@
           {"in time", with.InTime(), Better::kHigher}};
 }
 
+/// Long and short jobs together ask more than the pool can run; the declared run times are right.
+Scenario LongOverload(const Options& options) {
+  Scenario scenario = UsualFleet(options, 0.6);
+  for (TeamLoadSpec& team : scenario.teams) {
+    team.long_part = 0.05;
+    team.long_factor = 20.0;
+    team.declared_factor = 1.0;
+    team.timeout = std::chrono::seconds(20);
+  }
+  return scenario;
+}
+
+std::vector<Metric> JudgeLanes(const RunOutcome& outcome) {
+  const std::vector<double> waits = Join(outcome, &TeamOutcome::waits);
+  const std::vector<double> long_waits = Join(outcome, &TeamOutcome::long_waits);
+  return {{"short wait p50 s", Quantile(waits, 0.5), Better::kLower},
+          {"short wait p99 s", Quantile(waits, 0.99), Better::kLower},
+          {"long wait p50 s", Quantile(long_waits, 0.5), Better::kLower},
+          {"long wait p99 s", Quantile(long_waits, 0.99), Better::kLower},
+          {"goodput", outcome.Goodput(), Better::kHigher},
+          {"refused", outcome.RefusedPart(), Better::kLower}};
+}
+
+std::vector<Way> WithoutLanes() {
+  std::vector<Way> ways = ProductAndPlain();
+  ways.push_back({"one lane", [](Scenario& scenario) {
+                    scenario.options.scheduling.long_lane = scheduling::LongLane::kOff;
+                  }});
+  return ways;
+}
+
 /// Each team declares its run times wrong by another factor.
 Scenario WrongDeclarations(const Options& options) {
   constexpr double kFactors[] = {0.01, 0.1, 0.5, 1.0, 10.0, 100.0};
@@ -170,6 +201,9 @@
   list.push_back(std::make_unique<ComparedExperiment>(
       "long-among-short", "short jobs alone at load 0.4, and with 5% that run 20 times longer",
       ShortJobs, LongAmongShort, JudgeShort));
+  list.push_back(std::make_unique<SimulatedExperiment>(
+      "long-overload", "5% of the jobs run 20 times longer, together 1.2 times the capacity",
+      LongOverload, JudgeLanes, WithoutLanes()));
   list.push_back(std::make_unique<SimulatedExperiment>(
       "wrong-sizes", "declared run times wrong by 0.01 to 100 times, 3 times the capacity",
       WrongDeclarations, JudgeShare, WithDeclaredCost()));
--- a/src/scheduling/fair_queue.cc
+++ b/src/scheduling/fair_queue.cc
@@ -17,11 +17,19 @@
 constexpr int kMostMisfits = 8;
 /// Slot seconds for each slot of its part that an idle team may save up.
 constexpr double kSavedSeconds = 0.25;
+/// Most of an expected run time that is charged at the start; the rest is charged as it passes.
+/// Charged whole, one long task would keep its team's short ones waiting until the other teams have
+/// caught up, although it holds only one of the team's slots.
+constexpr Duration kChargedAhead = std::chrono::milliseconds(200);
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr double kSmallestWeight = 1e-3;
 
 double Seconds(Duration span) { return static_cast<double>(span.count()) / kMicrosecondsPerSecond; }
 
+double LaneSeconds(Lane lane, Duration span) {
+  return lane == Lane::kShort ? Seconds(span) / kShortLaneWeight : Seconds(span);
+}
+
 }  // namespace
 
 FairQueue::FairQueue(SchedulingOptions options) : options(options) {}
@@ -90,8 +98,7 @@
   const bool was_idle = queue.WaitingCount() == 0;
   LaneQueue& waiting = queue.At(lane);
   if (waiting.tickets.empty()) {
-    const Lane other = lane == Lane::kShort ? Lane::kLong : Lane::kShort;
-    waiting.charged = std::max(waiting.charged, queue.At(other).charged);
+    waiting.charged = std::max(waiting.charged, queue.lane_time);
   }
   waiting.tickets.push_back({ticket, expected, this->next_sequence++});
   waiting.cost += expected;
@@ -119,7 +126,7 @@
   LaneQueue& lane = queue.At(entry.lane);
   const Duration correction = used - entry.charged;
   this->Charge(entry.team, Seconds(correction));
-  lane.charged += Seconds(correction);
+  lane.charged += LaneSeconds(entry.lane, correction);
   queue.used += correction;
   lane.tickets.push_front(entry.waiting);
   lane.cost += entry.waiting.expected;
@@ -208,14 +215,17 @@
   WaitingTicket taken = waiting.tickets.front();
   waiting.tickets.pop_front();
   waiting.cost -= taken.expected;
-  waiting.charged += Seconds(taken.expected);
-  queue.start += Seconds(taken.expected) / queue.weight;
-  queue.used += taken.expected;
+  const bool is_measured = this->options.cost == CostBasis::kMeasured;
+  const Duration charged = is_measured ? std::min(taken.expected, kChargedAhead) : taken.expected;
+  queue.lane_time = std::max(queue.lane_time, waiting.charged);
+  waiting.charged += LaneSeconds(lane, charged);
+  queue.start += Seconds(charged) / queue.weight;
+  queue.used += charged;
   ++queue.running;
   this->urgent_running += lane == Lane::kUrgent ? 1 : 0;
   this->places.erase(taken.ticket.id);
   this->urgent_by_arrival.erase({taken.ticket.arrived, taken.ticket.id});
-  this->running.emplace(taken.ticket.id, Running{index, taken, lane, now, taken.expected});
+  this->running.emplace(taken.ticket.id, Running{index, taken, lane, now, charged});
   this->File(index);
   return {taken.ticket, std::move(endpoint), taken.expected};
 }
@@ -230,7 +240,7 @@
   this->urgent_running -= entry.lane == Lane::kUrgent ? 1 : 0;
   if (this->options.cost == CostBasis::kMeasured) {
     const Duration correction = measured - entry.charged;
-    queue.At(entry.lane).charged += Seconds(correction);
+    queue.At(entry.lane).charged += LaneSeconds(entry.lane, correction);
     queue.used += correction;
     this->Charge(entry.team, Seconds(correction));
   }
@@ -252,7 +262,7 @@
     entry.charged += over;
     TeamQueue& queue = *this->teams[entry.team];
     queue.used += over;
-    queue.At(entry.lane).charged += Seconds(over);
+    queue.At(entry.lane).charged += LaneSeconds(entry.lane, over);
     this->Charge(entry.team, Seconds(over));
   }
 }
--- a/src/scheduling/fair_queue_view.cc
+++ b/src/scheduling/fair_queue_view.cc
@@ -67,8 +67,10 @@
   }
   const Lane other = lane == Lane::kShort ? Lane::kLong : Lane::kShort;
   const Duration own = queue.At(lane).cost;
-  // The lanes take turns by slot time, so the other lane uses no more than this one needs.
-  return urgent + own + std::min(own, queue.At(other).cost);
+  // The lanes take turns by slot time and weight, so the other lane uses no more than its part.
+  const Duration other_part =
+      lane == Lane::kShort ? own / kShortLaneWeight : own * kShortLaneWeight;
+  return urgent + own + std::min(other_part, queue.At(other).cost);
 }
 
 std::optional<admission::Ticket> FairQueue::LastWaiting(const TeamId& team, Lane lane) const {
--- a/src/scheduling/team_queue.h
+++ b/src/scheduling/team_queue.h
@@ -23,10 +23,16 @@
 struct LaneQueue {
   std::list<WaitingTicket> tickets;
   Duration cost = Duration::zero();
-  /// Slot time charged to the lane, in seconds, to alternate lanes by time and not by count.
+  /// Slot time charged to the lane, in seconds over its weight, to alternate lanes by time and not
+  /// by count.
   double charged = 0.0;
 };
 
+/// Slot time that the short lane gets for each one of the long lane while both wait. Short requests
+/// are the ones whose callers notice a second, and a fifth of the team's part still moves the long
+/// ones on.
+inline constexpr int kShortLaneWeight = 4;
+
 /// Where the team's entry is kept.
 enum class Filing { kIdle, kReady, kParked };
 
@@ -37,6 +43,8 @@
   /// Virtual start time of its next request.
   double start = 0.0;
   std::array<LaneQueue, 3> lanes;
+  /// Virtual time between the lanes: what the lane served last had been charged before.
+  double lane_time = 0.0;
   std::uint32_t running = 0;
   Duration used = Duration::zero();
   Filing filing = Filing::kIdle;
