--- a/bench/main.cc
+++ b/bench/main.cc
@@ -16,6 +16,7 @@
   chervilspar::bench::AddOverloadPatterns(list);
   chervilspar::bench::AddWorkPatterns(list);
   chervilspar::bench::AddFaultPatterns(list);
+  chervilspar::bench::AddLendingPatterns(list);
   // Experiments of maintenance waves and of slopes go here.
   return list;
 }
--- a/bench/patterns.h
+++ b/bench/patterns.h
@@ -15,5 +15,6 @@
 void AddWorkPatterns(ExperimentList& list);
 void AddPlacementPatterns(ExperimentList& list);
 void AddCostExperiment(ExperimentList& list);
+void AddLendingPatterns(ExperimentList& list);
 
 }  // namespace chervilspar::bench
--- a/include/chervilspar/quota/quota.h
+++ b/include/chervilspar/quota/quota.h
@@ -26,7 +26,7 @@
   /// next requests.
   double lend_fraction = 0.5;
   /// A loan without a task goes back after this long without use.
-  Duration return_after_idle = std::chrono::milliseconds(500);
+  Duration return_after_idle = std::chrono::milliseconds(100);
   /// A request without an answer is given up after this, and the next entry is asked.
   Duration request_timeout = std::chrono::milliseconds(200);
   /// An entry that declined is not asked for the same team again for this long, doubled with each
