--- a/bench/main.cc
+++ b/bench/main.cc
@@ -17,6 +17,7 @@
   chervilspar::bench::AddWorkPatterns(list);
   chervilspar::bench::AddFaultPatterns(list);
   chervilspar::bench::AddRecordExperiments(list);
+  chervilspar::bench::AddLendingPatterns(list);
   // Experiments of maintenance waves and of slopes go here.
   return list;
 }
