--- a/include/chervilspar/config_log/folder.h
+++ b/include/chervilspar/config_log/folder.h
@@ -14,10 +14,11 @@
 
 namespace chervilspar::config_log {
 
-/// How many record ids are remembered to drop repeated appends. At 500 appends a second, the most
-/// that the log takes, this spans 8 s; an appender repeats a lost append within 5 s. A duplicate
-/// that comes later is harmless: each body is also guarded by what it compares (version, step,
-/// tombstone, time of observation), so that it is rejected or changes nothing.
+/// How many record ids are remembered to drop repeated appends. Entries append at most 20 records a
+/// second each (`AppendPolicy`), so that nine of them need 22 s to write as many, longer than the
+/// 20 s for which an append is repeated; on an ordinary day it is hours. A duplicate that comes
+/// later still meets what its body compares: a publish the version, a key its tombstone, an
+/// observation its time, a step its phase, a claim the VM's last step.
 constexpr std::size_t kMaxRecentRecords = 4096;
 
 /// Most publishes in parts that may be unfinished at once, and most parts of one. Older ones give
--- a/src/cli/view_commands.cc
+++ b/src/cli/view_commands.cc
@@ -40,22 +40,7 @@
   }
 }
 
-void PrintStatus(const JsonView& status, const Console& console) {
-  console.out << "entry " << status.At("entry").Shown() << " in zone " << status.At("zone").Shown()
-              << ", version " << status.At("version").Shown() << ", log offset "
-              << status.At("offset").Shown()
-              << ", log read lately: " << status.At("log_fresh").Shown()
-              << ", may use its own limits: " << status.At("may_own").Shown()
-              << ", withdrawals not yet in the log: " << status.At("withdrawals_not_logged").Shown()
-              << "\n";
-  PrintRows("Other entries", status.At("peers"),
-            {{"ENTRY", "entry"},
-             {"ZONE", "zone"},
-             {"FRESH", "fresh"},
-             {"AGE MS", "age_ms"},
-             {"VERSION", "version"},
-             {"OFFSET", "offset"}},
-            console);
+void PrintLoad(const JsonView& status, const Console& console) {
   PrintRows("Pools", status.At("pools"),
             {{"POOL", "pool"},
              {"SERVICE", "service"},
@@ -79,6 +64,25 @@
              {"RUNNING", "running"},
              {"WAITING", "waiting"}},
             console);
+}
+
+void PrintStatus(const JsonView& status, const Console& console) {
+  console.out << "entry " << status.At("entry").Shown() << " in zone " << status.At("zone").Shown()
+              << ", version " << status.At("version").Shown() << ", log offset "
+              << status.At("offset").Shown()
+              << ", log read lately: " << status.At("log_fresh").Shown()
+              << ", may use its own limits: " << status.At("may_own").Shown()
+              << ", withdrawals not yet in the log: " << status.At("withdrawals_not_logged").Shown()
+              << "\n";
+  PrintRows("Other entries", status.At("peers"),
+            {{"ENTRY", "entry"},
+             {"ZONE", "zone"},
+             {"FRESH", "fresh"},
+             {"AGE MS", "age_ms"},
+             {"VERSION", "version"},
+             {"OFFSET", "offset"}},
+            console);
+  PrintLoad(status, console);
   PrintRows("Steps", status.At("steps"),
             {{"STEP", "step"},
              {"VM", "vm"},
--- a/src/config_log/state_codec.cc
+++ b/src/config_log/state_codec.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <limits>
 
 #include <boost/json/parse.hpp>
@@ -260,6 +261,19 @@
   }
 }
 
+/// Whether a step fits the VM that it holds and the pool that it goes to.
+bool IsConsistentStep(const FleetState& state, const Step& step) {
+  const auto vm = state.inventory.vms.find(step.vm);
+  const auto status = state.vm_status.find(step.vm);
+  if (vm == state.inventory.vms.end() || status == state.vm_status.end()) {
+    return false;
+  }
+  const bool has_target = step.to_pool && state.inventory.pools.contains(*step.to_pool);
+  const bool is_move = step.action == StepAction::kMove;
+  return status->second.step == step.id && vm->second.pool == step.from_pool &&
+         has_target == is_move;
+}
+
 /// Whether a state hangs together, so that the fold's invariants hold from it on.
 bool IsConsistent(const FleetState& state) {
   if (state.vm_status.size() != state.inventory.vms.size() ||
@@ -272,16 +286,12 @@
     if (status == state.vm_status.end()) {
       return false;
     }
-    if (!status->second.step) {
-      continue;
-    }
-    const auto step = state.steps.find(*status->second.step);
-    if (step == state.steps.end() || step->second.vm != id || step->second.from_pool != vm.pool) {
-      return false;
-    }
-    ++held;
+    held += status->second.step ? 1 : 0;
   }
-  return held == state.steps.size();
+  const bool steps_fit =
+      std::all_of(state.steps.begin(), state.steps.end(),
+                  [&state](const auto& entry) { return IsConsistentStep(state, entry.second); });
+  return steps_fit && held == state.steps.size();
 }
 
 Reason Malformed(std::string message) {
--- a/tests/config_log/record_codec_test.cc
+++ b/tests/config_log/record_codec_test.cc
@@ -155,6 +155,11 @@
   state = FullState();
   state.vm_status.erase(VmId{"vm-1"});
   EXPECT_FALSE(DecodeState(EncodeState(state)));
+  state = FullState();
+  for (auto& [id, step] : state.steps) {
+    step.to_pool = PoolId{"nowhere"};
+  }
+  EXPECT_FALSE(DecodeState(EncodeState(state)));
 }
 
 RC_GTEST_PROP(StateCodecProperty, DamagedStatesNeverCrash, ()) {
