--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -93,10 +93,9 @@
   const JsonView wait = JsonView(view.plan).At("waits").RowWith("vm", id);
   if (wait.IsThere()) {
     lines.push_back("it waits: " + wait.At("sentence").Shown());
-  } else if (JsonView(view.plan).At("next").RowWith("vm", id).IsThere()) {
-    lines.push_back("it is next");
   } else if (!step.IsThere()) {
-    lines.push_back("no step holds it and none is due");
+    const bool is_next = JsonView(view.plan).At("next").RowWith("vm", id).IsThere();
+    lines.push_back(is_next ? "it is next" : "no step holds it and none is due");
   }
   AddEvents(
       view, [&id](const Event& event) { return event.vm.text == id; }, lines);
--- a/src/cli/json_view.cc
+++ b/src/cli/json_view.cc
@@ -1,5 +1,7 @@
 #include "cli/json_view.h"
 
+#include <sstream>
+
 #include <boost/json/serialize.hpp>
 
 namespace chervilspar::cli {
@@ -55,6 +57,11 @@
   if (this->value->is_bool()) {
     return this->Truth() ? "yes" : "no";
   }
+  if (this->value->is_double()) {
+    std::ostringstream text;
+    text << this->value->get_double();
+    return text.str();
+  }
   return boost::json::serialize(*this->value);
 }
 
--- a/src/cli/publish_command.cc
+++ b/src/cli/publish_command.cc
@@ -123,7 +123,12 @@
   }
   const inventory::Inventory wanted = inventory::Parse(*text).Value();
   console.err << "changes against version " << current->version << ":\n";
-  PrintDelta(inventory::Diff(current->inventory, wanted), console);
+  const inventory::InventoryDelta delta = inventory::Diff(current->inventory, wanted);
+  PrintDelta(delta, console);
+  if (delta.IsEmpty()) {
+    console.out << "version " << current->version << " is in force already\n";
+    return ExitCode::kOk;
+  }
   PrintMovedVms(wanted, current->inventory, console);
   // Another operator may have published since the file was made; taking the current version for
   // its base would undo that change without anyone having seen it.
--- a/tests/cli/explain_test.cc
+++ b/tests/cli/explain_test.cc
@@ -36,13 +36,13 @@
   FleetView view;
   view.status = boost::json::parse(R"({"entry":"e1",
       "pools":[{"pool":"booking","vms":4,"available":2,"min_available":2}],
-      "teams":[{"team":"desk","share":2,"upper_limit":10,"running":10,"waiting":3,
+      "teams":[{"team":"desk","share":2.5,"upper_limit":10,"running":10,"waiting":3,
                 "owned":5,"borrowed":5,"lent":0}],
       "steps":[{"step":"s1","vm":"vm-1","action":"reboot","phase":"draining","executor":"e2"}]})");
   view.inventory = boost::json::parse(
       "{\"inventory\":" + inventory::Serialize(inventory::SampleInventory()) + "}");
   view.plan = boost::json::parse(
-      R"({"waits":[{"vm":"vm-0","sentence":"the pool has no room"}],"next":[{"vm":"vm-2"}]})");
+      R"({"waits":[{"vm":"vm-0","sentence":"the pool has no room"}],"next":[{"vm":"vm-1"},{"vm":"vm-2"}]})");
   view.timeline.events = {
       MakeEvent(EventKind::kRequestAdmitted, "r1", "desk", "", ""),
       MakeEvent(EventKind::kRequestDispatched, "r1", "desk", "vm-1", ""),
@@ -77,11 +77,13 @@
         ExplainCase{"WaitingVm", ExplainVm, "vm-0", "it waits: the pool has no room"},
         ExplainCase{"VmsPool", ExplainVm, "vm-0", "2 of 4 VMs available and must keep 2"},
         ExplainCase{"HeldVm", ExplainVm, "vm-1", "held by step s1 (reboot, draining)"},
+        ExplainCase{"HeldVmsEnd", ExplainVm, "vm-1", "carried out by e2\n  "},
         ExplainCase{"NextVm", ExplainVm, "vm-2", "it is next"},
         ExplainCase{"IdleVm", ExplainVm, "vm-3", "no step holds it"},
         ExplainCase{"UnknownVm", ExplainVm, "vm-99", "not in the inventory"},
         ExplainCase{"VmsEvents", ExplainVm, "vm-3", "request-dispatched request=r4"},
-        ExplainCase{"Team", ExplainTeam, "desk", "may run 10 tasks"},
+        ExplainCase{"Team", ExplainTeam, "desk",
+                    "has share 2.5 when all is full and may run 10 tasks"},
         ExplainCase{"TeamsRefusals", ExplainTeam, "desk", "refused 2 times: the limit is reached"},
         ExplainCase{"UnknownTeam", ExplainTeam, "nobody", "not in the inventory"},
         ExplainCase{"AnsweredRequest", ExplainRequest, "r1", "answered: completed in 12ms"},
--- a/tests/cli/program_test.cc
+++ b/tests/cli/program_test.cc
@@ -64,6 +64,13 @@
          ",\"inventory\":" + inventory::Serialize(inventory) + "}";
 }
 
+/// What another operator has put in force.
+inventory::Inventory OtherInventory() {
+  inventory::Inventory other = inventory::SampleInventory();
+  other.teams.at(TeamId{"shop"}).upper_limit = 7;
+  return other;
+}
+
 TEST_F(ProgramTest, HelpListsCommandsAndExitCodes) {
   EXPECT_EQ(this->Run({"--help"}), ExitCode::kOk);
   for (const char* word : {"entry", "check", "publish", "key", "plan", "status", "explain",
@@ -192,15 +199,23 @@
 // file's base would undo that change without anyone having seen it.
 TEST_F(PublishTest, LaterPublishWithoutBaseVersionIsRefused) {
   this->runner.entries.Answers(kFirst, "GET /v1/operator/inventory", 200,
-                               InventoryAnswer(4, inventory::SampleInventory()));
+                               InventoryAnswer(4, OtherInventory()));
   EXPECT_EQ(this->RunAsOperator({"publish", this->file}), ExitCode::kRefused);
   EXPECT_EQ(this->PublishCalls(), 0U);
   EXPECT_NE(this->err.str().find("--base-version 4"), std::string::npos);
 }
 
-TEST_F(PublishTest, StaleBaseVersionIsRefusedByTheEntry) {
+TEST_F(PublishTest, FileThatIsInForceIsNotPublishedAgain) {
   this->runner.entries.Answers(kFirst, "GET /v1/operator/inventory", 200,
                                InventoryAnswer(4, inventory::SampleInventory()));
+  EXPECT_EQ(this->RunAsOperator({"publish", this->file}), ExitCode::kOk);
+  EXPECT_EQ(this->PublishCalls(), 0U);
+  EXPECT_NE(this->out.str().find("version 4 is in force already"), std::string::npos);
+}
+
+TEST_F(PublishTest, StaleBaseVersionIsRefusedByTheEntry) {
+  this->runner.entries.Answers(kFirst, "GET /v1/operator/inventory", 200,
+                               InventoryAnswer(4, OtherInventory()));
   this->runner.entries.Answers(kFirst, "POST /v1/operator/publish", 409,
                                R"({"code":"conflict","message":"made from version 3"})");
   EXPECT_EQ(this->RunAsOperator({"publish", this->file, "--base-version", "3"}),
--- a/tests/config_log/log_follower_test.cc
+++ b/tests/config_log/log_follower_test.cc
@@ -151,6 +151,7 @@
   }
   EXPECT_FALSE(follower.HasReachedEnd());
   EXPECT_EQ(follower.State()->version, 0);
+  EXPECT_EQ(follower.UnreadableRecords(), 0U);
   AppendSnapshot(log, state, "whole");
   log.ServeUntilEnd(follower, kStart);
   EXPECT_TRUE(follower.HasReachedEnd());
