--- a/include/chervilspar/config_log/log_follower.h
+++ b/include/chervilspar/config_log/log_follower.h
@@ -112,6 +112,8 @@
   void CollectChunk(const SnapshotChunk& chunk, TimePoint now);
   /// Reads on for a whole snapshot after a gap.
   void SeekSnapshot(const ReadBatch& batch, FollowUpdate& update, TimePoint now);
+  /// Puts a state from a snapshot or a peer in place of the own one.
+  void Replace(FleetState state, FollowUpdate& update);
   bool TryInstall(const ChunkSet& chunks, FollowUpdate& update);
   void KeepInTail(const LogRecord& record);
 
--- a/src/config_log/log_follower.cc
+++ b/src/config_log/log_follower.cc
@@ -78,6 +78,7 @@
         [](const auto& a, const auto& b) { return a.second.next_offset < b.second.next_offset; });
     this->chunk_sets.erase(oldest);
   }
+  CHERVILSPAR_ASSERT(this->chunk_sets.size() <= kMaxChunkSets);
 }
 
 void LogFollower::FoldRecord(const LogRecord& record, FollowUpdate& update, TimePoint now) {
@@ -96,10 +97,8 @@
 }
 
 bool LogFollower::TryInstall(const ChunkSet& chunks, FollowUpdate& update) {
-  // A snapshot from before the kept records can't be carried on, and one from before the own
-  // state would take this entry back.
-  if (chunks.chunks.size() < chunks.count || chunks.next_offset < this->first_kept ||
-      chunks.next_offset < this->folder.State().next_offset) {
+  // A snapshot from before the kept records can't be carried on.
+  if (chunks.chunks.size() < chunks.count || chunks.next_offset < this->first_kept) {
     return false;
   }
   std::string text;
@@ -111,14 +110,20 @@
     ++this->unreadable;
     return false;
   }
-  this->folder = Folder(std::move(state).Value());
+  this->Replace(std::move(state).Value(), update);
   this->seeking_from.reset();
   this->chunk_sets.clear();
+  return true;
+}
+
+void LogFollower::Replace(FleetState state, FollowUpdate& update) {
+  // An entry that went back would put a withdrawn key and an old configuration in force again.
+  CHERVILSPAR_ASSERT(state.next_offset >= this->folder.State().next_offset);
+  this->folder = Folder(std::move(state));
   this->tail.clear();
   this->tail_bytes = 0;
   update.changed = true;
   update.replaced = true;
-  return true;
 }
 
 FollowUpdate LogFollower::OnTooOld(Offset first, Offset end, TimePoint) {
@@ -182,15 +187,11 @@
     return update;
   }
   const Offset next = peer_state.next_offset;
-  this->folder = Folder(std::move(peer_state));
-  this->tail.clear();
-  this->tail_bytes = 0;
+  this->Replace(std::move(peer_state), update);
   if (this->seeking_from && next >= this->first_kept) {
     this->seeking_from.reset();
     this->chunk_sets.clear();
   }
-  update.changed = true;
-  update.replaced = true;
   return update;
 }
 
--- a/tests/config_log/fold_reject_test.cc
+++ b/tests/config_log/fold_reject_test.cc
@@ -114,6 +114,15 @@
          });
        },
        "below its budget of 2"},
+      {"FailedVmBroughtForANewBudget",
+       [](FoldBench& bench) {
+         bench.Observe(VmCondition::kFailed, {VmId{"vm-0"}});
+         return PublishOf(bench, [](auto& wanted) {
+           wanted.vms.at(VmId{"vm-0"}).pool = PoolId{"fleet"};
+           wanted.pools.at(PoolId{"fleet"}).min_available = 5;
+         });
+       },
+       "below its budget of 5"},
   };
 }
 
@@ -129,6 +138,12 @@
          return bench.Apply(publish);
        },
        "not where the change expects it"},
+      {"PartOfAnotherCount",
+       [](FoldBench& bench) {
+         bench.Apply(PublishPart{RecordId{"p"}, 0, 3, "a"});
+         return bench.Apply(PublishPart{RecordId{"p"}, 1, 2, "b"});
+       },
+       "another count"},
       {"StaleFromPoolOfNewAddress",
        [](FoldBench& bench) {
          Publish publish{bench.State().version, {}};
@@ -233,6 +248,18 @@
 
 std::vector<RejectCase> PhaseCases() {
   return {
+      {"ClaimRepeatedLongAfterItsStep",
+       [](FoldBench& bench) {
+         const RecordId step = bench.Claim("vm-0").record;
+         const Record claim = bench.records.back();
+         bench.Act(step);
+         bench.Finish(step);
+         for (std::size_t i = 0; i < kMaxRecentRecords; ++i) {
+           bench.Apply(KeyWithdrawn{TestDigest("k")});
+         }
+         return bench.ApplyRecord(claim);
+       },
+       "is over"},
       {"ActAfterRackFailed",
        [](FoldBench& bench) {
          const RecordId step = bench.Claim("vm-0").record;
--- a/tests/config_log/folder_test.cc
+++ b/tests/config_log/folder_test.cc
@@ -48,6 +48,21 @@
   EXPECT_EQ(outcome.version, 2);
 }
 
+// A pool is two VMs short, and the operator lowers its budget by one, which is all that can be
+// given up. Refusing it because one VM is still short would leave the pool two short.
+TEST(FolderTest, PublishThatMakesAShortageSmallerPasses) {
+  FoldBench bench;
+  bench.Start([] {
+    inventory::Inventory wanted = inventory::SampleInventory();
+    wanted.pools.at(PoolId{"booking"}).min_available = 3;
+    return wanted;
+  }());
+  bench.Observe(VmCondition::kFailed, {VmId{"vm-0"}, VmId{"vm-1"}, VmId{"vm-2"}});
+  const FoldOutcome outcome =
+      PublishOf(bench, [](auto& wanted) { wanted.pools.at(PoolId{"booking"}).min_available = 2; });
+  EXPECT_EQ(outcome.verdict, FoldVerdict::kAccepted);
+}
+
 // The answer to an accepted publish is lost and the publish is appended again. Without the memory
 // of ids its author would be told of a conflict with its own first copy.
 TEST(FolderTest, RepeatedAppendIsADuplicateAndNotAConflict) {
--- a/tests/config_log/log_follower_test.cc
+++ b/tests/config_log/log_follower_test.cc
@@ -107,6 +107,7 @@
   EXPECT_EQ(follower.OnBatch(early, kStart), FollowUpdate{});
   follower.OnTooOld(0, 2, kStart);
   EXPECT_EQ(*follower.State(), before);
+  EXPECT_EQ(follower.ReadFrom(), before.next_offset);
 }
 
 // The platform keeps records for a limited time. An entry that starts later finds the first ones
@@ -158,6 +159,24 @@
   EXPECT_EQ(follower.State()->inventory, big);
 }
 
+// Entries die one after the other while each writes a snapshot. What they leave behind must neither
+// fill the memory of those that start later nor keep them from the whole snapshot that follows.
+TEST(LogFollowerTest, ManyHalfWrittenSnapshotsGiveWay) {
+  FakeLog log;
+  const FleetState state = Fill(log, 5);
+  constexpr int kHalves = 20;
+  for (int i = 0; i < kHalves; ++i) {
+    const SnapshotChunk half{RecordId{"half" + std::to_string(i)}, state.next_offset, 0, 2, "x"};
+    log.Append(Record{RecordId{"c" + std::to_string(i)}, EntryId{"e1"}, WallTime{}, half});
+  }
+  AppendSnapshot(log, state, "whole");
+  log.Forget(state.next_offset);
+  LogFollower follower = NewFollower();
+  log.ServeUntilEnd(follower, kStart);
+  ASSERT_TRUE(follower.HasReachedEnd());
+  EXPECT_EQ(follower.State()->version, 1);
+}
+
 // A snapshot stands in the log, but records that follow it are gone already. Starting from it would
 // leave a hole in which a key was withdrawn.
 TEST(LogFollowerTest, SnapshotFromBeforeTheKeptRecordsIsNotTaken) {
@@ -216,6 +235,15 @@
   EXPECT_FALSE(behind.HasReachedEnd());
 }
 
+TEST(LogFollowerTest, RecordsKeptForPeersAreBounded) {
+  FakeLog log;
+  Fill(log, 3000);
+  LogFollower follower = NewFollower();
+  log.ServeUntilEnd(follower, kStart);
+  EXPECT_TRUE(follower.TailFrom(0).empty());
+  EXPECT_EQ(follower.TailFrom(log.End() - 10).size(), 10U);
+}
+
 TEST(LogFollowerTest, PeersRecordsAfterAGapChangeNothing) {
   FakeLog log;
   Fill(log, 10);
@@ -294,6 +322,22 @@
   EXPECT_TRUE(follower.IsSnapshotDue(later + minutes(2)));
 }
 
+// Entries are replaced every half hour. Were each to wait an hour from its own start, none would
+// ever write a snapshot, and the records would run out.
+TEST(LogFollowerTest, EntriesThatLiveShortStillWriteSnapshots) {
+  FakeLog log;
+  Fill(log, 10);
+  int due = 0;
+  for (const char* name : {"a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3"}) {
+    LogFollower follower = NewFollower(name);
+    log.ServeUntilEnd(follower, kStart);
+    EXPECT_FALSE(follower.IsSnapshotDue(kStart));
+    due += follower.IsSnapshotDue(kStart + minutes(30)) ? 1 : 0;
+  }
+  EXPECT_GE(due, 1);
+  EXPECT_LT(due, 9);
+}
+
 // An entry that knows nothing yet must not write what it knows.
 TEST(LogFollowerTest, EntryThatHasNotReadToTheEndWritesNoSnapshot) {
   FakeLog log;
--- a/tests/inventory/document_test.cc
+++ b/tests/inventory/document_test.cc
@@ -162,11 +162,17 @@
   EXPECT_EQ(ParseAll(text).faults.size(), kMaxFaults);
 }
 
-// A document that nests a hundred thousand lists would use up the stack of whoever parses it
-// without a bound on depth.
+// A document that nests a hundred thousand lists, whether closed or not, would use up the stack of
+// whoever goes through it without a bound on depth.
 TEST(DocumentTest, DeepNestingIsRefused) {
-  const std::string deep(100000, '[');
-  EXPECT_FALSE(ParseAll(deep).inventory);
+  constexpr std::size_t kDepth = 100000;
+  const std::string open(kDepth, '[');
+  for (const std::string& text : {open, open + std::string(kDepth, ']')}) {
+    const ParseOutcome outcome = ParseAll(text);
+    ASSERT_EQ(outcome.faults.size(), 1U);
+    EXPECT_NE(outcome.faults[0].message.find("deep"), std::string::npos)
+        << outcome.faults[0].message;
+  }
 }
 
 // Documents are cut off by a full disk or a broken connection, and typed by hand. Whatever comes,
