--- a/bench/main.cc
+++ b/bench/main.cc
@@ -16,6 +16,8 @@
   chervilspar::bench::AddOverloadPatterns(list);
   chervilspar::bench::AddWorkPatterns(list);
   chervilspar::bench::AddFaultPatterns(list);
+  chervilspar::bench::AddPlacementPatterns(list);
+  chervilspar::bench::AddCostExperiment(list);
   chervilspar::bench::AddRecordExperiments(list);
   // Experiments of maintenance waves and of slopes go here.
   return list;
--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -11,8 +11,6 @@
 
 namespace chervilspar::bench {
 
-using load_balancing::Outcome;
-
 namespace {
 
 constexpr TimePoint kStart = TimePoint(std::chrono::seconds(1000));
@@ -52,7 +50,7 @@
 
 void Simulation::MakeFleet() {
   const auto zone_name = [](std::uint32_t zone) {
-    return ZoneId{std::string(1, char('a' + zone))};
+    return ZoneId{std::string(1, static_cast<char>('a' + zone))};
   };
   std::vector<load_balancing::Endpoint> listed;
   for (std::uint32_t index = 0; index < this->scenario.endpoints.size(); ++index) {
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -35,6 +35,7 @@
   // choice.
   std::sort(found.rbegin(), found.rend());
   std::vector<admission::TicketId> ids;
+  ids.reserve(found.size());
   for (const auto& [started, id] : found) {
     ids.push_back(id);
   }
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -54,7 +54,7 @@
 bool Balancer::IsInSplit(std::uint32_t index) const {
   const EndpointState& state = this->table->At(index);
   return state.is_listed && state.health.State() == HealthState::kHealthy &&
-         this->ejecting_peers[index] * 2 <= this->peer_count;
+         std::size_t{2} * this->ejecting_peers[index] <= this->peer_count;
 }
 
 void Balancer::SetParts(const std::vector<scheduling::EntryPart>& entries, const EntryId& self,
