--- a/include/chervilspar/load_balancing/balancer.h
+++ b/include/chervilspar/load_balancing/balancer.h
@@ -62,13 +62,14 @@
   void Review(TimePoint now, Random& random);
 
   /// Slots at endpoints in use, for dividing among teams and entries.
-  double UsableSlots() const;
+  double UsableSlots() const { return this->usable_slots; }
   std::size_t UsableEndpoints() const;
   std::vector<scheduling::EndpointLoad> OwnLoads() const;
   std::vector<VmId> Ejected() const;
   std::size_t InFlight() const { return this->in_flight; }
 
  private:
+  void CountUsable();
   bool IsInSplit(std::uint32_t index) const;
   std::optional<std::uint32_t> DueProbe(const admission::Ticket& ticket, TimePoint now) const;
   std::size_t MostEjected() const;
@@ -90,6 +91,9 @@
   std::vector<std::uint32_t> ejected;
   std::vector<std::uint32_t> ejecting_peers;
   std::size_t peer_count = 0;
+  /// Kept up to date by `CountUsable`, since every admission asks.
+  std::size_t listed = 0;
+  double usable_slots = 0.0;
   std::unordered_map<TeamId, double> failure_rate_of;
   /// This entry's part of all slots, and how much slot time it is behind (or ahead, if negative).
   double part = 0.0;
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -49,6 +49,7 @@
       this->ejected.push_back(index);
     }
   }
+  this->CountUsable();
 }
 
 bool Balancer::IsInSplit(std::uint32_t index) const {
@@ -63,37 +64,37 @@
   this->idle_slots = idle;
   std::vector<std::uint32_t> indexes;
   std::vector<Endpoint> usable;
+  std::vector<double> parts(this->table->Count(), 0.0);
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Change(index).split = 0.0;
     if (this->IsInSplit(index)) {
       indexes.push_back(index);
       usable.push_back(this->table->At(index).endpoint);
     }
   }
   const std::vector<double> split = SplitSlots(usable, entries, self);
+  this->part = 0.0;
   for (std::size_t place = 0; place < indexes.size(); ++place) {
-    this->table->Change(indexes[place]).split = split[place];
+    parts[indexes[place]] = split[place];
+    this->part += split[place];
   }
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Refile(index, now);
-  }
-  this->part = 0.0;
-  for (const double slots : split) {
-    this->part += slots;
+    if (this->table->At(index).split != parts[index]) {
+      this->table->Change(index).split = parts[index];
+      this->table->Refile(index, now);
+    }
   }
 }
 
-void Balancer::SetPeers(const std::vector<const scheduling::ShardReport*>& reports, TimePoint now) {
+void Balancer::SetPeers(const std::vector<const scheduling::ShardReport*>& reports,
+                        TimePoint now) {
   this->peer_count = reports.size();
   this->ejecting_peers.assign(this->table->Count(), 0);
-  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Change(index).foreign = 0;
-  }
+  std::vector<std::uint32_t> foreign(this->table->Count(), 0);
   for (const scheduling::ShardReport* report : reports) {
     for (const scheduling::EndpointLoad& load : report->endpoints) {
       const auto index = this->table->Find(load.endpoint);
       if (index) {
-        this->table->Change(*index).foreign += load.in_flight;
+        foreign[*index] += load.in_flight;
       }
     }
     for (const VmId& endpoint : report->ejected) {
@@ -104,8 +105,12 @@
     }
   }
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Refile(index, now);
+    if (this->table->At(index).foreign != foreign[index]) {
+      this->table->Change(index).foreign = foreign[index];
+      this->table->Refile(index, now);
+    }
   }
+  this->CountUsable();
 }
 
 void Balancer::UpdateCredit(TimePoint now) {
@@ -252,20 +257,18 @@
   }
 }
 
-double Balancer::UsableSlots() const {
-  double slots = 0.0;
+void Balancer::CountUsable() {
+  this->listed = 0;
+  this->usable_slots = 0.0;
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    slots += this->IsInSplit(index) ? this->table->At(index).endpoint.slots : 0.0;
+    const EndpointState& state = this->table->At(index);
+    this->listed += state.is_listed ? 1 : 0;
+    this->usable_slots += this->IsInSplit(index) ? state.endpoint.slots : 0.0;
   }
-  return slots;
 }
 
 std::size_t Balancer::UsableEndpoints() const {
-  std::size_t count = 0;
-  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    count += this->table->At(index).is_listed ? 1 : 0;
-  }
-  return count - std::min(count, this->ejected.size());
+  return this->listed - std::min(this->listed, this->ejected.size());
 }
 
 std::vector<scheduling::EndpointLoad> Balancer::OwnLoads() const {
--- a/src/load_balancing/balancer_health.cc
+++ b/src/load_balancing/balancer_health.cc
@@ -28,14 +28,10 @@
 }  // namespace
 
 std::size_t Balancer::MostEjected() const {
-  std::size_t listed = 0;
-  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    listed += this->table->At(index).is_listed ? 1 : 0;
-  }
-  if (listed < 2) {
+  if (this->listed < 2) {
     return 0;
   }
-  const double most = this->options.most_ejected * static_cast<double>(listed);
+  const double most = this->options.most_ejected * static_cast<double>(this->listed);
   return std::max<std::size_t>(1, static_cast<std::size_t>(most));
 }
 
