--- a/bench/cost_experiment.cc
+++ b/bench/cost_experiment.cc
@@ -45,7 +45,10 @@
 class LoadedShard {
  public:
   LoadedShard(std::uint32_t teams, std::uint32_t workers)
-      : teams(teams), random(1), shard(ServiceId{"s"}, EntryId{"entry-0"}, ZoneId{"a"}, Options()) {
+      : teams(teams),
+        workers(workers),
+        random(1),
+        shard(ServiceId{"s"}, EntryId{"entry-0"}, ZoneId{"a"}, Options()) {
     std::vector<scheduling::TeamShare> shares;
     for (std::uint32_t team = 0; team < teams; ++team) {
       shares.push_back({Team(team), 1.0 + team % 5, scheduling::UrgentRight::kMayNot});
@@ -103,6 +106,11 @@
       for (std::uint32_t team = 0; team < this->teams; ++team) {
         report.teams.push_back({Team(team), 10, 2});
       }
+      for (std::uint32_t worker = 0; worker < this->workers; ++worker) {
+        if (worker % kPeers == peer) {
+          report.endpoints.push_back({Vm(worker), kSlots});
+        }
+      }
       this->shard.OnPeerReport(EntryId{"peer-" + std::to_string(peer)}, ZoneId{"b"}, report,
                                Duration::zero(), this->now);
     }
@@ -134,6 +142,7 @@
   }
 
   std::uint32_t teams;
+  std::uint32_t workers;
   std::uint64_t next = 0;
   SeededRandom random;
   scheduling::OpenGate gate;
--- a/include/chervilspar/load_balancing/balancer.h
+++ b/include/chervilspar/load_balancing/balancer.h
@@ -31,6 +31,9 @@
 class PlacementPolicy;
 enum class PartUse : int;
 
+/// Whether there is more to do than slots.
+enum class FleetLoad { kHasRoom, kFull };
+
 /// Every choice takes constant time or, for probes and pauses, O(log endpoints).
 class Balancer {
  public:
@@ -40,10 +43,11 @@
   Balancer& operator=(const Balancer&) = delete;
 
   void SetEndpoints(const std::vector<Endpoint>& endpoints, TimePoint now);
-  /// Takes this entry's part among all entries. While the fleet has `idle_slots`, slots of others
-  /// may be borrowed.
+  /// Takes this entry's part among all entries. Slots of others may be borrowed while the fleet has
+  /// room. When it is full, a slot that looks free in a report is one whose owner is about to fill
+  /// it again, and taking it sends the owner on to take another's.
   void SetParts(const std::vector<scheduling::EntryPart>& entries, const EntryId& self,
-                double idle_slots, TimePoint now);
+                FleetLoad fleet_load, TimePoint now);
   /// Takes what the other entries report of their tasks and ejections.
   void SetPeers(const std::vector<const scheduling::ShardReport*>& reports, TimePoint now);
 
@@ -97,7 +101,7 @@
   std::unordered_map<TeamId, double> failure_rate_of;
   /// This entry's part of all slots, and how much slot time it is behind (or ahead, if negative).
   double part = 0.0;
-  double idle_slots = 0.0;
+  FleetLoad fleet = FleetLoad::kHasRoom;
   double credit = 0.0;
   TimePoint credit_at;
   std::size_t in_flight = 0;
--- a/include/chervilspar/scheduling/fleet_shares.h
+++ b/include/chervilspar/scheduling/fleet_shares.h
@@ -42,6 +42,8 @@
   std::vector<EntryPart> entries;
   /// Slots that no demand fills.
   double idle_slots = 0.0;
+  /// Slots that all demand together could fill.
+  double demand = 0.0;
   /// Slots for one unit of share among the teams that want more than they get.
   double slots_per_share = 0.0;
 
--- a/src/dispatch/division.cc
+++ b/src/dispatch/division.cc
@@ -12,6 +12,10 @@
 constexpr Duration kLongestBetween = std::chrono::milliseconds(100);
 constexpr Duration kShortestBetween = std::chrono::milliseconds(25);
 
+/// Demand, as a part of the slots, at which the fleet counts as full. At 0.9 of the capacity demand
+/// exceeds the slots for moments all the time; holding each entry to its part then makes requests
+/// wait beside free slots. In an overload the queues bring demand above this within a second.
+constexpr double kFullAt = 1.15;
 /// Part of the way from the last reported demand to the present one. Queues of few requests go up
 /// and down by tens of percent all the time; following that moves slots between entries for
 /// nothing, and each move makes tries that meet full endpoints.
@@ -79,7 +83,10 @@
       entry.slots = slots / static_cast<double>(this->division.entries.size());
     }
   }
-  this->balancer.SetParts(this->division.entries, this->self, this->division.idle_slots, now);
+  const bool is_full = this->division.demand >= slots * kFullAt;
+  const auto load =
+      is_full ? load_balancing::FleetLoad::kFull : load_balancing::FleetLoad::kHasRoom;
+  this->balancer.SetParts(this->division.entries, this->self, load, now);
   this->part_of.clear();
   this->active_shares = 0.0;
   for (const scheduling::TeamPart& part : this->division.teams) {
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -24,9 +24,6 @@
 /// Slot seconds behind its part at which an entry looks for free slots that are not its own. The
 /// few milliseconds between the end of a task and the start of the next don't add up to that.
 constexpr double kCreditToSeek = 0.5;
-/// Below this the fleet counts as full. Then a slot that looks free in a report is one whose owner
-/// is about to fill it again, and taking it sends the owner on to take another's.
-constexpr double kIdleToBorrow = 0.5;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
 }  // namespace
@@ -59,9 +56,9 @@
 }
 
 void Balancer::SetParts(const std::vector<scheduling::EntryPart>& entries, const EntryId& self,
-                        double idle, TimePoint now) {
+                        FleetLoad fleet_load, TimePoint now) {
   this->UpdateCredit(now);
-  this->idle_slots = idle;
+  this->fleet = fleet_load;
   std::vector<std::uint32_t> indexes;
   std::vector<Endpoint> usable;
   std::vector<double> parts(this->table->Count(), 0.0);
@@ -85,8 +82,7 @@
   }
 }
 
-void Balancer::SetPeers(const std::vector<const scheduling::ShardReport*>& reports,
-                        TimePoint now) {
+void Balancer::SetPeers(const std::vector<const scheduling::ShardReport*>& reports, TimePoint now) {
   this->peer_count = reports.size();
   this->ejecting_peers.assign(this->table->Count(), 0);
   std::vector<std::uint32_t> foreign(this->table->Count(), 0);
@@ -130,7 +126,7 @@
   if (held < this->part && is_behind) {
     return PartUse::kDue;
   }
-  return this->idle_slots >= kIdleToBorrow ? PartUse::kMayBorrow : PartUse::kUsedUp;
+  return this->fleet == FleetLoad::kHasRoom ? PartUse::kMayBorrow : PartUse::kUsedUp;
 }
 
 bool Balancer::HasFreeSlot(TimePoint now) {
@@ -200,8 +196,7 @@
 void Balancer::OnFull(std::uint32_t index, TimePoint now) {
   EndpointState& state = this->table->Change(index);
   const bool is_own_slot = state.Own() + 1.0 <= state.split;
-  const bool is_fleet_full = this->idle_slots < kIdleToBorrow;
-  if (!is_own_slot && is_fleet_full) {
+  if (!is_own_slot && this->fleet == FleetLoad::kFull) {
     state.pause = this->options.longest_full_pause;
   } else if (state.pause == Duration::zero()) {
     state.pause = this->options.first_full_pause;
--- a/src/scheduling/fleet_shares.cc
+++ b/src/scheduling/fleet_shares.cc
@@ -87,6 +87,7 @@
     slots_per_demand[demand.team] = rate;
     division.teams.push_back({demand.team, demand.slots, demand.local * rate});
     used += demand.slots;
+    division.demand += demand.total;
     local += demand.local * rate;
   }
   division.idle_slots = std::max(0.0, slots - used);
--- a/tests/load_balancing/balancer_test.cc
+++ b/tests/load_balancing/balancer_test.cc
@@ -34,8 +34,8 @@
 
   void Split() {
     const EntryId self{"e"};
-    this->balancer.SetParts({{self, ZoneId{"a"}, this->balancer.UsableSlots()}}, self, 100.0,
-                            this->now);
+    this->balancer.SetParts({{self, ZoneId{"a"}, this->balancer.UsableSlots()}}, self,
+                            FleetLoad::kHasRoom, this->now);
   }
 
   Ticket NextTicket() {
