--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -24,9 +24,6 @@
 /// Slot seconds behind its part at which an entry looks for free slots that are not its own. The
 /// few milliseconds between the end of a task and the start of the next don't add up to that.
 constexpr double kCreditToSeek = 0.5;
-/// Below this the fleet counts as full. Then a slot that looks free in a report is one whose owner
-/// is about to fill it again, and taking it sends the owner on to take another's.
-constexpr double kIdleToBorrow = 0.5;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
 }  // namespace
@@ -49,51 +46,51 @@
       this->ejected.push_back(index);
     }
   }
+  this->CountUsable();
 }
 
 bool Balancer::IsInSplit(std::uint32_t index) const {
   const EndpointState& state = this->table->At(index);
   return state.is_listed && state.health.State() == HealthState::kHealthy &&
-         this->ejecting_peers[index] * 2 <= this->peer_count;
+         std::size_t{2} * this->ejecting_peers[index] <= this->peer_count;
 }
 
 void Balancer::SetParts(const std::vector<scheduling::EntryPart>& entries, const EntryId& self,
-                        double idle, TimePoint now) {
+                        FleetLoad fleet_load, TimePoint now) {
   this->UpdateCredit(now);
-  this->idle_slots = idle;
+  this->fleet = fleet_load;
   std::vector<std::uint32_t> indexes;
   std::vector<Endpoint> usable;
+  std::vector<double> parts(this->table->Count(), 0.0);
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Change(index).split = 0.0;
     if (this->IsInSplit(index)) {
       indexes.push_back(index);
       usable.push_back(this->table->At(index).endpoint);
     }
   }
   const std::vector<double> split = SplitSlots(usable, entries, self);
+  this->part = 0.0;
   for (std::size_t place = 0; place < indexes.size(); ++place) {
-    this->table->Change(indexes[place]).split = split[place];
+    parts[indexes[place]] = split[place];
+    this->part += split[place];
   }
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Refile(index, now);
-  }
-  this->part = 0.0;
-  for (const double slots : split) {
-    this->part += slots;
+    if (this->table->At(index).split != parts[index]) {
+      this->table->Change(index).split = parts[index];
+      this->table->Refile(index, now);
+    }
   }
 }
 
 void Balancer::SetPeers(const std::vector<const scheduling::ShardReport*>& reports, TimePoint now) {
   this->peer_count = reports.size();
   this->ejecting_peers.assign(this->table->Count(), 0);
-  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Change(index).foreign = 0;
-  }
+  std::vector<std::uint32_t> foreign(this->table->Count(), 0);
   for (const scheduling::ShardReport* report : reports) {
     for (const scheduling::EndpointLoad& load : report->endpoints) {
       const auto index = this->table->Find(load.endpoint);
       if (index) {
-        this->table->Change(*index).foreign += load.in_flight;
+        foreign[*index] += load.in_flight;
       }
     }
     for (const VmId& endpoint : report->ejected) {
@@ -104,8 +101,12 @@
     }
   }
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    this->table->Refile(index, now);
+    if (this->table->At(index).foreign != foreign[index]) {
+      this->table->Change(index).foreign = foreign[index];
+      this->table->Refile(index, now);
+    }
   }
+  this->CountUsable();
 }
 
 void Balancer::UpdateCredit(TimePoint now) {
@@ -125,7 +126,7 @@
   if (held < this->part && is_behind) {
     return PartUse::kDue;
   }
-  return this->idle_slots >= kIdleToBorrow ? PartUse::kMayBorrow : PartUse::kUsedUp;
+  return this->fleet == FleetLoad::kHasRoom ? PartUse::kMayBorrow : PartUse::kUsedUp;
 }
 
 bool Balancer::HasFreeSlot(TimePoint now) {
@@ -195,8 +196,7 @@
 void Balancer::OnFull(std::uint32_t index, TimePoint now) {
   EndpointState& state = this->table->Change(index);
   const bool is_own_slot = state.Own() + 1.0 <= state.split;
-  const bool is_fleet_full = this->idle_slots < kIdleToBorrow;
-  if (!is_own_slot && is_fleet_full) {
+  if (!is_own_slot && this->fleet == FleetLoad::kFull) {
     state.pause = this->options.longest_full_pause;
   } else if (state.pause == Duration::zero()) {
     state.pause = this->options.first_full_pause;
@@ -252,20 +252,18 @@
   }
 }
 
-double Balancer::UsableSlots() const {
-  double slots = 0.0;
+void Balancer::CountUsable() {
+  this->listed = 0;
+  this->usable_slots = 0.0;
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    slots += this->IsInSplit(index) ? this->table->At(index).endpoint.slots : 0.0;
+    const EndpointState& state = this->table->At(index);
+    this->listed += state.is_listed ? 1 : 0;
+    this->usable_slots += this->IsInSplit(index) ? state.endpoint.slots : 0.0;
   }
-  return slots;
 }
 
 std::size_t Balancer::UsableEndpoints() const {
-  std::size_t count = 0;
-  for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
-    count += this->table->At(index).is_listed ? 1 : 0;
-  }
-  return count - std::min(count, this->ejected.size());
+  return this->listed - std::min(this->listed, this->ejected.size());
 }
 
 std::vector<scheduling::EndpointLoad> Balancer::OwnLoads() const {
