Prove: Add maintenance waves, VM failures and draining to the runs

Each entry plans and carries out steps with the real planner and executor over the real fold; the observer counts serving VMs at each reboot by what endpoints and the platform did.

--- a/tests/prove/callers.cc
+++ b/tests/prove/callers.cc
@@ -137,7 +137,9 @@
   for (std::size_t team = 0; team < kTeams; ++team) {
     const std::size_t slot =
         this->LiveSlot(static_cast<std::uint32_t>(this->simulation.Dice().Below(kEntrySlots)));
-    const auto limit = this->Newest().inventory.teams.at(TeamAt(team)).upper_limit;
+    const auto& teams = this->Newest().inventory.teams;
+    const std::uint32_t limit =
+        teams.contains(TeamAt(team)) ? teams.at(TeamAt(team)).upper_limit : 0;
     for (std::uint32_t sent = 0; sent < 2 * limit + 5; ++sent) {
       this->Ask(TeamAt(team), Seconds(9.5), Seconds(9), 1, slot);
     }
--- a/tests/prove/endpoint.cc
+++ b/tests/prove/endpoint.cc
@@ -14,12 +14,12 @@
 
 }  // namespace
 
-Endpoint::Endpoint(World& world, std::uint32_t zone, Duration clock_offset)
-    : world(world), zone(zone), clock_offset(clock_offset) {}
+Endpoint::Endpoint(World& world, VmId vm, std::uint32_t zone, Duration clock_offset)
+    : world(world), vm(std::move(vm)), zone(zone), clock_offset(clock_offset) {}
 
 void Endpoint::OnTask(const TaskMessage& message,
                       const std::function<void(TaskAnswer, std::string)>& reply) {
-  if (this->is_dead) {
+  if (!this->IsUp()) {
     return;
   }
   if (this->started.contains(message.task)) {
@@ -31,6 +31,11 @@
     reply(TaskAnswer::kLate, "");
     return;
   }
+  if (this->is_draining) {
+    this->world.Count("endpoint refused: draining");
+    reply(TaskAnswer::kDraining, "");
+    return;
+  }
   if (this->running.size() >= kSlots) {
     reply(TaskAnswer::kFull, "");
     return;
@@ -58,7 +63,7 @@
 }
 
 void Endpoint::OnCancel(const TaskId& task, const std::function<void(CancelAnswer)>& reply) {
-  if (this->is_dead) {
+  if (!this->IsUp()) {
     return;
   }
   const auto found = this->running.find(task);
@@ -71,8 +76,23 @@
   reply(this->started.contains(task) ? CancelAnswer::kFinished : CancelAnswer::kUnknown);
 }
 
-void Endpoint::Die() {
-  this->is_dead = true;
+void Endpoint::OnDrain(const std::function<void(std::uint32_t)>& reply) {
+  if (this->IsUp()) {
+    this->is_draining = true;
+    this->world.Watch().OnVmDraining(this->vm.text, true);
+    reply(static_cast<std::uint32_t>(this->running.size()));
+  }
+}
+
+void Endpoint::OnUndrain(const std::function<void(std::uint32_t)>& reply) {
+  if (this->IsUp()) {
+    this->is_draining = false;
+    this->world.Watch().OnVmDraining(this->vm.text, false);
+    reply(static_cast<std::uint32_t>(this->running.size()));
+  }
+}
+
+void Endpoint::DropTasks() {
   for (const auto& [task, running] : this->running) {
     this->world.Watch().OnTaskEnded(this->world.NowUs(), task.text);
   }
@@ -80,4 +100,45 @@
   this->started.clear();
 }
 
+void Endpoint::Die() {
+  if (this->is_dead) {
+    return;
+  }
+  this->world.Note("VM " + this->vm.text + " fails");
+  this->is_dead = true;
+  this->is_draining = false;
+  this->world.Watch().OnVmFailed(this->world.NowUs(), this->vm.text);
+  this->DropTasks();
+}
+
+void Endpoint::ComeBack() {
+  if (!this->is_dead) {
+    return;
+  }
+  this->is_dead = false;
+  ++this->boot;
+  this->world.Watch().OnVmBack(this->vm.text);
+}
+
+void Endpoint::Reboot(const StepId& step) {
+  if (this->is_dead || this->is_rebooting || this->last_step == step) {
+    return;
+  }
+  this->world.Note("VM " + this->vm.text + " is rebooted for step " + step.text);
+  this->world.Count("platform: reboots");
+  this->last_step = step;
+  this->world.Watch().OnVmRebooted(this->world.NowUs(), this->vm.text,
+                                   static_cast<std::uint32_t>(this->running.size()));
+  this->DropTasks();
+  this->is_rebooting = true;
+  this->is_draining = false;
+  this->world.Sim().After(this->world.Sim().Between(Seconds(1), Seconds(4)), [this] {
+    this->is_rebooting = false;
+    ++this->boot;
+    if (!this->is_dead) {
+      this->world.Watch().OnVmBack(this->vm.text);
+    }
+  });
+}
+
 }  // namespace chervilspar::prove
--- a/tests/prove/endpoint.h
+++ b/tests/prove/endpoint.h
@@ -25,7 +25,7 @@
   Duration length = Duration::zero();
 };
 
-enum class TaskAnswer { kDone, kFull, kLate, kDuplicate };
+enum class TaskAnswer { kDone, kFull, kLate, kDraining, kDuplicate };
 
 /// What an endpoint says to a cancellation.
 enum class CancelAnswer { kStopped, kFinished, kUnknown };
@@ -34,14 +34,26 @@
 /// and stops a task at the end of its lease.
 class Endpoint {
  public:
-  Endpoint(World& world, std::uint32_t zone, Duration clock_offset);
+  Endpoint(World& world, VmId vm, std::uint32_t zone, Duration clock_offset);
 
   void OnTask(const TaskMessage& message,
               const std::function<void(TaskAnswer, std::string)>& reply);
   void OnCancel(const TaskId& task, const std::function<void(CancelAnswer)>& reply);
+  /// Begins or ends refusing new tasks; tells how many still run.
+  void OnDrain(const std::function<void(std::uint32_t)>& reply);
+  void OnUndrain(const std::function<void(std::uint32_t)>& reply);
   /// All tasks end without an answer.
   void Die();
-  void ComeBack() { this->is_dead = false; }
+  void ComeBack();
+  /// The platform restarts the VM for a step, once.
+  void Reboot(const StepId& step);
+  bool IsUp() const { return !this->is_dead && !this->is_rebooting; }
+  bool IsDead() const { return this->is_dead; }
+  bool IsDraining() const { return this->is_draining; }
+  bool IsRebooting() const { return this->is_rebooting; }
+  std::uint64_t Boot() const { return this->boot; }
+  const StepId& LastStep() const { return this->last_step; }
+  const VmId& Vm() const { return this->vm; }
   void BeginFailing() { ++this->failing; }
   void EndFailing() { --this->failing; }
   std::uint32_t Zone() const { return this->zone; }
@@ -53,11 +65,17 @@
   };
 
   void End(const TaskId& task);
+  void DropTasks();
 
   World& world;
+  VmId vm;
   std::uint32_t zone;
   Duration clock_offset;
   bool is_dead = false;
+  bool is_rebooting = false;
+  bool is_draining = false;
+  std::uint64_t boot = 1;
+  StepId last_step;
   int failing = 0;
   std::map<TaskId, Running> running;
   /// Tasks ever started here; a VM that comes back after its death has forgotten them.
--- a/tests/prove/entry_log.cc
+++ b/tests/prove/entry_log.cc
@@ -20,6 +20,14 @@
 constexpr Duration kPublishPatience = std::chrono::seconds(5);
 constexpr Duration kWithdrawPatience = std::chrono::seconds(60);
 
+std::function<void(AppendResult)> WhenAccepted(std::function<void()> done) {
+  return [done = std::move(done)](AppendResult result) {
+    if (done && result == AppendResult::kAccepted) {
+      done();
+    }
+  };
+}
+
 }  // namespace
 
 void EntryProcess::ReadLog() {
@@ -92,9 +100,9 @@
 }
 
 void EntryProcess::Submit(const RecordId& subject, const std::vector<Record>& records,
-                          Duration patience, std::function<void()> done) {
+                          Duration patience, std::function<void(AppendResult)> done) {
   if (done) {
-    this->when_in_force[subject] = std::move(done);
+    this->when_finished[subject] = std::move(done);
   }
   this->OnAppends(this->appender.Submit(subject, records, this->Now() + patience, this->Now()));
 }
@@ -105,15 +113,16 @@
   }
   for (const AppendOutcome& outcome : actions.finished) {
     this->world.Count(std::string("append: ") + ToString(outcome.result));
-    const auto waiting = this->when_in_force.find(outcome.record);
-    if (waiting == this->when_in_force.end()) {
-      continue;
+    if (outcome.reason) {
+      this->world.Note("append of " + outcome.record.text + ": " + ToString(*outcome.reason));
     }
-    const std::function<void()> done = std::move(waiting->second);
-    this->when_in_force.erase(waiting);
-    if (outcome.result == AppendResult::kAccepted) {
-      done();
+    const auto waiting = this->when_finished.find(outcome.record);
+    if (waiting == this->when_finished.end()) {
+      continue;
     }
+    const std::function<void(AppendResult)> done = std::move(waiting->second);
+    this->when_finished.erase(waiting);
+    done(outcome.result);
   }
 }
 
@@ -156,14 +165,14 @@
 void EntryProcess::OnGiveKey(const KeyDigest& key, const TeamId& team, std::function<void()> done) {
   const RecordId id = this->NextRecordId();
   this->Submit(id, {{id, this->self.id, this->Wall(), config_log::KeyGiven{key, team}}},
-               kPublishPatience, std::move(done));
+               kPublishPatience, WhenAccepted(std::move(done)));
 }
 
 void EntryProcess::OnWithdrawKey(const KeyDigest& key, std::function<void()> done) {
   this->overlay.Withdraw(key);
   const RecordId id = this->NextRecordId();
   this->Submit(id, {{id, this->self.id, this->Wall(), config_log::KeyWithdrawn{key}}},
-               kWithdrawPatience, std::move(done));
+               kWithdrawPatience, WhenAccepted(std::move(done)));
 }
 
 void EntryProcess::OnPeerWithdrawals(const std::set<KeyDigest>& keys) {
--- a/tests/prove/entry_process.cc
+++ b/tests/prove/entry_process.cc
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-EntryProcess::EntryProcess(World& world, membership::Self self, std::uint32_t zone,
+EntryProcess::EntryProcess(World& world, const membership::Self& self, std::uint32_t zone,
                            Duration clock_offset, Duration boot_offset)
     : world(world),
       self(self),
@@ -41,6 +41,7 @@
       started_at(world.Sim().Now()),
       follower(self.id, FrequentSnapshots(), world.Sim().Now() + boot_offset),
       appender(config_log::AppendPolicy{}),
+      planner(self.id),
       membership(self, world.Sim().Now() + boot_offset, world.Guards().membership),
       quota(self, world.Sim().Now() + boot_offset, {}, world.Guards().quota),
       registry(self, kMaxClockSkew, SmallBounds(), world.Guards().registry),
@@ -91,6 +92,9 @@
     this->registry.Tick(this->Wall());
     this->ShareWithdrawals();
     this->WriteSnapshotIfDue();
+    this->ReadVmList();
+    this->AskEndpoints();
+    this->Maintain();
   }
   this->OnAppends(this->appender.OnTick(this->Now()));
   this->Refresh();
--- a/tests/prove/entry_process.h
+++ b/tests/prove/entry_process.h
@@ -14,6 +14,8 @@
 #include "chervilspar/config_log/log_follower.h"
 #include "chervilspar/idempotency/request_client.h"
 #include "chervilspar/idempotency/request_registry.h"
+#include "chervilspar/maintenance/planner.h"
+#include "chervilspar/maintenance/step_executor.h"
 #include "chervilspar/membership/membership.h"
 #include "chervilspar/quota/quota.h"
 
@@ -46,8 +48,8 @@
 /// like the entry of the product.
 class EntryProcess : public std::enable_shared_from_this<EntryProcess> {
  public:
-  EntryProcess(World& world, membership::Self self, std::uint32_t zone, Duration clock_offset,
-               Duration boot_offset);
+  EntryProcess(World& world, const membership::Self& self, std::uint32_t zone,
+               Duration clock_offset, Duration boot_offset);
 
   void Start();
   void Kill() { this->is_dead = true; }
@@ -103,7 +105,7 @@
   void OnAppends(const config_log::AppendActions& actions);
   void AppendToLog(const config_log::Record& record);
   void Submit(const RecordId& subject, const std::vector<config_log::Record>& records,
-              Duration patience, std::function<void()> done);
+              Duration patience, std::function<void(config_log::AppendResult)> done);
   RecordId NextRecordId();
   void WriteSnapshotIfDue();
   void ShareWithdrawals();
@@ -123,6 +125,25 @@
   void OnTaskTimeout(std::uint64_t number, const TaskId& task);
   void CancelTask(const TaskId& task, std::uint32_t endpoint);
   void GiveUpWaiting(std::uint64_t number);
+  /// An endpoint of the team's pool that the folded state calls available, mostly of the own zone.
+  std::optional<std::uint32_t> PickEndpoint(const TeamId& team);
+
+  // Maintenance (entry_maintenance.cc).
+  void ReadVmList();
+  void OnVmList(TimePoint as_of, const std::set<VmId>& live);
+  void AppendObservations();
+  void AskEndpoints();
+  maintenance::Observations Observe() const;
+  void Maintain();
+  void FeedSteps();
+  void FeedStep(const StepId& step, const maintenance::StepInput& input);
+  void DoStep(const StepId& step, const maintenance::StepOutput& output);
+  void AppendStep(const StepId& step, const maintenance::AppendRecord& append);
+  void CallEndpoint(const VmId& vm, std::function<void(Endpoint&)> call);
+  void DrainVm(const StepId& step, const VmId& vm);
+  void UndrainVm(const std::optional<StepId>& step, const VmId& vm);
+  void RebootVm(const StepId& step, const VmId& vm);
+  void DescribeVm(const StepId& step, const VmId& vm);
   void Finish(std::uint64_t number, Verdict verdict, const std::string& body);
   void Later(Duration delay, std::function<void()> action);
 
@@ -139,8 +160,24 @@
   config_log::LogFollower follower;
   config_log::Appender appender;
   config_log::KeyOverlay overlay;
-  std::map<RecordId, std::function<void()>> when_in_force;
+  std::map<RecordId, std::function<void(config_log::AppendResult)>> when_finished;
   std::uint64_t last_record = 0;
+
+  /// A step that this entry carries out.
+  struct Job {
+    maintenance::StepExecutor executor;
+    EntryId gone_executor;
+  };
+  struct SeenVm {
+    bool is_listed = false;
+    std::optional<TimePoint> missing_since;
+    maintenance::DrainState drain_state = maintenance::DrainState::kUnknown;
+  };
+  maintenance::Planner planner;
+  std::map<StepId, Job> jobs;
+  std::map<VmId, SeenVm> seen_vms;
+  std::optional<TimePoint> list_read_at;
+  WallTime list_as_of;
   membership::Membership membership;
   quota::Quota quota;
   idempotency::RequestRegistry registry;
--- a/tests/prove/entry_requests.cc
+++ b/tests/prove/entry_requests.cc
@@ -121,6 +121,10 @@
 
 bool EntryProcess::TryDispatch(std::uint64_t number) {
   Open& open = this->open.at(number);
+  const std::optional<std::uint32_t> endpoint = this->PickEndpoint(open.call.team);
+  if (!endpoint) {
+    return false;
+  }
   const TaskId task{this->self.id.text + "." + std::to_string(this->self.incarnation.nonce) + "." +
                     std::to_string(++this->last_task)};
   const Result<quota::StartPermit> permit =
@@ -132,7 +136,7 @@
   open.task = task;
   open.tracker = VerdictTracker();
   ++open.sends;
-  open.endpoint = this->world.PickEndpoint(this->zone);
+  open.endpoint = *endpoint;
   // The process may be paused between the check and the moment the bytes leave, and a connection
   // may take its time.
   const bool is_slow = this->world.Sim().Chance(kSlowConnect);
@@ -185,6 +189,7 @@
       break;
     case TaskAnswer::kFull:
     case TaskAnswer::kLate:
+    case TaskAnswer::kDraining:
       open.tracker.OnRefusedByEndpoint();
       this->quota.OnEnded(task, this->Now());
       if (open.sends < kSendsPerRequest && open.deadline > this->Now()) {
--- a/tests/prove/fake_log.cc
+++ b/tests/prove/fake_log.cc
@@ -33,7 +33,7 @@
 }
 
 config_log::Offset FakeLog::Append(const config_log::Record& record, TimePoint now) {
-  this->records.push_back({config_log::EncodeRecord(record), now});
+  this->records.push_back({config_log::EncodeRecord(record), this->UpTime(now)});
   this->ledger.OnAppended(record.id.text, now);
   return static_cast<config_log::Offset>(this->records.size()) - 1;
 }
@@ -48,9 +48,24 @@
   return batch;
 }
 
-void FakeLog::DropOlderThan(TimePoint time) {
+Duration FakeLog::UpTime(TimePoint now) const {
+  return this->IsDown() ? this->up_before : this->up_before + (now - this->up_since);
+}
+
+void FakeLog::BeginOutage(TimePoint now) {
+  this->up_before = this->UpTime(now);
+  ++this->outages;
+}
+
+void FakeLog::EndOutage(TimePoint now) {
+  --this->outages;
+  this->up_since = now;
+}
+
+void FakeLog::DropOlderThan(Duration age, TimePoint now) {
+  const Duration oldest = this->UpTime(now) - age;
   while (this->first < static_cast<config_log::Offset>(this->records.size()) &&
-         this->records[static_cast<std::size_t>(this->first)].at < time) {
+         this->records[static_cast<std::size_t>(this->first)].at < oldest) {
     ++this->first;
   }
 }
--- a/tests/prove/fake_log.h
+++ b/tests/prove/fake_log.h
@@ -57,22 +57,28 @@
   config_log::Offset Append(const config_log::Record& record, TimePoint now);
   /// The records from `from` on; `first` above `from` says that they are no longer kept.
   config_log::ReadBatch Read(config_log::Offset from) const;
-  /// Drops records older than the time.
-  void DropOlderThan(TimePoint time);
-  void BeginOutage() { ++this->outages; }
-  void EndOutage() { --this->outages; }
+  /// Drops records older than `age`, not counting outages: the platform must keep records for
+  /// longer than its outages last, or a record that nobody has read is lost.
+  void DropOlderThan(Duration age, TimePoint now);
+  void BeginOutage(TimePoint now);
+  void EndOutage(TimePoint now);
   bool IsDown() const { return this->outages > 0; }
 
  private:
   struct Kept {
     std::string text;
-    TimePoint at;
+    /// Time without outages until it was appended.
+    Duration at = Duration::zero();
   };
 
+  Duration UpTime(TimePoint now) const;
+
   PublishLedger& ledger;
   std::vector<Kept> records;
   config_log::Offset first = 0;
   int outages = 0;
+  TimePoint up_since;
+  Duration up_before = Duration::zero();
 };
 
 }  // namespace chervilspar::prove
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -10,7 +10,7 @@
 constexpr Duration kCalmFor = std::chrono::seconds(10);
 constexpr Duration kInForceWithin = std::chrono::seconds(9);
 constexpr std::uint32_t kLargestLimit = 10;
-/// Snapshots are written about every 5 s; only an outage leaves none within this.
+/// Snapshots are written about every 5 s.
 constexpr Duration kRetention = std::chrono::seconds(12);
 
 }  // namespace
@@ -43,11 +43,11 @@
       this->Hold(fault.Lasts(), [this, zone] { this->network.Heal(zone, kPlatform); });
       break;
     case FaultKind::kLogOutage:
-      this->log.BeginOutage();
-      this->Hold(fault.Lasts(), [this] { this->log.EndOutage(); });
+      this->log.BeginOutage(this->simulation.Now());
+      this->Hold(fault.Lasts(), [this] { this->log.EndOutage(this->simulation.Now()); });
       break;
     case FaultKind::kRetentionGap:
-      this->log.DropOlderThan(this->simulation.Now() - kRetention);
+      this->log.DropOlderThan(kRetention, this->simulation.Now());
       break;
     case FaultKind::kBadNetwork:
       this->network.BeginBad();
--- a/tests/prove/main.cc
+++ b/tests/prove/main.cc
@@ -10,7 +10,6 @@
 
 using chervilspar::prove::Coverage;
 using chervilspar::prove::GuardNames;
-using chervilspar::prove::GuardSet;
 using chervilspar::prove::ProveOptions;
 using chervilspar::prove::RunsUntilFailure;
 using chervilspar::prove::Tally;
--- a/tests/prove/observer.cc
+++ b/tests/prove/observer.cc
@@ -9,6 +9,10 @@
 /// A published configuration must be in force at every entry within this, once nothing is wrong.
 constexpr std::int64_t kInForceWithinUs = 9'000'000;
 
+/// A failure that is younger than this may not be known yet: the VM list lags by up to 3 s, a VM
+/// counts as failed 3 s after it is missing, and the record has to be read.
+constexpr std::int64_t kFailureSeenWithinUs = 10'000'000;
+
 }  // namespace
 
 void Observer::OnLimitPublished(std::int64_t now, const std::string& team, std::uint32_t limit) {
@@ -153,6 +157,50 @@
   }
 }
 
+void Observer::OnVmDeclared(const std::string& vm, const std::string& pool, std::uint32_t budget) {
+  this->vms[vm] = {pool, budget, true, false, 0};
+}
+
+void Observer::OnVmDraining(const std::string& vm, bool is_draining) {
+  this->vms[vm].is_draining = is_draining;
+}
+
+void Observer::OnVmFailed(std::int64_t now, const std::string& vm) {
+  this->vms[vm].is_up = false;
+  this->vms[vm].is_draining = false;
+  this->vms[vm].failed_at = now;
+}
+
+void Observer::OnVmBack(const std::string& vm) {
+  this->vms[vm].is_up = true;
+  this->vms[vm].is_draining = false;
+}
+
+void Observer::OnVmRebooted(std::int64_t now, const std::string& vm, std::uint32_t running) {
+  Vm& rebooted = this->vms[vm];
+  if (running > 0) {
+    this->Violate(
+        now, "cut: VM " + vm + " is rebooted with " + std::to_string(running) + " tasks running");
+  }
+  rebooted.is_up = false;
+  rebooted.is_draining = false;
+  std::uint32_t serving = 0;
+  std::uint32_t unseen_failures = 0;
+  for (const auto& [name, other] : this->vms) {
+    if (other.pool != rebooted.pool) {
+      continue;
+    }
+    serving += other.is_up && !other.is_draining ? 1 : 0;
+    const bool is_fresh = other.failed_at > 0 && now - other.failed_at < kFailureSeenWithinUs;
+    unseen_failures += !other.is_up && is_fresh ? 1 : 0;
+  }
+  if (serving + unseen_failures < rebooted.budget) {
+    this->Violate(now, "budget: pool " + rebooted.pool + " has " + std::to_string(serving) +
+                           " VMs of " + std::to_string(rebooted.budget) + " as VM " + vm +
+                           " is rebooted");
+  }
+}
+
 void Observer::BeginLastPhase(std::int64_t /*now*/) {
   this->in_last_phase = true;
   for (auto& [name, team] : this->teams) {
--- a/tests/prove/observer.h
+++ b/tests/prove/observer.h
@@ -40,6 +40,14 @@
   /// `body` names the request whose result it is.
   void OnAnswer(std::int64_t now, std::uint64_t number, Answer answer, const std::string& body);
 
+  /// The operators' declaration of a VM, its pool, and how many VMs that pool must keep.
+  void OnVmDeclared(const std::string& vm, const std::string& pool, std::uint32_t budget);
+  void OnVmDraining(const std::string& vm, bool is_draining);
+  void OnVmFailed(std::int64_t now, const std::string& vm);
+  void OnVmBack(const std::string& vm);
+  /// The platform restarts a VM on which `running` tasks run.
+  void OnVmRebooted(std::int64_t now, const std::string& vm, std::uint32_t running);
+
   /// What an entry said of its configuration when asked.
   void OnVersionSeen(std::int64_t now, const std::string& entry, std::uint64_t life,
                      std::int64_t version, std::int64_t published);
@@ -88,6 +96,14 @@
     std::int64_t version = 0;
   };
 
+  struct Vm {
+    std::string pool;
+    std::uint32_t budget = 0;
+    bool is_up = true;
+    bool is_draining = false;
+    std::int64_t failed_at = 0;
+  };
+
   std::uint32_t Allowed(const Team& team, std::int64_t now) const;
   bool HasOpenTry(const Request& request) const;
   bool IsAllowed(const Request& request, const std::string& team) const;
@@ -100,6 +116,7 @@
   std::map<std::string, Request> requests;
   std::map<std::string, Seen> seen;
   std::map<std::string, Key> keys;
+  std::map<std::string, Vm> vms;
   std::vector<Try> tries;
   std::vector<std::string> violations;
   std::uint64_t tasks_started = 0;
--- a/tests/prove/world.cc
+++ b/tests/prove/world.cc
@@ -1,5 +1,6 @@
 #include "tests/prove/world.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -7,45 +8,11 @@
 
 namespace {
 
-constexpr std::size_t kEndpointsPerZone = 2;
+constexpr std::size_t kListLagSeconds = 3;
 constexpr WallTime kWallEpoch = WallTime(std::chrono::hours(500000));
-constexpr std::array<std::uint32_t, kTeams> kFirstLimits = {1, 2, 5, 9};
-/// An endpoint of the own zone is taken this often.
-constexpr double kOwnZoneFirst = 0.7;
 
 }  // namespace
 
-EntryId EntryAt(std::size_t slot) { return EntryId{"e" + std::to_string(slot + 1)}; }
-
-TeamId TeamAt(std::size_t team) { return TeamId{"team" + std::to_string(team + 1)}; }
-
-inventory::Inventory FirstInventory() {
-  inventory::Inventory first;
-  for (std::uint32_t zone = 0; zone < kZones; ++zone) {
-    const ZoneId id{"zone" + std::to_string(zone)};
-    first.zones[id] = {id, RegionId{"region"}};
-  }
-  for (std::size_t slot = 0; slot < kFirstEntries; ++slot) {
-    first.entries[EntryAt(slot)] = EntryVmAt(slot);
-  }
-  for (std::size_t team = 0; team < kTeams; ++team) {
-    inventory::Team& made = first.teams[TeamAt(team)];
-    made.id = TeamAt(team);
-    made.client_account.text = "account" + std::to_string(team);
-    made.upper_limit = kFirstLimits.at(team);
-  }
-  first.service_rules.max_task_lease = kMaxTaskLease;
-  first.service_rules.loan_lease = kLoanLease;
-  first.service_rules.max_clock_skew = kMaxClockSkew;
-  return first;
-}
-
-inventory::EntryVm EntryVmAt(std::size_t slot) {
-  const std::string host = "10.0.0." + std::to_string(slot + 1);
-  return {EntryAt(slot), ZoneId{"zone" + std::to_string(slot % kZones)}, host + ":7000",
-          host + ":8000"};
-}
-
 World::World(const Case& run, const GuardSet& guards, Coverage& coverage, Timeline::Mode mode)
     : run(run),
       guards(guards),
@@ -60,14 +27,39 @@
       is_retired(kEntrySlots, false),
       keys(kTeams) {
   const Duration half_skew = kMaxClockSkew / 2;
-  for (std::size_t at = 0; at < kZones * kEndpointsPerZone; ++at) {
+  for (std::size_t at = 0; at < kVms; ++at) {
     this->endpoints.push_back(
-        std::make_unique<Endpoint>(*this, static_cast<std::uint32_t>(at % kZones),
+        std::make_unique<Endpoint>(*this, VmAt(at), static_cast<std::uint32_t>(at % kZones),
                                    this->simulation.Between(-half_skew, half_skew)));
+    this->observer.OnVmDeclared(VmAt(at).text, PoolAt(at).text, BudgetOf(PoolAt(at)));
   }
 }
 
+void World::UpdateVmList() {
+  std::set<VmId> live;
+  for (const std::unique_ptr<Endpoint>& endpoint : this->endpoints) {
+    if (endpoint->IsUp()) {
+      live.insert(endpoint->Vm());
+    }
+  }
+  this->listed.push_back(live);
+  this->listed_at.push_back(this->simulation.Now());
+  if (this->listed.size() > kListLagSeconds) {
+    this->listed.pop_front();
+    this->listed_at.pop_front();
+  }
+  this->simulation.After(Seconds(1), [this] { this->UpdateVmList(); });
+}
+
+Endpoint& World::EndpointOf(const VmId& vm) {
+  const auto found =
+      std::find_if(this->endpoints.begin(), this->endpoints.end(),
+                   [&vm](const std::unique_ptr<Endpoint>& it) { return it->Vm() == vm; });
+  return **found;
+}
+
 Outcome World::Run() {
+  this->UpdateVmList();
   for (std::size_t slot = 0; slot < kEntrySlots; ++slot) {
     this->StartEntry(slot);
   }
@@ -177,14 +169,4 @@
   }
 }
 
-std::uint32_t World::PickEndpoint(std::uint32_t zone) {
-  const auto count = static_cast<std::uint32_t>(this->endpoints.size());
-  const auto any = static_cast<std::uint32_t>(this->simulation.Dice().Below(count));
-  if (!this->simulation.Chance(kOwnZoneFirst)) {
-    return any;
-  }
-  const std::uint32_t in_zone = any / kZones;
-  return in_zone * kZones + zone;
-}
-
 }  // namespace chervilspar::prove
--- a/tests/prove/world.h
+++ b/tests/prove/world.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,7 +50,11 @@
 
   void SendToEntry(std::uint32_t from_zone, const EntryId& to,
                    std::function<void(EntryProcess&)> deliver);
-  std::uint32_t PickEndpoint(std::uint32_t zone);
+  Endpoint& EndpointOf(const VmId& vm);
+  std::size_t EndpointCount() const { return this->endpoints.size(); }
+  /// What the platform's VM list said some seconds ago.
+  std::set<VmId> ListedVms() const { return this->listed.front(); }
+  TimePoint ListedAsOf() const { return this->listed_at.front(); }
   Endpoint& EndpointAt(std::uint32_t at) { return *this->endpoints.at(at); }
   std::uint32_t EndpointZone(std::uint32_t at) const { return this->endpoints.at(at)->Zone(); }
 
@@ -65,6 +71,7 @@
 
   // Entries (world.cc).
   void StartEntry(std::size_t slot);
+  void UpdateVmList();
   void KillEntry(std::size_t slot, Duration replaced_after);
   std::size_t LiveSlot(std::uint32_t choice) const;
 
@@ -114,6 +121,8 @@
   PublishLedger ledger;
   FakeLog log;
   std::vector<std::unique_ptr<Endpoint>> endpoints;
+  std::deque<std::set<VmId>> listed;
+  std::deque<TimePoint> listed_at;
   std::vector<std::shared_ptr<EntryProcess>> entries;
   std::vector<Duration> entry_clock_offsets;
   std::vector<bool> is_retired;
@@ -129,11 +138,17 @@
 /// The entry that stands in a slot.
 EntryId EntryAt(std::size_t slot);
 TeamId TeamAt(std::size_t team);
+VmId VmAt(std::size_t at);
+PoolId PoolAt(std::size_t vm);
+std::uint32_t BudgetOf(const PoolId& pool);
+/// Teams take turns in the services, each with a pool of the same name.
+PoolId PoolOf(const TeamId& team);
 
 inline constexpr std::size_t kEntrySlots = 7;
 /// Entries of the first configuration; the last slot joins and leaves.
 inline constexpr std::size_t kFirstEntries = 6;
 inline constexpr std::size_t kTeams = 4;
+inline constexpr std::size_t kVms = 12;
 /// What the operators start with.
 inventory::Inventory FirstInventory();
 inventory::EntryVm EntryVmAt(std::size_t slot);
