--- a/bench/patterns.h
+++ b/bench/patterns.h
@@ -16,5 +16,6 @@
 void AddPlacementPatterns(ExperimentList& list);
 void AddCostExperiment(ExperimentList& list);
 void AddRecordExperiments(ExperimentList& list);
+void AddLendingPatterns(ExperimentList& list);
 
 }  // namespace chervilspar::bench
--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -11,8 +11,6 @@
 
 namespace chervilspar::bench {
 
-using load_balancing::Outcome;
-
 namespace {
 
 constexpr TimePoint kStart = TimePoint(std::chrono::seconds(1000));
@@ -52,7 +50,7 @@
 
 void Simulation::MakeFleet() {
   const auto zone_name = [](std::uint32_t zone) {
-    return ZoneId{std::string(1, char('a' + zone))};
+    return ZoneId{std::string(1, static_cast<char>('a' + zone))};
   };
   std::vector<load_balancing::Endpoint> listed;
   for (std::uint32_t index = 0; index < this->scenario.endpoints.size(); ++index) {
@@ -225,7 +223,10 @@
   }
   this->Pump(entry);
   const std::size_t ejected = shard.EjectedEndpoints(now).size();
-  this->outcome.ejections += ejected > this->entries[entry].ejected ? 1 : 0;
+  if (ejected > this->entries[entry].ejected) {
+    const bool is_first = this->outcome.ejections++ == 0;
+    this->outcome.first_ejection = is_first ? this->Seconds(now) : this->outcome.first_ejection;
+  }
   this->entries[entry].ejected = ejected;
   for (Duration at = kPumpPeriod; at < kTickPeriod; at += kPumpPeriod) {
     this->loop.After(at, [this, entry] {
