--- a/src/entry/request_pipeline.cc
+++ b/src/entry/request_pipeline.cc
@@ -44,6 +44,16 @@
           admission::ToString(refusal.code), refusal.message, verdict, refusal.retry_after};
 }
 
+/// What a refusal before the owner of the id was asked may say. A repeat that is refused for a
+/// reason of the moment must not be told "not run": its first try may have run, and the caller
+/// would make a new request of it.
+Verdict VerdictBeforeOwner(const CallerRequest& request, unsigned status) {
+  const bool is_repeatable = status == 503 && !request.id.IsEmpty() &&
+                             request.idempotency == admission::Idempotency::kNotIdempotent;
+  return is_repeatable ? idempotency::VerdictWithoutOwner(idempotency::KeyOrigin::kCaller)
+                       : Verdict::kNotRun;
+}
+
 Verdict LessCertain(Verdict left, Verdict right) {
   const bool is_unknown = left == Verdict::kMayHaveRun || right == Verdict::kMayHaveRun;
   return is_unknown ? Verdict::kMayHaveRun : std::max(left, right);
@@ -68,6 +78,7 @@
   job.deadline = job.arrived + job.request.timeout;
   std::optional<Rejection> fault = this->Identify(job);
   if (fault) {
+    fault->verdict = VerdictBeforeOwner(job.request, fault->status);
     co_return this->ToHttp(job, *std::move(fault));
   }
   job.pending = std::make_shared<PendingRequest>(co_await asio::this_coro::executor);
