Prove: End the maintenance before the last phase

Cause: a task was sent over a slow connection while its VM was rebooted, no answer came, and its unit was rightly held until the task must have ended. Ruled out: a loan that was not returned (all loans of that team were in use at that moment).

--- a/tests/prove/entry_process.cc
+++ b/tests/prove/entry_process.cc
@@ -185,4 +185,14 @@
   }
 }
 
+void EntryProcess::NoteUnits() {
+  for (std::size_t team = 0; team < kTeams; ++team) {
+    const quota::TeamUnits units = this->quota.Units(TeamAt(team), this->Now());
+    this->world.Note(this->self.id.text + " " + TeamAt(team).text + ": owned " +
+                     std::to_string(units.owned) + ", borrowed " + std::to_string(units.borrowed) +
+                     ", lent " + std::to_string(units.lent) + ", running " +
+                     std::to_string(units.running) + ", waiting " + std::to_string(units.waiting));
+  }
+}
+
 }  // namespace chervilspar::prove
--- a/tests/prove/entry_process.h
+++ b/tests/prove/entry_process.h
@@ -83,6 +83,8 @@
   StatePtr Current() const { return this->follower.State(); }
   TimePoint StartedAt() const { return this->started_at; }
   void CountGuards() const;
+  /// Writes its units of each team into the time line.
+  void NoteUnits();
 
  private:
   struct Open {
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -170,6 +170,15 @@
   this->simulation.After(Seconds(1), [this, slot, choice] { this->DeclareGone(slot, choice + 1); });
 }
 
+void World::EndMaintenance() {
+  if (this->Newest().inventory.maintenance.every == Duration::zero()) {
+    return;
+  }
+  this->Publish(
+      0, [](inventory::Inventory& wanted) { wanted.maintenance.every = Duration::zero(); }, {});
+  this->simulation.After(Seconds(1), [this] { this->EndMaintenance(); });
+}
+
 Observer::Calm World::CalmNow() const {
   const bool is_calm =
       this->active_faults == 0 && this->simulation.Now() - this->calm_since >= kCalmFor;
--- a/tests/prove/world.cc
+++ b/tests/prove/world.cc
@@ -78,7 +78,13 @@
   }
   this->IssueRequests();
   this->WatchCalm();
+  this->simulation.At(kRequestsEnd, [this] { this->EndMaintenance(); });
   this->simulation.At(kLastPhase, [this] { this->AskForMoreThanTheLimits(); });
+  this->simulation.At(kLastPhase + Seconds(5), [this] {
+    for (const std::shared_ptr<EntryProcess>& life : this->entries) {
+      life->Run([life] { life->NoteUnits(); });
+    }
+  });
   this->simulation.RunUntil(kEnd);
   this->observer.CheckLastPhase(this->NowUs());
   for (const auto& life : this->former_lives) {
