Maintenance: Let late pools use a second zone, and lent VMs serve losses

Pools that may miss two VMs were served last and then one VM at a time, because their VMs of one zone share racks and a second zone was closed to them.

--- a/include/chervilspar/maintenance/planner.h
+++ b/include/chervilspar/maintenance/planner.h
@@ -12,7 +12,8 @@
 inline constexpr std::uint32_t kFailureRoom = 1;
 
 /// Further room for steps in a second zone of the same pool. Grounds: a zone cut takes the VMs of
-/// one zone away; drains in the other zone then add to it.
+/// one zone away; drains in the other zone then add to it. A pool that would make the whole wave
+/// late may do without it, since its budget and the room for one failure hold all the same.
 inline constexpr std::uint32_t kSecondZoneRoom = 1;
 
 /// Settings of a planner that are no rules of the operators.
--- a/src/maintenance/planner.cc
+++ b/src/maintenance/planner.cc
@@ -15,13 +15,18 @@
 
 using config_log::Step;
 
-/// VMs that the wave may hold at once to end in its stretched time.
-std::uint32_t WaveWidth(const WaveShape& shape, double stretch) {
-  if (shape.Remaining() == 0) {
-    return 0;
-  }
-  const double rounds = stretch * std::max<std::uint32_t>(shape.LowerBound(), 1);
-  return static_cast<std::uint32_t>(std::ceil(shape.Remaining() / rounds));
+/// Rounds of a stretched wave that are left for its tail. Grounds: steps differ in length by a
+/// factor of two, so the last pools end about one step apart; a wave of eight rounds that was
+/// stretched by a tenth ended up to 1.27 times its lower bound without this.
+constexpr double kTailRounds = 1.0;
+
+/// The width at which the wave ends in its stretched time.
+WaveTarget MakeTarget(const WaveShape& shape, double stretch) {
+  WaveTarget target;
+  const double least = std::max<std::uint32_t>(shape.LowerBound(), 1);
+  target.rounds = std::max(least, stretch * least - kTailRounds);
+  target.width = static_cast<std::uint32_t>(std::ceil(shape.Remaining() / target.rounds));
+  return target;
 }
 
 /// Whether the move's date leaves no time to save buffer.
@@ -88,7 +93,7 @@
   if (IsDatePressing(view, shape, observations.step_times)) {
     stretch = 1.0;
   }
-  WaveSelector selector(view, shape, WaveWidth(shape, stretch));
+  WaveSelector selector(view, shape, MakeTarget(shape, stretch));
   SelectSteps(selector, review);
 
   Plan plan;
--- a/src/maintenance/wave_selector.cc
+++ b/src/maintenance/wave_selector.cc
@@ -31,10 +31,10 @@
 
 }  // namespace
 
-WaveSelector::WaveSelector(const FleetView& view, const WaveShape& shape, std::uint32_t width)
+WaveSelector::WaveSelector(const FleetView& view, const WaveShape& shape, const WaveTarget& target)
     : view(view),
       shape(shape),
-      width(width),
+      target(target),
       held(view.held),
       rack_limit(std::max<std::uint32_t>(view.state->inventory.maintenance.max_per_rack, 1)),
       pools(view.pools.size()),
@@ -127,14 +127,14 @@
   }
   std::optional<Index> best;
   for (Index pool = 0; pool < this->pools.size(); ++pool) {
-    if (this->view.pools[pool].pool->kind != inventory::PoolKind::kSpare ||
-        this->pools[pool].room <= 0) {
+    if (pool == for_pool || this->pools[pool].room <= 0) {
       continue;
     }
+    const bool is_spare_pool = this->view.pools[pool].pool->kind == inventory::PoolKind::kSpare;
     for (const Index candidate : this->view.pools[pool].vms) {
       const VmView& vm = this->view.vms[candidate];
       if (this->held_in_rack[vm.rack] >= this->rack_limit || this->is_selected[candidate] ||
-          !this->IsSpareUsable(vm, accelerators)) {
+          !(is_spare_pool || vm.is_lent) || !this->IsSpareUsable(vm, accelerators)) {
         continue;
       }
       // The zone with the fewest VMs left gets the spare.
@@ -164,18 +164,18 @@
   std::priority_queue<Priority> queue;
   for (Index i = 0; i < this->pools.size(); ++i) {
     if (!this->pools[i].due.empty()) {
-      queue.emplace(this->shape.Laxity(i), i);
+      queue.emplace(this->shape.RoundsAtCapacity(i), i);
     }
   }
   while (!queue.empty()) {
-    const auto [laxity, pool] = queue.top();
+    const auto [rounds, pool] = queue.top();
     queue.pop();
     if (!this->SelectOne(pool)) {
       continue;
     }
     // One step less is one step's share of the pool's way less.
     const auto left = static_cast<double>(this->pools[pool].due.size());
-    queue.emplace(laxity * left / (left + 1.0), pool);
+    queue.emplace(rounds * left / (left + 1.0), pool);
   }
 }
 
@@ -199,6 +199,17 @@
   return false;
 }
 
+bool WaveSelector::IsZoneClosed(const VmView& vm, const PoolCursor& cursor) const {
+  const bool is_held_zone =
+      std::find(cursor.zones.begin(), cursor.zones.end(), vm.zone) != cursor.zones.end();
+  const std::size_t zones = cursor.zones.size() + (is_held_zone ? 0 : 1);
+  if (zones <= 1 || cursor.room >= 1 + static_cast<std::int64_t>(kSecondZoneRoom)) {
+    return false;
+  }
+  // A pool that would make the whole wave late uses the room that its budget allows.
+  return this->shape.RoundsInOneZone(vm.pool) <= this->target.rounds;
+}
+
 std::optional<WaitReason> WaveSelector::FindObstacle(const VmView& vm,
                                                      const PoolCursor& cursor) const {
   if (!vm.is_available) {
@@ -213,13 +224,10 @@
   if (this->held_in_rack[vm.rack] >= this->rack_limit) {
     return WaitReason::kRackLimit;
   }
-  const bool is_held_zone =
-      std::find(cursor.zones.begin(), cursor.zones.end(), vm.zone) != cursor.zones.end();
-  const std::size_t zones = cursor.zones.size() + (is_held_zone ? 0 : 1);
-  if (zones > 1 && cursor.room < 1 + static_cast<std::int64_t>(kSecondZoneRoom)) {
+  if (this->IsZoneClosed(vm, cursor)) {
     return WaitReason::kOtherZone;
   }
-  if (this->held >= this->width) {
+  if (this->held >= this->target.width) {
     return WaitReason::kWaveWidth;
   }
   return std::nullopt;
--- a/src/maintenance/wave_selector.h
+++ b/src/maintenance/wave_selector.h
@@ -22,8 +22,7 @@
 /// steps chosen together respect budgets, racks and zones as if each were claimed before the next.
 class WaveSelector {
  public:
-  /// `width` is the number of VMs that the wave may hold at once.
-  WaveSelector(const FleetView& view, const WaveShape& shape, std::uint32_t width);
+  WaveSelector(const FleetView& view, const WaveShape& shape, const WaveTarget& target);
 
   /// Moves spare VMs into the pools that are to get some.
   void SelectFills();
@@ -49,6 +48,8 @@
   void SortDue(PoolCursor& cursor) const;
   /// Claims the next VM of the pool that may be claimed now; says whether there was one.
   bool SelectOne(Index pool);
+  /// Whether the pool has no room for steps in the VM's zone besides those in other zones.
+  bool IsZoneClosed(const VmView& vm, const PoolCursor& cursor) const;
   std::optional<WaitReason> FindObstacle(const VmView& vm, const PoolCursor& cursor) const;
   std::optional<Index> FindSpare(Index for_pool) const;
   bool IsSpareUsable(const VmView& vm, std::uint32_t accelerators) const;
@@ -58,7 +59,7 @@
 
   const FleetView& view;
   const WaveShape& shape;
-  std::uint32_t width;
+  WaveTarget target;
   std::uint32_t held;
   std::uint32_t rack_limit;
   std::vector<PoolCursor> pools;
--- a/src/maintenance/wave_shape.cc
+++ b/src/maintenance/wave_shape.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <queue>
 
+#include "chervilspar/maintenance/planner.h"
+
 namespace chervilspar::maintenance {
 
 namespace {
@@ -32,17 +34,28 @@
 WaveShape::WaveShape(const FleetView& view) : work(view.pools.size()) {
   this->CountWork(view);
   std::uint32_t spares = this->UsableSpares(view);
-  this->FillLosses(view, spares);
+  const std::uint32_t spares_and_lent = spares + this->UsableLentVms(view);
+  std::uint32_t left = spares_and_lent;
+  this->FillLosses(view, left);
+  spares -= std::min(spares, spares_and_lent - left);
   this->FillBlocked(view, spares);
   this->FillForSpeed(view, spares);
   this->ComputeLowerBound(view);
   this->Simulate(view);
 }
 
-double WaveShape::Laxity(Index pool) const {
+double WaveShape::RoundsAtCapacity(Index pool) const {
+  const PoolWork& work = this->work[pool];
+  const auto steps = static_cast<double>(work.reboots + work.leaving.size());
+  const double rounds = steps / static_cast<double>(std::max<std::int64_t>(work.capacity, 1));
+  return std::max<double>(rounds, work.rack_rounds);
+}
+
+double WaveShape::RoundsInOneZone(Index pool) const {
   const PoolWork& work = this->work[pool];
   const auto steps = static_cast<double>(work.reboots + work.leaving.size());
-  return steps / static_cast<double>(std::max<std::int64_t>(work.capacity, 1));
+  const std::int64_t width = work.capacity - static_cast<std::int64_t>(kSecondZoneRoom);
+  return steps / static_cast<double>(std::max<std::int64_t>(width, 1));
 }
 
 bool WaveShape::HasWork(Index pool) const { return IsBusy(this->work[pool]); }
@@ -70,6 +83,12 @@
   const std::uint32_t per_rack = view.state->inventory.maintenance.max_per_rack;
   this->rack_rounds = MostRounds(due_in_rack, per_rack);
   this->move_rounds = MostRounds(moves_in_rack, per_rack);
+  for (const VmView& vm : view.vms) {
+    if (vm.need != Need::kNone && !vm.is_lost) {
+      PoolWork& pool = this->work[vm.pool];
+      pool.rack_rounds = std::max(pool.rack_rounds, RoundsFor(due_in_rack[vm.rack], per_rack));
+    }
+  }
 }
 
 void WaveShape::CountMove(const FleetView& view, const VmView& vm) {
@@ -94,6 +113,19 @@
   return static_cast<std::uint32_t>(usable);
 }
 
+std::uint32_t WaveShape::UsableLentVms(const FleetView& view) const {
+  std::vector<std::int64_t> lent(view.pools.size());
+  for (const VmView& vm : view.vms) {
+    lent[vm.pool] += vm.is_lent && vm.is_available ? 1 : 0;
+  }
+  std::int64_t usable = 0;
+  for (Index i = 0; i < view.pools.size(); ++i) {
+    const std::int64_t room = std::max<std::int64_t>(FleetView::RoomNow(view.pools[i]), 0);
+    usable += std::min(lent[i], room);
+  }
+  return static_cast<std::uint32_t>(usable);
+}
+
 void WaveShape::AddFill(Index pool, std::uint32_t count) {
   this->fills.push_back(SpareFill{pool, count});
   this->work[pool].capacity += count;
--- a/src/maintenance/wave_shape.h
+++ b/src/maintenance/wave_shape.h
@@ -22,6 +22,8 @@
   std::uint32_t reboots = 0;
   /// Target pools of moves that have not begun; `kGone` for a retired VM.
   std::vector<Index> leaving;
+  /// Rounds that the due VMs of its fullest rack take, whatever their pools.
+  std::uint32_t rack_rounds = 0;
   /// VMs that moves will bring.
   std::uint32_t arriving = 0;
   /// VMs that the pool may have held at once, planned spare VMs included.
@@ -30,6 +32,14 @@
 
 inline constexpr Index kGone = static_cast<Index>(-1);
 
+/// What a wave is held to.
+struct WaveTarget {
+  /// VMs that it may hold at once.
+  std::uint32_t width = 0;
+  /// Rounds in which it is to end.
+  double rounds = 0;
+};
+
 /// The size of a wave, in rounds: a round is as long as one step, and in it each pool holds as many
 /// VMs as its budget allows.
 class WaveShape {
@@ -50,8 +60,11 @@
   const std::vector<BlockedPool>& BlockedPools() const { return this->blocked; }
   /// Spare VMs to move in, pools below their budget first.
   const std::vector<SpareFill>& Fills() const { return this->fills; }
-  /// Rounds that a pool needs at its capacity; the longest comes first in a wave.
-  double Laxity(Index pool) const;
+  /// Rounds that a pool needs at its capacity, or its fullest rack; the longest comes first in a
+  /// wave.
+  double RoundsAtCapacity(Index pool) const;
+  /// Rounds that a pool needs while it keeps to one zone at a time.
+  double RoundsInOneZone(Index pool) const;
   /// Whether the pool has steps to be ended.
   bool HasWork(Index pool) const;
 
@@ -59,6 +72,8 @@
   void CountWork(const FleetView& view);
   void CountMove(const FleetView& view, const VmView& vm);
   std::uint32_t UsableSpares(const FleetView& view) const;
+  /// Lent VMs that their pools could give up for a pool that has lost some.
+  std::uint32_t UsableLentVms(const FleetView& view) const;
   void FillLosses(const FleetView& view, std::uint32_t& spares);
   void FillBlocked(const FleetView& view, std::uint32_t& spares);
   void FillForSpeed(const FleetView& view, std::uint32_t spares);
