--- a/bench/main.cc
+++ b/bench/main.cc
@@ -20,7 +20,7 @@
   chervilspar::bench::AddCostExperiment(list);
   chervilspar::bench::AddRecordExperiments(list);
   chervilspar::bench::AddLendingPatterns(list);
-  // Experiments of maintenance waves and of slopes go here.
+  chervilspar::bench::AddWavePatterns(list);
   return list;
 }
 
--- a/bench/patterns.h
+++ b/bench/patterns.h
@@ -17,5 +17,6 @@
 void AddCostExperiment(ExperimentList& list);
 void AddRecordExperiments(ExperimentList& list);
 void AddLendingPatterns(ExperimentList& list);
+void AddWavePatterns(ExperimentList& list);
 
 }  // namespace chervilspar::bench
--- a/bench/wave_fleet.cc
+++ b/bench/wave_fleet.cc
@@ -1,6 +1,8 @@
-#include "wave_fleet.h"
+#include "bench/wave_fleet.h"
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace chervilspar::bench {
 
@@ -43,6 +45,53 @@
   return vm;
 }
 
+/// Builds the inventory of a fleet that is due for maintenance.
+class FleetBuilder {
+ public:
+  FleetBuilder(std::uint32_t zones, std::uint32_t vms_per_rack) : racks(zones, vms_per_rack) {
+    for (std::uint32_t i = 0; i < zones; ++i) {
+      const ZoneId zone{Numbered("zone-", i)};
+      this->inventory.zones[zone] = inventory::Zone{zone, RegionId{"region"}};
+    }
+  }
+
+  void AddServingPool(std::uint32_t number, std::uint32_t vms, std::uint32_t slack) {
+    inventory::Pool pool;
+    pool.id = ServingPool(number);
+    pool.service = ServiceId{Numbered("service-", number)};
+    pool.min_available = vms - slack;
+    this->AddPool(std::move(pool), vms);
+  }
+
+  void AddSparePool(std::uint32_t vms) {
+    inventory::Pool pool;
+    pool.id = kSparePool;
+    pool.kind = inventory::PoolKind::kSpare;
+    this->AddPool(std::move(pool), vms);
+  }
+
+  inventory::Inventory Finish(const inventory::Weights& weights) && {
+    this->inventory.maintenance.every = std::chrono::hours(24 * 49);
+    this->inventory.maintenance.weights = weights;
+    return std::move(this->inventory);
+  }
+
+ private:
+  void AddPool(inventory::Pool pool, std::uint32_t vms) {
+    for (std::uint32_t i = 0; i < vms; ++i) {
+      inventory::Vm vm = MakeVm(this->next_vm, pool.id);
+      this->racks.Place(vm, this->next_vm);
+      ++this->next_vm;
+      this->inventory.vms[vm.id] = vm;
+    }
+    this->inventory.pools[pool.id] = std::move(pool);
+  }
+
+  Racks racks;
+  inventory::Inventory inventory;
+  std::uint32_t next_vm = 0;
+};
+
 }  // namespace
 
 const char* ToString(Deployment deployment) {
@@ -65,35 +114,24 @@
 PoolId ServingPool(std::uint32_t number) { return PoolId{Numbered("pool-", number)}; }
 
 inventory::Inventory MakeWaveFleet(const WaveFleetShape& shape, const inventory::Weights& weights) {
-  inventory::Inventory inventory;
-  for (std::uint32_t i = 0; i < shape.zones; ++i) {
-    const ZoneId zone{Numbered("zone-", i)};
-    inventory.zones[zone] = inventory::Zone{zone, RegionId{"region"}};
+  FleetBuilder builder(shape.zones, shape.vms_per_rack);
+  for (std::uint32_t i = 0; i < shape.serving_pools; ++i) {
+    builder.AddServingPool(i, shape.vms_per_pool, shape.slack);
   }
-  Racks racks(shape.zones, shape.vms_per_rack);
-  std::uint32_t number = 0;
-  const auto add_pool = [&](inventory::Pool pool, std::uint32_t vms) {
-    for (std::uint32_t i = 0; i < vms; ++i, ++number) {
-      inventory::Vm vm = MakeVm(number, pool.id);
-      racks.Place(vm, number);
-      inventory.vms[vm.id] = vm;
-    }
-    inventory.pools[pool.id] = std::move(pool);
-  };
+  builder.AddSparePool(shape.spare_vms);
+  return std::move(builder).Finish(weights);
+}
+
+inventory::Inventory MakeDeploymentFleet(Deployment deployment, Random& random) {
+  const WaveFleetShape shape;
+  FleetBuilder builder(shape.zones, shape.vms_per_rack);
   for (std::uint32_t i = 0; i < shape.serving_pools; ++i) {
-    inventory::Pool pool;
-    pool.id = ServingPool(i);
-    pool.service = ServiceId{Numbered("service-", i)};
-    pool.min_available = shape.vms_per_pool - shape.slack;
-    add_pool(pool, shape.vms_per_pool);
+    const auto vms = static_cast<std::uint32_t>(8 + random.Below(5));
+    const auto slack = static_cast<std::uint32_t>(2 + random.Below(2));
+    builder.AddServingPool(i, vms, slack);
   }
-  inventory::Pool spare;
-  spare.id = kSparePool;
-  spare.kind = inventory::PoolKind::kSpare;
-  add_pool(spare, shape.spare_vms);
-  inventory.maintenance.every = std::chrono::hours(24 * 49);
-  inventory.maintenance.weights = weights;
-  return inventory;
+  builder.AddSparePool(shape.spare_vms);
+  return std::move(builder).Finish(WeightsOf(deployment));
 }
 
 }  // namespace chervilspar::bench
--- a/bench/wave_fleet.h
+++ b/bench/wave_fleet.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "chervilspar/base/random.h"
 #include "chervilspar/inventory/inventory.h"
 
 namespace chervilspar::bench {
@@ -30,6 +31,10 @@
 /// one zone and, as pools are filled one after the other, of neighbouring pools.
 inventory::Inventory MakeWaveFleet(const WaveFleetShape& shape, const inventory::Weights& weights);
 
+/// A fleet at the size of the brief: five services with 8 to 12 VMs each, drawn from `random`, two
+/// or three of which may be missing, and a spare pool of four. All are due.
+inventory::Inventory MakeDeploymentFleet(Deployment deployment, Random& random);
+
 PoolId ServingPool(std::uint32_t number);
 inline const PoolId kSparePool{"spare"};
 
--- a/bench/wave_strategy.cc
+++ b/bench/wave_strategy.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "wave_world.h"
+#include "bench/wave_world.h"
 
 namespace chervilspar::bench {
 
--- a/bench/wave_world.cc
+++ b/bench/wave_world.cc
@@ -1,4 +1,4 @@
-#include "wave_world.h"
+#include "bench/wave_world.h"
 
 #include <algorithm>
 #include <utility>
