Maintenance: Begin steps at the pace of the log

A first plan over 8,800 due VMs claimed 1,467 at once. An entry appends 20 records a second, so most would time out before they were read back and be repeated. One plan now begins at most eight; a step takes three records.

--- a/src/maintenance/wave_selector.cc
+++ b/src/maintenance/wave_selector.cc
@@ -16,6 +16,11 @@
 
 using config_log::StepAction;
 
+/// Most due steps that one plan begins. Grounds: an entry appends 20 records a second on average
+/// and a step takes three; a plan is made about once a second. Without this a wave over thousands
+/// of VMs appends more than a thousand claims at once, which time out before they are read back.
+constexpr std::size_t kMaxNewSteps = 8;
+
 StepAction ActionFor(Need need) {
   switch (need) {
     case Need::kMove:
@@ -227,7 +232,7 @@
   if (this->IsZoneClosed(vm, cursor)) {
     return WaitReason::kOtherZone;
   }
-  if (this->held >= this->target.width) {
+  if (this->held >= this->target.width || this->selections.size() >= kMaxNewSteps) {
     return WaitReason::kWaveWidth;
   }
   return std::nullopt;
--- a/tests/maintenance/planner_test.cc
+++ b/tests/maintenance/planner_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 using bench::ServingPool;
+using bench::WaveFleetShape;
 using config_log::Step;
 using config_log::StepAction;
 using config_log::StepPhase;
@@ -334,6 +335,16 @@
   EXPECT_EQ(PlanFor(fleet).undrains, std::vector<VmId>{fleet.VmAt(4)});
 }
 
+// A large fleet falls due at once. The claims come at the pace at which an entry may append, since
+// a thousand at once would time out and be repeated, and the log would have no room for anything
+// else.
+TEST(PlannerTest, LargeFleetBeginsStepsAtTheLogsPace) {
+  WaveFleetShape shape;
+  shape.serving_pools = 40;
+  const FleetFixture fleet(shape);
+  EXPECT_EQ(PlanFor(fleet).claims.size(), 8U);
+}
+
 TEST(PlannerTest, OnlyOneEntryAppends) {
   FleetFixture fleet;
   EXPECT_TRUE(Planner(kEntryA).MakePlan(fleet.state, fleet.observations, kNow).is_own_turn);
