--- a/tests/maintenance/planner_test.cc
+++ b/tests/maintenance/planner_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 using bench::ServingPool;
+using bench::WaveFleetShape;
 using config_log::Step;
 using config_log::StepAction;
 using config_log::StepPhase;
@@ -121,15 +122,23 @@
                                                   0, WaitReason::kRackLimit},
                                          PlanCase{"NoRoomForASecondZone",
                                                   [](FleetFixture& fleet) {
-                                                    fleet.SetSlack(3);
+                                                    fleet.SetPoolSlack(0, 3);
                                                     fleet.PutInZone(0, "own-zone");
                                                     fleet.HoldVm(0);
                                                   },
                                                   0, WaitReason::kOtherZone},
-                                         PlanCase{"RoomForASecondZone",
+                                         PlanCase{"RoomForOneInASecondZone",
+                                                  [](FleetFixture& fleet) {
+                                                    fleet.SetSlack(6);
+                                                    fleet.SetPoolSlack(0, 4);
+                                                    fleet.SetPoolSlack(1, 2);
+                                                    fleet.PutInZone(0, "own-zone");
+                                                    fleet.HoldVm(0);
+                                                  },
+                                                  1, WaitReason::kOtherZone},
+                                         PlanCase{"LatePoolUsesASecondZone",
                                                   [](FleetFixture& fleet) {
-                                                    fleet.SetSlack(4);
-                                                    fleet.SetOnlyDuePool(0);
+                                                    fleet.SetSlack(3);
                                                     fleet.PutInZone(0, "own-zone");
                                                     fleet.HoldVm(0);
                                                   },
@@ -213,6 +222,23 @@
   EXPECT_EQ(moves, 1);
 }
 
+// All spare VMs are lent out when a pool loses VMs. One of them goes on to the pool in need instead
+// of waiting for the wave's end.
+TEST(PlannerTest, LentVmsServeLossesElsewhere) {
+  FleetFixture fleet;
+  fleet.SetMaintained(kNow);
+  for (std::uint32_t vm = 50; vm < 54; ++vm) {
+    fleet.Lend(vm, ServingPool(1));
+  }
+  fleet.SetCondition(0, VmCondition::kFailed);
+  fleet.SetCondition(3, VmCondition::kFailed);
+  const Plan plan = PlanFor(fleet);
+  const auto moves = std::count_if(plan.claims.begin(), plan.claims.end(), [](const Step& step) {
+    return step.from_pool == ServingPool(1) && step.to_pool == ServingPool(0);
+  });
+  EXPECT_EQ(moves, 1);
+}
+
 // A VM that has just gone may merely be rebooting. While the budget holds, no spare VM is moved for
 // it; below the budget it is moved at once.
 TEST(PlannerTest, SpareVmsWaitForAFreshLossUnlessTheBudgetIsBroken) {
@@ -309,6 +335,16 @@
   EXPECT_EQ(PlanFor(fleet).undrains, std::vector<VmId>{fleet.VmAt(4)});
 }
 
+// A large fleet falls due at once. The claims come at the pace at which an entry may append, since
+// a thousand at once would time out and be repeated, and the log would have no room for anything
+// else.
+TEST(PlannerTest, LargeFleetBeginsStepsAtTheLogsPace) {
+  WaveFleetShape shape;
+  shape.serving_pools = 40;
+  const FleetFixture fleet(shape);
+  EXPECT_EQ(PlanFor(fleet).claims.size(), 8U);
+}
+
 TEST(PlannerTest, OnlyOneEntryAppends) {
   FleetFixture fleet;
   EXPECT_TRUE(Planner(kEntryA).MakePlan(fleet.state, fleet.observations, kNow).is_own_turn);
