Dispatch: Judge endpoints at quiet times, and by no guess or hasty deadline

Three faults, each with a test that failed first. Reviews of speed ran only from Expire, which a driver has no reason to call while nothing waits: at night a slow endpoint was never found. A task was overdue by a first guess of 100 ms before any run time was known: two tasks of seconds at one endpoint ejected it on a fresh entry. A deadline that passed early counted against the endpoint: three hasty callers in a row ejected a healthy one.

--- a/include/chervilspar/load_balancing/balancer.h
+++ b/include/chervilspar/load_balancing/balancer.h
@@ -81,7 +81,8 @@
   double MedianSlowness() const;
   void EjectIfAllowed(std::uint32_t index, TimePoint now, Random& random);
   void EndProbe(std::uint32_t index, Evidence evidence, TimePoint now, Random& random);
-  Evidence Judge(const admission::Ticket& ticket, Outcome outcome);
+  Evidence Judge(const admission::Ticket& ticket, Outcome outcome, Duration measured,
+                 Duration expected, TimePoint now);
   void ReviewOverdue(TimePoint now, Random& random);
   void OnFull(std::uint32_t index, TimePoint now);
   void UpdateCredit(TimePoint now);
--- a/src/dispatch/service_shard.cc
+++ b/src/dispatch/service_shard.cc
@@ -16,6 +16,8 @@
 
 /// A task speaks against its endpoint when it runs this many times the 99th percentile.
 constexpr int kOverdueFactor = 3;
+/// Measurements of like requests before a task is judged by them.
+constexpr std::uint32_t kSamplesToJudge = 8;
 /// A first wait for the caller of a request that ran out of tries: the balancer's first probe.
 constexpr Duration kRetryLater = std::chrono::seconds(2);
 
@@ -121,7 +123,10 @@
   if (known.tries == 0) {
     shard.budget.OnFirstTry();
   }
-  const TimePoint overdue_at = now + known.estimate.slow * kOverdueFactor;
+  // Before run times are known, only the deadline says that an answer is overdue.
+  const bool is_known = known.estimate.samples >= kSamplesToJudge;
+  const TimePoint overdue_at =
+      is_known ? now + known.estimate.slow * kOverdueFactor : picked->ticket.deadline;
   shard.balancer.OnSent(picked->endpoint, picked->ticket, overdue_at, now);
   return Start{std::move(picked->ticket), std::move(picked->endpoint), picked->expected};
 }
@@ -143,6 +148,7 @@
   if (outcome == Outcome::kCompleted) {
     shard.estimator.Observe(known.ticket.team, known.ticket.declared_run_time, measured);
   }
+  shard.ReviewIfDue(now, random);
   const Duration used = was_not_run ? Duration::zero() : measured;
   const retry::RetryDecision decision = shard.DecideRetry(known, outcome, now);
   if (decision == retry::RetryDecision::kTryAgain) {
@@ -191,15 +197,22 @@
     given_up.push_back(shard.GiveUp(ticket, random));
   }
   shard.doomed.clear();
-  if (now - shard.reviewed_at >= kReviewPeriod) {
-    shard.reviewed_at = now;
-    shard.queue.ChargeOverdue(now);
-    shard.balancer.Review(now, random);
+  shard.ReviewIfDue(now, random);
+  if (now - shard.tails_seen_at >= kReviewPeriod) {
+    shard.tails_seen_at = now;
     shard.RefuseTails(now, random, given_up);
   }
   return given_up;
 }
 
+void ServiceShard::State::ReviewIfDue(TimePoint now, Random& random) {
+  if (now - this->reviewed_at >= kReviewPeriod) {
+    this->reviewed_at = now;
+    this->queue.ChargeOverdue(now);
+    this->balancer.Review(now, random);
+  }
+}
+
 void ServiceShard::OnLimitFreed(const TeamId& team) { this->state->queue.OnLimitFreed(team); }
 
 void ServiceShard::OnPeerReport(const EntryId& peer, const ZoneId& peer_zone,
--- a/src/dispatch/service_shard_state.h
+++ b/src/dispatch/service_shard_state.h
@@ -68,6 +68,9 @@
   void DivideIfDue(TimePoint now);
   void Divide(TimePoint now);
   void Forget(admission::TicketId id);
+  /// Looks at speeds and overdue tasks. Also asked for by the end of each try, since at quiet times
+  /// nothing waits and the driver has no reason to expire anything.
+  void ReviewIfDue(TimePoint now, Random& random);
   /// Takes tickets that can no longer be answered in time out of the queue.
   void SetDoomedAside(TimePoint now);
   /// Refuses from the ends of queues what would wait past its deadline at today's pace.
@@ -109,6 +112,7 @@
   TimePoint reported_at;
   TimePoint divided_at;
   TimePoint reviewed_at;
+  TimePoint tails_seen_at;
   bool must_divide = true;
 };
 
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -226,7 +226,7 @@
     state.pause = Duration::zero();
     this->table->PauseUntil(index, now, now);
   }
-  const Evidence evidence = this->Judge(ticket, outcome);
+  const Evidence evidence = this->Judge(ticket, outcome, measured, expected, now);
   const bool has_run =
       outcome == Outcome::kCompleted || (outcome == Outcome::kLost && measured > expected);
   if (has_run) {
--- a/src/load_balancing/balancer_health.cc
+++ b/src/load_balancing/balancer_health.cc
@@ -19,6 +19,9 @@
 constexpr double kOverduePart = 0.5;
 /// When this part of all tasks is overdue, the cause is not one endpoint.
 constexpr double kOverdueEverywhere = 0.25;
+/// A task whose deadline passed before it had run this many times its expected time says more of
+/// the deadline than of the endpoint.
+constexpr int kLateFactor = 3;
 /// A team whose tasks fail more often than this fails by itself.
 constexpr double kTeamFails = 0.5;
 constexpr double kTeamSmoothing = 0.1;
@@ -63,7 +66,12 @@
   }
 }
 
-Evidence Balancer::Judge(const admission::Ticket& ticket, Outcome outcome) {
+Evidence Balancer::Judge(const admission::Ticket& ticket, Outcome outcome, Duration measured,
+                         Duration expected, TimePoint now) {
+  const bool was_hasty = now >= ticket.deadline && measured < expected * kLateFactor;
+  if (outcome == Outcome::kLost && was_hasty) {
+    return Evidence::kNone;
+  }
   switch (outcome) {
     case Outcome::kFull:
     case Outcome::kDraining:
--- a/tests/dispatch/service_shard_test.cc
+++ b/tests/dispatch/service_shard_test.cc
@@ -293,6 +293,49 @@
   EXPECT_EQ(driver.shard.Cancel(start->ticket.id, driver.now), CancelResult::kUnknown);
 }
 
+/// Sends one request after the other, so that none ever waits for a slot; the endpoint "vm-0" takes
+/// ten times as long as the others. Returns what is ejected in the end.
+std::vector<VmId> EjectedAfterQuietTraffic(Driver& driver) {
+  for (int count = 0; count < 400; ++count) {
+    driver.shard.Admit(driver.MakeTicket(1), driver.now, driver.random);
+    const auto start = driver.StartNext();
+    if (!start) {
+      continue;
+    }
+    driver.now += milliseconds(20);
+    const bool is_slow = start->endpoint == VmId{"vm-0"};
+    driver.End(*start, Outcome::kCompleted, milliseconds(is_slow ? 1000 : 100));
+  }
+  return driver.shard.EjectedEndpoints(driver.now);
+}
+
+// At night nothing waits, so the driver has nothing to expire. A slow endpoint was looked for only
+// while requests waited, and kept its part of the quiet traffic until the morning.
+TEST(ServiceShardTest, FindsASlowEndpointWhileNothingWaits) {
+  Driver driver(4);
+  EXPECT_EQ(EjectedAfterQuietTraffic(driver), std::vector<VmId>{VmId{"vm-0"}});
+}
+
+// An entry starts and does not know yet how long tasks take. The first ones take seconds; taken for
+// overdue by a first guess of 100 ms, their endpoints would be ejected for nothing.
+TEST(ServiceShardTest, BlamesNoEndpointBeforeRunTimesAreKnown) {
+  for (int skipped = 0; skipped < 30; ++skipped) {
+    Driver driver(4);
+    for (int count = 0; count < skipped; ++count) {
+      driver.random.Next();
+    }
+    for (int count = 0; count < 2; ++count) {
+      driver.shard.Admit(driver.MakeTicket(1, seconds(60)), driver.now, driver.random);
+      ASSERT_TRUE(driver.StartNext());
+    }
+    for (int tick = 0; tick < 50; ++tick) {
+      driver.now += milliseconds(100);
+      driver.shard.Expire(driver.now, driver.random);
+    }
+    EXPECT_TRUE(driver.shard.EjectedEndpoints(driver.now).empty()) << skipped;
+  }
+}
+
 /// Fills all slots with tasks of team 1 and lets an urgent request of team 0 wait.
 std::vector<scheduling::Preempt> PreemptionsAfter(Idempotency idempotency, Duration waited) {
   Driver driver(1);
--- a/tests/load_balancing/balancer_test.cc
+++ b/tests/load_balancing/balancer_test.cc
@@ -234,6 +234,24 @@
   }
 }
 
+// A few callers give less time than their requests take, now and then. Their deadlines pass while
+// healthy endpoints work; taken for endpoints that lose requests, three in a row would be ejected.
+TEST(BalancerTest, ShortDeadlinesEjectNoEndpoint) {
+  Bench pair(2);
+  for (int task = 0; task < 300; ++task) {
+    Ticket ticket = pair.NextTicket();
+    const bool is_hasty = task % 20 < 3;
+    ticket.team = TeamId{is_hasty ? "hasty-" + std::to_string(task) : "patient"};
+    ticket.deadline = pair.now + (is_hasty ? milliseconds(50) : milliseconds(5000));
+    const auto endpoint = pair.Send(ticket);
+    ASSERT_TRUE(endpoint);
+    pair.now += is_hasty ? milliseconds(50) : milliseconds(100);
+    pair.End(ticket, *endpoint, is_hasty ? Outcome::kLost : Outcome::kCompleted,
+             is_hasty ? milliseconds(50) : kUsual);
+    ASSERT_TRUE(pair.balancer.Ejected().empty()) << task;
+  }
+}
+
 // A request needs an accelerator, and most endpoints have none. It must neither be sent to one of
 // those nor keep the others from starting.
 TEST(BalancerTest, SendsOnlyWhereTheRequestFits) {
