Entry, prove: Let only listed entries plan maintenance

Cause: nobody sends heartbeats to an entry that is not listed, so that it takes all others for gone and takes over their steps. An entry that is taken off the list still carries on the steps that it has.

--- a/src/entry/maintenance_plane.cc
+++ b/src/entry/maintenance_plane.cc
@@ -69,8 +69,10 @@
   this->ReadVmList(*state);
   this->AppendObservations(*state);
   const maintenance::Observations observations = this->Observe(*state);
-  // An entry that has not read the log to its end acts on a state that may be long past.
-  const bool may_plan = this->config.HasReachedEnd();
+  // An entry that has not read the log to its end acts on a state that may be long past. One that
+  // is not listed hears from nobody, takes all others for gone, and would take over their steps.
+  const bool is_listed = state->inventory.entries.contains(this->context.self.id);
+  const bool may_plan = this->config.HasReachedEnd() && is_listed;
   if (may_plan && this->context.Now() - this->planned_at >= kPlanPeriod) {
     this->planned_at = this->context.Now();
     maintenance::Plan next = this->planner.MakePlan(*state, observations, this->context.WallNow());
--- a/tests/prove/entry_maintenance.cc
+++ b/tests/prove/entry_maintenance.cc
@@ -148,9 +148,14 @@
 
 void EntryProcess::Maintain() {
   const StatePtr state = this->Current();
-  if (state->version == 0 || !this->follower.HasReachedEnd()) {
-    return;
+  const bool is_listed = state->inventory.entries.contains(this->self.id);
+  if (is_listed && this->follower.HasReachedEnd()) {
+    this->PlanSteps(state);
   }
+  this->FeedSteps();
+}
+
+void EntryProcess::PlanSteps(const StatePtr& state) {
   const inventory::MaintenanceRules& rules = state->inventory.maintenance;
   const maintenance::Plan plan = this->planner.MakePlan(*state, this->Observe(), this->Wall());
   for (const config_log::Step& step : plan.claims) {
@@ -181,7 +186,6 @@
   for (const VmId& vm : plan.undrains) {
     this->UndrainVm(std::nullopt, vm);
   }
-  this->FeedSteps();
 }
 
 void EntryProcess::FeedSteps() {
--- a/tests/prove/entry_process.h
+++ b/tests/prove/entry_process.h
@@ -137,6 +137,7 @@
   void AskEndpoints();
   maintenance::Observations Observe() const;
   void Maintain();
+  void PlanSteps(const StatePtr& state);
   void FeedSteps();
   void FeedStep(const StepId& step, const maintenance::StepInput& input);
   void DoStep(const StepId& step, const maintenance::StepOutput& output);
