--- a/tests/standins/endpoint_standin.h
+++ b/tests/standins/endpoint_standin.h
@@ -64,7 +64,11 @@
 
   boost::asio::awaitable<Reply> RunTask(http::Request request);
   /// Works until done, ordered to end, or over its lease; gives the outcome.
-  boost::asio::awaitable<std::string> Work(Task& task, std::int64_t work_us, std::int64_t lease_us);
+  boost::asio::awaitable<std::string> Work(std::shared_ptr<Task> task, std::int64_t work_us,
+                                           std::int64_t lease_us);
+  /// Ends a running task in the ledger and frees its slot; the first outcome stays.
+  void Finish(const Task& task, const std::string& outcome);
+  void GiveOrder(Task& task, Order order);
   std::string RefusalOf(const http::Request& request) const;
   Reply Answer(const http::Request& request, const std::string& outcome);
   Reply Act(const http::Request& request);
