--- a/src/entry/peer_plane.cc
+++ b/src/entry/peer_plane.cc
@@ -60,6 +60,10 @@
   this->SendToAddress(address, body);
 }
 
+bool PeerPlane::IsHeard(const EntryId& entry) {
+  return this->View(entry).freshness == membership::Freshness::kFresh;
+}
+
 void PeerPlane::Broadcast(const rpc::PeerBody& body) {
   std::set<EntryId> audience;
   {
--- a/src/entry/peer_plane.h
+++ b/src/entry/peer_plane.h
@@ -41,6 +41,7 @@
   void Stop();
 
   void SendTo(const EntryId& entry, rpc::PeerBody body) override;
+  bool IsHeard(const EntryId& entry) override;
   /// To every entry that heartbeats go to.
   void Broadcast(const rpc::PeerBody& body);
 
--- a/src/entry/peer_sender.h
+++ b/src/entry/peer_sender.h
@@ -11,6 +11,8 @@
  public:
   virtual ~PeerSender() = default;
   virtual void SendTo(const EntryId& entry, rpc::PeerBody body) = 0;
+  /// Whether the entry was heard lately. When not, an answer to a message is not to be expected.
+  virtual bool IsHeard(const EntryId& entry) = 0;
 };
 
 }  // namespace chervilspar::entry
--- a/src/entry/request_ledger.cc
+++ b/src/entry/request_ledger.cc
@@ -66,6 +66,10 @@
   }
   if (outgoing->to == this->context.self.id) {
     this->OnRegister(this->context.self.id, outgoing->request);
+  } else if (!this->sender.IsHeard(outgoing->to)) {
+    // The caller is better off with its answer now than after a timeout that is certain to come.
+    this->GiveUp(outgoing->request.attempt);
+    return std::nullopt;
   } else {
     this->sender.SendTo(outgoing->to, outgoing->request);
   }
--- a/src/entry/request_ledger.h
+++ b/src/entry/request_ledger.h
@@ -28,7 +28,8 @@
 
   /// An id for a request that came without one.
   RequestId MakeOwnId();
-  /// Asks the id's owner for leave; the answer comes to `pending`. None when no entry owns it.
+  /// Asks the id's owner for leave; the answer comes to `pending`. None when no entry owns it, or
+  /// its owner has not been heard of lately.
   std::optional<idempotency::Attempt> Begin(const RequestId& id,
                                             const std::shared_ptr<PendingRequest>& pending);
   /// The attempt ends before its dispatch and without an answer of the owner.
