--- a/include/chervilspar/membership/heartbeat.h
+++ b/include/chervilspar/membership/heartbeat.h
@@ -1,22 +1,14 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
+#include "chervilspar/base/hybrid_time.h"
 #include "chervilspar/base/ids.h"
 #include "chervilspar/config_log/fleet_state.h"
 #include "chervilspar/membership/incarnation.h"
 
 namespace chervilspar::membership {
 
-/// A hybrid logical clock reading: wall time, and a counter that orders events within it.
-struct HybridTime {
-  WallTime wall;
-  std::uint32_t logical = 0;
-
-  friend auto operator<=>(const HybridTime&, const HybridTime&) = default;
-};
-
 /// Whether an entry has read the log to its end since it started. A state taken over from a peer
 /// does not count: the peer may be behind what this entry's predecessor had confirmed.
 enum class LogProgress { kCatchingUp, kReadToEnd };
--- a/include/chervilspar/telemetry/hybrid_clock.h
+++ b/include/chervilspar/telemetry/hybrid_clock.h
@@ -1,22 +1,12 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
+#include "chervilspar/base/hybrid_time.h"
 #include "chervilspar/base/time.h"
 
 namespace chervilspar::telemetry {
 
-/// A stamp of a hybrid logical clock: close to the wall clock, and later than everything that the
-/// stamping process had heard of. Orders events over all processes.
-struct HybridTime {
-  WallTime wall;
-  /// Orders stamps with the same wall part.
-  std::uint32_t logical = 0;
-
-  friend auto operator<=>(const HybridTime&, const HybridTime&) = default;
-};
-
 /// Hybrid logical clock (Kulkarni et al., "Logical Physical Clocks", 2014).
 ///
 /// What can go wrong: one VM's wall clock is an hour ahead, and every process that hears from it
--- a/src/entry/peer_plane.cc
+++ b/src/entry/peer_plane.cc
@@ -128,10 +128,10 @@
   std::optional<membership::Pause> pause;
   membership::Heartbeat heartbeat;
   {
-    const telemetry::HybridTime stamp = this->context.events.Stamp(this->context.WallNow());
+    const HybridTime stamp = this->context.events.Stamp(this->context.WallNow());
     const std::lock_guard lock(this->mutex);
     pause = this->membership.Tick(this->context.Now());
-    heartbeat = this->membership.MakeHeartbeat({stamp.wall, stamp.logical});
+    heartbeat = this->membership.MakeHeartbeat(stamp);
   }
   if (pause) {
     this->NotePause(*pause);
@@ -241,8 +241,7 @@
 }
 
 void PeerPlane::OnHeartbeat(const membership::Heartbeat& heartbeat) {
-  this->context.events.Observe({heartbeat.sent_at.wall, heartbeat.sent_at.logical},
-                               this->context.WallNow());
+  this->context.events.Observe(heartbeat.sent_at, this->context.WallNow());
   membership::HeartbeatNews news = membership::HeartbeatNews::kNothing;
   {
     const std::lock_guard lock(this->mutex);
