Entry: Refresh endpoint views only when state or freshness changed

The refresh now runs under one lock. The control thread and the reader of the log both called it, so an older state could be put in force after a newer one; with the comparison that would have stayed. Ruled out: comparing offsets only, since freshness changes without a record.

--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -153,13 +153,21 @@
 void EntryNode::Heartbeat() { this->peers.Heartbeat(); }
 
 void EntryNode::RefreshView() {
+  // The control thread and the reader of the log both come here. Under one lock the newer state
+  // always comes last; otherwise an older one could stay in force and send work to a VM that leaves.
+  const std::lock_guard lock(this->view_mutex);
   const auto state = this->config.State();
   ViewFreshness freshness;
   freshness.is_log_fresh = this->config.WasLogReadWithin(kViewBound);
   freshness.own_zone = this->context.self.zone;
   freshness.zones_in_agreement = this->peers.ZonesInAgreement();
   freshness.listed_leaving = this->maintenance.ListedLeaving();
+  if (this->viewed_state == state && this->viewed_freshness == freshness) {
+    return;
+  }
   this->services.Configure(*state, freshness);
+  this->viewed_state = state;
+  this->viewed_freshness = freshness;
 }
 
 void EntryNode::Housekeeping() {
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 
@@ -12,6 +14,7 @@
 #include "entry/config_plane.h"
 #include "entry/dispatcher.h"
 #include "entry/drain_watch.h"
+#include "entry/endpoint_view.h"
 #include "entry/entry_context.h"
 #include "entry/limit_keeper.h"
 #include "entry/maintenance_plane.h"
@@ -83,6 +86,10 @@
   std::unique_ptr<http::Server> server;
   std::atomic<Phase> phase{Phase::kServing};
   std::atomic<bool> hurrying{false};
+  std::mutex view_mutex;
+  /// What the services' views were last made from.
+  std::shared_ptr<const config_log::FleetState> viewed_state;
+  std::optional<ViewFreshness> viewed_freshness;
 };
 
 }  // namespace chervilspar::entry
