Tests: Let the callers' threads outlive their client

The runner crashed at its end with a corrupted heap in one of two runs of a pause: the client's idle connections were destroyed after the contexts they belong to. Found with AddressSanitizer; the scenarios whole_path, graceful_shutdown and platform_outage run clean under it, entries included.

--- a/tests/scenario_runner/callers.cc
+++ b/tests/scenario_runner/callers.cc
@@ -85,9 +85,9 @@
 Callers::Callers(Fleet& fleet)
     : fleet(fleet),
       balancer(fleet),
+      threads(kThreads),
       client(Limits(), http::Routes{}),
-      random(static_cast<std::uint64_t>(UnixMicros())),
-      threads(kThreads) {}
+      random(static_cast<std::uint64_t>(UnixMicros())) {}
 
 Callers::~Callers() { this->threads.Stop(); }
 
--- a/tests/scenario_runner/callers.h
+++ b/tests/scenario_runner/callers.h
@@ -51,13 +51,14 @@
 
   Fleet& fleet;
   Balancer balancer;
+  /// Outlives the client, whose idle connections belong to its contexts.
+  http::IoThreads threads;
   http::Client client;
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::vector<CallRecord> records;
   std::size_t running = 0;
   SeededRandom random;
-  http::IoThreads threads;
 };
 
 /// A UUIDv7 of the present time.
