Http: Keep a pooled connection on the executor that opened it

The address sanitizer showed an idle connection outliving the io_context that it belonged to: the pool handed connections from one thread's context to another's, and the callers' client outlived its threads. Ruled out: parsers and server (http_test is clean under the sanitizer). A connection now stays with its executor; when only others' are idle the oldest is closed to make room. The new test hangs on the old pool.

Also: a deadline that has already fired when the next one is set is void, so the end of dialling can't end the exchange after it.

--- a/include/chervilspar/http/client.h
+++ b/include/chervilspar/http/client.h
@@ -49,7 +49,9 @@
 /// a connection is closed after a timeout, a cancellation, a short or oversized answer, and when
 /// any byte follows an answer; and an idle one on which something arrived is not used again.
 ///
-/// Safe to use from several threads; a coroutine runs on its own executor throughout.
+/// Safe to use from several threads; a coroutine runs on its own executor throughout. Must be
+/// destroyed before the io_contexts on which its coroutines ran, as idle connections belong to
+/// them.
 class Client {
  public:
   Client(ClientLimits limits, Routes routes);
--- a/src/http/attempt.cc
+++ b/src/http/attempt.cc
@@ -76,9 +76,10 @@
 
 void Attempt::EndAfter(Duration span, Ending why) {
   this->timer.expires_after(span);
-  this->timer.async_wait([weak = this->weak_from_this(), why](const error_code& error) {
+  const int number = ++this->deadline_number;
+  this->timer.async_wait([weak = this->weak_from_this(), why, number](const error_code& error) {
     const auto self = weak.lock();
-    if (!error && self) {
+    if (!error && self && number == self->deadline_number) {
       self->End(why);
     }
   });
--- a/src/http/attempt.h
+++ b/src/http/attempt.h
@@ -41,6 +41,8 @@
   boost::asio::steady_timer timer;
   VerdictTracker tracker;
   Ending ending = Ending::kNone;
+  /// Counts deadlines; an earlier one that is already on its way is void.
+  int deadline_number = 0;
 };
 
 }  // namespace chervilspar::http
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -55,6 +55,11 @@
   Shard& shard = this->ShardOf(address);
   const std::lock_guard lock(shard.mutex);
   PerAddress& entry = shard.addresses[address];
+  if (entry.open >= this->limits.connections_per_address && !entry.idle.empty()) {
+    // All idle ones belong to other threads; the one longest unused makes room.
+    entry.idle.erase(entry.idle.begin());
+    --entry.open;
+  }
   if (entry.open >= this->limits.connections_per_address) {
     return nullptr;
   }
@@ -87,14 +92,13 @@
 
 std::optional<ConnectionPool::Idle> ConnectionPool::PopIdle(PerAddress& entry,
                                                             const asio::any_io_executor& executor) {
-  if (entry.idle.empty()) {
-    return std::nullopt;
-  }
   // The one used last is the least likely to be stale.
   const auto own = std::find_if(entry.idle.rbegin(), entry.idle.rend(),
                                 [&](Idle& idle) { return idle.socket.get_executor() == executor; });
-  const auto chosen =
-      own == entry.idle.rend() ? std::prev(entry.idle.end()) : std::prev(own.base());
+  if (own == entry.idle.rend()) {
+    return std::nullopt;
+  }
+  const auto chosen = std::prev(own.base());
   Idle idle = std::move(*chosen);
   entry.idle.erase(chosen);
   return idle;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -49,8 +49,10 @@
 
   explicit ConnectionPool(const ClientLimits& limits) : limits(limits) {}
 
-  /// An idle connection, if there is a usable one, or an unconnected socket; null when as many
-  /// as allowed are busy. Prefers connections of the given executor.
+  /// An idle connection of the given executor, if there is a usable one, or an unconnected socket;
+  /// null when as many as allowed are busy. A connection never passes from one executor to another:
+  /// a coroutine of one thread would then hold a socket of another's io_context, which may be gone
+  /// before it when the process ends.
   std::unique_ptr<Lease> Acquire(const SocketAddress& address,
                                  const boost::asio::any_io_executor& executor);
   void CloseStale();
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -3,9 +3,12 @@
 #include <atomic>
 #include <string>
 #include <thread>
+#include <unistd.h>
 
+#include <boost/asio/co_spawn.hpp>
 #include <gtest/gtest.h>
 
+#include "chervilspar/base/scope_guard.h"
 #include "chervilspar/http/blocking_client.h"
 
 #include "raw_peer.h"
@@ -152,6 +155,41 @@
             Verdict::kNotRun);
 }
 
+// Requests to one endpoint come from several threads of an entry, and the process ends while the
+// pool still holds their connections. When a thread was given a connection of another thread, the
+// connection outlived its io_context and the process crashed at its end, after a clean shutdown.
+TEST(ClientTest, AConnectionStaysWithItsThread) {
+  // Another descriptor of the first connection keeps it open after its answer.
+  std::atomic<int> held = -1;
+  const ScopeGuard release([&held] { close(held); });
+  const auto answer_all = [&held](RawServer::Socket& socket, int connection) {
+    RawServer::ReadHeader(socket);
+    if (connection == 0) {
+      held = dup(socket.native_handle());
+    }
+    RawServer::Write(socket, kOk);
+  };
+  RawServer server(2, answer_all);
+  ClientLimits limits;
+  limits.connections_per_address = 1;
+  auto first = std::make_unique<boost::asio::io_context>();
+  boost::asio::io_context second;
+  Client client(limits, Routes{});
+  const auto call = [&](boost::asio::io_context& io) {
+    Exchange outcome;
+    boost::asio::co_spawn(
+        io, client.Send(server.Address(), {}, kGenerous, nullptr),
+        [&](const std::exception_ptr&, Exchange exchange) { outcome = std::move(exchange); });
+    io.run();
+    return outcome;
+  };
+  EXPECT_EQ(call(*first).verdict, Verdict::kCompleted);
+  EXPECT_EQ(client.ConnectionCount(), 1U);
+  EXPECT_EQ(call(second).verdict, Verdict::kCompleted);
+  EXPECT_EQ(client.ConnectionCount(), 1U);
+  first.reset();
+}
+
 // A caller's text that ends up in a header must not be able to start a header of its own.
 TEST(ClientTest, RefusesALineBreakInAHeader) {
   BlockingClient client;
--- a/tests/scenario_runner/callers.cc
+++ b/tests/scenario_runner/callers.cc
@@ -85,11 +85,14 @@
 Callers::Callers(Fleet& fleet)
     : fleet(fleet),
       balancer(fleet),
-      client(Limits(), http::Routes{}),
+      client(std::make_unique<http::Client>(Limits(), http::Routes{})),
       random(static_cast<std::uint64_t>(UnixMicros())),
       threads(kThreads) {}
 
-Callers::~Callers() { this->threads.Stop(); }
+Callers::~Callers() {
+  this->threads.Stop();
+  this->client.reset();
+}
 
 void Callers::Start(const CallPlan& plan) {
   this->Began();
@@ -145,8 +148,8 @@
   http::Exchange exchange;
   for (int i = 0; i < kConnectTries; ++i) {
     exchange =
-        co_await this->client.Send(this->fleet.HttpAddress(entry), MakeRequest(call),
-                                   milliseconds(call.plan.timeout_ms + kPatienceMs), nullptr);
+        co_await this->client->Send(this->fleet.HttpAddress(entry), MakeRequest(call),
+                                    milliseconds(call.plan.timeout_ms + kPatienceMs), nullptr);
     if (exchange.verdict != Verdict::kNotRun || exchange.response || call.plan.via) {
       break;
     }
--- a/tests/scenario_runner/callers.h
+++ b/tests/scenario_runner/callers.h
@@ -51,7 +51,8 @@
 
   Fleet& fleet;
   Balancer balancer;
-  http::Client client;
+  /// Ends before the threads, whose io_contexts its idle connections belong to.
+  std::unique_ptr<http::Client> client;
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::vector<CallRecord> records;
--- a/tests/scenario_runner/load_loop.cc
+++ b/tests/scenario_runner/load_loop.cc
@@ -87,8 +87,8 @@
 LoadResult RunLoad(const LoadSettings& settings) {
   http::ClientLimits limits;
   limits.connections_per_address = settings.connections;
-  http::Client client(limits, http::Routes{});
   http::IoThreads threads(kThreads);
+  http::Client client(limits, http::Routes{});
   const Duration cpu_before = OwnCpu();
   const TimePoint start = SystemClock().Now();
   std::vector<std::future<Share>> running;
