--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -154,7 +154,8 @@
 
 void EntryNode::RefreshView() {
   // The control thread and the reader of the log both come here. Under one lock the newer state
-  // always comes last; otherwise an older one could stay in force and send work to a VM that leaves.
+  // always comes last; otherwise an older one could stay in force and send work to a VM that
+  // leaves.
   const std::lock_guard lock(this->view_mutex);
   const auto state = this->config.State();
   ViewFreshness freshness;
--- a/src/entry/request_pipeline.cc
+++ b/src/entry/request_pipeline.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/this_coro.hpp>
 
+#include "chervilspar/base/hash.h"
 #include "chervilspar/base/scope_guard.h"
 
 namespace chervilspar::entry {
@@ -16,8 +17,10 @@
 /// How long a request waits for the owner of its id. The owner is one round trip away; when it
 /// does not answer by then it is cut off or gone, and a safe refusal beats a guess.
 constexpr Duration kOwnerTimeout = std::chrono::seconds(1);
-/// When to come back after the owner of the id could not be asked.
-constexpr Duration kOwnerRetryAfter = std::chrono::seconds(2);
+/// When to come back after the owner of the id could not be asked: a heartbeat or two after it is
+/// back. Spread over the same span again, so that the callers of a silent owner don't return
+/// together.
+constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(1500);
 /// The shard gives up late requests within 10 ms; this is for a shard that fails to.
 constexpr Duration kGiveUpGrace = std::chrono::seconds(5);
 
@@ -35,8 +38,10 @@
   }
 }
 
-Duration RetryAfterOf(idempotency::Registration registration) {
-  return StatusOf(registration) == 503 ? kOwnerRetryAfter : Duration::zero();
+Duration OwnerRetryAfter(const RequestId& id, TimePoint now) {
+  const auto seed = static_cast<std::uint64_t>(now.time_since_epoch().count());
+  const std::uint64_t spread = StableHash(id.text, seed) % kOwnerRetryAfter.count();
+  return kOwnerRetryAfter + Duration(spread);
 }
 
 Rejection FromRefusal(const admission::Refusal& refusal, Verdict verdict) {
@@ -200,7 +205,7 @@
     }
     if (news.registration) {
       job.attempt.reset();
-      co_return this->RegistrationRefused(*news.registration, origin);
+      co_return this->RegistrationRefused(job, *news.registration, origin);
     }
     const TimePoint now = this->context.Now();
     if (now >= until || news.is_caller_gone) {
@@ -212,16 +217,20 @@
     this->parts.ledger.GiveUp(*job.attempt);
     job.attempt.reset();
   }
-  co_return Rejection{503, "owner-unreachable",
-                      "the entry that owns the request's id did not answer",
-                      idempotency::VerdictWithoutOwner(origin), kOwnerRetryAfter};
+  co_return Rejection{
+      503, "owner-unreachable", "the entry that owns the request's id did not answer",
+      idempotency::VerdictWithoutOwner(origin), OwnerRetryAfter(job.id, this->context.Now())};
 }
 
-Rejection RequestPipeline::RegistrationRefused(idempotency::Registration registration,
+Rejection RequestPipeline::RegistrationRefused(const Job& job,
+                                               idempotency::Registration registration,
                                                idempotency::KeyOrigin origin) const {
-  return {StatusOf(registration), idempotency::ToString(registration),
+  const unsigned status = StatusOf(registration);
+  const Duration retry_after =
+      status == 503 ? OwnerRetryAfter(job.id, this->context.Now()) : Duration::zero();
+  return {status, idempotency::ToString(registration),
           "the owner of the request's id gave no leave to run it",
-          idempotency::VerdictOf(registration, origin), RetryAfterOf(registration)};
+          idempotency::VerdictOf(registration, origin), retry_after};
 }
 
 asio::awaitable<std::variant<StartOrder, Rejection>> RequestPipeline::AwaitStart(Job& job) {
--- a/src/entry/request_pipeline.h
+++ b/src/entry/request_pipeline.h
@@ -65,7 +65,7 @@
   std::optional<Rejection> Admit(Job& job);
   boost::asio::awaitable<Answer> Run(Job& job);
   boost::asio::awaitable<std::optional<Rejection>> Register(Job& job);
-  Rejection RegistrationRefused(idempotency::Registration registration,
+  Rejection RegistrationRefused(const Job& job, idempotency::Registration registration,
                                 idempotency::KeyOrigin origin) const;
   boost::asio::awaitable<std::variant<StartOrder, Rejection>> AwaitStart(Job& job);
   boost::asio::awaitable<std::optional<Answer>> TryOnce(Job& job, StartOrder order);
--- a/tests/maintenance/planner_test.cc
+++ b/tests/maintenance/planner_test.cc
@@ -199,8 +199,8 @@
   EXPECT_TRUE(PlanFor(fleet).withdrawals.empty());
 }
 
-// Reboots kill their VMs. Drains that are under way are undone, even where the budget would bear the
-// next dead VM; after a failure that the wave did not cause they go on.
+// Reboots kill their VMs. Drains that are under way are undone, even where the budget would bear
+// the next dead VM; after a failure that the wave did not cause they go on.
 TEST(PlannerTest, HarmfulWaveUndoesItsDrains) {
   FleetFixture fleet;
   fleet.HoldVm(0);
--- a/tests/maintenance/step_executor_test.cc
+++ b/tests/maintenance/step_executor_test.cc
@@ -291,9 +291,10 @@
 INSTANTIATE_TEST_SUITE_P(
     TroubleWhileActing, StepExecutorStageTest,
     testing::Values(
-        StageCase{"TaskAfterTheFirstDrain", Start::kClaim, MakeStep(StepAction::kReboot),
-                  Then(Then(kUpToActing, {{11, DrainAnswer{1}, kConfirmingDrain}}),
-                       Then(Ticks(12, 500, kConfirmingDrain), {{501, DrainAnswer{0}, kRebooting}}))},
+        StageCase{
+            "TaskAfterTheFirstDrain", Start::kClaim, MakeStep(StepAction::kReboot),
+            Then(Then(kUpToActing, {{11, DrainAnswer{1}, kConfirmingDrain}}),
+                 Then(Ticks(12, 500, kConfirmingDrain), {{501, DrainAnswer{0}, kRebooting}}))},
         StageCase{
             "DiesBeforeTheReboot", Start::kClaim, MakeStep(StepAction::kReboot),
             Then(Then(kUpToActing, Ticks(11, 130, kConfirmingDrain)), {{131, Tick{}, kRebooting}})},
