Dispatch: Clear slots sooner, keep others from them, and forget neighbours' run times

Requests of a team of short tasks were planned with a part of their neighbours' minutes, and one in thirty urgent ones was refused: from eight measurements on, a team stands for itself.

The test of the first preemption had the old patience as a number; it now takes it from the options.

--- a/include/chervilspar/load_balancing/balancer.h
+++ b/include/chervilspar/load_balancing/balancer.h
@@ -32,7 +32,12 @@
 enum class PartUse : int;
 
 /// Whether there is more to do than slots.
-enum class FleetLoad { kHasRoom, kFull };
+enum class FleetLoad {
+  kHasRoom,
+  kFull,
+  /// As full, and another entry waits for slots that are being cleared for urgent work.
+  kClearing,
+};
 
 /// Every choice takes constant time or, for probes and pauses, O(log endpoints).
 class Balancer {
--- a/include/chervilspar/scheduling/scheduling_options.h
+++ b/include/chervilspar/scheduling/scheduling_options.h
@@ -29,9 +29,9 @@
   /// Urgent requests waiting longer than this have slots cleared for them. A slot that frees
   /// itself meanwhile costs no one any work; the rest of the 2.2 s is for the report to peers
   /// (250 ms), the checkpoint and the stop.
-  Duration preempt_after = std::chrono::milliseconds(300);
+  Duration preempt_after = std::chrono::milliseconds(200);
   /// From asking for a checkpoint to stopping the task.
-  Duration checkpoint_time = std::chrono::milliseconds(400);
+  Duration checkpoint_time = std::chrono::milliseconds(300);
   /// Part of the slots that urgent work may hold before it competes like normal work, so that
   /// marking everything urgent starves no one.
   double urgent_part = 0.5;
--- a/src/dispatch/division.cc
+++ b/src/dispatch/division.cc
@@ -12,10 +12,11 @@
 constexpr Duration kLongestBetween = std::chrono::milliseconds(100);
 constexpr Duration kShortestBetween = std::chrono::milliseconds(25);
 
-/// Demand, as a part of the slots, at which the fleet counts as full. At 0.9 of the capacity demand
-/// exceeds the slots for moments all the time; holding each entry to its part then makes requests
-/// wait beside free slots. In an overload the queues bring demand above this within a second.
-constexpr double kFullAt = 1.15;
+/// Demand, as a part of the slots, at which the fleet counts as full. Below the capacity, too, demand
+/// exceeds the slots for moments, and with a few long tasks for seconds; holding each entry to its
+/// part then makes requests wait beside free slots. In an overload that lasts, more wait than run
+/// within a second.
+constexpr double kFullAt = 2.0;
 /// Part of the way from the last reported demand to the present one. Queues of few requests go up
 /// and down by tens of percent all the time; following that moves slots between entries for
 /// nothing, and each move makes tries that meet full endpoints.
@@ -88,7 +89,11 @@
   for (const auto& [peer, report] : this->shares.Peers()) {
     reports.push_back(&report.report);
   }
-  this->balancer.SetPeers(reports, now);
+  if (this->must_hear_peers || reports.size() != this->peers_heard) {
+    this->must_hear_peers = false;
+    this->peers_heard = reports.size();
+    this->balancer.SetPeers(reports, now);
+  }
   const double slots = this->balancer.UsableSlots();
   const scheduling::ShareScope scope = this->options.scheduling.scope;
   const bool is_reported = now - this->reported_at <= this->options.longest_report_period * 2;
@@ -99,10 +104,7 @@
       entry.slots = slots / static_cast<double>(this->division.entries.size());
     }
   }
-  const bool is_full = this->division.demand >= slots * kFullAt;
-  const auto load =
-      is_full ? load_balancing::FleetLoad::kFull : load_balancing::FleetLoad::kHasRoom;
-  this->balancer.SetParts(this->division.entries, this->self, load, now);
+  this->balancer.SetParts(this->division.entries, this->self, this->Load(slots), now);
   this->part_of.clear();
   this->active_shares = 0.0;
   for (const scheduling::TeamPart& part : this->division.teams) {
@@ -121,6 +123,16 @@
   this->SetUrgentAllowance();
 }
 
+load_balancing::FleetLoad ServiceShard::State::Load(double slots) const {
+  for (const auto& [peer, report] : this->shares.Peers()) {
+    if (report.report.urgent_waiting > 0) {
+      return load_balancing::FleetLoad::kClearing;
+    }
+  }
+  const bool is_full = this->division.demand >= slots * kFullAt;
+  return is_full ? load_balancing::FleetLoad::kFull : load_balancing::FleetLoad::kHasRoom;
+}
+
 void ServiceShard::State::SetIdleWeight(const scheduling::TeamShare& team) {
   if (this->options.scheduling.scope == scheduling::ShareScope::kEntry) {
     return;
--- a/src/dispatch/service_shard.cc
+++ b/src/dispatch/service_shard.cc
@@ -54,6 +54,7 @@
 void ServiceShard::SetEndpoints(const std::vector<load_balancing::Endpoint>& endpoints,
                                 TimePoint now) {
   this->state->balancer.SetEndpoints(endpoints, now);
+  this->state->must_hear_peers = true;
   this->state->Divide(now);
 }
 
@@ -220,6 +221,7 @@
                                 TimePoint now) {
   this->state->shares.OnReport(peer, {peer_zone, report, now - age});
   this->state->must_divide = true;
+  this->state->must_hear_peers = true;
 }
 
 std::size_t ServiceShard::WaitingCount() const {
--- a/src/dispatch/service_shard_state.h
+++ b/src/dispatch/service_shard_state.h
@@ -80,6 +80,7 @@
   GivenUp GiveUp(const admission::Ticket& ticket, Random& random);
   retry::RetryDecision DecideRetry(const KnownTicket& known, load_balancing::Outcome outcome,
                                    TimePoint now);
+  load_balancing::FleetLoad Load(double slots) const;
   /// Gives a team that has no work here the weight of its share.
   void SetIdleWeight(const scheduling::TeamShare& team);
   void SetUrgentAllowance();
@@ -116,6 +117,9 @@
   TimePoint reviewed_at;
   TimePoint tails_seen_at;
   bool must_divide = true;
+  /// Whether peers' reports have come since the balancer last took them, and how many it took.
+  bool must_hear_peers = true;
+  std::size_t peers_heard = 0;
 };
 
 }  // namespace chervilspar::dispatch
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -120,7 +120,9 @@
 PartUse Balancer::PartUseNow() const {
   const auto held = static_cast<double>(this->in_flight);
   if (held + 1.0 <= this->part) {
-    return this->credit >= kCreditToSeek ? PartUse::kBehind : PartUse::kBelow;
+    // While a slot is cleared for urgent work of another entry, whoever seeks would find it first.
+    const bool may_seek = this->fleet != FleetLoad::kClearing && this->credit >= kCreditToSeek;
+    return may_seek ? PartUse::kBehind : PartUse::kBelow;
   }
   const bool is_behind = this->credit > 0.0;
   if (held < this->part && is_behind) {
@@ -196,7 +198,7 @@
 void Balancer::OnFull(std::uint32_t index, TimePoint now) {
   EndpointState& state = this->table->Change(index);
   const bool is_own_slot = state.Own() + 1.0 <= state.split;
-  if (!is_own_slot && this->fleet == FleetLoad::kFull) {
+  if (!is_own_slot && this->fleet != FleetLoad::kHasRoom) {
     state.pause = this->options.longest_full_pause;
   } else if (state.pause == Duration::zero()) {
     state.pause = this->options.first_full_pause;
--- a/src/scheduling/run_time_estimator.cc
+++ b/src/scheduling/run_time_estimator.cc
@@ -13,8 +13,10 @@
 /// A step change is followed to 63% after 32 requests, well under a second for a busy team, while
 /// one outlier moves the mean by 3%.
 constexpr double kSmoothing = 1.0 / 32.0;
-/// Samples of its own at which a bucket counts as much as the whole service.
-constexpr double kPriorSamples = 4.0;
+/// Samples of its own from which a bucket stands for itself; before, the whole service's mean
+/// counts as well. It must not count for longer: beside tasks of minutes, a hundredth of their mean
+/// is more than the whole of a request of milliseconds.
+constexpr double kOwnSamples = 8.0;
 /// For exponential run times the 99th percentile is 4.6 means, and the mean absolute deviation is
 /// 0.74 means: mean + 5 deviations. For equal run times it is the mean.
 constexpr double kSlowDeviations = 5.0;
@@ -51,7 +53,7 @@
   if (found != this->teams.end()) {
     const Track& own = found->second.at(BucketOf(declared));
     samples = own.samples;
-    const double part = own.samples / (own.samples + kPriorSamples);
+    const double part = std::min(1.0, own.samples / kOwnSamples);
     mean += part * (own.mean - mean);
     deviation += part * (own.deviation - deviation);
   }
--- a/tests/dispatch/service_shard_test.cc
+++ b/tests/dispatch/service_shard_test.cc
@@ -379,7 +379,8 @@
 // An urgent request comes while long tasks hold every slot. One of them is asked for a checkpoint
 // and then stopped, well before the 2.2 s are over.
 TEST(PreemptionTest, ClearsOneSlotForOneUrgentRequest) {
-  EXPECT_TRUE(PreemptionsAfter(Idempotency::kIdempotent, milliseconds(300)).empty());
+  const Duration patience = scheduling::SchedulingOptions{}.preempt_after;
+  EXPECT_TRUE(PreemptionsAfter(Idempotency::kIdempotent, patience).empty());
   const auto actions = PreemptionsAfter(Idempotency::kIdempotent, milliseconds(1500));
   ASSERT_EQ(actions.size(), 2u);
   EXPECT_EQ(actions[0].kind, scheduling::PreemptKind::kCheckpoint);
--- a/tests/scheduling/fleet_shares_test.cc
+++ b/tests/scheduling/fleet_shares_test.cc
@@ -178,5 +178,19 @@
                                          DeclarationCase{"HundredTimes", 100.0}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// A team sends requests of milliseconds to a service whose other teams run tasks of minutes. Had it
+// a small part of their mean in its own, its requests would be planned as if they ran for seconds,
+// and be refused.
+TEST(RunTimeEstimatorPriorTest, ATeamOfShortTasksIsNotPlannedByItsNeighbours) {
+  RunTimeEstimator estimator;
+  for (int count = 0; count < 100; ++count) {
+    estimator.Observe(Team(0), Duration::zero(), std::chrono::minutes(5));
+  }
+  for (int count = 0; count < 20; ++count) {
+    estimator.Observe(Team(1), Duration::zero(), milliseconds(50));
+  }
+  EXPECT_LT(estimator.Expect(Team(1), Duration::zero()).slow, milliseconds(100));
+}
+
 }  // namespace
 }  // namespace chervilspar::scheduling
