--- a/src/dispatch/division.cc
+++ b/src/dispatch/division.cc
@@ -12,10 +12,10 @@
 constexpr Duration kLongestBetween = std::chrono::milliseconds(100);
 constexpr Duration kShortestBetween = std::chrono::milliseconds(25);
 
-/// Demand, as a part of the slots, at which the fleet counts as full. Below the capacity, too, demand
-/// exceeds the slots for moments, and with a few long tasks for seconds; holding each entry to its
-/// part then makes requests wait beside free slots. In an overload that lasts, more wait than run
-/// within a second.
+/// Demand, as a part of the slots, at which the fleet counts as full. Below the capacity, too,
+/// demand exceeds the slots for moments, and with a few long tasks for seconds; holding each entry
+/// to its part then makes requests wait beside free slots. In an overload that lasts, more wait
+/// than run within a second.
 constexpr double kFullAt = 2.0;
 /// Part of the way from the last reported demand to the present one. Queues of few requests go up
 /// and down by tens of percent all the time; following that moves slots between entries for
