--- a/include/chervilspar/config_log/log_follower.h
+++ b/include/chervilspar/config_log/log_follower.h
@@ -115,6 +115,8 @@
   /// Puts a state from a snapshot or a peer in place of the own one.
   void Replace(FleetState state, FollowUpdate& update);
   bool TryInstall(const ChunkSet& chunks, FollowUpdate& update);
+  /// Peers may have brought this entry to where the log's kept records begin.
+  void StopSeekingIfCarriedOver();
   void KeepInTail(const LogRecord& record);
 
   EntryId self;
--- a/src/config_log/log_follower.cc
+++ b/src/config_log/log_follower.cc
@@ -97,8 +97,10 @@
 }
 
 bool LogFollower::TryInstall(const ChunkSet& chunks, FollowUpdate& update) {
-  // A snapshot from before the kept records can't be carried on.
-  if (chunks.chunks.size() < chunks.count || chunks.next_offset < this->first_kept) {
+  // A snapshot from before the kept records can't be carried on, and one from before the own state
+  // would go back: while this entry looked for it, a peer may have handed over newer records.
+  if (chunks.chunks.size() < chunks.count || chunks.next_offset < this->first_kept ||
+      chunks.next_offset < this->folder.State().next_offset) {
     return false;
   }
   std::string text;
@@ -174,6 +176,7 @@
       this->FoldRecord(record, update, now);
     }
   }
+  this->StopSeekingIfCarriedOver();
   const bool at_end = this->folder.State().next_offset >= batch.end;
   if (from_log && at_end && !this->seeking_from) {
     this->reached_end = true;
@@ -186,13 +189,16 @@
   if (peer_state.next_offset <= this->folder.State().next_offset) {
     return update;
   }
-  const Offset next = peer_state.next_offset;
   this->Replace(std::move(peer_state), update);
-  if (this->seeking_from && next >= this->first_kept) {
+  this->StopSeekingIfCarriedOver();
+  return update;
+}
+
+void LogFollower::StopSeekingIfCarriedOver() {
+  if (this->seeking_from && this->folder.State().next_offset >= this->first_kept) {
     this->seeking_from.reset();
     this->chunk_sets.clear();
   }
-  return update;
 }
 
 bool LogFollower::IsSnapshotDue(TimePoint now) const {
--- a/tests/config_log/log_follower_test.cc
+++ b/tests/config_log/log_follower_test.cc
@@ -235,6 +235,30 @@
   EXPECT_FALSE(behind.HasReachedEnd());
 }
 
+// Records that an entry has not read are no longer kept, so that it looks for a snapshot; meanwhile
+// a peer hands it the records, and then some that are newer than the snapshot it finds. Taking the
+// snapshot would go back, and an entry that stops instead takes its callers' requests with it.
+TEST(LogFollowerTest, SnapshotOlderThanAPeersRecordsIsNotTaken) {
+  FakeLog log;
+  const FleetState early = Fill(log, 10);
+  LogFollower follower = NewFollower();
+  const ReadBatch all = log.Read(0, 100);
+  follower.OnBatch(log.Read(0, 3), kStart);
+  AppendSnapshot(log, early, "s1");
+  log.Append(Record{RecordId{"late"}, EntryId{"e1"}, WallTime{}, KeyWithdrawn{TestDigest("k0")}});
+  log.Forget(early.next_offset);
+  log.Serve(follower, kStart);
+  ReadBatch peer = log.Read(early.next_offset, 100);
+  peer.source = BatchSource::kPeer;
+  peer.records.insert(peer.records.begin(), all.records.begin(), all.records.end());
+  follower.OnBatch(peer, kStart);
+  const FleetState newest = *follower.State();
+  EXPECT_TRUE(newest.withdrawn.contains(TestDigest("k0")));
+  log.ServeUntilEnd(follower, kStart);
+  EXPECT_EQ(*follower.State(), newest);
+  EXPECT_TRUE(follower.HasReachedEnd());
+}
+
 TEST(LogFollowerTest, RecordsKeptForPeersAreBounded) {
   FakeLog log;
   Fill(log, 3000);
