--- a/bench/slopes_exchange.cc
+++ b/bench/slopes_exchange.cc
@@ -67,6 +67,16 @@
   return (entries - 1) * kMessagesASecond * (HeartbeatBytes() + SizeOf(reports));
 }
 
+/// One reading of the platform's VM list in the form that docs/PROTOCOLS.md gives.
+double VmListBytes(std::uint32_t vms) {
+  std::string text = R"({"sequence":123456,"as_of_unix_ms":1800000000000,"vms":[)";
+  for (std::uint32_t i = 0; i < vms; ++i) {
+    text += R"({"vm":"vm-)" + std::to_string(i) + R"(","state":"live","address":"10.0.)" +
+            std::to_string(i / 250) + '.' + std::to_string(i % 250) + R"(:9000"},)";
+  }
+  return static_cast<double>(text.size() + 1);
+}
+
 /// What entries send one another, with the real encoding, at full load: every team at work in every
 /// service and every endpoint busy.
 class ExchangeSlopes final : public Experiment {
@@ -101,7 +111,11 @@
       decode.points.push_back(
           {size, MedianMicroseconds(kRuns, [&] { (void)rpc::Decode(bytes).Value(); })});
     }
-    for (const Slope& slope : {entries, teams, endpoints, pools, encode, decode}) {
+    Slope list{"one reading of the VM list", "bytes", "VMs", {}};
+    for (const std::uint32_t vms : {550U, 1100U, 2200U, 4400U, 8800U}) {
+      list.points.push_back({static_cast<double>(vms), VmListBytes(vms)});
+    }
+    for (const Slope& slope : {entries, teams, endpoints, pools, encode, decode, list}) {
       ReportSlope(slope, options.out_dir);
     }
     PrintPlans();
@@ -129,6 +143,8 @@
                 2 * kMessagesASecond * SizeOf(own_part));
     std::printf("    sums of teams without endpoints, one peer, once a second:        %.0f\n",
                 SizeOf(sums));
+    std::printf("    half of the region's services (49), 2 peers, every 2 s:           %.0f\n",
+                2 * 0.5 * SizeOf(MakeReports(49, 4, 5)));
     std::printf("    heartbeats to 17 entries, 4/s:                                   %.0f\n",
                 17 * kMessagesASecond * HeartbeatBytes());
     std::printf("    heartbeats to 5 entries, 2/s:                                    %.0f\n",
