--- a/tests/scenario_runner/demo.cc
+++ b/tests/scenario_runner/demo.cc
@@ -7,6 +7,10 @@
 #include <sstream>
 #include <thread>
 
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
 #include "chervilspar/inventory/document.h"
 
 #include "callers.h"
@@ -49,6 +53,8 @@
   Status Prepare();
   void StartCallers();
   Status PublishMove();
+  /// VMs of the move that stand in their target pool, by the word of the first entry.
+  std::size_t MovedCount();
   Status Act(const char* what, const Status& status) const;
   void SleepUntil(Duration since_start) const;
   template <typename Condition>
@@ -178,6 +184,27 @@
   return this->fleet.Publish(this->Entries().front());
 }
 
+std::size_t Demo::MovedCount() {
+  const http::Exchange exchange =
+      this->fleet.Operate(this->Entries().front(), "GET", "/v1/operator/inventory", "");
+  boost::system::error_code error;
+  const boost::json::value body =
+      boost::json::parse(exchange.response ? exchange.response->body : "", error);
+  if (error || !body.is_object() || !body.get_object().contains("inventory")) {
+    return 0;
+  }
+  const auto current = inventory::Parse(boost::json::serialize(body.get_object().at("inventory")));
+  if (!current) {
+    return 0;
+  }
+  const std::vector<inventory::MoveTarget>& targets = this->Inventory().move->targets;
+  return static_cast<std::size_t>(
+      std::count_if(targets.begin(), targets.end(), [&](const inventory::MoveTarget& target) {
+        const auto vm = current->vms.find(target.vm);
+        return vm != current->vms.end() && vm->second.pool == target.to_pool;
+      }));
+}
+
 Status Demo::Run() {
   Status prepared = this->Prepare();
   if (!prepared) {
@@ -207,6 +234,9 @@
   (void)this->Act(code == 0 ? "it has ended gracefully" : "it did not end gracefully", Done{});
   const bool is_done = this->callers.WaitUntilDone(kLoadSpan + kEndTimeout);
   (void)this->Act("callers have their answers", Done{});
+  const std::size_t targets = this->Inventory().move->targets.size();
+  (void)Await("the move", [&] { return this->MovedCount() == targets; });
+  std::printf("%zu of %zu VMs have moved to their new pool\n", this->MovedCount(), targets);
   if (!moved || !taken || code != 0 || !is_done) {
     return Reason{ErrorCode::kInternal, "", "a step of the demonstration failed"};
   }
