Load balancing: Keep due probes in order of time

Each choice looked through all ejected endpoints: with a third of 8,800 out, schedule and place took 1.7 us, half of it there.

--- a/include/chervilspar/load_balancing/balancer.h
+++ b/include/chervilspar/load_balancing/balancer.h
@@ -3,7 +3,9 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "chervilspar/admission/ticket.h"
@@ -89,6 +91,9 @@
   Evidence Judge(const admission::Ticket& ticket, Outcome outcome, Duration measured,
                  Duration expected, TimePoint now);
   void ReviewOverdue(TimePoint now, Random& random);
+  /// Call around each change of an endpoint's health.
+  void UnfileProbe(std::uint32_t index);
+  void FileProbe(std::uint32_t index);
   void OnFull(std::uint32_t index, TimePoint now);
   void UpdateCredit(TimePoint now);
   PartUse PartUseNow() const;
@@ -99,6 +104,8 @@
   std::unique_ptr<PlacementPolicy> policy;
   /// Indexes of endpoints that are ejected or being probed.
   std::vector<std::uint32_t> ejected;
+  /// The ejected ones by the time of their next probe, without those being probed.
+  std::set<std::pair<TimePoint, std::uint32_t>> probes;
   std::vector<std::uint32_t> ejecting_peers;
   std::size_t peer_count = 0;
   /// Kept up to date by `CountUsable`, since every admission asks.
--- a/src/load_balancing/balancer.cc
+++ b/src/load_balancing/balancer.cc
@@ -16,6 +16,9 @@
 /// A probe is a request of some caller. Idempotent ones go first, since a failed probe is tried
 /// again elsewhere; when none comes for this long, any request may be the probe.
 constexpr Duration kProbeByAnyAfter = std::chrono::seconds(10);
+/// Due probes looked at for one request; more are left to the next one, so that a choice stays
+/// cheap when a third of a large pool is out.
+constexpr int kMostProbesLookedAt = 8;
 /// How long a draining endpoint is left alone; the configuration takes it out within seconds.
 constexpr Duration kDrainingPause = std::chrono::seconds(1);
 /// Slot seconds that an entry may be behind or ahead of its part; more would let an entry that had
@@ -40,10 +43,12 @@
   this->table->SetEndpoints(endpoints, this->zone, now);
   this->ejecting_peers.assign(this->table->Count(), 0);
   this->ejected.clear();
+  this->probes.clear();
   for (std::uint32_t index = 0; index < this->table->Count(); ++index) {
     const EndpointState& state = this->table->At(index);
     if (state.is_listed && state.health.State() != HealthState::kHealthy) {
       this->ejected.push_back(index);
+      this->FileProbe(index);
     }
   }
   this->CountUsable();
@@ -134,11 +139,8 @@
 bool Balancer::HasFreeSlot(TimePoint now) {
   this->table->Resume(now);
   this->UpdateCredit(now);
-  for (const std::uint32_t index : this->ejected) {
-    const EndpointHealth& health = this->table->At(index).health;
-    if (health.State() == HealthState::kEjected && health.ProbeAt() <= now) {
-      return true;
-    }
+  if (!this->probes.empty() && this->probes.begin()->first <= now) {
+    return true;
   }
   return this->policy->HasCandidate(*this->table, this->PartUseNow());
 }
@@ -148,6 +150,7 @@
   this->UpdateCredit(now);
   auto index = this->DueProbe(ticket, now);
   if (index) {
+    this->UnfileProbe(*index);
     this->table->Change(*index).health.StartProbe();
     return {scheduling::SlotAnswer::kFound, this->table->At(*index).endpoint.id};
   }
@@ -174,10 +177,13 @@
   const Duration wait = ticket.idempotency == admission::Idempotency::kIdempotent
                             ? Duration::zero()
                             : kProbeByAnyAfter;
-  for (const std::uint32_t index : this->ejected) {
+  int looked_at = 0;
+  for (const auto& [probe_at, index] : this->probes) {
+    if (probe_at + wait > now || looked_at++ >= kMostProbesLookedAt) {
+      break;
+    }
     const EndpointState& state = this->table->At(index);
-    if (state.health.State() == HealthState::kEjected && state.health.ProbeAt() + wait <= now &&
-        state.paused_until <= now && state.Own() < state.endpoint.slots &&
+    if (state.paused_until <= now && state.Own() < state.endpoint.slots &&
         this->table->Fits(index, ticket.requirement)) {
       return index;
     }
@@ -185,6 +191,17 @@
   return std::nullopt;
 }
 
+void Balancer::UnfileProbe(std::uint32_t index) {
+  this->probes.erase({this->table->At(index).health.ProbeAt(), index});
+}
+
+void Balancer::FileProbe(std::uint32_t index) {
+  const EndpointHealth& health = this->table->At(index).health;
+  if (health.State() == HealthState::kEjected) {
+    this->probes.emplace(health.ProbeAt(), index);
+  }
+}
+
 void Balancer::OnSent(const VmId& endpoint, const admission::Ticket& ticket, TimePoint overdue_at,
                       TimePoint now) {
   this->UpdateCredit(now);
--- a/src/load_balancing/balancer_health.cc
+++ b/src/load_balancing/balancer_health.cc
@@ -47,6 +47,7 @@
   }
   state.health.Eject(now, this->options, random.Unit());
   this->ejected.push_back(index);
+  this->FileProbe(index);
   this->table->Refile(index, now);
 }
 
@@ -54,13 +55,16 @@
   EndpointHealth& health = this->table->Change(index).health;
   if (evidence == Evidence::kBad) {
     health.Eject(now, this->options, random.Unit());
+    this->FileProbe(index);
     return;
   }
   if (evidence == Evidence::kNone) {
     health.AbandonProbe(now);
+    this->FileProbe(index);
     return;
   }
   health.OnGoodProbe(now);
+  this->FileProbe(index);
   if (health.State() == HealthState::kHealthy) {
     std::erase(this->ejected, index);
   }
