--- a/tests/cli/program_test.cc
+++ b/tests/cli/program_test.cc
@@ -141,6 +141,13 @@
   EXPECT_TRUE(this->runner.entries.seen.empty());
 }
 
+TEST_F(ProgramTest, CheckPassesTheExamples) {
+  for (const char* name : {"rental-firm", "certification-firm"}) {
+    const std::string file = std::string(CHERVILSPAR_SOURCE_DIR) + "/examples/" + name + ".json";
+    EXPECT_EQ(this->Run({"check", file}), ExitCode::kOk) << this->err.str();
+  }
+}
+
 // The move is asked for by a date that no plan can meet. Operators must hear of it at check, with
 // the earliest date that would do, and not on the day itself.
 TEST_F(ProgramTest, CheckNamesTheEarliestDate) {
