Scheduling: Answer for idle queues without a walk over their teams

At 8,800 VMs and 560 teams an entry at rest spent most of its time asking 295 idle queues, a hundred times a second, which of 560 teams were active.

--- a/src/scheduling/fair_queue_view.cc
+++ b/src/scheduling/fair_queue_view.cc
@@ -46,6 +46,10 @@
 }
 
 std::vector<TeamUse> FairQueue::ActiveTeams() const {
+  // Most services of a large fleet are idle at most times, and their queues are asked all the same.
+  if (this->RunningCount() == 0 && this->WaitingCount() == 0) {
+    return {};
+  }
   std::vector<TeamUse> active;
   for (const auto& queue : this->teams) {
     if (queue->running > 0 || queue->WaitingCount() > 0) {
