Cli, Entry: Let operators declare an entry gone

The record and its fold were there and nothing wrote it: a deleted entry's part of each limit stayed unused for good.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -46,6 +46,10 @@
   std::string key_file;
 };
 
+struct EntryGoneOptions {
+  std::string entry;
+};
+
 enum class StatusPart { kSummary, kInventory };
 
 struct ExplainOptions {
@@ -61,6 +65,8 @@
                     const Console& console);
 ExitCode RunKeyWithdraw(const KeyWithdrawOptions& options, const OperatorClient& client,
                         const Console& console);
+ExitCode RunEntryGone(const EntryGoneOptions& options, const OperatorClient& client,
+                      const Console& console);
 ExitCode RunPlan(OutputForm form, const OperatorClient& client, const Console& console);
 ExitCode RunStatus(StatusPart part, OutputForm form, const OperatorClient& client,
                    const Console& console);
--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -40,6 +40,7 @@
   PublishOptions publish;
   KeyGiveOptions give;
   KeyWithdrawOptions withdraw;
+  EntryGoneOptions gone;
   ExplainOptions explain;
   bool as_json = false;
   bool as_inventory = false;
@@ -56,6 +57,7 @@
     this->AddCheck();
     this->AddPublish();
     this->AddKey();
+    this->AddEntryGone();
     this->AddPlan();
     this->AddStatus();
     this->AddExplain();
@@ -163,6 +165,15 @@
     });
   }
 
+  void AddEntryGone() {
+    CLI::App& command = *this->app.add_subcommand(
+        "entry-gone", "Say that an entry taken off the inventory is deleted or switched off");
+    command.add_option("ENTRY", this->choice.gone.entry, "The entry's id")->required();
+    this->RunsWithEntries(command, [this](const OperatorClient& client) {
+      return RunEntryGone(this->choice.gone, client, this->console);
+    });
+  }
+
   OutputForm Form() const { return this->choice.as_json ? OutputForm::kJson : OutputForm::kText; }
 
   void AddJsonFlag(CLI::App& command) {
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -123,6 +123,10 @@
   if (request.method == "DELETE" && parts.size() == 4 && parts[2] == "keys") {
     co_return co_await this->WithdrawKey(std::string(parts[3]));
   }
+  if (request.method == "POST" && parts.size() == 5 && parts[2] == "entries" &&
+      parts[4] == "gone") {
+    co_return co_await this->DeclareGone(EntryId{std::string(parts[3])});
+  }
   if (request.method != "GET") {
     co_return ReasonAnswer({ErrorCode::kNotFound, "path", "no such call"}, 404);
   }
@@ -207,6 +211,15 @@
   co_return WithdrawalAnswer(is_logged);
 }
 
+asio::awaitable<http::Response> OperatorApi::DeclareGone(EntryId entry) {
+  const RecordId id = this->parts.config.MakeRecordId("entry-gone");
+  config_log::Record record{id, this->context.self.id, this->context.WallNow(),
+                            config_log::EntryGone{entry}};
+  std::vector<config_log::Record> records;
+  records.push_back(std::move(record));
+  co_return AppendAnswer(co_await this->Append(id, std::move(records)));
+}
+
 asio::awaitable<config_log::AppendOutcome> OperatorApi::Append(
     RecordId subject, std::vector<config_log::Record> records) {
   struct Shared {
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -38,6 +38,7 @@
   boost::asio::awaitable<http::Response> Publish(const http::Request& request);
   boost::asio::awaitable<http::Response> GiveKey(const http::Request& request);
   boost::asio::awaitable<http::Response> WithdrawKey(std::string digest);
+  boost::asio::awaitable<http::Response> DeclareGone(EntryId entry);
   /// Appends and waits until the records' fate is known.
   boost::asio::awaitable<config_log::AppendOutcome> Append(RecordId subject,
                                                            std::vector<config_log::Record> records);
--- a/tests/cli/program_test.cc
+++ b/tests/cli/program_test.cc
@@ -286,6 +286,23 @@
   EXPECT_EQ(this->RunAsOperator({"key", "withdraw", "--key-file", file}), ExitCode::kOk);
 }
 
+// An entry VM is deleted while it is cut off. Until an operator says so, its part of each limit
+// stays unused; said of an entry that still runs, a team could go above its limit, so the entries
+// refuse it for one that is still in the inventory, and the operator sees why.
+TEST_F(ProgramTest, EntryIsDeclaredGone) {
+  this->runner.entries.Answers(kFirst, "POST /v1/operator/entries/e3/gone", 200,
+                               R"({"version":4,"offset":9})");
+  EXPECT_EQ(this->RunAsOperator({"entry-gone", "e3"}), ExitCode::kOk);
+  EXPECT_NE(this->out.str().find("e3"), std::string::npos);
+}
+
+TEST_F(ProgramTest, ListedEntryIsNotGone) {
+  this->runner.entries.Answers(kFirst, "POST /v1/operator/entries/e3/gone", 409,
+                               R"({"message":"entry e3 is not one that was taken off the list"})");
+  EXPECT_EQ(this->RunAsOperator({"entry-gone", "e3"}), ExitCode::kRefused);
+  EXPECT_NE(this->err.str().find("not one that was taken off"), std::string::npos);
+}
+
 TEST_F(ProgramTest, WrongOperatorKeyIsRefused) {
   this->runner.entries.Answers(kFirst, "GET /v1/operator/status", 401,
                                R"({"message":"not an operator's key"})");
