--- a/src/entry/service_host.cc
+++ b/src/entry/service_host.cc
@@ -129,6 +129,11 @@
   this->PumpLocked();
 }
 
+bool ServiceHost::IsReportDue() {
+  const std::lock_guard lock(this->mutex);
+  return this->shard.IsReportDue(this->context.Now());
+}
+
 scheduling::ShardReport ServiceHost::LocalReport() {
   const std::lock_guard lock(this->mutex);
   return this->shard.LocalReport(this->context.Now());
--- a/src/entry/service_host.h
+++ b/src/entry/service_host.h
@@ -59,6 +59,7 @@
   std::vector<Preemption> Preemptions();
   void OnLimitFreed(const TeamId& team);
   void OnPeerReport(const EntryId& peer, const ZoneId& zone, const scheduling::ShardReport& report);
+  bool IsReportDue();
   scheduling::ShardReport LocalReport();
 
   /// Adds to `waiting` how many requests of each team wait here.
--- a/src/entry/service_plane.cc
+++ b/src/entry/service_plane.cc
@@ -81,6 +81,9 @@
   rpc::ShardReports reports;
   reports.zone = this->context.self.zone;
   for (const auto& host : this->All()) {
+    if (!host->IsReportDue()) {
+      continue;
+    }
     scheduling::ShardReport report = host->LocalReport();
     const bool is_busy = IsBusy(report);
     const bool was_busy = this->reported_busy.contains(host->Service());
