Bench: Keep what drives real processes with the load tools

Fleets of processes, callers, the judge and the demonstration are the load tool over real processes; only the scenario language and its words are test code.

--- a/tests/scenario_runner/balancer.cc
+++ b/bench/fleet/balancer.cc
@@ -1,4 +1,4 @@
-#include "balancer.h"
+#include "bench/fleet/balancer.h"
 
 #include <algorithm>
 
--- a/tests/scenario_runner/balancer.h
+++ b/bench/fleet/balancer.h
@@ -8,7 +8,7 @@
 
 #include "chervilspar/base/ids.h"
 
-#include "fleet.h"
+#include "bench/fleet/fleet.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/bench_http.cc
+++ b/bench/fleet/bench_http.cc
@@ -1,4 +1,4 @@
-#include "bench_http.h"
+#include "bench/fleet/bench_http.h"
 
 #include <array>
 #include <cstdio>
@@ -13,8 +13,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "callers.h"
-#include "load_loop.h"
+#include "bench/fleet/callers.h"
+#include "bench/fleet/load_loop.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/bench_http.h
+++ b/bench/fleet/bench_http.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet.h"
+#include "bench/fleet/fleet.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/callers.cc
+++ b/bench/fleet/callers.cc
@@ -1,4 +1,4 @@
-#include "callers.h"
+#include "bench/fleet/callers.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/scenario_runner/callers.h
+++ b/bench/fleet/callers.h
@@ -10,9 +10,9 @@
 #include "chervilspar/http/client.h"
 #include "chervilspar/http/io_threads.h"
 
-#include "balancer.h"
-#include "call_record.h"
-#include "fleet.h"
+#include "bench/fleet/balancer.h"
+#include "bench/fleet/call_record.h"
+#include "bench/fleet/fleet.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/child_process.cc
+++ b/bench/fleet/child_process.cc
@@ -1,4 +1,4 @@
-#include "child_process.h"
+#include "bench/fleet/child_process.h"
 
 #include <fcntl.h>
 #include <fstream>
--- a/tests/scenario_runner/demo.cc
+++ b/bench/fleet/demo.cc
@@ -1,4 +1,4 @@
-#include "demo.h"
+#include "bench/fleet/demo.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -13,9 +13,9 @@
 
 #include "chervilspar/inventory/document.h"
 
-#include "callers.h"
-#include "demo_table.h"
-#include "judge.h"
+#include "bench/fleet/callers.h"
+#include "bench/fleet/demo_table.h"
+#include "bench/fleet/judge.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/demo.h
+++ b/bench/fleet/demo.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "fleet.h"
+#include "bench/fleet/fleet.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/demo_table.cc
+++ b/bench/fleet/demo_table.cc
@@ -1,4 +1,4 @@
-#include "demo_table.h"
+#include "bench/fleet/demo_table.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/tests/scenario_runner/demo_table.h
+++ b/bench/fleet/demo_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "judge.h"
+#include "bench/fleet/judge.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/fleet.cc
+++ b/bench/fleet/fleet.cc
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "bench/fleet/fleet.h"
 
 #include <array>
 #include <signal.h>
--- a/tests/scenario_runner/fleet.h
+++ b/bench/fleet/fleet.h
@@ -9,8 +9,8 @@
 #include "chervilspar/base/result.h"
 #include "chervilspar/http/blocking_client.h"
 
-#include "child_process.h"
-#include "fleet_plan.h"
+#include "bench/fleet/child_process.h"
+#include "bench/fleet/fleet_plan.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/fleet_plan.cc
+++ b/bench/fleet/fleet_plan.cc
@@ -1,4 +1,4 @@
-#include "fleet_plan.h"
+#include "bench/fleet/fleet_plan.h"
 
 #include <algorithm>
 #include <iterator>
--- a/tests/scenario_runner/fleet_plan.h
+++ b/bench/fleet/fleet_plan.h
@@ -7,7 +7,7 @@
 #include "chervilspar/base/socket_address.h"
 #include "chervilspar/inventory/inventory.h"
 
-#include "free_ports.h"
+#include "bench/fleet/free_ports.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/free_ports.cc
+++ b/bench/fleet/free_ports.cc
@@ -1,4 +1,4 @@
-#include "free_ports.h"
+#include "bench/fleet/free_ports.h"
 
 #include <unistd.h>
 
--- a/tests/scenario_runner/judge.cc
+++ b/bench/fleet/judge.cc
@@ -1,4 +1,4 @@
-#include "judge.h"
+#include "bench/fleet/judge.h"
 
 #include <algorithm>
 #include <limits>
@@ -9,7 +9,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "pool_watch.h"
+#include "bench/fleet/pool_watch.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/judge.h
+++ b/bench/fleet/judge.h
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "call_record.h"
-#include "fleet.h"
+#include "bench/fleet/call_record.h"
+#include "bench/fleet/fleet.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/load_loop.cc
+++ b/bench/fleet/load_loop.cc
@@ -1,4 +1,4 @@
-#include "load_loop.h"
+#include "bench/fleet/load_loop.h"
 
 #include <algorithm>
 #include <future>
--- a/tests/scenario_runner/pool_watch.cc
+++ b/bench/fleet/pool_watch.cc
@@ -1,4 +1,4 @@
-#include "pool_watch.h"
+#include "bench/fleet/pool_watch.h"
 
 #include <algorithm>
 #include <optional>
--- a/tests/scenario_runner/pool_watch.h
+++ b/bench/fleet/pool_watch.h
@@ -5,7 +5,7 @@
 
 #include "chervilspar/inventory/inventory.h"
 
-#include "judge.h"
+#include "bench/fleet/judge.h"
 
 namespace chervilspar::scenario {
 
--- a/tests/scenario_runner/main.cc
+++ b/tests/scenario_runner/main.cc
@@ -7,9 +7,9 @@
 
 #include <CLI/CLI.hpp>
 
-#include "bench_http.h"
-#include "demo.h"
-#include "load_loop.h"
+#include "bench/fleet/bench_http.h"
+#include "bench/fleet/demo.h"
+#include "bench/fleet/load_loop.h"
 #include "scenario.h"
 
 namespace chervilspar::scenario {
--- a/tests/scenario_runner/scenario.h
+++ b/tests/scenario_runner/scenario.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "callers.h"
-#include "fleet.h"
-#include "judge.h"
+#include "bench/fleet/callers.h"
+#include "bench/fleet/fleet.h"
+#include "bench/fleet/judge.h"
 #include "script.h"
 
 namespace chervilspar::scenario {
--- a/tests/scenario_runner_test/judge_test.cc
+++ b/tests/scenario_runner_test/judge_test.cc
@@ -1,4 +1,4 @@
-#include "tests/scenario_runner/judge.h"
+#include "bench/fleet/judge.h"
 
 #include <functional>
 
