Entry: Tell of folded states in order; tell publishes from other records

Cause: the thread that reads the log and the one that takes a peer's records looked the state up and told of it without a common lock, so that an older state could come last; limits, membership and registry then stop at their assertion that versions never go back. Happens when the log comes back while a peer still sends what was missed.

The time line called every accepted record a configuration; steps and observations are now record-accepted.

--- a/src/entry/config_plane.cc
+++ b/src/entry/config_plane.cc
@@ -244,9 +244,7 @@
     }
     this->Run(std::move(actions));
   }
-  if (update.changed) {
-    this->listener.OnState(this->State(), update);
-  }
+  this->TellState(update);
   bool is_first_end = false;
   {
     const std::lock_guard lock(this->follow_mutex);
@@ -258,6 +256,16 @@
   }
 }
 
+// The state is looked up under the lock that also covers telling of it: of two threads that have
+// folded, the slower one then tells of the newest state once more, and never of an older one.
+void ConfigPlane::TellState(const config_log::FollowUpdate& update) {
+  if (!update.changed) {
+    return;
+  }
+  const std::lock_guard lock(this->tell_mutex);
+  this->listener.OnState(this->State(), update);
+}
+
 void ConfigPlane::Run(config_log::AppendActions actions) {
   std::vector<std::pair<Done, config_log::AppendOutcome>> calls;
   {
--- a/src/entry/config_plane.h
+++ b/src/entry/config_plane.h
@@ -20,7 +20,8 @@
 
 namespace chervilspar::entry {
 
-/// Hears of every change of the folded state, on the thread that read it.
+/// Hears of every change of the folded state, one at a time and never of an older state after a
+/// newer one, on the thread that read it.
 class StateListener {
  public:
   virtual ~StateListener() = default;
@@ -79,6 +80,7 @@
   void AppendLoop();
   void ReadOnce();
   void HandleUpdate(const config_log::FollowUpdate& update);
+  void TellState(const config_log::FollowUpdate& update);
   void OnReadFailure(const Reason& reason);
   void OnReadSuccess();
   void Run(config_log::AppendActions actions);
@@ -91,6 +93,8 @@
   std::unique_ptr<platform::LogService> log;
   StateListener& listener;
 
+  /// Held while the listener is told of a state; taken before `follow_mutex`.
+  std::mutex tell_mutex;
   mutable std::mutex follow_mutex;
   config_log::LogFollower follower;
   config_log::KeyOverlay overlay;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -251,12 +251,14 @@
   }
   for (const config_log::FoldOutcome& outcome : update.outcomes) {
     if (outcome.verdict == config_log::FoldVerdict::kAccepted) {
-      this->context.Note({.kind = telemetry::EventKind::kConfigAccepted,
+      const bool is_publish = this->noted_version.exchange(outcome.version) != outcome.version;
+      this->context.Note({.kind = is_publish ? telemetry::EventKind::kConfigAccepted
+                                             : telemetry::EventKind::kRecordAccepted,
                           .why = outcome.record.text,
                           .fields = {{"offset", std::to_string(outcome.offset)},
                                      {"version", std::to_string(outcome.version)}}});
     } else if (outcome.reason) {
-      this->context.Note({.kind = telemetry::EventKind::kConfigRejected,
+      this->context.Note({.kind = telemetry::EventKind::kRecordRejected,
                           .why = outcome.record.text + ": " + ToString(*outcome.reason),
                           .fields = {{"offset", std::to_string(outcome.offset)}}});
     }
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -84,6 +84,8 @@
   RequestPipeline pipeline;
   OperatorApi operators;
   std::unique_ptr<http::Server> server;
+  /// Version of the last accepted record in the time line; a publish raises it.
+  std::atomic<config_log::ConfigVersion> noted_version{0};
   std::atomic<Phase> phase{Phase::kServing};
   std::atomic<bool> hurrying{false};
   std::mutex view_mutex;
--- /dev/null
+++ b/tests/entry/config_plane_test.cc
@@ -0,0 +1,105 @@
+#include "entry/config_plane.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "chervilspar/config_log/record_codec.h"
+
+namespace chervilspar::entry {
+namespace {
+
+constexpr int kRecords = 3000;
+
+/// Records that each change the state: keys of a team that doesn't exist are rejected, and still
+/// move the offset on.
+std::vector<std::string> MakeRecords() {
+  std::vector<std::string> records;
+  records.reserve(kRecords);
+  for (int i = 0; i < kRecords; ++i) {
+    config_log::Record record;
+    record.id = RecordId{"r" + std::to_string(i)};
+    record.author = EntryId{"e2"};
+    record.body = config_log::KeyWithdrawn{config_log::KeyDigest{std::string(64, 'a' + i % 6)}};
+    records.push_back(config_log::EncodeRecord(record));
+  }
+  return records;
+}
+
+/// A log that hands out one record a read, as it would while operators publish.
+class TricklingLog final : public platform::LogService {
+ public:
+  explicit TricklingLog(const std::vector<std::string>& records) : records(records) {}
+
+  platform::AppendOutcome Append(std::string_view, Duration) override { return {}; }
+
+  Result<platform::ReadBatch> Read(config_log::Offset from, std::size_t, Duration,
+                                   Duration) override {
+    platform::ReadBatch batch;
+    batch.next = static_cast<config_log::Offset>(this->records.size());
+    if (from < batch.next) {
+      batch.records.push_back({from, this->records[static_cast<std::size_t>(from)]});
+    }
+    return batch;
+  }
+
+ private:
+  const std::vector<std::string>& records;
+};
+
+/// Notes whether it was ever told of an older state after a newer one.
+class OrderListener final : public StateListener {
+ public:
+  void OnState(std::shared_ptr<const config_log::FleetState> state,
+               const config_log::FollowUpdate&) override {
+    const config_log::Offset offset = state->next_offset;
+    std::this_thread::yield();
+    const std::lock_guard lock(this->mutex);
+    this->went_back = this->went_back || offset < this->last;
+    this->last = offset;
+  }
+  void OnReadToEnd() override {}
+  void OnWithdrawals(const std::vector<config_log::KeyDigest>&) override {}
+
+  bool WentBack() {
+    const std::lock_guard lock(this->mutex);
+    return this->went_back;
+  }
+
+ private:
+  std::mutex mutex;
+  config_log::Offset last = 0;
+  bool went_back = false;
+};
+
+// The log comes back after an outage while a peer still sends what the entry had missed: two
+// threads fold, one after the other, and tell the rest of the entry. When the slower one tells of
+// the older state last, limits and keys of an older configuration are back in force, and the entry
+// stops at its own assertion that versions never go back: its callers lose it.
+TEST(ConfigPlaneTest, LogAndPeerNeverTellOfAnOlderStateLast) {
+  const std::vector<std::string> records = MakeRecords();
+  const EntrySettings settings;
+  const SystemClock clock;
+  telemetry::EventRing events(EntryId{"e1"}, 16, std::chrono::seconds(1));
+  telemetry::MetricsRegistry metrics;
+  const EntryContext context{settings, clock, {EntryId{"e1"}, {}, ZoneId{"a"}}, events, metrics};
+  OrderListener listener;
+  ConfigPlane plane(context, std::make_unique<TricklingLog>(records), listener);
+  plane.Start();
+  while (plane.State()->next_offset < kRecords) {
+    const config_log::Offset from = plane.State()->next_offset;
+    if (from < kRecords) {
+      plane.OnPeerRecords({{from, records[static_cast<std::size_t>(from)]}});
+    }
+  }
+  plane.Stop();
+  EXPECT_FALSE(listener.WentBack());
+}
+
+}  // namespace
+}  // namespace chervilspar::entry
