Entry: Tell of the log's end after the state there

Cause: a peer's thread had folded the configuration and not yet told of it when the log's thread came to the end; limits then heard of the end with no configuration, took the fleet for a new one and did not wait out what a predecessor of this entry had lent. A team could run above its limit after a replacement.

--- a/src/entry/config_plane.cc
+++ b/src/entry/config_plane.cc
@@ -206,6 +206,7 @@
     this->overlay.OnState(*this->state);
   }
   this->HandleUpdate(update);
+  this->TellReadToEnd();
   this->WriteSnapshotIfDue();
 }
 
@@ -245,15 +246,6 @@
     this->Run(std::move(actions));
   }
   this->TellState(update);
-  bool is_first_end = false;
-  {
-    const std::lock_guard lock(this->follow_mutex);
-    is_first_end = this->follower.HasReachedEnd() && !std::exchange(this->told_end, true);
-    this->told_end = this->follower.HasReachedEnd();
-  }
-  if (is_first_end) {
-    this->listener.OnReadToEnd();
-  }
 }
 
 // The state is looked up under the lock that also covers telling of it: of two threads that have
@@ -266,6 +258,22 @@
   this->listener.OnState(this->State(), update);
 }
 
+// What goes wrong otherwise: a peer's thread has folded the configuration and not yet told of it
+// when the log's thread comes to the end. Limits that hear of the end first take the fleet for a
+// new one and don't wait out what a predecessor lent. So the newest state is told once more before
+// the end.
+void ConfigPlane::TellReadToEnd() {
+  const std::lock_guard lock(this->tell_mutex);
+  {
+    const std::lock_guard follow_lock(this->follow_mutex);
+    if (!this->follower.HasReachedEnd() || std::exchange(this->told_end, true)) {
+      return;
+    }
+  }
+  this->listener.OnState(this->State(), {});
+  this->listener.OnReadToEnd();
+}
+
 void ConfigPlane::Run(config_log::AppendActions actions) {
   std::vector<std::pair<Done, config_log::AppendOutcome>> calls;
   {
--- a/src/entry/config_plane.h
+++ b/src/entry/config_plane.h
@@ -81,6 +81,7 @@
   void ReadOnce();
   void HandleUpdate(const config_log::FollowUpdate& update);
   void TellState(const config_log::FollowUpdate& update);
+  void TellReadToEnd();
   void OnReadFailure(const Reason& reason);
   void OnReadSuccess();
   void Run(config_log::AppendActions actions);
--- a/tests/entry/config_plane_test.cc
+++ b/tests/entry/config_plane_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr int kRecords = 3000;
+constexpr int kStarts = 100;
 
 /// Records that each change the state: keys of a team that doesn't exist are rejected, and still
 /// move the offset on.
@@ -63,9 +65,18 @@
     this->went_back = this->went_back || offset < this->last;
     this->last = offset;
   }
-  void OnReadToEnd() override {}
+  void OnReadToEnd() override {
+    const std::lock_guard lock(this->mutex);
+    this->told_at_end = this->last;
+  }
   void OnWithdrawals(const std::vector<config_log::KeyDigest>&) override {}
 
+  /// The offset that had been told of when the end of the log was.
+  std::optional<config_log::Offset> ToldAtEnd() {
+    const std::lock_guard lock(this->mutex);
+    return this->told_at_end;
+  }
+
   bool WentBack() {
     const std::lock_guard lock(this->mutex);
     return this->went_back;
@@ -75,6 +86,7 @@
   std::mutex mutex;
   config_log::Offset last = 0;
   bool went_back = false;
+  std::optional<config_log::Offset> told_at_end;
 };
 
 // The log comes back after an outage while a peer still sends what the entry had missed: two
@@ -101,5 +113,28 @@
   EXPECT_FALSE(listener.WentBack());
 }
 
+// An entry is replaced and starts while a peer sends it the state. If it heard of the log's end
+// before it heard of the configuration, it would take the fleet for a new one, not wait out what
+// its predecessor had lent, and let a team run above its limit.
+TEST(ConfigPlaneTest, TheEndOfTheLogIsToldAfterTheStateThere) {
+  const std::vector<std::string> records = {MakeRecords().front()};
+  const EntrySettings settings;
+  const SystemClock clock;
+  telemetry::EventRing events(EntryId{"e1"}, 16, std::chrono::seconds(1));
+  telemetry::MetricsRegistry metrics;
+  const EntryContext context{settings, clock, {EntryId{"e1"}, {}, ZoneId{"a"}}, events, metrics};
+  for (int start = 0; start < kStarts; ++start) {
+    OrderListener listener;
+    ConfigPlane plane(context, std::make_unique<TricklingLog>(records), listener);
+    plane.Start();
+    plane.OnPeerRecords({{0, records.front()}});
+    while (!listener.ToldAtEnd()) {
+      std::this_thread::yield();
+    }
+    plane.Stop();
+    ASSERT_EQ(listener.ToldAtEnd(), 1) << start;
+  }
+}
+
 }  // namespace
 }  // namespace chervilspar::entry
