--- a/src/entry/peer_plane.cc
+++ b/src/entry/peer_plane.cc
@@ -240,7 +240,17 @@
       message.body);
 }
 
+// The lease arithmetic assumes a bound on the difference of wall clocks; this is how an operator
+// sees that it no longer holds. The way of the heartbeat is in the figure.
+void PeerPlane::WatchClock(const membership::Heartbeat& heartbeat) {
+  const Duration difference = this->context.WallNow() - heartbeat.sent_at.wall;
+  this->context.metrics.Set(
+      {"chervilspar_peer_clock_difference_seconds", {{"entry", heartbeat.from.text}}},
+      std::chrono::duration<double>(difference).count());
+}
+
 void PeerPlane::OnHeartbeat(const membership::Heartbeat& heartbeat) {
+  this->WatchClock(heartbeat);
   this->context.events.Observe(heartbeat.sent_at, this->context.WallNow());
   membership::HeartbeatNews news = membership::HeartbeatNews::kNothing;
   {
--- a/src/entry/peer_plane.h
+++ b/src/entry/peer_plane.h
@@ -66,6 +66,7 @@
  private:
   void OnFrame(const std::string& frame);
   void Dispatch(const rpc::PeerMessage& message);
+  void WatchClock(const membership::Heartbeat& heartbeat);
   void OnHeartbeat(const membership::Heartbeat& heartbeat);
   void OnCatchUpRequest(const rpc::CatchUpRequest& request);
   void AskToCatchUp();
