Entry: Read the log without waiting until its end; show each team's units in the metrics

Ruled out: lending (units idle at no entry), the shards, the endpoints' view.

The new test failed before.

--- a/src/entry/config_plane.cc
+++ b/src/entry/config_plane.cc
@@ -182,8 +182,11 @@
     const std::lock_guard lock(this->follow_mutex);
     from = this->follower.ReadFrom();
   }
-  Result<platform::ReadBatch> batch = this->log->Read(
-      from, kReadRecords, kReadWait, kReadWait + this->context.settings.log_timeout);
+  // Up to the end nothing is waited for: an entry that starts on an empty log has to know at once
+  // that it had no predecessor.
+  const Duration wait = this->HasReachedEnd() ? kReadWait : Duration::zero();
+  Result<platform::ReadBatch> batch =
+      this->log->Read(from, kReadRecords, wait, wait + this->context.settings.log_timeout);
   if (!batch) {
     this->OnReadFailure(batch.LastReason());
     return;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -216,6 +216,7 @@
               static_cast<double>(this->pipeline.InFlight()));
   metrics.Set({"chervilspar_remembered_request_ids", {}},
               static_cast<double>(this->ledger.RememberedIds()));
+  this->CollectUnits(metrics);
   const rpc::TransportCounters counters = this->peers.Counters();
   metrics.Set({"chervilspar_peer_bytes_sent", {}}, static_cast<double>(counters.bytes_sent));
   metrics.Set({"chervilspar_peer_frames_dropped", {}},
@@ -228,6 +229,19 @@
   }
 }
 
+void EntryNode::CollectUnits(telemetry::MetricsRegistry& metrics) {
+  for (const auto& [id, team] : this->config.State()->inventory.teams) {
+    const quota::TeamUnits units = this->limits.Units(id);
+    const auto set = [&](const char* kind, std::uint32_t value) {
+      metrics.Set({"chervilspar_team_units", {{"kind", kind}, {"team", id.text}}}, value);
+    };
+    set("owned", units.owned);
+    set("borrowed", units.borrowed);
+    set("lent", units.lent);
+    set("running", units.running);
+  }
+}
+
 void EntryNode::OnBadInput(http::BadInput fault) {
   this->context.metrics.Count({"chervilspar_bad_input_total", {{"fault", http::ToString(fault)}}});
 }
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -64,6 +64,7 @@
   void RefreshView();
   void Housekeeping();
   void CollectGauges(telemetry::MetricsRegistry& metrics);
+  void CollectUnits(telemetry::MetricsRegistry& metrics);
   http::Response Health() const;
   http::Response Metrics();
   bool WaitForRequests(Duration span);
--- a/tests/entry/config_plane_test.cc
+++ b/tests/entry/config_plane_test.cc
@@ -40,8 +40,9 @@
 
   platform::AppendOutcome Append(std::string_view, Duration) override { return {}; }
 
-  Result<platform::ReadBatch> Read(config_log::Offset from, std::size_t, Duration,
+  Result<platform::ReadBatch> Read(config_log::Offset from, std::size_t, Duration wait,
                                    Duration) override {
+    this->first_wait = this->first_wait.value_or(wait);
     platform::ReadBatch batch;
     batch.next = static_cast<config_log::Offset>(this->records.size());
     if (from < batch.next) {
@@ -50,8 +51,11 @@
     return batch;
   }
 
+  std::optional<Duration> FirstWait() const { return this->first_wait; }
+
  private:
   const std::vector<std::string>& records;
+  std::optional<Duration> first_wait;
 };
 
 /// Notes whether it was ever told of an older state after a newer one.
@@ -136,5 +140,27 @@
   }
 }
 
+// A fleet starts on an empty log, and the operator publishes at once. An entry whose first read
+// waits for a record comes to the end only with the configuration in hand; it must then take itself
+// for a replacement and wait out the leases of a predecessor, and for a minute nobody is served.
+TEST(ConfigPlaneTest, TheFirstReadDoesNotWaitForARecord) {
+  const std::vector<std::string> none;
+  const EntrySettings settings;
+  const SystemClock clock;
+  telemetry::EventRing events(EntryId{"e1"}, 16, std::chrono::seconds(1));
+  telemetry::MetricsRegistry metrics;
+  const EntryContext context{settings, clock, {EntryId{"e1"}, {}, ZoneId{"a"}}, events, metrics};
+  OrderListener listener;
+  auto log = std::make_unique<TricklingLog>(none);
+  const TricklingLog& seen = *log;
+  ConfigPlane plane(context, std::move(log), listener);
+  plane.Start();
+  while (!listener.ToldAtEnd()) {
+    std::this_thread::yield();
+  }
+  plane.Stop();
+  EXPECT_EQ(seen.FirstWait(), Duration::zero());
+}
+
 }  // namespace
 }  // namespace chervilspar::entry
