--- a/tests/entry/config_plane_test.cc
+++ b/tests/entry/config_plane_test.cc
@@ -27,7 +27,8 @@
     config_log::Record record;
     record.id = RecordId{"r" + std::to_string(i)};
     record.author = EntryId{"e2"};
-    record.body = config_log::KeyWithdrawn{config_log::KeyDigest{std::string(64, 'a' + i % 6)}};
+    const auto digit = static_cast<char>('a' + i % 6);
+    record.body = config_log::KeyWithdrawn{config_log::KeyDigest{std::string(64, digit)}};
     records.push_back(config_log::EncodeRecord(record));
   }
   return records;
