--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -232,8 +232,9 @@
 void EntryNode::CollectUnits(telemetry::MetricsRegistry& metrics) {
   for (const auto& [id, team] : this->config.State()->inventory.teams) {
     const quota::TeamUnits units = this->limits.Units(id);
-    const auto set = [&](const char* kind, std::uint32_t value) {
-      metrics.Set({"chervilspar_team_units", {{"kind", kind}, {"team", id.text}}}, value);
+    const telemetry::MetricLabel label{"team", id.text};
+    const auto set = [&metrics, &label](const char* kind, std::uint32_t value) {
+      metrics.Set({"chervilspar_team_units", {{"kind", kind}, label}}, value);
     };
     set("owned", units.owned);
     set("borrowed", units.borrowed);
