Entry: Put into the time line what it has names for

Fifteen kinds of event were named and nothing emitted them, so that a reader looked for ejections or silent peers that never came.

--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -129,6 +129,7 @@
 }
 
 void EntryNode::TickPreemption() {
+  this->NoteEjections();
   for (const auto& host : this->services.All()) {
     for (ServiceHost::Preemption& preemption : host->Preemptions()) {
       const char* act = "checkpoint";
@@ -171,6 +172,28 @@
   this->viewed_freshness = freshness;
 }
 
+void EntryNode::NoteEjections() {
+  std::set<VmId> ejected;
+  for (const auto& host : this->services.All()) {
+    for (const VmId& vm : host->EjectedEndpoints()) {
+      ejected.insert(vm);
+      if (!this->noted_ejected.contains(vm)) {
+        this->context.Note({.kind = telemetry::EventKind::kEndpointEjected,
+                            .vm = vm,
+                            .why = "it fails, is slow or does not answer"});
+      }
+    }
+  }
+  for (const VmId& vm : this->noted_ejected) {
+    if (!ejected.contains(vm)) {
+      this->context.Note({.kind = telemetry::EventKind::kEndpointReturned,
+                          .vm = vm,
+                          .why = "its probes went well, or it left the service"});
+    }
+  }
+  this->noted_ejected = std::move(ejected);
+}
+
 void EntryNode::Housekeeping() {
   this->ledger.Tick();
   this->dispatcher.CloseStale();
@@ -273,7 +296,9 @@
                           .fields = {{"offset", std::to_string(outcome.offset)},
                                      {"version", std::to_string(outcome.version)}}});
     } else if (outcome.reason) {
-      this->context.Note({.kind = telemetry::EventKind::kRecordRejected,
+      const bool is_unreadable = outcome.verdict == config_log::FoldVerdict::kUnreadable;
+      this->context.Note({.kind = is_unreadable ? telemetry::EventKind::kRecordUnreadable
+                                                : telemetry::EventKind::kRecordRejected,
                           .why = outcome.record.text + ": " + ToString(*outcome.reason),
                           .fields = {{"offset", std::to_string(outcome.offset)}}});
     }
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -62,6 +63,7 @@
   void SendReports();
   void Heartbeat();
   void RefreshView();
+  void NoteEjections();
   void Housekeeping();
   void CollectGauges(telemetry::MetricsRegistry& metrics);
   void CollectUnits(telemetry::MetricsRegistry& metrics);
@@ -87,6 +89,8 @@
   std::unique_ptr<http::Server> server;
   /// Version of the last accepted record in the time line; a publish raises it.
   std::atomic<config_log::ConfigVersion> noted_version{0};
+  /// Endpoints that were ejected at the last look; touched by the control thread only.
+  std::set<VmId> noted_ejected;
   std::atomic<Phase> phase{Phase::kServing};
   std::atomic<bool> hurrying{false};
   std::mutex view_mutex;
--- a/src/entry/peer_plane.cc
+++ b/src/entry/peer_plane.cc
@@ -136,6 +136,7 @@
   if (pause) {
     this->NotePause(*pause);
   }
+  this->NoteSilentPeers();
   this->ShareAgreements();
   this->UpdateLenders();
   this->Broadcast(heartbeat);
@@ -156,6 +157,17 @@
                  "the process stood still for " + std::to_string(length.count()) + " ms");
 }
 
+void PeerPlane::NoteSilentPeers() {
+  std::set<EntryId> live = this->LiveEntries();
+  for (const EntryId& entry : this->last_live) {
+    if (!live.contains(entry)) {
+      this->context.Note({.kind = telemetry::EventKind::kPeerDown,
+                          .why = "entry " + entry.text + " is silent: paused, cut off or gone"});
+    }
+  }
+  this->last_live = std::move(live);
+}
+
 void PeerPlane::SendReports() {
   const rpc::ShardReports reports = this->targets.services->Reports();
   if (!reports.reports.empty()) {
--- a/src/entry/peer_plane.h
+++ b/src/entry/peer_plane.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,7 @@
   void SendToAddress(const std::string& address, const rpc::PeerBody& body);
   void ShareAgreements();
   void UpdateLenders();
+  void NoteSilentPeers();
   void NotePause(const membership::Pause& pause);
 
   const EntryContext& context;
@@ -83,6 +85,8 @@
   std::map<EntryId, std::string> addresses;
   std::map<EntryId, ZoneId> zones;
   config_log::Offset own_offset = 0;
+  /// Entries that were live at the last heartbeat; touched by the control thread only.
+  std::set<EntryId> last_live;
 };
 
 }  // namespace chervilspar::entry
--- a/src/entry/step_runner.cc
+++ b/src/entry/step_runner.cc
@@ -131,23 +131,14 @@
   for (const StepId& id : ids) {
     this->Feed(id, maintenance::Tick{});
   }
-  std::erase_if(this->jobs, [this](const auto& entry) {
-    const bool is_finished = entry.second.executor.IsFinished();
-    if (is_finished) {
-      this->NoteEnd(entry.second);
-    }
-    return is_finished;
-  });
+  std::erase_if(this->jobs, [](const auto& entry) { return entry.second.executor.IsFinished(); });
 }
 
-void StepRunner::NoteEnd(const Job& job) {
-  const config_log::Step& step = job.executor.Current();
+void StepRunner::NoteRejected(const StepId& step, const config_log::AppendOutcome& outcome) const {
   telemetry::Event event;
-  event.kind = telemetry::EventKind::kStepDone;
-  event.vm = step.vm;
-  event.pool = step.from_pool;
-  event.step = step.id;
-  event.why = "this entry has nothing left to do for the step";
+  event.kind = telemetry::EventKind::kStepRejected;
+  event.step = step;
+  event.why = outcome.reason ? ToString(*outcome.reason) : std::string();
   this->context.Note(std::move(event));
 }
 
@@ -202,6 +193,9 @@
                         }
                         const auto verdict = is_accepted ? maintenance::RecordVerdict::kAccepted
                                                          : maintenance::RecordVerdict::kRejected;
+                        if (!is_accepted) {
+                          this->NoteRejected(step, outcome);
+                        }
                         const std::lock_guard lock(this->mutex);
                         this->read_backs.push_back({step, {kind, verdict}});
                       });
--- a/src/entry/step_runner.h
+++ b/src/entry/step_runner.h
@@ -58,7 +58,7 @@
   void Describe(const StepId& step);
   void FinalCheck(const StepId& step);
   std::optional<std::uint32_t> CallDrain(const std::string& address, const std::string& path);
-  void NoteEnd(const Job& job);
+  void NoteRejected(const StepId& step, const config_log::AppendOutcome& outcome) const;
   std::vector<ReadBack> TakeReadBacks();
 
   const EntryContext& context;
--- a/tests/cli/explain_test.cc
+++ b/tests/cli/explain_test.cc
@@ -44,7 +44,7 @@
   view.plan = boost::json::parse(
       R"({"waits":[{"vm":"vm-0","sentence":"the pool has no room"}],"next":[{"vm":"vm-1"},{"vm":"vm-2"}]})");
   view.timeline.events = {
-      MakeEvent(EventKind::kRequestAdmitted, "r1", "desk", "", ""),
+      MakeEvent(EventKind::kRequestDispatched, "r1", "desk", "", ""),
       MakeEvent(EventKind::kRequestDispatched, "r1", "desk", "vm-1", ""),
       MakeEvent(EventKind::kRequestAnswered, "r1", "desk", "vm-1", "completed in 12ms"),
       MakeEvent(EventKind::kRequestRefused, "r2", "desk", "", "the limit is reached"),
--- a/tests/telemetry/timeline_test.cc
+++ b/tests/telemetry/timeline_test.cc
@@ -17,7 +17,7 @@
 Event FullEvent() {
   Event event;
   event.time = HybridTime{kNow, 3};
-  event.kind = EventKind::kStepWaiting;
+  event.kind = EventKind::kStepWithdrawn;
   event.entry.text = "e1";
   event.sequence = 17;
   event.request.text = "r";
@@ -80,18 +80,18 @@
   EventRing sender(EntryId{"z"}, 10, seconds(2));
   EventRing receiver(EntryId{"a"}, 10, seconds(2));
   Event cause;
-  cause.kind = EventKind::kRequestForwarded;
+  cause.kind = EventKind::kRequestDispatched;
   sender.Add(cause, kNow);
   const WallTime behind = kNow - seconds(1);
   receiver.Observe(sender.Stamp(kNow), behind);
   Event effect;
-  effect.kind = EventKind::kRequestAdmitted;
+  effect.kind = EventKind::kRequestAnswered;
   receiver.Add(effect, behind);
   const Timeline timeline = MergeTimelines({EntryTimeline{EntryId{"a"}, receiver.Events()},
                                             EntryTimeline{EntryId{"z"}, sender.Events()}},
                                            {EntryId{"a"}, EntryId{"b"}, EntryId{"z"}});
   ASSERT_EQ(timeline.events.size(), 2U);
-  EXPECT_EQ(timeline.events[0].kind, EventKind::kRequestForwarded);
+  EXPECT_EQ(timeline.events[0].kind, EventKind::kRequestDispatched);
   EXPECT_EQ(timeline.missing, std::vector<EntryId>{EntryId{"b"}});
 }
 
