Rpc: Give the transport's tests a loopback address of their own

The rpc test failed once in a run of all tests: another test program, run beside it, took the port between the probe for a free one and its use. On an address that nobody else listens on the port can't be taken.

--- a/tests/rpc/peer_transport_test.cc
+++ b/tests/rpc/peer_transport_test.cc
@@ -40,8 +40,12 @@
   std::vector<std::string> frames;
 };
 
+/// A loopback address that no other test program listens on. On 127.0.0.1 another one may take the
+/// port between the probe for a free one and its use.
+constexpr char kIp[] = "127.77.0.1";
+
 std::uint16_t FreePort(asio::io_context& context) {
-  asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::ip::tcp::acceptor probe(context, {asio::ip::make_address(kIp), 0});
   return probe.local_endpoint().port();
 }
 
@@ -66,7 +70,7 @@
     return std::move(transport).Value();
   }
 
-  std::string Address() { return "127.0.0.1:" + std::to_string(FreePort(this->context)); }
+  std::string Address() { return std::string(kIp) + ":" + std::to_string(FreePort(this->context)); }
 
   asio::io_context context;
   asio::executor_work_guard<asio::io_context::executor_type> work;
