--- a/include/chervilspar/cli/main.h
+++ b/include/chervilspar/cli/main.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "chervilspar/job_entry/run_job_entry.h"
+
 namespace chervilspar::cli {
 
 /// Exit codes of every command; `--help` lists them.
@@ -23,7 +25,8 @@
   kInternal = 70,
 };
 
-/// The program: parses the command line and runs a command. Returns the exit code.
-int Main(int argc, char** argv);
+/// The program: parses the command line and runs a command; `links` reach the platform that it is
+/// built for. Returns the exit code.
+int Main(int argc, char** argv, job_entry::LinkFactory& links);
 
 }  // namespace chervilspar::cli
--- a/include/chervilspar/http/client.h
+++ b/include/chervilspar/http/client.h
@@ -65,6 +65,9 @@
   boost::asio::awaitable<Exchange> Send(SocketAddress address, Request request, Duration timeout,
                                         std::shared_ptr<CancelToken> cancel);
 
+  /// Closes idle connections to `address`. After a timeout: others that are as old may have gone
+  /// silent with it, and each would cost the next request another timeout.
+  void CloseIdle(const SocketAddress& address);
   /// Closes idle connections that have passed the idle timeout; to be called now and then.
   void CloseStale();
   /// Idle and busy connections over all addresses.
--- a/src/entry/wakeup.h
+++ b/include/chervilspar/http/wakeup.h
@@ -8,7 +8,7 @@
 
 #include "chervilspar/base/time.h"
 
-namespace chervilspar::entry {
+namespace chervilspar::http {
 
 /// Wakes one coroutine from any thread. A notification that comes while nobody waits ends the next
 /// wait at once, so that none is missed between looking at shared state and waiting.
@@ -29,4 +29,4 @@
   bool notified = false;
 };
 
-}  // namespace chervilspar::entry
+}  // namespace chervilspar::http
--- /dev/null
+++ b/include/chervilspar/job_entry/links.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "chervilspar/base/result.h"
+#include "chervilspar/http/message.h"
+#include "chervilspar/job_entry/store.h"
+#include "chervilspar/jobs/endpoint.h"
+#include "chervilspar/jobs/policy.h"
+#include "chervilspar/jobs/scheduler.h"
+#include "chervilspar/jobs/upkeep.h"
+
+namespace chervilspar::job_entry {
+
+/// What a renewal gave.
+struct HeldOutcome {
+  jobs::OrderOutcome outcome = jobs::OrderOutcome::kNoAnswer;
+  /// There exactly when `outcome` is `kDone`.
+  std::optional<jobs::HoldReport> report;
+};
+
+/// Orders to endpoints.
+class EndpointLink {
+ public:
+  virtual ~EndpointLink() = default;
+
+  virtual boost::asio::awaitable<HeldOutcome> Hold(jobs::HoldOrder order, Duration timeout) = 0;
+  virtual boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order,
+                                                           Duration timeout) = 0;
+  virtual boost::asio::awaitable<jobs::OrderOutcome> Stop(jobs::StopOrder order,
+                                                          Duration timeout) = 0;
+  virtual boost::asio::awaitable<jobs::OrderOutcome> Pace(jobs::PaceOrder order,
+                                                          Duration timeout) = 0;
+};
+
+/// The platform's service for VMs.
+class VmService {
+ public:
+  virtual ~VmService() = default;
+
+  virtual boost::asio::awaitable<Result<std::vector<jobs::VmRecord>>> List(Duration timeout) = 0;
+  virtual boost::asio::awaitable<jobs::VmOrderOutcome> Reboot(jobs::RebootOrder order,
+                                                              Duration timeout) = 0;
+  virtual boost::asio::awaitable<jobs::VmOrderOutcome> Move(jobs::MoveOrder order,
+                                                            Duration timeout) = 0;
+};
+
+/// Says on which endpoints a step may run.
+class AdviceLink {
+ public:
+  virtual ~AdviceLink() = default;
+
+  virtual boost::asio::awaitable<Result<std::vector<jobs::AdviceTicket>>> Ask(
+      jobs::AdviceQuestion question, Duration timeout) = 0;
+};
+
+/// Reads what others write into the store.
+class RecordReader {
+ public:
+  virtual ~RecordReader() = default;
+
+  /// The operators' rules, if the key is that of the rules.
+  virtual bool IsPolicyKey(std::string_view key) const = 0;
+  virtual Result<jobs::Policy> ReadPolicy(std::string_view value) const = 0;
+  virtual Result<jobs::EndpointRecord> ReadEndpoint(std::string_view key,
+                                                    std::string_view value) const = 0;
+  virtual bool IsWaveKey(std::string_view key) const = 0;
+  virtual Result<jobs::Wave> ReadWave(std::string_view value) const = 0;
+  /// The record that tells operators how far a wave is.
+  virtual KeyedRecord WriteWaveStatus(const jobs::Wave& wave, bool is_complete) const = 0;
+};
+
+/// What a caller asks for.
+enum class CallerAction { kSubmit, kFind, kCancel, kCountPending, kUnknown };
+
+/// A caller's request in the product's own terms.
+struct CallerCall {
+  CallerAction action = CallerAction::kUnknown;
+  /// The queue by its host and path; null when there is none.
+  const jobs::Queue* queue = nullptr;
+  std::string key;
+  std::optional<jobs::JobId> id;
+  /// What is asked for in the rest of the path, for messages.
+  std::string id_text;
+};
+
+/// Reads callers' requests and writes their answers.
+class CallerFormat {
+ public:
+  virtual ~CallerFormat() = default;
+
+  virtual CallerCall Read(const http::Request& request, const jobs::Policy& policy) const = 0;
+  /// The job in a submission, without queue, team and time.
+  virtual Result<jobs::Job> ReadJob(const http::Request& request) const = 0;
+  virtual http::Response Accepted() const = 0;
+  virtual http::Response Phase(jobs::JobPhase phase) const = 0;
+  virtual http::Response Pending(std::uint64_t count) const = 0;
+  /// There is no such job, and there was none.
+  virtual http::Response NoSuchJob() const = 0;
+};
+
+/// All that an entry needs from outside.
+struct Links {
+  std::unique_ptr<Store> store;
+  std::unique_ptr<EndpointLink> endpoints;
+  std::unique_ptr<VmService> vms;
+  std::unique_ptr<AdviceLink> advice;
+  std::unique_ptr<RecordReader> records;
+  std::unique_ptr<CallerFormat> callers;
+};
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/include/chervilspar/job_entry/settings.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chervilspar/base/ids.h"
+#include "chervilspar/base/result.h"
+#include "chervilspar/base/socket_address.h"
+#include "chervilspar/base/time.h"
+#include "chervilspar/telemetry/logger.h"
+
+namespace chervilspar::job_entry {
+
+/// Settings as given in flags and environment variables, not yet checked. Empty means not given.
+struct RawJobEntrySettings {
+  std::string id;
+  std::string zone;
+  std::string callers_address;
+  std::string health_address;
+  std::string health_path;
+  std::string peer_address;
+  std::string metrics_address;
+  std::string store_address;
+  std::string vm_service_address;
+  std::string advice_address;
+  std::string key_proof_limit;
+  std::string lease_limit;
+  std::string vm_order_pause;
+  std::string drain_time;
+  std::string log_level;
+
+  friend bool operator==(const RawJobEntrySettings&, const RawJobEntrySettings&) = default;
+};
+
+/// Checked settings of an entry that takes, stores and schedules jobs.
+struct JobEntrySettings {
+  EntryId id;
+  ZoneId zone;
+  SocketAddress callers;
+  SocketAddress health;
+  std::string health_path;
+  /// For other entries.
+  SocketAddress peers;
+  /// Where the metrics are served; none when empty.
+  std::optional<SocketAddress> metrics;
+  SocketAddress store;
+  std::optional<SocketAddress> vm_service;
+  std::optional<SocketAddress> advice;
+  /// Callers' keys are trusted for this long after the last sign that the operators' rules are
+  /// known to their end.
+  Duration key_proof_limit = std::chrono::milliseconds(3500);
+  /// The longest lease that endpoints give.
+  Duration lease_limit = std::chrono::seconds(10);
+  /// After a take-over, no order is given for a VM for this long, as the predecessor may just have
+  /// given one.
+  Duration vm_order_pause = std::chrono::seconds(3);
+  /// Longest that a shutdown waits for requests in flight.
+  Duration drain_time = std::chrono::milliseconds(4500);
+  telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
+
+  friend bool operator==(const JobEntrySettings&, const JobEntrySettings&) = default;
+};
+
+/// Checked settings, or all faults at once.
+struct JobEntrySettingsOutcome {
+  std::optional<JobEntrySettings> settings;
+  std::vector<Reason> faults;
+};
+
+JobEntrySettingsOutcome CheckSettings(const RawJobEntrySettings& raw);
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/include/chervilspar/jobs/scheduler.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chervilspar/base/time.h"
+#include "chervilspar/jobs/endpoint.h"
+#include "chervilspar/jobs/job.h"
+#include "chervilspar/jobs/policy.h"
+#include "chervilspar/jobs/progress.h"
+#include "chervilspar/jobs/scheduler_options.h"
+
+namespace chervilspar::jobs {
+
+/// A task's placement or end, for logs: which task, where, and what decided it.
+struct Note {
+  std::string event;
+  std::optional<TaskKey> task;
+  std::optional<JobId> job;
+  std::string endpoint;
+  std::string why;
+
+  friend bool operator==(const Note&, const Note&) = default;
+};
+
+/// One keyed record to be written: a job's progress, or its removal.
+struct ProgressRecord {
+  JobId job;
+  /// Nothing: the job's records are to be dropped.
+  std::optional<std::string> text;
+
+  friend bool operator==(const ProgressRecord&, const ProgressRecord&) = default;
+};
+
+/// What has to be stored before anything that follows from it may leave the process.
+struct Batch {
+  std::vector<ProgressRecord> records;
+
+  bool IsEmpty() const { return this->records.empty(); }
+};
+
+/// Orders to endpoints. They may be sent side by side, in any order.
+struct Orders {
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+  std::vector<PaceOrder> paces;
+};
+
+/// What a caller is told of a job.
+struct JobView {
+  JobPhase phase = JobPhase::kQueued;
+
+  friend bool operator==(const JobView&, const JobView&) = default;
+};
+
+/// A question to the adviser of a queue: on which of these endpoints may the step run?
+struct AdviceQuestion {
+  TaskKey step;
+  std::vector<std::string> endpoints;
+};
+
+/// One endpoint on which a step may run, with the adviser's ticket.
+struct AdviceTicket {
+  std::string endpoint;
+  std::string ticket;
+
+  friend bool operator==(const AdviceTicket&, const AdviceTicket&) = default;
+};
+
+/// How a renewal at an endpoint should look now.
+struct HoldPlan {
+  HoldOrder order;
+  /// False: nothing is to be renewed or learnt there.
+  bool is_needed = false;
+};
+
+/// What an evacuated endpoint still holds up.
+enum class EvacuationState { kUnknownEndpoint, kRunning, kEmpty };
+
+/// Decides which task runs where. Owns the state of all jobs of its pools, without network, clock
+/// or threads: facts go in with their times, orders and records come out.
+///
+/// The load that it answers: queues whose demand exceeds their pool for seconds at a time, with run
+/// times that are known only roughly. Without an order by the latest start that is still on time,
+/// whoever serves oldest first serves everybody late once a queue is longer than the slack.
+///
+/// What can go wrong: a process that decided is killed between an order and its record, its
+/// successor doesn't know of the run and starts the task a second time, and a deposit is charged
+/// twice. So a placement is part of a `Batch`, and its `StartOrder` comes out of `ConfirmBatch`,
+/// after the batch is stored. Ends are confirmed to the endpoint and shown to callers in the same
+/// way.
+class Scheduler {
+ public:
+  /// `token` fences predecessors at the endpoints; `now` is when this scheduler took over.
+  Scheduler(const SchedulerOptions& options, std::uint64_t token, TimePoint now);
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+  ~Scheduler();
+
+  // Facts.
+  void SetPolicy(const Policy& policy);
+  /// The endpoints that are registered now; others are gone or not reachable for the registry.
+  void SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint now);
+  /// Takes a job; the same id again changes nothing.
+  void AddJob(const Job& job, WallTime wall);
+  /// Stored progress of a job taken before; only while the scheduler is being loaded.
+  void RestoreProgress(const JobId& id, const JobProgress& progress);
+  /// Cancels a job, also one that is yet to come.
+  void CancelJob(const JobId& id);
+  /// `sent`: when the hold was sent; what ended after that may be missing in it.
+  void OnHeld(const HoldOrder& order, const HoldReport& report, TimePoint sent, TimePoint now);
+  void OnHoldFailed(const std::string& endpoint, OrderOutcome outcome, TimePoint now);
+  void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
+  void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
+  void OnAdvice(const TaskKey& step, const std::vector<AdviceTicket>& tickets, TimePoint now);
+
+  // Decisions.
+  Orders Decide(TimePoint now, WallTime wall);
+  std::vector<AdviceQuestion> TakeQuestions(TimePoint now);
+  /// True when there is something to store or to confirm.
+  bool HasBatch() const;
+  /// What changed since the last batch. One batch at a time: the next after `ConfirmBatch`.
+  Batch TakeBatch();
+  /// The batch is stored: gives the starts that it allows.
+  Orders ConfirmBatch(TimePoint now);
+  /// Jobs that ended so long ago that nobody is told of them any more, at most `most`.
+  std::vector<JobId> Expired(WallTime wall, std::size_t most) const;
+  /// Their submissions are gone from the store: drops what is left of them.
+  void Forget(const std::vector<JobId>& ids);
+  HoldPlan PlanHold(const std::string& endpoint, TimePoint now);
+  std::vector<std::string> EndpointIds() const;
+  /// Events since the last call, oldest first.
+  std::vector<Note> TakeNotes();
+  /// True once an endpoint has seen a higher token: another scheduler has taken over.
+  bool IsSuperseded() const;
+
+  // Evacuation, before a VM is rebooted or moved.
+  void BeginEvacuation(const std::string& endpoint);
+  void EndEvacuation(const std::string& endpoint);
+  EvacuationState EvacuationOf(const std::string& endpoint) const;
+  /// Cpu in use and in all over the endpoints of a service, for the choice of VMs.
+  Resources UsedIn(const ServiceId& service) const;
+  Resources CapacityOf(const ServiceId& service) const;
+
+  // Questions of callers; only what is stored is told.
+  std::optional<JobView> Find(const JobId& id) const;
+  /// Accepted jobs of a queue of which no task has started.
+  std::uint64_t PendingIn(const std::string& queue) const;
+  std::size_t JobCount() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/include/chervilspar/jobs/upkeep.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chervilspar/base/ids.h"
+#include "chervilspar/base/time.h"
+#include "chervilspar/jobs/job.h"
+
+namespace chervilspar::jobs {
+
+enum class VmPhase { kUp, kMoving, kRebooting, kDown };
+
+/// A VM as the platform lists it.
+struct VmRecord {
+  VmId id;
+  ServiceId pool;
+  VmPhase phase = VmPhase::kDown;
+  ZoneId zone;
+  std::string rack;
+  Resources capacity;
+  /// The endpoint that runs on it; empty when there is none.
+  std::string endpoint;
+
+  friend bool operator==(const VmRecord&, const VmRecord&) = default;
+};
+
+/// Operators ask that each of these VMs is rebooted by a time, at most `most_down` at once.
+struct Wave {
+  std::uint64_t number = 0;
+  std::vector<VmId> vms;
+  Duration deadline{};
+  std::uint32_t most_down = 1;
+
+  friend bool operator==(const Wave&, const Wave&) = default;
+};
+
+struct RebootOrder {
+  VmId vm;
+  std::uint64_t wave = 0;
+  std::string holder;
+  std::uint64_t token = 0;
+
+  friend bool operator==(const RebootOrder&, const RebootOrder&) = default;
+};
+
+struct MoveOrder {
+  VmId vm;
+  ServiceId pool;
+  std::string holder;
+  std::uint64_t token = 0;
+
+  friend bool operator==(const MoveOrder&, const MoveOrder&) = default;
+};
+
+enum class VmOrderOutcome {
+  /// Carried out now or before.
+  kDone,
+  kTokenTooLow,
+  /// The VM is not up, or leaving.
+  kBusy,
+  /// The wave doesn't name the VM, or there is no such VM or pool.
+  kNotAllowed,
+  /// Too many calls; nothing was done.
+  kTooMany,
+  /// It may be carried out, also later.
+  kNoAnswer,
+};
+
+/// How far the VMs of a wave are; stored, so that a successor doesn't empty them again.
+struct WaveProgress {
+  std::uint64_t number = 0;
+  std::set<VmId> rebooted;
+  bool is_complete = false;
+
+  friend bool operator==(const WaveProgress&, const WaveProgress&) = default;
+};
+
+/// What the planner wants done now.
+struct UpkeepStep {
+  /// Endpoints that get no new work and are emptied.
+  std::vector<std::string> evacuate;
+  /// VMs that are empty and may go down now.
+  std::vector<VmId> reboot;
+  /// All VMs of the wave are up again.
+  bool is_complete = false;
+
+  friend bool operator==(const UpkeepStep&, const UpkeepStep&) = default;
+};
+
+/// What the planner knows of a VM's endpoint.
+struct EndpointLoad {
+  bool is_empty = false;
+  /// Part of its pool's cpu that is in use, 0 to 1.
+  double pool_load = 0;
+};
+
+/// Chooses which VMs of a wave are emptied and rebooted next. Pure.
+///
+/// The load that it answers: VMs go down while queues reach their peaks. Emptying those of the
+/// least loaded pools first, and only a part of each pool at once, leaves room where the peak is.
+class UpkeepPlanner {
+ public:
+  /// `down`: VMs that were ordered to reboot and are not known to be up again.
+  static UpkeepStep Plan(const Wave& wave, const WaveProgress& progress,
+                         const std::vector<VmRecord>& vms, const std::set<VmId>& down,
+                         const std::set<VmId>& evacuating,
+                         const std::map<std::string, EndpointLoad>& loads);
+};
+
+}  // namespace chervilspar::jobs
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -32,6 +32,29 @@
       ->allow_extra_args(false);
 }
 
+void AddJobEntryFlags(CLI::App& app, job_entry::RawJobEntrySettings& raw) {
+  AddFlag(app, "--id", raw.id, "Name of this entry");
+  AddFlag(app, "--zone", raw.zone, "Availability zone of this entry");
+  AddFlag(app, "--callers-address", raw.callers_address, "ip:port for callers");
+  AddFlag(app, "--health-address", raw.health_address, "ip:port for the balancer's health check");
+  AddFlag(app, "--health-path", raw.health_path, "Path of the health check [/ready]");
+  AddFlag(app, "--peer-address", raw.peer_address, "ip:port for other entries");
+  AddFlag(app, "--metrics-address", raw.metrics_address, "ip:port of the metrics [none]");
+  AddFlag(app, "--store-address", raw.store_address, "ip:port of the platform's store");
+  AddFlag(app, "--vm-service-address", raw.vm_service_address,
+          "ip:port of the platform's service for VMs [no upkeep]");
+  AddFlag(app, "--advice-address", raw.advice_address,
+          "ip:port of the adviser on where steps may run [none]");
+  AddFlag(app, "--key-proof-limit", raw.key_proof_limit,
+          "How long keys are trusted without news from the store [3500ms]");
+  AddFlag(app, "--lease-limit", raw.lease_limit, "The longest lease that endpoints give [10s]");
+  AddFlag(app, "--vm-order-pause", raw.vm_order_pause,
+          "No orders for VMs this long after a take-over [3s]");
+  AddFlag(app, "--drain-time", raw.drain_time,
+          "Longest that a shutdown waits for requests in flight [4500ms]");
+  AddFlag(app, "--log-level", raw.log_level, "debug, info, warning or error [info]");
+}
+
 void AddEntryFlags(CLI::App& app, entry::RawEntrySettings& raw) {
   AddFlag(app, "--id", raw.id, "Name of this entry, as in the inventory");
   AddFlag(app, "--zone", raw.zone, "Availability zone of this entry");
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -8,6 +8,7 @@
 #include <CLI/CLI.hpp>
 
 #include "chervilspar/entry/settings.h"
+#include "chervilspar/job_entry/settings.h"
 
 #include "cli/command.h"
 
@@ -29,6 +30,7 @@
 CLI::Option* AddListFlag(CLI::App& app, const std::string& name, std::vector<std::string>& values,
                          const std::string& description);
 
+void AddJobEntryFlags(CLI::App& app, job_entry::RawJobEntrySettings& raw);
 void AddEntryFlags(CLI::App& app, entry::RawEntrySettings& raw);
 void AddOperatorFlags(CLI::App& app, RawOperatorFlags& raw);
 
--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -35,6 +35,7 @@
 /// What the parsed command line asks for.
 struct Choice {
   entry::RawEntrySettings entry;
+  job_entry::RawJobEntrySettings job_entry;
   RawOperatorFlags operator_flags;
   CheckOptions check;
   PublishOptions publish;
@@ -54,6 +55,7 @@
     this->app.require_subcommand(1);
     this->app.fallthrough(false);
     this->AddEntry();
+    this->AddJobEntry();
     this->AddCheck();
     this->AddPublish();
     this->AddKey();
@@ -119,6 +121,23 @@
     command.final_callback([this] { this->selected = [this] { return this->RunEntryCommand(); }; });
   }
 
+  ExitCode RunJobEntryCommand() {
+    const job_entry::JobEntrySettingsOutcome outcome =
+        job_entry::CheckSettings(this->choice.job_entry);
+    if (!outcome.settings) {
+      return this->PrintFaults(outcome.faults);
+    }
+    return this->runner.JobEntry(*outcome.settings);
+  }
+
+  void AddJobEntry() {
+    CLI::App& command = *this->app.add_subcommand(
+        "job-entry", "Run an entry that takes, stores and schedules jobs until SIGTERM");
+    AddJobEntryFlags(command, this->choice.job_entry);
+    command.final_callback(
+        [this] { this->selected = [this] { return this->RunJobEntryCommand(); }; });
+  }
+
   void AddCheck() {
     CLI::App& command =
         *this->app.add_subcommand("check", "Check an inventory file; needs no network");
--- a/src/cli/program.h
+++ b/src/cli/program.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "chervilspar/entry/settings.h"
+#include "chervilspar/job_entry/settings.h"
 
 #include "cli/command.h"
 
@@ -13,6 +14,8 @@
 class CommandRunner {
  public:
   virtual ~CommandRunner() = default;
+  /// Runs an entry that takes, stores and schedules jobs.
+  virtual ExitCode JobEntry(const job_entry::JobEntrySettings& settings) = 0;
   virtual ExitCode Entry(const entry::EntrySettings& settings) = 0;
   /// The connection over which operators' commands talk to entries.
   virtual Result<std::unique_ptr<EntryConnection>> Connect(
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -9,13 +9,13 @@
 
 #include "chervilspar/config_log/key_digest.h"
 #include "chervilspar/config_log/record_codec.h"
+#include "chervilspar/http/wakeup.h"
 #include "chervilspar/inventory/check.h"
 #include "chervilspar/inventory/delta.h"
 #include "chervilspar/inventory/document.h"
 #include "chervilspar/telemetry/timeline.h"
 
 #include "entry/json_answer.h"
-#include "entry/wakeup.h"
 
 namespace chervilspar::entry {
 
@@ -227,7 +227,7 @@
     std::optional<config_log::AppendOutcome> outcome;
   };
   const auto shared = std::make_shared<Shared>();
-  const auto wakeup = std::make_shared<Wakeup>(co_await asio::this_coro::executor);
+  const auto wakeup = std::make_shared<http::Wakeup>(co_await asio::this_coro::executor);
   this->parts.config.Submit(subject, std::move(records), kAppendTimeout,
                             [shared, wakeup](const config_log::AppendOutcome& outcome) {
                               {
--- a/src/entry/pending_request.cc
+++ b/src/entry/pending_request.cc
@@ -5,7 +5,7 @@
 namespace chervilspar::entry {
 
 PendingRequest::PendingRequest(const boost::asio::any_io_executor& executor)
-    : wakeup(std::make_shared<Wakeup>(executor)), exchange(http::CancelToken::Create()) {}
+    : wakeup(std::make_shared<http::Wakeup>(executor)), exchange(http::CancelToken::Create()) {}
 
 void PendingRequest::OnStart(StartOrder order) {
   {
--- a/src/entry/pending_request.h
+++ b/src/entry/pending_request.h
@@ -12,11 +12,10 @@
 #include "chervilspar/base/time.h"
 #include "chervilspar/dispatch/service_shard.h"
 #include "chervilspar/http/cancel_token.h"
+#include "chervilspar/http/wakeup.h"
 #include "chervilspar/idempotency/messages.h"
 #include "chervilspar/quota/quota.h"
 
-#include "entry/wakeup.h"
-
 namespace chervilspar::entry {
 
 /// Leave to send one try: where, under which task id, and until when the endpoint may start it.
@@ -66,7 +65,7 @@
   PendingNews news;
   std::optional<StartOrder> start;
   bool stopping = false;
-  std::shared_ptr<Wakeup> wakeup;
+  std::shared_ptr<http::Wakeup> wakeup;
   std::shared_ptr<http::CancelToken> exchange;
 };
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -90,6 +90,10 @@
                      std::move(cancel));
 }
 
+void Client::CloseIdle(const SocketAddress& address) {
+  this->state->pool->CloseIdle(this->state->routes.Resolve(address));
+}
+
 void Client::CloseStale() { this->state->pool->CloseStale(); }
 
 std::size_t Client::ConnectionCount() const { return this->state->pool->ConnectionCount(); }
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -124,6 +124,16 @@
   --entry.open;
 }
 
+void ConnectionPool::CloseIdle(const SocketAddress& address) {
+  Shard& shard = this->ShardOf(address);
+  const std::lock_guard lock(shard.mutex);
+  const auto entry = shard.addresses.find(address);
+  if (entry != shard.addresses.end()) {
+    entry->second.open -= entry->second.idle.size();
+    entry->second.idle.clear();
+  }
+}
+
 void ConnectionPool::CloseStale() {
   const TimePoint oldest = this->clock.Now() - this->limits.idle_timeout;
   for (Shard& shard : this->shards) {
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -55,6 +55,7 @@
   /// before it when the process ends.
   std::unique_ptr<Lease> Acquire(const SocketAddress& address,
                                  const boost::asio::any_io_executor& executor);
+  void CloseIdle(const SocketAddress& address);
   void CloseStale();
   /// Closes idle connections and those that are given back later.
   void Shut();
--- a/src/entry/wakeup.cc
+++ b/src/http/wakeup.cc
@@ -1,10 +1,10 @@
-#include "entry/wakeup.h"
+#include "chervilspar/http/wakeup.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace chervilspar::entry {
+namespace chervilspar::http {
 
 namespace asio = boost::asio;
 
@@ -26,4 +26,4 @@
   this->notified = false;
 }
 
-}  // namespace chervilspar::entry
+}  // namespace chervilspar::http
--- /dev/null
+++ b/src/job_entry/caller_handler.cc
@@ -0,0 +1,173 @@
+#include "job_entry/caller_handler.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Another entry, or the next owner, usually answers within a second.
+constexpr int kComeBackSeconds = 1;
+
+}  // namespace
+
+http::Response ComeBack(unsigned status, std::string_view code, std::string_view message,
+                        int seconds) {
+  http::Response response = http::ErrorResponse(status, code, message);
+  response.headers.Add("Retry-After", std::to_string(seconds));
+  return response;
+}
+
+CallerHandler::CallerHandler(const Context& context, OperatorView& operators, JobWriter& writer,
+                             JobQuestions& questions)
+    : context(context), operators(operators), writer(writer), questions(questions) {}
+
+void CallerHandler::Count(const char* call, unsigned status) {
+  this->context.metrics.Count(
+      {"chervilspar_calls_total", {{"call", call}, {"status", std::to_string(status)}}});
+}
+
+std::optional<http::Response> CallerHandler::Refuse(const CallerCall& call,
+                                                    const jobs::Policy& policy) const {
+  if (call.queue == nullptr) {
+    return http::ErrorResponse(404, "not_found", "There is no such queue.");
+  }
+  if (!call.queue->is_public && !policy.team_of_key.contains(call.key)) {
+    return http::ErrorResponse(401, "unauthenticated", "The key is missing or not accepted.");
+  }
+  if (call.action == CallerAction::kUnknown) {
+    return http::ErrorResponse(405, "unsupported", "A queue takes GET, POST and DELETE.");
+  }
+  if (call.action != CallerAction::kCountPending && !call.id) {
+    return http::ErrorResponse(400, "invalid_argument",
+                               "id: \"" + call.id_text + "\" should be 16 hexadecimal digits");
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<http::Response> CallerHandler::Handle(http::Request request,
+                                                      std::shared_ptr<http::CancelToken>) {
+  const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
+  // What can go wrong: a key is withdrawn while this entry can't hear of it, and work runs for
+  // somebody who may not have any. So a key is trusted only while the rules are known to be new.
+  if (policy == nullptr || !this->operators.IsFresh(this->context.settings.key_proof_limit)) {
+    this->Count("any", 503);
+    co_return ComeBack(503, "not_ready", "The operators' rules are not known for certain here.",
+                       kComeBackSeconds);
+  }
+  CallerCall call = this->context.links.callers->Read(request, *policy);
+  if (std::optional<http::Response> refused = this->Refuse(call, *policy)) {
+    this->Count("refused", refused->status);
+    co_return *std::move(refused);
+  }
+  const auto team = policy->team_of_key.find(call.key);
+  const TeamId team_id = team == policy->team_of_key.end() ? TeamId{} : team->second;
+  const std::string queue = call.queue->name;
+  const ServiceId service = call.queue->service;
+  switch (call.action) {
+    case CallerAction::kSubmit:
+      co_return co_await this->Submit(request, std::move(call), team_id, queue, service);
+    case CallerAction::kFind:
+      co_return co_await this->Find(std::move(call));
+    case CallerAction::kCancel:
+      co_return co_await this->Cancel(std::move(call));
+    case CallerAction::kCountPending:
+      co_return co_await this->CountPending(queue);
+    case CallerAction::kUnknown:
+      break;
+  }
+  co_return http::ErrorResponse(405, "unsupported", "A queue takes GET, POST and DELETE.");
+}
+
+asio::awaitable<http::Response> CallerHandler::Submit(const http::Request& request, CallerCall call,
+                                                      TeamId team, std::string queue,
+                                                      ServiceId service) {
+  Result<jobs::Job> read = this->context.links.callers->ReadJob(request);
+  if (!read) {
+    this->Count("submit", 400);
+    co_return http::ErrorResponse(400, "invalid_argument", ToString(read.LastReason()));
+  }
+  jobs::Job job = *std::move(read);
+  job.id = *call.id;
+  job.queue = std::move(queue);
+  job.service = std::move(service);
+  job.team = std::move(team);
+  job.taken_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     this->context.clock.WallNow().time_since_epoch())
+                     .count();
+  if (const Status status = jobs::CheckJob(job); !status) {
+    this->Count("submit", 400);
+    co_return http::ErrorResponse(400, "invalid_argument", ToString(status.LastReason()));
+  }
+  KeyedRecord record{SubmissionKey(job.id), jobs::EncodeJob(job)};
+  const WriteVerdict verdict = co_await this->writer.Write(std::move(record));
+  const std::string id = jobs::ToString(job.id);
+  switch (verdict) {
+    case WriteVerdict::kStored:
+      this->Count("submit", 200);
+      LogEvent(telemetry::LogLevel::kInfo, "job_accepted", "stored",
+               {{"queue", job.queue}, {"team", job.team.text}}, id);
+      co_return this->context.links.callers->Accepted();
+    case WriteVerdict::kNotStored:
+      this->Count("submit", 503);
+      LogEvent(telemetry::LogLevel::kWarning, "job_refused", "the store takes nothing; not run",
+               {{"queue", job.queue}}, id);
+      co_return ComeBack(503, "unavailable", "The job was not stored and does not run.",
+                         kComeBackSeconds);
+    case WriteVerdict::kMayBeStored:
+      break;
+  }
+  this->Count("submit", 504);
+  LogEvent(telemetry::LogLevel::kWarning, "job_unsure", "the store has not answered; it may run",
+           {{"queue", job.queue}}, id);
+  co_return http::ErrorResponse(504, "may_have_run", "The store has not answered; it may run.");
+}
+
+asio::awaitable<http::Response> CallerHandler::Find(CallerCall call) {
+  const OwnerTerm::Answer answer = co_await this->questions.Find(*call.id);
+  switch (answer.knowledge) {
+    case OwnerTerm::Knowledge::kKnown:
+      this->Count("find", 200);
+      co_return this->context.links.callers->Phase(answer.phase);
+    case OwnerTerm::Knowledge::kNoSuchJob:
+      this->Count("find", 410);
+      co_return this->context.links.callers->NoSuchJob();
+    case OwnerTerm::Knowledge::kUnsure:
+      break;
+  }
+  this->Count("find", 503);
+  co_return ComeBack(503, "unavailable", "The entry that schedules can't be asked now.",
+                     kComeBackSeconds);
+}
+
+asio::awaitable<http::Response> CallerHandler::Cancel(CallerCall call) {
+  // Written whether or not the job is known here: its submission may still be on its way through
+  // another entry, and must not run after this answer.
+  KeyedRecord record{CancellationKey(*call.id), "1"};
+  const WriteVerdict verdict = co_await this->writer.Write(std::move(record));
+  const std::string id = jobs::ToString(*call.id);
+  if (verdict == WriteVerdict::kStored) {
+    this->Count("cancel", 200);
+    LogEvent(telemetry::LogLevel::kInfo, "cancel_accepted", "stored", {}, id);
+    co_return this->context.links.callers->Accepted();
+  }
+  const bool is_unsure = verdict == WriteVerdict::kMayBeStored;
+  this->Count("cancel", is_unsure ? 504 : 503);
+  LogEvent(telemetry::LogLevel::kWarning, "cancel_failed", "the store has not taken it", {}, id);
+  if (is_unsure) {
+    co_return http::ErrorResponse(504, "may_have_run", "It may have been cancelled.");
+  }
+  co_return ComeBack(503, "unavailable", "It was not cancelled.", kComeBackSeconds);
+}
+
+asio::awaitable<http::Response> CallerHandler::CountPending(std::string queue) {
+  const std::optional<std::uint64_t> pending = co_await this->questions.PendingIn(std::move(queue));
+  this->Count("pending", pending ? 200 : 503);
+  if (!pending) {
+    co_return ComeBack(503, "unavailable", "The entry that schedules can't be asked now.",
+                       kComeBackSeconds);
+  }
+  co_return this->context.links.callers->Pending(*pending);
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/caller_handler.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+
+#include "chervilspar/http/server.h"
+
+#include "job_entry/job_questions.h"
+#include "job_entry/job_writer.h"
+#include "job_entry/operator_view.h"
+
+namespace chervilspar::job_entry {
+
+/// Takes callers' jobs, cancellations and questions.
+class CallerHandler final : public http::Handler {
+ public:
+  CallerHandler(const Context& context, OperatorView& operators, JobWriter& writer,
+                JobQuestions& questions);
+
+  boost::asio::awaitable<http::Response> Handle(http::Request request,
+                                                std::shared_ptr<http::CancelToken> caller) override;
+
+ private:
+  /// What is wrong with the call before it is looked at more closely; nothing when it may go on.
+  std::optional<http::Response> Refuse(const CallerCall& call, const jobs::Policy& policy) const;
+  boost::asio::awaitable<http::Response> Submit(const http::Request& request, CallerCall call,
+                                                TeamId team, std::string queue, ServiceId service);
+  boost::asio::awaitable<http::Response> Find(CallerCall call);
+  boost::asio::awaitable<http::Response> Cancel(CallerCall call);
+  boost::asio::awaitable<http::Response> CountPending(std::string queue);
+  void Count(const char* call, unsigned status);
+
+  const Context context;
+  OperatorView& operators;
+  JobWriter& writer;
+  JobQuestions& questions;
+};
+
+/// An answer that says that nothing was done and when to come back.
+http::Response ComeBack(unsigned status, std::string_view code, std::string_view message,
+                        int seconds);
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/election.cc
@@ -0,0 +1,84 @@
+#include "job_entry/election.h"
+
+#include "job_entry/owner_directory.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long the store keeps a silent member; the shortest that it takes is a second. A dead owner's
+/// work waits for this, so it is short; a pause of the process shorter than this keeps the term.
+constexpr Duration kTimeToLive = std::chrono::milliseconds(1200);
+/// Three tries within the time to live.
+constexpr Duration kPace = std::chrono::milliseconds(350);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
+constexpr Duration kClaimTimeout = std::chrono::milliseconds(900);
+
+}  // namespace
+
+Election::Election(const Context& context, OperatorView& operators)
+    : context(context),
+      operators(operators),
+      // Another life of this process is another member: what the former one held is not its own.
+      member(context.settings.id.text + "/" +
+             std::to_string(context.clock.WallNow().time_since_epoch().count())) {}
+
+std::shared_ptr<OwnerTerm> Election::Term() const {
+  return this->term != nullptr && !this->term->IsStopped() ? this->term : nullptr;
+}
+
+asio::awaitable<void> Election::Run([[maybe_unused]] std::shared_ptr<Election> self) {
+  while (!this->is_resigned) {
+    co_await this->JoinOnce();
+    co_await Pause(this->context, kPace);
+  }
+}
+
+asio::awaitable<void> Election::JoinOnce() {
+  if (this->operators.Policy() == nullptr) {
+    co_return;  // without rules nothing can be decided
+  }
+  const Result<Membership> joined = co_await this->context.links.store->Join(
+      this->member, this->generation, kTimeToLive, kCallTimeout);
+  if (joined.HasValue() != this->is_joined) {
+    this->is_joined = joined.HasValue();
+    LogEvent(this->is_joined ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
+             this->is_joined ? "group_regained" : "group_lost",
+             this->is_joined ? "a member again" : ToString(joined.LastReason()));
+  }
+  if (!joined || this->is_resigned) {
+    co_return;
+  }
+  this->generation = joined->generation;
+  if (joined->is_chosen && this->Term() == nullptr) {
+    co_await this->BeginTerm();
+  } else if (!joined->is_chosen && this->Term() != nullptr) {
+    this->term->Stop("the store has chosen another entry");
+  }
+}
+
+asio::awaitable<void> Election::BeginTerm() {
+  const OwnerClaim claim{this->context.settings.id.text, this->context.settings.peers};
+  std::vector<KeyedRecord> records;
+  records.push_back({kOwnerKey, EncodeClaim(claim)});
+  const AppendOutcome outcome = co_await this->context.links.store->Append(
+      Topic::kOwners, 0, std::move(records), std::nullopt, kClaimTimeout);
+  if (outcome.kind != AppendOutcome::Kind::kStored || this->is_resigned) {
+    co_return;  // claimed again with the next join, if still chosen
+  }
+  // Offsets begin at 0, tokens at 1: a missing token counts as 0 at the endpoints.
+  this->term = std::make_shared<OwnerTerm>(this->context, this->operators, outcome.offset + 1);
+  this->term->Start();
+}
+
+asio::awaitable<void> Election::Resign() {
+  this->is_resigned = true;
+  const Status left = co_await this->context.links.store->Leave(this->member, kCallTimeout);
+  if (!left) {
+    LogEvent(telemetry::LogLevel::kWarning, "leave_failed", ToString(left.LastReason()));
+  }
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/job_writer.cc
@@ -0,0 +1,83 @@
+#include "job_entry/job_writer.h"
+
+#include "chervilspar/base/hash.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// For one append. Callers wait about 3 s, so that a second try after a lost answer still tells
+/// them in time that the job is stored.
+constexpr Duration kAppendTimeout = std::chrono::milliseconds(1100);
+constexpr int kTries = 2;
+/// Submissions in one append: with 4,000 bytes of payload each still far below the store's limit
+/// of 2 MiB for one call.
+constexpr std::size_t kMostTogether = 100;
+/// Longer than all tries together.
+constexpr Duration kGiveUp = std::chrono::seconds(10);
+
+}  // namespace
+
+std::string SubmissionKey(const jobs::JobId& id) { return jobs::ToString(id); }
+
+std::string CancellationKey(const jobs::JobId& id) { return jobs::ToString(id) + "/cancelled"; }
+
+JobWriter::JobWriter(const Context& context)
+    : context(context),
+      partition(static_cast<std::uint32_t>(StableHash(context.settings.id.text) % kJobPartitions)),
+      wakeup(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
+
+asio::awaitable<WriteVerdict> JobWriter::Write(KeyedRecord record) {
+  const auto entry = std::make_shared<Waiting>();
+  entry->record = std::move(record);
+  entry->wakeup = std::make_shared<http::Wakeup>(this->context.io.get_executor());
+  this->waiting.push_back(entry);
+  this->wakeup->Notify();
+  while (!entry->verdict) {
+    co_await entry->wakeup->WaitFor(kGiveUp);
+  }
+  co_return *entry->verdict;
+}
+
+asio::awaitable<void> JobWriter::Run([[maybe_unused]] std::shared_ptr<JobWriter> self) {
+  while (true) {
+    while (this->waiting.empty()) {
+      co_await this->wakeup->WaitFor(kGiveUp);
+    }
+    std::vector<std::shared_ptr<Waiting>> together;
+    std::vector<KeyedRecord> records;
+    while (!this->waiting.empty() && together.size() < kMostTogether) {
+      together.push_back(this->waiting.front());
+      records.push_back(together.back()->record);
+      this->waiting.pop_front();
+    }
+    const TimePoint begin = this->context.Now();
+    const WriteVerdict verdict = co_await this->Append(std::move(records));
+    this->last_time = this->context.Now() - begin;
+    for (const std::shared_ptr<Waiting>& entry : together) {
+      entry->verdict = verdict;
+      entry->wakeup->Notify();
+    }
+  }
+}
+
+asio::awaitable<WriteVerdict> JobWriter::Append(std::vector<KeyedRecord> records) {
+  bool may_be_stored = false;
+  for (int i = 0; i < kTries; ++i) {
+    // A repeat is harmless: the same keys get the same values.
+    const AppendOutcome outcome = co_await this->context.links.store->Append(
+        Topic::kJobs, this->partition, records, std::nullopt, kAppendTimeout);
+    if (outcome.kind == AppendOutcome::Kind::kStored) {
+      co_return WriteVerdict::kStored;
+    }
+    may_be_stored = may_be_stored || outcome.kind == AppendOutcome::Kind::kUnknown;
+    if (!may_be_stored) {
+      break;
+    }
+  }
+  co_return may_be_stored ? WriteVerdict::kMayBeStored : WriteVerdict::kNotStored;
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/order_sender.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "chervilspar/http/wakeup.h"
+#include "chervilspar/jobs/scheduler.h"
+
+#include "job_entry/context.h"
+
+namespace chervilspar::job_entry {
+
+/// Carries orders to endpoints and renews leases there: for each endpoint one renewal at a time and
+/// a few orders side by side.
+class OrderSender {
+ public:
+  OrderSender(const Context& context, jobs::Scheduler& scheduler, std::function<void()> on_news);
+  ~OrderSender();
+
+  void Send(jobs::Orders orders);
+  /// Begins to look after endpoints that are new to it.
+  void Attend(const std::vector<std::string>& endpoints);
+  /// A record was stored: renewals that confirm ends may go on.
+  void OnStored();
+  void Stop();
+
+ private:
+  /// What concerns one endpoint; lives as long as one of its coroutines.
+  struct Channel;
+  using Order = std::variant<jobs::StartOrder, jobs::StopOrder, jobs::PaceOrder>;
+
+  Channel& ChannelOf(const std::string& endpoint);
+  template <typename T>
+  void PushAll(std::vector<T>& orders);
+
+  const Context context;
+  jobs::Scheduler& scheduler;
+  const std::function<void()> on_news;
+  std::map<std::string, std::shared_ptr<Channel>> channels;
+};
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/owner_directory.cc
@@ -0,0 +1,60 @@
+#include "job_entry/owner_directory.h"
+
+#include <boost/json.hpp>
+
+namespace chervilspar::job_entry {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Claims are rare, and a read that waits is answered at once when there is one.
+constexpr Duration kWait = std::chrono::seconds(5);
+
+}  // namespace
+
+std::string EncodeClaim(const OwnerClaim& claim) {
+  return json::serialize(
+      json::object{{"entry", claim.entry}, {"address", ToString(claim.address)}});
+}
+
+Result<OwnerClaim> DecodeClaim(const std::string& text) {
+  const Reason unreadable{ErrorCode::kMalformed, "", "the record is not an owner's claim"};
+  boost::system::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_object()) {
+    return unreadable;
+  }
+  const json::value* entry = value.as_object().if_contains("entry");
+  const json::value* address = value.as_object().if_contains("address");
+  if (entry == nullptr || !entry->is_string() || address == nullptr || !address->is_string()) {
+    return unreadable;
+  }
+  const Result<SocketAddress> parsed = ParseSocketAddress(std::string_view(address->as_string()));
+  if (!parsed) {
+    return parsed.LastReason();
+  }
+  return OwnerClaim{std::string(entry->as_string()), *parsed};
+}
+
+OwnerDirectory::OwnerDirectory(const Context& context)
+    : tail(std::make_shared<RecordTail>(
+          context, RecordTail::Options{.topic = Topic::kOwners, .wait = kWait}, *this)) {}
+
+void OwnerDirectory::OnRecords(const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    if (!record.value) {
+      continue;
+    }
+    const Result<OwnerClaim> claim = DecodeClaim(*record.value);
+    if (!claim) {
+      LogEvent(telemetry::LogLevel::kError, "claim_unreadable", ToString(claim.LastReason()));
+      continue;
+    }
+    this->owner = *claim;
+    LogEvent(telemetry::LogLevel::kInfo, "owner_known", "jobs are scheduled by " + claim->entry,
+             {{"address", ToString(claim->address)}});
+  }
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/owner_term.cc
@@ -0,0 +1,291 @@
+#include "job_entry/owner_term.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Facts that come within this time are decided on together: an endpoint tells several ends at
+/// once, and a round costs about as much for ten facts as for one.
+constexpr Duration kGather = std::chrono::milliseconds(4);
+/// A round without news: leases lapse, occurrences become due, pauses end.
+constexpr Duration kRound = std::chrono::milliseconds(100);
+/// Between the beginnings of two appends. Each is priced and takes 4 ms at the store; a task waits
+/// for half of this on average.
+constexpr Duration kStorePace = std::chrono::milliseconds(15);
+constexpr Duration kLoadTimeout = std::chrono::milliseconds(2500);
+constexpr Duration kLoadRetry = std::chrono::milliseconds(100);
+constexpr Duration kAdviceTimeout = std::chrono::milliseconds(1500);
+/// A drained endpoint must get nothing new 2 s after it said so.
+constexpr Duration kRegistryPace = std::chrono::milliseconds(600);
+/// Answers "no such job" only with proof younger than this: callers are promised that a job is
+/// visible 3 s after it was accepted.
+constexpr Duration kVisibleLimit = std::chrono::milliseconds(2500);
+/// Records of ended jobs dropped in one go.
+constexpr std::size_t kMostDropped = 200;
+
+}  // namespace
+
+OwnerTerm::OwnerTerm(const Context& context, OperatorView& operators, std::uint64_t token)
+    : context(context),
+      operators(operators),
+      token(token),
+      began(context.Now()),
+      scheduler(
+          [&context] {
+            jobs::SchedulerOptions options;
+            options.lease = std::min(options.lease, context.settings.lease_limit);
+            return options;
+          }(),
+          token, this->began),
+      writer(context, token),
+      job_log(context, this->scheduler, [this] { this->Kick(); }),
+      registry(context),
+      sender(context, this->scheduler, [this] { this->Kick(); }),
+      upkeep(context, operators, this->scheduler, token),
+      decide(std::make_shared<http::Wakeup>(context.io.get_executor())),
+      store(std::make_shared<http::Wakeup>(context.io.get_executor())),
+      advise(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
+
+void OwnerTerm::Start() { Spawn(this->context, this->Run(this->shared_from_this())); }
+
+void OwnerTerm::Stop(const std::string& why) {
+  if (this->is_stopped) {
+    return;
+  }
+  this->is_stopped = true;
+  LogEvent(telemetry::LogLevel::kInfo, "term_ended", why, {{"token", std::to_string(this->token)}});
+  this->job_log.Stop();
+  this->sender.Stop();
+  this->upkeep.Stop();
+  this->decide->Notify();
+  this->store->Notify();
+  this->advise->Notify();
+}
+
+void OwnerTerm::Kick() { this->decide->Notify(); }
+
+asio::awaitable<void> OwnerTerm::Run(std::shared_ptr<OwnerTerm> self) {
+  const FencedWrite announced = co_await this->writer.Announce(this->is_stopped);
+  if (announced == FencedWrite::kSuperseded) {
+    this->Stop("another owner has a higher token");
+  }
+  while (!this->is_stopped && !this->is_loaded) {
+    this->is_loaded = co_await this->Load();
+    if (!this->is_loaded) {
+      co_await Pause(this->context, kLoadRetry);
+    }
+  }
+  if (this->is_stopped) {
+    co_return;
+  }
+  LogEvent(telemetry::LogLevel::kInfo, "term_began", "schedules from here on",
+           {{"token", std::to_string(this->token)},
+            {"jobs", std::to_string(this->scheduler.JobCount())},
+            {"endpoints", std::to_string(this->registry.Endpoints().size())},
+            {"took_ms", MillisecondsText(this->context.Now() - this->began)}});
+  this->job_log.Follow();
+  Spawn(this->context, this->DecideLoop(self));
+  Spawn(this->context, this->StoreLoop(self));
+  Spawn(this->context, this->AdviceLoop(self));
+  this->sender.Attend(this->scheduler.EndpointIds());
+  Spawn(this->context, [](std::shared_ptr<OwnerTerm> term) -> asio::awaitable<void> {
+    co_await term->upkeep.Run(term->began);
+  }(self));
+  while (!this->is_stopped) {
+    co_await Pause(this->context, kRegistryPace);
+    const bool is_read = co_await this->registry.Refresh();
+    if (is_read && !this->is_stopped) {
+      this->scheduler.SetEndpoints(this->registry.Endpoints(), this->context.Now());
+      this->sender.Attend(this->scheduler.EndpointIds());
+      this->Kick();
+    }
+    this->WatchProof();
+  }
+}
+
+asio::awaitable<bool> OwnerTerm::Load() {
+  this->FollowPolicy();
+  const bool is_job_log_read = co_await this->job_log.Load();
+  if (!is_job_log_read) {
+    co_return false;
+  }
+  const bool is_registry_read = co_await this->registry.Refresh();
+  if (!is_registry_read) {
+    co_return false;
+  }
+  const Result<NewestOutcome> progress =
+      co_await this->context.links.store->Newest(Topic::kProgress, 0, kLoadTimeout);
+  if (!progress) {
+    co_return false;
+  }
+  this->scheduler.SetEndpoints(this->registry.Endpoints(), this->context.Now());
+  this->LoadProgress(progress->records);
+  this->job_log.ApplyCancellations();
+  this->FollowPolicy();
+  co_return this->operators.Policy() != nullptr;
+}
+
+void OwnerTerm::LoadProgress(const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    const std::optional<jobs::JobId> id = jobs::ParseJobId(record.key);
+    if (!id || !record.value) {
+      continue;
+    }
+    const Result<jobs::JobProgress> progress = jobs::DecodeProgress(*record.value);
+    if (!progress) {
+      LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(progress.LastReason()),
+               {}, record.key);
+      continue;
+    }
+    this->scheduler.RestoreProgress(*id, *progress);
+  }
+}
+
+void OwnerTerm::FollowPolicy() {
+  const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
+  if (policy && policy->version > this->policy_version) {
+    this->policy_version = policy->version;
+    this->scheduler.SetPolicy(*policy);
+  }
+}
+
+/// What can go wrong: this entry is cut off from the store but not from the endpoints, goes on
+/// renewing leases, and its successor can't tell how long. So renewals end a fixed time after the
+/// last answer, which the successor waits out where it can't reach an endpoint itself.
+void OwnerTerm::WatchProof() {
+  const jobs::SchedulerOptions options;
+  const TimePoint last =
+      std::max(this->writer.LastAnswer(), this->operators.Proof().value_or(this->began));
+  if (this->context.Now() - last > options.predecessor_grace) {
+    this->Stop("the store has not answered for too long");
+  }
+}
+
+asio::awaitable<void> OwnerTerm::DecideLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
+  while (!this->is_stopped) {
+    this->FollowPolicy();
+    this->sender.Send(this->scheduler.Decide(this->context.Now(), this->context.clock.WallNow()));
+    if (this->scheduler.HasBatch()) {
+      this->store->Notify();
+    }
+    this->advise->Notify();
+    this->LogNotes();
+    if (this->scheduler.IsSuperseded()) {
+      this->Stop("an endpoint has seen a higher token");
+      break;
+    }
+    co_await this->decide->WaitFor(kRound);
+    co_await Pause(this->context, kGather);
+  }
+}
+
+asio::awaitable<void> OwnerTerm::StoreLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
+  while (!this->is_stopped) {
+    if (!this->scheduler.HasBatch()) {
+      co_await this->store->WaitFor(kRound);
+      continue;
+    }
+    const TimePoint begin = this->context.Now();
+    const jobs::Batch batch = this->scheduler.TakeBatch();
+    if (!batch.IsEmpty()) {
+      std::vector<KeyedRecord> records;
+      for (const jobs::ProgressRecord& record : batch.records) {
+        records.push_back({jobs::ToString(record.job), record.text});
+      }
+      const FencedWrite written = co_await this->writer.Write(std::move(records), this->is_stopped);
+      if (written == FencedWrite::kSuperseded) {
+        this->Stop("another owner has a higher token");
+      }
+      if (this->is_stopped || written != FencedWrite::kStored) {
+        co_return;
+      }
+      this->context.metrics.Sample(
+          {"chervilspar_progress_append_seconds", {}},
+          std::chrono::duration<double>(this->context.Now() - begin).count());
+    }
+    this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now()));
+    this->sender.OnStored();
+    this->Kick();
+    co_await this->DropExpired();
+    const Duration passed = this->context.Now() - begin;
+    if (passed < kStorePace) {
+      co_await Pause(this->context, kStorePace - passed);
+    }
+  }
+}
+
+asio::awaitable<void> OwnerTerm::DropExpired() {
+  const std::vector<jobs::JobId> expired =
+      this->scheduler.Expired(this->context.clock.WallNow(), kMostDropped);
+  if (expired.empty()) {
+    co_return;
+  }
+  // The submission first: progress that outlives it harms nobody, while a submission without
+  // progress is a job that has yet to run.
+  const bool is_dropped = co_await this->job_log.Drop(expired);
+  if (is_dropped && !this->is_stopped) {
+    this->scheduler.Forget(expired);
+  }
+}
+
+asio::awaitable<void> OwnerTerm::AdviceLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
+  while (!this->is_stopped && this->context.links.advice != nullptr) {
+    const std::vector<jobs::AdviceQuestion> questions =
+        this->scheduler.TakeQuestions(this->context.Now());
+    for (const jobs::AdviceQuestion& question : questions) {
+      const Result<std::vector<jobs::AdviceTicket>> tickets =
+          co_await this->context.links.advice->Ask(question, kAdviceTimeout);
+      if (this->is_stopped) {
+        co_return;
+      }
+      if (tickets) {
+        this->scheduler.OnAdvice(question.step, *tickets, this->context.Now());
+        this->Kick();
+      } else {
+        LogEvent(telemetry::LogLevel::kWarning, "advice_failed", ToString(tickets.LastReason()), {},
+                 jobs::ToString(question.step.job));
+      }
+    }
+    if (questions.empty()) {
+      co_await this->advise->WaitFor(kRound);
+    }
+  }
+}
+
+void OwnerTerm::LogNotes() {
+  for (const jobs::Note& note : this->scheduler.TakeNotes()) {
+    std::vector<telemetry::LogField> fields;
+    if (note.task) {
+      fields.push_back({"task", jobs::ToString(*note.task)});
+    }
+    if (!note.endpoint.empty()) {
+      fields.push_back({"endpoint", note.endpoint});
+    }
+    const jobs::JobId job = note.task ? note.task->job : note.job.value_or(jobs::JobId{});
+    LogEvent(telemetry::LogLevel::kInfo, note.event, note.why, std::move(fields),
+             jobs::ToString(job));
+  }
+}
+
+OwnerTerm::Answer OwnerTerm::Find(const jobs::JobId& id) const {
+  if (!this->IsServing()) {
+    return {};
+  }
+  if (const std::optional<jobs::JobView> view = this->scheduler.Find(id)) {
+    return {Knowledge::kKnown, view->phase};
+  }
+  // A job accepted elsewhere a moment ago may not have been read yet.
+  const bool is_certain = this->job_log.IsFresh(kVisibleLimit);
+  return {is_certain ? Knowledge::kNoSuchJob : Knowledge::kUnsure, jobs::JobPhase::kQueued};
+}
+
+std::optional<std::uint64_t> OwnerTerm::PendingIn(const std::string& queue) const {
+  if (!this->IsServing() || !this->job_log.IsFresh(kVisibleLimit)) {
+    return std::nullopt;
+  }
+  return this->scheduler.PendingIn(queue);
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/owner_term.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "chervilspar/http/wakeup.h"
+#include "chervilspar/jobs/scheduler.h"
+
+#include "job_entry/job_log.h"
+#include "job_entry/operator_view.h"
+#include "job_entry/order_sender.h"
+#include "job_entry/progress_writer.h"
+#include "job_entry/registry_poll.h"
+#include "job_entry/upkeep_driver.h"
+
+namespace chervilspar::job_entry {
+
+/// One time for which this entry schedules jobs: from its claim until another takes over.
+///
+/// Reads the state under a new token, drives a `jobs::Scheduler` with facts, and carries out what
+/// it decides. Ends as soon as anything shows a higher token.
+class OwnerTerm : public std::enable_shared_from_this<OwnerTerm> {
+ public:
+  OwnerTerm(const Context& context, OperatorView& operators, std::uint64_t token);
+
+  void Start();
+  void Stop(const std::string& why);
+  bool IsStopped() const { return this->is_stopped; }
+  /// The state has been read; questions can be answered.
+  bool IsServing() const { return this->is_loaded && !this->is_stopped; }
+  /// Nothing when it isn't known for certain whether there is such a job.
+  enum class Knowledge { kUnsure, kKnown, kNoSuchJob };
+  struct Answer {
+    Knowledge knowledge = Knowledge::kUnsure;
+    jobs::JobPhase phase = jobs::JobPhase::kQueued;
+  };
+  Answer Find(const jobs::JobId& id) const;
+  std::optional<std::uint64_t> PendingIn(const std::string& queue) const;
+
+ private:
+  boost::asio::awaitable<void> Run(std::shared_ptr<OwnerTerm> self);
+  boost::asio::awaitable<bool> Load();
+  boost::asio::awaitable<void> DecideLoop(std::shared_ptr<OwnerTerm> self);
+  boost::asio::awaitable<void> StoreLoop(std::shared_ptr<OwnerTerm> self);
+  boost::asio::awaitable<void> AdviceLoop(std::shared_ptr<OwnerTerm> self);
+  boost::asio::awaitable<void> DropExpired();
+  void LoadProgress(const std::vector<KeyedRecord>& records);
+  void WatchProof();
+  void FollowPolicy();
+  void LogNotes();
+  void Kick();
+
+  const Context context;
+  OperatorView& operators;
+  const std::uint64_t token;
+  const TimePoint began;
+  bool is_stopped = false;
+  bool is_loaded = false;
+  std::uint64_t policy_version = 0;
+  jobs::Scheduler scheduler;
+  ProgressWriter writer;
+  JobLog job_log;
+  RegistryPoll registry;
+  OrderSender sender;
+  UpkeepDriver upkeep;
+  std::shared_ptr<http::Wakeup> decide;
+  std::shared_ptr<http::Wakeup> store;
+  std::shared_ptr<http::Wakeup> advise;
+};
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/progress_writer.cc
@@ -0,0 +1,58 @@
+#include "job_entry/progress_writer.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// For one append; the next try meets the first one's answer if it took effect.
+constexpr Duration kAppendTimeout = std::chrono::milliseconds(900);
+constexpr Duration kFirstPause = std::chrono::milliseconds(30);
+constexpr Duration kLongestPause = std::chrono::milliseconds(300);
+/// All owners write as one writer, so that a token of one fences the others.
+constexpr const char* kWriterName = "owner";
+
+}  // namespace
+
+ProgressWriter::ProgressWriter(const Context& context, std::uint64_t token)
+    : context(context), token(token), last_answer(context.Now()) {}
+
+asio::awaitable<FencedWrite> ProgressWriter::Announce(const bool& is_stopped) {
+  co_return co_await this->Write({}, is_stopped);
+}
+
+asio::awaitable<FencedWrite> ProgressWriter::Write(std::vector<KeyedRecord> records,
+                                                   const bool& is_stopped) {
+  Duration pause = kFirstPause;
+  while (!is_stopped) {
+    const Writer writer{kWriterName, this->token, this->sequence};
+    const AppendOutcome outcome = co_await this->context.links.store->Append(
+        Topic::kProgress, 0, records, writer, kAppendTimeout);
+    if (outcome.kind != AppendOutcome::Kind::kUnknown) {
+      this->last_answer = this->context.Now();
+    }
+    switch (outcome.kind) {
+      case AppendOutcome::Kind::kStored:
+        this->sequence += records.empty() ? 0 : 1;
+        co_return FencedWrite::kStored;
+      case AppendOutcome::Kind::kFenced:
+        co_return FencedWrite::kSuperseded;
+      case AppendOutcome::Kind::kOutOfSequence:
+        LogEvent(telemetry::LogLevel::kWarning, "sequence_corrected", "the store expects another",
+                 {{"sent", std::to_string(this->sequence)},
+                  {"expected", std::to_string(outcome.expected)}});
+        this->sequence = outcome.expected;
+        continue;
+      case AppendOutcome::Kind::kNotStored:
+      case AppendOutcome::Kind::kUnknown:
+        this->context.metrics.Count({"chervilspar_progress_retries_total", {}});
+        break;
+    }
+    co_await Pause(this->context, pause);
+    pause = std::min(pause * 2, kLongestPause);
+  }
+  co_return FencedWrite::kStopped;
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/run_job_entry.cc
@@ -0,0 +1,224 @@
+#include "chervilspar/job_entry/run_job_entry.h"
+
+#include <csignal>
+#include <cstdio>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "job_entry/caller_handler.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitUnavailable = 5;
+constexpr int kExitCut = 6;
+/// The store holds up to ten reads that wait at once, and the writes beside them.
+constexpr std::size_t kConnectionsPerAddress = 32;
+/// Part of the time for which keys are trusted: the balancer is told before callers are refused.
+constexpr double kReadyShare = 0.7;
+/// After a SIGTERM, new connections come until the balancer has missed two health checks.
+constexpr Duration kBalancerTime = std::chrono::milliseconds(2300);
+constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+constexpr Duration kSweep = std::chrono::seconds(2);
+
+/// Tells the balancer whether to send connections here.
+class HealthHandler final : public http::Handler {
+ public:
+  HealthHandler(const Context& context, OperatorView& operators, const bool& is_stopping)
+      : context(context), operators(operators), is_stopping(is_stopping) {}
+
+  asio::awaitable<http::Response> Handle(http::Request request,
+                                         std::shared_ptr<http::CancelToken>) override {
+    if (http::PathOf(request.target) == "/metrics") {
+      http::Response response;
+      response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+      response.body = this->context.metrics.Render();
+      co_return response;
+    }
+    if (http::PathOf(request.target) != this->context.settings.health_path) {
+      co_return http::ErrorResponse(404, "not_found", "There is no such page.");
+    }
+    if (!this->IsReady()) {
+      co_return http::ErrorResponse(503, "not_ready", "Not ready.");
+    }
+    http::Response ready;
+    co_return ready;
+  }
+
+ private:
+  bool IsReady() const {
+    const auto limit =
+        std::chrono::duration_cast<Duration>(kReadyShare * this->context.settings.key_proof_limit);
+    return !this->is_stopping && this->operators.Policy() != nullptr &&
+           this->operators.IsFresh(limit);
+  }
+
+  const Context context;
+  OperatorView& operators;
+  const bool& is_stopping;
+};
+
+/// All parts of one entry process.
+class JobEntryNode {
+ public:
+  explicit JobEntryNode(const Context& context, http::Client& client)
+      : context(context),
+        client(client),
+        operators(context),
+        directory(context),
+        writer(std::make_shared<JobWriter>(context)),
+        election(std::make_shared<Election>(context, this->operators)),
+        questions(context, *this->election, this->directory, client),
+        callers(context, this->operators, *this->writer, this->questions),
+        peers(*this->election),
+        health(context, this->operators, this->is_stopping),
+        signals(context.io, SIGTERM, SIGINT, SIGHUP) {}
+
+  Status Start() {
+    for (const auto& [address, handler, server] :
+         {std::tuple(this->context.settings.callers, static_cast<http::Handler*>(&this->callers),
+                     &this->caller_server),
+          std::tuple(this->context.settings.peers, static_cast<http::Handler*>(&this->peers),
+                     &this->peer_server),
+          std::tuple(this->context.settings.health, static_cast<http::Handler*>(&this->health),
+                     &this->health_server)}) {
+      if (const Status status = this->Listen(address, *handler, *server); !status) {
+        return status;
+      }
+    }
+    if (this->context.settings.metrics) {
+      // Metrics are worth having, not worth failing for.
+      const Status status =
+          this->Listen(*this->context.settings.metrics, this->health, this->metrics_server);
+      if (!status) {
+        LogEvent(telemetry::LogLevel::kWarning, "metrics_unavailable",
+                 ToString(status.LastReason()));
+      }
+    }
+    this->operators.Start();
+    this->directory.Start();
+    this->writer->Start();
+    this->election->Start();
+    Spawn(this->context, this->WaitForSignals());
+    Spawn(this->context, this->SweepConnections());
+    return Done{};
+  }
+
+  int ExitCode() const { return this->exit_code; }
+
+ private:
+  Status Listen(const SocketAddress& address, http::Handler& handler,
+                std::unique_ptr<http::Server>& server) {
+    auto listening = http::Server::Listen({&this->context.io}, address, {}, handler);
+    if (!listening) {
+      return listening.LastReason();
+    }
+    server = std::move(listening).Value();
+    return Done{};
+  }
+
+  asio::awaitable<void> WaitForSignals() {
+    while (!this->is_stopping) {
+      boost::system::error_code error;
+      const int signal =
+          co_await this->signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return;
+      }
+      if (signal == SIGHUP) {
+        LogEvent(telemetry::LogLevel::kInfo, "reload_ignored",
+                 "settings are read at the start; rules come from the store");
+        continue;
+      }
+      co_await this->ShutDown();
+    }
+  }
+
+  /// What can go wrong: a request is on its way when the process ends, and its caller can't tell
+  /// whether it ran. So the health check fails first, then the listener closes, then what is in
+  /// flight is answered.
+  asio::awaitable<void> ShutDown() {
+    const TimePoint deadline = this->context.Now() + this->context.settings.drain_time;
+    this->is_stopping = true;
+    LogEvent(telemetry::LogLevel::kInfo, "stopping", "told to stop");
+    this->caller_server->BeginDrain();
+    co_await this->election->Resign();
+    co_await Pause(this->context, kBalancerTime);
+    this->caller_server->StopAccepting();
+    while (this->caller_server->ConnectionCount() > 0 && this->context.Now() < deadline) {
+      co_await Pause(this->context, kDrainPoll);
+    }
+    this->exit_code = this->caller_server->ConnectionCount() > 0 ? kExitCut : kExitOk;
+    if (const std::shared_ptr<OwnerTerm> term = this->election->Term()) {
+      term->Stop("the process ends");
+    }
+    LogEvent(telemetry::LogLevel::kInfo, "stopped", "ends",
+             {{"connections", std::to_string(this->caller_server->ConnectionCount())}});
+    this->context.io.stop();
+  }
+
+  asio::awaitable<void> SweepConnections() {
+    while (true) {
+      co_await Pause(this->context, kSweep);
+      this->client.CloseStale();
+    }
+  }
+
+  const Context context;
+  http::Client& client;
+  bool is_stopping = false;
+  int exit_code = kExitOk;
+  OperatorView operators;
+  OwnerDirectory directory;
+  std::shared_ptr<JobWriter> writer;
+  std::shared_ptr<Election> election;
+  JobQuestions questions;
+  CallerHandler callers;
+  PeerHandler peers;
+  HealthHandler health;
+  asio::signal_set signals;
+  std::unique_ptr<http::Server> caller_server;
+  std::unique_ptr<http::Server> peer_server;
+  std::unique_ptr<http::Server> health_server;
+  std::unique_ptr<http::Server> metrics_server;
+};
+
+}  // namespace
+
+int RunJobEntry(const JobEntrySettings& settings, LinkFactory& factory) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const Status logging = telemetry::SetUpLogging(
+      {.entry = settings.id, .zone = settings.zone, .min_level = settings.log_level, .path = ""});
+  if (!logging) {
+    std::fprintf(stderr, "%s\n", ToString(logging.LastReason()).c_str());
+    return kExitUnavailable;
+  }
+  const SystemClock clock;
+  telemetry::MetricsRegistry metrics;
+  asio::io_context io(1);
+  http::ClientLimits limits;
+  limits.connections_per_address = kConnectionsPerAddress;
+  http::Client client(limits, {});
+  Links links = factory.Make(settings, client);
+  const Context context{settings, links, clock, metrics, io};
+  JobEntryNode node(context, client);
+  const Status started = node.Start();
+  if (!started) {
+    LogEvent(telemetry::LogLevel::kError, "start_failed", ToString(started.LastReason()));
+    telemetry::FlushLogging();
+    return kExitUnavailable;
+  }
+  LogEvent(telemetry::LogLevel::kInfo, "started", "serving at " + ToString(settings.callers));
+  io.run();
+  telemetry::FlushLogging();
+  // Coroutines that wait for an answer still refer to the parts; the process ends without them.
+  std::_Exit(node.ExitCode());
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/settings.cc
@@ -0,0 +1,107 @@
+#include "chervilspar/job_entry/settings.h"
+
+#include "chervilspar/inventory/document.h"
+
+namespace chervilspar::job_entry {
+
+namespace {
+
+constexpr std::size_t kMaxNameLength = 128;
+constexpr Duration kShortest = std::chrono::milliseconds(100);
+constexpr Duration kLongest = std::chrono::minutes(10);
+
+/// Checks one flag after another and keeps all faults.
+class Checker {
+ public:
+  std::string Name(const char* flag, const std::string& value) {
+    if (value.empty() || value.size() > kMaxNameLength) {
+      this->Add(flag, "should be a name of 1 to 128 characters");
+    }
+    return value;
+  }
+
+  SocketAddress Address(const char* flag, const std::string& value) {
+    const Result<SocketAddress> address = ParseSocketAddress(value);
+    if (!address) {
+      this->Add(flag, '"' + value + "\" should be an address such as 10.0.0.1:8080");
+      return {};
+    }
+    return *address;
+  }
+
+  std::optional<SocketAddress> OptionalAddress(const char* flag, const std::string& value) {
+    return value.empty() ? std::nullopt : std::optional(this->Address(flag, value));
+  }
+
+  Duration Span(const char* flag, const std::string& value, Duration otherwise) {
+    if (value.empty()) {
+      return otherwise;
+    }
+    const Result<Duration> span = inventory::ParseDuration(value);
+    if (!span || *span < kShortest || *span > kLongest) {
+      this->Add(flag, '"' + value + "\" should be a span of time from 100ms to 10m");
+      return otherwise;
+    }
+    return *span;
+  }
+
+  telemetry::LogLevel Level(const char* flag, const std::string& value,
+                            telemetry::LogLevel otherwise) {
+    if (value.empty()) {
+      return otherwise;
+    }
+    const std::optional<telemetry::LogLevel> level = telemetry::LogLevelFromString(value);
+    if (!level) {
+      this->Add(flag, '"' + value + "\" should be debug, info, warning or error");
+    }
+    return level.value_or(otherwise);
+  }
+
+  std::string Path(const char* flag, const std::string& value) {
+    if (value.empty()) {
+      return "/ready";
+    }
+    if (value.front() != '/') {
+      this->Add(flag, '"' + value + "\" should begin with a slash");
+    }
+    return value;
+  }
+
+  std::vector<Reason> faults;
+
+ private:
+  void Add(const char* flag, std::string message) {
+    this->faults.push_back({ErrorCode::kInvalidArgument, flag, std::move(message)});
+  }
+};
+
+}  // namespace
+
+JobEntrySettingsOutcome CheckSettings(const RawJobEntrySettings& raw) {
+  Checker check;
+  JobEntrySettings settings;
+  settings.id = EntryId{check.Name("--id", raw.id)};
+  settings.zone = ZoneId{check.Name("--zone", raw.zone)};
+  settings.callers = check.Address("--callers-address", raw.callers_address);
+  settings.health = check.Address("--health-address", raw.health_address);
+  settings.health_path = check.Path("--health-path", raw.health_path);
+  settings.peers = check.Address("--peer-address", raw.peer_address);
+  settings.metrics = check.OptionalAddress("--metrics-address", raw.metrics_address);
+  settings.store = check.Address("--store-address", raw.store_address);
+  settings.vm_service = check.OptionalAddress("--vm-service-address", raw.vm_service_address);
+  settings.advice = check.OptionalAddress("--advice-address", raw.advice_address);
+  settings.key_proof_limit =
+      check.Span("--key-proof-limit", raw.key_proof_limit, settings.key_proof_limit);
+  settings.lease_limit = check.Span("--lease-limit", raw.lease_limit, settings.lease_limit);
+  settings.vm_order_pause =
+      check.Span("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
+  settings.drain_time = check.Span("--drain-time", raw.drain_time, settings.drain_time);
+  settings.log_level = check.Level("--log-level", raw.log_level, settings.log_level);
+  JobEntrySettingsOutcome outcome{std::nullopt, std::move(check.faults)};
+  if (outcome.faults.empty()) {
+    outcome.settings = std::move(settings);
+  }
+  return outcome;
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/jobs/evacuation.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "jobs/scheduler_state.h"
+
+namespace chervilspar::jobs {
+
+/// Empties endpoints whose VMs are to be rebooted or moved: batch work runs to its end,
+/// long-running tasks are moved one after the other.
+///
+/// What can go wrong: a step loses more tasks at once than its team allows, and those that use it
+/// meet an outage although every VM was handled with care. So a task at work is ended only while
+/// enough of its siblings are at work.
+class Evacuation {
+ public:
+  Evacuation(SchedulerState& state, TimePoint now) : state(state), now(now) {}
+
+  void Run();
+
+ private:
+  void Review(const TaskRef& ref);
+  bool MayEnd(const TaskRef& ref) const;
+
+  SchedulerState& state;
+  const TimePoint now;
+};
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/job.cc
@@ -0,0 +1,105 @@
+#include "chervilspar/jobs/job.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+constexpr std::size_t kIdDigits = 16;
+
+Reason Fault(std::string field, std::string message) {
+  return {ErrorCode::kInvalidArgument, std::move(field), std::move(message)};
+}
+
+Status CheckStep(const Step& step, std::uint32_t number) {
+  const std::string place = "steps/" + std::to_string(number);
+  if (step.count == 0) {
+    return Fault(place + "/count", "must be at least 1");
+  }
+  if (step.need.cpu < 0 || step.need.memory_mb < 0 || step.need.gpus < 0) {
+    return Fault(place, "resources must not be below 0");
+  }
+  if (step.estimate_ms < 0) {
+    return Fault(place + "/estimate", "must not be below 0");
+  }
+  for (const std::uint32_t before : step.after) {
+    if (before >= number) {
+      return Fault(place + "/after", "step " + std::to_string(before) + " is not an earlier step");
+    }
+  }
+  return Done{};
+}
+
+}  // namespace
+
+std::optional<JobId> ParseJobId(std::string_view text) {
+  if (text.size() != kIdDigits) {
+    return std::nullopt;
+  }
+  JobId id;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, id.number, 16);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return id;
+}
+
+std::string ToString(const JobId& id) {
+  std::array<char, kIdDigits + 1> text{};
+  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id.number));
+  return {text.data(), kIdDigits};
+}
+
+std::string ToString(const TaskKey& key) {
+  return ToString(key.job) + "/" + std::to_string(key.occurrence) + "/" + std::to_string(key.step) +
+         "/" + std::to_string(key.index);
+}
+
+Resources Resources::operator+(const Resources& other) const {
+  return {this->cpu + other.cpu, this->memory_mb + other.memory_mb, this->gpus + other.gpus};
+}
+
+Resources Resources::operator-(const Resources& other) const {
+  return {this->cpu - other.cpu, this->memory_mb - other.memory_mb, this->gpus - other.gpus};
+}
+
+bool Resources::Fits(const Resources& need) const {
+  return need.cpu <= this->cpu && need.memory_mb <= this->memory_mb && need.gpus <= this->gpus;
+}
+
+bool Job::IsLongRunning() const {
+  return std::any_of(this->steps.begin(), this->steps.end(),
+                     [](const Step& step) { return step.is_long_running; });
+}
+
+Status CheckJob(const Job& job) {
+  if (job.payload.size() > kMaxPayloadBytes) {
+    return Fault("payload", "is longer than " + std::to_string(kMaxPayloadBytes) + " bytes");
+  }
+  if (job.steps.empty() || job.steps.size() > kMaxSteps) {
+    return Fault("steps", "must be 1 to " + std::to_string(kMaxSteps) + " steps");
+  }
+  std::uint64_t tasks = 0;
+  std::uint32_t number = 0;
+  for (const Step& step : job.steps) {
+    if (const Status status = CheckStep(step, number); !status) {
+      return status;
+    }
+    tasks += step.count;
+    ++number;
+  }
+  if (tasks > kMaxTasks) {
+    return Fault("steps", "have more than " + std::to_string(kMaxTasks) + " tasks together");
+  }
+  if (job.repeats > 0 && (job.interval_ms < 0 || job.first_due_ms < 0)) {
+    return Fault("repeats", "first time and interval must not be below 0");
+  }
+  return Done{};
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/job_codec.cc
@@ -0,0 +1,116 @@
+#include <boost/json.hpp>
+
+#include "chervilspar/jobs/job.h"
+
+#include "jobs/json_values.h"
+
+namespace chervilspar::jobs {
+
+namespace json = boost::json;
+
+namespace {
+
+json::object EncodeStep(const Step& step) {
+  json::object out{{"count", step.count}, {"cpu", step.need.cpu}, {"memory", step.need.memory_mb}};
+  PutUnlessDefault(out, "gpus", step.need.gpus);
+  PutUnlessDefault(out, "estimate_ms", step.estimate_ms);
+  if (!step.after.empty()) {
+    out["after"] = json::value_from(step.after);
+  }
+  PutUnlessDefault(out, "saves", step.saves_progress);
+  PutUnlessDefault(out, "gang", step.is_gang);
+  PutUnlessDefault(out, "one_rack", step.wants_one_rack);
+  PutUnlessDefault(out, "label", step.required_label);
+  PutUnlessDefault(out, "data_rack", step.data_rack);
+  PutUnlessDefault(out, "per_endpoint", step.max_per_endpoint);
+  PutUnlessDefault(out, "twice", step.may_run_twice);
+  PutUnlessDefault(out, "long_running", step.is_long_running);
+  PutUnlessDefault(out, "image", step.image);
+  PutUnlessDefault(out, "target_ms", step.target_ms);
+  PutUnlessDefault(out, "filler", step.is_filler);
+  if (step.max_unavailable) {
+    out["max_away"] = *step.max_unavailable;
+  }
+  return out;
+}
+
+Step DecodeStep(const json::object& in) {
+  Step step;
+  step.count = NumberOf<std::uint32_t>(in, "count", 1);
+  step.need = {NumberOf<std::int64_t>(in, "cpu"), NumberOf<std::int64_t>(in, "memory"),
+               NumberOf<std::int64_t>(in, "gpus")};
+  step.estimate_ms = NumberOf<std::int64_t>(in, "estimate_ms");
+  if (const json::array* after = ArrayOf(in, "after")) {
+    for (const json::value& before : *after) {
+      step.after.push_back(before.to_number<std::uint32_t>());
+    }
+  }
+  step.saves_progress = FlagOf(in, "saves");
+  step.is_gang = FlagOf(in, "gang");
+  step.wants_one_rack = FlagOf(in, "one_rack");
+  step.required_label = TextOf(in, "label");
+  step.data_rack = TextOf(in, "data_rack");
+  step.max_per_endpoint = NumberOf<std::uint32_t>(in, "per_endpoint");
+  step.may_run_twice = FlagOf(in, "twice");
+  step.is_long_running = FlagOf(in, "long_running");
+  step.image = TextOf(in, "image");
+  step.target_ms = NumberOf<std::int64_t>(in, "target_ms");
+  step.is_filler = FlagOf(in, "filler");
+  if (in.contains("max_away")) {
+    step.max_unavailable = NumberOf<std::uint32_t>(in, "max_away");
+  }
+  return step;
+}
+
+}  // namespace
+
+std::string EncodeJob(const Job& job) {
+  json::object out{{"id", ToString(job.id)},      {"queue", job.queue},
+                   {"service", job.service.text}, {"team", job.team.text},
+                   {"payload", job.payload},      {"taken_ms", job.taken_ms}};
+  json::array steps;
+  for (const Step& step : job.steps) {
+    steps.push_back(EncodeStep(step));
+  }
+  out["steps"] = std::move(steps);
+  if (job.repeats > 0) {
+    out["repeats"] = job.repeats;
+    out["first_due_ms"] = job.first_due_ms;
+    out["interval_ms"] = job.interval_ms;
+  }
+  return json::serialize(out);
+}
+
+Result<Job> DecodeJob(std::string_view text) {
+  const Reason unreadable{ErrorCode::kMalformed, "", "the record is not a stored job"};
+  try {
+    const json::value value = json::parse(text);
+    const json::object& in = value.as_object();
+    const std::optional<JobId> id = ParseJobId(TextOf(in, "id"));
+    const json::array* steps = ArrayOf(in, "steps");
+    if (!id || steps == nullptr) {
+      return unreadable;
+    }
+    Job job;
+    job.id = *id;
+    job.queue = TextOf(in, "queue");
+    job.service = ServiceId{TextOf(in, "service")};
+    job.team = TeamId{TextOf(in, "team")};
+    job.payload = TextOf(in, "payload");
+    job.taken_ms = NumberOf<std::int64_t>(in, "taken_ms");
+    job.repeats = NumberOf<std::uint32_t>(in, "repeats");
+    job.first_due_ms = NumberOf<std::int64_t>(in, "first_due_ms");
+    job.interval_ms = NumberOf<std::int64_t>(in, "interval_ms");
+    for (const json::value& step : *steps) {
+      job.steps.push_back(DecodeStep(step.as_object()));
+    }
+    if (const Status status = CheckJob(job); !status) {
+      return status.LastReason();
+    }
+    return job;
+  } catch (const std::exception&) {
+    return unreadable;
+  }
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/order_round.cc
@@ -0,0 +1,80 @@
+#include "jobs/order_round.h"
+
+namespace chervilspar::jobs {
+
+StartOrder OrderRound::StartOf(const TaskRef& ref) {
+  Task& task = *ref.task;
+  task.ordered = this->now;
+  ++task.start_tries;
+  const EndpointRecord& record = task.endpoint->record;
+  return {.endpoint = record.id,
+          .address = record.address,
+          .task = ref.key,
+          .run = task.progress.run,
+          .payload = ref.job->job.payload,
+          .checkpoint = task.progress.checkpoint,
+          .ticket = task.ticket,
+          .token = this->state.token,
+          .lease_until_ms = task.lease_until_ms};
+}
+
+void OrderRound::Gather(Orders& orders) {
+  for (auto place = this->state.unsettled.begin(); place != this->state.unsettled.end();) {
+    const TaskKey key = *place++;
+    const TaskRef ref = this->state.Find(key);
+    if (ref && ref.task->state == RunState::kUnsure) {
+      this->GatherUnsure(ref, orders);
+    } else if (ref && ref.task->state == RunState::kStopping) {
+      this->GatherStop(ref, orders);
+    } else {
+      this->state.unsettled.erase(key);
+    }
+  }
+  for (const auto& [id, endpoint] : this->state.endpoints) {
+    if (!endpoint->strays.empty()) {
+      this->GatherStrays(*endpoint, orders);
+    }
+  }
+  orders.paces = std::move(this->state.paces);
+  this->state.paces.clear();
+}
+
+void OrderRound::GatherUnsure(const TaskRef& ref, Orders& orders) {
+  Task& task = *ref.task;
+  if (this->now - task.ordered < this->state.options.start_retry) {
+    return;
+  }
+  if (task.start_tries < this->state.options.start_tries && this->now < task.start_expires) {
+    orders.starts.push_back(this->StartOf(ref));
+    return;
+  }
+  if (!task.IsAdopted()) {
+    this->state.BeginStop(ref, this->now);
+    this->GatherStop(ref, orders);
+  }
+}
+
+void OrderRound::GatherStop(const TaskRef& ref, Orders& orders) {
+  Task& task = *ref.task;
+  const bool is_waiting = this->now - task.ordered < this->state.options.stop_retry;
+  if (is_waiting || task.stop_answered) {
+    return;
+  }
+  task.ordered = this->now;
+  const EndpointRecord& record = task.endpoint->record;
+  orders.stops.push_back(
+      {record.id, record.address, ref.key, task.progress.run, this->state.token});
+}
+
+void OrderRound::GatherStrays(EndpointState& endpoint, Orders& orders) {
+  for (auto& [stray, ordered] : endpoint.strays) {
+    if (this->now - ordered < this->state.options.stop_retry) {
+      continue;
+    }
+    ordered = this->now;
+    orders.stops.push_back({endpoint.record.id, endpoint.record.address, stray.first, stray.second,
+                            this->state.token});
+  }
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/pacing.cc
@@ -0,0 +1,58 @@
+#include "jobs/pacing.h"
+
+#include <algorithm>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// Response time over target above which fillers are slowed down, and below which they get some
+/// speed back. The gap keeps the pace from swinging with the noise of a half-second figure.
+constexpr double kTooNear = 0.85;
+constexpr double kFarEnough = 0.65;
+constexpr double kCut = 0.5;
+constexpr int kStepUp = 10;
+/// Below this a filler does next to nothing and still disturbs: it is halted.
+constexpr int kLeastPace = 10;
+constexpr int kFullPace = 100;
+
+}  // namespace
+
+double Pacing::WorstLoad(const EndpointState& endpoint) const {
+  double worst = 0;
+  for (const TaskKey& key : endpoint.claims) {
+    const TaskRef ref = this->state.Find(key);
+    const bool is_serving = ref.spec->target_ms > 0 && !ref.spec->is_filler;
+    if (is_serving && ref.task->state == RunState::kActive) {
+      worst = std::max(
+          worst, static_cast<double>(ref.task->gauge) / static_cast<double>(ref.spec->target_ms));
+    }
+  }
+  return worst;
+}
+
+void Pacing::Review(EndpointState& endpoint) {
+  const double load = this->WorstLoad(endpoint);
+  if (load > kTooNear) {
+    endpoint.pace = static_cast<int>(endpoint.pace * kCut);
+    endpoint.pace = endpoint.pace < kLeastPace ? 0 : endpoint.pace;
+  } else if (load < kFarEnough) {
+    endpoint.pace = std::min(endpoint.pace + kStepUp, kFullPace);
+  }
+  this->Order(endpoint);
+}
+
+void Pacing::Order(EndpointState& endpoint) {
+  for (const TaskKey& key : endpoint.claims) {
+    const TaskRef ref = this->state.Find(key);
+    Task& task = *ref.task;
+    if (!ref.spec->is_filler || task.state != RunState::kActive || task.pace == endpoint.pace) {
+      continue;
+    }
+    task.pace = endpoint.pace;
+    this->state.paces.push_back({endpoint.record.id, endpoint.record.address, key,
+                                 task.progress.run, endpoint.pace, this->state.token});
+  }
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/placement.cc
@@ -0,0 +1,127 @@
+#include "jobs/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// Costs are in thousandths of a core left over. These are larger than any endpoint, so that they
+/// decide first, in this order.
+constexpr std::int64_t kFailedThereCost = 100'000'000;
+constexpr std::int64_t kFarRackCost = 10'000'000;
+/// For each serving or filling task on the endpoint that the task would share it with.
+constexpr std::int64_t kSharingCost = 1'000'000;
+
+bool IsServing(const Step& step) { return step.is_long_running && !step.is_filler; }
+
+}  // namespace
+
+bool Placement::IsUsable(const EndpointState& endpoint, TimePoint now) {
+  return endpoint.is_registered && !endpoint.record.is_draining && !endpoint.is_evacuating &&
+         !endpoint.is_silent && endpoint.clock_ms.has_value() && endpoint.ejected_until <= now &&
+         endpoint.full_until <= now;
+}
+
+bool Placement::IsBelowLimitPerEndpoint(const TaskRef& ref, const EndpointState& endpoint) const {
+  const std::uint32_t limit = ref.spec->max_per_endpoint;
+  if (limit == 0) {
+    return true;
+  }
+  std::uint32_t there = 0;
+  for (const Task& sibling : ref.step->tasks) {
+    there += sibling.endpoint == &endpoint ? 1 : 0;
+  }
+  return there < limit;
+}
+
+bool Placement::MayRunOn(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) const {
+  if (!IsUsable(endpoint, now)) {
+    return false;
+  }
+  if (!ref.spec->required_label.empty() && !endpoint.record.HasLabel(ref.spec->required_label)) {
+    return false;
+  }
+  const auto queue = this->state.policy.queues.find(ref.job->job.queue);
+  const bool needs_ticket = queue != this->state.policy.queues.end() && queue->second.advice;
+  if (needs_ticket && (ref.step->advice.valid_until <= now ||
+                       !ref.step->advice.ticket_of_endpoint.contains(endpoint.record.id))) {
+    return false;
+  }
+  return this->IsBelowLimitPerEndpoint(ref, endpoint);
+}
+
+std::int64_t Placement::SharingCost(const TaskRef& ref, const EndpointState& endpoint) const {
+  if (!ref.spec->is_long_running && !ref.spec->is_filler) {
+    return 0;
+  }
+  std::int64_t shared = 0;
+  for (const TaskKey& key : endpoint.claims) {
+    const TaskRef other = this->state.Find(key);
+    const bool is_sibling = key.job == ref.key.job;
+    if (ref.spec->is_filler) {
+      shared += IsServing(*other.spec) ? 2 : 0;
+      shared += other.spec->is_filler ? 1 : 0;
+    } else if (IsServing(*ref.spec)) {
+      shared += other.spec->is_filler ? 2 : 0;
+      shared += IsServing(*other.spec) ? 1 : 0;
+      shared += is_sibling ? 4 : 0;
+    }
+  }
+  return shared * kSharingCost;
+}
+
+std::int64_t Placement::Cost(const TaskRef& ref, const EndpointState& endpoint) const {
+  std::int64_t cost = this->SharingCost(ref, endpoint);
+  if (endpoint.record.id == ref.task->avoid) {
+    cost += kFailedThereCost;
+  }
+  if (!ref.spec->data_rack.empty() && !endpoint.record.HasLabel(ref.spec->data_rack)) {
+    cost += kFarRackCost;
+  }
+  const std::int64_t left = endpoint.Room().cpu - RoomFor(*ref.spec).cpu;
+  const bool is_spread = ref.spec->is_long_running;
+  return cost + (is_spread ? -left : left);
+}
+
+EndpointState* Placement::Choose(const TaskRef& ref, const std::set<EndpointState*>& reserved,
+                                 TimePoint now) const {
+  const auto pool = this->state.pools.find(ref.job->service);
+  if (pool == this->state.pools.end()) {
+    return nullptr;
+  }
+  const Resources need = RoomFor(*ref.spec);
+  EndpointState* best = nullptr;
+  std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
+  for (EndpointState* endpoint : pool->second.endpoints) {
+    if (reserved.contains(endpoint) || !endpoint->Room().Fits(need) ||
+        !this->MayRunOn(ref, *endpoint, now)) {
+      continue;
+    }
+    const std::int64_t cost = this->Cost(ref, *endpoint);
+    if (cost < best_cost) {
+      best = endpoint;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+EndpointState* Placement::ChooseToKeepFree(const TaskRef& ref, TimePoint now) const {
+  const auto pool = this->state.pools.find(ref.job->service);
+  EndpointState* best = nullptr;
+  if (pool == this->state.pools.end()) {
+    return nullptr;
+  }
+  for (EndpointState* endpoint : pool->second.endpoints) {
+    const bool may_run =
+        this->MayRunOn(ref, *endpoint, now) && endpoint->record.capacity.Fits(RoomFor(*ref.spec));
+    if (may_run && (best == nullptr || best->Room().cpu < endpoint->Room().cpu)) {
+      best = endpoint;
+    }
+  }
+  return best;
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/placing_round.cc
@@ -0,0 +1,193 @@
+#include "jobs/placing_round.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace chervilspar::jobs {
+
+void PlacingRound::Run() {
+  for (auto& [service, pool] : this->state.pools) {
+    if (!pool.ready.empty() && !pool.endpoints.empty()) {
+      this->PlacePool(pool);
+    }
+  }
+}
+
+void PlacingRound::PlacePool(PoolState& pool) {
+  constexpr std::int64_t kFirst = std::numeric_limits<std::int64_t>::min();
+  this->reserved.clear();
+  this->misses = 0;
+  std::vector<std::uint32_t> ranks;
+  for (auto place = pool.ready.begin(); place != pool.ready.end();) {
+    ranks.push_back(place->rank);
+    place = pool.ready.lower_bound({place->rank + 1, kFirst, {}});
+  }
+  for (const std::uint32_t rank : ranks) {
+    const std::int64_t begin = rank == 0 ? kFirst : this->wall_ms;
+    if (!this->PlaceBetween(pool, {rank, begin, {}}, {rank + 1, kFirst, {}})) {
+      return;
+    }
+  }
+  for (const std::uint32_t rank : ranks) {
+    // What is left is kept for those that can still be on time.
+    const bool is_late = rank > 0 && this->misses == 0;
+    if (is_late && !this->PlaceBetween(pool, {rank, kFirst, {}}, {rank, this->wall_ms, {}})) {
+      return;
+    }
+  }
+}
+
+bool PlacingRound::PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end) {
+  auto place = pool.ready.lower_bound(begin);
+  while (place != pool.ready.end() && *place < end) {
+    const ReadyKey key = *place;
+    if (!this->PlaceJob(*this->state.FindJob(key.job)) &&
+        ++this->misses >= this->state.options.misses_per_round) {
+      return false;
+    }
+    place = pool.ready.upper_bound(key);
+  }
+  return true;
+}
+
+bool PlacingRound::PlaceJob(JobState& job) {
+  bool is_placed = true;
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      if (occurrence.steps[step].is_open && !this->PlaceStep(job, number, step)) {
+        is_placed = false;
+      }
+    }
+  }
+  this->state.RefreshReady(job);
+  return is_placed;
+}
+
+bool PlacingRound::NeedsAdvice(const TaskRef& ref) const {
+  const auto queue = this->state.policy.queues.find(ref.job->job.queue);
+  return queue != this->state.policy.queues.end() && queue->second.advice &&
+         ref.step->advice.valid_until <= this->now;
+}
+
+bool PlacingRound::PlaceStep(JobState& job, std::uint32_t occurrence, std::uint32_t step) {
+  const std::uint32_t count = job.job.steps[step].count;
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const TaskRef ref = this->state.Find({job.job.id, occurrence, step, index});
+    if (!ref.task->IsWaiting() || ref.task->not_before > this->now) {
+      continue;
+    }
+    if (this->NeedsAdvice(ref)) {
+      return true;  // a question is under way; nobody waits for room
+    }
+    if (!this->state.IsWithinCap(job, ref.spec->need)) {
+      return true;  // the team's own limit, not a lack of room
+    }
+    if (ref.spec->is_gang) {
+      return this->PlaceGang(ref);
+    }
+    if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
+      this->KeepRoomFor(ref);
+      return false;
+    }
+  }
+  return true;
+}
+
+void PlacingRound::KeepRoomFor(const TaskRef& ref) {
+  if (this->reserved.size() >= kMostReserved) {
+    return;
+  }
+  if (EndpointState* kept = this->placement.ChooseToKeepFree(ref, this->now)) {
+    this->reserved.insert(kept);
+  }
+}
+
+bool PlacingRound::PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded,
+                             std::uint64_t run) {
+  EndpointState* endpoint = this->placement.Choose(ref, excluded, this->now);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  this->state.Claim(ref, *endpoint, run, this->now);
+  Task& task = *ref.task;
+  const auto lease =
+      std::chrono::duration_cast<std::chrono::milliseconds>(this->state.options.lease);
+  task.lease_until_ms = endpoint->ClockAt(this->now) + lease.count();
+  const auto slow = std::chrono::duration_cast<Duration>(
+      this->state.options.lease * (1.0 + this->state.options.endpoint_clock_slowness));
+  task.start_expires = this->now + slow + this->state.options.lease_margin;
+  endpoint->lease_end = std::max(endpoint->lease_end, task.start_expires);
+  const auto ticket = ref.step->advice.ticket_of_endpoint.find(endpoint->record.id);
+  if (ticket != ref.step->advice.ticket_of_endpoint.end()) {
+    task.ticket = ticket->second;
+  }
+  return true;
+}
+
+bool PlacingRound::PlaceGang(const TaskRef& first) {
+  std::uint64_t run = 0;
+  std::string checkpoint;
+  Resources need;
+  for (const Task& member : first.step->tasks) {
+    if (!member.IsWaiting() || member.not_before > this->now) {
+      return true;  // its last run has not ended everywhere
+    }
+    run = std::max(run, member.progress.run);
+    if (checkpoint.empty()) {
+      checkpoint = member.progress.checkpoint;
+    }
+    need = need + first.spec->need;
+  }
+  if (!this->state.IsWithinCap(*first.job, need)) {
+    return true;
+  }
+  for (Task& member : first.step->tasks) {
+    member.progress.checkpoint = checkpoint;
+  }
+  if (first.spec->wants_one_rack && this->PlaceOnOneRack(first, run + 1)) {
+    return true;
+  }
+  const bool may_spread = !first.spec->wants_one_rack ||
+                          (first.job->ready && first.job->ready->latest_start_ms < this->wall_ms);
+  return may_spread && this->PlaceMembers(first, run + 1, this->reserved);
+}
+
+bool PlacingRound::PlaceMembers(const TaskRef& first, std::uint64_t run,
+                                const std::set<EndpointState*>& excluded) {
+  std::vector<TaskRef> placed;
+  for (std::uint32_t i = 0; i < first.step->tasks.size(); ++i) {
+    TaskKey key = first.key;
+    key.index = i;
+    const TaskRef member = this->state.Find(key);
+    if (!this->PlaceTask(member, excluded, run)) {
+      for (const TaskRef& earlier : placed) {
+        this->state.Release(earlier);
+      }
+      return false;
+    }
+    placed.push_back(member);
+  }
+  return true;
+}
+
+bool PlacingRound::PlaceOnOneRack(const TaskRef& first, std::uint64_t run) {
+  const PoolState& pool = this->state.pools.at(first.job->service);
+  std::set<std::string> racks;
+  for (const EndpointState* endpoint : pool.endpoints) {
+    racks.insert(endpoint->record.rack);
+  }
+  for (const std::string& rack : racks) {
+    std::set<EndpointState*> excluded = this->reserved;
+    for (EndpointState* endpoint : pool.endpoints) {
+      if (endpoint->record.rack != rack) {
+        excluded.insert(endpoint);
+      }
+    }
+    if (this->PlaceMembers(first, run, excluded)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/run_tracker.cc
@@ -0,0 +1,342 @@
+#include "jobs/run_tracker.h"
+
+#include <algorithm>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// An endpoint lists this many ends at a time; a full list may leave some out.
+constexpr std::size_t kEndsListed = 500;
+/// The pause before a long-running task starts again grows to this many times the first.
+constexpr int kMaxRestartFactor = 10;
+/// No room although there was by our count: it is passed over for this long.
+constexpr Duration kFullPause = std::chrono::milliseconds(250);
+
+}  // namespace
+
+bool RunTracker::IsMine(const TaskRef& ref, const EndpointState& endpoint,
+                        std::uint64_t run) const {
+  return ref && ref.task->state != RunState::kNone && ref.task->endpoint == &endpoint &&
+         ref.task->progress.run == run;
+}
+
+void RunTracker::OnHeld(EndpointState& endpoint, const HoldReport& report, TimePoint sent,
+                        TimePoint now) {
+  if (report.born_ms != 0 && endpoint.born_ms != 0 && report.born_ms < endpoint.born_ms) {
+    return;  // a former life's answer that was overtaken
+  }
+  if (report.born_ms != 0 && report.born_ms != endpoint.born_ms) {
+    if (endpoint.born_ms != 0) {
+      this->OnNewLife(endpoint, report.born_ms, &report);
+    }
+    endpoint.born_ms = report.born_ms;
+  }
+  const bool is_first = !endpoint.clock_ms.has_value();
+  endpoint.clock_ms = report.clock_ms;
+  endpoint.clock_at = now;
+  endpoint.heard = now;
+  endpoint.is_silent = false;
+  if (is_first) {
+    // From here on no predecessor's order is obeyed, so no lease is longer than one of ours.
+    endpoint.lease_end = now + this->state.options.lease + this->state.options.lease_margin;
+  }
+  for (const EndedRun& ended : report.ended) {
+    if (ended.number > endpoint.seen_end) {
+      this->TakeEnd(endpoint, ended, now);
+      endpoint.seen_end = ended.number;
+    }
+  }
+  for (const ActiveRun& active : report.active) {
+    this->TakeActive(endpoint, active, now);
+  }
+  if (report.ended.size() < kEndsListed) {
+    this->DropMissing(endpoint, report, sent);
+  }
+}
+
+void RunTracker::TakeEnd(EndpointState& endpoint, const EndedRun& ended, TimePoint now) {
+  endpoint.strays.erase({ended.task, ended.run});
+  const TaskRef ref = this->state.Find(ended.task);
+  if (!ref) {
+    return;  // the job has ended and its tasks are forgotten
+  }
+  const bool is_mine = this->IsMine(ref, endpoint, ended.run);
+  this->state.Tell({"run_ended", ended.task, {}, endpoint.record.id, ToString(ended.end)});
+  if (!ended.checkpoint.empty() && ref.task->progress.phase != TaskPhase::kDone) {
+    ref.task->progress.checkpoint = ended.checkpoint;
+  }
+  if (is_mine) {
+    this->state.Release(ref);
+  }
+  if (ended.end == RunEnd::kDone && !ref.spec->is_long_running) {
+    endpoint.failures = 0;
+    endpoint.failed_jobs.clear();
+    this->state.MarkDone(ref, now);
+    if (ref.spec->is_gang) {
+      this->ReleaseGangAfterDone(ref, ended.run, now);
+    }
+    return;
+  }
+  if (ended.run <= ref.task->progress.ended_run) {
+    return;  // counted before
+  }
+  ref.task->progress.ended_run = ended.run;
+  this->state.MarkDirty(*ref.job);
+  if (ended.end == RunEnd::kFailed) {
+    this->TakeFailure(ref, endpoint, ended);
+  }
+  if (ref.spec->is_gang && is_mine) {
+    this->BreakGang(ref, now);
+  }
+  ref.task->not_before = now;
+  if (ref.spec->is_long_running && ended.end != RunEnd::kStopped) {
+    const int factor = std::min(ref.task->restarts++, kMaxRestartFactor);
+    ref.task->not_before = now + factor * this->state.options.restart_pause;
+  }
+}
+
+void RunTracker::TakeFailure(const TaskRef& ref, EndpointState& endpoint, const EndedRun& ended) {
+  Task& task = *ref.task;
+  task.avoid = endpoint.record.id;
+  ++endpoint.failures;
+  endpoint.failed_jobs.insert(ended.task.job);
+  const bool has_several = endpoint.failed_jobs.size() > 1;
+  if (endpoint.failures >= this->state.options.failures_to_eject && has_several) {
+    endpoint.ejected_until = endpoint.heard + this->state.options.ejection;
+    endpoint.failures = 0;
+    endpoint.failed_jobs.clear();
+    this->state.Tell({"endpoint_ejected",
+                      ended.task,
+                      {},
+                      endpoint.record.id,
+                      "runs of several jobs failed in a row"});
+  }
+  if (ref.spec->is_long_running) {
+    return;
+  }
+  ++task.progress.failures;
+  std::uint32_t failures = task.progress.failures;
+  if (ref.spec->is_gang) {
+    failures = 0;
+    for (const Task& member : ref.step->tasks) {
+      failures += member.progress.failures;
+    }
+  }
+  if (failures >= ref.job->attempts && task.progress.phase == TaskPhase::kWaiting) {
+    task.progress.phase = TaskPhase::kFailed;
+    ref.job->is_failed = !ref.job->is_cancelled;
+    this->state.Tell({"job_failed",
+                      ended.task,
+                      {},
+                      endpoint.record.id,
+                      "failed " + std::to_string(failures) + " times"});
+    this->state.StopAll(*ref.job, endpoint.heard);
+  }
+}
+
+void RunTracker::ReleaseGangAfterDone(const TaskRef& ref, std::uint64_t run, TimePoint now) {
+  for (std::uint32_t i = 0; i < ref.step->tasks.size(); ++i) {
+    TaskKey key = ref.key;
+    key.index = i;
+    const TaskRef member = this->state.Find(key);
+    if (member.task->progress.run == run) {
+      this->state.Release(member);
+    }
+    this->state.MarkDone(member, now);
+  }
+}
+
+void RunTracker::BreakGang(const TaskRef& ref, TimePoint now) {
+  for (std::uint32_t i = 0; i < ref.step->tasks.size(); ++i) {
+    TaskKey key = ref.key;
+    key.index = i;
+    this->state.BeginStop(this->state.Find(key), now);
+  }
+}
+
+void RunTracker::TakeActive(EndpointState& endpoint, const ActiveRun& active, TimePoint now) {
+  const TaskRef ref = this->state.Find(active.task);
+  if (!this->IsMine(ref, endpoint, active.run)) {
+    endpoint.strays.try_emplace({active.task, active.run}, TimePoint{});
+    return;
+  }
+  Task& task = *ref.task;
+  if (task.state == RunState::kStarting || task.state == RunState::kUnsure) {
+    task.state = RunState::kActive;
+    task.since = now;
+  }
+  if (active.percent != task.percent) {
+    task.percent = active.percent;
+    task.percent_since = now;
+  }
+  if (ref.spec->is_long_running && active.percent >= 100) {
+    task.restarts = 0;
+  }
+  task.gauge = active.gauge;
+  if (!active.checkpoint.empty()) {
+    task.progress.checkpoint = active.checkpoint;
+  }
+}
+
+void RunTracker::DropMissing(EndpointState& endpoint, const HoldReport& report, TimePoint sent) {
+  std::set<std::pair<TaskKey, std::uint64_t>> listed;
+  for (const ActiveRun& active : report.active) {
+    listed.insert({active.task, active.run});
+  }
+  for (auto stray = endpoint.strays.begin(); stray != endpoint.strays.end();) {
+    stray = listed.contains(stray->first) ? std::next(stray) : endpoint.strays.erase(stray);
+  }
+  const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
+  for (const TaskKey& key : claims) {
+    const TaskRef ref = this->state.Find(key);
+    const Task& task = *ref.task;
+    if (listed.contains({key, task.progress.run})) {
+      continue;
+    }
+    const bool was_confirmed = task.state == RunState::kActive && task.since < sent;
+    const bool is_settled =
+        task.state == RunState::kStopping && task.stop_answered && *task.stop_answered < sent;
+    const bool is_past = (task.state == RunState::kUnsure || task.state == RunState::kStopping) &&
+                         task.start_expires < sent;
+    // This answer knows our token, so that a predecessor's order can't be carried out any more.
+    const bool is_fenced_off = task.state == RunState::kUnsure && task.IsAdopted();
+    if (was_confirmed || is_settled || is_past || is_fenced_off) {
+      this->state.Tell({"run_absent",
+                        key,
+                        {},
+                        endpoint.record.id,
+                        "not listed by an answer that is newer than its order"});
+      this->state.Release(ref);
+    }
+  }
+}
+
+void RunTracker::OnNewLife(EndpointState& endpoint, std::int64_t born_ms,
+                           const HoldReport* report) {
+  std::set<std::pair<TaskKey, std::uint64_t>> kept;
+  if (report != nullptr) {
+    for (const ActiveRun& active : report->active) {
+      kept.insert({active.task, active.run});
+    }
+  }
+  const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
+  for (const TaskKey& key : claims) {
+    const TaskRef ref = this->state.Find(key);
+    if (ref.task->progress.endpoint_born_ms == born_ms) {
+      continue;
+    }
+    if (kept.contains({key, ref.task->progress.run})) {
+      ref.task->progress.endpoint_born_ms = born_ms;
+      this->state.MarkDirty(*ref.job);
+      continue;
+    }
+    this->state.Tell({"run_lost", key, {}, endpoint.record.id, "the endpoint started anew"});
+    this->state.Release(ref);
+  }
+  endpoint.born_ms = born_ms;
+  endpoint.clock_ms.reset();
+  endpoint.seen_end = 0;
+  endpoint.stored_end = 0;
+  endpoint.confirmed_end = 0;
+  endpoint.strays.clear();
+  endpoint.failures = 0;
+  endpoint.failed_jobs.clear();
+}
+
+void RunTracker::Lose(EndpointState& endpoint, const std::string& why) {
+  const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
+  for (const TaskKey& key : claims) {
+    this->state.Tell({"run_lost", key, {}, endpoint.record.id, why});
+    this->state.Release(this->state.Find(key));
+  }
+}
+
+void RunTracker::OnGone(EndpointState& endpoint) {
+  this->Lose(endpoint, "another endpoint answers at its address");
+  endpoint.is_silent = true;
+}
+
+void RunTracker::LapseLeases(TimePoint now) {
+  for (const auto& [id, endpoint] : this->state.endpoints) {
+    if (!endpoint->claims.empty() && now > endpoint->lease_end) {
+      this->Lose(*endpoint, "its lease must have lapsed");
+    }
+  }
+}
+
+void RunTracker::OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now) {
+  EndpointState* endpoint = this->state.FindEndpoint(order.endpoint);
+  const TaskRef ref = this->state.Find(order.task);
+  if (endpoint == nullptr || !this->IsMine(ref, *endpoint, order.run)) {
+    return;
+  }
+  Task& task = *ref.task;
+  if (task.state != RunState::kStarting && task.state != RunState::kUnsure) {
+    return;
+  }
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      task.state = RunState::kActive;
+      task.since = now;
+      task.percent_since = now;
+      return;
+    case OrderOutcome::kTokenTooLow:
+      this->state.is_superseded = true;
+      return;
+    case OrderOutcome::kRunTooOld:
+    case OrderOutcome::kNoAnswer:
+      task.state = RunState::kUnsure;
+      this->state.unsettled.insert(order.task);
+      return;
+    case OrderOutcome::kNotSent:
+      endpoint->is_silent = true;
+      if (task.start_tries > 1) {
+        task.state = RunState::kUnsure;
+        this->state.unsettled.insert(order.task);
+        return;
+      }
+      break;
+    case OrderOutcome::kNoRoom:
+      endpoint->full_until = now + kFullPause;
+      break;
+    case OrderOutcome::kBadTicket:
+      ref.step->advice = {};
+      break;
+    case OrderOutcome::kTooLate:
+    case OrderOutcome::kRefused:
+      endpoint->full_until = now + kFullPause;
+      break;
+    case OrderOutcome::kOtherLife:
+      this->OnGone(*endpoint);
+      return;
+  }
+  // A try without answer may still be carried out; only the last answer speaks of this one.
+  if (task.start_tries > 1) {
+    this->state.BeginStop(ref, now);
+    return;
+  }
+  this->state.Tell({"start_refused", order.task, {}, order.endpoint, ToString(outcome)});
+  this->state.Release(ref);
+  if (ref.spec->is_gang) {
+    this->BreakGang(ref, now);
+  }
+}
+
+void RunTracker::OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now) {
+  if (outcome == OrderOutcome::kTokenTooLow) {
+    this->state.is_superseded = true;
+    return;
+  }
+  EndpointState* endpoint = this->state.FindEndpoint(order.endpoint);
+  const TaskRef ref = this->state.Find(order.task);
+  if (endpoint == nullptr || !this->IsMine(ref, *endpoint, order.run)) {
+    return;
+  }
+  const bool is_answered = outcome == OrderOutcome::kDone || outcome == OrderOutcome::kRunTooOld;
+  if (is_answered && ref.task->state == RunState::kStopping) {
+    ref.task->stop_answered = now;
+  }
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/run_tracker.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "jobs/scheduler_state.h"
+
+namespace chervilspar::jobs {
+
+/// Follows the runs on endpoints from what the endpoints answer.
+///
+/// What can go wrong: an answer that is lost or overtaken makes a run look as if it had never
+/// begun, the task is started elsewhere, and both runs charge the same deposit. So a claim is
+/// given up only on proof: the endpoint lists the run's end, or answers after the order's time
+/// has passed without listing it, or lives a new life, or its leases must have lapsed.
+class RunTracker {
+ public:
+  explicit RunTracker(SchedulerState& state) : state(state) {}
+
+  void OnHeld(EndpointState& endpoint, const HoldReport& report, TimePoint sent, TimePoint now);
+  void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
+  void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
+  /// The endpoint is another life than the one that the claims belong to.
+  void OnNewLife(EndpointState& endpoint, std::int64_t born_ms, const HoldReport* report);
+  /// Another endpoint answers at its address, so this one has ended.
+  void OnGone(EndpointState& endpoint);
+  /// Gives up what ran on endpoints whose leases have lapsed.
+  void LapseLeases(TimePoint now);
+
+ private:
+  void TakeEnd(EndpointState& endpoint, const EndedRun& ended, TimePoint now);
+  void TakeFailure(const TaskRef& ref, EndpointState& endpoint, const EndedRun& ended);
+  void TakeActive(EndpointState& endpoint, const ActiveRun& active, TimePoint now);
+  void DropMissing(EndpointState& endpoint, const HoldReport& report, TimePoint sent);
+  void ReleaseGangAfterDone(const TaskRef& ref, std::uint64_t run, TimePoint now);
+  void BreakGang(const TaskRef& ref, TimePoint now);
+  void Lose(EndpointState& endpoint, const std::string& why);
+  bool IsMine(const TaskRef& ref, const EndpointState& endpoint, std::uint64_t run) const;
+
+  SchedulerState& state;
+};
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/scheduler_state.cc
@@ -0,0 +1,343 @@
+#include "jobs/scheduler_state.h"
+
+#include <algorithm>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// Notes kept until the process takes them; a round makes a few hundred at most.
+constexpr std::size_t kMaxNotes = 4096;
+/// A task without estimate counts as short.
+constexpr std::int64_t kLeastEstimateMs = 50;
+
+}  // namespace
+
+Resources RoomFor(const Step& step) {
+  Resources need = step.need;
+  if (step.is_filler) {
+    need.cpu = 0;
+  }
+  return need;
+}
+
+std::int64_t ToUnixMs(WallTime wall) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(wall.time_since_epoch()).count();
+}
+
+bool Occurrence::IsDone() const {
+  return std::all_of(this->steps.begin(), this->steps.end(),
+                     [](const StepState& step) { return step.IsDone(); });
+}
+
+JobPhase JobState::Phase() const {
+  if (this->is_cancelled) {
+    return JobPhase::kCancelled;
+  }
+  if (this->IsComplete()) {
+    return JobPhase::kComplete;
+  }
+  if (this->is_failed) {
+    return JobPhase::kFailed;
+  }
+  return this->has_started ? JobPhase::kRunning : JobPhase::kQueued;
+}
+
+std::int64_t EndpointState::ClockAt(TimePoint now) const {
+  const Duration passed = now - this->clock_at;
+  return *this->clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(passed).count();
+}
+
+SchedulerState::SchedulerState(const SchedulerOptions& options, std::uint64_t token,
+                               TimePoint began)
+    : options(options), token(token), began(began) {}
+
+JobState* SchedulerState::FindJob(const JobId& id) {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+TaskRef SchedulerState::Find(const TaskKey& key) {
+  JobState* job = this->FindJob(key.job);
+  if (job == nullptr) {
+    return {};
+  }
+  const auto occurrence = job->occurrences.find(key.occurrence);
+  if (occurrence == job->occurrences.end() || key.step >= occurrence->second.steps.size()) {
+    return {};
+  }
+  StepState& step = occurrence->second.steps[key.step];
+  if (key.index >= step.tasks.size()) {
+    return {};
+  }
+  return {job, &occurrence->second, &step, &job->job.steps[key.step], &step.tasks[key.index], key};
+}
+
+EndpointState* SchedulerState::FindEndpoint(const std::string& id) {
+  const auto found = this->endpoints.find(id);
+  return found == this->endpoints.end() ? nullptr : found->second.get();
+}
+
+EndpointState& SchedulerState::EndpointFor(const std::string& id) {
+  std::unique_ptr<EndpointState>& slot = this->endpoints[id];
+  if (slot == nullptr) {
+    slot = std::make_unique<EndpointState>();
+    slot->record.id = id;
+  }
+  return *slot;
+}
+
+Occurrence& SchedulerState::OccurrenceOf(JobState& job, std::uint32_t number) {
+  const auto [place, is_new] = job.occurrences.try_emplace(number);
+  if (is_new) {
+    for (const Step& step : job.job.steps) {
+      place->second.steps.emplace_back().tasks.resize(step.count);
+    }
+    this->Advance(job, number);
+  }
+  return place->second;
+}
+
+void SchedulerState::Advance(JobState& job, std::uint32_t number) {
+  Occurrence& occurrence = job.occurrences.at(number);
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    const std::vector<std::uint32_t>& after = job.job.steps[i].after;
+    occurrence.steps[i].is_open =
+        std::all_of(after.begin(), after.end(),
+                    [&](std::uint32_t earlier) { return occurrence.steps[earlier].IsDone(); });
+  }
+  if (occurrence.IsDone()) {
+    job.complete_occurrences.insert(number);
+  }
+}
+
+void SchedulerState::CountUse(const TaskRef& ref, EndpointState& endpoint, bool is_added) {
+  const Resources room = RoomFor(*ref.spec);
+  Resources& team = this->team_usage[ref.job->job.team];
+  if (is_added) {
+    endpoint.used = endpoint.used + room;
+    team = team + ref.spec->need;
+    endpoint.claims.insert(ref.key);
+    ++ref.job->claims;
+  } else {
+    endpoint.used = endpoint.used - room;
+    team = team - ref.spec->need;
+    endpoint.claims.erase(ref.key);
+    --ref.job->claims;
+  }
+}
+
+void SchedulerState::Claim(const TaskRef& ref, EndpointState& endpoint, std::uint64_t run,
+                           TimePoint now) {
+  Task& task = *ref.task;
+  CHERVILSPAR_ASSERT(task.IsWaiting());
+  task.progress.phase = TaskPhase::kPlaced;
+  task.progress.run = run;
+  task.progress.endpoint = endpoint.record.id;
+  task.progress.endpoint_born_ms = endpoint.born_ms;
+  task.state = RunState::kRecording;
+  task.endpoint = &endpoint;
+  task.since = now;
+  task.percent = 0;
+  task.percent_since = now;
+  task.pace = 100;
+  task.ordered = now;
+  task.start_tries = 0;
+  task.stop_answered.reset();
+  this->CountUse(ref, endpoint, true);
+  this->MarkDirty(*ref.job);
+}
+
+void SchedulerState::Adopt(const TaskRef& ref) {
+  Task& task = *ref.task;
+  EndpointState& endpoint = this->EndpointFor(task.progress.endpoint);
+  if (endpoint.born_ms > task.progress.endpoint_born_ms) {
+    // The endpoint has started anew since; what it ran before is gone.
+    task.progress.phase = TaskPhase::kWaiting;
+    this->MarkDirty(*ref.job);
+    return;
+  }
+  endpoint.born_ms = task.progress.endpoint_born_ms;
+  task.state = RunState::kUnsure;
+  this->unsettled.insert(ref.key);
+  task.endpoint = &endpoint;
+  task.since = this->began;
+  task.percent_since = this->began;
+  task.start_expires = this->began + this->options.predecessor_grace;
+  // No start is repeated for a predecessor; what doesn't show up is stopped.
+  task.start_tries = this->options.start_tries;
+  endpoint.lease_end = this->began + this->options.predecessor_grace + this->options.lease +
+                       this->options.lease_margin;
+  this->CountUse(ref, endpoint, true);
+  ref.job->has_started = true;
+}
+
+void SchedulerState::Release(const TaskRef& ref) {
+  Task& task = *ref.task;
+  if (task.state == RunState::kNone) {
+    return;
+  }
+  this->CountUse(ref, *task.endpoint, false);
+  task.state = RunState::kNone;
+  task.endpoint = nullptr;
+  task.ticket.clear();
+  task.progress.endpoint.clear();
+  task.progress.endpoint_born_ms = 0;
+  if (task.progress.phase == TaskPhase::kPlaced) {
+    task.progress.phase = TaskPhase::kWaiting;
+  }
+  this->MarkDirty(*ref.job);
+  this->RefreshReady(*ref.job);
+}
+
+void SchedulerState::BeginStop(const TaskRef& ref, TimePoint now) {
+  Task& task = *ref.task;
+  if (task.state == RunState::kRecording) {
+    this->Release(ref);
+    return;
+  }
+  if (task.state == RunState::kNone || task.state == RunState::kStopping) {
+    return;
+  }
+  task.state = RunState::kStopping;
+  this->unsettled.insert(ref.key);
+  task.since = now;
+  task.ordered = TimePoint{};
+  task.stop_answered.reset();
+}
+
+void SchedulerState::MarkDone(const TaskRef& ref, TimePoint now) {
+  Task& task = *ref.task;
+  if (task.progress.phase == TaskPhase::kDone) {
+    return;
+  }
+  task.progress.phase = TaskPhase::kDone;
+  task.progress.checkpoint.clear();
+  ++ref.step->done;
+  if (task.state != RunState::kNone) {
+    this->BeginStop(ref, now);
+  }
+  if (ref.step->IsDone()) {
+    this->Advance(*ref.job, ref.key.occurrence);
+  }
+  this->MarkDirty(*ref.job);
+  this->RefreshReady(*ref.job);
+}
+
+void SchedulerState::StopAll(JobState& job, TimePoint now) {
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+        this->BeginStop(this->Find({job.job.id, number, step, index}), now);
+      }
+    }
+  }
+  this->RefreshReady(job);
+}
+
+void SchedulerState::MarkDirty(JobState& job) {
+  if (!job.is_dirty) {
+    job.is_dirty = true;
+    this->dirty.push_back(job.job.id);
+  }
+}
+
+std::int64_t SchedulerState::RemainingChain(const JobState& job,
+                                            const Occurrence& occurrence) const {
+  std::vector<std::int64_t> ends(job.job.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < ends.size(); ++i) {
+    std::int64_t begin = 0;
+    for (const std::uint32_t earlier : job.job.steps[i].after) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    const bool is_done = occurrence.steps[i].IsDone();
+    ends[i] = begin + (is_done ? 0 : std::max(job.job.steps[i].estimate_ms, kLeastEstimateMs));
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+void SchedulerState::RefreshReady(JobState& job) {
+  std::optional<ReadyKey> key;
+  if (!job.IsOver()) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+      const bool has_waiting =
+          std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const StepState& step) {
+            return step.is_open && std::any_of(step.tasks.begin(), step.tasks.end(),
+                                               [](const Task& task) { return task.IsWaiting(); });
+          });
+      if (has_waiting) {
+        const auto queue = this->policy.queues.find(job.job.queue);
+        const std::uint32_t priority =
+            queue == this->policy.queues.end() ? 0 : queue->second.priority;
+        const std::int64_t due =
+            job.job.IsScheduled() ? std::int64_t{number} * job.job.interval_ms : 0;
+        key = ReadyKey{job.job.IsLongRunning() ? 0 : 1 + priority,
+                       job.deadline_ms + due - this->RemainingChain(job, occurrence), job.job.id};
+        break;
+      }
+    }
+  }
+  if (key == job.ready) {
+    return;
+  }
+  std::set<ReadyKey>& ready = this->pools[job.service].ready;
+  if (job.ready) {
+    ready.erase(*job.ready);
+  }
+  if (key) {
+    ready.insert(*key);
+  }
+  job.ready = key;
+}
+
+void SchedulerState::ApplyPolicyTo(JobState& job) {
+  const auto queue = this->policy.queues.find(job.job.queue);
+  if (queue == this->policy.queues.end()) {
+    return;  // The queue was taken away; what was accepted still runs where it was meant to.
+  }
+  if (job.service != queue->second.service && job.ready) {
+    this->pools[job.service].ready.erase(*job.ready);
+    job.ready.reset();
+  }
+  job.service = queue->second.service;
+  job.attempts = std::max<std::uint32_t>(queue->second.attempts, 1);
+  Occurrence fresh;
+  fresh.steps.resize(job.job.steps.size());
+  for (StepState& step : fresh.steps) {
+    step.tasks.resize(1);
+  }
+  const auto chain = static_cast<double>(this->RemainingChain(job, fresh));
+  const auto target =
+      std::chrono::duration_cast<std::chrono::milliseconds>(queue->second.target).count();
+  const std::int64_t objective =
+      static_cast<std::int64_t>(queue->second.slack_factor * chain) + target;
+  const std::int64_t begin = job.job.IsScheduled() ? job.job.first_due_ms : job.job.taken_ms;
+  job.deadline_ms = begin + objective;
+  job.worthless_ms =
+      begin + static_cast<std::int64_t>(this->options.late_factor * static_cast<double>(objective));
+}
+
+bool SchedulerState::IsWithinCap(const JobState& job, const Resources& need) const {
+  const auto team = this->policy.teams.find(job.job.team);
+  if (team == this->policy.teams.end()) {
+    return true;
+  }
+  const auto usage = this->team_usage.find(job.job.team);
+  const Resources after = usage == this->team_usage.end() ? need : usage->second + need;
+  const Resources& cap = team->second.cap;
+  return (cap.cpu == 0 || after.cpu <= cap.cpu) &&
+         (cap.memory_mb == 0 || after.memory_mb <= cap.memory_mb) &&
+         (cap.gpus == 0 || after.gpus <= cap.gpus);
+}
+
+void SchedulerState::Tell(Note note) {
+  if (this->notes.size() >= kMaxNotes) {
+    ++this->notes_dropped;
+    return;
+  }
+  this->notes.push_back(std::move(note));
+}
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/upkeep.cc
@@ -0,0 +1,73 @@
+#include "chervilspar/jobs/upkeep.h"
+
+#include <algorithm>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// At most this part of a pool's VMs is emptied or down at once, so that a pool keeps most of its
+/// room during a wave.
+constexpr double kMostOfPool = 0.25;
+
+struct Candidate {
+  const VmRecord* vm = nullptr;
+  bool is_evacuating = false;
+  double load = 0;
+};
+
+}  // namespace
+
+UpkeepStep UpkeepPlanner::Plan(const Wave& wave, const WaveProgress& progress,
+                               const std::vector<VmRecord>& vms, const std::set<VmId>& down,
+                               const std::set<VmId>& evacuating,
+                               const std::map<std::string, EndpointLoad>& loads) {
+  UpkeepStep step;
+  std::map<ServiceId, int> pool_size;
+  std::map<ServiceId, int> pool_away;
+  std::vector<Candidate> candidates;
+  bool all_done = true;
+  for (const VmRecord& vm : vms) {
+    ++pool_size[vm.pool];
+    const bool is_away = down.contains(vm.id) || evacuating.contains(vm.id);
+    pool_away[vm.pool] += is_away ? 1 : 0;
+    const bool is_named = std::find(wave.vms.begin(), wave.vms.end(), vm.id) != wave.vms.end();
+    if (!is_named || progress.rebooted.contains(vm.id)) {
+      continue;
+    }
+    all_done = false;
+    if (vm.phase != VmPhase::kUp || down.contains(vm.id)) {
+      continue;
+    }
+    const auto load = loads.find(vm.endpoint);
+    candidates.push_back(
+        {&vm, evacuating.contains(vm.id), load == loads.end() ? 0 : load->second.pool_load});
+  }
+  step.is_complete = all_done && down.empty() && !vms.empty();
+  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    return std::pair(!a.is_evacuating, a.load) < std::pair(!b.is_evacuating, b.load);
+  });
+  std::size_t away = down.size();
+  for (const Candidate& candidate : candidates) {
+    const VmRecord& vm = *candidate.vm;
+    if (away >= wave.most_down) {
+      break;
+    }
+    const auto load = loads.find(vm.endpoint);
+    const bool is_idle = vm.endpoint.empty();
+    const int most = std::max(1, static_cast<int>(pool_size[vm.pool] * kMostOfPool));
+    if (!candidate.is_evacuating && !is_idle && pool_away[vm.pool] >= most) {
+      continue;
+    }
+    ++away;
+    pool_away[vm.pool] += candidate.is_evacuating ? 0 : 1;
+    if (is_idle || (candidate.is_evacuating && load != loads.end() && load->second.is_empty)) {
+      step.reboot.push_back(vm.id);
+    } else {
+      step.evacuate.push_back(vm.endpoint);
+    }
+  }
+  return step;
+}
+
+}  // namespace chervilspar::jobs
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,3 +1,8 @@
 #include "chervilspar/cli/main.h"
 
-int main(int argc, char** argv) { return chervilspar::cli::Main(argc, argv); }
+#include "platform/link_factory.h"
+
+int main(int argc, char** argv) {
+  chervilspar::adapter::WireLinkFactory links;
+  return chervilspar::cli::Main(argc, argv, links);
+}
--- a/tests/cli/fake_entries.h
+++ b/tests/cli/fake_entries.h
@@ -79,6 +79,11 @@
     return ExitCode::kOk;
   }
 
+  ExitCode JobEntry(const job_entry::JobEntrySettings& settings) override {
+    this->started_job_entry = settings;
+    return ExitCode::kOk;
+  }
+
   Result<std::unique_ptr<EntryConnection>> Connect(const std::vector<std::string>&) override {
     std::unique_ptr<EntryConnection> connection =
         std::make_unique<ForwardingConnection>(this->entries);
@@ -87,6 +92,7 @@
 
   FakeEntries entries;
   std::optional<entry::EntrySettings> started;
+  std::optional<job_entry::JobEntrySettings> started_job_entry;
 };
 
 class FixedClock final : public Clock {
