--- a/include/chervilspar/job_entry/store.h
+++ b/include/chervilspar/job_entry/store.h
@@ -93,7 +93,7 @@
 /// A member's part in a group.
 struct Membership {
   std::uint64_t generation = 0;
-  /// The store has chosen this member to be the owner. Only a hint: the token decides.
+  /// The store has chosen this member to be the next owner. Only a hint: the token decides.
   bool is_chosen = false;
 
   friend bool operator==(const Membership&, const Membership&) = default;
@@ -122,6 +122,8 @@
                                                           std::uint64_t generation,
                                                           Duration time_to_live,
                                                           Duration timeout) = 0;
+  /// The members that the group has now.
+  virtual boost::asio::awaitable<Result<std::vector<std::string>>> Members(Duration timeout) = 0;
   /// Leaves the group, so that another is chosen at once.
   virtual boost::asio::awaitable<Status> Leave(std::string member, Duration timeout) = 0;
 };
--- a/include/chervilspar/jobs/job.h
+++ b/include/chervilspar/jobs/job.h
@@ -122,6 +122,9 @@
 inline constexpr std::uint32_t kMaxSteps = 256;
 inline constexpr std::uint32_t kMaxTasks = 3000;
 
+/// A job's steps in a few characters, for logs: "6x3500m900ms 2x500m100ms<0".
+std::string ShapeText(const Job& job);
+
 /// Says what is wrong with a job: the field and the cause.
 Status CheckJob(const Job& job);
 
--- /dev/null
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chervilspar/base/ids.h"
+#include "chervilspar/base/time.h"
+#include "chervilspar/jobs/job.h"
+#include "chervilspar/jobs/upkeep.h"
+
+namespace chervilspar::jobs {
+
+/// What a pool's jobs ask for now.
+struct PoolLoad {
+  /// Estimated work of all jobs that came since the scheduler began, in thousandths of a core
+  /// times milliseconds; only grows.
+  double arrived = 0;
+  /// The same of what waits for an endpoint or for earlier steps.
+  double waiting = 0;
+  /// Thousandths of a core that long-running tasks take or wait for.
+  double long_running = 0;
+
+  friend bool operator==(const PoolLoad&, const PoolLoad&) = default;
+};
+
+/// A VM as the sizer sees it.
+struct SizerVm {
+  VmId id;
+  ServiceId pool;
+  /// Thousandths of a core in all, and in use.
+  double cpu = 0;
+  double used = 0;
+  /// It serves, or will in a moment: up with a registered endpoint that may get work.
+  bool is_serving = false;
+  /// Nothing runs there.
+  bool is_empty = false;
+  bool has_long_running = false;
+  /// Taken by a wave or on its way between pools; not to be touched.
+  bool is_taken = false;
+
+  friend bool operator==(const SizerVm&, const SizerVm&) = default;
+};
+
+/// What is to be done with VMs now.
+struct SizerStep {
+  struct Move {
+    VmId vm;
+    ServiceId to;
+
+    friend bool operator==(const Move&, const Move&) = default;
+  };
+  std::vector<Move> moves;
+  /// Get no new work, so that they become empty and can be moved.
+  std::set<VmId> release;
+
+  friend bool operator==(const SizerStep&, const SizerStep&) = default;
+};
+
+/// Times and weights of the sizer.
+struct SizerOptions {
+  /// From the decision until a moved VM takes work: 1.5 s for the move itself, the rest for its
+  /// registration.
+  Duration move_time = std::chrono::milliseconds(2000);
+  /// In what time work that has piled up is to be done: about the slack of a job of two seconds.
+  Duration drain_time = std::chrono::milliseconds(1500);
+  /// Over which arrivals are averaged. One large job is a second's work of several VMs.
+  Duration averaging = std::chrono::milliseconds(1200);
+  /// How long a pool keeps what it needed; a VM that leaves and returns costs two moves, which is
+  /// two seconds of its price.
+  Duration keep = std::chrono::milliseconds(2000);
+  /// Part of a VM's cpu that jobs can use, as tasks don't fill it to the last core.
+  double usable = 0.85;
+  /// Fewest VMs of a pool: the loss of one leaves others to go on.
+  int least_vms = 3;
+
+  friend bool operator==(const SizerOptions&, const SizerOptions&) = default;
+};
+
+/// Decides how many VMs each pool has. Pure; keeps averages between calls.
+///
+/// The load that it answers: queues whose demand rises by turns to several times what their pool
+/// holds while the others are nearly idle. With fixed pools the peak's jobs are late while most VMs
+/// idle and are paid for.
+class PoolSizer {
+ public:
+  explicit PoolSizer(SizerOptions options = {}) : options(options) {}
+
+  /// `standby`: the pool whose VMs are switched off; empty when there is none.
+  SizerStep Plan(TimePoint now, const std::map<ServiceId, PoolLoad>& loads,
+                 const std::vector<SizerVm>& vms, const ServiceId& standby);
+  /// VMs that a pool should have, as last planned.
+  int Wanted(const ServiceId& pool) const;
+
+ private:
+  struct History {
+    double arrived = 0;
+    /// Thousandths of a core that arrive in a millisecond, averaged.
+    double rate = 0;
+    TimePoint measured{};
+    bool is_known = false;
+    /// The most needed lately, and when.
+    int wanted = 0;
+    TimePoint wanted_at{};
+  };
+
+  void Measure(TimePoint now, const std::map<ServiceId, PoolLoad>& loads);
+  void Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+            const std::vector<SizerVm>& vms);
+
+  const SizerOptions options;
+  std::map<ServiceId, History> pools;
+};
+
+}  // namespace chervilspar::jobs
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "chervilspar/jobs/endpoint.h"
 #include "chervilspar/jobs/job.h"
 #include "chervilspar/jobs/policy.h"
+#include "chervilspar/jobs/pool_sizer.h"
 #include "chervilspar/jobs/progress.h"
 #include "chervilspar/jobs/scheduler_options.h"
 
@@ -81,6 +83,17 @@
 /// What an evacuated endpoint still holds up.
 enum class EvacuationState { kUnknownEndpoint, kRunning, kEmpty };
 
+/// What an endpoint is used for, for the choice of VMs.
+struct EndpointUse {
+  Resources used;
+  bool is_empty = false;
+  bool has_long_running = false;
+  /// It gets work, or did until it was chosen to be emptied.
+  bool is_serving = false;
+
+  friend bool operator==(const EndpointUse&, const EndpointUse&) = default;
+};
+
 /// Decides which task runs where. Owns the state of all jobs of its pools, without network, clock
 /// or threads: facts go in with their times, orders and records come out.
 ///
@@ -118,6 +131,10 @@
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
   void OnAdvice(const TaskKey& step, const std::vector<AdviceTicket>& tickets, TimePoint now);
 
+  /// While false, no lease is renewed: there may be a successor.
+  void SetMayRenew(bool may_renew);
+  bool MayRenew() const;
+
   // Decisions.
   Orders Decide(TimePoint now, WallTime wall);
   std::vector<AdviceQuestion> TakeQuestions(TimePoint now);
@@ -142,6 +159,9 @@
   void BeginEvacuation(const std::string& endpoint);
   void EndEvacuation(const std::string& endpoint);
   EvacuationState EvacuationOf(const std::string& endpoint) const;
+  /// Nothing for an endpoint that isn't known here.
+  std::optional<EndpointUse> UseOf(const std::string& endpoint) const;
+  std::map<ServiceId, PoolLoad> PoolLoads() const;
   /// Cpu in use and in all over the endpoints of a service, for the choice of VMs.
   Resources UsedIn(const ServiceId& service) const;
   Resources CapacityOf(const ServiceId& service) const;
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -15,10 +15,11 @@
   double endpoint_clock_slowness = 0.02;
   /// On top of the time at which a lease lapses by our reckoning.
   Duration lease_margin = std::chrono::milliseconds(300);
-  /// How long a predecessor that is cut off from the store goes on renewing leases. Must be no less
-  /// than what the owner's process observes; a run on an endpoint that can't be reached is taken as
-  /// dead only this long, and one lease, after a take-over.
-  Duration predecessor_grace = std::chrono::seconds(10);
+  /// How long an owner goes on renewing leases without proof that there is no successor. A
+  /// successor takes a run on an endpoint that it can't reach as dead only this long, and one
+  /// lease, after its own announcement. With the lease of 4 s, work outlives an outage of the store
+  /// of 7 s.
+  Duration predecessor_grace = std::chrono::milliseconds(3500);
   /// A run whose start got no answer is asked for again after this.
   Duration start_retry = std::chrono::milliseconds(150);
   /// So many starts without answer, then the run is stopped to settle what became of it.
--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -70,6 +70,8 @@
   kNoAnswer,
 };
 
+const char* ToString(VmOrderOutcome outcome);
+
 /// How far the VMs of a wave are; stored, so that a successor doesn't empty them again.
 struct WaveProgress {
   std::uint64_t number = 0;
@@ -85,7 +87,7 @@
   std::vector<std::string> evacuate;
   /// VMs that are empty and may go down now.
   std::vector<VmId> reboot;
-  /// All VMs of the wave are up again.
+  /// The reboots of all VMs of the wave have begun.
   bool is_complete = false;
 
   friend bool operator==(const UpkeepStep&, const UpkeepStep&) = default;
@@ -104,9 +106,15 @@
 /// least loaded pools first, and only a part of each pool at once, leaves room where the peak is.
 class UpkeepPlanner {
  public:
-  /// `down`: VMs that were ordered to reboot and are not known to be up again.
+  /// VMs that can't be chosen now.
+  struct Absent {
+    /// Ordered to reboot and not known to be up again.
+    std::set<VmId> down;
+    /// On their way between pools.
+    std::set<VmId> moving;
+  };
   static UpkeepStep Plan(const Wave& wave, const WaveProgress& progress,
-                         const std::vector<VmRecord>& vms, const std::set<VmId>& down,
+                         const std::vector<VmRecord>& vms, const Absent& absent,
                          const std::set<VmId>& evacuating,
                          const std::map<std::string, EndpointLoad>& loads);
 };
--- a/src/job_entry/caller_handler.cc
+++ b/src/job_entry/caller_handler.cc
@@ -106,7 +106,8 @@
     case WriteVerdict::kStored:
       this->Count("submit", 200);
       LogEvent(telemetry::LogLevel::kInfo, "job_accepted", "stored",
-               {{"queue", job.queue}, {"team", job.team.text}}, id);
+               {{"queue", job.queue}, {"team", job.team.text}, {"shape", jobs::ShapeText(job)}},
+               id);
       co_return this->context.links.callers->Accepted();
     case WriteVerdict::kNotStored:
       this->Count("submit", 503);
--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -1,5 +1,7 @@
 #include "job_entry/election.h"
 
+#include <algorithm>
+
 #include "job_entry/owner_directory.h"
 
 namespace chervilspar::job_entry {
@@ -18,9 +20,10 @@
 
 }  // namespace
 
-Election::Election(const Context& context, OperatorView& operators)
+Election::Election(const Context& context, OperatorView& operators, OwnerDirectory& directory)
     : context(context),
       operators(operators),
+      directory(directory),
       // Another life of this process is another member: what the former one held is not its own.
       member(context.settings.id.text + "/" +
              std::to_string(context.clock.WallNow().time_since_epoch().count())) {}
@@ -52,15 +55,32 @@
     co_return;
   }
   this->generation = joined->generation;
-  if (joined->is_chosen && this->Term() == nullptr) {
+  this->directory.FollowClosely(this->Term() != nullptr);
+  if (!joined->is_chosen || this->Term() != nullptr) {
+    co_return;
+  }
+  const bool has_owner = co_await this->HasLivingOwner();
+  if (!has_owner && !this->is_resigned) {
     co_await this->BeginTerm();
-  } else if (!joined->is_chosen && this->Term() != nullptr) {
-    this->term->Stop("the store has chosen another entry");
   }
 }
 
+asio::awaitable<bool> Election::HasLivingOwner() {
+  const std::optional<OwnerClaim> owner = this->directory.Owner();
+  if (!owner || owner->member == this->member) {
+    co_return false;
+  }
+  const Result<std::vector<std::string>> members =
+      co_await this->context.links.store->Members(kCallTimeout);
+  if (!members) {
+    co_return true;  // not known; asked again with the next join
+  }
+  co_return std::find(members->begin(), members->end(), owner->member) != members->end();
+}
+
 asio::awaitable<void> Election::BeginTerm() {
-  const OwnerClaim claim{this->context.settings.id.text, this->context.settings.peers};
+  const OwnerClaim claim{this->context.settings.id.text, this->member,
+                         this->context.settings.peers};
   std::vector<KeyedRecord> records;
   records.push_back({kOwnerKey, EncodeClaim(claim)});
   const AppendOutcome outcome = co_await this->context.links.store->Append(
@@ -69,7 +89,16 @@
     co_return;  // claimed again with the next join, if still chosen
   }
   // Offsets begin at 0, tokens at 1: a missing token counts as 0 at the endpoints.
-  this->term = std::make_shared<OwnerTerm>(this->context, this->operators, outcome.offset + 1);
+  const std::uint64_t token = outcome.offset + 1;
+  ProgressWriter writer(this->context, token);
+  const FencedWrite announced = co_await writer.Announce(this->is_resigned);
+  if (announced != FencedWrite::kStored || this->is_resigned) {
+    co_return;
+  }
+  this->directory.FollowClosely(true);
+  // From here on a predecessor that hears from the store knows that its time is over.
+  this->term =
+      std::make_shared<OwnerTerm>(this->context, this->operators, this->directory, writer, token);
   this->term->Start();
 }
 
--- a/src/job_entry/owner_directory.cc
+++ b/src/job_entry/owner_directory.cc
@@ -10,12 +10,14 @@
 
 /// Claims are rare, and a read that waits is answered at once when there is one.
 constexpr Duration kWait = std::chrono::seconds(5);
+/// The owner renews leases for a few seconds after its last proof; this keeps the proof young.
+constexpr Duration kCloseWait = std::chrono::milliseconds(800);
 
 }  // namespace
 
 std::string EncodeClaim(const OwnerClaim& claim) {
-  return json::serialize(
-      json::object{{"entry", claim.entry}, {"address", ToString(claim.address)}});
+  return json::serialize(json::object{
+      {"entry", claim.entry}, {"member", claim.member}, {"address", ToString(claim.address)}});
 }
 
 Result<OwnerClaim> DecodeClaim(const std::string& text) {
@@ -26,21 +28,28 @@
     return unreadable;
   }
   const json::value* entry = value.as_object().if_contains("entry");
+  const json::value* member = value.as_object().if_contains("member");
   const json::value* address = value.as_object().if_contains("address");
-  if (entry == nullptr || !entry->is_string() || address == nullptr || !address->is_string()) {
-    return unreadable;
+  for (const json::value* text : {entry, member, address}) {
+    if (text == nullptr || !text->is_string()) {
+      return unreadable;
+    }
   }
   const Result<SocketAddress> parsed = ParseSocketAddress(std::string_view(address->as_string()));
   if (!parsed) {
     return parsed.LastReason();
   }
-  return OwnerClaim{std::string(entry->as_string()), *parsed};
+  return OwnerClaim{std::string(entry->as_string()), std::string(member->as_string()), *parsed};
 }
 
 OwnerDirectory::OwnerDirectory(const Context& context)
     : tail(std::make_shared<RecordTail>(
           context, RecordTail::Options{.topic = Topic::kOwners, .wait = kWait}, *this)) {}
 
+void OwnerDirectory::FollowClosely(bool is_close) {
+  this->tail->SetWait(is_close ? kCloseWait : kWait);
+}
+
 void OwnerDirectory::OnRecords(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     if (!record.value) {
--- a/src/job_entry/owner_directory.h
+++ b/src/job_entry/owner_directory.h
@@ -10,6 +10,8 @@
 /// An entry's claim to schedule, as it stands in the store.
 struct OwnerClaim {
   std::string entry;
+  /// Its name in the group; new with each start of the process.
+  std::string member;
   /// Where the owner answers other entries.
   SocketAddress address;
 
@@ -30,6 +32,10 @@
   void Start() { this->tail->Start(); }
   void OnRecords(const std::vector<KeyedRecord>& records) override;
   const std::optional<OwnerClaim>& Owner() const { return this->owner; }
+  /// Until this time, nobody had claimed after `Owner`.
+  std::optional<TimePoint> Proof() const { return this->tail->Proof(); }
+  /// An owner has to hear soon of another's claim; others only ask for its address.
+  void FollowClosely(bool is_close);
 
  private:
   std::optional<OwnerClaim> owner;
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -19,6 +19,8 @@
 constexpr Duration kAdviceTimeout = std::chrono::milliseconds(1500);
 /// A drained endpoint must get nothing new 2 s after it said so.
 constexpr Duration kRegistryPace = std::chrono::milliseconds(600);
+/// While a moved VM is about to register: each tenth of a second counts for those that wait for it.
+constexpr Duration kExpectingPace = std::chrono::milliseconds(150);
 /// Answers "no such job" only with proof younger than this: callers are promised that a job is
 /// visible 3 s after it was accepted.
 constexpr Duration kVisibleLimit = std::chrono::milliseconds(2500);
@@ -27,9 +29,11 @@
 
 }  // namespace
 
-OwnerTerm::OwnerTerm(const Context& context, OperatorView& operators, std::uint64_t token)
+OwnerTerm::OwnerTerm(const Context& context, OperatorView& operators, OwnerDirectory& directory,
+                     const ProgressWriter& writer, std::uint64_t token)
     : context(context),
       operators(operators),
+      directory(directory),
       token(token),
       began(context.Now()),
       scheduler(
@@ -39,11 +43,11 @@
             return options;
           }(),
           token, this->began),
-      writer(context, token),
+      writer(writer),
       job_log(context, this->scheduler, [this] { this->Kick(); }),
       registry(context),
       sender(context, this->scheduler, [this] { this->Kick(); }),
-      upkeep(context, operators, this->scheduler, token),
+      vms(context, operators, this->scheduler, token),
       decide(std::make_shared<http::Wakeup>(context.io.get_executor())),
       store(std::make_shared<http::Wakeup>(context.io.get_executor())),
       advise(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
@@ -58,7 +62,7 @@
   LogEvent(telemetry::LogLevel::kInfo, "term_ended", why, {{"token", std::to_string(this->token)}});
   this->job_log.Stop();
   this->sender.Stop();
-  this->upkeep.Stop();
+  this->vms.Stop();
   this->decide->Notify();
   this->store->Notify();
   this->advise->Notify();
@@ -67,10 +71,6 @@
 void OwnerTerm::Kick() { this->decide->Notify(); }
 
 asio::awaitable<void> OwnerTerm::Run(std::shared_ptr<OwnerTerm> self) {
-  const FencedWrite announced = co_await this->writer.Announce(this->is_stopped);
-  if (announced == FencedWrite::kSuperseded) {
-    this->Stop("another owner has a higher token");
-  }
   while (!this->is_stopped && !this->is_loaded) {
     this->is_loaded = co_await this->Load();
     if (!this->is_loaded) {
@@ -91,17 +91,16 @@
   Spawn(this->context, this->AdviceLoop(self));
   this->sender.Attend(this->scheduler.EndpointIds());
   Spawn(this->context, [](std::shared_ptr<OwnerTerm> term) -> asio::awaitable<void> {
-    co_await term->upkeep.Run(term->began);
+    co_await term->vms.Run(term->began);
   }(self));
   while (!this->is_stopped) {
-    co_await Pause(this->context, kRegistryPace);
+    co_await Pause(this->context, this->vms.IsExpecting() ? kExpectingPace : kRegistryPace);
     const bool is_read = co_await this->registry.Refresh();
     if (is_read && !this->is_stopped) {
       this->scheduler.SetEndpoints(this->registry.Endpoints(), this->context.Now());
       this->sender.Attend(this->scheduler.EndpointIds());
       this->Kick();
     }
-    this->WatchProof();
   }
 }
 
@@ -152,20 +151,28 @@
 }
 
 /// What can go wrong: this entry is cut off from the store but not from the endpoints, goes on
-/// renewing leases, and its successor can't tell how long. So renewals end a fixed time after the
-/// last answer, which the successor waits out where it can't reach an endpoint itself.
+/// renewing leases, and its successor can't tell how long. So renewals pause a fixed time after the
+/// last proof that there is no successor, which the successor waits out where it can't reach an
+/// endpoint itself.
 void OwnerTerm::WatchProof() {
   const jobs::SchedulerOptions options;
   const TimePoint last =
-      std::max(this->writer.LastAnswer(), this->operators.Proof().value_or(this->began));
-  if (this->context.Now() - last > options.predecessor_grace) {
-    this->Stop("the store has not answered for too long");
+      std::max(this->writer.LastProof(), this->directory.Proof().value_or(this->began));
+  const bool may_renew = this->context.Now() - last < options.predecessor_grace;
+  if (may_renew != this->scheduler.MayRenew()) {
+    this->scheduler.SetMayRenew(may_renew);
+    LogEvent(may_renew ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
+             may_renew ? "renewals_resumed" : "renewals_paused",
+             may_renew ? "the store shows no other owner"
+                       : "the store has not shown for too long that there is no other owner",
+             {{"age_ms", MillisecondsText(this->context.Now() - last)}});
   }
 }
 
 asio::awaitable<void> OwnerTerm::DecideLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
   while (!this->is_stopped) {
     this->FollowPolicy();
+    this->WatchProof();
     this->sender.Send(this->scheduler.Decide(this->context.Now(), this->context.clock.WallNow()));
     if (this->scheduler.HasBatch()) {
       this->store->Notify();
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -14,9 +14,10 @@
 #include "job_entry/job_log.h"
 #include "job_entry/operator_view.h"
 #include "job_entry/order_sender.h"
+#include "job_entry/owner_directory.h"
 #include "job_entry/progress_writer.h"
 #include "job_entry/registry_poll.h"
-#include "job_entry/upkeep_driver.h"
+#include "job_entry/vm_driver.h"
 
 namespace chervilspar::job_entry {
 
@@ -26,7 +27,9 @@
 /// it decides. Ends as soon as anything shows a higher token.
 class OwnerTerm : public std::enable_shared_from_this<OwnerTerm> {
  public:
-  OwnerTerm(const Context& context, OperatorView& operators, std::uint64_t token);
+  /// `writer` has announced the token.
+  OwnerTerm(const Context& context, OperatorView& operators, OwnerDirectory& directory,
+            const ProgressWriter& writer, std::uint64_t token);
 
   void Start();
   void Stop(const std::string& why);
@@ -57,6 +60,7 @@
 
   const Context context;
   OperatorView& operators;
+  OwnerDirectory& directory;
   const std::uint64_t token;
   const TimePoint began;
   bool is_stopped = false;
@@ -67,7 +71,7 @@
   JobLog job_log;
   RegistryPoll registry;
   OrderSender sender;
-  UpkeepDriver upkeep;
+  VmDriver vms;
   std::shared_ptr<http::Wakeup> decide;
   std::shared_ptr<http::Wakeup> store;
   std::shared_ptr<http::Wakeup> advise;
--- a/src/job_entry/progress_writer.cc
+++ b/src/job_entry/progress_writer.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 ProgressWriter::ProgressWriter(const Context& context, std::uint64_t token)
-    : context(context), token(token), last_answer(context.Now()) {}
+    : context(context), token(token), last_proof(context.Now()) {}
 
 asio::awaitable<FencedWrite> ProgressWriter::Announce(const bool& is_stopped) {
   co_return co_await this->Write({}, is_stopped);
@@ -26,14 +26,13 @@
                                                    const bool& is_stopped) {
   Duration pause = kFirstPause;
   while (!is_stopped) {
+    const TimePoint sent = this->context.Now();
     const Writer writer{kWriterName, this->token, this->sequence};
     const AppendOutcome outcome = co_await this->context.links.store->Append(
         Topic::kProgress, 0, records, writer, kAppendTimeout);
-    if (outcome.kind != AppendOutcome::Kind::kUnknown) {
-      this->last_answer = this->context.Now();
-    }
     switch (outcome.kind) {
       case AppendOutcome::Kind::kStored:
+        this->last_proof = sent;
         this->sequence += records.empty() ? 0 : 1;
         co_return FencedWrite::kStored;
       case AppendOutcome::Kind::kFenced:
--- a/src/job_entry/progress_writer.h
+++ b/src/job_entry/progress_writer.h
@@ -31,14 +31,14 @@
   /// Tries until it is stored, or until `is_stopped` becomes true.
   boost::asio::awaitable<FencedWrite> Write(std::vector<KeyedRecord> records,
                                             const bool& is_stopped);
-  /// When the store last answered.
-  TimePoint LastAnswer() const { return this->last_answer; }
+  /// At this time nobody had announced a higher token.
+  TimePoint LastProof() const { return this->last_proof; }
 
  private:
-  const Context context;
-  const std::uint64_t token;
+  Context context;
+  std::uint64_t token;
   std::uint64_t sequence = 0;
-  TimePoint last_answer;
+  TimePoint last_proof;
 };
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/record_tail.cc
+++ b/src/job_entry/record_tail.cc
@@ -17,7 +17,11 @@
 }  // namespace
 
 RecordTail::RecordTail(const Context& context, Options options, RecordListener& listener)
-    : context(context), options(options), listener(listener), next(options.from) {}
+    : context(context),
+      options(options),
+      listener(listener),
+      wait(options.wait),
+      next(options.from) {}
 
 void RecordTail::Start() { Spawn(this->context, this->Run(this->shared_from_this())); }
 
@@ -60,9 +64,9 @@
 
 asio::awaitable<bool> RecordTail::ReadOn() {
   const TimePoint sent = this->context.Now();
-  const Result<ReadOutcome> read = co_await this->context.links.store->Read(
-      this->options.topic, this->options.partition, *this->next, this->options.wait,
-      this->options.wait + kReadMargin);
+  const Result<ReadOutcome> read =
+      co_await this->context.links.store->Read(this->options.topic, this->options.partition,
+                                               *this->next, this->wait, this->wait + kReadMargin);
   if (this->is_stopped) {
     co_return false;
   }
--- a/src/job_entry/record_tail.h
+++ b/src/job_entry/record_tail.h
@@ -36,6 +36,8 @@
   RecordTail(const Context& context, Options options, RecordListener& listener);
 
   void Start();
+  /// How long the next reads wait at the store for news.
+  void SetWait(Duration wait) { this->wait = wait; }
   /// The listener is not called any more.
   void Stop();
   /// The records that existed at this time have been told; nothing before the first answer.
@@ -52,6 +54,7 @@
   const Context context;
   const Options options;
   RecordListener& listener;
+  Duration wait;
   bool is_stopped = false;
   bool is_lost = false;
   std::optional<std::uint64_t> next;
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -73,7 +73,7 @@
         operators(context),
         directory(context),
         writer(std::make_shared<JobWriter>(context)),
-        election(std::make_shared<Election>(context, this->operators)),
+        election(std::make_shared<Election>(context, this->operators, this->directory)),
         questions(context, *this->election, this->directory, client),
         callers(context, this->operators, *this->writer, this->questions),
         peers(*this->election),
--- /dev/null
+++ b/src/job_entry/vm_driver.cc
@@ -0,0 +1,263 @@
+#include "job_entry/vm_driver.h"
+
+#include <algorithm>
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+using jobs::VmOrderOutcome;
+
+namespace {
+
+/// Between two looks at the list of VMs. A queue's demand doubles within a second, and a move takes
+/// 1.5 s.
+constexpr Duration kPace = std::chrono::milliseconds(250);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
+constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
+/// A move whose answer was lost and that isn't seen after this has not happened.
+constexpr Duration kMoveLost = std::chrono::seconds(6);
+
+}  // namespace
+
+VmDriver::VmDriver(const Context& context, OperatorView& operators, jobs::Scheduler& scheduler,
+                   std::uint64_t token)
+    : context(context), operators(operators), scheduler(scheduler), token(token) {}
+
+asio::awaitable<void> VmDriver::Run(TimePoint began) {
+  while (!this->is_stopped && this->context.links.vms != nullptr) {
+    co_await this->Round(began);
+    co_await Pause(this->context, kPace);
+  }
+}
+
+asio::awaitable<void> VmDriver::Round(TimePoint began) {
+  Result<std::vector<jobs::VmRecord>> listed = co_await this->context.links.vms->List(kCallTimeout);
+  if (this->is_stopped || !listed) {
+    co_return;
+  }
+  this->vms = *std::move(listed);
+  this->NoteReturns();
+  // The predecessor may just have given an order for the same VM.
+  const bool may_order = this->context.Now() - began > this->context.settings.vm_order_pause;
+  const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
+  for (const auto& [number, wave] : known) {
+    if (!this->is_stopped && !this->waves[number].progress.is_complete) {
+      co_await this->DriveWave(wave, may_order);
+    }
+  }
+  if (!this->is_stopped) {
+    co_await this->Resize(may_order);
+  }
+}
+
+void VmDriver::NoteReturns() {
+  for (const jobs::VmRecord& vm : this->vms) {
+    if (vm.phase != jobs::VmPhase::kUp) {
+      continue;
+    }
+    if (this->down.erase(vm.id) > 0) {
+      this->evacuating.erase(vm.id);
+      this->scheduler.EndEvacuation(vm.endpoint);
+    }
+    const auto move = this->moving.find(vm.id);
+    if (move == this->moving.end()) {
+      continue;
+    }
+    const bool is_lost = this->context.Now() - move->second.since > kMoveLost;
+    if (vm.pool == move->second.pool || is_lost) {
+      this->moving.erase(move);
+      this->released.erase(vm.id);
+      this->scheduler.EndEvacuation(vm.endpoint);
+    }
+  }
+}
+
+void VmDriver::Evacuate(const jobs::VmRecord& vm, const char* why) {
+  this->scheduler.BeginEvacuation(vm.endpoint);
+  LogEvent(telemetry::LogLevel::kInfo, "vm_evacuating", why,
+           {{"vm", vm.id.text}, {"endpoint", vm.endpoint}});
+}
+
+asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order) {
+  WaveState& state = this->waves[wave.number];
+  jobs::UpkeepPlanner::Absent absent{this->down, {}};
+  for (const auto& [vm, away] : this->moving) {
+    absent.moving.insert(vm);
+  }
+  const jobs::UpkeepStep step = jobs::UpkeepPlanner::Plan(wave, state.progress, this->vms, absent,
+                                                          this->evacuating, this->Loads());
+  state.progress.is_complete = step.is_complete;
+  if (!state.is_announced || step.is_complete) {
+    co_await this->Tell(wave, state);
+  }
+  for (const jobs::VmRecord& vm : this->vms) {
+    const bool is_chosen =
+        !vm.endpoint.empty() &&
+        std::find(step.evacuate.begin(), step.evacuate.end(), vm.endpoint) != step.evacuate.end();
+    if (is_chosen && this->evacuating.insert(vm.id).second) {
+      this->released.erase(vm.id);
+      this->Evacuate(vm, "is emptied before its reboot");
+    }
+  }
+  for (const VmId& vm : step.reboot) {
+    if (may_order && !this->is_stopped) {
+      co_await this->Reboot(wave, state, vm);
+    }
+  }
+}
+
+asio::awaitable<void> VmDriver::Reboot(const jobs::Wave& wave, WaveState& state, VmId vm) {
+  const jobs::RebootOrder order{vm, wave.number, this->context.settings.id.text, this->token};
+  // Counted as down before the order leaves: one without answer may have been carried out.
+  this->down.insert(vm);
+  const VmOrderOutcome outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
+  LogEvent(telemetry::LogLevel::kInfo, "vm_reboot_ordered", "a wave asks for it",
+           {{"vm", vm.text}, {"outcome", jobs::ToString(outcome)}});
+  switch (outcome) {
+    case VmOrderOutcome::kDone:
+      state.progress.rebooted.insert(vm);
+      break;
+    case VmOrderOutcome::kNoAnswer:
+      break;  // asked again once the VM is seen up; the answer then tells
+    case VmOrderOutcome::kNotAllowed:
+      state.progress.rebooted.insert(vm);
+      this->down.erase(vm);
+      break;
+    case VmOrderOutcome::kTokenTooLow:
+      this->is_stopped = true;
+      break;
+    case VmOrderOutcome::kBusy:
+    case VmOrderOutcome::kTooMany:
+      this->down.erase(vm);
+      break;
+  }
+}
+
+std::map<std::string, jobs::EndpointLoad> VmDriver::Loads() const {
+  std::map<std::string, jobs::EndpointLoad> loads;
+  for (const jobs::VmRecord& vm : this->vms) {
+    const jobs::EvacuationState evacuation = this->scheduler.EvacuationOf(vm.endpoint);
+    if (evacuation == jobs::EvacuationState::kUnknownEndpoint) {
+      continue;
+    }
+    const auto all = static_cast<double>(this->scheduler.CapacityOf(vm.pool).cpu);
+    const auto used = static_cast<double>(this->scheduler.UsedIn(vm.pool).cpu);
+    loads[vm.endpoint] = {evacuation == jobs::EvacuationState::kEmpty, all > 0 ? used / all : 0};
+  }
+  return loads;
+}
+
+asio::awaitable<void> VmDriver::Tell(const jobs::Wave& wave, WaveState& state) {
+  std::vector<KeyedRecord> records;
+  records.push_back(this->context.links.records->WriteWaveStatus(wave, state.progress.is_complete));
+  const AppendOutcome outcome = co_await this->context.links.store->Append(
+      Topic::kStatus, 0, std::move(records), std::nullopt, kStatusTimeout);
+  const bool is_told = outcome.kind == AppendOutcome::Kind::kStored;
+  state.is_announced = state.is_announced || is_told;
+  if (!is_told) {
+    state.progress.is_complete = false;  // told again with the next round
+    co_return;
+  }
+  LogEvent(telemetry::LogLevel::kInfo, "wave_told",
+           state.progress.is_complete ? "all VMs are done" : "is under way",
+           {{"wave", std::to_string(wave.number)}});
+}
+
+std::vector<jobs::SizerVm> VmDriver::SizerVms() const {
+  std::vector<jobs::SizerVm> out;
+  for (const jobs::VmRecord& vm : this->vms) {
+    const std::optional<jobs::EndpointUse> use = this->scheduler.UseOf(vm.endpoint);
+    jobs::SizerVm sized;
+    sized.id = vm.id;
+    sized.pool = vm.pool;
+    sized.cpu = static_cast<double>(vm.capacity.cpu);
+    const auto move = this->moving.find(vm.id);
+    const bool is_kept = this->evacuating.contains(vm.id) || this->down.contains(vm.id);
+    if (move != this->moving.end()) {
+      sized.pool = move->second.pool;
+      sized.is_serving = true;
+    } else if (use) {
+      sized.used = static_cast<double>(use->used.cpu);
+      sized.is_empty = use->is_empty;
+      sized.has_long_running = use->has_long_running;
+      sized.is_serving = use->is_serving && !is_kept;
+    }
+    sized.is_taken = is_kept || move != this->moving.end() || vm.phase != jobs::VmPhase::kUp;
+    out.push_back(std::move(sized));
+  }
+  return out;
+}
+
+void VmDriver::SetReleased(const std::set<VmId>& wanted) {
+  for (const jobs::VmRecord& vm : this->vms) {
+    const bool is_wanted = wanted.contains(vm.id);
+    if (is_wanted && this->released.insert(vm.id).second) {
+      this->scheduler.BeginEvacuation(vm.endpoint);
+    } else if (!is_wanted && !this->moving.contains(vm.id) && this->released.erase(vm.id) > 0) {
+      this->scheduler.EndEvacuation(vm.endpoint);
+    }
+  }
+}
+
+asio::awaitable<void> VmDriver::Resize(bool may_order) {
+  const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
+  const ServiceId standby = policy->standby.empty() ? ServiceId{} : *policy->standby.begin();
+  const jobs::SizerStep step =
+      this->sizer.Plan(this->context.Now(), this->scheduler.PoolLoads(), this->SizerVms(), standby);
+  if (!may_order) {
+    co_return;
+  }
+  this->LogSizes(standby);
+  this->SetReleased(step.release);
+  for (const jobs::SizerStep::Move& move : step.moves) {
+    if (!this->is_stopped && !this->refused.contains({move.vm, move.to})) {
+      co_await this->Move(move.vm, move.to);
+    }
+  }
+}
+
+void VmDriver::LogSizes(const ServiceId& standby) {
+  std::map<ServiceId, int> sizes;
+  for (const jobs::SizerVm& vm : this->SizerVms()) {
+    if (vm.pool != standby) {
+      sizes[vm.pool] += vm.is_serving ? 1 : 0;
+    }
+  }
+  std::string text;
+  for (const auto& [pool, count] : sizes) {
+    text += text.empty() ? "" : " ";
+    text +=
+        pool.text + "=" + std::to_string(count) + "/" + std::to_string(this->sizer.Wanted(pool));
+  }
+  if (text != this->last_sizes) {
+    this->last_sizes = text;
+    LogEvent(telemetry::LogLevel::kInfo, "pool_sizes", "VMs that serve, and VMs wanted",
+             {{"pools", text}});
+  }
+}
+
+asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool) {
+  const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
+  this->moving[vm] = {pool, this->context.Now()};
+  const VmOrderOutcome outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
+  LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered", "as the queues' demand asks",
+           {{"vm", vm.text}, {"pool", pool.text}, {"outcome", jobs::ToString(outcome)}});
+  switch (outcome) {
+    case VmOrderOutcome::kDone:
+    case VmOrderOutcome::kNoAnswer:
+      break;
+    case VmOrderOutcome::kNotAllowed:
+      this->refused.insert({vm, pool});
+      this->moving.erase(vm);
+      break;
+    case VmOrderOutcome::kTokenTooLow:
+      this->is_stopped = true;
+      break;
+    case VmOrderOutcome::kBusy:
+    case VmOrderOutcome::kTooMany:
+      this->moving.erase(vm);
+      break;
+  }
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/vm_driver.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chervilspar/jobs/pool_sizer.h"
+#include "chervilspar/jobs/scheduler.h"
+#include "chervilspar/jobs/upkeep.h"
+
+#include "job_entry/context.h"
+#include "job_entry/operator_view.h"
+
+namespace chervilspar::job_entry {
+
+/// Gives all orders for VMs: brings the operators' waves to their end, and moves VMs between pools
+/// as their queues need them.
+class VmDriver {
+ public:
+  VmDriver(const Context& context, OperatorView& operators, jobs::Scheduler& scheduler,
+           std::uint64_t token);
+
+  /// Runs until stopped; `began` is when this entry took over.
+  boost::asio::awaitable<void> Run(TimePoint began);
+  void Stop() { this->is_stopped = true; }
+  /// A VM is on its way to a pool and will register soon.
+  bool IsExpecting() const { return !this->moving.empty(); }
+
+ private:
+  struct WaveState {
+    jobs::WaveProgress progress;
+    bool is_announced = false;
+  };
+  /// A VM that was ordered to go down or elsewhere.
+  struct Away {
+    ServiceId pool;
+    TimePoint since{};
+  };
+
+  boost::asio::awaitable<void> Round(TimePoint began);
+  boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order);
+  boost::asio::awaitable<void> Reboot(const jobs::Wave& wave, WaveState& state, VmId vm);
+  boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state);
+  boost::asio::awaitable<void> Resize(bool may_order);
+  boost::asio::awaitable<void> Move(VmId vm, ServiceId pool);
+  void NoteReturns();
+  void Evacuate(const jobs::VmRecord& vm, const char* why);
+  void LogSizes(const ServiceId& standby);
+  void SetReleased(const std::set<VmId>& wanted);
+  std::vector<jobs::SizerVm> SizerVms() const;
+  std::map<std::string, jobs::EndpointLoad> Loads() const;
+
+  const Context context;
+  OperatorView& operators;
+  jobs::Scheduler& scheduler;
+  const std::uint64_t token;
+  bool is_stopped = false;
+  std::vector<jobs::VmRecord> vms;
+  std::map<std::uint64_t, WaveState> waves;
+  /// Emptied for a wave.
+  std::set<VmId> evacuating;
+  /// Ordered to reboot and not seen up since.
+  std::set<VmId> down;
+  /// Emptied so that they can be moved.
+  std::set<VmId> released;
+  /// Ordered to move and not seen up in the new pool since.
+  std::map<VmId, Away> moving;
+  /// Pools that don't take a VM.
+  std::set<std::pair<VmId, ServiceId>> refused;
+  jobs::PoolSizer sizer;
+  std::string last_sizes;
+};
+
+}  // namespace chervilspar::job_entry
--- a/src/jobs/evacuation.cc
+++ b/src/jobs/evacuation.cc
@@ -4,11 +4,29 @@
 
 namespace {
 
-bool IsAtWork(const Task& task) { return task.state == RunState::kActive && task.percent >= 100; }
+/// A sibling counts as at work only on fresh news from an endpoint that stays: one that has just
+/// fallen silent still looks busy here.
+constexpr Duration kFresh = std::chrono::milliseconds(1500);
+
+/// A predecessor's stop may be under way: its task still looks at work for as long as a stop takes,
+/// and a second one of the same step would be ended beside it.
+constexpr Duration kSettle = std::chrono::milliseconds(2000);
+
+bool IsAtWork(const Task& task, TimePoint now) {
+  if (task.state != RunState::kActive || task.percent < 100) {
+    return false;
+  }
+  const EndpointState& endpoint = *task.endpoint;
+  return endpoint.is_registered && !endpoint.is_silent && !endpoint.record.is_draining &&
+         now - endpoint.heard < kFresh;
+}
 
 }  // namespace
 
 void Evacuation::Run() {
+  if (this->now - this->state.began < kSettle) {
+    return;
+  }
   for (const auto& [id, endpoint] : this->state.endpoints) {
     const bool is_leaving = endpoint->is_evacuating || endpoint->record.is_draining;
     if (!is_leaving || endpoint->claims.empty()) {
@@ -31,12 +49,12 @@
 
 bool Evacuation::MayEnd(const TaskRef& ref) const {
   const bool leaves_anyway = ref.task->endpoint->record.is_draining;
-  if (leaves_anyway || !ref.spec->max_unavailable || !IsAtWork(*ref.task)) {
+  if (leaves_anyway || !ref.spec->max_unavailable || !IsAtWork(*ref.task, this->now)) {
     return true;
   }
   std::uint32_t away = 0;
   for (const Task& sibling : ref.step->tasks) {
-    away += IsAtWork(sibling) ? 0 : 1;
+    away += IsAtWork(sibling, this->now) ? 0 : 1;
   }
   return away < *ref.spec->max_unavailable;
 }
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -77,6 +77,27 @@
                      [](const Step& step) { return step.is_long_running; });
 }
 
+std::string ShapeText(const Job& job) {
+  std::string text;
+  for (const Step& step : job.steps) {
+    text += text.empty() ? "" : " ";
+    text += std::to_string(step.count) + "x" + std::to_string(step.need.cpu) + "m" +
+            std::to_string(step.need.memory_mb) + "MB" + std::to_string(step.estimate_ms) + "ms";
+    for (const std::uint32_t before : step.after) {
+      text += "<" + std::to_string(before);
+    }
+    text += step.is_long_running ? " long" : "";
+    text += step.is_filler ? " filler" : "";
+    text += step.is_gang ? " gang" : "";
+    text += step.saves_progress ? " saves" : "";
+    text += step.max_per_endpoint > 0 ? " apart" + std::to_string(step.max_per_endpoint) : "";
+    text += step.max_unavailable ? " away" + std::to_string(*step.max_unavailable) : "";
+    text += step.target_ms > 0 ? " target" + std::to_string(step.target_ms) : "";
+    text += step.image.empty() ? "" : " " + step.image;
+  }
+  return text;
+}
+
 Status CheckJob(const Job& job) {
   if (job.payload.size() > kMaxPayloadBytes) {
     return Fault("payload", "is longer than " + std::to_string(kMaxPayloadBytes) + " bytes");
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -11,6 +11,9 @@
 /// decide first, in this order.
 constexpr std::int64_t kFailedThereCost = 100'000'000;
 constexpr std::int64_t kFarRackCost = 10'000'000;
+/// For an endpoint that would get its first long-running task: those without any can be moved
+/// between pools as demand asks, since no move may end a task that serves users.
+constexpr std::int64_t kOpeningCost = 3'000'000;
 /// For each serving or filling task on the endpoint that the task would share it with.
 constexpr std::int64_t kSharingCost = 1'000'000;
 
@@ -57,6 +60,7 @@
     return 0;
   }
   std::int64_t shared = 0;
+  bool has_serving = false;
   for (const TaskKey& key : endpoint.claims) {
     const TaskRef other = this->state.Find(key);
     const bool is_sibling = key.job == ref.key.job;
@@ -65,11 +69,12 @@
       shared += other.spec->is_filler ? 1 : 0;
     } else if (IsServing(*ref.spec)) {
       shared += other.spec->is_filler ? 2 : 0;
-      shared += IsServing(*other.spec) ? 1 : 0;
       shared += is_sibling ? 4 : 0;
+      has_serving = has_serving || IsServing(*other.spec);
     }
   }
-  return shared * kSharingCost;
+  const bool opens_another = IsServing(*ref.spec) && !has_serving;
+  return shared * kSharingCost + (opens_another ? kOpeningCost : 0);
 }
 
 std::int64_t Placement::Cost(const TaskRef& ref, const EndpointState& endpoint) const {
--- /dev/null
+++ b/src/jobs/pool_sizer.cc
@@ -0,0 +1,137 @@
+#include "chervilspar/jobs/pool_sizer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+double Milliseconds(Duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
+/// VMs of a pool that take work or soon will.
+int Serving(const std::vector<SizerVm>& vms, const ServiceId& pool) {
+  return static_cast<int>(std::count_if(
+      vms.begin(), vms.end(), [&](const SizerVm& vm) { return vm.pool == pool && vm.is_serving; }));
+}
+
+/// What may be moved out of a pool, the emptiest first.
+std::vector<const SizerVm*> Releasable(const std::vector<SizerVm>& vms, const ServiceId& pool) {
+  std::vector<const SizerVm*> found;
+  for (const SizerVm& vm : vms) {
+    if (vm.pool == pool && vm.is_serving && !vm.has_long_running && !vm.is_taken) {
+      found.push_back(&vm);
+    }
+  }
+  std::stable_sort(found.begin(), found.end(), [](const SizerVm* one, const SizerVm* other) {
+    return std::pair(!one->is_empty, one->used) < std::pair(!other->is_empty, other->used);
+  });
+  return found;
+}
+
+}  // namespace
+
+int PoolSizer::Wanted(const ServiceId& pool) const {
+  const auto found = this->pools.find(pool);
+  return found == this->pools.end() ? 0 : found->second.wanted;
+}
+
+void PoolSizer::Measure(TimePoint now, const std::map<ServiceId, PoolLoad>& loads) {
+  for (const auto& [pool, load] : loads) {
+    History& history = this->pools[pool];
+    const double passed = Milliseconds(now - history.measured);
+    if (history.is_known && passed > 0) {
+      const double recent = (load.arrived - history.arrived) / passed;
+      const double share = 1.0 - std::exp(-passed / Milliseconds(this->options.averaging));
+      history.rate += share * (recent - history.rate);
+    }
+    history.is_known = true;
+    history.arrived = load.arrived;
+    history.measured = now;
+  }
+}
+
+void PoolSizer::Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+                     const std::vector<SizerVm>& vms) {
+  History& history = this->pools[pool];
+  double cpu = 0;
+  double cpu_of_one = 0;
+  for (const SizerVm& vm : vms) {
+    if (vm.pool == pool && vm.is_serving) {
+      cpu += vm.cpu * this->options.usable;
+    }
+    cpu_of_one = std::max(cpu_of_one, vm.cpu * this->options.usable);
+  }
+  if (cpu_of_one <= 0) {
+    return;
+  }
+  const double free = std::max(0.0, cpu - load.long_running);
+  const double ahead = Milliseconds(this->options.move_time);
+  // What will wait when a VM that is ordered now is there.
+  const double left = std::max(0.0, load.waiting + ahead * (history.rate - free));
+  const double needed =
+      load.long_running + history.rate + left / Milliseconds(this->options.drain_time);
+  const int wanted =
+      std::max(this->options.least_vms, static_cast<int>(std::ceil(needed / cpu_of_one)));
+  if (wanted >= history.wanted || now - history.wanted_at > this->options.keep) {
+    history.wanted = wanted;
+    history.wanted_at = now;
+  }
+}
+
+SizerStep PoolSizer::Plan(TimePoint now, const std::map<ServiceId, PoolLoad>& loads,
+                          const std::vector<SizerVm>& vms, const ServiceId& standby) {
+  this->Measure(now, loads);
+  std::map<ServiceId, int> missing;
+  std::vector<const SizerVm*> spare;
+  SizerStep step;
+  for (const auto& [pool, load] : loads) {
+    if (pool == standby) {
+      continue;
+    }
+    this->Want(now, pool, load, vms);
+    const int wanted = this->pools[pool].wanted;
+    const int serving = Serving(vms, pool);
+    if (serving < wanted) {
+      missing[pool] = wanted - serving;
+      continue;
+    }
+    std::vector<const SizerVm*> releasable = Releasable(vms, pool);
+    releasable.resize(std::min<std::size_t>(releasable.size(), serving - wanted));
+    for (const SizerVm* vm : releasable) {
+      step.release.insert(vm->id);
+      if (vm->is_empty) {
+        spare.push_back(vm);
+      }
+    }
+  }
+  std::vector<const SizerVm*> off;
+  for (const SizerVm& vm : vms) {
+    if (vm.pool == standby && !vm.is_taken && !standby.IsEmpty()) {
+      off.push_back(&vm);
+    }
+  }
+  // The pool that lacks most goes first; VMs that are switched on already go before those that
+  // are not.
+  while (!missing.empty() && (!spare.empty() || !off.empty())) {
+    const auto most = std::max_element(
+        missing.begin(), missing.end(),
+        [](const auto& one, const auto& other) { return one.second < other.second; });
+    std::vector<const SizerVm*>& source = spare.empty() ? off : spare;
+    step.moves.push_back({source.back()->id, most->first});
+    source.pop_back();
+    if (--most->second == 0) {
+      missing.erase(most);
+    }
+  }
+  if (!standby.IsEmpty()) {
+    for (const SizerVm* vm : spare) {
+      step.moves.push_back({vm->id, standby});
+    }
+  }
+  return step;
+}
+
+}  // namespace chervilspar::jobs
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -124,6 +124,13 @@
     this->impl->maybe_ended.push_back(job.id);
   }
   state.RefreshReady(entry);
+  for (const Step& step : job.steps) {
+    if (!step.is_long_running) {
+      state.pools[entry.service].arrived += static_cast<double>(step.count) *
+                                            static_cast<double>(step.need.cpu) *
+                                            static_cast<double>(step.estimate_ms);
+    }
+  }
 }
 
 void Scheduler::RestoreProgress(const JobId& id, const JobProgress& progress) {
@@ -516,7 +523,7 @@
                    (endpoint->is_registered && (!is_known || endpoint->is_silent)) ||
                    endpoint->confirmed_end < endpoint->seen_end;
   const bool is_heard = is_known && now - endpoint->heard < state.options.silence;
-  if (has_claims && is_known && (is_heard || !endpoint->is_silent)) {
+  if (state.may_renew && has_claims && is_known && (is_heard || !endpoint->is_silent)) {
     const Duration lease = state.options.lease;
     plan.order.lease_until_ms =
         endpoint->ClockAt(now) +
@@ -551,6 +558,53 @@
   return endpoint->claims.empty() ? EvacuationState::kEmpty : EvacuationState::kRunning;
 }
 
+std::optional<EndpointUse> Scheduler::UseOf(const std::string& id) const {
+  const EndpointState* endpoint = this->impl->state.FindEndpoint(id);
+  if (endpoint == nullptr) {
+    return std::nullopt;
+  }
+  EndpointUse use;
+  use.used = endpoint->used;
+  use.is_empty = endpoint->claims.empty() && endpoint->strays.empty();
+  use.is_serving = endpoint->is_registered && !endpoint->record.is_draining && !endpoint->is_silent;
+  for (const TaskKey& key : endpoint->claims) {
+    const TaskRef ref = this->impl->state.Find(key);
+    use.has_long_running = use.has_long_running || ref.spec->is_long_running;
+  }
+  return use;
+}
+
+std::map<ServiceId, PoolLoad> Scheduler::PoolLoads() const {
+  const SchedulerState& state = this->impl->state;
+  std::map<ServiceId, PoolLoad> loads;
+  for (const auto& [name, queue] : state.policy.queues) {
+    loads[queue.service];
+  }
+  for (const auto& [service, pool] : state.pools) {
+    loads[service].arrived = pool.arrived;
+  }
+  for (const auto& [id, job] : state.jobs) {
+    if (job->IsOver()) {
+      continue;
+    }
+    PoolLoad& load = loads[job->service];
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        const Step& spec = job->job.steps[i];
+        const auto cpu = static_cast<double>(RoomFor(spec).cpu);
+        for (const Task& task : occurrence.steps[i].tasks) {
+          if (spec.is_long_running) {
+            load.long_running += cpu;
+          } else if (task.IsWaiting()) {
+            load.waiting += cpu * static_cast<double>(spec.estimate_ms);
+          }
+        }
+      }
+    }
+  }
+  return loads;
+}
+
 Resources Scheduler::UsedIn(const ServiceId& service) const {
   Resources sum;
   const auto pool = this->impl->state.pools.find(service);
@@ -611,6 +665,10 @@
   return notes;
 }
 
+void Scheduler::SetMayRenew(bool may_renew) { this->impl->state.may_renew = may_renew; }
+
+bool Scheduler::MayRenew() const { return this->impl->state.may_renew; }
+
 bool Scheduler::IsSuperseded() const { return this->impl->state.is_superseded; }
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -159,6 +159,8 @@
 };
 
 struct PoolState {
+  /// Estimated work of the jobs that came, in thousandths of a core times milliseconds.
+  double arrived = 0;
   std::vector<EndpointState*> endpoints;
   std::set<ReadyKey> ready;
 };
@@ -227,6 +229,7 @@
   std::vector<Note> notes;
   std::uint64_t notes_dropped = 0;
   bool is_superseded = false;
+  bool may_renew = true;
 
  private:
   std::int64_t RemainingChain(const JobState& job, const Occurrence& occurrence) const;
--- a/src/jobs/upkeep.cc
+++ b/src/jobs/upkeep.cc
@@ -18,8 +18,26 @@
 
 }  // namespace
 
+const char* ToString(VmOrderOutcome outcome) {
+  switch (outcome) {
+    case VmOrderOutcome::kDone:
+      return "done";
+    case VmOrderOutcome::kTokenTooLow:
+      return "token_too_low";
+    case VmOrderOutcome::kBusy:
+      return "busy";
+    case VmOrderOutcome::kNotAllowed:
+      return "not_allowed";
+    case VmOrderOutcome::kTooMany:
+      return "too_many";
+    case VmOrderOutcome::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
 UpkeepStep UpkeepPlanner::Plan(const Wave& wave, const WaveProgress& progress,
-                               const std::vector<VmRecord>& vms, const std::set<VmId>& down,
+                               const std::vector<VmRecord>& vms, const Absent& absent,
                                const std::set<VmId>& evacuating,
                                const std::map<std::string, EndpointLoad>& loads) {
   UpkeepStep step;
@@ -29,25 +47,25 @@
   bool all_done = true;
   for (const VmRecord& vm : vms) {
     ++pool_size[vm.pool];
-    const bool is_away = down.contains(vm.id) || evacuating.contains(vm.id);
+    const bool is_away = absent.down.contains(vm.id) || evacuating.contains(vm.id);
     pool_away[vm.pool] += is_away ? 1 : 0;
     const bool is_named = std::find(wave.vms.begin(), wave.vms.end(), vm.id) != wave.vms.end();
     if (!is_named || progress.rebooted.contains(vm.id)) {
       continue;
     }
     all_done = false;
-    if (vm.phase != VmPhase::kUp || down.contains(vm.id)) {
+    if (vm.phase != VmPhase::kUp || absent.down.contains(vm.id) || absent.moving.contains(vm.id)) {
       continue;
     }
     const auto load = loads.find(vm.endpoint);
     candidates.push_back(
         {&vm, evacuating.contains(vm.id), load == loads.end() ? 0 : load->second.pool_load});
   }
-  step.is_complete = all_done && down.empty() && !vms.empty();
+  step.is_complete = all_done && !vms.empty();
   std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
     return std::pair(!a.is_evacuating, a.load) < std::pair(!b.is_evacuating, b.load);
   });
-  std::size_t away = down.size();
+  std::size_t away = absent.down.size();
   for (const Candidate& candidate : candidates) {
     const VmRecord& vm = *candidate.vm;
     if (away >= wave.most_down) {
