--- a/src/jobs/evacuation.cc
+++ b/src/jobs/evacuation.cc
@@ -49,7 +49,10 @@
 
 bool Evacuation::MayEnd(const TaskRef& ref) const {
   const bool leaves_anyway = ref.task->endpoint->record.is_draining;
-  if (leaves_anyway || !ref.spec->max_unavailable || !IsAtWork(*ref.task, this->now)) {
+  // Without fresh news the task itself is taken to be at work, and its siblings are not.
+  const bool is_starting =
+      ref.task->percent < 100 && this->now - ref.task->endpoint->heard < kFresh;
+  if (leaves_anyway || !ref.spec->max_unavailable || is_starting) {
     return true;
   }
   std::uint32_t away = 0;
