Jobs: Test the scheduler's races, rules, pool sizes and waves without network

Cause: the races that a first version would lose had no test. Found on the way: the record of a job whose rows were all done but whose phase was still running was never written again.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -181,6 +181,9 @@
   for (auto& [number, occurrence] : job->occurrences) {
     state.Advance(*job, number);
   }
+  if (job->Phase() != job->stored_phase) {
+    state.MarkDirty(*job);
+  }
   state.RefreshReady(*job);
 }
 
--- /dev/null
+++ b/tests/jobs/job_test.cc
@@ -0,0 +1,171 @@
+#include "chervilspar/jobs/job.h"
+
+#include <functional>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "chervilspar/jobs/progress.h"
+
+namespace chervilspar::jobs {
+namespace {
+
+struct IdCase {
+  const char* text;
+  bool is_valid;
+};
+
+class JobIds : public ::testing::TestWithParam<IdCase> {};
+
+TEST_P(JobIds, AreSixteenHexDigits) {
+  const std::optional<JobId> id = ParseJobId(GetParam().text);
+  EXPECT_EQ(id.has_value(), GetParam().is_valid) << GetParam().text;
+  if (id) {
+    EXPECT_EQ(ToString(*id), GetParam().text);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Forms, JobIds,
+    ::testing::Values(IdCase{"5c0e7a21d94b36f8", true}, IdCase{"0000000000000000", true},
+                      IdCase{"", false}, IdCase{"5c0e7a21d94b36f", false},
+                      IdCase{"5c0e7a21d94b36f80", false}, IdCase{"5c0e7a21d94b36fg", false},
+                      IdCase{"-c0e7a21d94b36f8", false}, IdCase{"5c0e7a21 94b36f8", false}));
+
+Job ValidJob() {
+  Job job;
+  job.id = JobId{7};
+  Step step;
+  step.need = {500, 256, 0};
+  job.steps = {step};
+  return job;
+}
+
+struct FaultCase {
+  const char* name;
+  std::function<void(Job&)> change;
+  /// The field that the reason names; null when the job is sound.
+  const char* field;
+};
+
+class JobFaults : public ::testing::TestWithParam<FaultCase> {};
+
+TEST_P(JobFaults, NameTheField) {
+  Job job = ValidJob();
+  GetParam().change(job);
+  const Status status = CheckJob(job);
+  if (GetParam().field == nullptr) {
+    EXPECT_TRUE(status);
+  } else {
+    ASSERT_FALSE(status);
+    EXPECT_EQ(status.LastReason().field, GetParam().field);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Shapes, JobFaults,
+    ::testing::Values(
+        FaultCase{"sound", [](Job&) {}, nullptr},
+        FaultCase{"no_steps", [](Job& job) { job.steps.clear(); }, "steps"},
+        FaultCase{"zero_count", [](Job& job) { job.steps[0].count = 0; }, "steps/0/count"},
+        FaultCase{"too_many_tasks", [](Job& job) { job.steps[0].count = kMaxTasks + 1; }, "steps"},
+        FaultCase{"huge_counts",
+                  [](Job& job) {
+                    job.steps[0].count = 0x7fffffff;
+                    job.steps.push_back(job.steps[0]);
+                    job.steps.push_back(job.steps[0]);
+                  },
+                  "steps"},
+        FaultCase{"long_payload", [](Job& job) { job.payload.assign(4001, 'x'); }, "payload"},
+        FaultCase{"largest_payload", [](Job& job) { job.payload.assign(4000, 'x'); }, nullptr},
+        FaultCase{"after_itself", [](Job& job) { job.steps[0].after = {0}; }, "steps/0/after"},
+        FaultCase{"after_a_later_one",
+                  [](Job& job) {
+                    job.steps.push_back(job.steps[0]);
+                    job.steps[0].after = {1};
+                  },
+                  "steps/0/after"},
+        FaultCase{"negative_cpu", [](Job& job) { job.steps[0].need.cpu = -1; }, "steps/0"},
+        FaultCase{"negative_estimate", [](Job& job) { job.steps[0].estimate_ms = -1; },
+                  "steps/0/estimate"}),
+    [](const auto& info) { return info.param.name; });
+
+rc::Gen<Step> AnyStep() {
+  return rc::gen::exec([] {
+    Step step;
+    step.count = *rc::gen::inRange<std::uint32_t>(1, 20);
+    step.need = {*rc::gen::inRange(0, 90000), *rc::gen::inRange(0, 90000), *rc::gen::inRange(0, 9)};
+    step.estimate_ms = *rc::gen::inRange(0, 90000);
+    step.saves_progress = *rc::gen::arbitrary<bool>();
+    step.is_gang = *rc::gen::arbitrary<bool>();
+    step.wants_one_rack = *rc::gen::arbitrary<bool>();
+    step.may_run_twice = *rc::gen::arbitrary<bool>();
+    step.is_long_running = *rc::gen::arbitrary<bool>();
+    step.is_filler = *rc::gen::arbitrary<bool>();
+    step.max_per_endpoint = *rc::gen::inRange<std::uint32_t>(0, 5);
+    step.target_ms = *rc::gen::inRange(0, 900);
+    step.required_label = *rc::gen::element<std::string>("", "a", "r1-2");
+    step.data_rack = *rc::gen::element<std::string>("", "r1-2");
+    step.image = *rc::gen::element<std::string>("", "img\"7");
+    if (*rc::gen::arbitrary<bool>()) {
+      step.max_unavailable = *rc::gen::inRange<std::uint32_t>(0, 4);
+    }
+    return step;
+  });
+}
+
+RC_GTEST_PROP(JobCodec, ReadsBackWhatItWrote, ()) {
+  Job job;
+  job.id = JobId{*rc::gen::arbitrary<std::uint64_t>()};
+  job.queue = "q";
+  job.service = ServiceId{"s"};
+  job.team = TeamId{"t"};
+  job.payload = *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+  job.steps = *rc::gen::nonEmpty(rc::gen::container<std::vector<Step>>(AnyStep()));
+  job.taken_ms = *rc::gen::inRange<std::int64_t>(0, 1LL << 50);
+  for (std::uint32_t i = 1; i < job.steps.size(); ++i) {
+    job.steps[i].after = {i - 1};
+  }
+  const Result<Job> read = DecodeJob(EncodeJob(job));
+  RC_ASSERT(read.HasValue());
+  RC_ASSERT(*read == job);
+}
+
+/// Another writer's bytes, or a record that was cut short, must not end the process.
+RC_GTEST_PROP(JobCodec, RefusesBytesThatAreNoJob, (const std::string& bytes)) {
+  RC_ASSERT(!DecodeJob(bytes).HasValue());
+}
+
+RC_GTEST_PROP(JobCodec, SurvivesAChangedByte, ()) {
+  const std::string text = EncodeJob(ValidJob());
+  std::string changed = text;
+  const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+  changed[place] = *rc::gen::arbitrary<char>();
+  const Result<Job> read = DecodeJob(changed);
+  const bool is_sound = !read || CheckJob(*read).HasValue();
+  RC_ASSERT(is_sound);
+}
+
+RC_GTEST_PROP(ProgressCodec, ReadsBackWhatItWrote, ()) {
+  JobProgress progress;
+  progress.phase = JobPhase::kRunning;
+  progress.complete_occurrences = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
+  TaskRow row;
+  row.occurrence = *rc::gen::arbitrary<std::uint32_t>();
+  row.progress.phase = TaskPhase::kPlaced;
+  row.progress.run = *rc::gen::inRange<std::uint64_t>(1, 1ULL << 62U);
+  row.progress.endpoint = "i-7";
+  row.progress.endpoint_born_ms = *rc::gen::inRange<std::int64_t>(0, 1LL << 50);
+  row.progress.checkpoint = "0f";
+  progress.rows = {row};
+  const Result<JobProgress> read = DecodeProgress(EncodeProgress(progress));
+  RC_ASSERT(read.HasValue());
+  RC_ASSERT(*read == progress);
+}
+
+RC_GTEST_PROP(ProgressCodec, RefusesBytesThatAreNoProgress, (const std::string& bytes)) {
+  RC_ASSERT(!DecodeProgress(bytes).HasValue());
+}
+
+}  // namespace
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/tests/jobs/pool_sizer_test.cc
@@ -0,0 +1,119 @@
+#include "chervilspar/jobs/pool_sizer.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace chervilspar::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceId kDesk{"desk"};
+const ServiceId kFleet{"fleet"};
+const ServiceId kOff{"off"};
+
+/// Ten VMs of 10 cores: four in each of two pools, two switched off.
+class SizerWorld {
+ public:
+  SizerWorld() {
+    for (int i = 0; i < 10; ++i) {
+      SizerVm vm;
+      vm.id = VmId{"m" + std::to_string(i)};
+      vm.pool = i < 4 ? kDesk : (i < 8 ? kFleet : kOff);
+      vm.cpu = 10000;
+      vm.is_serving = i < 8;
+      vm.is_empty = true;
+      this->vms.push_back(vm);
+    }
+  }
+
+  /// Jobs of so many cores' work arrive for `span`; then one plan.
+  SizerStep After(Duration span, double desk_cores, double fleet_cores) {
+    SizerStep step;
+    const Duration tick = milliseconds(250);
+    for (Duration passed{}; passed < span; passed += tick) {
+      this->now += tick;
+      const double ms = std::chrono::duration<double, std::milli>(tick).count();
+      this->loads[kDesk].arrived += desk_cores * 1000 * ms;
+      this->loads[kFleet].arrived += fleet_cores * 1000 * ms;
+      step = this->sizer.Plan(this->now, this->loads, this->vms, kOff);
+    }
+    return step;
+  }
+
+  std::size_t MovesTo(const SizerStep& step, const ServiceId& pool) const {
+    return static_cast<std::size_t>(
+        std::count_if(step.moves.begin(), step.moves.end(),
+                      [&](const SizerStep::Move& move) { return move.to == pool; }));
+  }
+
+  PoolSizer sizer;
+  TimePoint now = TimePoint{} + std::chrono::seconds(1);
+  std::map<ServiceId, PoolLoad> loads;
+  std::vector<SizerVm> vms;
+};
+
+/// How many VMs of ten go where when one pool's demand changes, by turns of several seconds.
+struct DemandCase {
+  const char* name;
+  double desk_cores;
+  double fleet_cores;
+  std::size_t to_desk;
+  std::size_t to_standby;
+};
+
+class Demand : public ::testing::TestWithParam<DemandCase> {};
+
+TEST_P(Demand, MovesVmsToWhereTheyAreNeeded) {
+  SizerWorld world;
+  const SizerStep step =
+      world.After(std::chrono::seconds(6), GetParam().desk_cores, GetParam().fleet_cores);
+  EXPECT_EQ(world.MovesTo(step, kDesk), GetParam().to_desk);
+  EXPECT_EQ(world.MovesTo(step, kOff), GetParam().to_standby);
+}
+
+INSTANTIATE_TEST_SUITE_P(Turns, Demand,
+                         ::testing::Values(DemandCase{"all_idle", 0, 0, 0, 2},
+                                           DemandCase{"both_need_all", 32, 32, 0, 0},
+                                           DemandCase{"one_at_its_peak", 45, 2, 3, 0},
+                                           DemandCase{"far_over_all", 200, 2, 3, 0}),
+                         [](const auto& info) { return info.param.name; });
+
+/// A VM that runs long-running work, or is taken by a wave, must not be emptied for a move.
+TEST(PoolSizer, LeavesAloneWhatCantMove) {
+  SizerWorld world;
+  for (SizerVm& vm : world.vms) {
+    vm.has_long_running = vm.pool == kDesk;
+    vm.is_taken = vm.pool == kFleet;
+  }
+  const SizerStep step = world.After(std::chrono::seconds(6), 0, 0);
+  EXPECT_TRUE(step.release.empty());
+  EXPECT_TRUE(step.moves.empty());
+}
+
+/// A busy VM is emptied first; moving it would cut what it runs.
+TEST(PoolSizer, MovesOnlyEmptyVms) {
+  SizerWorld world;
+  for (SizerVm& vm : world.vms) {
+    vm.is_empty = false;
+  }
+  const SizerStep step = world.After(std::chrono::seconds(6), 0, 0);
+  EXPECT_EQ(step.release.size(), 2U);
+  EXPECT_TRUE(step.moves.empty());
+}
+
+/// A short lull in a peak must not send VMs away that are needed again at once: each way costs as
+/// much as two seconds of the VM.
+TEST(PoolSizer, KeepsVmsThroughALull) {
+  SizerWorld world;
+  world.After(std::chrono::seconds(4), 32, 0);
+  const SizerStep step = world.After(milliseconds(750), 0, 0);
+  for (const SizerStep::Move& move : step.moves) {
+    EXPECT_NE(move.vm.text.substr(0, 2), "m0");
+  }
+  EXPECT_EQ(world.sizer.Wanted(kDesk), 4);
+}
+
+}  // namespace
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/tests/jobs/run_races_test.cc
@@ -0,0 +1,229 @@
+#include <functional>
+
+#include <gtest/gtest.h>
+
+#include "tests/jobs/scheduler_world.h"
+
+namespace chervilspar::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using World = SchedulerWorld;
+
+WallTime Wall(const World& world) { return WallTime(world.now.time_since_epoch()); }
+
+/// A process that was killed between an order and its record would leave a run that nobody knows.
+/// The caller would see a charge twice. So no start leaves before its placement is stored.
+TEST(RunRaces, NothingStartsBeforeItsRecordIsStored) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(2)}), Wall(world));
+  EXPECT_TRUE(world.Decide().starts.empty());
+  EXPECT_TRUE(world.scheduler.HasBatch());
+  EXPECT_EQ(world.Store().starts.size(), 2U);
+  const auto stored = DecodeProgress(world.stored.at(JobId{1}));
+  ASSERT_TRUE(stored);
+  EXPECT_EQ(stored->rows.size(), 2U);
+  EXPECT_EQ(stored->rows.front().progress.endpoint, "a");
+}
+
+/// The answer to a start is lost and the endpoint carries the order out eight seconds later. If
+/// the task were started elsewhere in the meantime, it would run twice.
+TEST(RunRaces, LostStartIsSettledBeforeTheTaskRunsElsewhere) {
+  World world;
+  world.Register({World::Endpoint("a"), World::Endpoint("b")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  const StartOrder first = world.Round().starts.at(0);
+  world.scheduler.OnStartAnswered(first, OrderOutcome::kNoAnswer, world.now);
+  world.Pass(milliseconds(200));
+  const Orders again = world.Round();
+  ASSERT_EQ(again.starts.size(), 1U);
+  EXPECT_EQ(again.starts.at(0).run, first.run) << "the same run, so that it can't run twice";
+  EXPECT_EQ(again.starts.at(0).endpoint, first.endpoint);
+  world.scheduler.OnStartAnswered(again.starts.at(0), OrderOutcome::kNoAnswer, world.now);
+  world.Pass(milliseconds(200));
+  const Orders stop = world.Round();
+  EXPECT_TRUE(stop.starts.empty());
+  ASSERT_EQ(stop.stops.size(), 1U);
+  world.Hold(first.endpoint, {}, {});
+  EXPECT_TRUE(world.Round().starts.empty())
+      << "the stop has no answer yet; the order may still run";
+  world.scheduler.OnStopAnswered(stop.stops.at(0), OrderOutcome::kDone, world.now);
+  world.Pass(milliseconds(1));
+  world.Hold(first.endpoint, {}, {});
+  const Orders next = world.Round();
+  ASSERT_EQ(next.starts.size(), 1U);
+  EXPECT_GT(next.starts.at(0).run, first.run);
+}
+
+/// An end is confirmed to the endpoint, which then forgets it, while the record of it is lost with
+/// the process. The successor would run a finished task again.
+TEST(RunRaces, EndsAreConfirmedAndShownOnlyAfterTheyAreStored) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  const StartOrder start = world.StartAll().at(0);
+  world.Hold("a", {}, {World::Ended(1, start, RunEnd::kDone)});
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(world.scheduler.PlanHold("a", world.now).order.confirmed_end, 0U);
+  world.Store();
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
+  EXPECT_EQ(world.scheduler.PlanHold("a", world.now).order.confirmed_end, 1U);
+}
+
+/// Endpoints tell an end again until it is confirmed. Counted twice, one failure would use up both
+/// attempts of a task and its job would be shown as failed without cause.
+TEST(RunRaces, AnEndThatIsToldAgainCountsOnce) {
+  World world;
+  world.Register({World::Endpoint("a"), World::Endpoint("b")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  const StartOrder start = world.StartAll().at(0);
+  world.Hold(start.endpoint, {}, {World::Ended(1, start, RunEnd::kFailed)});
+  world.Hold(start.endpoint, {}, {World::Ended(1, start, RunEnd::kFailed)});
+  const StartOrder second = world.StartAll().at(0);
+  EXPECT_NE(second.endpoint, start.endpoint) << "it failed there";
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kRunning);
+  world.Hold(second.endpoint, {}, {World::Ended(1, second, RunEnd::kFailed)});
+  world.Round();
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kFailed);
+}
+
+/// An owner freezes, another takes over, and the first wakes with orders in hand. An endpoint that
+/// has seen the higher token refuses; going on would disturb what the successor does.
+TEST(RunRaces, AHigherTokenEndsTheTerm) {
+  struct Case {
+    const char* name;
+    std::function<void(World&, const StartOrder&)> meet;
+  };
+  const std::vector<Case> cases = {
+      {"start",
+       [](World& world, const StartOrder& start) {
+         world.scheduler.OnStartAnswered(start, OrderOutcome::kTokenTooLow, world.now);
+       }},
+      {"hold",
+       [](World& world, const StartOrder& start) {
+         world.scheduler.OnHoldFailed(start.endpoint, OrderOutcome::kTokenTooLow, world.now);
+       }},
+      {"stop",
+       [](World& world, const StartOrder& start) {
+         world.scheduler.OnStopAnswered({start.endpoint, {}, start.task, start.run, 1},
+                                        OrderOutcome::kTokenTooLow, world.now);
+       }},
+  };
+  for (const Case& one : cases) {
+    World world;
+    world.Register({World::Endpoint("a")});
+    world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+    const StartOrder start = world.Round().starts.at(0);
+    EXPECT_FALSE(world.scheduler.IsSuperseded());
+    one.meet(world, start);
+    EXPECT_TRUE(world.scheduler.IsSuperseded()) << one.name;
+  }
+}
+
+/// An endpoint crashes and comes back under the same id: it runs nothing and counts its ends from
+/// one again. Its former life's work must go elsewhere at once, and its new ends must be heard.
+TEST(RunRaces, ANewLifeOfAnEndpointRunsNothingOfTheFormer) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(2)}), Wall(world));
+  const std::vector<StartOrder> first = world.StartAll();
+  world.Hold("a", {World::Active(first[1])}, {World::Ended(1, first[0], RunEnd::kDone)});
+  world.Store();
+  EndpointRecord reborn = World::Endpoint("a");
+  reborn.born_ms = 2;
+  world.scheduler.SetEndpoints({reborn}, world.now);
+  world.Hold("a", {}, {}, 2);
+  const std::vector<StartOrder> second = world.StartAll();
+  ASSERT_EQ(second.size(), 1U) << "only what had not ended";
+  EXPECT_EQ(second[0].task, first[1].task);
+  world.Hold("a", {}, {World::Ended(1, second[0], RunEnd::kDone)}, 2);
+  world.Store();
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
+}
+
+/// An endpoint that can't be reached may work on until its leases lapse. Started elsewhere before
+/// that, a task would run twice; never started elsewhere, it would be lost.
+TEST(RunRaces, WorkOfASilentEndpointWaitsForItsLease) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  world.StartAll();
+  world.scheduler.OnHoldFailed("a", OrderOutcome::kNoAnswer, world.now);
+  world.scheduler.SetEndpoints({World::Endpoint("a"), World::Endpoint("b")}, world.now);
+  world.Hold("b", {}, {});
+  world.Pass(world.options.lease - milliseconds(100));
+  EXPECT_TRUE(world.Round().starts.empty());
+  EXPECT_FALSE(world.scheduler.PlanHold("a", world.now).order.lease_until_ms)
+      << "only a look: a renewal would keep the lost work alive";
+  world.Pass(milliseconds(800));
+  const Orders orders = world.Round();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  EXPECT_EQ(orders.starts[0].endpoint, "b");
+}
+
+/// A cancellation that one entry accepted may be read before the submission that went through
+/// another. The job must not run after its caller was told that it is cancelled.
+TEST(RunRaces, ACancellationMayComeBeforeItsJob) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.CancelJob(JobId{1});
+  EXPECT_FALSE(world.scheduler.Find(JobId{1})) << "nobody has handed it in";
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  EXPECT_TRUE(world.Round().starts.empty());
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kCancelled);
+}
+
+/// A caller cancels while the placement is being stored, and while a run is at work.
+TEST(RunRaces, ACancelledJobStartsNothingAndStopsWhatRuns) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  world.scheduler.AddJob(World::MakeJob(2, {World::MakeStep(1)}), Wall(world));
+  const std::vector<StartOrder> running = world.StartAll();
+  world.scheduler.AddJob(World::MakeJob(3, {World::MakeStep(1)}), Wall(world));
+  world.Decide();
+  world.scheduler.CancelJob(JobId{3});
+  world.scheduler.CancelJob(JobId{1});
+  EXPECT_TRUE(world.Store().starts.empty());
+  const Orders orders = world.Round();
+  ASSERT_EQ(orders.stops.size(), 1U);
+  EXPECT_EQ(orders.stops[0].task.job, JobId{1});
+  EXPECT_TRUE(orders.starts.empty());
+}
+
+/// Two copies of a submission reach the store through two entries.
+TEST(RunRaces, AJobHandedInTwiceRunsOnce) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  const Job job = World::MakeJob(1, {World::MakeStep(1)});
+  world.scheduler.AddJob(job, Wall(world));
+  world.scheduler.AddJob(job, Wall(world));
+  const StartOrder start = world.StartAll().at(0);
+  world.Hold("a", {}, {World::Ended(1, start, RunEnd::kDone)});
+  world.Store();
+  world.scheduler.AddJob(job, Wall(world));
+  EXPECT_TRUE(world.Round().starts.empty());
+}
+
+/// An operator lowers a team's limit below what it has running: that may end, and nothing new
+/// starts until there is room below the new limit.
+TEST(RunRaces, ALoweredLimitHoldsForNewStarts) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(4)}), Wall(world));
+  const std::vector<StartOrder> running = world.StartAll();
+  world.policy.version = 2;
+  world.policy.teams[TeamId{"counter"}].cap = {2000, 0, 0};
+  world.scheduler.SetPolicy(world.policy);
+  world.scheduler.AddJob(World::MakeJob(2, {World::MakeStep(1)}), Wall(world));
+  world.Hold(
+      "a", {World::Active(running[2]), World::Active(running[3])},
+      {World::Ended(1, running[0], RunEnd::kDone), World::Ended(2, running[1], RunEnd::kDone)});
+  EXPECT_TRUE(world.Round().starts.empty()) << "two are still running";
+  world.Hold("a", {World::Active(running[3])}, {World::Ended(3, running[2], RunEnd::kDone)});
+  EXPECT_EQ(world.Round().starts.size(), 1U);
+}
+
+}  // namespace
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/tests/jobs/scheduler_world.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "chervilspar/jobs/scheduler.h"
+
+namespace chervilspar::jobs {
+
+/// Drives a scheduler by hand: time, endpoints that answer as they are told, and a store that
+/// confirms when it is told.
+class SchedulerWorld {
+ public:
+  explicit SchedulerWorld(SchedulerOptions options = {}, std::uint64_t token = 1)
+      : options(options), scheduler(options, token, TimePoint{}) {
+    Policy policy;
+    policy.version = 1;
+    Queue queue;
+    queue.name = "bookings";
+    queue.service = ServiceId{"desk"};
+    queue.attempts = 2;
+    queue.slack_factor = 2.0;
+    queue.target = std::chrono::milliseconds(500);
+    policy.queues["bookings"] = queue;
+    queue.name = "watch";
+    policy.queues["watch"] = queue;
+    policy.teams[TeamId{"counter"}] = {TeamId{"counter"}, 1.0, {}};
+    this->policy = policy;
+    this->scheduler.SetPolicy(policy);
+  }
+
+  static EndpointRecord Endpoint(const std::string& id, std::int64_t cores = 8) {
+    EndpointRecord record;
+    record.id = id;
+    record.service = ServiceId{"desk"};
+    record.address = {"127.0.0.1", 1000};
+    record.born_ms = 1;
+    record.capacity = {cores * 1000, 64000, 0};
+    record.rack = "r-" + id.substr(0, 1);
+    record.labels = {"kind", record.rack};
+    return record;
+  }
+
+  static Job MakeJob(std::uint64_t number, std::vector<Step> steps) {
+    Job job;
+    job.id = JobId{number};
+    job.queue = "bookings";
+    job.service = ServiceId{"desk"};
+    job.team = TeamId{"counter"};
+    job.payload = "work";
+    job.steps = std::move(steps);
+    return job;
+  }
+
+  static Step MakeStep(std::uint32_t count, std::int64_t cpu = 1000) {
+    Step step;
+    step.count = count;
+    step.need = {cpu, 100, 0};
+    step.estimate_ms = 1000;
+    return step;
+  }
+
+  void Register(const std::vector<EndpointRecord>& records) {
+    this->endpoints = records;
+    this->scheduler.SetEndpoints(records, this->now);
+    for (const EndpointRecord& record : records) {
+      this->Hold(record.id, {}, {});
+    }
+  }
+
+  void Pass(Duration span) { this->now += span; }
+
+  /// The endpoint answers a renewal that is sent now.
+  void Hold(const std::string& id, std::vector<ActiveRun> active, std::vector<EndedRun> ended,
+            std::int64_t born_ms = 1) {
+    const HoldPlan plan = this->scheduler.PlanHold(id, this->now);
+    HoldReport report;
+    report.born_ms = born_ms;
+    report.clock_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch()).count();
+    report.active = std::move(active);
+    report.ended = std::move(ended);
+    this->last_hold = plan.order;
+    const TimePoint sent = this->now;
+    this->Pass(std::chrono::milliseconds(1));
+    this->scheduler.OnHeld(plan.order, report, sent, this->now);
+  }
+
+  /// Decides, stores, and gives all orders that came of it.
+  Orders Round() {
+    Orders orders = this->Decide();
+    Orders confirmed = this->Store();
+    orders.starts.insert(orders.starts.end(), confirmed.starts.begin(), confirmed.starts.end());
+    return orders;
+  }
+
+  Orders Decide() {
+    this->Pass(std::chrono::milliseconds(1));
+    return this->scheduler.Decide(this->now, WallTime(this->now.time_since_epoch()));
+  }
+
+  Orders Store() {
+    if (!this->scheduler.HasBatch()) {
+      return {};
+    }
+    for (const ProgressRecord& record : this->scheduler.TakeBatch().records) {
+      this->stored[record.job] = record.text.value_or("");
+    }
+    return this->scheduler.ConfirmBatch(this->now);
+  }
+
+  /// A round whose starts are all carried out.
+  std::vector<StartOrder> StartAll() {
+    const std::vector<StartOrder> starts = this->Round().starts;
+    for (const StartOrder& start : starts) {
+      this->scheduler.OnStartAnswered(start, OrderOutcome::kDone, this->now);
+    }
+    this->Pass(std::chrono::milliseconds(1));
+    return starts;
+  }
+
+  static ActiveRun Active(const StartOrder& start, int percent = 50) {
+    return {start.task, start.run, "", percent, 0};
+  }
+
+  static EndedRun Ended(std::uint64_t number, const StartOrder& start, RunEnd end,
+                        std::string checkpoint = "") {
+    return {number, start.task, start.run, end, std::move(checkpoint)};
+  }
+
+  JobPhase PhaseOf(std::uint64_t number) const {
+    const std::optional<JobView> view = this->scheduler.Find(JobId{number});
+    return view ? view->phase : JobPhase::kCancelled;
+  }
+
+  SchedulerOptions options;
+  Policy policy;
+  Scheduler scheduler;
+  TimePoint now = TimePoint{} + std::chrono::seconds(1);
+  std::vector<EndpointRecord> endpoints;
+  std::map<JobId, std::string> stored;
+  HoldOrder last_hold;
+};
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/tests/jobs/takeover_test.cc
@@ -0,0 +1,115 @@
+#include <gtest/gtest.h>
+
+#include "tests/jobs/scheduler_world.h"
+
+namespace chervilspar::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using World = SchedulerWorld;
+
+/// A predecessor has placed a task at "a" and was killed. The successor knows what was stored.
+class Takeover : public ::testing::Test {
+ protected:
+  Takeover() {
+    World before;
+    before.Register({World::Endpoint("a"), World::Endpoint("b")});
+    before.scheduler.AddJob(this->job, WallTime{});
+    this->start = before.Round().starts.at(0);
+    this->progress = *DecodeProgress(before.stored.at(JobId{1}));
+    this->after.scheduler.SetEndpoints({World::Endpoint("a"), World::Endpoint("b")},
+                                       this->after.now);
+    this->after.scheduler.AddJob(this->job, WallTime{});
+    this->after.scheduler.RestoreProgress(JobId{1}, this->progress);
+  }
+
+  Job job = World::MakeJob(1, {World::MakeStep(1)});
+  StartOrder start;
+  JobProgress progress;
+  World after{{}, 2};
+};
+
+/// The run is at work: it must go on, and nothing is started beside it.
+TEST_F(Takeover, KeepsWhatRuns) {
+  this->after.Hold("a", {World::Active(this->start)}, {});
+  this->after.Hold("b", {}, {});
+  const Orders orders = this->after.Round();
+  EXPECT_TRUE(orders.starts.empty());
+  EXPECT_TRUE(orders.stops.empty());
+  this->after.Hold("a", {}, {World::Ended(1, this->start, RunEnd::kDone)});
+  this->after.Store();
+  EXPECT_EQ(this->after.PhaseOf(1), JobPhase::kComplete);
+}
+
+/// The start never arrived. The endpoint's answer knows the successor's token, so that the order
+/// can't arrive any more, and the task starts with a higher run.
+TEST_F(Takeover, StartsWhatNeverArrived) {
+  this->after.Hold(this->start.endpoint, {}, {});
+  const Orders orders = this->after.Round();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  EXPECT_GT(orders.starts[0].run, this->start.run);
+  EXPECT_EQ(orders.starts[0].token, 2U);
+}
+
+/// The endpoint's rack is dark while the owner dies. The predecessor may have renewed until its
+/// proof ran out; only then, and one lease later, the run is certainly dead.
+TEST_F(Takeover, WaitsOutThePredecessorWhereItReachesNobody) {
+  const std::string other = this->start.endpoint == "a" ? "b" : "a";
+  this->after.Hold(other, {}, {});
+  this->after.scheduler.OnHoldFailed(this->start.endpoint, OrderOutcome::kNoAnswer,
+                                     this->after.now);
+  const SchedulerOptions options;
+  this->after.now = TimePoint{} + options.predecessor_grace + options.lease;
+  EXPECT_TRUE(this->after.Round().starts.empty());
+  this->after.Pass(milliseconds(500));
+  const Orders orders = this->after.Round();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  EXPECT_EQ(orders.starts[0].endpoint, other);
+}
+
+/// The endpoint lives a new life since: what the former ran is gone.
+TEST_F(Takeover, StartsAnewWhatAFormerLifeRan) {
+  World world{{}, 2};
+  EndpointRecord reborn = World::Endpoint(this->start.endpoint);
+  reborn.born_ms = 2;
+  world.scheduler.SetEndpoints({reborn}, world.now);
+  world.scheduler.AddJob(this->job, WallTime{});
+  world.scheduler.RestoreProgress(JobId{1}, this->progress);
+  world.Hold(this->start.endpoint, {}, {}, 2);
+  EXPECT_EQ(world.Round().starts.size(), 1U);
+}
+
+/// The end was stored but not confirmed, so that the endpoint tells it to the successor again.
+TEST_F(Takeover, TakesAnEndThatWasStoredBefore) {
+  World world{{}, 2};
+  world.scheduler.SetEndpoints({World::Endpoint("a")}, world.now);
+  world.scheduler.AddJob(this->job, WallTime{});
+  JobProgress done = this->progress;
+  done.rows[0].progress.phase = TaskPhase::kDone;
+  done.rows[0].progress.endpoint.clear();
+  world.scheduler.RestoreProgress(JobId{1}, done);
+  world.Hold("a", {}, {World::Ended(1, this->start, RunEnd::kDone)});
+  EXPECT_TRUE(world.Round().starts.empty());
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
+}
+
+/// What runs belongs to a job that nobody knows, as it was cancelled and forgotten.
+TEST_F(Takeover, StopsWhatNobodyAskedFor) {
+  StartOrder stray = this->start;
+  stray.task.job = JobId{99};
+  this->after.Hold("a", {World::Active(stray)}, {});
+  const Orders orders = this->after.Round();
+  ASSERT_EQ(orders.stops.size(), 1U);
+  EXPECT_EQ(orders.stops[0].task.job, JobId{99});
+}
+
+/// Without proof that there is no successor, no lease may be renewed.
+TEST_F(Takeover, RenewsNothingWithoutProof) {
+  this->after.Hold("a", {World::Active(this->start)}, {});
+  EXPECT_TRUE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_until_ms);
+  this->after.scheduler.SetMayRenew(false);
+  EXPECT_FALSE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_until_ms);
+}
+
+}  // namespace
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/tests/jobs/upkeep_test.cc
@@ -0,0 +1,112 @@
+#include "chervilspar/jobs/upkeep.h"
+
+#include <functional>
+
+#include <gtest/gtest.h>
+
+namespace chervilspar::jobs {
+namespace {
+
+/// Eight VMs of one pool, all named by a wave that lets two go down at once.
+class UpkeepWorld {
+ public:
+  UpkeepWorld() {
+    this->wave.number = 1;
+    this->wave.most_down = 2;
+    for (int i = 0; i < 8; ++i) {
+      VmRecord vm;
+      vm.id = VmId{"m" + std::to_string(i)};
+      vm.pool = ServiceId{"desk"};
+      vm.phase = VmPhase::kUp;
+      vm.endpoint = "i" + std::to_string(i);
+      this->vms.push_back(vm);
+      this->wave.vms.push_back(vm.id);
+      this->loads[vm.endpoint] = {};
+    }
+  }
+
+  UpkeepStep Plan() const {
+    return UpkeepPlanner::Plan(this->wave, this->progress, this->vms, this->absent,
+                               this->evacuating, this->loads);
+  }
+
+  Wave wave;
+  WaveProgress progress;
+  std::vector<VmRecord> vms;
+  UpkeepPlanner::Absent absent;
+  std::set<VmId> evacuating;
+  std::map<std::string, EndpointLoad> loads;
+};
+
+struct UpkeepCase {
+  const char* name;
+  std::function<void(UpkeepWorld&)> change;
+  std::size_t evacuated;
+  std::size_t rebooted;
+  bool is_complete;
+};
+
+class UpkeepTable : public ::testing::TestWithParam<UpkeepCase> {};
+
+TEST_P(UpkeepTable, PlansWithinItsLimits) {
+  UpkeepWorld world;
+  GetParam().change(world);
+  const UpkeepStep step = world.Plan();
+  EXPECT_EQ(step.evacuate.size(), GetParam().evacuated);
+  EXPECT_EQ(step.reboot.size(), GetParam().rebooted);
+  EXPECT_EQ(step.is_complete, GetParam().is_complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Waves, UpkeepTable,
+    ::testing::Values(
+        UpkeepCase{"begins", [](UpkeepWorld&) {}, 2, 0, false},
+        UpkeepCase{"most_are_down",
+                   [](UpkeepWorld& world) {
+                     world.absent.down = {VmId{"m0"}, VmId{"m1"}};
+                   },
+                   0, 0, false},
+        UpkeepCase{"one_is_down", [](UpkeepWorld& world) { world.absent.down = {VmId{"m0"}}; }, 1,
+                   0, false},
+        UpkeepCase{"not_yet_empty",
+                   [](UpkeepWorld& world) {
+                     world.evacuating = {VmId{"m0"}, VmId{"m1"}};
+                   },
+                   2, 0, false},
+        UpkeepCase{"empty",
+                   [](UpkeepWorld& world) {
+                     world.evacuating = {VmId{"m0"}};
+                     world.loads["i0"].is_empty = true;
+                   },
+                   1, 1, false},
+        UpkeepCase{"empty_but_not_yet_kept_free",
+                   [](UpkeepWorld& world) { world.loads["i0"].is_empty = true; }, 2, 0, false},
+        UpkeepCase{"a_wave_wider_than_a_quarter_of_the_pool",
+                   [](UpkeepWorld& world) { world.wave.most_down = 8; }, 2, 0, false},
+        UpkeepCase{"switched_off",
+                   [](UpkeepWorld& world) {
+                     world.wave.most_down = 8;
+                     for (VmRecord& vm : world.vms) {
+                       vm.endpoint.clear();
+                     }
+                   },
+                   0, 8, false},
+        UpkeepCase{"moving",
+                   [](UpkeepWorld& world) {
+                     for (const VmRecord& vm : world.vms) {
+                       world.absent.moving.insert(vm.id);
+                     }
+                   },
+                   0, 0, false},
+        UpkeepCase{"all_begun",
+                   [](UpkeepWorld& world) {
+                     for (const VmRecord& vm : world.vms) {
+                       world.progress.rebooted.insert(vm.id);
+                     }
+                   },
+                   0, 0, true},
+        UpkeepCase{"no_list_yet", [](UpkeepWorld& world) { world.vms.clear(); }, 0, 0, false}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace chervilspar::jobs
