--- a/src/jobs/evacuation.cc
+++ b/src/jobs/evacuation.cc
@@ -50,14 +50,14 @@
 bool Evacuation::MayEnd(const TaskRef& ref) const {
   const bool leaves_anyway = ref.task->endpoint->record.is_draining;
   // Without fresh news the task itself is taken to be at work, and its siblings are not.
-  const bool is_starting =
-      ref.task->percent < 100 && this->now - ref.task->endpoint->heard < kFresh;
-  if (leaves_anyway || !ref.spec->max_unavailable || is_starting) {
+  if (leaves_anyway || !ref.spec->max_unavailable) {
     return true;
   }
+  // A task that was still starting by the last news may be at work by now; its siblings count as
+  // away unless there is fresh news that they work.
   std::uint32_t away = 0;
   for (const Task& sibling : ref.step->tasks) {
-    away += IsAtWork(sibling, this->now) ? 0 : 1;
+    away += &sibling == ref.task || IsAtWork(sibling, this->now) ? 0 : 1;
   }
   return away < *ref.spec->max_unavailable;
 }
--- a/tests/jobs/scheduler_test.cc
+++ b/tests/jobs/scheduler_test.cc
@@ -271,6 +271,16 @@
   EXPECT_TRUE(this->world.Round().stops.empty());
 }
 
+/// Two tasks are starting again after their endpoint was lost, and one of them is on an endpoint that
+/// is to be emptied. It may have come to work since the last news, so that its end would leave two
+/// away.
+TEST_F(EvacuationTest, EndsNoneThatMayHaveComeToWorkSince) {
+  this->world.Hold("a", {World::Active(this->running["a"], 20)}, {});
+  this->world.Hold("b", {World::Active(this->running["b"], 20)}, {});
+  this->world.scheduler.BeginEvacuation("a");
+  EXPECT_TRUE(this->world.Round().stops.empty());
+}
+
 /// A predecessor may have ended a task just before: it still looks at work.
 TEST(Evacuation, WaitsAfterATakeover) {
   World world;
