Jobs: Grow a pool whose long-running tasks find no endpoint; empty the hardest VMs of a wave first

Waves ended late, since the VMs whose tasks move one by one came last and tasks moved to VMs that were yet to go down. Change: steps that must stand apart set the least size of their pool; long-running tasks that wait add a VM; a task that no endpoint may run holds up nobody; a wave begins with VMs that run long-running tasks, and these move to VMs that stay.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,10 @@
   double waiting = 0;
   /// Thousandths of a core that long-running tasks take or wait for.
   double long_running = 0;
+  /// The most endpoints that one step needs, as only so many of its tasks may share one.
+  int least_endpoints = 0;
+  /// Long-running tasks that wait for an endpoint.
+  int waiting_long_running = 0;
 
   friend bool operator==(const PoolLoad&, const PoolLoad&) = default;
 };
@@ -71,6 +76,10 @@
   /// How long a pool keeps what it needed; a VM that leaves and returns costs two moves, which is
   /// two seconds of its price.
   Duration keep = std::chrono::milliseconds(2000);
+  /// A long-running task that has waited this long finds no room in its pool, whatever the reason:
+  /// memory, labels, or the endpoints that its siblings are on. The pool gets one VM more at a
+  /// time.
+  Duration blocked = std::chrono::milliseconds(700);
   /// Part of a VM's cpu that jobs can use, as tasks don't fill it to the last core.
   double usable = 0.85;
   /// Fewest VMs of a pool: the loss of one leaves others to go on.
@@ -104,6 +113,8 @@
     /// The most needed lately, and when.
     int wanted = 0;
     TimePoint wanted_at{};
+    /// Since when long-running tasks wait.
+    std::optional<TimePoint> waiting_since;
   };
 
   void Measure(TimePoint now, const std::map<ServiceId, PoolLoad>& loads);
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -158,6 +159,8 @@
   // Evacuation, before a VM is rebooted or moved.
   void BeginEvacuation(const std::string& endpoint);
   void EndEvacuation(const std::string& endpoint);
+  /// Endpoints whose VMs are to be rebooted soon: long-running tasks go elsewhere if they can.
+  void SetDue(const std::set<std::string>& endpoints);
   EvacuationState EvacuationOf(const std::string& endpoint) const;
   /// Nothing for an endpoint that isn't known here.
   std::optional<EndpointUse> UseOf(const std::string& endpoint) const;
--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -87,6 +87,8 @@
   std::vector<std::string> evacuate;
   /// VMs that are empty and may go down now.
   std::vector<VmId> reboot;
+  /// Endpoints of the wave that are still to go down: work that stays shouldn't move there.
+  std::set<std::string> due;
   /// The reboots of all VMs of the wave have begun.
   bool is_complete = false;
 
@@ -96,6 +98,8 @@
 /// What the planner knows of a VM's endpoint.
 struct EndpointLoad {
   bool is_empty = false;
+  /// Its tasks have to be moved one after the other, which takes longest.
+  bool has_long_running = false;
   /// Part of its pool's cpu that is in use, 0 to 1.
   double pool_load = 0;
 };
--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -79,6 +79,8 @@
 }
 
 asio::awaitable<void> Election::BeginTerm() {
+  // Before the claim, whose record ends the read that waits: the next one has to be a short one.
+  this->directory.FollowClosely(true);
   const OwnerClaim claim{this->context.settings.id.text, this->member,
                          this->context.settings.peers};
   std::vector<KeyedRecord> records;
@@ -95,7 +97,6 @@
   if (announced != FencedWrite::kStored || this->is_resigned) {
     co_return;
   }
-  this->directory.FollowClosely(true);
   // From here on a predecessor that hears from the store knows that its time is over.
   this->term =
       std::make_shared<OwnerTerm>(this->context, this->operators, this->directory, writer, token);
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -20,8 +20,9 @@
 constexpr int kExitCut = 6;
 /// The store holds up to ten reads that wait at once, and the writes beside them.
 constexpr std::size_t kConnectionsPerAddress = 32;
-/// Part of the time for which keys are trusted: the balancer is told before callers are refused.
-constexpr double kReadyShare = 0.7;
+/// The balancer takes two seconds to notice. A read of the rules is answered every second, so that
+/// proof older than this means that the store doesn't answer here.
+constexpr Duration kReadyLimit = std::chrono::milliseconds(1700);
 /// After a SIGTERM, new connections come until the balancer has missed two health checks.
 constexpr Duration kBalancerTime = std::chrono::milliseconds(2300);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
@@ -53,10 +54,8 @@
 
  private:
   bool IsReady() const {
-    const auto limit =
-        std::chrono::duration_cast<Duration>(kReadyShare * this->context.settings.key_proof_limit);
     return !this->is_stopping && this->operators.Policy() != nullptr &&
-           this->operators.IsFresh(limit);
+           this->operators.IsFresh(kReadyLimit);
   }
 
   const Context context;
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -87,6 +87,7 @@
   const jobs::UpkeepStep step = jobs::UpkeepPlanner::Plan(wave, state.progress, this->vms, absent,
                                                           this->evacuating, this->Loads());
   state.progress.is_complete = step.is_complete;
+  this->scheduler.SetDue(step.due);
   if (!state.is_announced || step.is_complete) {
     co_await this->Tell(wave, state);
   }
@@ -142,7 +143,9 @@
     }
     const auto all = static_cast<double>(this->scheduler.CapacityOf(vm.pool).cpu);
     const auto used = static_cast<double>(this->scheduler.UsedIn(vm.pool).cpu);
-    loads[vm.endpoint] = {evacuation == jobs::EvacuationState::kEmpty, all > 0 ? used / all : 0};
+    const std::optional<jobs::EndpointUse> use = this->scheduler.UseOf(vm.endpoint);
+    loads[vm.endpoint] = {evacuation == jobs::EvacuationState::kEmpty, use && use->has_long_running,
+                          all > 0 ? used / all : 0};
   }
   return loads;
 }
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -11,6 +11,8 @@
 /// decide first, in this order.
 constexpr std::int64_t kFailedThereCost = 100'000'000;
 constexpr std::int64_t kFarRackCost = 10'000'000;
+/// For an endpoint whose VM is to be rebooted soon: the task would have to move once more.
+constexpr std::int64_t kDueCost = 20'000'000;
 /// For an endpoint that would get its first long-running task: those without any can be moved
 /// between pools as demand asks, since no move may end a task that serves users.
 constexpr std::int64_t kOpeningCost = 3'000'000;
@@ -74,7 +76,8 @@
     }
   }
   const bool opens_another = IsServing(*ref.spec) && !has_serving;
-  return shared * kSharingCost + (opens_another ? kOpeningCost : 0);
+  return shared * kSharingCost + (opens_another ? kOpeningCost : 0) +
+         (endpoint.is_due ? kDueCost : 0);
 }
 
 std::int64_t Placement::Cost(const TaskRef& ref, const EndpointState& endpoint) const {
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -86,20 +86,19 @@
       return this->PlaceGang(ref);
     }
     if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
-      this->KeepRoomFor(ref);
-      return false;
+      // What no endpoint may run doesn't hold up those that come after it.
+      return !this->KeepRoomFor(ref);
     }
   }
   return true;
 }
 
-void PlacingRound::KeepRoomFor(const TaskRef& ref) {
-  if (this->reserved.size() >= kMostReserved) {
-    return;
-  }
-  if (EndpointState* kept = this->placement.ChooseToKeepFree(ref, this->now)) {
+bool PlacingRound::KeepRoomFor(const TaskRef& ref) {
+  EndpointState* kept = this->placement.ChooseToKeepFree(ref, this->now);
+  if (kept != nullptr && this->reserved.size() < kMostReserved) {
     this->reserved.insert(kept);
   }
+  return kept != nullptr;
 }
 
 bool PlacingRound::PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded,
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -21,7 +21,7 @@
   void PlacePool(PoolState& pool);
   /// Places jobs from `begin` up to `end`; false when the round has to end.
   bool PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end);
-  /// False when something of the job found no room.
+  /// False when something of the job found no room, although an endpoint could have it.
   bool PlaceJob(JobState& job);
   bool PlaceStep(JobState& job, std::uint32_t occurrence, std::uint32_t step);
   bool PlaceGang(const TaskRef& first);
@@ -29,7 +29,8 @@
                     const std::set<EndpointState*>& excluded);
   bool PlaceOnOneRack(const TaskRef& first, std::uint64_t run);
   bool PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded, std::uint64_t run);
-  void KeepRoomFor(const TaskRef& ref);
+  /// False when no endpoint of the pool could ever run the task as things are.
+  bool KeepRoomFor(const TaskRef& ref);
   bool NeedsAdvice(const TaskRef& ref) const;
 
   SchedulerState& state;
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -73,8 +73,16 @@
   const double left = std::max(0.0, load.waiting + ahead * (history.rate - free));
   const double needed =
       load.long_running + history.rate + left / Milliseconds(this->options.drain_time);
-  const int wanted =
-      std::max(this->options.least_vms, static_cast<int>(std::ceil(needed / cpu_of_one)));
+  int wanted = std::max({this->options.least_vms, load.least_endpoints,
+                         static_cast<int>(std::ceil(needed / cpu_of_one))});
+  if (load.waiting_long_running == 0) {
+    history.waiting_since.reset();
+  } else if (!history.waiting_since) {
+    history.waiting_since = now;
+  } else if (now - *history.waiting_since > this->options.blocked) {
+    wanted = std::max(wanted, Serving(vms, pool) + 1);
+    history.waiting_since = now;
+  }
   if (wanted >= history.wanted || now - history.wanted_at > this->options.keep) {
     history.wanted = wanted;
     history.wanted_at = now;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t kMostAdvised = 30;
 /// A question without answer is asked again after this.
 constexpr Duration kAdviceRetry = std::chrono::milliseconds(1500);
+/// Part of the work of steps that wait for earlier ones that counts as waiting: most of it comes
+/// when a VM that is ordered for it would be needed elsewhere again.
+constexpr double kLaterShare = 0.3;
 /// Questions that may wait at once: the adviser handles one after the other.
 constexpr std::size_t kMostQuestions = 4;
 
@@ -553,6 +556,12 @@
   }
 }
 
+void Scheduler::SetDue(const std::set<std::string>& endpoints) {
+  for (const auto& [id, endpoint] : this->impl->state.endpoints) {
+    endpoint->is_due = endpoints.contains(id);
+  }
+}
+
 EvacuationState Scheduler::EvacuationOf(const std::string& id) const {
   const EndpointState* endpoint = this->impl->state.FindEndpoint(id);
   if (endpoint == nullptr) {
@@ -595,11 +604,18 @@
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         const Step& spec = job->job.steps[i];
         const auto cpu = static_cast<double>(RoomFor(spec).cpu);
+        if (spec.max_per_endpoint > 0 && !occurrence.steps[i].IsDone()) {
+          const std::uint32_t most = spec.max_per_endpoint;
+          const std::uint32_t endpoints = (spec.count + most - 1) / most;
+          load.least_endpoints = std::max(load.least_endpoints, static_cast<int>(endpoints));
+        }
         for (const Task& task : occurrence.steps[i].tasks) {
           if (spec.is_long_running) {
             load.long_running += cpu;
+            load.waiting_long_running += task.IsWaiting() ? 1 : 0;
           } else if (task.IsWaiting()) {
-            load.waiting += cpu * static_cast<double>(spec.estimate_ms);
+            const double share = occurrence.steps[i].is_open ? 1.0 : kLaterShare;
+            load.waiting += share * cpu * static_cast<double>(spec.estimate_ms);
           }
         }
       }
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -130,6 +130,8 @@
   EndpointRecord record;
   bool is_registered = false;
   bool is_evacuating = false;
+  /// Its VM is to be rebooted soon.
+  bool is_due = false;
   /// The life that the claims belong to; 0 until it is known.
   std::int64_t born_ms = 0;
   /// Its clock at a moment of ours; nothing before its first answer.
--- a/src/jobs/upkeep.cc
+++ b/src/jobs/upkeep.cc
@@ -1,6 +1,7 @@
 #include "chervilspar/jobs/upkeep.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace chervilspar::jobs {
 
@@ -13,6 +14,7 @@
 struct Candidate {
   const VmRecord* vm = nullptr;
   bool is_evacuating = false;
+  bool has_long_running = false;
   double load = 0;
 };
 
@@ -58,12 +60,17 @@
       continue;
     }
     const auto load = loads.find(vm.endpoint);
+    const EndpointLoad known = load == loads.end() ? EndpointLoad{} : load->second;
     candidates.push_back(
-        {&vm, evacuating.contains(vm.id), load == loads.end() ? 0 : load->second.pool_load});
+        {&vm, evacuating.contains(vm.id), known.has_long_running, known.pool_load});
+    if (!vm.endpoint.empty()) {
+      step.due.insert(vm.endpoint);
+    }
   }
   step.is_complete = all_done && !vms.empty();
   std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::pair(!a.is_evacuating, a.load) < std::pair(!b.is_evacuating, b.load);
+    return std::tuple(!a.is_evacuating, !a.has_long_running, a.load) <
+           std::tuple(!b.is_evacuating, !b.has_long_running, b.load);
   });
   std::size_t away = absent.down.size();
   for (const Candidate& candidate : candidates) {
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -103,6 +103,23 @@
   EXPECT_TRUE(step.moves.empty());
 }
 
+/// Tasks that must stand apart need as many endpoints as that takes, however little cpu they use;
+/// and one that waits although there is cpu lacks something else, such as memory.
+TEST(PoolSizer, GrowsForLongRunningTasksThatFindNoEndpoint) {
+  struct Case {
+    int least_endpoints;
+    int waiting;
+    int wanted;
+  };
+  for (const Case& one : {Case{0, 0, 3}, Case{6, 0, 6}, Case{0, 1, 5}}) {
+    SizerWorld world;
+    world.loads[kDesk].least_endpoints = one.least_endpoints;
+    world.loads[kDesk].waiting_long_running = one.waiting;
+    world.After(std::chrono::seconds(1), 0, 0);
+    EXPECT_EQ(world.sizer.Wanted(kDesk), one.wanted) << one.least_endpoints;
+  }
+}
+
 /// A short lull in a peak must not send VMs away that are needed again at once: each way costs as
 /// much as two seconds of the VM.
 TEST(PoolSizer, KeepsVmsThroughALull) {
--- a/tests/jobs/scheduler_test.cc
+++ b/tests/jobs/scheduler_test.cc
@@ -178,6 +178,26 @@
   EXPECT_EQ(world.StartAll().at(0).task.job, JobId{1}) << "late ones fill what is left";
 }
 
+/// A long-running job's tasks must stand apart, and its pool has lost an endpoint: one of them can
+/// run nowhere. Were it waited for, nobody else's late job would ever start again.
+TEST(Scheduler, ATaskThatCanRunNowhereHoldsUpNobody) {
+  World world;
+  world.now = TimePoint{} + std::chrono::seconds(30);
+  world.Register({World::Endpoint("a")});
+  Step apart = World::MakeStep(2);
+  apart.is_long_running = true;
+  apart.max_per_endpoint = 1;
+  world.scheduler.AddJob(World::MakeJob(1, {apart}), Wall(world));
+  EXPECT_EQ(world.StartAll().size(), 1U);
+  const PoolLoad load = world.scheduler.PoolLoads().at(ServiceId{"desk"});
+  EXPECT_EQ(load.least_endpoints, 2);
+  EXPECT_EQ(load.waiting_long_running, 1);
+  Job late = World::MakeJob(2, {World::MakeStep(1)});
+  late.taken_ms = 0;
+  world.scheduler.AddJob(late, Wall(world));
+  EXPECT_EQ(world.StartAll().size(), 1U);
+}
+
 /// An endpoint fails all that it starts and so always has room. Without being passed over it would
 /// use up the attempts of every job.
 TEST(Scheduler, AnEndpointThatFailsJobAfterJobIsPassedOver) {
@@ -271,9 +291,9 @@
   EXPECT_TRUE(this->world.Round().stops.empty());
 }
 
-/// Two tasks are starting again after their endpoint was lost, and one of them is on an endpoint that
-/// is to be emptied. It may have come to work since the last news, so that its end would leave two
-/// away.
+/// Two tasks are starting again after their endpoint was lost, and one of them is on an endpoint
+/// that is to be emptied. It may have come to work since the last news, so that its end would leave
+/// two away.
 TEST_F(EvacuationTest, EndsNoneThatMayHaveComeToWorkSince) {
   this->world.Hold("a", {World::Active(this->running["a"], 20)}, {});
   this->world.Hold("b", {World::Active(this->running["b"], 20)}, {});
