--- a/src/job_entry/record_tail.cc
+++ b/src/job_entry/record_tail.cc
@@ -64,6 +64,7 @@
 
 asio::awaitable<bool> RecordTail::ReadOn() {
   const TimePoint sent = this->context.Now();
+  const Duration waited = this->wait;
   const Result<ReadOutcome> read =
       co_await this->context.links.store->Read(this->options.topic, this->options.partition,
                                                *this->next, this->wait, this->wait + kReadMargin);
@@ -85,7 +86,8 @@
     this->listener.OnRecords(read->records);
   }
   if (read->is_at_end) {
-    this->proof = sent;
+    const bool has_waited = read->records.empty() && this->context.Now() - sent >= waited;
+    this->proof = this->options.is_proven_by_waiting && has_waited ? sent + waited : sent;
   }
   co_return true;
 }
--- a/src/job_entry/record_tail.h
+++ b/src/job_entry/record_tail.h
@@ -29,6 +29,9 @@
     std::uint32_t partition = 0;
     /// How long a read waits at the store for news.
     Duration wait = std::chrono::seconds(1);
+    /// Takes an empty answer as proof up to the end of its wait, not only up to its beginning. The
+    /// platform's reads may miss records for up to a second, so only for what bears that.
+    bool is_proven_by_waiting = false;
     /// Where to begin; absent: with the newest of each key.
     std::optional<std::uint64_t> from;
   };
