Jobs: Give the orders of a round of moves side by side

Cause: thirty moves one after the other took half a second, and the queue's peak waited for the last. Change: each move is its own call.

--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -91,7 +91,7 @@
   Spawn(this->context, this->AdviceLoop(self));
   this->sender.Attend(this->scheduler.EndpointIds());
   Spawn(this->context, [](std::shared_ptr<OwnerTerm> term) -> asio::awaitable<void> {
-    co_await term->vms.Run(term->began);
+    co_await term->vms.Run(term->began, term);
   }(self));
   while (!this->is_stopped) {
     co_await Pause(this->context, this->vms.IsExpecting() ? kExpectingPace : kRegistryPace);
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -23,7 +23,8 @@
                    std::uint64_t token)
     : context(context), operators(operators), scheduler(scheduler), token(token) {}
 
-asio::awaitable<void> VmDriver::Run(TimePoint began) {
+asio::awaitable<void> VmDriver::Run(TimePoint began, std::weak_ptr<void> owner) {
+  this->owner = std::move(owner);
   while (!this->is_stopped && this->context.links.vms != nullptr) {
     co_await this->Round(began);
     co_await Pause(this->context, kPace);
@@ -214,7 +215,9 @@
   this->SetReleased(step.release);
   for (const jobs::SizerStep::Move& move : step.moves) {
     if (!this->is_stopped && !this->refused.contains({move.vm, move.to})) {
-      co_await this->Move(move.vm, move.to);
+      // Side by side: one after the other, the last of thirty VMs would leave half a second late.
+      this->moving[move.vm] = {move.to, this->context.Now()};
+      Spawn(this->context, this->Move(move.vm, move.to, this->owner.lock()));
     }
   }
 }
@@ -239,9 +242,9 @@
   }
 }
 
-asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool) {
+asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool,
+                                     [[maybe_unused]] std::shared_ptr<void> keep_alive) {
   const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
-  this->moving[vm] = {pool, this->context.Now()};
   const VmOrderOutcome outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
   LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered", "as the queues' demand asks",
            {{"vm", vm.text}, {"pool", pool.text}, {"outcome", jobs::ToString(outcome)}});
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -22,8 +22,8 @@
   VmDriver(const Context& context, OperatorView& operators, jobs::Scheduler& scheduler,
            std::uint64_t token);
 
-  /// Runs until stopped; `began` is when this entry took over.
-  boost::asio::awaitable<void> Run(TimePoint began);
+  /// Runs until stopped; `began` is when this entry took over, `owner` keeps this object.
+  boost::asio::awaitable<void> Run(TimePoint began, std::weak_ptr<void> owner);
   void Stop() { this->is_stopped = true; }
   /// A VM is on its way to a pool and will register soon.
   bool IsExpecting() const { return !this->moving.empty(); }
@@ -44,7 +44,7 @@
   boost::asio::awaitable<void> Reboot(const jobs::Wave& wave, WaveState& state, VmId vm);
   boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state);
   boost::asio::awaitable<void> Resize(bool may_order);
-  boost::asio::awaitable<void> Move(VmId vm, ServiceId pool);
+  boost::asio::awaitable<void> Move(VmId vm, ServiceId pool, std::shared_ptr<void> keep_alive);
   void NoteReturns();
   void Evacuate(const jobs::VmRecord& vm, const char* why);
   void LogSizes(const ServiceId& standby);
@@ -56,6 +56,7 @@
   OperatorView& operators;
   jobs::Scheduler& scheduler;
   const std::uint64_t token;
+  std::weak_ptr<void> owner;
   bool is_stopped = false;
   std::vector<jobs::VmRecord> vms;
   std::map<std::uint64_t, WaveState> waves;
