Jobs: Average arrivals over 0.7 s in the pool sizer

Cause: a queue's demand doubles within a second; averaged over 1.2 s, the VMs came when the peak was half over. Change: arrivals are averaged over 0.7 s.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -72,7 +72,7 @@
   /// In what time work that has piled up is to be done: about the slack of a job of two seconds.
   Duration drain_time = std::chrono::milliseconds(1500);
   /// Over which arrivals are averaged. One large job is a second's work of several VMs.
-  Duration averaging = std::chrono::milliseconds(1200);
+  Duration averaging = std::chrono::milliseconds(700);
   /// How long a pool keeps what it needed; a VM that leaves and returns costs two moves, which is
   /// two seconds of its price.
   Duration keep = std::chrono::milliseconds(2000);
--- a/src/job_entry/operator_view.cc
+++ b/src/job_entry/operator_view.cc
@@ -13,7 +13,10 @@
 OperatorView::OperatorView(const Context& context)
     : context(context),
       tail(std::make_shared<RecordTail>(
-          context, RecordTail::Options{.topic = Topic::kOperators, .wait = kWait, .is_proven_by_waiting = true}, *this)) {}
+          context,
+          RecordTail::Options{
+              .topic = Topic::kOperators, .wait = kWait, .is_proven_by_waiting = true},
+          *this)) {}
 
 void OperatorView::OnRecords(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -20,8 +20,9 @@
 constexpr int kExitCut = 6;
 /// The store holds up to ten reads that wait at once, and the writes beside them.
 constexpr std::size_t kConnectionsPerAddress = 32;
-/// The balancer takes two seconds to notice. A read of the rules is answered every second and proves
-/// them up to its end, so that older proof than this means that the store doesn't answer here.
+/// The balancer takes two seconds to notice. A read of the rules is answered every second and
+/// proves them up to its end, so that older proof than this means that the store doesn't answer
+/// here.
 constexpr Duration kReadyLimit = std::chrono::milliseconds(1700);
 /// After a SIGTERM, new connections come until the balancer has missed two health checks.
 constexpr Duration kBalancerTime = std::chrono::milliseconds(2300);
