Telemetry: Write to standard output from a bounded queue; say why a job waits and how it ended

Cause: a reader that stops reading would have held up requests, and nothing told why a job was late. Change: an asynchronous sink of 8,192 lines that counts what it leaves out; job_started, job_ended and job_waits with the figures that decided; ends of runs that went well only at level debug.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -19,13 +19,21 @@
 
 namespace chervilspar::jobs {
 
-/// A task's placement or end, for logs: which task, where, and what decided it.
+/// How much a note matters to somebody who asks what became of a job.
+enum class NoteWeight {
+  /// One of thousands that go as they should.
+  kRoutine,
+  kNotable,
+};
+
+/// A decision on a task or job, for logs: which, where, and what decided it.
 struct Note {
   std::string event;
   std::optional<TaskKey> task;
   std::optional<JobId> job;
   std::string endpoint;
   std::string why;
+  NoteWeight weight = NoteWeight::kNotable;
 
   friend bool operator==(const Note&, const Note&) = default;
 };
--- a/include/chervilspar/telemetry/logger.h
+++ b/include/chervilspar/telemetry/logger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,13 +35,22 @@
   friend bool operator==(const LogLine&, const LogLine&) = default;
 };
 
+/// Where lines go when no file is named.
+enum class LogStream {
+  kStandardError,
+  /// Written by a thread of its own from a bounded queue, so that a reader that has stopped reading
+  /// never holds up a request. Lines that find the queue full are counted and left out.
+  kStandardOutput,
+};
+
 /// Where the log goes and what is on every line.
 struct LogSettings {
   EntryId entry;
   ZoneId zone;
   LogLevel min_level = LogLevel::kInfo;
-  /// A file that lines are appended to; empty for standard error.
+  /// A file that lines are appended to; empty for `stream`.
   std::string path;
+  LogStream stream = LogStream::kStandardError;
 
   friend bool operator==(const LogSettings&, const LogSettings&) = default;
 };
@@ -56,9 +66,13 @@
 /// Shorthand for a line without request or fields.
 void Log(LogLevel level, std::string event, std::string message);
 
-/// Writes out what is buffered, before the process ends.
+/// Writes out what is buffered, before the process ends; gives up on a reader that has stopped
+/// reading.
 void FlushLogging();
 
+/// Lines left out so far, as the queue to standard output was full.
+std::uint64_t DroppedLogLines();
+
 /// The text of a line, without the line end; `Log` writes just this.
 std::string FormatLogLine(const LogLine& line, const LogSettings& settings,
                           const std::string& time);
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -54,8 +54,8 @@
     --this->senders;
   }
 
-  asio::awaitable<void> Carry(const jobs::StartOrder& start) {
-    const jobs::StartOrder order = start;
+  /// The orders live in the sending loop until they are carried out.
+  asio::awaitable<void> Carry(const jobs::StartOrder& order) {
     const OrderOutcome outcome =
         co_await this->context.links.endpoints->Start(order, kOrderTimeout);
     this->context.metrics.Count(
@@ -66,8 +66,7 @@
     }
   }
 
-  asio::awaitable<void> Carry(const jobs::StopOrder& stop) {
-    const jobs::StopOrder order = stop;
+  asio::awaitable<void> Carry(const jobs::StopOrder& order) {
     const OrderOutcome outcome = co_await this->context.links.endpoints->Stop(order, kOrderTimeout);
     this->context.metrics.Count(
         {"chervilspar_stops_total", {{"outcome", jobs::ToString(outcome)}}});
@@ -76,8 +75,7 @@
     }
   }
 
-  asio::awaitable<void> Carry(const jobs::PaceOrder& pace) {
-    const jobs::PaceOrder order = pace;
+  asio::awaitable<void> Carry(const jobs::PaceOrder& order) {
     const OrderOutcome outcome = co_await this->context.links.endpoints->Pace(order, kOrderTimeout);
     this->context.metrics.Count(
         {"chervilspar_paces_total", {{"outcome", jobs::ToString(outcome)}}});
--- a/src/job_entry/owner_directory.cc
+++ b/src/job_entry/owner_directory.cc
@@ -35,7 +35,8 @@
       return unreadable;
     }
   }
-  const Result<SocketAddress> parsed = ParseSocketAddress(std::string_view(address->as_string()));
+  const Result<SocketAddress> parsed =
+      ParseSocketAddress(static_cast<std::string_view>(address->as_string()));
   if (!parsed) {
     return parsed.LastReason();
   }
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -271,8 +271,9 @@
       fields.push_back({"endpoint", note.endpoint});
     }
     const jobs::JobId job = note.task ? note.task->job : note.job.value_or(jobs::JobId{});
-    LogEvent(telemetry::LogLevel::kInfo, note.event, note.why, std::move(fields),
-             jobs::ToString(job));
+    const bool is_routine = note.weight == jobs::NoteWeight::kRoutine;
+    LogEvent(is_routine ? telemetry::LogLevel::kDebug : telemetry::LogLevel::kInfo, note.event,
+             note.why, std::move(fields), jobs::ToString(job));
   }
 }
 
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -40,6 +40,8 @@
     if (http::PathOf(request.target) == "/metrics") {
       http::Response response;
       response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+      this->context.metrics.Set({"chervilspar_log_lines_dropped", {}},
+                                static_cast<double>(telemetry::DroppedLogLines()));
       response.body = this->context.metrics.Render();
       co_return response;
     }
@@ -88,7 +90,7 @@
                      &this->peer_server),
           std::tuple(this->context.settings.health, static_cast<http::Handler*>(&this->health),
                      &this->health_server)}) {
-      if (const Status status = this->Listen(address, *handler, *server); !status) {
+      if (Status status = this->Listen(address, *handler, *server); !status) {
         return status;
       }
     }
@@ -193,8 +195,11 @@
 
 int RunJobEntry(const JobEntrySettings& settings, LinkFactory& factory) {
   std::signal(SIGPIPE, SIG_IGN);
-  const Status logging = telemetry::SetUpLogging(
-      {.entry = settings.id, .zone = settings.zone, .min_level = settings.log_level, .path = ""});
+  const Status logging = telemetry::SetUpLogging({.entry = settings.id,
+                                                  .zone = settings.zone,
+                                                  .min_level = settings.log_level,
+                                                  .path = "",
+                                                  .stream = telemetry::LogStream::kStandardOutput});
   if (!logging) {
     std::fprintf(stderr, "%s\n", ToString(logging.LastReason()).c_str());
     return kExitUnavailable;
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -108,7 +108,7 @@
   std::uint64_t tasks = 0;
   std::uint32_t number = 0;
   for (const Step& step : job.steps) {
-    if (const Status status = CheckStep(step, number); !status) {
+    if (Status status = CheckStep(step, number); !status) {
       return status;
     }
     tasks += step.count;
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -52,6 +52,7 @@
 
 bool PlacingRound::PlaceJob(JobState& job) {
   bool is_placed = true;
+  this->wait = WaitReason::kNone;
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       if (occurrence.steps[step].is_open && !this->PlaceStep(job, number, step)) {
@@ -60,9 +61,24 @@
     }
   }
   this->state.RefreshReady(job);
+  this->TellWait(job);
   return is_placed;
 }
 
+void PlacingRound::TellWait(JobState& job) {
+  const bool is_late = this->wall_ms > job.deadline_ms;
+  if (this->wait == WaitReason::kNone || this->wait == job.told_wait || !is_late) {
+    return;
+  }
+  job.told_wait = this->wait;
+  this->state.Tell({"job_waits",
+                    {},
+                    job.job.id,
+                    "",
+                    std::string(ToString(this->wait)) + "; late by " +
+                        std::to_string(this->wall_ms - job.deadline_ms) + " ms"});
+}
+
 bool PlacingRound::NeedsAdvice(const TaskRef& ref) const {
   const auto queue = this->state.policy.queues.find(ref.job->job.queue);
   return queue != this->state.policy.queues.end() && queue->second.advice &&
@@ -77,9 +93,11 @@
       continue;
     }
     if (this->NeedsAdvice(ref)) {
+      this->wait = WaitReason::kAdvice;
       return true;  // a question is under way; nobody waits for room
     }
     if (!this->state.IsWithinCap(job, ref.spec->need)) {
+      this->wait = WaitReason::kTeamLimit;
       return true;  // the team's own limit, not a lack of room
     }
     if (ref.spec->is_gang) {
@@ -87,7 +105,9 @@
     }
     if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
       // What no endpoint may run doesn't hold up those that come after it.
-      return !this->KeepRoomFor(ref);
+      const bool could_run = this->KeepRoomFor(ref);
+      this->wait = could_run ? WaitReason::kNoRoom : WaitReason::kNowhere;
+      return !could_run;
     }
   }
   return true;
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -31,6 +31,8 @@
   bool PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded, std::uint64_t run);
   /// False when no endpoint of the pool could ever run the task as things are.
   bool KeepRoomFor(const TaskRef& ref);
+  /// For those who ask why a job is late.
+  void TellWait(JobState& job);
   bool NeedsAdvice(const TaskRef& ref) const;
 
   SchedulerState& state;
@@ -40,6 +42,8 @@
   /// Endpoints kept free for jobs that found no room in this pool.
   std::set<EndpointState*> reserved;
   int misses = 0;
+  /// What the job that was placed last waits for.
+  WaitReason wait = WaitReason::kNone;
   /// Several jobs are kept room for, as one endpoint may stay busy for long.
   static constexpr std::size_t kMostReserved = 2;
 };
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -62,7 +62,12 @@
     return;  // the job has ended and its tasks are forgotten
   }
   const bool is_mine = this->IsMine(ref, endpoint, ended.run);
-  this->state.Tell({"run_ended", ended.task, {}, endpoint.record.id, ToString(ended.end)});
+  this->state.Tell({"run_ended",
+                    ended.task,
+                    {},
+                    endpoint.record.id,
+                    ToString(ended.end),
+                    ended.end == RunEnd::kDone ? NoteWeight::kRoutine : NoteWeight::kNotable});
   if (!ended.checkpoint.empty() && ref.task->progress.phase != TaskPhase::kDone) {
     ref.task->progress.checkpoint = ended.checkpoint;
   }
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -1,6 +1,7 @@
 #include "chervilspar/jobs/scheduler.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "jobs/evacuation.h"
 #include "jobs/order_round.h"
@@ -355,6 +356,15 @@
     job->ended_ms = now_ms;
     job->occurrences.clear();
     this->state.ended.emplace_back(now_ms, id);
+    this->state.Tell({"job_ended",
+                      {},
+                      id,
+                      "",
+                      std::string(ToString(job->Phase())) + " " +
+                          std::to_string(now_ms - job->job.taken_ms) +
+                          " ms after it was accepted, " +
+                          (now_ms > job->deadline_ms ? "late by " : "in time by ") +
+                          std::to_string(std::abs(now_ms - job->deadline_ms)) + " ms"});
     this->state.MarkDirty(*job);
     this->state.RefreshReady(*job);
   }
@@ -480,7 +490,16 @@
     }
     ref.task->state = RunState::kStarting;
     ref.task->since = now;
-    ref.job->has_started = true;
+    if (!ref.job->has_started) {
+      ref.job->has_started = true;
+      self.state.Tell(
+          {"job_started",
+           key,
+           {},
+           endpoint.record.id,
+           std::to_string(self.wall_ms - ref.job->job.taken_ms) + " ms after it was accepted, " +
+               std::to_string(ref.job->deadline_ms - self.wall_ms) + " ms before it is late"});
+    }
     orders.starts.push_back(round.StartOf(ref));
   }
   self.recorded_phases.clear();
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -13,6 +13,22 @@
 
 }  // namespace
 
+const char* ToString(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kNone:
+      return "nothing";
+    case WaitReason::kNoRoom:
+      return "no endpoint of its pool has room";
+    case WaitReason::kNowhere:
+      return "no endpoint of its pool may run it";
+    case WaitReason::kTeamLimit:
+      return "its team runs as much as it may";
+    case WaitReason::kAdvice:
+      return "the adviser has not said where it may run";
+  }
+  return "unknown";
+}
+
 Resources RoomFor(const Step& step) {
   Resources need = step.need;
   if (step.is_filler) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -88,6 +88,11 @@
   bool IsDone() const;
 };
 
+/// Why a job's next task has no endpoint.
+enum class WaitReason { kNone, kNoRoom, kNowhere, kTeamLimit, kAdvice };
+
+const char* ToString(WaitReason reason);
+
 /// The place of a job among those that wait for the same endpoints; smaller goes first.
 struct ReadyKey {
   /// 0 for long-running work, then by the queue's priority.
@@ -119,6 +124,8 @@
   /// Tasks with a claim on an endpoint.
   std::uint32_t claims = 0;
   std::optional<ReadyKey> ready;
+  /// Told of once for each reason, when the job is late.
+  WaitReason told_wait = WaitReason::kNone;
 
   bool IsComplete() const { return this->complete_occurrences.size() == this->job.Occurrences(); }
   JobPhase Phase() const;
--- a/src/telemetry/logger.cc
+++ b/src/telemetry/logger.cc
@@ -2,15 +2,20 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <iostream>
+#include <memory>
+#include <thread>
 #include <utility>
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_file_backend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
@@ -90,6 +95,46 @@
   log::core::get()->add_sink(sink);
 }
 
+/// Lines that wait for standard output: some seconds of an entry under load.
+constexpr std::size_t kMostWaiting = 8192;
+/// How long the end of the process waits for a reader.
+constexpr std::chrono::milliseconds kFlushTime(300);
+
+std::atomic<std::uint64_t> dropped_lines = 0;
+
+/// What a full queue does with a line.
+class CountAndDrop {
+ protected:
+  // Named by Boost.Log.
+  template <typename Lock>
+  static bool on_overflow(const log::record_view&,
+                          Lock&) {  // NOLINT(readability-identifier-naming)
+    ++dropped_lines;
+    return false;
+  }
+  static void on_queue_space_available() {}  // NOLINT(readability-identifier-naming)
+  static void interrupt() {}                 // NOLINT(readability-identifier-naming)
+};
+
+using OutputSink =
+    log::sinks::asynchronous_sink<log::sinks::text_ostream_backend,
+                                  log::sinks::bounded_fifo_queue<kMostWaiting, CountAndDrop>>;
+
+boost::shared_ptr<OutputSink>& ProcessOutput() {
+  static boost::shared_ptr<OutputSink> sink;
+  return sink;
+}
+
+void AddOutputSink() {
+  auto backend = boost::make_shared<log::sinks::text_ostream_backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream*) {}));
+  backend->auto_flush(true);
+  auto sink = boost::make_shared<OutputSink>(backend);
+  sink->set_formatter(log::expressions::stream << log::expressions::smessage);
+  log::core::get()->add_sink(sink);
+  ProcessOutput() = sink;
+}
+
 void AddFileSink(const std::string& path) {
   auto backend = boost::make_shared<log::sinks::text_file_backend>(
       log::keywords::file_name = path, log::keywords::open_mode = std::ios_base::app,
@@ -131,7 +176,9 @@
   }
   ProcessSettings() = settings;
   log::core::get()->remove_all_sinks();
-  if (settings.path.empty()) {
+  if (settings.path.empty() && settings.stream == LogStream::kStandardOutput) {
+    AddOutputSink();
+  } else if (settings.path.empty()) {
     AddErrorStreamSink();
   } else {
     AddFileSink(settings.path);
@@ -182,6 +229,24 @@
   Log(line);
 }
 
-void FlushLogging() { log::core::get()->flush(); }
+void FlushLogging() {
+  const boost::shared_ptr<OutputSink> output = ProcessOutput();
+  if (output == nullptr) {
+    log::core::get()->flush();
+    return;
+  }
+  // A reader that has stopped reading would hold the process for ever.
+  const auto is_flushed = std::make_shared<std::atomic<bool>>(false);
+  std::thread([output, is_flushed] {
+    output->flush();
+    *is_flushed = true;
+  }).detach();
+  const auto give_up = std::chrono::steady_clock::now() + kFlushTime;
+  while (!*is_flushed && std::chrono::steady_clock::now() < give_up) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+std::uint64_t DroppedLogLines() { return dropped_lines; }
 
 }  // namespace chervilspar::telemetry
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -112,7 +112,7 @@
 
   /// A round whose starts are all carried out.
   std::vector<StartOrder> StartAll() {
-    const std::vector<StartOrder> starts = this->Round().starts;
+    std::vector<StartOrder> starts = this->Round().starts;
     for (const StartOrder& start : starts) {
       this->scheduler.OnStartAnswered(start, OrderOutcome::kDone, this->now);
     }
