Tests: Play take-overs, power losses and dark endpoints on stand-ins; feed the parsers

Change: a store with tokens, groups, lost answers and refusals, endpoints with leases that watch for double runs, entries that are cut off; tables and random bytes for all that is read from outside.

--- /dev/null
+++ b/tests/adapter/wire_test.cc
@@ -0,0 +1,270 @@
+#include <functional>
+#include <string>
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "platform/caller_format.h"
+#include "platform/endpoint_link.h"
+#include "platform/record_frames.h"
+#include "platform/record_reader.h"
+#include "platform/wire_json.h"
+
+namespace chervilspar::adapter {
+namespace {
+
+using job_entry::CallerAction;
+using job_entry::KeyedRecord;
+
+struct NameCase {
+  const char* name;
+  bool is_valid;
+};
+
+class TaskNames : public ::testing::TestWithParam<NameCase> {};
+
+TEST_P(TaskNames, AreReadExactly) {
+  const std::optional<jobs::TaskKey> key = ParseTaskName(GetParam().name);
+  EXPECT_EQ(key.has_value(), GetParam().is_valid) << GetParam().name;
+  if (key) {
+    EXPECT_EQ(TaskName(*key), GetParam().name);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, TaskNames,
+                         ::testing::Values(NameCase{"5c0e7a21d94b36f8.0.1.17", true},
+                                           NameCase{"5c0e7a21d94b36f8.4294967295.0.0", true},
+                                           NameCase{"5c0e7a21d94b36f8.4294967296.0.0", false},
+                                           NameCase{"5c0e7a21d94b36f8", false},
+                                           NameCase{"5c0e7a21d94b36f8.0.1", false},
+                                           NameCase{"5c0e7a21d94b36f8.0.1.2.3", false},
+                                           NameCase{"5c0e7a21d94b36f8.0.1.x", false},
+                                           NameCase{"5c0e7a21d94b36f8.0.-1.2", false},
+                                           NameCase{"zz0e7a21d94b36f8.0.1.2", false},
+                                           NameCase{"", false}));
+
+RC_GTEST_PROP(RecordFrames, ReadsBackWhatItFramed, ()) {
+  const auto count = *rc::gen::inRange(0, 5);
+  std::vector<KeyedRecord> records;
+  for (int i = 0; i < count; ++i) {
+    KeyedRecord record;
+    record.key = *rc::gen::container<std::string>(10, rc::gen::arbitrary<char>());
+    const std::string value = *rc::gen::arbitrary<std::string>();
+    if (!value.empty()) {
+      record.value = value;
+    }
+    records.push_back(record);
+  }
+  std::string answer(16, '\0');
+  answer[7] = static_cast<char>(count);
+  answer += FrameRecords(records);
+  const std::optional<ReadFrames> frames = ParseReadFrames(answer);
+  RC_ASSERT(frames.has_value());
+  RC_ASSERT(frames->records == records);
+  RC_ASSERT(frames->end == static_cast<std::uint64_t>(count));
+}
+
+/// An answer that is cut short must not be taken for a whole one: records would be skipped.
+RC_GTEST_PROP(RecordFrames, RefusesAnAnswerCutShort, ()) {
+  std::string answer(16, '\0');
+  answer += FrameRecords({{"key", "value"}});
+  const auto size = *rc::gen::inRange<std::size_t>(0, answer.size());
+  const std::optional<ReadFrames> frames = ParseReadFrames(answer.substr(0, size));
+  RC_ASSERT(!frames || (size == 16 && frames->records.empty()));
+}
+
+RC_GTEST_PROP(RecordFrames, SurvivesAnyBytes, (const std::string& bytes)) {
+  ParseReadFrames(bytes);
+  DecodeBase64(bytes);
+  RC_SUCCEED();
+}
+
+/// Any bytes from an endpoint, the store or a caller give a reason, never an end of the process.
+RC_GTEST_PROP(Readers, SurviveAnyBytes, (const std::string& bytes)) {
+  const WireRecords records;
+  RC_ASSERT(!ReadHoldReport(bytes).HasValue());
+  RC_ASSERT(!records.ReadPolicy(bytes).HasValue());
+  RC_ASSERT(!records.ReadEndpoint("i", bytes).HasValue());
+  RC_ASSERT(!records.ReadWave(bytes).HasValue());
+  http::Request request;
+  request.body = bytes;
+  RC_ASSERT(!WireCallers().ReadJob(request).HasValue());
+}
+
+struct HoldCase {
+  const char* name;
+  const char* body;
+  bool is_valid;
+};
+
+class HoldReports : public ::testing::TestWithParam<HoldCase> {};
+
+TEST_P(HoldReports, AreReadWholeOrNotAtAll) {
+  EXPECT_EQ(ReadHoldReport(GetParam().body).HasValue(), GetParam().is_valid);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, HoldReports,
+    ::testing::Values(
+        HoldCase{"empty_lists", R"({"clock_ms":5,"born":7,"active":[],"finished":[]})", true},
+        HoldCase{"rows", R"({"clock_ms":5,"active":[["5c0e7a21d94b36f8.0.1.17",2,"0b",41,3500]],
+                 "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
+                 true},
+        HoldCase{"unknown_end", R"({"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"gone",""]]})",
+                 false},
+        HoldCase{"short_row", R"({"finished":[[58,"5c0e7a21d94b36f8.0.1.9"]]})", false},
+        HoldCase{"wrong_type", R"({"active":[[1,2,3,4]]})", false},
+        HoldCase{"list_of_another_type", R"({"active":7})", false},
+        HoldCase{"no_json", "clock", false}),
+    [](const auto& info) { return info.param.name; });
+
+struct EndpointCase {
+  const char* name;
+  const char* body;
+  bool is_valid;
+};
+
+class Registrations : public ::testing::TestWithParam<EndpointCase> {};
+
+TEST_P(Registrations, NameAnEndpointOrNone) {
+  EXPECT_EQ(WireRecords().ReadEndpoint("i-7", GetParam().body).HasValue(), GetParam().is_valid);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, Registrations,
+    ::testing::Values(
+        EndpointCase{"whole", R"({"service":"s","address":"10.1.0.9:80","zone":"a","phase":"ready",
+                     "capacity":{"cpu":1,"mem_mb":2,"gpu":0},"labels":["a","r1-3"],"born":5})",
+                     true},
+        EndpointCase{"unknown_state", R"({"service":"s","address":"10.1.0.9:80","phase":"odd",
+                     "capacity":{"cpu":1}})",
+                     false},
+        EndpointCase{"no_address", R"({"service":"s","phase":"ready","capacity":{"cpu":1}})",
+                     false},
+        EndpointCase{"no_capacity", R"({"service":"s","address":"10.1.0.9:80","phase":"ready"})",
+                     false},
+        EndpointCase{"capacity_of_another_type", R"({"service":"s","address":"10.1.0.9:80",
+                     "phase":"ready","capacity":{"cpu":"many"}})",
+                     false},
+        EndpointCase{"no_json", "\x01\x02", false}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(Policies, AreReadIntoTheProductsTerms) {
+  const Result<jobs::Policy> policy = WireRecords().ReadPolicy(R"({"version":7,
+      "routes":[{"name":"r","host":"h","path_prefix":"/p/","target_runtime_ms":600,"prio":1,
+                 "service":"s","attempts":3,"slack_factor":1.6,"public":true,
+                 "advice":{"decide_ms":5,"each_ms":1,"valid_ms":3000}}],
+      "services":[{"name":"s"},{"name":"spare","standby":true}],
+      "tenants":[{"name":"t","api_keys":["k"],"weight":2,"cap":{"cpu":9000,"mem_mb":8,"gpu":0}}]})");
+  ASSERT_TRUE(policy);
+  const jobs::Queue& queue = policy->queues.at("r");
+  EXPECT_EQ(queue.target, std::chrono::milliseconds(600));
+  EXPECT_EQ(queue.attempts, 3U);
+  EXPECT_TRUE(queue.is_public);
+  ASSERT_TRUE(queue.advice);
+  EXPECT_EQ(queue.advice->validity, std::chrono::milliseconds(3000));
+  EXPECT_EQ(policy->team_of_key.at("k"), TeamId{"t"});
+  EXPECT_EQ(policy->teams.at(TeamId{"t"}).cap.cpu, 9000);
+  EXPECT_EQ(policy->standby, std::set<ServiceId>{ServiceId{"spare"}});
+}
+
+struct CallCase {
+  const char* name;
+  const char* method;
+  const char* host;
+  const char* target;
+  CallerAction action;
+  const char* queue;
+  bool has_id;
+};
+
+class Calls : public ::testing::TestWithParam<CallCase> {};
+
+TEST_P(Calls, AreReadIntoTheProductsTerms) {
+  jobs::Policy policy;
+  for (const char* prefix : {"/p/", "/p/inner/"}) {
+    jobs::Queue queue;
+    queue.name = prefix;
+    queue.host = "h";
+    queue.path_prefix = prefix;
+    policy.queues[prefix] = queue;
+  }
+  http::Request request;
+  request.method = GetParam().method;
+  request.target = GetParam().target;
+  request.headers.Add("Host", GetParam().host);
+  const job_entry::CallerCall call = WireCallers().Read(request, policy);
+  if (GetParam().queue == nullptr) {
+    EXPECT_EQ(call.queue, nullptr);
+    return;
+  }
+  ASSERT_NE(call.queue, nullptr);
+  EXPECT_EQ(call.queue->name, GetParam().queue);
+  EXPECT_EQ(call.action, GetParam().action);
+  EXPECT_EQ(call.id.has_value(), GetParam().has_id);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, Calls,
+    ::testing::Values(
+        CallCase{"submit", "POST", "h", "/p/5c0e7a21d94b36f8", CallerAction::kSubmit, "/p/", true},
+        CallCase{"find", "GET", "h", "/p/5c0e7a21d94b36f8", CallerAction::kFind, "/p/", true},
+        CallCase{"cancel", "DELETE", "h", "/p/5c0e7a21d94b36f8", CallerAction::kCancel, "/p/",
+                 true},
+        CallCase{"count", "GET", "h", "/p/", CallerAction::kCountPending, "/p/", false},
+        CallCase{"longest_prefix", "GET", "h", "/p/inner/5c0e7a21d94b36f8", CallerAction::kFind,
+                 "/p/inner/", true},
+        CallCase{"port_in_host", "GET", "h:80", "/p/", CallerAction::kCountPending, "/p/", false},
+        CallCase{"query", "GET", "h", "/p/?x=1", CallerAction::kCountPending, "/p/", false},
+        CallCase{"another_host", "GET", "g", "/p/", CallerAction::kUnknown, nullptr, false},
+        CallCase{"another_path", "GET", "h", "/q/", CallerAction::kUnknown, nullptr, false},
+        CallCase{"another_method", "PUT", "h", "/p/x", CallerAction::kUnknown, "/p/", false},
+        CallCase{"no_id", "GET", "h", "/p/short", CallerAction::kFind, "/p/", false}),
+    [](const auto& info) { return info.param.name; });
+
+struct BodyCase {
+  const char* name;
+  const char* body;
+  /// The field that the reason names; null when the body is sound.
+  const char* field;
+};
+
+class Bodies : public ::testing::TestWithParam<BodyCase> {};
+
+TEST_P(Bodies, NameTheFieldThatIsWrong) {
+  http::Request request;
+  request.body = GetParam().body;
+  const Result<jobs::Job> job = WireCallers().ReadJob(request);
+  if (GetParam().field == nullptr) {
+    ASSERT_TRUE(job);
+    EXPECT_TRUE(jobs::CheckJob(*job));
+    return;
+  }
+  const Reason reason = job ? jobs::CheckJob(*job).LastReason() : job.LastReason();
+  EXPECT_EQ(reason.field, GetParam().field);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Jobs, Bodies,
+    ::testing::Values(
+        BodyCase{"sound", R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,
+                 "estimate_ms":900,"affinity":"r1-3"},{"count":20,"after":[0]}]})",
+                 nullptr},
+        BodyCase{"unknown_field", R"({"spec":"x","later":1,"steps":[{"count":1}]})", nullptr},
+        BodyCase{"cut_short", R"({"spec":"x","steps":[{"count":4)", "body"},
+        BodyCase{"no_object", "[]", "body"}, BodyCase{"no_steps", R"({"spec":"x"})", "steps"},
+        BodyCase{"steps_of_another_type", R"({"steps":5})", "steps"},
+        BodyCase{"step_of_another_type", R"({"steps":[5]})", "steps/0"},
+        BodyCase{"count_of_another_type", R"({"steps":[{"count":"4"}]})", "steps/0/count"},
+        BodyCase{"zero_count", R"({"steps":[{"count":0}]})", "steps/0/count"},
+        BodyCase{"huge_count", R"({"steps":[{"count":99999999999}]})", "steps/0/count"},
+        BodyCase{"after_itself", R"({"steps":[{"after":[0]}]})", "steps/0/after"},
+        BodyCase{"after_a_text", R"({"steps":[{"after":["0"]}]})", "steps/0/after"},
+        BodyCase{"negative_cpu", R"({"steps":[{"cpu":-5}]})", "steps/0"},
+        BodyCase{"flag_of_another_type", R"({"steps":[{"gang":1}]})", "steps/0/gang"},
+        BodyCase{"spec_of_another_type", R"({"spec":7,"steps":[{"count":1}]})", "spec"}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace chervilspar::adapter
--- /dev/null
+++ b/tests/job_entry/fake_endpoints.cc
@@ -0,0 +1,164 @@
+#include "tests/job_entry/fake_endpoints.h"
+
+#include <algorithm>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+using jobs::OrderOutcome;
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(3);
+
+TimePoint Now() { return SystemClock().Now(); }
+
+std::int64_t ClockMs(TimePoint time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+TimePoint FromClock(std::int64_t ms) { return TimePoint(std::chrono::milliseconds(ms)); }
+
+}  // namespace
+
+void FakeEndpoints::Advance() {
+  const TimePoint now = Now();
+  for (auto& [id, endpoint] : this->endpoints) {
+    for (auto run = endpoint.active.begin(); run != endpoint.active.end();) {
+      const bool is_done = run->second.ends <= now && run->second.ends <= run->second.lease_end;
+      if (!is_done && run->second.lease_end > now) {
+        ++run;
+        continue;
+      }
+      endpoint.ended.push_back({endpoint.next_end++, run->first, run->second.number,
+                                is_done ? jobs::RunEnd::kDone : jobs::RunEnd::kLeaseLapsed, ""});
+      if (is_done) {
+        this->done.insert(run->first);
+      }
+      run = endpoint.active.erase(run);
+    }
+  }
+}
+
+bool FakeEndpoints::IsRunning(const jobs::TaskKey& task) const {
+  return std::any_of(this->endpoints.begin(), this->endpoints.end(),
+                     [&](const auto& entry) { return entry.second.active.contains(task); });
+}
+
+asio::awaitable<void> FakeEndpointLink::Wait(Duration span) {
+  asio::steady_timer timer(this->all.io, span);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<FakeEndpoints::Endpoint*> FakeEndpointLink::Reach(const std::string& endpoint,
+                                                                  Duration timeout) {
+  FakeEndpoints::Endpoint& found = this->all.endpoints[endpoint];
+  if (this->is_cut || found.is_dark) {
+    co_await this->Wait(timeout);
+    co_return nullptr;
+  }
+  co_await this->Wait(std::chrono::milliseconds(1));
+  this->all.Advance();
+  co_return this->is_cut || found.is_dark ? nullptr : &found;
+}
+
+asio::awaitable<HeldOutcome> FakeEndpointLink::Hold(jobs::HoldOrder order, Duration timeout) {
+  HeldOutcome held;
+  const TimePoint give_up = Now() + order.wait;
+  FakeEndpoints::Endpoint* endpoint = co_await this->Reach(order.endpoint, timeout);
+  while (endpoint != nullptr) {
+    if (order.token < endpoint->token) {
+      held.outcome = OrderOutcome::kTokenTooLow;
+      co_return held;
+    }
+    endpoint->token = order.token;
+    std::erase_if(endpoint->ended,
+                  [&](const auto& ended) { return ended.number <= order.confirmed_end; });
+    for (auto& [task, run] : endpoint->active) {
+      if (order.lease_until_ms) {
+        run.lease_end = std::max(run.lease_end, FromClock(*order.lease_until_ms));
+      }
+    }
+    if (!endpoint->ended.empty() || Now() >= give_up) {
+      break;
+    }
+    co_await this->Wait(kStep);
+    endpoint = co_await this->Reach(order.endpoint, timeout);
+  }
+  if (endpoint == nullptr) {
+    co_return held;
+  }
+  held.outcome = OrderOutcome::kDone;
+  held.report = jobs::HoldReport{};
+  held.report->clock_ms = ClockMs(Now());
+  held.report->born_ms = 1;
+  held.report->ended = endpoint->ended;
+  for (const auto& [task, run] : endpoint->active) {
+    held.report->active.push_back(
+        {task, run.number, "", static_cast<int>(ClockMs(Now()) % 100), 0});
+  }
+  co_return held;
+}
+
+asio::awaitable<OrderOutcome> FakeEndpointLink::Start(jobs::StartOrder order, Duration timeout) {
+  FakeEndpoints::Endpoint* endpoint = co_await this->Reach(order.endpoint, timeout);
+  if (endpoint == nullptr) {
+    co_return OrderOutcome::kNoAnswer;
+  }
+  if (order.token < endpoint->token) {
+    co_return OrderOutcome::kTokenTooLow;
+  }
+  endpoint->token = order.token;
+  if (FromClock(order.lease_until_ms) < Now()) {
+    co_return OrderOutcome::kTooLate;
+  }
+  const auto active = endpoint->active.find(order.task);
+  if (active != endpoint->active.end() && active->second.number == order.run) {
+    co_return OrderOutcome::kDone;
+  }
+  if (order.run <= endpoint->last_run[order.task]) {
+    co_return OrderOutcome::kRunTooOld;
+  }
+  if (this->all.IsRunning(order.task)) {
+    this->all.violations.push_back(jobs::ToString(order.task) + " runs twice at once");
+  }
+  if (this->all.done.contains(order.task)) {
+    this->all.violations.push_back(jobs::ToString(order.task) + " starts after it has ended well");
+  }
+  endpoint->last_run[order.task] = order.run;
+  endpoint->active[order.task] = {order.run, Now() + this->all.task_time,
+                                  FromClock(order.lease_until_ms)};
+  this->all.starts.push_back(Now());
+  co_return OrderOutcome::kDone;
+}
+
+asio::awaitable<OrderOutcome> FakeEndpointLink::Stop(jobs::StopOrder order, Duration timeout) {
+  FakeEndpoints::Endpoint* endpoint = co_await this->Reach(order.endpoint, timeout);
+  if (endpoint == nullptr) {
+    co_return OrderOutcome::kNoAnswer;
+  }
+  if (order.token < endpoint->token) {
+    co_return OrderOutcome::kTokenTooLow;
+  }
+  endpoint->token = order.token;
+  const auto active = endpoint->active.find(order.task);
+  endpoint->last_run[order.task] = std::max(endpoint->last_run[order.task], order.run);
+  if (active != endpoint->active.end() && active->second.number <= order.run) {
+    endpoint->ended.push_back(
+        {endpoint->next_end++, order.task, active->second.number, jobs::RunEnd::kStopped, ""});
+    endpoint->active.erase(active);
+  }
+  co_return OrderOutcome::kDone;
+}
+
+asio::awaitable<OrderOutcome> FakeEndpointLink::Pace(jobs::PaceOrder order, Duration timeout) {
+  FakeEndpoints::Endpoint* endpoint = co_await this->Reach(order.endpoint, timeout);
+  co_return endpoint == nullptr ? OrderOutcome::kNoAnswer : OrderOutcome::kDone;
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/tests/job_entry/fake_fleet.cc
@@ -0,0 +1,105 @@
+#include "tests/job_entry/fake_fleet.h"
+
+namespace chervilspar::job_entry {
+
+namespace {
+
+Links MakeLinks(FakeStore& store, FakeEndpoints& endpoints) {
+  Links links;
+  links.store = std::make_unique<FakeStoreLink>(store);
+  links.endpoints = std::make_unique<FakeEndpointLink>(endpoints);
+  links.records = std::make_unique<FakeRecords>();
+  return links;
+}
+
+JobEntrySettings SettingsFor(const std::string& name) {
+  JobEntrySettings settings;
+  settings.id = EntryId{name};
+  settings.zone = ZoneId{"z"};
+  settings.peers = {"127.0.0.1", 1};
+  return settings;
+}
+
+}  // namespace
+
+Result<jobs::Policy> FakeRecords::ReadPolicy(std::string_view value) const {
+  jobs::Policy policy;
+  policy.version = std::stoull(std::string(value));
+  jobs::Queue queue;
+  queue.name = "bookings";
+  queue.service = ServiceId{"desk"};
+  queue.attempts = 3;
+  policy.queues["bookings"] = queue;
+  return policy;
+}
+
+Result<jobs::EndpointRecord> FakeRecords::ReadEndpoint(std::string_view key,
+                                                       std::string_view) const {
+  jobs::EndpointRecord record;
+  record.id = std::string(key);
+  record.service = ServiceId{"desk"};
+  record.address = {"127.0.0.1", 2};
+  record.born_ms = 1;
+  record.capacity = {8000, 8000, 0};
+  return record;
+}
+
+FakeEntry::FakeEntry(boost::asio::io_context& io, FakeStore& store, FakeEndpoints& endpoints,
+                     const std::string& name)
+    : settings(SettingsFor(name)),
+      links(MakeLinks(store, endpoints)),
+      context{this->settings, this->links, this->clock, this->metrics, io},
+      store(static_cast<FakeStoreLink*>(this->links.store.get())),
+      endpoints(static_cast<FakeEndpointLink*>(this->links.endpoints.get())),
+      operators(this->context),
+      directory(this->context),
+      writer(std::make_shared<JobWriter>(this->context)),
+      election(std::make_shared<Election>(this->context, this->operators, this->directory)) {}
+
+void FakeEntry::Start() {
+  this->operators.Start();
+  this->directory.Start();
+  this->writer->Start();
+  this->election->Start();
+}
+
+void FakeEntry::Cut() {
+  this->store->is_cut = true;
+  this->endpoints->is_cut = true;
+}
+
+OwnerTerm::Answer FakeEntry::Find(const jobs::JobId& id) const {
+  const std::shared_ptr<OwnerTerm> term = this->election->Term();
+  return term == nullptr ? OwnerTerm::Answer{} : term->Find(id);
+}
+
+FakeFleet::FakeFleet(boost::asio::io_context& io, int endpoint_count)
+    : io(io), store(io), endpoints(io) {
+  this->store.At(Topic::kOperators, 0).records.push_back({"rules", "1"});
+  for (int i = 0; i < endpoint_count; ++i) {
+    this->store.At(Topic::kEndpoints, 0).records.push_back({"i" + std::to_string(i), "x"});
+  }
+}
+
+FakeEntry& FakeFleet::AddEntry(const std::string& name) {
+  this->entries.push_back(
+      std::make_unique<FakeEntry>(this->io, this->store, this->endpoints, name));
+  this->entries.back()->Start();
+  return *this->entries.back();
+}
+
+jobs::Job FakeFleet::MakeJob(std::uint64_t number, std::uint32_t tasks) {
+  jobs::Job job;
+  job.id = jobs::JobId{number};
+  job.queue = "bookings";
+  job.service = ServiceId{"desk"};
+  job.payload = "x";
+  jobs::Step step;
+  step.count = tasks;
+  step.need = {500, 10, 0};
+  step.estimate_ms = 150;
+  job.steps = {step};
+  return job;
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/tests/job_entry/fake_fleet.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "job_entry/election.h"
+#include "job_entry/job_writer.h"
+#include "job_entry/owner_directory.h"
+#include "tests/job_entry/fake_endpoints.h"
+#include "tests/job_entry/fake_store.h"
+
+namespace chervilspar::job_entry {
+
+/// Reads the two records that the tests write: rules "version" and endpoints by name.
+class FakeRecords final : public RecordReader {
+ public:
+  bool IsPolicyKey(std::string_view key) const override { return key == "rules"; }
+  Result<jobs::Policy> ReadPolicy(std::string_view value) const override;
+  Result<jobs::EndpointRecord> ReadEndpoint(std::string_view key,
+                                            std::string_view value) const override;
+  bool IsWaveKey(std::string_view) const override { return false; }
+  Result<jobs::Wave> ReadWave(std::string_view) const override {
+    return Reason{ErrorCode::kMalformed, "", "there are no waves here"};
+  }
+  KeyedRecord WriteWaveStatus(const jobs::Wave&, bool) const override { return {}; }
+};
+
+/// One entry without its HTTP servers.
+class FakeEntry {
+ public:
+  FakeEntry(boost::asio::io_context& io, FakeStore& store, FakeEndpoints& endpoints,
+            const std::string& name);
+
+  void Start();
+  /// The process is gone, or cut off from everything; it can't be told from outside.
+  void Cut();
+  OwnerTerm::Answer Find(const jobs::JobId& id) const;
+
+  JobEntrySettings settings;
+  telemetry::MetricsRegistry metrics;
+  SystemClock clock;
+  Links links;
+  Context context;
+  FakeStoreLink* store = nullptr;
+  FakeEndpointLink* endpoints = nullptr;
+  OperatorView operators;
+  OwnerDirectory directory;
+  std::shared_ptr<JobWriter> writer;
+  std::shared_ptr<Election> election;
+};
+
+/// A store and endpoints with entries that come and go.
+class FakeFleet {
+ public:
+  explicit FakeFleet(boost::asio::io_context& io, int endpoint_count = 3);
+
+  FakeEntry& AddEntry(const std::string& name);
+  /// A job of `tasks` tasks.
+  static jobs::Job MakeJob(std::uint64_t number, std::uint32_t tasks);
+
+  boost::asio::io_context& io;
+  FakeStore store;
+  FakeEndpoints endpoints;
+  std::vector<std::unique_ptr<FakeEntry>> entries;
+};
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/tests/job_entry/fleet_test.cc
@@ -0,0 +1,292 @@
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+#include "chervilspar/base/random.h"
+
+#include "tests/job_entry/fake_fleet.h"
+
+namespace chervilspar::job_entry {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// Fleets that run at once, so that many rounds take no longer than one.
+constexpr int kTakeovers = 30;
+constexpr int kPowerLosses = 200;
+
+/// Keeps the log out of the tests' output.
+class QuietLog : public ::testing::Environment {
+ public:
+  void SetUp() override {
+    const Status status = telemetry::SetUpLogging({.min_level = telemetry::LogLevel::kError});
+    ASSERT_TRUE(status);
+  }
+};
+
+const ::testing::Environment* const kQuietLog = ::testing::AddGlobalTestEnvironment(new QuietLog);
+
+/// Hands a job in; `then` hears whether it was accepted.
+asio::awaitable<void> Submit(FakeEntry& entry, jobs::Job job, std::function<void(bool)> then) {
+  KeyedRecord record{SubmissionKey(job.id), jobs::EncodeJob(job)};
+  const WriteVerdict verdict = co_await entry.writer->Write(std::move(record));
+  then(verdict == WriteVerdict::kStored);
+}
+
+/// Runs until `is_over`, or for `longest`.
+void RunUntil(asio::io_context& io, Duration longest, const std::function<bool()>& is_over) {
+  const SystemClock clock;
+  const TimePoint end = clock.Now() + longest;
+  while (clock.Now() < end && !is_over()) {
+    io.run_for(milliseconds(10));
+  }
+}
+
+/// The owner is killed with jobs waiting and at work. The next entry has to find what runs, start
+/// what waits, and start nothing twice; until then callers wait.
+TEST(Fleet, AnotherEntryTakesOverFromAKilledOwner) {
+  asio::io_context io;
+  std::vector<std::unique_ptr<FakeFleet>> fleets;
+  std::vector<FakeEntry*> owners;
+  for (int i = 0; i < kTakeovers; ++i) {
+    fleets.push_back(std::make_unique<FakeFleet>(io));
+    fleets.back()->endpoints.task_time = milliseconds(400);
+    owners.push_back(&fleets.back()->AddEntry("a"));
+    fleets.back()->AddEntry("b");
+  }
+  RunUntil(io, std::chrono::seconds(5), [&] {
+    return std::all_of(fleets.begin(), fleets.end(), [](const auto& fleet) {
+      return std::any_of(fleet->entries.begin(), fleet->entries.end(), [](const auto& entry) {
+        return entry->election->Term() != nullptr && entry->election->Term()->IsServing();
+      });
+    });
+  });
+  const SystemClock clock;
+  std::vector<TimePoint> killed(kTakeovers);
+  for (int i = 0; i < kTakeovers; ++i) {
+    FakeFleet& fleet = *fleets[i];
+    FakeEntry& owner = fleet.entries[0]->election->Term() ? *fleet.entries[0] : *fleet.entries[1];
+    FakeEntry& other = &owner == fleet.entries[0].get() ? *fleet.entries[1] : *fleet.entries[0];
+    for (std::uint64_t job = 1; job <= 8; ++job) {
+      asio::co_spawn(io, Submit(other, FakeFleet::MakeJob(job, 8), [](bool) {}), asio::detached);
+    }
+    owners[i] = &other;
+  }
+  io.run_for(milliseconds(150));
+  for (int i = 0; i < kTakeovers; ++i) {
+    FakeFleet& fleet = *fleets[i];
+    FakeEntry& owner = owners[i] == fleet.entries[0].get() ? *fleet.entries[1] : *fleet.entries[0];
+    owner.Cut();
+    killed[i] = clock.Now();
+  }
+  const auto is_complete = [&](int i) {
+    for (std::uint64_t job = 1; job <= 8; ++job) {
+      if (owners[i]->Find(jobs::JobId{job}).phase != jobs::JobPhase::kComplete) {
+        return false;
+      }
+    }
+    return true;
+  };
+  RunUntil(io, std::chrono::seconds(20), [&] {
+    for (int i = 0; i < kTakeovers; ++i) {
+      if (!is_complete(i)) {
+        return false;
+      }
+    }
+    return true;
+  });
+  std::vector<std::int64_t> waits;
+  for (int i = 0; i < kTakeovers; ++i) {
+    EXPECT_TRUE(is_complete(i)) << "fleet " << i;
+    EXPECT_TRUE(fleets[i]->endpoints.violations.empty()) << fleets[i]->endpoints.violations.front();
+    const std::vector<TimePoint>& starts = fleets[i]->endpoints.starts;
+    const auto next = std::upper_bound(starts.begin(), starts.end(), killed[i] + milliseconds(500));
+    ASSERT_NE(next, starts.end());
+    waits.push_back(std::chrono::duration_cast<milliseconds>(*next - killed[i]).count());
+  }
+  std::sort(waits.begin(), waits.end());
+  std::printf(
+      "from the kill to the successor's first start, %d fleets: median %lld ms, worst %lld ms\n",
+      kTakeovers, static_cast<long long>(waits[waits.size() / 2]),
+      static_cast<long long>(waits.back()));
+  EXPECT_LT(waits.back(), 3000);
+}
+
+/// All entries lose power right after a job was accepted. The caller was told that it is stored,
+/// so that the entries that start next must know it and run it, once.
+TEST(Fleet, APowerLossAfterAnAcceptanceLosesNoJob) {
+  asio::io_context io;
+  std::vector<std::unique_ptr<FakeFleet>> fleets;
+  std::vector<char> accepted(kPowerLosses, 0);
+  std::vector<FakeEntry*> later(kPowerLosses, nullptr);
+  SeededRandom random(7);
+  for (int i = 0; i < kPowerLosses; ++i) {
+    fleets.push_back(std::make_unique<FakeFleet>(io));
+    fleets.back()->AddEntry("a");
+    fleets.back()->AddEntry("b");
+  }
+  RunUntil(io, std::chrono::seconds(10), [&] {
+    return std::all_of(fleets.begin(), fleets.end(), [](const auto& fleet) {
+      return std::any_of(fleet->entries.begin(), fleet->entries.end(), [](const auto& entry) {
+        return entry->election->Term() != nullptr && entry->election->Term()->IsServing();
+      });
+    });
+  });
+  for (int i = 0; i < kPowerLosses; ++i) {
+    FakeFleet& fleet = *fleets[i];
+    const auto delay = milliseconds(random.Below(40));
+    FakeEntry& entry = *fleet.entries[random.Below(2)];
+    asio::co_spawn(io,
+                   Submit(entry, FakeFleet::MakeJob(1, 3),
+                          [&io, &fleet, &accepted, i, delay](bool is_accepted) {
+                            accepted[i] = is_accepted ? 1 : 0;
+                            auto timer = std::make_shared<asio::steady_timer>(io, delay);
+                            timer->async_wait([timer, &fleet](const auto&) {
+                              fleet.entries[0]->Cut();
+                              fleet.entries[1]->Cut();
+                            });
+                          }),
+                   asio::detached);
+  }
+  io.run_for(milliseconds(500));
+  for (int i = 0; i < kPowerLosses; ++i) {
+    later[i] = &fleets[i]->AddEntry("c");
+  }
+  const auto is_complete = [&](int i) {
+    return later[i]->Find(jobs::JobId{1}).phase == jobs::JobPhase::kComplete;
+  };
+  RunUntil(io, std::chrono::seconds(25), [&] {
+    for (int i = 0; i < kPowerLosses; ++i) {
+      if (accepted[i] != 0 && !is_complete(i)) {
+        return false;
+      }
+    }
+    return true;
+  });
+  int known = 0;
+  for (int i = 0; i < kPowerLosses; ++i) {
+    EXPECT_NE(accepted[i], 0);
+    EXPECT_TRUE(is_complete(i)) << "fleet " << i;
+    EXPECT_TRUE(fleets[i]->endpoints.violations.empty()) << fleets[i]->endpoints.violations.front();
+    known += is_complete(i) ? 1 : 0;
+  }
+  std::printf("%d of %d jobs accepted before a power loss were run\n", known, kPowerLosses);
+}
+
+/// An endpoint that runs work falls silent together with the owner. Its work must not start
+/// elsewhere before the owner that is gone can't have renewed its lease any more.
+TEST(Fleet, WorkOfADarkEndpointStartsElsewhereOnlyAfterItsLease) {
+  asio::io_context io;
+  FakeFleet fleet(io, 2);
+  fleet.endpoints.task_time = std::chrono::seconds(30);
+  FakeEntry& first = fleet.AddEntry("a");
+  RunUntil(io, std::chrono::seconds(5), [&] {
+    return first.election->Term() != nullptr && first.election->Term()->IsServing();
+  });
+  FakeEntry& second = fleet.AddEntry("b");
+  asio::co_spawn(io, Submit(first, FakeFleet::MakeJob(1, 1), [](bool) {}), asio::detached);
+  RunUntil(io, std::chrono::seconds(5), [&] { return !fleet.endpoints.starts.empty(); });
+  io.run_for(milliseconds(100));
+  for (auto& [id, endpoint] : fleet.endpoints.endpoints) {
+    endpoint.is_dark = !endpoint.active.empty();
+  }
+  first.Cut();
+  RunUntil(io, std::chrono::seconds(15), [&] { return fleet.endpoints.starts.size() > 1; });
+  EXPECT_EQ(fleet.endpoints.starts.size(), 2U);
+  EXPECT_TRUE(fleet.endpoints.violations.empty());
+  EXPECT_NE(second.election->Term(), nullptr);
+}
+
+/// What a caller is told when the store misbehaves, as a table.
+struct VerdictCase {
+  const char* name;
+  std::function<void(FakeStoreLink&)> misbehave;
+  WriteVerdict verdict;
+  std::size_t stored;
+};
+
+class Verdicts : public ::testing::TestWithParam<VerdictCase> {};
+
+TEST_P(Verdicts, AreTrue) {
+  asio::io_context io;
+  FakeFleet fleet(io);
+  FakeEntry entry(io, fleet.store, fleet.endpoints, "a");
+  entry.writer->Start();
+  GetParam().misbehave(*entry.store);
+  std::optional<WriteVerdict> verdict;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        KeyedRecord record{"k", "v"};
+        verdict = co_await entry.writer->Write(std::move(record));
+      },
+      asio::detached);
+  RunUntil(io, std::chrono::seconds(5), [&] { return verdict.has_value(); });
+  ASSERT_TRUE(verdict);
+  EXPECT_EQ(*verdict, GetParam().verdict);
+  std::set<std::string> keys;
+  for (std::uint32_t partition = 0; partition < kJobPartitions; ++partition) {
+    for (const KeyedRecord& record : fleet.store.At(Topic::kJobs, partition).records) {
+      keys.insert(record.key);
+    }
+  }
+  EXPECT_EQ(keys.size(), GetParam().stored);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Store, Verdicts,
+    ::testing::Values(
+        VerdictCase{"answers", [](FakeStoreLink&) {}, WriteVerdict::kStored, 1},
+        VerdictCase{"refuses", [](FakeStoreLink& link) { link.refuse_appends = 9; },
+                    WriteVerdict::kNotStored, 0},
+        VerdictCase{"loses_one_answer", [](FakeStoreLink& link) { link.lose_answers = 1; },
+                    WriteVerdict::kStored, 1},
+        VerdictCase{"loses_all_answers", [](FakeStoreLink& link) { link.lose_answers = 9; },
+                    WriteVerdict::kMayBeStored, 1},
+        // The first append may still take effect, so that the refusal of the second proves nothing.
+        VerdictCase{"loses_one_answer_and_refuses",
+                    [](FakeStoreLink& link) {
+                      link.lose_answers = 1;
+                      link.refuses_after_loss = true;
+                    },
+                    WriteVerdict::kMayBeStored, 1},
+        VerdictCase{"is_silent", [](FakeStoreLink& link) { link.is_cut = true; },
+                    WriteVerdict::kMayBeStored, 0}),
+    [](const auto& info) { return info.param.name; });
+
+/// A predecessor's writes are refused once a higher token was announced, also one whose answer was
+/// lost and that is sent again.
+TEST(ProgressWriting, IsFencedByASuccessor) {
+  asio::io_context io;
+  FakeFleet fleet(io);
+  FakeEntry entry(io, fleet.store, fleet.endpoints, "a");
+  std::vector<FencedWrite> outcomes;
+  const bool is_stopped = false;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        ProgressWriter first(entry.context, 1);
+        ProgressWriter second(entry.context, 2);
+        std::vector<KeyedRecord> records = {{"job", "1"}};
+        outcomes.push_back(co_await first.Announce(is_stopped));
+        entry.store->lose_answers = 1;
+        outcomes.push_back(co_await first.Write(records, is_stopped));
+        outcomes.push_back(co_await second.Announce(is_stopped));
+        outcomes.push_back(co_await first.Write(records, is_stopped));
+        outcomes.push_back(co_await second.Write(records, is_stopped));
+      },
+      asio::detached);
+  RunUntil(io, std::chrono::seconds(5), [&] { return outcomes.size() == 5; });
+  const std::vector<FencedWrite> expected = {FencedWrite::kStored, FencedWrite::kStored,
+                                             FencedWrite::kStored, FencedWrite::kSuperseded,
+                                             FencedWrite::kStored};
+  EXPECT_EQ(outcomes, expected);
+  EXPECT_EQ(fleet.store.At(Topic::kProgress, 0).records.size(), 2U) << "a repeat is written once";
+}
+
+}  // namespace
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/tests/job_entry/settings_test.cc
@@ -0,0 +1,75 @@
+#include "chervilspar/job_entry/settings.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace chervilspar::job_entry {
+namespace {
+
+RawJobEntrySettings Valid() {
+  RawJobEntrySettings raw;
+  raw.id = "e1";
+  raw.zone = "z";
+  raw.callers_address = "10.0.0.1:80";
+  raw.health_address = "10.0.0.1:81";
+  raw.peer_address = "10.0.0.1:82";
+  raw.store_address = "10.0.0.2:90";
+  return raw;
+}
+
+struct SettingsCase {
+  const char* name;
+  std::function<void(RawJobEntrySettings&)> change;
+  /// The flags that are named, all at once; none when the settings are sound.
+  std::set<std::string> flags;
+};
+
+class JobEntrySettingsTable : public ::testing::TestWithParam<SettingsCase> {};
+
+TEST_P(JobEntrySettingsTable, NamesEachWrongFlag) {
+  RawJobEntrySettings raw = Valid();
+  GetParam().change(raw);
+  const JobEntrySettingsOutcome outcome = CheckSettings(raw);
+  std::set<std::string> flags;
+  for (const Reason& fault : outcome.faults) {
+    flags.insert(fault.field);
+  }
+  EXPECT_EQ(flags, GetParam().flags);
+  EXPECT_EQ(outcome.settings.has_value(), GetParam().flags.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Flags, JobEntrySettingsTable,
+    ::testing::Values(
+        SettingsCase{"sound", [](RawJobEntrySettings&) {}, {}},
+        SettingsCase{"nothing_given",
+                     [](RawJobEntrySettings& raw) { raw = {}; },
+                     {"--id", "--zone", "--callers-address", "--health-address", "--peer-address",
+                      "--store-address"}},
+        SettingsCase{"two_faults",
+                     [](RawJobEntrySettings& raw) {
+                       raw.store_address = "store";
+                       raw.lease_limit = "soon";
+                     },
+                     {"--store-address", "--lease-limit"}},
+        SettingsCase{"a_lease_of_nothing",
+                     [](RawJobEntrySettings& raw) { raw.lease_limit = "0s"; },
+                     {"--lease-limit"}},
+        SettingsCase{"optional_address",
+                     [](RawJobEntrySettings& raw) { raw.vm_service_address = "10.0.0.3"; },
+                     {"--vm-service-address"}},
+        SettingsCase{"path_without_slash",
+                     [](RawJobEntrySettings& raw) { raw.health_path = "ready"; },
+                     {"--health-path"}},
+        SettingsCase{"unknown_level",
+                     [](RawJobEntrySettings& raw) { raw.log_level = "loud"; },
+                     {"--log-level"}},
+        SettingsCase{
+            "milliseconds", [](RawJobEntrySettings& raw) { raw.lease_limit = "6000ms"; }, {}}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace chervilspar::job_entry
