Jobs: Serve the product's own interface for jobs beside the platform's

Cause: jobs could be handed in over the users' wire only. Change: /v1/queues/QUEUE/jobs/ID with the product's names; tables of paths and bodies.

--- a/include/chervilspar/jobs/job.h
+++ b/include/chervilspar/jobs/job.h
@@ -132,6 +132,10 @@
 std::string EncodeJob(const Job& job);
 Result<Job> DecodeJob(std::string_view text);
 
+/// Reads the body of a submission in the product's own interface: the fields of the stored form
+/// that are the caller's to say. Names the field that is wrong.
+Result<Job> ReadJobBody(std::string_view text);
+
 }  // namespace chervilspar::jobs
 
 template <>
--- a/src/job_entry/caller_handler.cc
+++ b/src/job_entry/caller_handler.cc
@@ -22,6 +22,13 @@
                              JobQuestions& questions)
     : context(context), operators(operators), writer(writer), questions(questions) {}
 
+const CallerFormat& CallerHandler::FormatFor(const http::Request& request) const {
+  if (OwnCallers::IsForIt(request)) {
+    return this->own;
+  }
+  return *this->context.links.callers;
+}
+
 void CallerHandler::Count(const char* call, unsigned status) {
   this->context.metrics.Count(
       {"chervilspar_calls_total", {{"call", call}, {"status", std::to_string(status)}}});
@@ -55,7 +62,8 @@
     co_return ComeBack(503, "not_ready", "The operators' rules are not known for certain here.",
                        kComeBackSeconds);
   }
-  CallerCall call = this->context.links.callers->Read(request, *policy);
+  const CallerFormat& format = this->FormatFor(request);
+  CallerCall call = format.Read(request, *policy);
   if (std::optional<http::Response> refused = this->Refuse(call, *policy)) {
     this->Count("refused", refused->status);
     co_return *std::move(refused);
@@ -66,13 +74,13 @@
   const ServiceId service = call.queue->service;
   switch (call.action) {
     case CallerAction::kSubmit:
-      co_return co_await this->Submit(request, std::move(call), team_id, queue, service);
+      co_return co_await this->Submit(request, std::move(call), format, team_id, queue, service);
     case CallerAction::kFind:
-      co_return co_await this->Find(std::move(call));
+      co_return co_await this->Find(std::move(call), format);
     case CallerAction::kCancel:
-      co_return co_await this->Cancel(std::move(call));
+      co_return co_await this->Cancel(std::move(call), format);
     case CallerAction::kCountPending:
-      co_return co_await this->CountPending(queue);
+      co_return co_await this->CountPending(queue, format);
     case CallerAction::kUnknown:
       break;
   }
@@ -80,9 +88,9 @@
 }
 
 asio::awaitable<http::Response> CallerHandler::Submit(const http::Request& request, CallerCall call,
-                                                      TeamId team, std::string queue,
-                                                      ServiceId service) {
-  Result<jobs::Job> read = this->context.links.callers->ReadJob(request);
+                                                      const CallerFormat& format, TeamId team,
+                                                      std::string queue, ServiceId service) {
+  Result<jobs::Job> read = format.ReadJob(request);
   if (!read) {
     this->Count("submit", 400);
     co_return http::ErrorResponse(400, "invalid_argument", ToString(read.LastReason()));
@@ -108,7 +116,7 @@
       LogEvent(telemetry::LogLevel::kInfo, "job_accepted", "stored",
                {{"queue", job.queue}, {"team", job.team.text}, {"shape", jobs::ShapeText(job)}},
                id);
-      co_return this->context.links.callers->Accepted();
+      co_return format.Accepted();
     case WriteVerdict::kNotStored:
       this->Count("submit", 503);
       LogEvent(telemetry::LogLevel::kWarning, "job_refused", "the store takes nothing; not run",
@@ -124,15 +132,15 @@
   co_return http::ErrorResponse(504, "may_have_run", "The store has not answered; it may run.");
 }
 
-asio::awaitable<http::Response> CallerHandler::Find(CallerCall call) {
+asio::awaitable<http::Response> CallerHandler::Find(CallerCall call, const CallerFormat& format) {
   const OwnerTerm::Answer answer = co_await this->questions.Find(*call.id);
   switch (answer.knowledge) {
     case OwnerTerm::Knowledge::kKnown:
       this->Count("find", 200);
-      co_return this->context.links.callers->Phase(answer.phase);
+      co_return format.Phase(answer.phase);
     case OwnerTerm::Knowledge::kNoSuchJob:
       this->Count("find", 410);
-      co_return this->context.links.callers->NoSuchJob();
+      co_return format.NoSuchJob();
     case OwnerTerm::Knowledge::kUnsure:
       break;
   }
@@ -141,7 +149,7 @@
                      kComeBackSeconds);
 }
 
-asio::awaitable<http::Response> CallerHandler::Cancel(CallerCall call) {
+asio::awaitable<http::Response> CallerHandler::Cancel(CallerCall call, const CallerFormat& format) {
   // Written whether or not the job is known here: its submission may still be on its way through
   // another entry, and must not run after this answer.
   KeyedRecord record{CancellationKey(*call.id), "1"};
@@ -150,7 +158,7 @@
   if (verdict == WriteVerdict::kStored) {
     this->Count("cancel", 200);
     LogEvent(telemetry::LogLevel::kInfo, "cancel_accepted", "stored", {}, id);
-    co_return this->context.links.callers->Accepted();
+    co_return format.Accepted();
   }
   const bool is_unsure = verdict == WriteVerdict::kMayBeStored;
   this->Count("cancel", is_unsure ? 504 : 503);
@@ -161,14 +169,15 @@
   co_return ComeBack(503, "unavailable", "It was not cancelled.", kComeBackSeconds);
 }
 
-asio::awaitable<http::Response> CallerHandler::CountPending(std::string queue) {
+asio::awaitable<http::Response> CallerHandler::CountPending(std::string queue,
+                                                            const CallerFormat& format) {
   const std::optional<std::uint64_t> pending = co_await this->questions.PendingIn(std::move(queue));
   this->Count("pending", pending ? 200 : 503);
   if (!pending) {
     co_return ComeBack(503, "unavailable", "The entry that schedules can't be asked now.",
                        kComeBackSeconds);
   }
-  co_return this->context.links.callers->Pending(*pending);
+  co_return format.Pending(*pending);
 }
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/caller_handler.h
+++ b/src/job_entry/caller_handler.h
@@ -7,6 +7,7 @@
 #include "job_entry/job_questions.h"
 #include "job_entry/job_writer.h"
 #include "job_entry/operator_view.h"
+#include "job_entry/own_callers.h"
 
 namespace chervilspar::job_entry {
 
@@ -23,16 +24,20 @@
   /// What is wrong with the call before it is looked at more closely; nothing when it may go on.
   std::optional<http::Response> Refuse(const CallerCall& call, const jobs::Policy& policy) const;
   boost::asio::awaitable<http::Response> Submit(const http::Request& request, CallerCall call,
-                                                TeamId team, std::string queue, ServiceId service);
-  boost::asio::awaitable<http::Response> Find(CallerCall call);
-  boost::asio::awaitable<http::Response> Cancel(CallerCall call);
-  boost::asio::awaitable<http::Response> CountPending(std::string queue);
+                                                const CallerFormat& format, TeamId team,
+                                                std::string queue, ServiceId service);
+  boost::asio::awaitable<http::Response> Find(CallerCall call, const CallerFormat& format);
+  boost::asio::awaitable<http::Response> Cancel(CallerCall call, const CallerFormat& format);
+  boost::asio::awaitable<http::Response> CountPending(std::string queue,
+                                                      const CallerFormat& format);
+  const CallerFormat& FormatFor(const http::Request& request) const;
   void Count(const char* call, unsigned status);
 
   const Context context;
   OperatorView& operators;
   JobWriter& writer;
   JobQuestions& questions;
+  OwnCallers own;
 };
 
 /// An answer that says that nothing was done and when to come back.
--- /dev/null
+++ b/src/job_entry/own_callers.cc
@@ -0,0 +1,80 @@
+#include "job_entry/own_callers.h"
+
+#include <boost/json.hpp>
+
+#include "chervilspar/http/server.h"
+
+namespace chervilspar::job_entry {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kPrefix = "/v1/queues/";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr unsigned kGone = 410;
+/// "v1", "queues", the queue, "jobs", and the id.
+constexpr std::size_t kQueuePart = 2;
+constexpr std::size_t kJobsPart = 3;
+constexpr std::size_t kIdPart = 4;
+
+http::Response JsonAnswer(const json::object& body) {
+  http::Response response;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = json::serialize(body);
+  return response;
+}
+
+CallerAction ActionOf(const std::string& method, bool has_id) {
+  if (method == "GET") {
+    return has_id ? CallerAction::kFind : CallerAction::kCountPending;
+  }
+  if (method == "POST") {
+    return CallerAction::kSubmit;
+  }
+  return method == "DELETE" ? CallerAction::kCancel : CallerAction::kUnknown;
+}
+
+}  // namespace
+
+bool OwnCallers::IsForIt(const http::Request& request) {
+  return http::PathOf(request.target).starts_with(kPrefix);
+}
+
+CallerCall OwnCallers::Read(const http::Request& request, const jobs::Policy& policy) const {
+  CallerCall call;
+  const std::vector<std::string_view> parts = http::PathSegments(request.target);
+  if (parts.size() <= kJobsPart || parts[kJobsPart] != "jobs") {
+    return call;
+  }
+  const auto queue = policy.queues.find(std::string(parts[kQueuePart]));
+  call.queue = queue == policy.queues.end() ? nullptr : &queue->second;
+  const std::string_view key = request.headers.Find("Authorization").value_or("");
+  call.key = std::string(key.starts_with(kBearer) ? key.substr(kBearer.size()) : "");
+  if (parts.size() > kIdPart) {
+    call.id_text = std::string(parts[kIdPart]);
+    call.id = jobs::ParseJobId(call.id_text);
+  }
+  call.action = ActionOf(request.method, !call.id_text.empty());
+  return call;
+}
+
+Result<jobs::Job> OwnCallers::ReadJob(const http::Request& request) const {
+  return jobs::ReadJobBody(request.body);
+}
+
+http::Response OwnCallers::Accepted() const { return JsonAnswer({}); }
+
+http::Response OwnCallers::Phase(jobs::JobPhase phase) const {
+  return JsonAnswer({{"phase", jobs::ToString(phase)}});
+}
+
+http::Response OwnCallers::Pending(std::uint64_t count) const {
+  return JsonAnswer({{"pending", count}});
+}
+
+http::Response OwnCallers::NoSuchJob() const {
+  return http::ErrorResponse(kGone, "not_found", "There is no such job, and there was none.");
+}
+
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/own_callers.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "chervilspar/job_entry/links.h"
+
+namespace chervilspar::job_entry {
+
+/// The product's own interface for jobs, served beside that of the platform:
+///
+///     POST   /v1/queues/QUEUE/jobs/ID   a job; 200 stored, 400, 401, 404, 503, 504
+///     GET    /v1/queues/QUEUE/jobs/ID   200 {"phase":"running"}, 410 no such job, 503
+///     DELETE /v1/queues/QUEUE/jobs/ID   200 cancelled
+///     GET    /v1/queues/QUEUE/jobs      200 {"pending":3}
+///
+/// with `Authorization: Bearer KEY`.
+class OwnCallers final : public CallerFormat {
+ public:
+  static bool IsForIt(const http::Request& request);
+
+  CallerCall Read(const http::Request& request, const jobs::Policy& policy) const override;
+  Result<jobs::Job> ReadJob(const http::Request& request) const override;
+  http::Response Accepted() const override;
+  http::Response Phase(jobs::JobPhase phase) const override;
+  http::Response Pending(std::uint64_t count) const override;
+  http::Response NoSuchJob() const override;
+};
+
+}  // namespace chervilspar::job_entry
--- a/src/jobs/job_codec.cc
+++ b/src/jobs/job_codec.cc
@@ -81,6 +81,34 @@
   return json::serialize(out);
 }
 
+Result<Job> ReadJobBody(std::string_view text) {
+  boost::system::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_object()) {
+    return Reason{ErrorCode::kInvalidArgument, "body", "is not a JSON object"};
+  }
+  std::string field = "steps";
+  try {
+    const json::object& in = value.as_object();
+    Job job;
+    if (const json::array* steps = ArrayOf(in, "steps")) {
+      for (const json::value& step : *steps) {
+        field = "steps/" + std::to_string(job.steps.size());
+        job.steps.push_back(DecodeStep(step.as_object()));
+      }
+    }
+    field = "payload";
+    job.payload = TextOf(in, "payload");
+    field = "repeats";
+    job.repeats = NumberOf<std::uint32_t>(in, "repeats");
+    job.first_due_ms = NumberOf<std::int64_t>(in, "first_due_ms");
+    job.interval_ms = NumberOf<std::int64_t>(in, "interval_ms");
+    return job;
+  } catch (const std::exception&) {
+    return Reason{ErrorCode::kInvalidArgument, field, "has a value of another type"};
+  }
+}
+
 Result<Job> DecodeJob(std::string_view text) {
   const Reason unreadable{ErrorCode::kMalformed, "", "the record is not a stored job"};
   try {
