Jobs: Keep a job whose end was not dated; give up on jobs early when not all can be on time

Change: such a job is dated by the successor. OverloadPlan gives up the largest jobs of the team that has most for its weight until the rest fits (Moore). Ruled out: an unreadable record, a page left out of the newest keys (no line of either).

--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -3,8 +3,24 @@
 #include <algorithm>
 #include <limits>
 
+#include "chervilspar/jobs/overload_plan.h"
+
 namespace chervilspar::jobs {
 
+namespace {
+
+/// Between two plans of who is served on time; a plan of 500 jobs takes about a millisecond.
+constexpr Duration kPlanPace = std::chrono::milliseconds(50);
+/// Part of the cpu that tasks fill; as in the sizer.
+constexpr double kUsable = 0.85;
+/// Estimates are rough, and a job that begins a little after its latest start is often still on
+/// time.
+constexpr double kGrace = 200;
+/// A task without estimate counts as short.
+constexpr std::int64_t kLeastEstimateMs = 50;
+
+}  // namespace
+
 void PlacingRound::Run() {
   for (auto& [service, pool] : this->state.pools) {
     if (!pool.ready.empty() && !pool.endpoints.empty()) {
@@ -22,26 +38,90 @@
     ranks.push_back(place->rank);
     place = pool.ready.lower_bound({place->rank + 1, kFirst, {}});
   }
+  this->PlanOverload(pool);
   for (const std::uint32_t rank : ranks) {
     const std::int64_t begin = rank == 0 ? kFirst : this->wall_ms;
-    if (!this->PlaceBetween(pool, {rank, begin, {}}, {rank + 1, kFirst, {}})) {
+    if (!this->PlaceBetween(pool, {rank, begin, {}}, {rank + 1, kFirst, {}},
+                            Which::kServedOnTime)) {
       return;
     }
   }
+  // What is left is kept for those that can still be on time.
+  if (this->misses > 0) {
+    return;
+  }
   for (const std::uint32_t rank : ranks) {
-    // What is left is kept for those that can still be on time.
-    const bool is_late = rank > 0 && this->misses == 0;
-    if (is_late && !this->PlaceBetween(pool, {rank, kFirst, {}}, {rank, this->wall_ms, {}})) {
+    const bool goes_on =
+        rank == 0 ||
+        (this->PlaceBetween(pool, {rank, this->wall_ms, {}}, {rank + 1, kFirst, {}},
+                            Which::kGivenUp) &&
+         this->PlaceBetween(pool, {rank, kFirst, {}}, {rank, this->wall_ms, {}}, Which::kAll));
+    if (!goes_on) {
       return;
     }
   }
 }
 
-bool PlacingRound::PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end) {
+double PlacingRound::WorkLeft(const JobState& job) const {
+  double work = 0;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const Step& spec = job.job.steps[i];
+      const auto waiting =
+          std::count_if(occurrence.steps[i].tasks.begin(), occurrence.steps[i].tasks.end(),
+                        [](const Task& task) { return task.IsWaiting(); });
+      work += static_cast<double>(waiting) * static_cast<double>(RoomFor(spec).cpu) *
+              static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kLeastEstimateMs));
+    }
+  }
+  return work;
+}
+
+void PlacingRound::PlanOverload(PoolState& pool) {
+  if (this->now - pool.planned < kPlanPace) {
+    return;
+  }
+  pool.planned = this->now;
+  double cpu = 0;
+  for (const EndpointState* endpoint : pool.endpoints) {
+    if (Placement::IsUsable(*endpoint, this->now)) {
+      cpu += static_cast<double>(endpoint->record.capacity.cpu) * kUsable;
+    }
+    for (const TaskKey& key : endpoint->claims) {
+      const TaskRef ref = this->state.Find(key);
+      cpu -= ref.spec->is_long_running ? static_cast<double>(RoomFor(*ref.spec).cpu) : 0;
+    }
+  }
+  std::vector<UrgentJob> urgent;
+  for (const ReadyKey& key : pool.ready) {
+    JobState& job = *this->state.FindJob(key.job);
+    job.is_given_up = false;
+    if (key.rank > 0 && key.latest_start_ms >= this->wall_ms) {
+      urgent.push_back({key.job, job.job.team,
+                        static_cast<double>(key.latest_start_ms - this->wall_ms) + kGrace,
+                        this->WorkLeft(job)});
+    }
+  }
+  std::stable_sort(urgent.begin(), urgent.end(), [](const UrgentJob& one, const UrgentJob& other) {
+    return one.slack_ms < other.slack_ms;
+  });
+  std::map<TeamId, double> weights;
+  for (const auto& [id, team] : this->state.policy.teams) {
+    weights[id] = team.weight;
+  }
+  for (const JobId& id : OverloadPlan::GiveUp(urgent, std::max(cpu, 0.0), weights)) {
+    this->state.FindJob(id)->is_given_up = true;
+  }
+}
+
+bool PlacingRound::PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end,
+                                Which which) {
   auto place = pool.ready.lower_bound(begin);
   while (place != pool.ready.end() && *place < end) {
     const ReadyKey key = *place;
-    if (!this->PlaceJob(*this->state.FindJob(key.job)) &&
+    JobState& job = *this->state.FindJob(key.job);
+    const bool is_meant = which == Which::kAll || job.is_given_up == (which == Which::kGivenUp);
+    if (is_meant && !this->PlaceJob(job) &&
         ++this->misses >= this->state.options.misses_per_round) {
       return false;
     }
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -19,8 +19,13 @@
 
  private:
   void PlacePool(PoolState& pool);
+  enum class Which { kServedOnTime, kGivenUp, kAll };
+
   /// Places jobs from `begin` up to `end`; false when the round has to end.
-  bool PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end);
+  bool PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end, Which which);
+  /// Decides which jobs are served on time if not all can be.
+  void PlanOverload(PoolState& pool);
+  double WorkLeft(const JobState& job) const;
   /// False when something of the job found no room, although an endpoint could have it.
   bool PlaceJob(JobState& job);
   bool PlaceStep(JobState& job, std::uint32_t occurrence, std::uint32_t step);
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -23,6 +23,9 @@
 /// Part of the work of steps that wait for earlier ones that counts as waiting: most of it comes
 /// when a VM that is ordered for it would be needed elsewhere again.
 constexpr double kLaterShare = 0.3;
+/// Part of the work of jobs that will be late that counts: such a job is worth a fifteenth, which
+/// pays for VMs that are there, not for more of them.
+constexpr double kLateShare = 0.25;
 /// Questions that may wait at once: the adviser handles one after the other.
 constexpr std::size_t kMostQuestions = 4;
 
@@ -158,10 +161,14 @@
     }
   }
   if (progress.IsEnded()) {
-    job->ended_ms = std::max(progress.ended_ms, job->job.taken_ms);
+    // The predecessor may have been replaced before it stored when the job ended.
+    job->ended_ms = progress.ended_ms != 0 ? progress.ended_ms : this->impl->wall_ms;
+    if (progress.ended_ms == 0) {
+      state.MarkDirty(*job);
+    }
     job->occurrences.clear();
     state.scheduled.erase(id);
-    state.ended.emplace_back(progress.ended_ms, id);
+    state.ended.emplace_back(job->ended_ms, id);
     state.RefreshReady(*job);
     return;
   }
@@ -633,7 +640,10 @@
             load.long_running += cpu;
             load.waiting_long_running += task.IsWaiting() ? 1 : 0;
           } else if (task.IsWaiting()) {
-            const double share = occurrence.steps[i].is_open ? 1.0 : kLaterShare;
+            double share = occurrence.steps[i].is_open ? 1.0 : kLaterShare;
+            if (job->is_given_up || job->deadline_ms < this->impl->wall_ms) {
+              share *= kLateShare;
+            }
             load.waiting += share * cpu * static_cast<double>(spec.estimate_ms);
           }
         }
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -124,6 +124,8 @@
   /// Tasks with a claim on an endpoint.
   std::uint32_t claims = 0;
   std::optional<ReadyKey> ready;
+  /// It could be on time, but not together with the others; see `OverloadPlan`.
+  bool is_given_up = false;
   /// Told of once for each reason, when the job is late.
   WaitReason told_wait = WaitReason::kNone;
 
@@ -172,6 +174,8 @@
   double arrived = 0;
   std::vector<EndpointState*> endpoints;
   std::set<ReadyKey> ready;
+  /// When it was last planned who is served on time.
+  TimePoint planned{};
 };
 
 /// A task together with all that it belongs to.
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -8,6 +8,10 @@
 using std::chrono::milliseconds;
 using World = SchedulerWorld;
 
+std::int64_t ToMs(TimePoint time) {
+  return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
+}
+
 /// A predecessor has placed a task at "a" and was killed. The successor knows what was stored.
 class Takeover : public ::testing::Test {
  protected:
@@ -93,6 +97,23 @@
   EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
 }
 
+/// The owner was replaced between a job's failure and the record of when it ended. The successor
+/// took it for one that had ended ages ago and dropped it: its caller was told that there is no
+/// such job.
+TEST_F(Takeover, KeepsAJobThatHasJustEnded) {
+  World world{{}, 2};
+  world.now = TimePoint{} + std::chrono::hours(1000);
+  Job ended = this->job;
+  ended.taken_ms = ToMs(world.now) - 1000000;
+  world.scheduler.AddJob(ended, WallTime(world.now.time_since_epoch()));
+  JobProgress failed = this->progress;
+  failed.phase = JobPhase::kFailed;
+  failed.ended_ms = 0;
+  world.scheduler.RestoreProgress(JobId{1}, failed);
+  EXPECT_TRUE(world.scheduler.Expired(WallTime(world.now.time_since_epoch()), 10).empty());
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kFailed);
+}
+
 /// What runs belongs to a job that nobody knows, as it was cancelled and forgotten.
 TEST_F(Takeover, StopsWhatNobodyAskedFor) {
   StartOrder stray = this->start;
