Jobs: Try a doubtful append for two seconds; let an owner return after an outage

Cause: a store that reset connections for three seconds made entries answer 504 within 50 ms; callers used up their four tries before it was back. And the first member after an outage claimed although the owner lived. Change: an append that may have been done is tried again for 2 s; nobody claims within a time to live of a failed join.

--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -51,6 +51,9 @@
              this->is_joined ? "group_regained" : "group_lost",
              this->is_joined ? "a member again" : ToString(joined.LastReason()));
   }
+  if (!joined) {
+    this->missed = this->context.Now();
+  }
   if (!joined || this->is_resigned) {
     co_return;
   }
@@ -59,6 +62,11 @@
   if (!joined->is_chosen || this->Term() != nullptr) {
     co_return;
   }
+  // After an outage of the store, memberships have lapsed, also that of an owner that lives and
+  // works on; it gets the time to be a member again.
+  if (this->missed && this->context.Now() - *this->missed < kTimeToLive) {
+    co_return;
+  }
   const bool has_owner = co_await this->HasLivingOwner();
   if (!has_owner && !this->is_resigned) {
     co_await this->BeginTerm();
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -37,6 +37,8 @@
   std::uint64_t generation = 0;
   bool is_resigned = false;
   bool is_joined = true;
+  /// When the store last failed to answer a join.
+  std::optional<TimePoint> missed;
   std::shared_ptr<OwnerTerm> term;
 };
 
--- a/src/job_entry/job_writer.cc
+++ b/src/job_entry/job_writer.cc
@@ -1,5 +1,7 @@
 #include "job_entry/job_writer.h"
 
+#include <algorithm>
+
 #include "chervilspar/base/hash.h"
 
 namespace chervilspar::job_entry {
@@ -8,10 +10,13 @@
 
 namespace {
 
-/// For one append. Callers wait about 3 s, so that a second try after a lost answer still tells
-/// them in time that the job is stored.
+/// For one append: it takes 4 ms, and some hundred while the store is slow.
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(1100);
-constexpr int kTries = 2;
+/// An append that may have been done is tried again for this long. Callers wait 3 s; told earlier
+/// that it may have run, they ask again at once and have used up their tries before a store that
+/// resets connections for some seconds is back.
+constexpr Duration kTryFor = std::chrono::milliseconds(2000);
+constexpr Duration kTryPause = std::chrono::milliseconds(120);
 /// Submissions in one append: with 4,000 bytes of payload each still far below the store's limit
 /// of 2 MiB for one call.
 constexpr std::size_t kMostTogether = 100;
@@ -64,20 +69,25 @@
 }
 
 asio::awaitable<WriteVerdict> JobWriter::Append(std::vector<KeyedRecord> records) {
+  const TimePoint give_up = this->context.Now() + kTryFor;
   bool may_be_stored = false;
-  for (int i = 0; i < kTries; ++i) {
+  while (true) {
     // A repeat is harmless: the same keys get the same values.
+    const Duration left = std::max<Duration>(give_up - this->context.Now(), kTryPause);
     const AppendOutcome outcome = co_await this->context.links.store->Append(
-        Topic::kJobs, this->partition, records, std::nullopt, kAppendTimeout);
+        Topic::kJobs, this->partition, records, std::nullopt, std::min(kAppendTimeout, left));
     if (outcome.kind == AppendOutcome::Kind::kStored) {
       co_return WriteVerdict::kStored;
     }
     may_be_stored = may_be_stored || outcome.kind == AppendOutcome::Kind::kUnknown;
     if (!may_be_stored) {
-      break;
+      co_return WriteVerdict::kNotStored;
+    }
+    if (this->context.Now() + kTryPause >= give_up) {
+      co_return WriteVerdict::kMayBeStored;
     }
+    co_await Pause(this->context, kTryPause);
   }
-  co_return may_be_stored ? WriteVerdict::kMayBeStored : WriteVerdict::kNotStored;
 }
 
 }  // namespace chervilspar::job_entry
