--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -22,6 +22,9 @@
 /// An endpoint without work is looked at again when it gets some; this only bounds a missed
 /// wake-up.
 constexpr Duration kIdlePause = std::chrono::seconds(1);
+/// Between the beginnings of two renewals. Tasks of one step end close to each other, and each
+/// renewal is priced; an end is heard 20 ms later on average.
+constexpr Duration kHoldSpacing = std::chrono::milliseconds(60);
 /// Ends wait for their record before they are confirmed; usually a few milliseconds.
 constexpr Duration kStoreWait = std::chrono::milliseconds(250);
 
@@ -88,6 +91,7 @@
         co_await this->wakeup->WaitFor(kIdlePause);
         continue;
       }
+      const TimePoint begin = this->context.Now();
       const bool is_held = co_await this->Hold(plan.order);
       if (this->is_stopped) {
         break;
@@ -100,6 +104,10 @@
       } else if (!is_held || !has_waited) {
         co_await this->wakeup->WaitFor(kHoldPause);
       }
+      const Duration passed = this->context.Now() - begin;
+      if (passed < kHoldSpacing) {
+        co_await Pause(this->context, kHoldSpacing - passed);
+      }
     }
   }
 
