--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -4,9 +4,11 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "chervilspar/base/ids.h"
+#include "chervilspar/base/result.h"
 #include "chervilspar/base/time.h"
 #include "chervilspar/jobs/job.h"
 
@@ -81,6 +83,9 @@
   friend bool operator==(const WaveProgress&, const WaveProgress&) = default;
 };
 
+std::string EncodeWaveProgress(const WaveProgress& progress);
+Result<WaveProgress> DecodeWaveProgress(std::string_view text);
+
 /// What the planner wants done now.
 struct UpkeepStep {
   /// Endpoints that get no new work and are emptied.
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -128,6 +128,10 @@
 
 void OwnerTerm::LoadProgress(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
+    if (record.value && VmDriver::IsWaveKey(record.key)) {
+      this->LoadWave(record);
+      continue;
+    }
     const std::optional<jobs::JobId> id = jobs::ParseJobId(record.key);
     if (!id || !record.value) {
       continue;
@@ -142,6 +146,16 @@
   }
 }
 
+void OwnerTerm::LoadWave(const KeyedRecord& record) {
+  const Result<jobs::WaveProgress> progress = jobs::DecodeWaveProgress(*record.value);
+  if (!progress) {
+    LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(progress.LastReason()),
+             {{"key", record.key}});
+    return;
+  }
+  this->vms.Restore(*progress);
+}
+
 void OwnerTerm::FollowPolicy() {
   const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
   if (policy && policy->version > this->policy_version) {
@@ -190,31 +204,27 @@
 
 asio::awaitable<void> OwnerTerm::StoreLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
   while (!this->is_stopped) {
-    if (!this->scheduler.HasBatch()) {
+    const bool has_batch = this->scheduler.HasBatch();
+    if (!has_batch && !this->vms.HasRecords()) {
       co_await this->store->WaitFor(kRound);
       continue;
     }
     const TimePoint begin = this->context.Now();
-    const jobs::Batch batch = this->scheduler.TakeBatch();
-    if (!batch.IsEmpty()) {
-      std::vector<KeyedRecord> records;
-      for (const jobs::ProgressRecord& record : batch.records) {
+    std::vector<KeyedRecord> records = this->vms.TakeRecords();
+    if (has_batch) {
+      for (const jobs::ProgressRecord& record : this->scheduler.TakeBatch().records) {
         records.push_back({jobs::ToString(record.job), record.text});
       }
-      const FencedWrite written = co_await this->writer.Write(std::move(records), this->is_stopped);
-      if (written == FencedWrite::kSuperseded) {
-        this->Stop("another owner has a higher token");
-      }
-      if (this->is_stopped || written != FencedWrite::kStored) {
-        co_return;
-      }
-      this->context.metrics.Sample(
-          {"chervilspar_progress_append_seconds", {}},
-          std::chrono::duration<double>(this->context.Now() - begin).count());
     }
-    this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now()));
-    this->sender.OnStored();
-    this->Kick();
+    const bool is_stored = co_await this->StoreRecords(std::move(records));
+    if (!is_stored) {
+      co_return;
+    }
+    if (has_batch) {
+      this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now()));
+      this->sender.OnStored();
+      this->Kick();
+    }
     co_await this->DropExpired();
     const Duration passed = this->context.Now() - begin;
     if (passed < kStorePace) {
@@ -223,6 +233,20 @@
   }
 }
 
+asio::awaitable<bool> OwnerTerm::StoreRecords(std::vector<KeyedRecord> records) {
+  if (records.empty()) {
+    co_return !this->is_stopped;
+  }
+  const TimePoint begin = this->context.Now();
+  const FencedWrite written = co_await this->writer.Write(std::move(records), this->is_stopped);
+  if (written == FencedWrite::kSuperseded) {
+    this->Stop("another owner has a higher token");
+  }
+  this->context.metrics.Sample({"chervilspar_progress_append_seconds", {}},
+                               std::chrono::duration<double>(this->context.Now() - begin).count());
+  co_return !this->is_stopped && written == FencedWrite::kStored;
+}
+
 asio::awaitable<void> OwnerTerm::DropExpired() {
   const std::vector<jobs::JobId> expired =
       this->scheduler.Expired(this->context.clock.WallNow(), kMostDropped);
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -52,6 +52,9 @@
   boost::asio::awaitable<void> StoreLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> AdviceLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> DropExpired();
+  /// False when the term has ended.
+  boost::asio::awaitable<bool> StoreRecords(std::vector<KeyedRecord> records);
+  void LoadWave(const KeyedRecord& record);
   void LoadProgress(const std::vector<KeyedRecord>& records);
   void WatchProof();
   void FollowPolicy();
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -14,6 +14,7 @@
 constexpr Duration kPace = std::chrono::milliseconds(250);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
+const std::string kWavePrefix = "wave/";
 /// A move whose answer was lost and that isn't seen after this has not happened.
 constexpr Duration kMoveLost = std::chrono::seconds(6);
 
@@ -23,6 +24,25 @@
                    std::uint64_t token)
     : context(context), operators(operators), scheduler(scheduler), token(token) {}
 
+std::string VmDriver::KeyOf(std::uint64_t wave) { return kWavePrefix + std::to_string(wave); }
+
+bool VmDriver::IsWaveKey(std::string_view key) { return key.starts_with(kWavePrefix); }
+
+void VmDriver::Restore(const jobs::WaveProgress& progress) {
+  WaveState& state = this->waves[progress.number];
+  state.progress = progress;
+  state.is_announced = true;
+}
+
+std::vector<KeyedRecord> VmDriver::TakeRecords() {
+  std::vector<KeyedRecord> records;
+  for (const std::uint64_t wave : this->changed) {
+    records.push_back({KeyOf(wave), jobs::EncodeWaveProgress(this->waves[wave].progress)});
+  }
+  this->changed.clear();
+  return records;
+}
+
 asio::awaitable<void> VmDriver::Run(TimePoint began, std::weak_ptr<void> owner) {
   this->owner = std::move(owner);
   while (!this->is_stopped && this->context.links.vms != nullptr) {
@@ -81,6 +101,7 @@
 
 asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order) {
   WaveState& state = this->waves[wave.number];
+  state.progress.number = wave.number;
   jobs::UpkeepPlanner::Absent absent{this->down, {}};
   for (const auto& [vm, away] : this->moving) {
     absent.moving.insert(vm);
@@ -118,6 +139,7 @@
   switch (outcome) {
     case VmOrderOutcome::kDone:
       state.progress.rebooted.insert(vm);
+      this->changed.insert(wave.number);
       break;
     case VmOrderOutcome::kNoAnswer:
       break;  // asked again once the VM is seen up; the answer then tells
@@ -162,6 +184,7 @@
     state.progress.is_complete = false;  // told again with the next round
     co_return;
   }
+  this->changed.insert(wave.number);
   LogEvent(telemetry::LogLevel::kInfo, "wave_told",
            state.progress.is_complete ? "all VMs are done" : "is under way",
            {{"wave", std::to_string(wave.number)}});
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -25,6 +25,15 @@
   /// Runs until stopped; `began` is when this entry took over, `owner` keeps this object.
   boost::asio::awaitable<void> Run(TimePoint began, std::weak_ptr<void> owner);
   void Stop() { this->is_stopped = true; }
+  /// How far a predecessor brought a wave; before `Run`.
+  void Restore(const jobs::WaveProgress& progress);
+  bool HasRecords() const { return !this->changed.empty(); }
+  /// The progress of waves that has changed, to be stored. Without it a successor would empty and
+  /// reboot all VMs of a wave once more.
+  std::vector<KeyedRecord> TakeRecords();
+  /// The key of a wave's progress, and whether a key is one.
+  static std::string KeyOf(std::uint64_t wave);
+  static bool IsWaveKey(std::string_view key);
   /// A VM is on its way to a pool and will register soon.
   bool IsExpecting() const { return !this->moving.empty(); }
 
@@ -60,6 +69,8 @@
   bool is_stopped = false;
   std::vector<jobs::VmRecord> vms;
   std::map<std::uint64_t, WaveState> waves;
+  /// Waves whose progress is to be stored.
+  std::set<std::uint64_t> changed;
   /// Emptied for a wave.
   std::set<VmId> evacuating;
   /// Ordered to reboot and not seen up since.
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -4,11 +4,12 @@
 
 namespace {
 
-Links MakeLinks(FakeStore& store, FakeEndpoints& endpoints) {
+Links MakeLinks(FakeStore& store, FakeEndpoints& endpoints, FakeVms& vms) {
   Links links;
   links.store = std::make_unique<FakeStoreLink>(store);
   links.endpoints = std::make_unique<FakeEndpointLink>(endpoints);
   links.records = std::make_unique<FakeRecords>();
+  links.vms = std::make_unique<FakeVmLink>(vms);
   return links;
 }
 
@@ -17,6 +18,7 @@
   settings.id = EntryId{name};
   settings.zone = ZoneId{"z"};
   settings.peers = {"127.0.0.1", 1};
+  settings.vm_order_pause = std::chrono::milliseconds(100);
   return settings;
 }
 
@@ -33,6 +35,18 @@
   return policy;
 }
 
+Result<jobs::Wave> FakeRecords::ReadWave(std::string_view value) const {
+  jobs::Wave wave;
+  wave.number = 1;
+  wave.most_down = 2;
+  while (!value.empty()) {
+    const std::size_t comma = value.find(',');
+    wave.vms.push_back(VmId{std::string(value.substr(0, comma))});
+    value = comma == std::string_view::npos ? "" : value.substr(comma + 1);
+  }
+  return wave;
+}
+
 Result<jobs::EndpointRecord> FakeRecords::ReadEndpoint(std::string_view key,
                                                        std::string_view) const {
   jobs::EndpointRecord record;
@@ -45,9 +59,9 @@
 }
 
 FakeEntry::FakeEntry(boost::asio::io_context& io, FakeStore& store, FakeEndpoints& endpoints,
-                     const std::string& name)
+                     FakeVms& vms, const std::string& name)
     : settings(SettingsFor(name)),
-      links(MakeLinks(store, endpoints)),
+      links(MakeLinks(store, endpoints, vms)),
       context{this->settings, this->links, this->clock, this->metrics, io},
       store(static_cast<FakeStoreLink*>(this->links.store.get())),
       endpoints(static_cast<FakeEndpointLink*>(this->links.endpoints.get())),
@@ -83,7 +97,7 @@
 
 FakeEntry& FakeFleet::AddEntry(const std::string& name) {
   this->entries.push_back(
-      std::make_unique<FakeEntry>(this->io, this->store, this->endpoints, name));
+      std::make_unique<FakeEntry>(this->io, this->store, this->endpoints, this->vms, name));
   this->entries.back()->Start();
   return *this->entries.back();
 }
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,6 +13,32 @@
 
 namespace chervilspar::job_entry {
 
+/// VMs that reboot at once, with an endpoint each, and count how often.
+class FakeVms {
+ public:
+  std::vector<jobs::VmRecord> vms;
+  std::map<VmId, int> reboots;
+};
+
+class FakeVmLink final : public VmService {
+ public:
+  explicit FakeVmLink(FakeVms& all) : all(all) {}
+
+  boost::asio::awaitable<Result<std::vector<jobs::VmRecord>>> List(Duration) override {
+    co_return this->all.vms;
+  }
+  boost::asio::awaitable<jobs::VmOrderOutcome> Reboot(jobs::RebootOrder order, Duration) override {
+    ++this->all.reboots[order.vm];
+    co_return jobs::VmOrderOutcome::kDone;
+  }
+  boost::asio::awaitable<jobs::VmOrderOutcome> Move(jobs::MoveOrder, Duration) override {
+    co_return jobs::VmOrderOutcome::kNotAllowed;
+  }
+
+ private:
+  FakeVms& all;
+};
+
 /// Reads the two records that the tests write: rules "version" and endpoints by name.
 class FakeRecords final : public RecordReader {
  public:
@@ -19,17 +46,18 @@
   Result<jobs::Policy> ReadPolicy(std::string_view value) const override;
   Result<jobs::EndpointRecord> ReadEndpoint(std::string_view key,
                                             std::string_view value) const override;
-  bool IsWaveKey(std::string_view) const override { return false; }
-  Result<jobs::Wave> ReadWave(std::string_view) const override {
-    return Reason{ErrorCode::kMalformed, "", "there are no waves here"};
+  bool IsWaveKey(std::string_view key) const override { return key == "wave"; }
+  /// The names of the wave's VMs, with commas.
+  Result<jobs::Wave> ReadWave(std::string_view value) const override;
+  KeyedRecord WriteWaveStatus(const jobs::Wave&, bool is_complete) const override {
+    return {"wave", is_complete ? "complete" : "running"};
   }
-  KeyedRecord WriteWaveStatus(const jobs::Wave&, bool) const override { return {}; }
 };
 
 /// One entry without its HTTP servers.
 class FakeEntry {
  public:
-  FakeEntry(boost::asio::io_context& io, FakeStore& store, FakeEndpoints& endpoints,
+  FakeEntry(boost::asio::io_context& io, FakeStore& store, FakeEndpoints& endpoints, FakeVms& vms,
             const std::string& name);
 
   void Start();
@@ -62,6 +90,7 @@
   boost::asio::io_context& io;
   FakeStore store;
   FakeEndpoints endpoints;
+  FakeVms vms;
   std::vector<std::unique_ptr<FakeEntry>> entries;
 };
 
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -201,6 +201,42 @@
   EXPECT_NE(second.election->Term(), nullptr);
 }
 
+/// The owner is killed after it has brought a wave to its end. A successor that doesn't know how
+/// far the wave was would empty and reboot every VM once more, and operators would read that a wave
+/// which was complete is under way.
+TEST(Fleet, AWaveIsNotDoneTwice) {
+  asio::io_context io;
+  FakeFleet fleet(io, 4);
+  for (int i = 0; i < 4; ++i) {
+    jobs::VmRecord vm;
+    vm.id = VmId{"m" + std::to_string(i)};
+    vm.pool = ServiceId{"desk"};
+    vm.phase = jobs::VmPhase::kUp;
+    vm.endpoint = "i" + std::to_string(i);
+    vm.capacity = {8000, 8000, 0};
+    fleet.vms.vms.push_back(vm);
+  }
+  fleet.store.At(Topic::kOperators, 0).records.push_back({"wave", "m0,m1,m2,m3"});
+  const auto is_told = [&] {
+    const std::vector<KeyedRecord>& told = fleet.store.At(Topic::kStatus, 0).records;
+    return !told.empty() && told.back().value == "complete";
+  };
+  FakeEntry& first = fleet.AddEntry("a");
+  RunUntil(io, std::chrono::seconds(15), is_told);
+  ASSERT_TRUE(is_told());
+  io.run_for(milliseconds(200));
+  first.Cut();
+  FakeEntry& second = fleet.AddEntry("b");
+  RunUntil(io, std::chrono::seconds(5), [&] {
+    return second.election->Term() != nullptr && second.election->Term()->IsServing();
+  });
+  io.run_for(std::chrono::seconds(2));
+  EXPECT_TRUE(is_told());
+  for (const jobs::VmRecord& vm : fleet.vms.vms) {
+    EXPECT_EQ(fleet.vms.reboots[vm.id], 1) << vm.id.text;
+  }
+}
+
 /// What a caller is told when the store misbehaves, as a table.
 struct VerdictCase {
   const char* name;
@@ -214,7 +250,7 @@
 TEST_P(Verdicts, AreTrue) {
   asio::io_context io;
   FakeFleet fleet(io);
-  FakeEntry entry(io, fleet.store, fleet.endpoints, "a");
+  FakeEntry entry(io, fleet.store, fleet.endpoints, fleet.vms, "a");
   entry.writer->Start();
   GetParam().misbehave(*entry.store);
   std::optional<WriteVerdict> verdict;
@@ -245,7 +281,7 @@
                     WriteVerdict::kNotStored, 0},
         VerdictCase{"loses_one_answer", [](FakeStoreLink& link) { link.lose_answers = 1; },
                     WriteVerdict::kStored, 1},
-        VerdictCase{"loses_all_answers", [](FakeStoreLink& link) { link.lose_answers = 9; },
+        VerdictCase{"loses_all_answers", [](FakeStoreLink& link) { link.lose_answers = 1000; },
                     WriteVerdict::kMayBeStored, 1},
         // The first append may still take effect, so that the refusal of the second proves nothing.
         VerdictCase{"loses_one_answer_and_refuses",
@@ -263,7 +299,7 @@
 TEST(ProgressWriting, IsFencedByASuccessor) {
   asio::io_context io;
   FakeFleet fleet(io);
-  FakeEntry entry(io, fleet.store, fleet.endpoints, "a");
+  FakeEntry entry(io, fleet.store, fleet.endpoints, fleet.vms, "a");
   std::vector<FencedWrite> outcomes;
   const bool is_stopped = false;
   asio::co_spawn(
