--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -14,6 +14,9 @@
 constexpr Duration kPace = std::chrono::milliseconds(250);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
+/// A reboot that was answered shows in the list at once; one that wasn't may begin seconds later.
+constexpr Duration kRebootSeen = std::chrono::milliseconds(500);
+constexpr Duration kRebootUnsure = std::chrono::seconds(6);
 const std::string kWavePrefix = "wave/";
 /// A move whose answer was lost and that isn't seen after this has not happened.
 constexpr Duration kMoveLost = std::chrono::seconds(6);
@@ -76,7 +79,9 @@
     if (vm.phase != jobs::VmPhase::kUp) {
       continue;
     }
-    if (this->down.erase(vm.id) > 0) {
+    const auto reboot = this->down.find(vm.id);
+    if (reboot != this->down.end() && reboot->second < this->context.Now()) {
+      this->down.erase(reboot);
       this->evacuating.erase(vm.id);
       this->scheduler.EndEvacuation(vm.endpoint);
     }
@@ -102,7 +107,10 @@
 asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order) {
   WaveState& state = this->waves[wave.number];
   state.progress.number = wave.number;
-  jobs::UpkeepPlanner::Absent absent{this->down, {}};
+  jobs::UpkeepPlanner::Absent absent;
+  for (const auto& [vm, until] : this->down) {
+    absent.down.insert(vm);
+  }
   for (const auto& [vm, away] : this->moving) {
     absent.moving.insert(vm);
   }
@@ -132,12 +140,13 @@
 asio::awaitable<void> VmDriver::Reboot(const jobs::Wave& wave, WaveState& state, VmId vm) {
   const jobs::RebootOrder order{vm, wave.number, this->context.settings.id.text, this->token};
   // Counted as down before the order leaves: one without answer may have been carried out.
-  this->down.insert(vm);
+  this->down[vm] = this->context.Now() + kRebootUnsure;
   const VmOrderOutcome outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
   LogEvent(telemetry::LogLevel::kInfo, "vm_reboot_ordered", "a wave asks for it",
            {{"vm", vm.text}, {"outcome", jobs::ToString(outcome)}});
   switch (outcome) {
     case VmOrderOutcome::kDone:
+      this->down[vm] = this->context.Now() + kRebootSeen;
       state.progress.rebooted.insert(vm);
       this->changed.insert(wave.number);
       break;
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -73,8 +73,9 @@
   std::set<std::uint64_t> changed;
   /// Emptied for a wave.
   std::set<VmId> evacuating;
-  /// Ordered to reboot and not seen up since.
-  std::set<VmId> down;
+  /// Ordered to reboot and not seen up since; until then it counts as down even if it is listed
+  /// as up, as an order without answer may be carried out later.
+  std::map<VmId, TimePoint> down;
   /// Emptied so that they can be moved.
   std::set<VmId> released;
   /// Ordered to move and not seen up in the new pool since.
--- a/src/jobs/upkeep.cc
+++ b/src/jobs/upkeep.cc
@@ -47,11 +47,15 @@
   std::map<ServiceId, int> pool_away;
   std::vector<Candidate> candidates;
   bool all_done = true;
+  std::set<VmId> down = absent.down;
   for (const VmRecord& vm : vms) {
     ++pool_size[vm.pool];
     const bool is_away = absent.down.contains(vm.id) || evacuating.contains(vm.id);
     pool_away[vm.pool] += is_away ? 1 : 0;
     const bool is_named = std::find(wave.vms.begin(), wave.vms.end(), vm.id) != wave.vms.end();
+    if (is_named && vm.phase == VmPhase::kRebooting) {
+      down.insert(vm.id);  // ordered by a predecessor, too
+    }
     if (!is_named || progress.rebooted.contains(vm.id)) {
       continue;
     }
@@ -72,7 +76,7 @@
     return std::tuple(!a.is_evacuating, !a.has_long_running, a.load) <
            std::tuple(!b.is_evacuating, !b.has_long_running, b.load);
   });
-  std::size_t away = absent.down.size();
+  std::size_t away = down.size();
   for (const Candidate& candidate : candidates) {
     const VmRecord& vm = *candidate.vm;
     if (away >= wave.most_down) {
--- a/tests/jobs/upkeep_test.cc
+++ b/tests/jobs/upkeep_test.cc
@@ -68,6 +68,16 @@
                    0, 0, false},
         UpkeepCase{"one_is_down", [](UpkeepWorld& world) { world.absent.down = {VmId{"m0"}}; }, 1,
                    0, false},
+        // A predecessor ordered it; this process only sees it in the list.
+        UpkeepCase{"one_is_rebooting_by_the_list",
+                   [](UpkeepWorld& world) { world.vms[0].phase = VmPhase::kRebooting; }, 1, 0,
+                   false},
+        UpkeepCase{"done_before_and_rebooting_by_the_list",
+                   [](UpkeepWorld& world) {
+                     world.vms[0].phase = VmPhase::kRebooting;
+                     world.progress.rebooted = {VmId{"m0"}};
+                   },
+                   1, 0, false},
         UpkeepCase{"not_yet_empty",
                    [](UpkeepWorld& world) {
                      world.evacuating = {VmId{"m0"}, VmId{"m1"}};
