--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -13,7 +13,7 @@
 constexpr Duration kRound = std::chrono::milliseconds(100);
 /// Between the beginnings of two appends. Each is priced and takes 4 ms at the store; a task waits
 /// for half of this on average.
-constexpr Duration kStorePace = std::chrono::milliseconds(15);
+constexpr Duration kStorePace = std::chrono::milliseconds(35);
 constexpr Duration kLoadTimeout = std::chrono::milliseconds(2500);
 constexpr Duration kLoadRetry = std::chrono::milliseconds(100);
 constexpr Duration kAdviceTimeout = std::chrono::milliseconds(1500);
--- a/src/telemetry/logger.cc
+++ b/src/telemetry/logger.cc
@@ -107,8 +107,8 @@
  protected:
   // Named by Boost.Log.
   template <typename Lock>
-  static bool on_overflow(const log::record_view&,
-                          Lock&) {  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static bool on_overflow(const log::record_view&, Lock&) {
     ++dropped_lines;
     return false;
   }
