--- a/include/chervilspar/job_entry/links.h
+++ b/include/chervilspar/job_entry/links.h
@@ -81,6 +81,9 @@
 /// What a caller asks for.
 enum class CallerAction { kSubmit, kFind, kCancel, kCountPending, kUnknown };
 
+/// What a request's method asks for; a job's id tells a job from its queue.
+CallerAction ActionOf(std::string_view method, bool has_id);
+
 /// A caller's request in the product's own terms.
 struct CallerCall {
   CallerAction action = CallerAction::kUnknown;
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -49,6 +49,13 @@
   /// of a round when thousands wait.
   int misses_per_round = 24;
 
+  /// By our clock, a lease that is given now has certainly lapsed after this.
+  Duration LongestLease() const {
+    const auto slowed =
+        std::chrono::duration_cast<Duration>(this->lease * (1.0 + this->endpoint_clock_slowness));
+    return slowed + this->lease_margin;
+  }
+
   friend bool operator==(const SchedulerOptions&, const SchedulerOptions&) = default;
 };
 
--- a/src/job_entry/own_callers.cc
+++ b/src/job_entry/own_callers.cc
@@ -25,16 +25,6 @@
   return response;
 }
 
-CallerAction ActionOf(const std::string& method, bool has_id) {
-  if (method == "GET") {
-    return has_id ? CallerAction::kFind : CallerAction::kCountPending;
-  }
-  if (method == "POST") {
-    return CallerAction::kSubmit;
-  }
-  return method == "DELETE" ? CallerAction::kCancel : CallerAction::kUnknown;
-}
-
 }  // namespace
 
 bool OwnCallers::IsForIt(const http::Request& request) {
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -212,9 +212,7 @@
   const auto lease =
       std::chrono::duration_cast<std::chrono::milliseconds>(this->state.options.lease);
   task.lease_until_ms = endpoint->ClockAt(this->now) + lease.count();
-  const auto slow = std::chrono::duration_cast<Duration>(
-      this->state.options.lease * (1.0 + this->state.options.endpoint_clock_slowness));
-  task.start_expires = this->now + slow + this->state.options.lease_margin;
+  task.start_expires = this->now + this->state.options.LongestLease();
   endpoint->lease_end = std::max(endpoint->lease_end, task.start_expires);
   const auto ticket = ref.step->advice.ticket_of_endpoint.find(endpoint->record.id);
   if (ticket != ref.step->advice.ticket_of_endpoint.end()) {
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -39,7 +39,7 @@
   endpoint.is_silent = false;
   if (is_first) {
     // From here on no predecessor's order is obeyed, so no lease is longer than one of ours.
-    endpoint.lease_end = now + this->state.options.lease + this->state.options.lease_margin;
+    endpoint.lease_end = now + this->state.options.LongestLease();
   }
   for (const EndedRun& ended : report.ended) {
     if (ended.number > endpoint.seen_end) {
--- /dev/null
+++ b/src/jobs/scheduler_impl.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/pacing.h"
+#include "jobs/run_tracker.h"
+#include "jobs/scheduler_state.h"
+
+namespace chervilspar::jobs {
+
+/// What a scheduler consists of; its public functions stand in several files by subject.
+class Scheduler::Impl {
+ public:
+  Impl(const SchedulerOptions& options, std::uint64_t token, TimePoint now)
+      : state(options, token, now), tracker(this->state), pacing(this->state) {}
+
+  void CreateDueOccurrences(std::int64_t wall_ms);
+  void EndJobs(std::int64_t wall_ms);
+  void RenewPools();
+  void ReviewStalls(EndpointState& endpoint, TimePoint now);
+  JobProgress ProgressOf(const JobState& job) const;
+
+  SchedulerState state;
+  RunTracker tracker;
+  Pacing pacing;
+  /// What the batch that is being stored allows once it is.
+  std::vector<std::pair<TaskKey, std::uint64_t>> recorded_starts;
+  std::vector<std::pair<JobId, JobPhase>> recorded_phases;
+  struct RecordedEnds {
+    std::string endpoint;
+    std::int64_t born_ms = 0;
+    std::uint64_t end = 0;
+  };
+  std::vector<RecordedEnds> recorded_ends;
+  bool is_batch_out = false;
+  /// Jobs that may have come to their end.
+  std::vector<JobId> maybe_ended;
+  /// Jobs whose progress is to be dropped with the next batch.
+  std::vector<JobId> forgotten;
+  std::int64_t wall_ms = 0;
+};
+
+}  // namespace chervilspar::jobs
--- /dev/null
+++ b/src/jobs/scheduler_records.cc
@@ -0,0 +1,165 @@
+#include <algorithm>
+#include <cstdlib>
+
+#include "jobs/order_round.h"
+#include "jobs/scheduler_impl.h"
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// A start that was recorded later than this before its time runs out is not worth sending.
+constexpr Duration kLeastStartTime = std::chrono::milliseconds(500);
+
+}  // namespace
+
+JobProgress Scheduler::Impl::ProgressOf(const JobState& job) const {
+  JobProgress progress;
+  progress.phase = job.Phase();
+  progress.ended_ms = job.ended_ms;
+  if (job.ended_ms != 0) {
+    return progress;
+  }
+  progress.complete_occurrences.assign(job.complete_occurrences.begin(),
+                                       job.complete_occurrences.end());
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+        const TaskProgress& task = occurrence.steps[step].tasks[index].progress;
+        if (task != TaskProgress{}) {
+          progress.rows.push_back({number, step, index, task});
+        }
+      }
+    }
+  }
+  return progress;
+}
+
+bool Scheduler::HasBatch() const {
+  const Impl& self = *this->impl;
+  if (self.is_batch_out) {
+    return false;
+  }
+  return !self.state.dirty.empty() || !self.forgotten.empty() || !self.maybe_ended.empty() ||
+         std::any_of(
+             self.state.endpoints.begin(), self.state.endpoints.end(),
+             [](const auto& entry) { return entry.second->seen_end > entry.second->stored_end; });
+}
+
+Batch Scheduler::TakeBatch() {
+  Impl& self = *this->impl;
+  CHERVILSPAR_ASSERT(!self.is_batch_out);
+  self.is_batch_out = true;
+  for (const JobId& id : self.state.dirty) {
+    if (JobState* job = self.state.FindJob(id); job != nullptr && job->IsOver()) {
+      self.maybe_ended.push_back(id);
+    }
+  }
+  self.EndJobs(self.wall_ms);
+  Batch batch;
+  for (const JobId& id : self.state.dirty) {
+    JobState* job = self.state.FindJob(id);
+    if (job == nullptr || !job->is_dirty) {
+      continue;
+    }
+    job->is_dirty = false;
+    batch.records.push_back({id, EncodeProgress(self.ProgressOf(*job))});
+    self.recorded_phases.emplace_back(id, job->Phase());
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+          const Task& task = occurrence.steps[step].tasks[index];
+          if (task.state == RunState::kRecording) {
+            self.recorded_starts.push_back({{id, number, step, index}, task.progress.run});
+          }
+        }
+      }
+    }
+  }
+  self.state.dirty.clear();
+  for (const JobId& id : self.forgotten) {
+    batch.records.push_back({id, std::nullopt});
+  }
+  self.forgotten.clear();
+  for (const auto& [id, endpoint] : self.state.endpoints) {
+    if (endpoint->seen_end > endpoint->stored_end) {
+      self.recorded_ends.push_back({id, endpoint->born_ms, endpoint->seen_end});
+    }
+  }
+  return batch;
+}
+
+Orders Scheduler::ConfirmBatch(TimePoint now) {
+  Impl& self = *this->impl;
+  CHERVILSPAR_ASSERT(self.is_batch_out);
+  self.is_batch_out = false;
+  Orders orders;
+  for (const auto& [id, phase] : self.recorded_phases) {
+    if (JobState* job = self.state.FindJob(id)) {
+      job->stored_phase = phase;
+    }
+  }
+  for (const Impl::RecordedEnds& ends : self.recorded_ends) {
+    EndpointState* endpoint = self.state.FindEndpoint(ends.endpoint);
+    if (endpoint != nullptr && endpoint->born_ms == ends.born_ms) {
+      endpoint->stored_end = ends.end;
+    }
+  }
+  OrderRound round(self.state, now);
+  for (const auto& [key, run] : self.recorded_starts) {
+    const TaskRef ref = self.state.Find(key);
+    if (!ref || ref.task->state != RunState::kRecording || ref.task->progress.run != run) {
+      continue;
+    }
+    const EndpointState& endpoint = *ref.task->endpoint;
+    const bool is_in_time = now + kLeastStartTime < ref.task->start_expires;
+    const bool is_wanted = endpoint.is_registered && !endpoint.record.is_draining &&
+                           !endpoint.is_evacuating && endpoint.clock_ms;
+    if (!is_in_time || !is_wanted) {
+      self.state.Release(ref);
+      continue;
+    }
+    ref.task->state = RunState::kStarting;
+    ref.task->since = now;
+    if (!ref.job->has_started) {
+      ref.job->has_started = true;
+      self.state.Tell(
+          {"job_started",
+           key,
+           {},
+           endpoint.record.id,
+           std::to_string(self.wall_ms - ref.job->job.taken_ms) + " ms after it was accepted, " +
+               std::to_string(ref.job->deadline_ms - self.wall_ms) + " ms before it is late"});
+    }
+    orders.starts.push_back(round.StartOf(ref));
+  }
+  self.recorded_phases.clear();
+  self.recorded_ends.clear();
+  self.recorded_starts.clear();
+  return orders;
+}
+
+std::vector<JobId> Scheduler::Expired(WallTime wall, std::size_t most) const {
+  const SchedulerState& state = this->impl->state;
+  const auto keep =
+      std::chrono::duration_cast<std::chrono::milliseconds>(state.options.keep_ended).count();
+  std::vector<JobId> expired;
+  for (const auto& [ended_ms, id] : state.ended) {
+    if (ended_ms + keep > ToUnixMs(wall) || expired.size() >= most) {
+      break;
+    }
+    expired.push_back(id);
+  }
+  return expired;
+}
+
+void Scheduler::Forget(const std::vector<JobId>& ids) {
+  SchedulerState& state = this->impl->state;
+  for (const JobId& id : ids) {
+    state.jobs.erase(id);
+    this->impl->forgotten.push_back(id);
+  }
+  std::erase_if(state.ended, [&](const auto& entry) { return !state.jobs.contains(entry.second); });
+}
+
+}  // namespace chervilspar::jobs
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -182,8 +182,7 @@
   task.start_expires = this->began + this->options.predecessor_grace;
   // No start is repeated for a predecessor; what doesn't show up is stopped.
   task.start_tries = this->options.start_tries;
-  endpoint.lease_end = this->began + this->options.predecessor_grace + this->options.lease +
-                       this->options.lease_margin;
+  endpoint.lease_end = this->began + this->options.predecessor_grace + this->options.LongestLease();
   this->CountUse(ref, endpoint, true);
   ref.job->has_started = true;
 }
