--- a/include/chervilspar/jobs/endpoint.h
+++ b/include/chervilspar/jobs/endpoint.h
@@ -90,7 +90,7 @@
   /// Ends up to this number are stored and may be forgotten.
   std::uint64_t confirmed_end = 0;
   /// On the endpoint's clock; absent: only look.
-  std::optional<std::int64_t> lease_until_ms;
+  std::optional<std::int64_t> lease_end_ms;
   /// How long the endpoint may wait for an end before it answers.
   Duration wait{};
 
@@ -109,7 +109,7 @@
   std::uint64_t token = 0;
   /// On the endpoint's clock: the run's first lease, and the latest time at which the order may
   /// be carried out.
-  std::int64_t lease_until_ms = 0;
+  std::int64_t lease_end_ms = 0;
 
   friend bool operator==(const StartOrder&, const StartOrder&) = default;
 };
--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -15,7 +15,7 @@
           .checkpoint = task.progress.checkpoint,
           .ticket = task.ticket,
           .token = this->state.token,
-          .lease_until_ms = task.lease_until_ms};
+          .lease_end_ms = task.lease_end_ms};
 }
 
 void OrderRound::Gather(Orders& orders) {
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -297,9 +297,8 @@
   const bool is_heard = is_known && now - endpoint->heard < state.options.silence;
   if (state.may_renew && has_claims && is_known && (is_heard || !endpoint->is_silent)) {
     const Duration lease = state.options.lease;
-    plan.order.lease_until_ms =
-        endpoint->ClockAt(now) +
-        std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
+    plan.order.lease_end_ms = endpoint->ClockAt(now) +
+                              std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
     endpoint->lease_end = std::max(endpoint->lease_end, now + state.options.LongestLease());
   }
   const bool may_wait =
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -43,7 +43,7 @@
   /// After this, by our clock, an unanswered start can't be carried out any more.
   TimePoint start_expires{};
   /// The same on the endpoint's clock.
-  std::int64_t lease_until_ms = 0;
+  std::int64_t lease_end_ms = 0;
   int start_tries = 0;
   /// When the endpoint answered a stop of this run.
   std::optional<TimePoint> stop_answered;
--- a/tests/job_entry/fake_endpoints.cc
+++ b/tests/job_entry/fake_endpoints.cc
@@ -80,8 +80,8 @@
     std::erase_if(endpoint->ended,
                   [&](const auto& ended) { return ended.number <= order.confirmed_end; });
     for (auto& [task, run] : endpoint->active) {
-      if (order.lease_until_ms) {
-        run.lease_end = std::max(run.lease_end, FromClock(*order.lease_until_ms));
+      if (order.lease_end_ms) {
+        run.lease_end = std::max(run.lease_end, FromClock(*order.lease_end_ms));
       }
     }
     if (!endpoint->ended.empty() || Now() >= give_up) {
@@ -114,7 +114,7 @@
     co_return OrderOutcome::kTokenTooLow;
   }
   endpoint->token = order.token;
-  if (FromClock(order.lease_until_ms) < Now()) {
+  if (FromClock(order.lease_end_ms) < Now()) {
     co_return OrderOutcome::kTooLate;
   }
   const auto active = endpoint->active.find(order.task);
@@ -132,7 +132,7 @@
   }
   endpoint->last_run[order.task] = order.run;
   endpoint->active[order.task] = {order.run, Now() + this->all.task_time,
-                                  FromClock(order.lease_until_ms)};
+                                  FromClock(order.lease_end_ms)};
   this->all.starts.push_back(Now());
   co_return OrderOutcome::kDone;
 }
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -154,7 +154,7 @@
   world.Hold("b", {}, {});
   world.Pass(world.options.lease - milliseconds(100));
   EXPECT_TRUE(world.Round().starts.empty());
-  EXPECT_FALSE(world.scheduler.PlanHold("a", world.now).order.lease_until_ms)
+  EXPECT_FALSE(world.scheduler.PlanHold("a", world.now).order.lease_end_ms)
       << "only a look: a renewal would keep the lost work alive";
   world.Pass(milliseconds(800));
   const Orders orders = world.Round();
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -127,9 +127,9 @@
 /// Without proof that there is no successor, no lease may be renewed.
 TEST_F(Takeover, RenewsNothingWithoutProof) {
   this->after.Hold("a", {World::Active(this->start)}, {});
-  EXPECT_TRUE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_until_ms);
+  EXPECT_TRUE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_end_ms);
   this->after.scheduler.SetMayRenew(false);
-  EXPECT_FALSE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_until_ms);
+  EXPECT_FALSE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_end_ms);
 }
 
 }  // namespace
