--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <vector>
 
 #include "chervilspar/base/time.h"
 #include "chervilspar/cli/main.h"
@@ -58,6 +59,14 @@
   std::string id;
 };
 
+/// A job's id and the collected logs of entries, also of those that are gone.
+struct ExplainJobOptions {
+  std::string id;
+  std::vector<std::string> logs;
+};
+
+/// Says from logs what became of a job; needs no network.
+ExitCode RunExplainJob(const ExplainJobOptions& options, const Console& console);
 ExitCode RunCheck(const CheckOptions& options, const Console& console);
 ExitCode RunPublish(const PublishOptions& options, const OperatorClient& client,
                     const Console& console);
--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -43,6 +43,7 @@
   KeyWithdrawOptions withdraw;
   EntryGoneOptions gone;
   ExplainOptions explain;
+  ExplainJobOptions explain_job;
   bool as_json = false;
   bool as_inventory = false;
 };
@@ -63,6 +64,7 @@
     this->AddPlan();
     this->AddStatus();
     this->AddExplain();
+    this->AddExplainJob();
     this->AddTimeline();
   }
 
@@ -235,6 +237,17 @@
     });
   }
 
+  void AddExplainJob() {
+    CLI::App& command = *this->app.add_subcommand(
+        "explain-job", "Say from collected logs what became of a job; needs no network");
+    command.add_option("ID", this->choice.explain_job.id, "The job's id")->required();
+    AddListFlag(command, "--logs", this->choice.explain_job.logs, "Log file, - for standard input")
+        ->required();
+    command.final_callback([this] {
+      this->selected = [this] { return RunExplainJob(this->choice.explain_job, this->console); };
+    });
+  }
+
   void AddTimeline() {
     CLI::App& command = *this->app.add_subcommand(
         "timeline", "Print the events of all reachable entries in one order, as JSON lines");
