Jobs: Compare the proof's age with each renewal

Cause: whether leases may be renewed was looked at by the loop of decisions; a process that runs slowly would renew for seconds after its proof had run out, while its successor takes the runs as dead. Change: the scheduler holds the time of the proof and compares it when a renewal is planned. Measured: the test passes a slow process, which the former flag could not express.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -140,9 +140,13 @@
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
   void OnAdvice(const TaskKey& step, const std::vector<AdviceTicket>& tickets, TimePoint now);
 
-  /// While false, no lease is renewed: there may be a successor.
-  void SetMayRenew(bool may_renew);
-  bool MayRenew() const;
+  /// Until this time there was certainly no successor. Leases are renewed for
+  /// `SchedulerOptions::predecessor_grace` after it.
+  ///
+  /// The time is compared with each renewal: a process that runs slowly would renew for seconds on
+  /// an answer of earlier, while its successor takes the runs as dead and starts them again.
+  void SetProof(TimePoint proof);
+  bool MayRenew(TimePoint now) const;
 
   // Decisions.
   Orders Decide(TimePoint now, WallTime wall);
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -169,18 +169,19 @@
 /// last proof that there is no successor, which the successor waits out where it can't reach an
 /// endpoint itself.
 void OwnerTerm::WatchProof() {
-  const jobs::SchedulerOptions options;
   const TimePoint last =
       std::max(this->writer.LastProof(), this->directory.Proof().value_or(this->began));
-  const bool may_renew = this->context.Now() - last < options.predecessor_grace;
-  if (may_renew != this->scheduler.MayRenew()) {
-    this->scheduler.SetMayRenew(may_renew);
-    LogEvent(may_renew ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
-             may_renew ? "renewals_resumed" : "renewals_paused",
-             may_renew ? "the store shows no other owner"
-                       : "the store has not shown for too long that there is no other owner",
-             {{"age_ms", MillisecondsText(this->context.Now() - last)}});
+  this->scheduler.SetProof(last);
+  const bool may_renew = this->scheduler.MayRenew(this->context.Now());
+  if (may_renew == this->may_renew) {
+    return;
   }
+  this->may_renew = may_renew;
+  LogEvent(may_renew ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
+           may_renew ? "renewals_resumed" : "renewals_paused",
+           may_renew ? "the store shows no other owner"
+                     : "the store has not shown for too long that there is no other owner",
+           {{"age_ms", MillisecondsText(this->context.Now() - last)}});
 }
 
 asio::awaitable<void> OwnerTerm::DecideLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -68,6 +68,8 @@
   const TimePoint began;
   bool is_stopped = false;
   bool is_loaded = false;
+  /// As told last.
+  bool may_renew = true;
   std::uint64_t policy_version = 0;
   jobs::Scheduler scheduler;
   ProgressWriter writer;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -295,7 +295,7 @@
                    (endpoint->is_registered && (!is_known || endpoint->is_silent)) ||
                    endpoint->confirmed_end < endpoint->seen_end;
   const bool is_heard = is_known && now - endpoint->heard < state.options.silence;
-  if (state.may_renew && has_claims && is_known && (is_heard || !endpoint->is_silent)) {
+  if (this->MayRenew(now) && has_claims && is_known && (is_heard || !endpoint->is_silent)) {
     const Duration lease = state.options.lease;
     plan.order.lease_end_ms = endpoint->ClockAt(now) +
                               std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
@@ -307,9 +307,14 @@
   return plan;
 }
 
-void Scheduler::SetMayRenew(bool may_renew) { this->impl->state.may_renew = may_renew; }
+void Scheduler::SetProof(TimePoint proof) {
+  this->impl->state.proof = std::max(this->impl->state.proof, proof);
+}
 
-bool Scheduler::MayRenew() const { return this->impl->state.may_renew; }
+bool Scheduler::MayRenew(TimePoint now) const {
+  const SchedulerState& state = this->impl->state;
+  return now - state.proof < state.options.predecessor_grace;
+}
 
 bool Scheduler::IsSuperseded() const { return this->impl->state.is_superseded; }
 
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -66,7 +66,7 @@
 
 SchedulerState::SchedulerState(const SchedulerOptions& options, std::uint64_t token,
                                TimePoint began)
-    : options(options), token(token), began(began) {}
+    : options(options), token(token), began(began), proof(began) {}
 
 JobState* SchedulerState::FindJob(const JobId& id) {
   const auto found = this->jobs.find(id);
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -242,7 +242,8 @@
   std::vector<Note> notes;
   std::uint64_t notes_dropped = 0;
   bool is_superseded = false;
-  bool may_renew = true;
+  /// Until this time there was certainly no successor.
+  TimePoint proof;
 
  private:
   std::int64_t RemainingChain(const JobState& job, const Occurrence& occurrence) const;
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -124,12 +124,17 @@
   EXPECT_EQ(orders.stops[0].task.job, JobId{99});
 }
 
-/// Without proof that there is no successor, no lease may be renewed.
+/// The process runs slowly: a renewal comes up seconds after the last proof that there is no
+/// successor, and nothing has looked at the proof's age in between. A successor may take the run as
+/// dead by then and start it elsewhere.
 TEST_F(Takeover, RenewsNothingWithoutProof) {
+  const SchedulerOptions options;
   this->after.Hold("a", {World::Active(this->start)}, {});
   EXPECT_TRUE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_end_ms);
-  this->after.scheduler.SetMayRenew(false);
+  this->after.now = TimePoint{} + options.predecessor_grace;
   EXPECT_FALSE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_end_ms);
+  this->after.scheduler.SetProof(this->after.now);
+  EXPECT_TRUE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_end_ms);
 }
 
 }  // namespace
