Jobs: Let entries with clearly more processor go first as owner

Cause: on the grown deployments (43 entries of 0.12 to 0.5 cores, 350 endpoints) the store chose the owner by chance.

Change: members' names say the cores of their VM; an entry with less than half of another member's stays out of the group and looks again. An owner that reads a later claim in the directory ends its term, also when it has nothing to write or order that would show it the higher token (seen by the new test as two owners at once).

Ruled out: choosing by the newest claim alone; it can't tell that the larger VM is gone.

Fleet/OwnersByCores fails in two of four rows without the rule (two_large_ones, a_large_one_comes_later).

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -28,6 +28,7 @@
   std::string lease_limit;
   std::string vm_order_pause;
   std::string drain_time;
+  std::string cores;
   std::string log_level;
 
   friend bool operator==(const RawJobEntrySettings&, const RawJobEntrySettings&) = default;
@@ -57,6 +58,8 @@
   Duration vm_order_pause = std::chrono::seconds(3);
   /// Longest that a shutdown waits for requests in flight.
   Duration drain_time = std::chrono::milliseconds(4500);
+  /// The part of the processor that this VM gives. Entries with more go first as owner.
+  double cores = 1.0;
   telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
 
   friend bool operator==(const JobEntrySettings&, const JobEntrySettings&) = default;
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -52,6 +52,8 @@
           "No orders for VMs this long after a take-over [3s]");
   AddFlag(app, "--drain-time", raw.drain_time,
           "Longest that a shutdown waits for requests in flight [4500ms]");
+  AddFlag(app, "--cores", raw.cores,
+          "Part of the processor that this VM gives, in cores; more goes first as owner [1]");
   AddFlag(app, "--log-level", raw.log_level, "debug, info, warning or error [info]");
 }
 
--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -17,6 +17,15 @@
 constexpr Duration kPace = std::chrono::milliseconds(350);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(900);
+/// Between two looks at the members while standing; each is priced, and VMs rarely come and go.
+constexpr Duration kStandingReview = std::chrono::seconds(5);
+/// While another is to go first. All such entries look in turn, so that one of them soon sees that
+/// there is nobody left.
+constexpr Duration kReserveReview = std::chrono::seconds(3);
+/// After a look that showed nobody who goes first: a look during a change of the group may miss a
+/// member that lives.
+constexpr Duration kConfirmReview = std::chrono::milliseconds(500);
+constexpr int kFreeLooks = 2;
 
 }  // namespace
 
@@ -25,24 +34,72 @@
       operators(operators),
       directory(directory),
       // Another life of this process is another member: what the former one held is not its own.
-      member(context.settings.id.text + "/" +
-             std::to_string(context.clock.WallNow().time_since_epoch().count())) {}
+      candidacy(context.settings.cores),
+      member(this->candidacy.MemberName(context.settings.id.text,
+                                        context.clock.WallNow().time_since_epoch().count())) {}
 
 std::shared_ptr<OwnerTerm> Election::Term() const {
   return this->term != nullptr && !this->term->IsStopped() ? this->term : nullptr;
 }
 
 asio::awaitable<void> Election::Run([[maybe_unused]] std::shared_ptr<Election> self) {
+  co_await Pause(this->context, this->candidacy.FirstDelay());
   while (!this->is_resigned) {
-    co_await this->JoinOnce();
+    if (this->operators.Policy() != nullptr) {  // without rules nothing can be decided
+      if (this->context.Now() >= this->next_review) {
+        co_await this->Review();
+      }
+      if (this->is_standing && !this->is_resigned) {
+        co_await this->JoinOnce();
+      }
+    }
     co_await Pause(this->context, kPace);
   }
 }
 
-asio::awaitable<void> Election::JoinOnce() {
-  if (this->operators.Policy() == nullptr) {
-    co_return;  // without rules nothing can be decided
+asio::awaitable<void> Election::Review() {
+  const Result<std::vector<std::string>> members =
+      co_await this->context.links.store->Members(kCallTimeout);
+  if (this->is_resigned) {
+    co_return;
+  }
+  const bool was_first = this->next_review == TimePoint{};
+  this->next_review = this->context.Now() + kStandingReview;
+  if (!members) {
+    // Not known. Who stands goes on, since a joined entry is owner only if the store says so.
+    this->next_review = this->context.Now() + kConfirmReview;
+    co_return;
   }
+  if (!this->candidacy.ShouldStand(*members)) {
+    this->free_looks = 0;
+    this->next_review = this->context.Now() + kReserveReview;
+    if (this->is_standing) {
+      this->StandBack();
+      co_await this->Leave();
+    }
+    co_return;
+  }
+  ++this->free_looks;
+  if (this->is_standing) {
+    co_return;
+  }
+  if (was_first || this->free_looks >= kFreeLooks) {
+    this->is_standing = true;
+    LogEvent(telemetry::LogLevel::kInfo, "standing_for_owner",
+             "no member has clearly more processor",
+             {{"members", std::to_string(members->size())}});
+  } else {
+    this->next_review = this->context.Now() + kConfirmReview;
+  }
+}
+
+void Election::StandBack() {
+  this->is_standing = false;
+  LogEvent(telemetry::LogLevel::kInfo, "standing_back",
+           "a member with clearly more processor goes first as owner");
+}
+
+asio::awaitable<void> Election::JoinOnce() {
   const Result<Membership> joined = co_await this->context.links.store->Join(
       this->member, this->generation, kTimeToLive, kCallTimeout);
   if (joined.HasValue() != this->is_joined) {
@@ -106,13 +163,17 @@
     co_return;
   }
   // From here on a predecessor that hears from the store knows that its time is over.
-  this->term =
-      std::make_shared<OwnerTerm>(this->context, this->operators, this->directory, writer, token);
+  this->term = std::make_shared<OwnerTerm>(this->context, this->operators, this->directory,
+                                           this->member, writer, token);
   this->term->Start();
 }
 
 asio::awaitable<void> Election::Resign() {
   this->is_resigned = true;
+  co_await this->Leave();
+}
+
+asio::awaitable<void> Election::Leave() {
   const Status left = co_await this->context.links.store->Leave(this->member, kCallTimeout);
   if (!left) {
     LogEvent(telemetry::LogLevel::kWarning, "leave_failed", ToString(left.LastReason()));
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "job_entry/candidacy.h"
 #include "job_entry/operator_view.h"
 #include "job_entry/owner_directory.h"
 #include "job_entry/owner_term.h"
@@ -25,7 +26,11 @@
 
  private:
   boost::asio::awaitable<void> Run(std::shared_ptr<Election> self);
+  /// Decides by the members that the group has now whether this entry stands for owner.
+  boost::asio::awaitable<void> Review();
+  void StandBack();
   boost::asio::awaitable<void> JoinOnce();
+  boost::asio::awaitable<void> Leave();
   /// True while the member that claimed last is still in the group.
   boost::asio::awaitable<bool> HasLivingOwner();
   boost::asio::awaitable<void> BeginTerm();
@@ -33,7 +38,12 @@
   const Context context;
   OperatorView& operators;
   OwnerDirectory& directory;
+  const Candidacy candidacy;
   const std::string member;
+  bool is_standing = false;
+  /// Looks at the group in a row that showed no member with clearly more processor.
+  int free_looks = 0;
+  TimePoint next_review{};
   std::uint64_t generation = 0;
   bool is_resigned = false;
   bool is_joined = true;
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -30,10 +30,11 @@
 }  // namespace
 
 OwnerTerm::OwnerTerm(const Context& context, OperatorView& operators, OwnerDirectory& directory,
-                     const ProgressWriter& writer, std::uint64_t token)
+                     std::string member, const ProgressWriter& writer, std::uint64_t token)
     : context(context),
       operators(operators),
       directory(directory),
+      member(std::move(member)),
       token(token),
       began(context.Now()),
       scheduler(
@@ -184,10 +185,29 @@
            {{"age_ms", MillisecondsText(this->context.Now() - last)}});
 }
 
+/// What can go wrong: nothing is to be written or ordered for a while, so that neither the store
+/// nor an endpoint shows the higher token, and callers that ask this entry are told what was true
+/// before its successor came.
+void OwnerTerm::WatchClaims() {
+  const std::optional<OwnerClaim> owner = this->directory.Owner();
+  if (!owner) {
+    return;
+  }
+  if (owner->member == this->member) {
+    this->is_own_claim_seen = true;
+  } else if (this->is_own_claim_seen) {
+    this->Stop(owner->entry + " has claimed after this entry");
+  }
+}
+
 asio::awaitable<void> OwnerTerm::DecideLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
   while (!this->is_stopped) {
     this->FollowPolicy();
     this->WatchProof();
+    this->WatchClaims();
+    if (this->is_stopped) {
+      break;
+    }
     this->sender.Send(this->scheduler.Decide(this->context.Now(), this->context.clock.WallNow()));
     if (this->scheduler.HasBatch()) {
       this->store->Notify();
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -27,9 +27,9 @@
 /// it decides. Ends as soon as anything shows a higher token.
 class OwnerTerm : public std::enable_shared_from_this<OwnerTerm> {
  public:
-  /// `writer` has announced the token.
+  /// `member` is the name in this entry's claim; `writer` has announced the token.
   OwnerTerm(const Context& context, OperatorView& operators, OwnerDirectory& directory,
-            const ProgressWriter& writer, std::uint64_t token);
+            std::string member, const ProgressWriter& writer, std::uint64_t token);
 
   void Start();
   void Stop(const std::string& why);
@@ -57,6 +57,7 @@
   void LoadWave(const KeyedRecord& record);
   void LoadProgress(const std::vector<KeyedRecord>& records);
   void WatchProof();
+  void WatchClaims();
   void FollowPolicy();
   void LogNotes();
   void Kick();
@@ -64,10 +65,13 @@
   const Context context;
   OperatorView& operators;
   OwnerDirectory& directory;
+  const std::string member;
   const std::uint64_t token;
   const TimePoint began;
   bool is_stopped = false;
   bool is_loaded = false;
+  /// The directory has come to this entry's own claim; another one after it is a successor's.
+  bool is_own_claim_seen = false;
   /// As told last.
   bool may_renew = true;
   std::uint64_t policy_version = 0;
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -1,5 +1,7 @@
 #include "chervilspar/job_entry/settings.h"
 
+#include <charconv>
+
 #include "chervilspar/inventory/document.h"
 
 namespace chervilspar::job_entry {
@@ -9,6 +11,8 @@
 constexpr std::size_t kMaxNameLength = 128;
 constexpr Duration kShortest = std::chrono::milliseconds(100);
 constexpr Duration kLongest = std::chrono::minutes(10);
+constexpr double kLeastCores = 0.01;
+constexpr double kMostCores = 1024;
 
 /// Checks one flag after another and keeps all faults.
 class Checker {
@@ -45,6 +49,21 @@
     return *span;
   }
 
+  double Cores(const char* flag, const std::string& value, double otherwise) {
+    if (value.empty()) {
+      return otherwise;
+    }
+    double cores = 0;
+    const char* const end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, cores);
+    const bool is_number = parsed.ec == std::errc() && parsed.ptr == end;
+    if (!is_number || !(cores >= kLeastCores && cores <= kMostCores)) {
+      this->Add(flag, '"' + value + "\" should be a number of cores from 0.01 to 1024");
+      return otherwise;
+    }
+    return cores;
+  }
+
   telemetry::LogLevel Level(const char* flag, const std::string& value,
                             telemetry::LogLevel otherwise) {
     if (value.empty()) {
@@ -96,6 +115,7 @@
   settings.vm_order_pause =
       check.Span("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
   settings.drain_time = check.Span("--drain-time", raw.drain_time, settings.drain_time);
+  settings.cores = check.Cores("--cores", raw.cores, settings.cores);
   settings.log_level = check.Level("--log-level", raw.log_level, settings.log_level);
   JobEntrySettingsOutcome outcome{std::nullopt, std::move(check.faults)};
   if (outcome.faults.empty()) {
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -13,11 +13,12 @@
   return links;
 }
 
-JobEntrySettings SettingsFor(const std::string& name) {
+JobEntrySettings SettingsFor(const std::string& name, double cores) {
   JobEntrySettings settings;
   settings.id = EntryId{name};
   settings.zone = ZoneId{"z"};
   settings.peers = {"127.0.0.1", 1};
+  settings.cores = cores;
   settings.vm_order_pause = std::chrono::milliseconds(100);
   return settings;
 }
@@ -59,8 +60,8 @@
 }
 
 FakeEntry::FakeEntry(boost::asio::io_context& io, FakeStore& store, FakeEndpoints& endpoints,
-                     FakeVms& vms, const std::string& name)
-    : settings(SettingsFor(name)),
+                     FakeVms& vms, const std::string& name, double cores)
+    : settings(SettingsFor(name, cores)),
       links(MakeLinks(store, endpoints, vms)),
       context{this->settings, this->links, this->clock, this->metrics, io},
       store(static_cast<FakeStoreLink*>(this->links.store.get())),
@@ -95,9 +96,9 @@
   }
 }
 
-FakeEntry& FakeFleet::AddEntry(const std::string& name) {
+FakeEntry& FakeFleet::AddEntry(const std::string& name, double cores) {
   this->entries.push_back(
-      std::make_unique<FakeEntry>(this->io, this->store, this->endpoints, this->vms, name));
+      std::make_unique<FakeEntry>(this->io, this->store, this->endpoints, this->vms, name, cores));
   this->entries.back()->Start();
   return *this->entries.back();
 }
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -58,7 +58,7 @@
 class FakeEntry {
  public:
   FakeEntry(boost::asio::io_context& io, FakeStore& store, FakeEndpoints& endpoints, FakeVms& vms,
-            const std::string& name);
+            const std::string& name, double cores = 1.0);
 
   void Start();
   /// The process is gone, or cut off from everything; it can't be told from outside.
@@ -83,7 +83,7 @@
  public:
   explicit FakeFleet(boost::asio::io_context& io, int endpoint_count = 3);
 
-  FakeEntry& AddEntry(const std::string& name);
+  FakeEntry& AddEntry(const std::string& name, double cores = 1.0);
   /// A job of `tasks` tasks.
   static jobs::Job MakeJob(std::uint64_t number, std::uint32_t tasks);
 
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -294,6 +294,56 @@
                     WriteVerdict::kMayBeStored, 0}),
     [](const auto& info) { return info.param.name; });
 
+struct OwnerCase {
+  const char* name;
+  /// The entries' cores; the group chooses the first of those that stand.
+  std::vector<double> cores;
+  /// How long before the others the first one starts.
+  milliseconds head_start;
+  /// The entry that is owner in the end.
+  std::size_t owner;
+  /// The same once that one is gone.
+  std::size_t successor;
+};
+
+class OwnersByCores : public ::testing::TestWithParam<OwnerCase> {};
+
+/// Entries run on VMs of very different size, and the owner's work needs processor. On a small VM
+/// its rounds take seconds when much waits, renewals come late, and running tasks lose their
+/// leases, which users notice as tasks that serve them going away. When the large VMs are gone, a
+/// small one has to do.
+TEST_P(OwnersByCores, TheOwnerRunsWhereThereIsProcessor) {
+  asio::io_context io;
+  FakeFleet fleet(io, 2);
+  const auto is_serving = [&](std::size_t entry) {
+    const std::shared_ptr<OwnerTerm> term = fleet.entries[entry]->election->Term();
+    return term != nullptr && term->IsServing();
+  };
+  for (std::size_t i = 0; i < GetParam().cores.size(); ++i) {
+    fleet.AddEntry(std::string(1, static_cast<char>('a' + i)), GetParam().cores[i]);
+    io.run_for(i == 0 ? GetParam().head_start : milliseconds(0));
+  }
+  RunUntil(io, std::chrono::seconds(12), [&] { return is_serving(GetParam().owner); });
+  io.run_for(std::chrono::seconds(1));
+  ASSERT_TRUE(is_serving(GetParam().owner));
+  for (std::size_t i = 0; i < fleet.entries.size(); ++i) {
+    EXPECT_TRUE(i == GetParam().owner || !is_serving(i)) << "two owners";
+  }
+  fleet.entries[GetParam().owner]->Cut();
+  RunUntil(io, std::chrono::seconds(12), [&] { return is_serving(GetParam().successor); });
+  EXPECT_TRUE(is_serving(GetParam().successor));
+  EXPECT_TRUE(fleet.endpoints.violations.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fleet, OwnersByCores,
+    ::testing::Values(OwnerCase{"equals", {0.25, 0.25}, milliseconds(0), 0, 1},
+                      OwnerCase{
+                          "a_large_one_among_small", {0.12, 0.5, 0.12}, milliseconds(0), 1, 0},
+                      OwnerCase{"two_large_ones", {0.12, 0.5, 0.5}, milliseconds(0), 1, 2},
+                      OwnerCase{"a_large_one_comes_later", {0.12, 0.5}, milliseconds(1500), 1, 0}),
+    [](const auto& info) { return info.param.name; });
+
 /// A predecessor's writes are refused once a higher token was announced, also one whose answer was
 /// lost and that is sent again.
 TEST(ProgressWriting, IsFencedByASuccessor) {
