Jobs: Size pools quicker and larger, and lend idle VMs at once

Change: averaging 0.35 s, work off in 0.5 s, 0.75 of a VM's cpu counted, a look each 150 ms; needs of now decide what is missing and what may be lent, needs of the last 4 s what is switched off; VMs count as serving until 2.5 s after they are up; the first plan keeps the sizes that it finds; siblings of a long-running step share an endpoint rather than open another.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -69,19 +69,22 @@
   /// From the decision until a moved VM takes work: 1.5 s for the move itself, the rest for its
   /// registration.
   Duration move_time = std::chrono::milliseconds(2000);
-  /// In what time work that has piled up is to be done: about the slack of a job of two seconds.
-  Duration drain_time = std::chrono::milliseconds(1500);
-  /// Over which arrivals are averaged. One large job is a second's work of several VMs.
-  Duration averaging = std::chrono::milliseconds(700);
-  /// How long a pool keeps what it needed; a VM that leaves and returns costs two moves, which is
-  /// two seconds of its price.
-  Duration keep = std::chrono::milliseconds(2000);
+  /// In what time work that has piled up is to be done. The slack of a short job is about a second,
+  /// and half of it has passed when a VM that was ordered for it comes.
+  Duration drain_time = std::chrono::milliseconds(500);
+  /// Over which arrivals are averaged. Shorter, one large job, a second's work of several VMs,
+  /// looks like a peak; longer, VMs come when the peak's first jobs are already late.
+  Duration averaging = std::chrono::milliseconds(350);
+  /// How long a pool keeps what it needed, unless another pool lacks VMs. One that is switched off
+  /// and returns costs two moves and is paid for on its way: as much as five seconds of its price.
+  Duration keep = std::chrono::milliseconds(4000);
   /// A long-running task that has waited this long finds no room in its pool, whatever the reason:
   /// memory, labels, or the endpoints that its siblings are on. The pool gets one VM more at a
   /// time.
   Duration blocked = std::chrono::milliseconds(700);
-  /// Part of a VM's cpu that jobs can use, as tasks don't fill it to the last core.
-  double usable = 0.85;
+  /// Part of a VM's cpu that jobs can use: tasks don't fill it to the last core, and declared run
+  /// times are too short by a fifth on average.
+  double usable = 0.75;
   /// Fewest VMs of a pool: the loss of one leaves others to go on.
   int least_vms = 3;
 
@@ -110,6 +113,8 @@
     double rate = 0;
     TimePoint measured{};
     bool is_known = false;
+    /// VMs needed now.
+    int needed = 0;
     /// The most needed lately, and when.
     int wanted = 0;
     TimePoint wanted_at{};
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -11,7 +11,7 @@
 
 /// Between two looks at the list of VMs. A queue's demand doubles within a second, and a move takes
 /// 1.5 s.
-constexpr Duration kPace = std::chrono::milliseconds(250);
+constexpr Duration kPace = std::chrono::milliseconds(150);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
 /// A reboot that was answered shows in the list at once; one that wasn't may begin seconds later.
@@ -20,6 +20,8 @@
 const std::string kWavePrefix = "wave/";
 /// A move whose answer was lost and that isn't seen after this has not happened.
 constexpr Duration kMoveLost = std::chrono::seconds(6);
+/// An endpoint registers about a second after its VM is up, and the registry is read every 0.6 s.
+constexpr Duration kRegistration = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -75,6 +77,8 @@
 }
 
 void VmDriver::NoteReturns() {
+  std::erase_if(this->registering,
+                [this](const auto& entry) { return this->context.Now() >= entry.second; });
   for (const jobs::VmRecord& vm : this->vms) {
     if (vm.phase != jobs::VmPhase::kUp) {
       continue;
@@ -83,6 +87,7 @@
     if (reboot != this->down.end() && reboot->second < this->context.Now()) {
       this->down.erase(reboot);
       this->evacuating.erase(vm.id);
+      this->NoteUp(vm);
       this->scheduler.EndEvacuation(vm.endpoint);
     }
     const auto move = this->moving.find(vm.id);
@@ -92,12 +97,29 @@
     const bool is_lost = this->context.Now() - move->second.since > kMoveLost;
     if (vm.pool == move->second.pool || is_lost) {
       this->moving.erase(move);
+      this->NoteUp(vm);
       this->released.erase(vm.id);
       this->scheduler.EndEvacuation(vm.endpoint);
     }
   }
 }
 
+void VmDriver::NoteUp(const jobs::VmRecord& vm) {
+  const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
+  if (policy != nullptr && !policy->standby.contains(vm.pool)) {
+    this->registering[vm.id] = this->context.Now() + kRegistration;
+  }
+}
+
+/// What can go wrong: a VM that was moved into a pool is up, but its endpoint isn't known yet.
+/// Taken as missing, another one is ordered in its place, and both are paid for and moved away
+/// again.
+bool VmDriver::IsRegistering(const jobs::VmRecord& vm) const {
+  const auto found = this->registering.find(vm.id);
+  return found != this->registering.end() && this->context.Now() < found->second &&
+         !this->scheduler.UseOf(vm.endpoint);
+}
+
 void VmDriver::Evacuate(const jobs::VmRecord& vm, const char* why) {
   this->scheduler.BeginEvacuation(vm.endpoint);
   LogEvent(telemetry::LogLevel::kInfo, "vm_evacuating", why,
@@ -212,13 +234,16 @@
     if (move != this->moving.end()) {
       sized.pool = move->second.pool;
       sized.is_serving = true;
+    } else if (this->IsRegistering(vm)) {
+      sized.is_serving = !is_kept;
     } else if (use) {
       sized.used = static_cast<double>(use->used.cpu);
       sized.is_empty = use->is_empty;
       sized.has_long_running = use->has_long_running;
       sized.is_serving = use->is_serving && !is_kept;
     }
-    sized.is_taken = is_kept || move != this->moving.end() || vm.phase != jobs::VmPhase::kUp;
+    sized.is_taken = is_kept || this->IsRegistering(vm) || move != this->moving.end() ||
+                     vm.phase != jobs::VmPhase::kUp;
     out.push_back(std::move(sized));
   }
   return out;
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -35,7 +35,7 @@
   static std::string KeyOf(std::uint64_t wave);
   static bool IsWaveKey(std::string_view key);
   /// A VM is on its way to a pool and will register soon.
-  bool IsExpecting() const { return !this->moving.empty(); }
+  bool IsExpecting() const { return !this->moving.empty() || !this->registering.empty(); }
 
  private:
   struct WaveState {
@@ -55,6 +55,9 @@
   boost::asio::awaitable<void> Resize(bool may_order);
   boost::asio::awaitable<void> Move(VmId vm, ServiceId pool, std::shared_ptr<void> keep_alive);
   void NoteReturns();
+  /// The VM is up again; its endpoint is expected to register.
+  void NoteUp(const jobs::VmRecord& vm);
+  bool IsRegistering(const jobs::VmRecord& vm) const;
   void Evacuate(const jobs::VmRecord& vm, const char* why);
   void LogSizes(const ServiceId& standby);
   void SetReleased(const std::set<VmId>& wanted);
@@ -80,6 +83,9 @@
   std::set<VmId> released;
   /// Ordered to move and not seen up in the new pool since.
   std::map<VmId, Away> moving;
+  /// Up again after a move or a reboot, until so long after it their endpoints should have
+  /// registered.
+  std::map<VmId, TimePoint> registering;
   /// Pools that don't take a VM.
   std::set<std::pair<VmId, ServiceId>> refused;
   jobs::PoolSizer sizer;
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -16,7 +16,9 @@
 /// For an endpoint that would get its first long-running task: those without any can be moved
 /// between pools as demand asks, since no move may end a task that serves users.
 constexpr std::int64_t kOpeningCost = 3'000'000;
-/// For each serving or filling task on the endpoint that the task would share it with.
+/// For each serving or filling task on the endpoint that the task would share it with. Less than
+/// opening another endpoint: five tasks on as many endpoints keep two VMs paid for that could be
+/// off, while a VM that is lost with two of them costs a second or two of both.
 constexpr std::int64_t kSharingCost = 1'000'000;
 
 bool IsServing(const Step& step) { return step.is_long_running && !step.is_filler; }
@@ -71,7 +73,7 @@
       shared += other.spec->is_filler ? 1 : 0;
     } else if (IsServing(*ref.spec)) {
       shared += other.spec->is_filler ? 2 : 0;
-      shared += is_sibling ? 4 : 0;
+      shared += is_sibling ? 1 : 0;
       has_serving = has_serving || IsServing(*other.spec);
     }
   }
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -83,6 +83,12 @@
     wanted = std::max(wanted, Serving(vms, pool) + 1);
     history.waiting_since = now;
   }
+  history.needed = wanted;
+  if (history.wanted_at == TimePoint{}) {
+    // The predecessor knew why the pool is as large as it is.
+    history.wanted = Serving(vms, pool);
+    history.wanted_at = now;
+  }
   if (wanted >= history.wanted || now - history.wanted_at > this->options.keep) {
     history.wanted = wanted;
     history.wanted_at = now;
@@ -93,25 +99,34 @@
                           const std::vector<SizerVm>& vms, const ServiceId& standby) {
   this->Measure(now, loads);
   std::map<ServiceId, int> missing;
-  std::vector<const SizerVm*> spare;
-  SizerStep step;
+  int all_missing = 0;
   for (const auto& [pool, load] : loads) {
     if (pool == standby) {
       continue;
     }
     this->Want(now, pool, load, vms);
-    const int wanted = this->pools[pool].wanted;
-    const int serving = Serving(vms, pool);
-    if (serving < wanted) {
-      missing[pool] = wanted - serving;
+    const int lacks = this->pools[pool].needed - Serving(vms, pool);
+    if (lacks > 0) {
+      missing[pool] = lacks;
+      all_missing += lacks;
+    }
+  }
+  SizerStep step;
+  std::vector<const SizerVm*> spare;
+  std::vector<const SizerVm*> lent;
+  for (const auto& [pool, load] : loads) {
+    if (pool == standby || missing.contains(pool)) {
       continue;
     }
-    std::vector<const SizerVm*> releasable = Releasable(vms, pool);
-    releasable.resize(std::min<std::size_t>(releasable.size(), serving - wanted));
-    for (const SizerVm* vm : releasable) {
-      step.release.insert(vm->id);
-      if (vm->is_empty) {
-        spare.push_back(vm);
+    const int serving = Serving(vms, pool);
+    const int unwanted = serving - this->pools[pool].wanted;
+    const int unneeded = serving - this->pools[pool].needed;
+    const std::vector<const SizerVm*> releasable = Releasable(vms, pool);
+    const int most = std::max(unwanted, std::min(unneeded, all_missing));
+    for (int i = 0; i < most && i < static_cast<int>(releasable.size()); ++i) {
+      step.release.insert(releasable[i]->id);
+      if (releasable[i]->is_empty) {
+        (i < unwanted ? spare : lent).push_back(releasable[i]);
       }
     }
   }
@@ -123,11 +138,11 @@
   }
   // The pool that lacks most goes first; VMs that are switched on already go before those that
   // are not.
-  while (!missing.empty() && (!spare.empty() || !off.empty())) {
+  while (!missing.empty() && (!spare.empty() || !lent.empty() || !off.empty())) {
     const auto most = std::max_element(
         missing.begin(), missing.end(),
         [](const auto& one, const auto& other) { return one.second < other.second; });
-    std::vector<const SizerVm*>& source = spare.empty() ? off : spare;
+    std::vector<const SizerVm*>& source = !spare.empty() ? spare : (!lent.empty() ? lent : off);
     step.moves.push_back({source.back()->id, most->first});
     source.pop_back();
     if (--most->second == 0) {
