Jobs: Confirm ends only to the life of an endpoint that told them

An endpoint started anew and took a task before anybody knew (59 ms); the next renewal carried the number up to which the former life's ends were confirmed, the new life took it for its own first ends and forgot them, and the finished tasks ran again.

Change: a renewal confirms only while there is something to confirm, and nothing after a renewal that failed, until the endpoint has answered.

Ruled out: a look before each renewal of an idle endpoint; each look is priced.

Test: RunRaces.EndsAreConfirmedOnlyToTheLifeThatToldThem failed before.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -287,7 +287,10 @@
   plan.order.endpoint = id;
   plan.order.address = endpoint->record.address;
   plan.order.token = state.token;
-  plan.order.confirmed_end = endpoint->stored_end;
+  // A life that began unnoticed would take a confirmation for one of its own ends.
+  const bool has_to_confirm = endpoint->confirmed_end < endpoint->stored_end;
+  plan.order.confirmed_end =
+      has_to_confirm && !endpoint->is_silent ? endpoint->stored_end : std::uint64_t{0};
   const bool has_claims = !endpoint->claims.empty();
   const bool is_known = endpoint->clock_ms.has_value();
   plan.is_needed = has_claims || !endpoint->strays.empty() ||
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -142,6 +142,27 @@
   EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
 }
 
+/// An endpoint starts anew and numbers its ends from 1 again. A confirmation of its former life's
+/// ends would make the new life forget ends that nobody has heard of, and finished tasks would run
+/// again. So ends are confirmed once, and only right after the endpoint has told them.
+TEST(RunRaces, EndsAreConfirmedOnlyToTheLifeThatToldThem) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(2)}), Wall(world));
+  const std::vector<StartOrder> starts = world.StartAll();
+  world.Hold("a", {World::Active(starts[1])}, {World::Ended(1, starts[0], RunEnd::kDone)});
+  world.Store();
+  EXPECT_EQ(world.scheduler.PlanHold("a", world.now).order.confirmed_end, 1U);
+  world.scheduler.OnHoldFailed("a", OrderOutcome::kNoAnswer, world.now);
+  EXPECT_EQ(world.scheduler.PlanHold("a", world.now).order.confirmed_end, 0U)
+      << "it may have started anew";
+  world.Hold("a", {World::Active(starts[1])}, {World::Ended(1, starts[0], RunEnd::kDone)});
+  EXPECT_EQ(world.scheduler.PlanHold("a", world.now).order.confirmed_end, 1U);
+  world.Hold("a", {World::Active(starts[1])}, {});
+  EXPECT_EQ(world.scheduler.PlanHold("a", world.now).order.confirmed_end, 0U)
+      << "there is nothing left to confirm";
+}
+
 struct RebirthCase {
   const char* name;
   /// What came of the start, and what the new life says of the run.
