Jobs: Let whom the newest claim names begin a term

A claim's answer was lost at 17 s and the claim took effect at 20.36 s. The living owner read it and ended its term; the claimant didn't know of it; the others took the claimant for a living owner and did not claim. Nothing was scheduled any more.

Change: an entry that the newest claim has named for 0.6 s, and that has no term, begins one.

Ruled out: letting the owner go on; the deadlock came as well when it died after such a claim.

Test: Fleet.AClaimWhoseAnswerWasLostLeavesNoFleetWithoutOwner failed before.

--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -26,6 +26,9 @@
 /// member that lives.
 constexpr Duration kConfirmReview = std::chrono::milliseconds(500);
 constexpr int kFreeLooks = 2;
+/// A claim is followed by its term within two calls to the store, and a term that has ended by the
+/// claim of its successor.
+constexpr Duration kVainClaim = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -118,6 +121,10 @@
   }
   this->generation = joined->generation;
   this->directory.FollowClosely(this->Term() != nullptr);
+  if (this->IsNamedInVain()) {
+    co_await this->BeginTerm();
+    co_return;
+  }
   if (!joined->is_chosen || this->Term() != nullptr) {
     co_return;
   }
@@ -132,6 +139,21 @@
   }
 }
 
+/// What can go wrong: the answer to a claim is lost, and the claim takes effect, perhaps seconds
+/// later. The others take this entry for a living owner, so that none of them claims, and nothing
+/// is scheduled. So whom the newest claim names begins a term.
+bool Election::IsNamedInVain() {
+  const std::optional<OwnerClaim> owner = this->directory.Owner();
+  if (!owner || owner->member != this->member || this->Term() != nullptr) {
+    this->named_in_vain.reset();
+    return false;
+  }
+  if (!this->named_in_vain) {
+    this->named_in_vain = this->context.Now();
+  }
+  return this->context.Now() - *this->named_in_vain > kVainClaim;
+}
+
 asio::awaitable<bool> Election::HasLivingOwner() {
   const std::optional<OwnerClaim> owner = this->directory.Owner();
   if (!owner || owner->member == this->member) {
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -33,6 +33,8 @@
   boost::asio::awaitable<void> StandBack();
   boost::asio::awaitable<void> JoinOnce();
   boost::asio::awaitable<void> Leave();
+  /// True when the newest claim has named this entry for a while although it schedules nothing.
+  bool IsNamedInVain();
   /// True while the member that claimed last is still in the group.
   boost::asio::awaitable<bool> HasLivingOwner();
   boost::asio::awaitable<void> BeginTerm();
@@ -49,6 +51,8 @@
   std::uint64_t generation = 0;
   bool is_resigned = false;
   bool is_joined = true;
+  /// Since when the newest claim names this entry and it has no term.
+  std::optional<TimePoint> named_in_vain;
   /// When the store last failed to answer a join.
   std::optional<TimePoint> missed;
   std::shared_ptr<OwnerTerm> term;
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -294,6 +294,34 @@
                     WriteVerdict::kMayBeStored, 0}),
     [](const auto& info) { return info.param.name; });
 
+/// The answer to a claim was lost and the claim took effect seconds later. Everybody then takes the
+/// claimant for the owner, which doesn't know of it: the former owner ends its term, nobody else
+/// claims, and no job is started any more until that entry is restarted.
+TEST(Fleet, AClaimWhoseAnswerWasLostLeavesNoFleetWithoutOwner) {
+  asio::io_context io;
+  FakeFleet fleet(io, 2);
+  FakeEntry& owner = fleet.AddEntry("a");
+  FakeEntry& claimant = fleet.AddEntry("b");
+  const auto is_serving = [](const FakeEntry& entry) {
+    const std::shared_ptr<OwnerTerm> term = entry.election->Term();
+    return term != nullptr && term->IsServing();
+  };
+  RunUntil(io, std::chrono::seconds(5),
+           [&] { return is_serving(owner) && fleet.store.members.size() == 2; });
+  ASSERT_TRUE(is_serving(owner));
+  const OwnerClaim late{"b", fleet.store.members.rbegin()->first, claimant.settings.peers};
+  fleet.store.At(Topic::kOwners, 0).records.push_back({kOwnerKey, EncodeClaim(late)});
+  io.run_for(std::chrono::seconds(3));
+  EXPECT_TRUE(is_serving(owner) || is_serving(claimant));
+  bool is_accepted = false;
+  asio::co_spawn(io, Submit(claimant, FakeFleet::MakeJob(1, 2), [&](bool is) { is_accepted = is; }),
+                 asio::detached);
+  RunUntil(io, std::chrono::seconds(5), [&] { return fleet.endpoints.starts.size() == 2; });
+  EXPECT_TRUE(is_accepted);
+  EXPECT_EQ(fleet.endpoints.starts.size(), 2U);
+  EXPECT_TRUE(fleet.endpoints.violations.empty());
+}
+
 struct OwnerCase {
   const char* name;
   /// The entries' cores; the group chooses the first of those that stand.
