--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -86,8 +86,8 @@
   /// memory, labels, or the endpoints that its siblings are on. The pool gets one VM more at a
   /// time.
   Duration blocked = std::chrono::milliseconds(700);
-  /// Part of a VM's cpu that jobs can use: tasks don't fill it to the last core, and declared run
-  /// times are too short by a fifth on average.
+  /// Part of a VM's cpu that is counted on: tasks don't fill it to the last core, and on one calm
+  /// day declared run times were too short by 1 to 24% on average, by queue.
   double usable = 0.75;
   /// Fewest VMs of a pool: the loss of one leaves others to go on.
   int least_vms = 3;
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -18,7 +18,7 @@
 constexpr std::int64_t kOpeningCost = 3'000'000;
 /// For each serving or filling task on the endpoint that the task would share it with. Less than
 /// opening another endpoint: five tasks on as many endpoints keep two VMs paid for that could be
-/// off, while a VM that is lost with two of them costs a second or two of both.
+/// off, while only the loss of a VM then takes two of them at once.
 constexpr std::int64_t kSharingCost = 1'000'000;
 
 bool IsServing(const Step& step) { return step.is_long_running && !step.is_filler; }
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -11,7 +11,8 @@
 
 /// Between two plans of who is served on time; a plan of 500 jobs takes about a millisecond.
 constexpr Duration kPlanPace = std::chrono::milliseconds(50);
-/// Part of the cpu that tasks fill; as in the sizer.
+/// Part of the cpu that tasks fill. More than the sizer counts on: what is there is used, while VMs
+/// are ordered with some to spare.
 constexpr double kUsable = 0.85;
 /// Estimates are rough, and a job that begins a little after its latest start is often still on
 /// time.
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -250,8 +250,8 @@
     const bool may_arrive =
         !task.IsAdopted() && (task.state == RunState::kStarting || task.state == RunState::kUnsure);
     if (may_arrive) {
-      // The start has no answer yet, and its life's clock is gone with which it would come too
-      // late: only a stop keeps it from being carried out.
+      // The start has no answer yet. Its time limit is on the former life's clock and doesn't hold
+      // it back in this one; only a stop does.
       this->state.BeginStop(ref, now);
       continue;
     }
