Http: Reset connections that are given up on

Change: an attempt that ends by its time limit or by being cancelled resets the connection, so that what was not delivered is dropped.

Ruled out: the steady clock (the program's clock is CLOCK_BOOTTIME already); an order sent after the successor's term began (the log shows none).

Test: ClientTest.GivingUpDropsWhatWasNotDelivered fails without the change (the peer sees an orderly end and all bytes).

--- a/src/http/attempt.cc
+++ b/src/http/attempt.cc
@@ -85,10 +85,14 @@
   });
 }
 
+/// What can go wrong: the path to the other side is cut, the request waits in this VM's send
+/// buffer, and after a plain close the system still delivers it when the path is back, seconds
+/// after the caller has acted on its failure. A reset drops what was not delivered.
 void Attempt::End(Ending why) {
   if (this->ending == Ending::kNone) {
     this->ending = why;
     error_code ignored;
+    this->lease->socket.set_option(asio::socket_base::linger(true, 0), ignored);
     this->lease->socket.close(ignored);
   }
 }
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -1,5 +1,6 @@
 #include "chervilspar/http/client.h"
 
+#include <array>
 #include <atomic>
 #include <string>
 #include <thread>
@@ -141,6 +142,32 @@
 
 // The caller of a request hangs up while an endpoint works on it. The exchange ends at once, and
 // what it says is that the request may have run.
+// The path to an endpoint is cut while a request is on its way, and the client gives up on it. If
+// the connection ended in the usual way, the bytes that wait in the sender's buffer would be
+// delivered when the path is back: an order that was given up on is carried out after a newer one.
+TEST(ClientTest, GivingUpDropsWhatWasNotDelivered) {
+  std::atomic<bool> is_reset = false;
+  {
+    RawServer server(1, [&](RawServer::Socket& socket, int) {
+      std::this_thread::sleep_for(milliseconds(600));
+      // More than the buffers of both sides hold was sent; all that came before the end is read.
+      boost::system::error_code error;
+      std::array<char, 65536> chunk;
+      while (!error) {
+        socket.read_some(boost::asio::buffer(chunk), error);
+      }
+      is_reset = error == boost::asio::error::connection_reset;
+    });
+    BlockingClient client;
+    const std::string body(std::size_t{32} * 1024 * 1024, 'x');
+    const Exchange exchange =
+        client.Call(server.Address(), {"POST", "/", {}, body}, milliseconds(200));
+    EXPECT_FALSE(exchange.response);
+    EXPECT_EQ(exchange.verdict, Verdict::kMayHaveRun);
+  }
+  EXPECT_TRUE(is_reset);
+}
+
 TEST(ClientTest, CancellingEndsTheExchange) {
   const auto cancel = CancelToken::Create();
   RawServer server(1, [&cancel](RawServer::Socket& socket, int) {
