Jobs: Give orders for VMs only with proof that there is no successor

Cause: the driver of VMs gave orders under its token with a pause after the beginning of a term as its only guard.

Change: an order needs proof, at most 0.3 s old, that the newest claim is this entry's: from the appends and reads that are done anyway, else from one read of the claims.

Test: Fleet.ACutOffOwnerGivesNoOrderForAVmAfterItsSuccessor; with the limit of the proof set to an hour it fails (the old owner's token comes after its successor's).

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -149,6 +149,8 @@
   bool MayRenew(TimePoint now) const;
 
   // Decisions.
+  /// The latest time for which it is proven that there was no successor.
+  TimePoint Proof() const;
   Orders Decide(TimePoint now, WallTime wall);
   std::vector<AdviceQuestion> TakeQuestions(TimePoint now);
   /// True when there is something to store or to confirm.
--- a/src/job_entry/owner_directory.cc
+++ b/src/job_entry/owner_directory.cc
@@ -44,13 +44,30 @@
 }
 
 OwnerDirectory::OwnerDirectory(const Context& context)
-    : tail(std::make_shared<RecordTail>(
+    : context(context),
+      tail(std::make_shared<RecordTail>(
           context, RecordTail::Options{.topic = Topic::kOwners, .wait = kWait}, *this)) {}
 
 void OwnerDirectory::FollowClosely(bool is_close) {
   this->tail->SetWait(is_close ? kCloseWait : kWait);
 }
 
+boost::asio::awaitable<bool> OwnerDirectory::IsNewestClaim(std::string member,
+                                                           Duration timeout) const {
+  const Result<NewestOutcome> newest =
+      co_await this->context.links.store->Newest(Topic::kOwners, 0, timeout);
+  if (!newest) {
+    co_return false;
+  }
+  for (const KeyedRecord& record : newest->records) {
+    if (record.key == kOwnerKey && record.value) {
+      const Result<OwnerClaim> claim = DecodeClaim(*record.value);
+      co_return claim && claim->member == member;
+    }
+  }
+  co_return false;
+}
+
 void OwnerDirectory::OnRecords(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     if (!record.value) {
--- a/src/job_entry/owner_directory.h
+++ b/src/job_entry/owner_directory.h
@@ -36,8 +36,11 @@
   std::optional<TimePoint> Proof() const { return this->tail->Proof(); }
   /// An owner has to hear soon of another's claim; others only ask for its address.
   void FollowClosely(bool is_close);
+  /// Asks the store now whether the newest claim is that of `member`.
+  boost::asio::awaitable<bool> IsNewestClaim(std::string member, Duration timeout) const;
 
  private:
+  const Context context;
   std::optional<OwnerClaim> owner;
   std::shared_ptr<RecordTail> tail;
 };
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -48,7 +48,7 @@
       job_log(context, this->scheduler, [this] { this->Kick(); }),
       registry(context),
       sender(context, this->scheduler, [this] { this->Kick(); }),
-      vms(context, operators, this->scheduler, token),
+      vms(context, operators, directory, this->scheduler, this->member, token),
       decide(std::make_shared<http::Wakeup>(context.io.get_executor())),
       store(std::make_shared<http::Wakeup>(context.io.get_executor())),
       advise(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -23,11 +23,21 @@
 /// An endpoint registers about a second after its VM is up, and the registry is read every 0.6 s.
 constexpr Duration kRegistration = std::chrono::milliseconds(2500);
 
+/// How old the proof may be that an order needs. A successor waits longer than this, and than an
+/// order takes on its way, before its first one.
+constexpr Duration kOrderProof = std::chrono::milliseconds(300);
+constexpr Duration kProofTimeout = std::chrono::milliseconds(300);
+
 }  // namespace
 
-VmDriver::VmDriver(const Context& context, OperatorView& operators, jobs::Scheduler& scheduler,
-                   std::uint64_t token)
-    : context(context), operators(operators), scheduler(scheduler), token(token) {}
+VmDriver::VmDriver(const Context& context, OperatorView& operators, const OwnerDirectory& directory,
+                   jobs::Scheduler& scheduler, std::string member, std::uint64_t token)
+    : context(context),
+      operators(operators),
+      directory(directory),
+      scheduler(scheduler),
+      member(std::move(member)),
+      token(token) {}
 
 std::string VmDriver::KeyOf(std::uint64_t wave) { return kWavePrefix + std::to_string(wave); }
 
@@ -76,6 +86,22 @@
   }
 }
 
+asio::awaitable<bool> VmDriver::IsStillOwner() {
+  const TimePoint asked = this->context.Now();
+  this->proof = std::max(this->proof, this->scheduler.Proof());
+  if (asked - this->proof >= kOrderProof) {
+    const bool is_newest = co_await this->directory.IsNewestClaim(this->member, kProofTimeout);
+    if (is_newest) {
+      this->proof = asked;
+    }
+  }
+  const bool is_proven = this->context.Now() - this->proof < kOrderProof;
+  if (!is_proven) {
+    this->context.metrics.Count({"chervilspar_vm_orders_unproven_total", {}});
+  }
+  co_return is_proven && !this->is_stopped;
+}
+
 void VmDriver::NoteReturns() {
   std::erase_if(this->registering,
                 [this](const auto& entry) { return this->context.Now() >= entry.second; });
@@ -153,7 +179,8 @@
     }
   }
   for (const VmId& vm : step.reboot) {
-    if (may_order && !this->is_stopped) {
+    const bool is_owner = may_order && !this->is_stopped && co_await this->IsStillOwner();
+    if (is_owner) {
       co_await this->Reboot(wave, state, vm);
     }
   }
@@ -272,6 +299,10 @@
   this->SetReleased(step.release);
   for (const jobs::SizerStep::Move& move : step.moves) {
     if (!this->is_stopped && !this->refused.contains({move.vm, move.to})) {
+  const bool is_owner = step.moves.empty() || co_await this->IsStillOwner();
+  if (!is_owner) {
+    co_return;
+  }
       // Side by side: one after the other, the last of thirty VMs would leave half a second late.
       this->moving[move.vm] = {move.to, this->context.Now()};
       Spawn(this->context, this->Move(move.vm, move.to, this->owner.lock()));
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -12,6 +12,7 @@
 
 #include "job_entry/context.h"
 #include "job_entry/operator_view.h"
+#include "job_entry/owner_directory.h"
 
 namespace chervilspar::job_entry {
 
@@ -19,8 +20,9 @@
 /// as their queues need them.
 class VmDriver {
  public:
-  VmDriver(const Context& context, OperatorView& operators, jobs::Scheduler& scheduler,
-           std::uint64_t token);
+  /// `member`: this entry's name in its claim.
+  VmDriver(const Context& context, OperatorView& operators, const OwnerDirectory& directory,
+           jobs::Scheduler& scheduler, std::string member, std::uint64_t token);
 
   /// Runs until stopped; `began` is when this entry took over, `owner` keeps this object.
   boost::asio::awaitable<void> Run(TimePoint began, std::weak_ptr<void> owner);
@@ -49,6 +51,11 @@
   };
 
   boost::asio::awaitable<void> Round(TimePoint began);
+  /// What can go wrong: this process was stopped for seconds, or is cut off from the store alone,
+  /// and gives orders beside its successor. Where the service doesn't compare tokens, a VM that the
+  /// successor has just filled is sent down. So an order needs proof that there was no successor a
+  /// moment ago, and a successor gives none in its first moment.
+  boost::asio::awaitable<bool> IsStillOwner();
   boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order);
   boost::asio::awaitable<void> Reboot(const jobs::Wave& wave, WaveState& state, VmId vm);
   boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state);
@@ -68,6 +75,7 @@
   OperatorView& operators;
   jobs::Scheduler& scheduler;
   const std::uint64_t token;
+  const OwnerDirectory& directory;
   std::weak_ptr<void> owner;
   bool is_stopped = false;
   std::vector<jobs::VmRecord> vms;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -319,6 +319,8 @@
   return now - state.proof < state.options.predecessor_grace;
 }
 
+TimePoint Scheduler::Proof() const { return this->impl->state.proof; }
+
 bool Scheduler::IsSuperseded() const { return this->impl->state.is_superseded; }
 
 }  // namespace chervilspar::jobs
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -18,6 +18,10 @@
  public:
   std::vector<jobs::VmRecord> vms;
   std::map<VmId, int> reboots;
+  /// The tokens of all orders, in the order in which they came.
+  std::vector<std::uint64_t> tokens;
+  /// Orders are refused for now, so that they are given again and again.
+  bool is_busy = false;
 };
 
 class FakeVmLink final : public VmService {
@@ -28,6 +32,10 @@
     co_return this->all.vms;
   }
   boost::asio::awaitable<jobs::VmOrderOutcome> Reboot(jobs::RebootOrder order, Duration) override {
+    this->all.tokens.push_back(order.token);
+    if (this->all.is_busy) {
+      co_return jobs::VmOrderOutcome::kBusy;
+    }
     ++this->all.reboots[order.vm];
     co_return jobs::VmOrderOutcome::kDone;
   }
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -237,6 +237,40 @@
   }
 }
 
+/// An owner loses its way to the store but not to the service for VMs, in the middle of a wave. Its
+/// successor goes on with the wave; if the old owner did so, too, VMs that the successor has just
+/// filled would be sent down, and the callers' work with them.
+TEST(Fleet, ACutOffOwnerGivesNoOrderForAVmAfterItsSuccessor) {
+  asio::io_context io;
+  FakeFleet fleet(io);
+  fleet.vms.is_busy = true;
+  for (const char* name : {"v0", "v1", "v2"}) {
+    jobs::VmRecord vm;
+    vm.id = VmId{name};
+    vm.pool = ServiceId{"desk"};
+    vm.phase = jobs::VmPhase::kUp;
+    vm.endpoint = "i" + std::to_string(fleet.vms.vms.size());
+    vm.capacity = {8000, 8000, 0};
+    fleet.vms.vms.push_back(vm);
+  }
+  fleet.store.At(Topic::kOperators, 0).records.push_back({"wave", "v0,v1,v2"});
+  FakeEntry& first = fleet.AddEntry("a");
+  FakeEntry& second = fleet.AddEntry("b");
+  const auto is_serving = [](FakeEntry& entry) {
+    return entry.election->Term() != nullptr && entry.election->Term()->IsServing();
+  };
+  RunUntil(io, std::chrono::seconds(5), [&] { return fleet.vms.tokens.size() > 3; });
+  FakeEntry& owner = is_serving(first) ? first : second;
+  FakeEntry& successor = &owner == &first ? second : first;
+  ASSERT_TRUE(is_serving(owner));
+  owner.Cut();
+  RunUntil(io, std::chrono::seconds(6), [&] { return is_serving(successor); });
+  ASSERT_TRUE(is_serving(successor));
+  io.run_for(milliseconds(1500));
+  EXPECT_GT(fleet.vms.tokens.back(), fleet.vms.tokens.front());
+  EXPECT_TRUE(std::is_sorted(fleet.vms.tokens.begin(), fleet.vms.tokens.end()));
+}
+
 /// What a caller is told when the store misbehaves, as a table.
 struct VerdictCase {
   const char* name;
