Jobs: Size pools by the slack of what waits and by how demand rises

Cause: the log line pool_sizes shows up to 685 VMs wanted of 49 (work that waits was to be done within 0.5 s, and a rise was continued for 2 s and divided by that), and a size once wanted kept for 4 s: after each peak some 30 VMs stood at 10 to 40% of use for three seconds and more.

Change: a pool's need is (a) the work that waits over a part of its slack, as far as the VMs that are there can do it; late work over 6 s; (b) jobs arriving, times the learned work of one, with the rise between a short and a longer average continued. What chance alone shows is left out, and a few jobs are believed by half. VMs are kept for 2 s, the price of going and coming. The line pool_sizes also tells the use of cpu and memory.

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -8,6 +8,7 @@
 #include "chervilspar/base/result.h"
 #include "chervilspar/base/socket_address.h"
 #include "chervilspar/base/time.h"
+#include "chervilspar/job_entry/decision_options.h"
 #include "chervilspar/telemetry/logger.h"
 
 namespace chervilspar::job_entry {
@@ -29,6 +30,7 @@
   std::string vm_order_pause;
   std::string drain_time;
   std::string cores;
+  std::string decisions;
   std::string log_level;
 
   friend bool operator==(const RawJobEntrySettings&, const RawJobEntrySettings&) = default;
@@ -60,6 +62,7 @@
   Duration drain_time = std::chrono::milliseconds(4500);
   /// The part of the processor that this VM gives. Entries with more go first as owner.
   double cores = 1.0;
+  DecisionOptions decisions;
   telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
 
   friend bool operator==(const JobEntrySettings&, const JobEntrySettings&) = default;
--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -14,6 +14,17 @@
 
 namespace chervilspar::jobs {
 
+/// Work of one step that waits.
+struct WaitingWork {
+  /// Milliseconds from now until it must have begun for its job to be on time; negative when that
+  /// has passed.
+  double slack_ms = 0;
+  /// Thousandths of a core times milliseconds.
+  double work = 0;
+
+  friend auto operator<=>(const WaitingWork&, const WaitingWork&) = default;
+};
+
 /// What a pool's jobs ask for now.
 struct PoolLoad {
   /// Estimated work of all jobs that came since the scheduler began, in thousandths of a core
@@ -21,10 +32,13 @@
   double arrived = 0;
   /// How many jobs that were; only grows.
   double arrived_jobs = 0;
-  /// The same of what waits for an endpoint or for earlier steps.
-  double waiting = 0;
-  /// Thousandths of a core that all that waits would take if it ran at once.
-  double waiting_at_once = 0;
+  /// What waits for an endpoint or for earlier steps, in any order.
+  std::vector<WaitingWork> waiting;
+  /// Thousandths of a core that all that waits and runs would take if it ran at once.
+  double at_once = 0;
+  /// Estimated work that is still to be done of what runs, long-running tasks left out; in the unit
+  /// of `arrived`.
+  double running = 0;
   /// Thousandths of a core that long-running tasks take or wait for.
   double long_running = 0;
   /// The most endpoints that one step needs, as only so many of its tasks may share one.
@@ -73,15 +87,29 @@
   /// From the decision until a moved VM takes work: 1.5 s for the move itself, the rest for its
   /// registration.
   Duration move_time = std::chrono::milliseconds(2000);
-  /// In what time work that has piled up is to be done. The slack of a short job is about a second,
-  /// and half of it has passed when a VM that was ordered for it comes.
-  Duration drain_time = std::chrono::milliseconds(500);
-  /// Over which arrivals are averaged. Shorter, one large job, a second's work of several VMs,
-  /// looks like a peak; longer, VMs come when the peak's first jobs are already late.
+  /// Part of the slack of what waits that is counted on: estimates are rough, and a step begins
+  /// when a whole endpoint's worth of room is found.
+  double slack_share = 0.3;
+  /// A VM is ordered for work that can still be on time if it has at least this long for it.
+  Duration least_use = std::chrono::milliseconds(300);
+  /// In what time work that is late already is to be done.
+  Duration late_time = std::chrono::milliseconds(6000);
+  /// Over how many jobs the work of one is averaged.
+  double jobs_averaged = 20;
+  /// Over which arrivals are averaged. Shorter, a few jobs that come together look like a peak;
+  /// longer, VMs come when the peak's first jobs are already late.
   Duration averaging = std::chrono::milliseconds(350);
+  /// The longer average that shows whether demand rises, in terms of `averaging`.
+  double slow_averaging = 3;
+  /// How far a rise is continued, in terms of the difference of the two averages.
+  double trend = 4;
+  /// Of a rise, so many standard deviations of what chance alone would show are left out.
+  double noise = 0.5;
+  /// With this many jobs in the average, half of what the average shows is believed.
+  double doubt = 1;
   /// How long a pool keeps what it needed, unless another pool lacks VMs. One that is switched off
   /// and returns costs two moves and is paid for on its way: as much as five seconds of its price.
-  Duration keep = std::chrono::milliseconds(4000);
+  Duration keep = std::chrono::milliseconds(2000);
   /// A long-running task that has waited this long finds no room in its pool, whatever the reason:
   /// memory, labels, or the endpoints that its siblings are on. The pool gets one VM more at a
   /// time.
@@ -114,10 +142,14 @@
   struct History {
     double arrived = 0;
     double arrived_jobs = 0;
-    /// Thousandths of a core that arrive in a millisecond, averaged.
-    double rate = 0;
-    /// Jobs that the average is made of.
+    /// Jobs that arrive in a millisecond, averaged.
+    double job_rate = 0;
+    /// The same, averaged over longer.
+    double slow_job_rate = 0;
+    /// Jobs that `job_rate` is made of.
     double recent_jobs = 0;
+    /// Work of one job, averaged.
+    double work_of_one = 0;
     TimePoint measured{};
     bool is_known = false;
     /// VMs needed now.
@@ -144,6 +176,9 @@
   void ReleaseFrom(const ServiceId& pool, const std::vector<SizerVm>& vms, int all_missing,
                    Supply& supply, std::set<VmId>& released) const;
   void Measure(TimePoint now, const std::map<ServiceId, PoolLoad>& loads);
+  /// Thousandths of a core that what arrives, waits and runs needs, without long-running tasks.
+  /// `free`: what the pool's VMs have for it.
+  double CpuNeeded(const History& history, const PoolLoad& load, double free) const;
   void Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
             const std::vector<SizerVm>& vms);
 
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -147,10 +147,10 @@
   /// an answer of earlier, while its successor takes the runs as dead and starts them again.
   void SetProof(TimePoint proof);
   bool MayRenew(TimePoint now) const;
-
-  // Decisions.
   /// The latest time for which it is proven that there was no successor.
   TimePoint Proof() const;
+
+  // Decisions.
   Orders Decide(TimePoint now, WallTime wall);
   std::vector<AdviceQuestion> TakeQuestions(TimePoint now);
   /// True when there is something to store or to confirm.
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -49,6 +49,10 @@
   /// of a round when thousands wait.
   int misses_per_round = 24;
 
+  /// Whether jobs that don't fit are given up early when not all can be on time; see
+  /// `OverloadPlan`.
+  bool plans_overload = true;
+
   /// By our clock, a lease that is given now has certainly lapsed after this.
   Duration LongestLease() const {
     const auto slowed =
--- /dev/null
+++ b/src/job_entry/decision_options.cc
@@ -0,0 +1,161 @@
+#include "chervilspar/job_entry/decision_options.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "chervilspar/inventory/document.h"
+
+namespace chervilspar::job_entry {
+
+namespace {
+
+using SchedulerMember =
+    std::variant<Duration jobs::SchedulerOptions::*, bool jobs::SchedulerOptions::*>;
+using SizerMember = std::variant<Duration jobs::SizerOptions::*, double jobs::SizerOptions::*,
+                                 int jobs::SizerOptions::*, bool jobs::SizerOptions::*>;
+
+template <typename Member>
+struct NamedMember {
+  std::string_view name;
+  Member member;
+};
+
+constexpr std::array kSchedulerMembers = {
+    NamedMember<SchedulerMember>{"scheduler.lease", &jobs::SchedulerOptions::lease},
+    NamedMember<SchedulerMember>{"scheduler.ejection", &jobs::SchedulerOptions::ejection},
+    NamedMember<SchedulerMember>{"scheduler.stall", &jobs::SchedulerOptions::stall},
+    NamedMember<SchedulerMember>{"scheduler.overload", &jobs::SchedulerOptions::plans_overload},
+};
+
+constexpr std::array kSizerMembers = {
+    NamedMember<SizerMember>{"sizer.move_time", &jobs::SizerOptions::move_time},
+    NamedMember<SizerMember>{"sizer.slack_share", &jobs::SizerOptions::slack_share},
+    NamedMember<SizerMember>{"sizer.trend", &jobs::SizerOptions::trend},
+    NamedMember<SizerMember>{"sizer.slow_averaging", &jobs::SizerOptions::slow_averaging},
+    NamedMember<SizerMember>{"sizer.noise", &jobs::SizerOptions::noise},
+    NamedMember<SizerMember>{"sizer.doubt", &jobs::SizerOptions::doubt},
+    NamedMember<SizerMember>{"sizer.least_use", &jobs::SizerOptions::least_use},
+    NamedMember<SizerMember>{"sizer.late_time", &jobs::SizerOptions::late_time},
+    NamedMember<SizerMember>{"sizer.jobs_averaged", &jobs::SizerOptions::jobs_averaged},
+    NamedMember<SizerMember>{"sizer.averaging", &jobs::SizerOptions::averaging},
+    NamedMember<SizerMember>{"sizer.keep", &jobs::SizerOptions::keep},
+    NamedMember<SizerMember>{"sizer.usable", &jobs::SizerOptions::usable},
+    NamedMember<SizerMember>{"sizer.least_vms", &jobs::SizerOptions::least_vms},
+};
+
+Reason Wrong(std::string_view name, std::string message) {
+  return {ErrorCode::kInvalidArgument, std::string(name), std::move(message)};
+}
+
+template <typename Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number{};
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  const bool is_number = parsed.ec == std::errc() && parsed.ptr == end;
+  return is_number && number >= Number{} ? std::optional(number) : std::nullopt;
+}
+
+/// Sets one value; the type of the member says how the text is read.
+template <typename Options>
+struct Setter {
+  Options& options;
+  std::string_view name;
+  std::string_view text;
+
+  Status operator()(Duration Options::*member) const {
+    const Result<Duration> span = inventory::ParseDuration(this->text);
+    if (!span) {
+      return Wrong(this->name, "should be a span of time such as 500ms");
+    }
+    this->options.*member = *span;
+    return Done{};
+  }
+  Status operator()(double Options::*member) const {
+    const std::optional<double> number = ParseNumber<double>(this->text);
+    if (!number) {
+      return Wrong(this->name, "should be a number that isn't negative");
+    }
+    this->options.*member = *number;
+    return Done{};
+  }
+  Status operator()(int Options::*member) const {
+    const std::optional<int> number = ParseNumber<int>(this->text);
+    if (!number) {
+      return Wrong(this->name, "should be a whole number that isn't negative");
+    }
+    this->options.*member = *number;
+    return Done{};
+  }
+  Status operator()(bool Options::*member) const {
+    if (this->text != "on" && this->text != "off") {
+      return Wrong(this->name, "should be on or off");
+    }
+    this->options.*member = this->text == "on";
+    return Done{};
+  }
+};
+
+/// Nothing when no member has this name.
+template <typename Options, typename Members>
+std::optional<Status> SetIn(Options& options, const Members& members, std::string_view name,
+                            std::string_view text) {
+  for (const auto& entry : members) {
+    if (entry.name == name) {
+      return std::visit(Setter<Options>{options, name, text}, entry.member);
+    }
+  }
+  return std::nullopt;
+}
+
+Status SetOne(DecisionOptions& options, std::string_view part) {
+  const std::size_t equals = part.find('=');
+  if (equals == std::string_view::npos) {
+    return Wrong(part, "should be NAME=VALUE");
+  }
+  const std::string_view name = part.substr(0, equals);
+  const std::string_view text = part.substr(equals + 1);
+  if (const auto set = SetIn(options.scheduler, kSchedulerMembers, name, text)) {
+    return *set;
+  }
+  if (const auto set = SetIn(options.sizer, kSizerMembers, name, text)) {
+    return *set;
+  }
+  std::string known;
+  for (const std::string_view other : DecisionOptionNames()) {
+    known += (known.empty() ? "" : ", ") + std::string(other);
+  }
+  return Wrong(name, "is not known; known are " + known);
+}
+
+}  // namespace
+
+std::vector<std::string_view> DecisionOptionNames() {
+  std::vector<std::string_view> names;
+  names.reserve(kSchedulerMembers.size() + kSizerMembers.size());
+  for (const auto& entry : kSchedulerMembers) {
+    names.push_back(entry.name);
+  }
+  for (const auto& entry : kSizerMembers) {
+    names.push_back(entry.name);
+  }
+  return names;
+}
+
+Result<DecisionOptions> ParseDecisionOptions(std::string_view text) {
+  DecisionOptions options;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    const Status set = SetOne(options, text.substr(0, comma));
+    if (!set) {
+      return set.LastReason();
+    }
+    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+  }
+  return options;
+}
+
+}  // namespace chervilspar::job_entry
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -39,7 +39,7 @@
       began(context.Now()),
       scheduler(
           [&context] {
-            jobs::SchedulerOptions options;
+            jobs::SchedulerOptions options = context.settings.decisions.scheduler;
             options.lease = std::min(options.lease, context.settings.lease_limit);
             return options;
           }(),
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -76,6 +76,16 @@
     return level.value_or(otherwise);
   }
 
+  DecisionOptions Decisions(const char* flag, const std::string& value) {
+    const Result<DecisionOptions> options = ParseDecisionOptions(value);
+    if (!options) {
+      const Reason& reason = options.LastReason();
+      this->Add(flag, '"' + reason.field + "\" " + reason.message);
+      return {};
+    }
+    return *options;
+  }
+
   std::string Path(const char* flag, const std::string& value) {
     if (value.empty()) {
       return "/ready";
@@ -116,6 +126,7 @@
       check.Span("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
   settings.drain_time = check.Span("--drain-time", raw.drain_time, settings.drain_time);
   settings.cores = check.Cores("--cores", raw.cores, settings.cores);
+  settings.decisions = check.Decisions("--decisions", raw.decisions);
   settings.log_level = check.Level("--log-level", raw.log_level, settings.log_level);
   JobEntrySettingsOutcome outcome{std::nullopt, std::move(check.faults)};
   if (outcome.faults.empty()) {
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -37,7 +37,8 @@
       directory(directory),
       scheduler(scheduler),
       member(std::move(member)),
-      token(token) {}
+      token(token),
+      sizer(context.settings.decisions.sizer) {}
 
 std::string VmDriver::KeyOf(std::uint64_t wave) { return kWavePrefix + std::to_string(wave); }
 
@@ -297,12 +298,12 @@
   }
   this->LogSizes(standby);
   this->SetReleased(step.release);
-  for (const jobs::SizerStep::Move& move : step.moves) {
-    if (!this->is_stopped && !this->refused.contains({move.vm, move.to})) {
   const bool is_owner = step.moves.empty() || co_await this->IsStillOwner();
   if (!is_owner) {
     co_return;
   }
+  for (const jobs::SizerStep::Move& move : step.moves) {
+    if (!this->is_stopped && !this->refused.contains({move.vm, move.to})) {
       // Side by side: one after the other, the last of thirty VMs would leave half a second late.
       this->moving[move.vm] = {move.to, this->context.Now()};
       Spawn(this->context, this->Move(move.vm, move.to, this->owner.lock()));
@@ -318,18 +319,30 @@
     }
   }
   std::string text;
+  std::string use;
   for (const auto& [pool, count] : sizes) {
-    text += text.empty() ? "" : " ";
-    text +=
-        pool.text + "=" + std::to_string(count) + "/" + std::to_string(this->sizer.Wanted(pool));
+    const char* const gap = text.empty() ? "" : " ";
+    text += gap + pool.text + "=" + std::to_string(count) + "/" +
+            std::to_string(this->sizer.Wanted(pool));
+    use += gap + pool.text + "=" + this->UseText(pool);
   }
   if (text != this->last_sizes) {
     this->last_sizes = text;
-    LogEvent(telemetry::LogLevel::kInfo, "pool_sizes", "VMs that serve, and VMs wanted",
-             {{"pools", text}});
+    LogEvent(telemetry::LogLevel::kInfo, "pool_sizes",
+             "VMs that serve, and VMs wanted; use of cpu and of memory",
+             {{"pools", text}, {"use", use}});
   }
 }
 
+std::string VmDriver::UseText(const ServiceId& pool) const {
+  const jobs::Resources used = this->scheduler.UsedIn(pool);
+  const jobs::Resources all = this->scheduler.CapacityOf(pool);
+  const auto percent = [](std::int64_t part, std::int64_t whole) {
+    return std::to_string(whole > 0 ? 100 * part / whole : 0) + "%";
+  };
+  return percent(used.cpu, all.cpu) + "/" + percent(used.memory_mb, all.memory_mb);
+}
+
 asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool,
                                      [[maybe_unused]] std::shared_ptr<void> keep_alive) {
   const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -67,15 +67,20 @@
   bool IsRegistering(const jobs::VmRecord& vm) const;
   void Evacuate(const jobs::VmRecord& vm, const char* why);
   void LogSizes(const ServiceId& standby);
+  /// Parts of a pool's cpu and memory in use, as "34%/20%".
+  std::string UseText(const ServiceId& pool) const;
   void SetReleased(const std::set<VmId>& wanted);
   std::vector<jobs::SizerVm> SizerVms() const;
   std::map<std::string, jobs::EndpointLoad> Loads() const;
 
   const Context context;
   OperatorView& operators;
+  const OwnerDirectory& directory;
   jobs::Scheduler& scheduler;
+  const std::string member;
   const std::uint64_t token;
-  const OwnerDirectory& directory;
+  /// When the store was last asked and named no successor.
+  TimePoint proof{};
   std::weak_ptr<void> owner;
   bool is_stopped = false;
   std::vector<jobs::VmRecord> vms;
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -79,7 +79,7 @@
 }
 
 void PlacingRound::PlanOverload(PoolState& pool) {
-  if (this->now - pool.planned < kPlanPace) {
+  if (!this->state.options.plans_overload || this->now - pool.planned < kPlanPace) {
     return;
   }
   pool.planned = this->now;
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -7,9 +7,8 @@
 
 namespace {
 
-/// With this many jobs in the average, half of it is believed. With three, peaks were met too late:
-/// a worth of 0.524 against 0.539 (means of 32 plays).
-constexpr double kDoubt = 1.0;
+/// A job that begins a little after its latest start is often still on time.
+constexpr double kStartGraceMs = 200;
 
 double Milliseconds(Duration span) {
   return std::chrono::duration<double, std::milli>(span).count();
@@ -47,10 +46,19 @@
     History& history = this->pools[pool];
     const double passed = Milliseconds(now - history.measured);
     if (history.is_known && passed > 0) {
-      const double recent = (load.arrived - history.arrived) / passed;
+      const double came = load.arrived_jobs - history.arrived_jobs;
       const double kept = std::exp(-passed / Milliseconds(this->options.averaging));
-      history.rate += (1.0 - kept) * (recent - history.rate);
-      history.recent_jobs = kept * history.recent_jobs + (load.arrived_jobs - history.arrived_jobs);
+      history.job_rate += (1.0 - kept) * (came / passed - history.job_rate);
+      const double kept_longer =
+          std::exp(-passed / Milliseconds(this->options.averaging) / this->options.slow_averaging);
+      history.slow_job_rate += (1.0 - kept_longer) * (came / passed - history.slow_job_rate);
+      history.recent_jobs = kept * history.recent_jobs + came;
+      if (came > 0) {
+        const double work = (load.arrived - history.arrived) / came;
+        const double part =
+            history.work_of_one > 0 ? came / (came + this->options.jobs_averaged) : 1;
+        history.work_of_one += part * (work - history.work_of_one);
+      }
     }
     history.is_known = true;
     history.arrived = load.arrived;
@@ -59,6 +67,40 @@
   }
 }
 
+double PoolSizer::CpuNeeded(const History& history, const PoolLoad& load, double free) const {
+  std::vector<WaitingWork> waiting = load.waiting;
+  std::sort(waiting.begin(), waiting.end());
+  const double move = Milliseconds(this->options.move_time);
+  const double least = Milliseconds(this->options.least_use);
+  double late = 0;
+  double due = load.running;
+  // What would do if it were there now, and what has to come in addition to what is there.
+  double at_least = 0;
+  double more = 0;
+  for (const WaitingWork& part : waiting) {
+    if (part.slack_ms < 0) {
+      late += part.work;
+      continue;
+    }
+    due += part.work;
+    const double span = part.slack_ms * this->options.slack_share + kStartGraceMs;
+    at_least = std::max(at_least, due / span);
+    if (span - move >= least) {
+      more = std::max(more, (due - free * span) / (span - move));
+    }
+  }
+  const double backlog =
+      std::min(at_least, free) + more + late / Milliseconds(this->options.late_time);
+  const double chance =
+      std::sqrt(history.slow_job_rate / (2 * Milliseconds(this->options.averaging)));
+  const double rise =
+      std::max(0.0, history.job_rate - history.slow_job_rate - this->options.noise * chance);
+  const double belief = history.recent_jobs / (history.recent_jobs + this->options.doubt);
+  const double rate =
+      belief * (history.job_rate + this->options.trend * rise) * history.work_of_one;
+  return std::max(rate, std::min(backlog, load.at_once));
+}
+
 void PoolSizer::Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
                      const std::vector<SizerVm>& vms) {
   History& history = this->pools[pool];
@@ -74,15 +116,7 @@
     return;
   }
   const double free = std::max(0.0, cpu - load.long_running);
-  const double ahead = Milliseconds(this->options.move_time);
-  const double drain = Milliseconds(this->options.drain_time);
-  // One job says little of the jobs to come.
-  const double rate = history.rate * history.recent_jobs / (history.recent_jobs + kDoubt);
-  // What will wait when a VM that is ordered now is there.
-  const double to_come = ahead * (rate - free);
-  const double left = std::max(0.0, load.waiting + to_come);
-  const double at_once = load.waiting_at_once + std::max(0.0, to_come) / drain;
-  const double needed = load.long_running + rate + std::min(left / drain, at_once);
+  const double needed = load.long_running + this->CpuNeeded(history, load, free);
   int wanted = std::max({this->options.least_vms, load.least_endpoints,
                          static_cast<int>(std::ceil(needed / cpu_of_one))});
   if (load.waiting_long_running == 0) {
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -6,12 +6,40 @@
 
 namespace {
 
-/// Part of the work of steps that wait for earlier ones that counts as waiting: most of it comes
-/// when a VM that is ordered for it would be needed elsewhere again.
-constexpr double kLaterShare = 0.3;
-/// Part of the work of jobs that will be late that counts: such a job is worth a fifteenth, which
-/// pays for VMs that are there, not for more of them.
-constexpr double kLateShare = 0.25;
+/// A task without estimate counts as short.
+constexpr std::int64_t kLeastEstimateMs = 50;
+/// Of an estimate, what is left of a running task on average.
+constexpr double kLeftOfRunning = 0.5;
+
+/// For each step, the longest chain of estimates from its beginning to the end of the job.
+std::vector<std::int64_t> ChainsFrom(const Job& job) {
+  std::vector<std::int64_t> chains(job.steps.size(), 0);
+  for (std::size_t i = chains.size(); i-- > 0;) {
+    chains[i] += std::max(job.steps[i].estimate_ms, kLeastEstimateMs);
+    for (const std::uint32_t earlier : job.steps[i].after) {
+      chains[earlier] = std::max(chains[earlier], chains[i]);
+    }
+  }
+  return chains;
+}
+
+/// Adds what is left of one step to the load of its pool.
+void AddStep(const StepState& state, const Step& spec, double slack_ms, PoolLoad& load) {
+  const auto cpu = static_cast<double>(RoomFor(spec).cpu);
+  const auto estimate =
+      static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kLeastEstimateMs));
+  double waiting = 0;
+  double running = 0;
+  for (const Task& task : state.tasks) {
+    waiting += task.IsWaiting() ? 1 : 0;
+    running += task.state != RunState::kNone ? 1 : 0;
+  }
+  if (waiting > 0) {
+    load.waiting.push_back({slack_ms, waiting * cpu * estimate});
+  }
+  load.running += running * cpu * estimate * kLeftOfRunning;
+  load.at_once += (running + (state.is_open ? waiting : 0)) * cpu;
+}
 
 }  // namespace
 
@@ -72,27 +100,25 @@
       continue;
     }
     PoolLoad& load = loads[job->service];
+    const std::vector<std::int64_t> chains = ChainsFrom(job->job);
     for (const auto& [number, occurrence] : job->occurrences) {
+      const std::int64_t begin_ms = std::int64_t{number} * job->job.interval_ms;
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         const Step& spec = job->job.steps[i];
-        const auto cpu = static_cast<double>(RoomFor(spec).cpu);
-        if (spec.max_per_endpoint > 0 && !occurrence.steps[i].IsDone()) {
+        const StepState& step = occurrence.steps[i];
+        if (spec.max_per_endpoint > 0 && !step.IsDone()) {
           const std::uint32_t most = spec.max_per_endpoint;
           const std::uint32_t endpoints = (spec.count + most - 1) / most;
           load.least_endpoints = std::max(load.least_endpoints, static_cast<int>(endpoints));
         }
-        for (const Task& task : occurrence.steps[i].tasks) {
-          if (spec.is_long_running) {
-            load.long_running += cpu;
-            load.waiting_long_running += task.IsWaiting() ? 1 : 0;
-          } else if (task.IsWaiting()) {
-            double share = occurrence.steps[i].is_open ? 1.0 : kLaterShare;
-            if (job->is_given_up || job->deadline_ms < this->impl->wall_ms) {
-              share *= kLateShare;
-            }
-            load.waiting_at_once += share * cpu;
-            load.waiting += share * cpu * static_cast<double>(spec.estimate_ms);
-          }
+        if (!spec.is_long_running) {
+          const std::int64_t latest = job->deadline_ms + begin_ms - chains[i];
+          AddStep(step, spec, static_cast<double>(latest - this->impl->wall_ms), load);
+          continue;
+        }
+        for (const Task& task : step.tasks) {
+          load.long_running += static_cast<double>(RoomFor(spec).cpu);
+          load.waiting_long_running += task.IsWaiting() ? 1 : 0;
         }
       }
     }
