Jobs: Leave zones that don't answer out of the sizes of pools

The sizer ordered a third of its VMs in the zone that nobody reached, and counted them as coming until 2.5 s after they were up.

Change: a zone with more silent endpoints than answering ones neither serves nor supplies VMs.

Test: PoolSizer.OrdersNoVmsInAZoneThatDoesNotAnswer, with and without the silence.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -53,6 +53,7 @@
 struct SizerVm {
   VmId id;
   ServiceId pool;
+  ZoneId zone;
   /// Thousandths of a core in all, and in use.
   double cpu = 0;
   double used = 0;
@@ -61,6 +62,8 @@
   /// Nothing runs there.
   bool is_empty = false;
   bool has_long_running = false;
+  /// It has an endpoint that should answer and doesn't.
+  bool is_silent = false;
   /// Taken by a wave or on its way between pools; not to be touched.
   bool is_taken = false;
 
@@ -117,6 +120,8 @@
   /// Part of a VM's cpu that is counted on: tasks don't fill it to the last core, and on one calm
   /// day declared run times were too short by 1 to 24% on average, by queue.
   double usable = 0.75;
+  /// Whether VMs of zones that can't be reached are left out.
+  bool avoids_dark_zones = true;
   /// Fewest VMs of a pool: the loss of one leaves others to go on.
   int least_vms = 3;
 
@@ -171,6 +176,10 @@
     const SizerVm* Take();
   };
 
+  /// What can go wrong: a zone is cut off in a peak, its VMs are ordered like others, nobody
+  /// reaches them, and the callers wait for VMs that bring nothing. A zone with more silent
+  /// endpoints than answering ones counts as cut off; its VMs neither serve nor move.
+  std::vector<SizerVm> WithoutDarkZones(const std::vector<SizerVm>& vms) const;
   std::map<ServiceId, int> FindMissing(TimePoint now, const std::map<ServiceId, PoolLoad>& loads,
                                        const std::vector<SizerVm>& vms, const ServiceId& standby);
   void ReleaseFrom(const ServiceId& pool, const std::vector<SizerVm>& vms, int all_missing,
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -99,6 +99,8 @@
   bool has_long_running = false;
   /// It gets work, or did until it was chosen to be emptied.
   bool is_serving = false;
+  /// It has not answered lately.
+  bool is_silent = false;
 
   friend bool operator==(const EndpointUse&, const EndpointUse&) = default;
 };
--- a/src/job_entry/decision_options.cc
+++ b/src/job_entry/decision_options.cc
@@ -43,6 +43,7 @@
     NamedMember<SizerMember>{"sizer.averaging", &jobs::SizerOptions::averaging},
     NamedMember<SizerMember>{"sizer.keep", &jobs::SizerOptions::keep},
     NamedMember<SizerMember>{"sizer.usable", &jobs::SizerOptions::usable},
+    NamedMember<SizerMember>{"sizer.avoids_dark_zones", &jobs::SizerOptions::avoids_dark_zones},
     NamedMember<SizerMember>{"sizer.least_vms", &jobs::SizerOptions::least_vms},
 };
 
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -256,6 +256,8 @@
     jobs::SizerVm sized;
     sized.id = vm.id;
     sized.pool = vm.pool;
+    sized.zone = vm.zone;
+    sized.is_silent = use && use->is_silent;
     sized.cpu = static_cast<double>(vm.capacity.cpu);
     const auto move = this->moving.find(vm.id);
     const bool is_kept = this->evacuating.contains(vm.id) || this->down.contains(vm.id);
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -77,6 +77,7 @@
   EndpointUse use;
   use.used = endpoint->used;
   use.is_empty = endpoint->claims.empty() && endpoint->strays.empty();
+  use.is_silent = endpoint->is_silent;
   use.is_serving = endpoint->is_registered && !endpoint->record.is_draining && !endpoint->is_silent;
   for (const TaskKey& key : endpoint->claims) {
     const TaskRef ref = this->impl->state.Find(key);
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -167,6 +167,24 @@
                       BacklogCase{"late_already", -1, 90, 200, 3}),
     [](const auto& info) { return info.param.name; });
 
+/// A zone is cut off as a peak begins. Its VMs take no work, and one that is ordered there brings
+/// nothing; the callers would wait for it for four seconds before another is ordered in its place.
+TEST(PoolSizer, OrdersNoVmsInAZoneThatDoesNotAnswer) {
+  for (const bool is_dark : {false, true}) {
+    SizerWorld world;
+    for (SizerVm& vm : world.vms) {
+      const bool is_east = vm.id == VmId{"m0"} || vm.id == VmId{"m8"};
+      vm.zone = ZoneId{is_east ? "east" : "west"};
+      vm.is_silent = is_dark && vm.id == VmId{"m0"};
+      vm.is_empty = vm.pool != kDesk;
+    }
+    const SizerStep step = world.After(std::chrono::seconds(6), 60, 2);
+    const auto is_in_east = [](const SizerStep::Move& move) { return move.vm == VmId{"m8"}; };
+    EXPECT_EQ(std::none_of(step.moves.begin(), step.moves.end(), is_in_east), is_dark);
+    EXPECT_GE(world.MovesTo(step, kDesk), 1U);
+  }
+}
+
 /// A VM that runs long-running work, or is taken by a wave, must not be emptied for a move.
 TEST(PoolSizer, LeavesAloneWhatCantMove) {
   SizerWorld world;
