Jobs: Have another entry store what the store turns away from this one

Change: what this entry can't append is appended by the owner or a seed peer: the same records, in the same partition, so that a late effect of an own try is a harmless repeat. If none can, no other entry is asked for a second. Answers stay true: stored, not stored, or may be stored.

Ruled out: a shorter Retry-After (helps where one entry is turned away, and uses up the four tries of a caller within a moment where the whole store is down); relaying whole requests (keys are trusted for 3.5 s anyway, which covers the balancer's delay).

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -30,6 +30,7 @@
   std::string vm_order_pause;
   std::string drain_time;
   std::string cores;
+  std::vector<std::string> seed_peers;
   std::string decisions;
   std::string log_level;
 
@@ -62,6 +63,8 @@
   Duration drain_time = std::chrono::milliseconds(4500);
   /// The part of the processor that this VM gives. Entries with more go first as owner.
   double cores = 1.0;
+  /// Where some other entries answer entries; they may be down or gone.
+  std::vector<SocketAddress> seed_peers;
   DecisionOptions decisions;
   telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
 
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -54,6 +54,9 @@
           "Longest that a shutdown waits for requests in flight [4500ms]");
   AddFlag(app, "--cores", raw.cores,
           "Part of the processor that this VM gives, in cores; more goes first as owner [1]");
+  AddListFlag(app, "--seed-peer", raw.seed_peers,
+              "ip:port where another entry answers entries; writes for this one when the store "
+              "turns it away [none]");
   AddFlag(app, "--decisions", raw.decisions,
           "NAME=VALUE,...: figures of decisions that differ from the defaults, for experiments")
       ->group("");
--- a/src/job_entry/job_questions.h
+++ b/src/job_entry/job_questions.h
@@ -9,6 +9,7 @@
 
 #include "job_entry/election.h"
 #include "job_entry/owner_directory.h"
+#include "job_entry/record_relay.h"
 
 namespace chervilspar::job_entry {
 
@@ -35,15 +36,18 @@
 ///
 ///     GET /v1/jobs/ID             200 {"phase":"running"}, 404 no such job, 503 not known
 ///     GET /v1/pending?queue=NAME  200 {"pending":3}, 503 not known
+///
+/// Any entry writes records for one that can't; see `RelayHandler`.
 class PeerHandler final : public http::Handler {
  public:
-  explicit PeerHandler(Election& election) : election(election) {}
+  PeerHandler(Election& election, const Context& context) : election(election), relay(context) {}
 
   boost::asio::awaitable<http::Response> Handle(http::Request request,
                                                 std::shared_ptr<http::CancelToken> caller) override;
 
  private:
   Election& election;
+  const RelayHandler relay;
 };
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/job_writer.cc
+++ b/src/job_entry/job_writer.cc
@@ -20,6 +20,9 @@
 /// Submissions in one append: with 4,000 bytes of payload each still far below the store's limit
 /// of 2 MiB for one call.
 constexpr std::size_t kMostTogether = 100;
+/// After no other entry could write either. In an outage of the whole store, entries would else
+/// press on each other with every submission.
+constexpr Duration kRelayPause = std::chrono::milliseconds(1000);
 /// Longer than all tries together.
 constexpr Duration kGiveUp = std::chrono::seconds(10);
 
@@ -29,8 +32,9 @@
 
 std::string CancellationKey(const jobs::JobId& id) { return jobs::ToString(id) + "/cancelled"; }
 
-JobWriter::JobWriter(const Context& context)
+JobWriter::JobWriter(const Context& context, RecordRelay* relay)
     : context(context),
+      relay(relay),
       partition(static_cast<std::uint32_t>(StableHash(context.settings.id.text) % kJobPartitions)),
       wakeup(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
 
@@ -80,6 +84,11 @@
       co_return WriteVerdict::kStored;
     }
     may_be_stored = may_be_stored || outcome.kind == AppendOutcome::Kind::kUnknown;
+    const WriteVerdict elsewhere = co_await this->AppendElsewhere(records);
+    if (elsewhere == WriteVerdict::kStored) {
+      co_return elsewhere;
+    }
+    may_be_stored = may_be_stored || elsewhere == WriteVerdict::kMayBeStored;
     if (!may_be_stored) {
       co_return WriteVerdict::kNotStored;
     }
@@ -90,4 +99,22 @@
   }
 }
 
+/// What can go wrong: the store turns this entry away while it serves the others. Callers whose
+/// connections are here are refused until the balancer has noticed, three seconds later. The same
+/// records in the same partition are harmless twice, so another entry may write them even if a try
+/// of this one takes effect later.
+asio::awaitable<WriteVerdict> JobWriter::AppendElsewhere(const std::vector<KeyedRecord>& records) {
+  if (this->relay == nullptr || this->context.Now() < this->relay_again) {
+    co_return WriteVerdict::kNotStored;
+  }
+  const WriteVerdict verdict = co_await this->relay->Append(this->partition, records);
+  if (verdict != WriteVerdict::kStored) {
+    this->relay_again = this->context.Now() + kRelayPause;
+  }
+  this->context.metrics.Count(
+      {"chervilspar_records_relayed_total",
+       {{"outcome", verdict == WriteVerdict::kStored ? "stored" : "failed"}}});
+  co_return verdict;
+}
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/job_writer.h
+++ b/src/job_entry/job_writer.h
@@ -7,18 +7,10 @@
 #include "chervilspar/http/wakeup.h"
 
 #include "job_entry/context.h"
+#include "job_entry/record_relay.h"
 
 namespace chervilspar::job_entry {
 
-/// What may be told to the caller whose record was to be stored.
-enum class WriteVerdict {
-  kStored,
-  /// Nothing was written, and nothing will be.
-  kNotStored,
-  /// It may be stored, now or later.
-  kMayBeStored,
-};
-
 /// The partitions of jobs: an append takes 4 ms of its partition, so four take a thousand a second.
 inline constexpr std::uint32_t kJobPartitions = 4;
 
@@ -29,7 +21,8 @@
 /// Writes submissions and cancellations of one entry; those that wait share one append.
 class JobWriter : public std::enable_shared_from_this<JobWriter> {
  public:
-  explicit JobWriter(const Context& context);
+  /// `relay` writes what this entry can't; null when there is no other entry.
+  explicit JobWriter(const Context& context, RecordRelay* relay = nullptr);
 
   void Start() { Spawn(this->context, this->Run(this->shared_from_this())); }
   boost::asio::awaitable<WriteVerdict> Write(KeyedRecord record);
@@ -45,12 +38,17 @@
 
   boost::asio::awaitable<void> Run(std::shared_ptr<JobWriter> self);
   boost::asio::awaitable<WriteVerdict> Append(std::vector<KeyedRecord> records);
+  /// What another entry made of the records.
+  boost::asio::awaitable<WriteVerdict> AppendElsewhere(const std::vector<KeyedRecord>& records);
 
   const Context context;
+  RecordRelay* const relay;
   const std::uint32_t partition;
   std::shared_ptr<http::Wakeup> wakeup;
   std::deque<std::shared_ptr<Waiting>> waiting;
   Duration last_time{};
+  /// No other entry is asked before this, as none could write.
+  TimePoint relay_again{};
 };
 
 }  // namespace chervilspar::job_entry
--- /dev/null
+++ b/src/job_entry/record_relay.cc
@@ -0,0 +1,169 @@
+#include "job_entry/record_relay.h"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+#include "job_entry/job_writer.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kRecordsPath = "/v1/records";
+/// For another entry's answer. It takes some 6 ms; longer than this, the store is slow there as
+/// well, and a caller's time is better spent on own tries.
+constexpr Duration kAskTimeout = std::chrono::milliseconds(450);
+/// The other entry's own time limit, below that of whoever asks.
+constexpr Duration kAppendTimeout = std::chrono::milliseconds(350);
+/// Peers asked for one append, so that a caller hears within a second when nobody can write.
+constexpr std::size_t kMostPeers = 2;
+
+struct RelayedRecords {
+  std::uint32_t partition = 0;
+  std::vector<KeyedRecord> records;
+};
+
+std::string EncodeRecords(std::uint32_t partition, const std::vector<KeyedRecord>& records) {
+  json::array rows;
+  for (const KeyedRecord& record : records) {
+    rows.push_back(json::array{record.key, record.value.value_or("")});
+  }
+  return json::serialize(json::object{{"partition", partition}, {"records", std::move(rows)}});
+}
+
+/// A row is a key and a value.
+std::optional<KeyedRecord> DecodeRow(const json::value& row) {
+  const bool is_pair = row.is_array() && row.as_array().size() == 2 &&
+                       row.as_array()[0].is_string() && row.as_array()[1].is_string();
+  if (!is_pair) {
+    return std::nullopt;
+  }
+  const json::array& pair = row.as_array();
+  return KeyedRecord{std::string(pair[0].as_string()), std::string(pair[1].as_string())};
+}
+
+Result<RelayedRecords> DecodeRecords(const std::string& body) {
+  const auto wrong = [](const char* field, const char* message) {
+    return Reason{ErrorCode::kInvalidArgument, field, message};
+  };
+  boost::system::error_code error;
+  const json::value value = json::parse(body, error);
+  if (error || !value.is_object()) {
+    return wrong("", "the body should be a JSON object");
+  }
+  const json::value* partition = value.as_object().if_contains("partition");
+  const json::value* rows = value.as_object().if_contains("records");
+  const bool is_partition = partition != nullptr && partition->is_int64() &&
+                            partition->as_int64() >= 0 && partition->as_int64() < kJobPartitions;
+  if (!is_partition) {
+    return wrong("partition", "should be the number of a partition of jobs");
+  }
+  if (rows == nullptr || !rows->is_array() || rows->as_array().empty()) {
+    return wrong("records", "should be a list of pairs of key and value");
+  }
+  RelayedRecords decoded;
+  decoded.partition = static_cast<std::uint32_t>(partition->as_int64());
+  for (const json::value& row : rows->as_array()) {
+    std::optional<KeyedRecord> record = DecodeRow(row);
+    if (!record) {
+      return wrong("records", "should be a list of pairs of key and value");
+    }
+    decoded.records.push_back(*std::move(record));
+  }
+  return decoded;
+}
+
+}  // namespace
+
+PeerRelay::PeerRelay(const Context& context, const OwnerDirectory& directory, http::Client& client)
+    : context(context), directory(directory), client(client) {}
+
+std::vector<SocketAddress> PeerRelay::Peers() const {
+  std::vector<SocketAddress> peers;
+  const auto add = [&](const SocketAddress& address) {
+    const bool is_known = std::find(peers.begin(), peers.end(), address) != peers.end();
+    if (!is_known && !(address == this->context.settings.peers) && peers.size() < kMostPeers) {
+      peers.push_back(address);
+    }
+  };
+  if (const std::optional<OwnerClaim>& owner = this->directory.Owner()) {
+    add(owner->address);
+  }
+  const std::vector<SocketAddress>& seeds = this->context.settings.seed_peers;
+  for (std::size_t i = 0; i < seeds.size(); ++i) {
+    add(seeds[(this->next_seed + i) % seeds.size()]);
+  }
+  return peers;
+}
+
+asio::awaitable<WriteVerdict> PeerRelay::Append(std::uint32_t partition,
+                                                std::vector<KeyedRecord> records) {
+  const std::string body = EncodeRecords(partition, records);
+  bool may_be_stored = false;
+  for (const SocketAddress& peer : this->Peers()) {
+    const WriteVerdict verdict = co_await this->Ask(peer, body);
+    if (verdict == WriteVerdict::kStored) {
+      co_return verdict;
+    }
+    may_be_stored = may_be_stored || verdict == WriteVerdict::kMayBeStored;
+  }
+  ++this->next_seed;
+  co_return may_be_stored ? WriteVerdict::kMayBeStored : WriteVerdict::kNotStored;
+}
+
+asio::awaitable<WriteVerdict> PeerRelay::Ask(SocketAddress peer, std::string body) {
+  http::Request request;
+  request.method = "POST";
+  request.target = std::string(kRecordsPath);
+  request.headers.Add("Content-Type", "application/json");
+  request.body = std::move(body);
+  const http::Exchange exchange =
+      co_await this->client.Send(peer, std::move(request), kAskTimeout, nullptr);
+  if (!exchange.response) {
+    this->client.CloseIdle(peer);
+    co_return exchange.verdict == Verdict::kNotRun ? WriteVerdict::kNotStored
+                                                   : WriteVerdict::kMayBeStored;
+  }
+  switch (exchange.response->status) {
+    case 200:
+      co_return WriteVerdict::kStored;
+    case 400:
+    case 404:
+    case 503:
+      co_return WriteVerdict::kNotStored;
+    default:
+      co_return WriteVerdict::kMayBeStored;
+  }
+}
+
+bool RelayHandler::IsForIt(const http::Request& request) {
+  return request.method == "POST" && http::PathOf(request.target) == kRecordsPath;
+}
+
+asio::awaitable<http::Response> RelayHandler::Handle(http::Request request) const {
+  Result<RelayedRecords> decoded = DecodeRecords(request.body);
+  if (!decoded) {
+    co_return http::ErrorResponse(400, "invalid_argument", ToString(decoded.LastReason()));
+  }
+  RelayedRecords relayed = *std::move(decoded);
+  const std::size_t count = relayed.records.size();
+  const AppendOutcome outcome = co_await this->context.links.store->Append(
+      Topic::kJobs, relayed.partition, std::move(relayed.records), std::nullopt, kAppendTimeout);
+  const bool is_stored = outcome.kind == AppendOutcome::Kind::kStored;
+  LogEvent(telemetry::LogLevel::kInfo, "records_relayed",
+           is_stored ? "stored for another entry" : "could not be stored here either",
+           {{"records", std::to_string(count)}});
+  if (is_stored) {
+    co_return http::Response{};
+  }
+  if (outcome.kind == AppendOutcome::Kind::kUnknown) {
+    co_return http::ErrorResponse(504, "may_be_stored", "The store has not answered.");
+  }
+  co_return http::ErrorResponse(503, "not_stored", "The store took nothing.");
+}
+
+}  // namespace chervilspar::job_entry
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -74,11 +74,12 @@
         client(client),
         operators(context),
         directory(context),
-        writer(std::make_shared<JobWriter>(context)),
+        relay(context, this->directory, client),
+        writer(std::make_shared<JobWriter>(context, &this->relay)),
         election(std::make_shared<Election>(context, this->operators, this->directory)),
         questions(context, *this->election, this->directory, client),
         callers(context, this->operators, *this->writer, this->questions),
-        peers(*this->election),
+        peers(*this->election, context),
         health(context, this->operators, this->is_stopping),
         signals(context.io, SIGTERM, SIGINT, SIGHUP) {}
 
@@ -178,6 +179,7 @@
   int exit_code = kExitOk;
   OperatorView operators;
   OwnerDirectory directory;
+  PeerRelay relay;
   std::shared_ptr<JobWriter> writer;
   std::shared_ptr<Election> election;
   JobQuestions questions;
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -126,6 +126,9 @@
       check.Span("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
   settings.drain_time = check.Span("--drain-time", raw.drain_time, settings.drain_time);
   settings.cores = check.Cores("--cores", raw.cores, settings.cores);
+  for (const std::string& peer : raw.seed_peers) {
+    settings.seed_peers.push_back(check.Address("--seed-peer", peer));
+  }
   settings.decisions = check.Decisions("--decisions", raw.decisions);
   settings.log_level = check.Level("--log-level", raw.log_level, settings.log_level);
   JobEntrySettingsOutcome outcome{std::nullopt, std::move(check.faults)};
--- a/tests/job_entry/settings_test.cc
+++ b/tests/job_entry/settings_test.cc
@@ -55,6 +55,14 @@
                        raw.lease_limit = "soon";
                      },
                      {"--store-address", "--lease-limit"}},
+        SettingsCase{"a_peer_without_port",
+                     [](RawJobEntrySettings& raw) {
+                       raw.seed_peers = {"10.0.0.3:82", "10.0.0.4"};
+                     },
+                     {"--seed-peer"}},
+        SettingsCase{"an_unknown_decision",
+                     [](RawJobEntrySettings& raw) { raw.decisions = "sizer.colour=1"; },
+                     {"--decisions"}},
         SettingsCase{"a_lease_of_nothing",
                      [](RawJobEntrySettings& raw) { raw.lease_limit = "0s"; },
                      {"--lease-limit"}},
