Jobs: Count on six tenths of the slack of what waits; drop the time for late work

Cause: with three tenths counted on, no job's slack is long enough for a VM to be ordered for what waits, so that this half of the sizer was idle.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -92,11 +92,9 @@
   Duration move_time = std::chrono::milliseconds(2000);
   /// Part of the slack of what waits that is counted on: estimates are rough, and a step begins
   /// when a whole endpoint's worth of room is found.
-  double slack_share = 0.3;
+  double slack_share = 0.6;
   /// A VM is ordered for work that can still be on time if it has at least this long for it.
   Duration least_use = std::chrono::milliseconds(300);
-  /// In what time work that is late already is to be done.
-  Duration late_time = std::chrono::milliseconds(6000);
   /// Over how many jobs the work of one is averaged.
   double jobs_averaged = 20;
   /// Over which arrivals are averaged. Shorter, a few jobs that come together look like a peak;
--- a/src/job_entry/decision_options.cc
+++ b/src/job_entry/decision_options.cc
@@ -38,7 +38,6 @@
     NamedMember<SizerMember>{"sizer.noise", &jobs::SizerOptions::noise},
     NamedMember<SizerMember>{"sizer.doubt", &jobs::SizerOptions::doubt},
     NamedMember<SizerMember>{"sizer.least_use", &jobs::SizerOptions::least_use},
-    NamedMember<SizerMember>{"sizer.late_time", &jobs::SizerOptions::late_time},
     NamedMember<SizerMember>{"sizer.jobs_averaged", &jobs::SizerOptions::jobs_averaged},
     NamedMember<SizerMember>{"sizer.averaging", &jobs::SizerOptions::averaging},
     NamedMember<SizerMember>{"sizer.keep", &jobs::SizerOptions::keep},
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -87,15 +87,13 @@
   std::sort(waiting.begin(), waiting.end());
   const double move = Milliseconds(this->options.move_time);
   const double least = Milliseconds(this->options.least_use);
-  double late = 0;
   double due = load.running;
   // What would do if it were there now, and what has to come in addition to what is there.
   double at_least = 0;
   double more = 0;
   for (const WaitingWork& part : waiting) {
     if (part.slack_ms < 0) {
-      late += part.work;
-      continue;
+      continue;  // late already: done by what is there
     }
     due += part.work;
     const double span = part.slack_ms * this->options.slack_share + kStartGraceMs;
@@ -104,8 +102,7 @@
       more = std::max(more, (due - free * span) / (span - move));
     }
   }
-  const double backlog =
-      std::min(at_least, free) + more + late / Milliseconds(this->options.late_time);
+  const double backlog = std::min(at_least, free) + more;
   const double chance =
       std::sqrt(history.slow_job_rate / (2 * Milliseconds(this->options.averaging)));
   const double rise =
