Jobs: Pace orders for VMs by the platform's rate; need no proof where tokens are compared

Change: a budget by the rate in the settings (--vm-order-rate), empty after a refusal. And where the service for VMs refuses old tokens itself (--vm-service-compares-tokens) an order needs no proof of ownership, so that a wave goes on while the store is away.

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -28,6 +28,8 @@
   std::string key_proof_limit;
   std::string lease_limit;
   std::string vm_order_pause;
+  std::string vm_order_rate;
+  std::string vm_service_compares_tokens;
   std::string drain_time;
   std::string cores;
   std::vector<std::string> seed_peers;
@@ -59,6 +61,10 @@
   /// After a take-over, no order is given for a VM for this long, as the predecessor may just have
   /// given one.
   Duration vm_order_pause = std::chrono::seconds(3);
+  /// Orders for VMs a second that the platform takes from all entries.
+  double vm_order_rate = 64;
+  /// The service for VMs refuses an order whose token is lower than one that it has seen.
+  bool vm_service_compares_tokens = false;
   /// Longest that a shutdown waits for requests in flight.
   Duration drain_time = std::chrono::milliseconds(4500);
   /// The part of the processor that this VM gives. Entries with more go first as owner.
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -50,6 +50,10 @@
   AddFlag(app, "--lease-limit", raw.lease_limit, "The longest lease that endpoints give [10s]");
   AddFlag(app, "--vm-order-pause", raw.vm_order_pause,
           "No orders for VMs this long after a take-over [3s]");
+  AddFlag(app, "--vm-order-rate", raw.vm_order_rate,
+          "Orders for VMs a second that the platform takes from all entries [64]");
+  AddFlag(app, "--vm-service-compares-tokens", raw.vm_service_compares_tokens,
+          "true where the service for VMs refuses orders with an old token [false]");
   AddFlag(app, "--drain-time", raw.drain_time,
           "Longest that a shutdown waits for requests in flight [4500ms]");
   AddFlag(app, "--cores", raw.cores,
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -13,6 +13,8 @@
 constexpr Duration kLongest = std::chrono::minutes(10);
 constexpr double kLeastCores = 0.01;
 constexpr double kMostCores = 1024;
+constexpr double kLeastRate = 0.1;
+constexpr double kMostRate = 100000;
 
 /// Checks one flag after another and keeps all faults.
 class Checker {
@@ -49,19 +51,32 @@
     return *span;
   }
 
-  double Cores(const char* flag, const std::string& value, double otherwise) {
+  /// `what`: what the number is and its bounds, for the message.
+  double Number(const char* flag, const std::string& value, double otherwise, double least,
+                double most, const char* what) {
     if (value.empty()) {
       return otherwise;
     }
-    double cores = 0;
+    double number = 0;
     const char* const end = value.data() + value.size();
-    const auto parsed = std::from_chars(value.data(), end, cores);
+    const auto parsed = std::from_chars(value.data(), end, number);
     const bool is_number = parsed.ec == std::errc() && parsed.ptr == end;
-    if (!is_number || !(cores >= kLeastCores && cores <= kMostCores)) {
-      this->Add(flag, '"' + value + "\" should be a number of cores from 0.01 to 1024");
+    if (!is_number || !(number >= least && number <= most)) {
+      this->Add(flag, '"' + value + "\" should be " + what);
       return otherwise;
     }
-    return cores;
+    return number;
+  }
+
+  bool YesOrNo(const char* flag, const std::string& value, bool otherwise) {
+    if (value.empty()) {
+      return otherwise;
+    }
+    if (value != "true" && value != "false") {
+      this->Add(flag, '"' + value + "\" should be true or false");
+      return otherwise;
+    }
+    return value == "true";
   }
 
   telemetry::LogLevel Level(const char* flag, const std::string& value,
@@ -125,7 +140,14 @@
   settings.vm_order_pause =
       check.Span("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
   settings.drain_time = check.Span("--drain-time", raw.drain_time, settings.drain_time);
-  settings.cores = check.Cores("--cores", raw.cores, settings.cores);
+  settings.vm_order_rate =
+      check.Number("--vm-order-rate", raw.vm_order_rate, settings.vm_order_rate, kLeastRate,
+                   kMostRate, "a number of orders a second from 0.1 to 100000");
+  settings.vm_service_compares_tokens =
+      check.YesOrNo("--vm-service-compares-tokens", raw.vm_service_compares_tokens,
+                    settings.vm_service_compares_tokens);
+  settings.cores = check.Number("--cores", raw.cores, settings.cores, kLeastCores, kMostCores,
+                                "a number of cores from 0.01 to 1024");
   for (const std::string& peer : raw.seed_peers) {
     settings.seed_peers.push_back(check.Address("--seed-peer", peer));
   }
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -38,7 +38,8 @@
       scheduler(scheduler),
       member(std::move(member)),
       token(token),
-      sizer(context.settings.decisions.sizer) {}
+      sizer(context.settings.decisions.sizer),
+      budget(context.settings.vm_order_rate) {}
 
 std::string VmDriver::KeyOf(std::uint64_t wave) { return kWavePrefix + std::to_string(wave); }
 
@@ -88,6 +89,9 @@
 }
 
 asio::awaitable<bool> VmDriver::IsStillOwner() {
+  if (this->context.settings.vm_service_compares_tokens) {
+    co_return !this->is_stopped;
+  }
   const TimePoint asked = this->context.Now();
   this->proof = std::max(this->proof, this->scheduler.Proof());
   if (asked - this->proof >= kOrderProof) {
@@ -181,9 +185,10 @@
   }
   for (const VmId& vm : step.reboot) {
     const bool is_owner = may_order && !this->is_stopped && co_await this->IsStillOwner();
-    if (is_owner) {
-      co_await this->Reboot(wave, state, vm);
+    if (!is_owner || !this->budget.Take(this->context.Now())) {
+      break;
     }
+    co_await this->Reboot(wave, state, vm);
   }
 }
 
@@ -209,8 +214,11 @@
     case VmOrderOutcome::kTokenTooLow:
       this->is_stopped = true;
       break;
-    case VmOrderOutcome::kBusy:
     case VmOrderOutcome::kTooMany:
+      this->budget.OnRefused(this->context.Now());
+      this->down.erase(vm);
+      break;
+    case VmOrderOutcome::kBusy:
       this->down.erase(vm);
       break;
   }
@@ -305,7 +313,8 @@
     co_return;
   }
   for (const jobs::SizerStep::Move& move : step.moves) {
-    if (!this->is_stopped && !this->refused.contains({move.vm, move.to})) {
+    const bool may_move = !this->is_stopped && !this->refused.contains({move.vm, move.to});
+    if (may_move && this->budget.Take(this->context.Now())) {
       // Side by side: one after the other, the last of thirty VMs would leave half a second late.
       this->moving[move.vm] = {move.to, this->context.Now()};
       Spawn(this->context, this->Move(move.vm, move.to, this->owner.lock()));
@@ -362,8 +371,11 @@
     case VmOrderOutcome::kTokenTooLow:
       this->is_stopped = true;
       break;
-    case VmOrderOutcome::kBusy:
     case VmOrderOutcome::kTooMany:
+      this->budget.OnRefused(this->context.Now());
+      this->moving.erase(vm);
+      break;
+    case VmOrderOutcome::kBusy:
       this->moving.erase(vm);
       break;
   }
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "chervilspar/jobs/order_budget.h"
 #include "chervilspar/jobs/pool_sizer.h"
 #include "chervilspar/jobs/scheduler.h"
 #include "chervilspar/jobs/upkeep.h"
@@ -102,6 +103,7 @@
   /// Pools that don't take a VM.
   std::set<std::pair<VmId, ServiceId>> refused;
   jobs::PoolSizer sizer;
+  jobs::OrderBudget budget;
   std::string last_sizes;
 };
 
--- a/tests/job_entry/settings_test.cc
+++ b/tests/job_entry/settings_test.cc
@@ -55,6 +55,12 @@
                        raw.lease_limit = "soon";
                      },
                      {"--store-address", "--lease-limit"}},
+        SettingsCase{"no_rate_and_no_answer",
+                     [](RawJobEntrySettings& raw) {
+                       raw.vm_order_rate = "0";
+                       raw.vm_service_compares_tokens = "yes";
+                     },
+                     {"--vm-order-rate", "--vm-service-compares-tokens"}},
         SettingsCase{"a_peer_without_port",
                      [](RawJobEntrySettings& raw) {
                        raw.seed_peers = {"10.0.0.3:82", "10.0.0.4"};
