Jobs: Give lending, relaying and the rest of the decisions a switch; tell when the store is slow

Change: sizer.lends and entry.relays_records among the options of decisions; the lines store_slow and store_usual, once for each change. An unused figure of the writer is gone.

--- a/include/chervilspar/job_entry/decision_options.h
+++ b/include/chervilspar/job_entry/decision_options.h
@@ -14,6 +14,8 @@
 struct DecisionOptions {
   jobs::SchedulerOptions scheduler;
   jobs::SizerOptions sizer;
+  /// Whether another entry is asked to store what the store turns away from this one.
+  bool relays_records = true;
 
   friend bool operator==(const DecisionOptions&, const DecisionOptions&) = default;
 };
--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -118,6 +118,8 @@
   /// Part of a VM's cpu that is counted on: tasks don't fill it to the last core, and on one calm
   /// day declared run times were too short by 1 to 24% on average, by queue.
   double usable = 0.75;
+  /// Whether an idle VM that its pool still keeps goes to one that lacks VMs.
+  bool lends = true;
   /// Whether VMs of zones that can't be reached are left out.
   bool avoids_dark_zones = true;
   /// Fewest VMs of a pool: the loss of one leaves others to go on.
--- a/src/job_entry/decision_options.cc
+++ b/src/job_entry/decision_options.cc
@@ -17,6 +17,8 @@
 using SizerMember = std::variant<Duration jobs::SizerOptions::*, double jobs::SizerOptions::*,
                                  int jobs::SizerOptions::*, bool jobs::SizerOptions::*>;
 
+using EntryMember = std::variant<bool DecisionOptions::*>;
+
 template <typename Member>
 struct NamedMember {
   std::string_view name;
@@ -30,6 +32,10 @@
     NamedMember<SchedulerMember>{"scheduler.overload", &jobs::SchedulerOptions::plans_overload},
 };
 
+constexpr std::array kEntryMembers = {
+    NamedMember<EntryMember>{"entry.relays_records", &DecisionOptions::relays_records},
+};
+
 constexpr std::array kSizerMembers = {
     NamedMember<SizerMember>{"sizer.move_time", &jobs::SizerOptions::move_time},
     NamedMember<SizerMember>{"sizer.slack_share", &jobs::SizerOptions::slack_share},
@@ -43,6 +49,7 @@
     NamedMember<SizerMember>{"sizer.keep", &jobs::SizerOptions::keep},
     NamedMember<SizerMember>{"sizer.usable", &jobs::SizerOptions::usable},
     NamedMember<SizerMember>{"sizer.avoids_dark_zones", &jobs::SizerOptions::avoids_dark_zones},
+    NamedMember<SizerMember>{"sizer.lends", &jobs::SizerOptions::lends},
     NamedMember<SizerMember>{"sizer.least_vms", &jobs::SizerOptions::least_vms},
 };
 
@@ -124,6 +131,9 @@
   if (const auto set = SetIn(options.sizer, kSizerMembers, name, text)) {
     return *set;
   }
+  if (const auto set = SetIn(options, kEntryMembers, name, text)) {
+    return *set;
+  }
   std::string known;
   for (const std::string_view other : DecisionOptionNames()) {
     known += (known.empty() ? "" : ", ") + std::string(other);
@@ -135,13 +145,16 @@
 
 std::vector<std::string_view> DecisionOptionNames() {
   std::vector<std::string_view> names;
-  names.reserve(kSchedulerMembers.size() + kSizerMembers.size());
+  names.reserve(kSchedulerMembers.size() + kSizerMembers.size() + kEntryMembers.size());
   for (const auto& entry : kSchedulerMembers) {
     names.push_back(entry.name);
   }
   for (const auto& entry : kSizerMembers) {
     names.push_back(entry.name);
   }
+  for (const auto& entry : kEntryMembers) {
+    names.push_back(entry.name);
+  }
   return names;
 }
 
--- a/src/job_entry/job_writer.cc
+++ b/src/job_entry/job_writer.cc
@@ -23,6 +23,10 @@
 /// After no other entry could write either. In an outage of the whole store, entries would else
 /// press on each other with every submission.
 constexpr Duration kRelayPause = std::chrono::milliseconds(1000);
+/// An append takes 4 ms and its way; above the one the store counts as slow, below the other as
+/// usual again.
+constexpr Duration kSlowAppend = std::chrono::milliseconds(150);
+constexpr Duration kUsualAppend = std::chrono::milliseconds(50);
 /// Longer than all tries together.
 constexpr Duration kGiveUp = std::chrono::seconds(10);
 
@@ -64,7 +68,7 @@
     }
     const TimePoint begin = this->context.Now();
     const WriteVerdict verdict = co_await this->Append(std::move(records));
-    this->last_time = this->context.Now() - begin;
+    this->NoteTime(this->context.Now() - begin);
     for (const std::shared_ptr<Waiting>& entry : together) {
       entry->verdict = verdict;
       entry->wakeup->Notify();
@@ -72,6 +76,19 @@
   }
 }
 
+/// Callers whose jobs began late ask why; a slow store holds up the acceptance, and so the VMs that
+/// the demand would call for.
+void JobWriter::NoteTime(Duration taken) {
+  const bool is_slow = taken > (this->is_slow ? kUsualAppend : kSlowAppend);
+  if (is_slow != this->is_slow) {
+    this->is_slow = is_slow;
+    LogEvent(is_slow ? telemetry::LogLevel::kWarning : telemetry::LogLevel::kInfo,
+             is_slow ? "store_slow" : "store_usual",
+             is_slow ? "an append of submissions took long" : "appends are quick again",
+             {{"took_ms", MillisecondsText(taken)}});
+  }
+}
+
 asio::awaitable<WriteVerdict> JobWriter::Append(std::vector<KeyedRecord> records) {
   const TimePoint give_up = this->context.Now() + kTryFor;
   bool may_be_stored = false;
@@ -104,7 +121,8 @@
 /// records in the same partition are harmless twice, so another entry may write them even if a try
 /// of this one takes effect later.
 asio::awaitable<WriteVerdict> JobWriter::AppendElsewhere(const std::vector<KeyedRecord>& records) {
-  if (this->relay == nullptr || this->context.Now() < this->relay_again) {
+  const bool may_ask = this->relay != nullptr && this->context.settings.decisions.relays_records;
+  if (!may_ask || this->context.Now() < this->relay_again) {
     co_return WriteVerdict::kNotStored;
   }
   const WriteVerdict verdict = co_await this->relay->Append(this->partition, records);
--- a/src/job_entry/job_writer.h
+++ b/src/job_entry/job_writer.h
@@ -26,8 +26,6 @@
 
   void Start() { Spawn(this->context, this->Run(this->shared_from_this())); }
   boost::asio::awaitable<WriteVerdict> Write(KeyedRecord record);
-  /// How long the last append took; a guess at what the next caller would wait.
-  Duration LastTime() const { return this->last_time; }
 
  private:
   struct Waiting {
@@ -38,6 +36,8 @@
 
   boost::asio::awaitable<void> Run(std::shared_ptr<JobWriter> self);
   boost::asio::awaitable<WriteVerdict> Append(std::vector<KeyedRecord> records);
+  /// Tells when the store becomes slow, and usual again.
+  void NoteTime(Duration taken);
   /// What another entry made of the records.
   boost::asio::awaitable<WriteVerdict> AppendElsewhere(const std::vector<KeyedRecord>& records);
 
@@ -46,7 +46,7 @@
   const std::uint32_t partition;
   std::shared_ptr<http::Wakeup> wakeup;
   std::deque<std::shared_ptr<Waiting>> waiting;
-  Duration last_time{};
+  bool is_slow = false;
   /// No other entry is asked before this, as none could write.
   TimePoint relay_again{};
 };
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -176,7 +176,8 @@
   const int unwanted = serving - history.wanted;
   const int unneeded = serving - history.needed;
   const std::vector<const SizerVm*> releasable = Releasable(vms, pool);
-  const int most = std::max(unwanted, std::min(unneeded, all_missing));
+  const int lendable = this->options.lends ? std::min(unneeded, all_missing) : 0;
+  const int most = std::max(unwanted, lendable);
   for (int i = 0; i < most && i < static_cast<int>(releasable.size()); ++i) {
     released.insert(releasable[i]->id);
     if (releasable[i]->is_empty) {
--- a/tests/job_entry/decision_options_test.cc
+++ b/tests/job_entry/decision_options_test.cc
@@ -28,7 +28,7 @@
     ::testing::Values(OptionsCase{"empty", "", nullptr},
                       OptionsCase{"one_of_each_kind",
                                   "scheduler.lease=3s,sizer.usable=0.5,sizer.least_vms=2,"
-                                  "sizer.avoids_dark_zones=off",
+                                  "sizer.avoids_dark_zones=off,entry.relays_records=off",
                                   nullptr},
                       OptionsCase{"unknown", "sizer.colour=1", "sizer.colour"},
                       OptionsCase{"no_value", "sizer.usable", "sizer.usable"},
