--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -115,8 +115,8 @@
   /// memory, labels, or the endpoints that its siblings are on. The pool gets one VM more at a
   /// time.
   Duration blocked = std::chrono::milliseconds(700);
-  /// Part of a VM's cpu that is counted on: tasks don't fill it to the last core, and on one calm
-  /// day declared run times were too short by 1 to 24% on average, by queue.
+  /// Part of a VM's cpu that is counted on: tasks don't fill it to the last core, memory may be
+  /// used up before, and declared run times tend to be short.
   double usable = 0.75;
   /// Whether an idle VM that its pool still keeps goes to one that lacks VMs.
   bool lends = true;
@@ -185,9 +185,11 @@
   void ReleaseFrom(const ServiceId& pool, const std::vector<SizerVm>& vms, int all_missing,
                    Supply& supply, std::set<VmId>& released) const;
   void Measure(TimePoint now, const std::map<ServiceId, PoolLoad>& loads);
-  /// Thousandths of a core that what arrives, waits and runs needs, without long-running tasks.
-  /// `free`: what the pool's VMs have for it.
-  double CpuNeeded(const History& history, const PoolLoad& load, double free) const;
+  /// Thousandths of a core that the jobs to come need, by those that came lately.
+  double CpuForArrivals(const History& history) const;
+  /// Thousandths of a core that what waits and runs needs to be on time, as far as VMs ordered now
+  /// come in time for it. `free`: what the pool's VMs have for it.
+  double CpuForBacklog(const PoolLoad& load, double free) const;
   void Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
             const std::vector<SizerVm>& vms);
 
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -82,7 +82,16 @@
   }
 }
 
-double PoolSizer::CpuNeeded(const History& history, const PoolLoad& load, double free) const {
+double PoolSizer::CpuForArrivals(const History& history) const {
+  const double chance =
+      std::sqrt(history.slow_job_rate / (2 * Milliseconds(this->options.averaging)));
+  const double rise =
+      std::max(0.0, history.job_rate - history.slow_job_rate - this->options.noise * chance);
+  const double belief = history.recent_jobs / (history.recent_jobs + this->options.doubt);
+  return belief * (history.job_rate + this->options.trend * rise) * history.work_of_one;
+}
+
+double PoolSizer::CpuForBacklog(const PoolLoad& load, double free) const {
   std::vector<WaitingWork> waiting = load.waiting;
   std::sort(waiting.begin(), waiting.end());
   const double move = Milliseconds(this->options.move_time);
@@ -102,15 +111,7 @@
       more = std::max(more, (due - free * span) / (span - move));
     }
   }
-  const double backlog = std::min(at_least, free) + more;
-  const double chance =
-      std::sqrt(history.slow_job_rate / (2 * Milliseconds(this->options.averaging)));
-  const double rise =
-      std::max(0.0, history.job_rate - history.slow_job_rate - this->options.noise * chance);
-  const double belief = history.recent_jobs / (history.recent_jobs + this->options.doubt);
-  const double rate =
-      belief * (history.job_rate + this->options.trend * rise) * history.work_of_one;
-  return std::max(rate, std::min(backlog, load.at_once));
+  return std::min(std::min(at_least, free) + more, load.at_once);
 }
 
 void PoolSizer::Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
@@ -128,9 +129,11 @@
     return;
   }
   const double free = std::max(0.0, cpu - load.long_running);
-  const double needed = load.long_running + this->CpuNeeded(history, load, free);
-  int wanted = std::max({this->options.least_vms, load.least_endpoints,
-                         static_cast<int>(std::ceil(needed / cpu_of_one))});
+  const double needed =
+      load.long_running + std::max(this->CpuForArrivals(history), this->CpuForBacklog(load, free));
+  // More than there are would say nothing.
+  const double by_cpu = std::min(std::ceil(needed / cpu_of_one), static_cast<double>(vms.size()));
+  int wanted = std::max({this->options.least_vms, load.least_endpoints, static_cast<int>(by_cpu)});
   if (load.waiting_long_running == 0) {
     history.waiting_since.reset();
   } else if (!history.waiting_since) {
