Jobs: Size pools by memory as well; move long-running tasks only to room that is kept for them

Their pool was 84% full by memory and 32% by cpu, and sizes looked at cpu alone: 44 GB and 9.6 cores a task on VMs of 128 GB and 64 cores. A pool grew by one VM each 0.7 s for such tasks, and stood behind any pool that lacked more.

Change: `PoolLoad` and `VmsFor` by resource, the one that binds decides; a task leaves an endpoint that is being emptied when another has room, which is kept for it for 3 s; tasks without a place count as waiting and bring a VM each; pools that lack VMs take turns.

Ruled out: a larger step for blocked tasks alone, as the pool would still lose each VM to the peak beside it.

Tests: `Places/LongRunningMoves`, `Evacuation.KeepsRoomForATaskOnItsWay`, `PoolSizer.SizesByTheResourceThatBinds`, `PoolSizer.APoolThatLacksOneVmIsNotStarved`. `Evacuation.WaitsAfterATakeover` and `EvacuationTest` had nowhere for the task to go; they have an endpoint more now and expect the same stops.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -19,31 +19,40 @@
   /// Milliseconds from now until it must have begun for its job to be on time; negative when that
   /// has passed.
   double slack_ms = 0;
-  /// Thousandths of a core times milliseconds.
+  /// Amount of the resource times milliseconds.
   double work = 0;
 
   friend auto operator<=>(const WaitingWork&, const WaitingWork&) = default;
 };
 
-/// What a pool's jobs ask for now.
-struct PoolLoad {
-  /// Estimated work of all jobs that came since the scheduler began, in thousandths of a core
-  /// times milliseconds; only grows.
+/// What a pool's jobs ask for of one resource: of cpu in thousandths of a core, of memory in
+/// megabytes.
+struct ResourceLoad {
+  /// Estimated work of all jobs that came since the scheduler began, in the resource's amount times
+  /// milliseconds; only grows.
   double arrived = 0;
-  /// How many jobs that were; only grows.
-  double arrived_jobs = 0;
   /// What waits for an endpoint or for earlier steps, in any order.
   std::vector<WaitingWork> waiting;
-  /// Thousandths of a core that all that waits and runs would take if it ran at once.
+  /// What all that waits and runs would take if it ran at once.
   double at_once = 0;
   /// Estimated work that is still to be done of what runs, long-running tasks left out; in the unit
   /// of `arrived`.
   double running = 0;
-  /// Thousandths of a core that long-running tasks take or wait for.
+  /// What long-running tasks take or wait for.
   double long_running = 0;
+
+  friend bool operator==(const ResourceLoad&, const ResourceLoad&) = default;
+};
+
+/// What a pool's jobs ask for now.
+struct PoolLoad {
+  ResourceLoad cpu;
+  ResourceLoad memory;
+  /// How many jobs came since the scheduler began; only grows.
+  double arrived_jobs = 0;
   /// The most endpoints that one step needs, as only so many of its tasks may share one.
   int least_endpoints = 0;
-  /// Long-running tasks that wait for an endpoint.
+  /// Long-running tasks that wait for an endpoint, or should leave theirs and find no other.
   int waiting_long_running = 0;
 
   friend bool operator==(const PoolLoad&, const PoolLoad&) = default;
@@ -57,6 +66,8 @@
   /// Thousandths of a core in all, and in use.
   double cpu = 0;
   double used = 0;
+  /// Megabytes in all.
+  double memory = 0;
   /// It serves, or will in a moment: up with a registered endpoint that may get work.
   bool is_serving = false;
   /// Nothing runs there.
@@ -111,12 +122,12 @@
   /// How long a pool keeps what it needed, unless another pool lacks VMs. One that is switched off
   /// and returns costs two moves and is paid for on its way: as much as five seconds of its price.
   Duration keep = std::chrono::milliseconds(2000);
-  /// A long-running task that has waited this long finds no room in its pool, whatever the reason:
-  /// memory, labels, or the endpoints that its siblings are on. The pool gets one VM more at a
-  /// time.
+  /// Long-running tasks that have waited this long find no room in their pool, whatever the reason:
+  /// labels, the endpoints that their siblings are on, or memory in too small pieces. The pool gets
+  /// a VM more for each of them, and again when these have had time to come.
   Duration blocked = std::chrono::milliseconds(700);
-  /// Part of a VM's cpu that is counted on: tasks don't fill it to the last core, memory may be
-  /// used up before, and declared run times tend to be short.
+  /// Part of a VM's cpu and memory that is counted on: tasks don't fill them to the last, and
+  /// declared run times tend to be short.
   double usable = 0.75;
   /// Whether an idle VM that its pool still keeps goes to one that lacks VMs.
   bool lends = true;
@@ -144,8 +155,14 @@
   int Wanted(const ServiceId& pool) const;
 
  private:
-  struct History {
+  /// Work of one job, averaged.
+  struct JobWork {
     double arrived = 0;
+    double of_one = 0;
+  };
+  struct History {
+    JobWork cpu;
+    JobWork memory;
     double arrived_jobs = 0;
     /// Jobs that arrive in a millisecond, averaged.
     double job_rate = 0;
@@ -153,8 +170,6 @@
     double slow_job_rate = 0;
     /// Jobs that `job_rate` is made of.
     double recent_jobs = 0;
-    /// Work of one job, averaged.
-    double work_of_one = 0;
     TimePoint measured{};
     bool is_known = false;
     /// VMs needed now.
@@ -184,12 +199,17 @@
                                        const std::vector<SizerVm>& vms, const ServiceId& standby);
   void ReleaseFrom(const ServiceId& pool, const std::vector<SizerVm>& vms, int all_missing,
                    Supply& supply, std::set<VmId>& released) const;
+  static void Share(std::map<ServiceId, int>& missing, Supply& supply, SizerStep& step);
   void Measure(TimePoint now, const std::map<ServiceId, PoolLoad>& loads);
-  /// Thousandths of a core that the jobs to come need, by those that came lately.
-  double CpuForArrivals(const History& history) const;
-  /// Thousandths of a core that what waits and runs needs to be on time, as far as VMs ordered now
-  /// come in time for it. `free`: what the pool's VMs have for it.
-  double CpuForBacklog(const PoolLoad& load, double free) const;
+  void MeasureWork(double jobs, double arrived, JobWork& work) const;
+  /// How many jobs arrive in a millisecond, by those that came lately and how their number rises.
+  double ExpectedJobs(const History& history) const;
+  /// The amount that what waits and runs needs to be on time, as far as VMs ordered now come in
+  /// time for it. `free`: what the pool's VMs have for it.
+  double ForBacklog(const ResourceLoad& load, double free) const;
+  /// VMs that a pool needs for one resource, and that VMs have `amount` of.
+  int VmsFor(const ResourceLoad& load, double arriving, const ServiceId& pool,
+             const std::vector<SizerVm>& vms, double SizerVm::*amount) const;
   void Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
             const std::vector<SizerVm>& vms);
 
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -304,6 +304,7 @@
     sized.zone = vm.zone;
     sized.is_silent = use && use->is_silent;
     sized.cpu = static_cast<double>(vm.capacity.cpu);
+    sized.memory = static_cast<double>(vm.capacity.memory_mb);
     const auto move = this->moving.find(vm.id);
     const bool is_kept = this->evacuating.contains(vm.id) || this->down.contains(vm.id);
     if (move != this->moving.end()) {
--- a/src/jobs/evacuation.cc
+++ b/src/jobs/evacuation.cc
@@ -12,6 +12,9 @@
 /// and a second one of the same step would be ended beside it.
 constexpr Duration kSettle = std::chrono::milliseconds(2000);
 
+/// A stop takes up to 400 ms, and its end is heard and stored some 100 ms later.
+constexpr Duration kRoomKept = std::chrono::milliseconds(3000);
+
 bool IsAtWork(const Task& task, TimePoint now) {
   if (task.state != RunState::kActive || task.percent < 100) {
     return false;
@@ -28,8 +31,7 @@
     return;
   }
   for (const auto& [id, endpoint] : this->state.endpoints) {
-    const bool is_leaving = endpoint->is_evacuating || endpoint->record.is_draining;
-    if (!is_leaving || endpoint->claims.empty()) {
+    if (!endpoint->IsLeaving() || endpoint->claims.empty()) {
       continue;
     }
     const std::vector<TaskKey> claims(endpoint->claims.begin(), endpoint->claims.end());
@@ -40,11 +42,22 @@
 }
 
 void Evacuation::Review(const TaskRef& ref) {
-  if (ref.spec->is_long_running && ref.task->state == RunState::kActive && this->MayEnd(ref)) {
-    this->state.Tell(
-        {"run_moved", ref.key, {}, ref.task->endpoint->record.id, "its endpoint is being emptied"});
-    this->state.BeginStop(ref, this->now);
+  const bool is_movable = ref.spec->is_long_running && ref.task->state == RunState::kActive;
+  if (!is_movable || !this->MayEnd(ref)) {
+    return;
+  }
+  EndpointState* const place = this->placement.Choose(ref, {ref.task->endpoint}, this->now);
+  ref.task->lacks_place = place == nullptr;
+  if (place == nullptr) {
+    return;
   }
+  this->state.Tell({"run_moved",
+                    ref.key,
+                    {},
+                    ref.task->endpoint->record.id,
+                    "its endpoint is being emptied; room is kept at " + place->record.id});
+  this->state.KeepRoom(ref, *place, this->now + kRoomKept);
+  this->state.BeginStop(ref, this->now);
 }
 
 bool Evacuation::MayEnd(const TaskRef& ref) const {
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -202,6 +202,7 @@
 
 bool PlacingRound::PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded,
                              std::uint64_t run) {
+  this->state.GiveUpRoom(ref.key);  // it is the task's own
   EndpointState* endpoint = this->placement.Choose(ref, excluded, this->now);
   if (endpoint == nullptr) {
     return false;
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -68,30 +68,36 @@
           std::exp(-passed / Milliseconds(this->options.averaging) / this->options.slow_averaging);
       history.slow_job_rate += (1.0 - kept_longer) * (came / passed - history.slow_job_rate);
       history.recent_jobs = kept * history.recent_jobs + came;
-      if (came > 0) {
-        const double work = (load.arrived - history.arrived) / came;
-        const double part =
-            history.work_of_one > 0 ? came / (came + this->options.jobs_averaged) : 1;
-        history.work_of_one += part * (work - history.work_of_one);
-      }
+      this->MeasureWork(came, load.cpu.arrived, history.cpu);
+      this->MeasureWork(came, load.memory.arrived, history.memory);
     }
     history.is_known = true;
-    history.arrived = load.arrived;
+    history.cpu.arrived = load.cpu.arrived;
+    history.memory.arrived = load.memory.arrived;
     history.arrived_jobs = load.arrived_jobs;
     history.measured = now;
   }
 }
 
-double PoolSizer::CpuForArrivals(const History& history) const {
+void PoolSizer::MeasureWork(double jobs, double arrived, JobWork& work) const {
+  if (jobs <= 0) {
+    return;
+  }
+  const double of_these = (arrived - work.arrived) / jobs;
+  const double part = work.of_one > 0 ? jobs / (jobs + this->options.jobs_averaged) : 1;
+  work.of_one += part * (of_these - work.of_one);
+}
+
+double PoolSizer::ExpectedJobs(const History& history) const {
   const double chance =
       std::sqrt(history.slow_job_rate / (2 * Milliseconds(this->options.averaging)));
   const double rise =
       std::max(0.0, history.job_rate - history.slow_job_rate - this->options.noise * chance);
   const double belief = history.recent_jobs / (history.recent_jobs + this->options.doubt);
-  return belief * (history.job_rate + this->options.trend * rise) * history.work_of_one;
+  return belief * (history.job_rate + this->options.trend * rise);
 }
 
-double PoolSizer::CpuForBacklog(const PoolLoad& load, double free) const {
+double PoolSizer::ForBacklog(const ResourceLoad& load, double free) const {
   std::vector<WaitingWork> waiting = load.waiting;
   std::sort(waiting.begin(), waiting.end());
   const double move = Milliseconds(this->options.move_time);
@@ -114,33 +120,44 @@
   return std::min(std::min(at_least, free) + more, load.at_once);
 }
 
-void PoolSizer::Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
-                     const std::vector<SizerVm>& vms) {
-  History& history = this->pools[pool];
-  double cpu = 0;
-  double cpu_of_one = 0;
+int PoolSizer::VmsFor(const ResourceLoad& load, double arriving, const ServiceId& pool,
+                      const std::vector<SizerVm>& vms, double SizerVm::*amount) const {
+  double there = 0;
+  double of_one = 0;
   for (const SizerVm& vm : vms) {
-    if (vm.pool == pool && vm.is_serving) {
-      cpu += vm.cpu * this->options.usable;
-    }
-    cpu_of_one = std::max(cpu_of_one, vm.cpu * this->options.usable);
+    const double usable = vm.*amount * this->options.usable;
+    there += vm.pool == pool && vm.is_serving ? usable : 0;
+    of_one = std::max(of_one, usable);
   }
-  if (cpu_of_one <= 0) {
-    return;
+  if (of_one <= 0) {
+    return 0;
   }
-  const double free = std::max(0.0, cpu - load.long_running);
-  const double needed =
-      load.long_running + std::max(this->CpuForArrivals(history), this->CpuForBacklog(load, free));
+  const double free = std::max(0.0, there - load.long_running);
+  const double needed = load.long_running + std::max(arriving, this->ForBacklog(load, free));
   // More than there are would say nothing.
-  const double by_cpu = std::min(std::ceil(needed / cpu_of_one), static_cast<double>(vms.size()));
-  int wanted = std::max({this->options.least_vms, load.least_endpoints, static_cast<int>(by_cpu)});
+  return static_cast<int>(std::min(std::ceil(needed / of_one), static_cast<double>(vms.size())));
+}
+
+void PoolSizer::Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+                     const std::vector<SizerVm>& vms) {
+  const bool is_known =
+      std::any_of(vms.begin(), vms.end(), [](const SizerVm& vm) { return vm.cpu > 0; });
+  if (!is_known) {
+    return;
+  }
+  History& history = this->pools[pool];
+  const double jobs = this->ExpectedJobs(history);
+  const int by_cpu = this->VmsFor(load.cpu, jobs * history.cpu.of_one, pool, vms, &SizerVm::cpu);
+  const int by_memory =
+      this->VmsFor(load.memory, jobs * history.memory.of_one, pool, vms, &SizerVm::memory);
+  int wanted = std::max({this->options.least_vms, load.least_endpoints, by_cpu, by_memory});
   if (load.waiting_long_running == 0) {
     history.waiting_since.reset();
   } else if (!history.waiting_since) {
     history.waiting_since = now;
   } else if (now - *history.waiting_since > this->options.blocked) {
-    wanted = std::max(wanted, Serving(vms, pool) + 1);
-    history.waiting_since = now;
+    wanted = std::max(wanted, Serving(vms, pool) + load.waiting_long_running);
+    history.waiting_since = now + this->options.move_time;
   }
   history.needed = wanted;
   if (history.wanted_at == TimePoint{}) {
@@ -200,6 +217,21 @@
   return nullptr;
 }
 
+/// What can go wrong: one pool lacks hundreds of VMs for its peak, takes all that there are, and a
+/// task that serves users waits in another for the one VM that it needs. So the pools take turns.
+void PoolSizer::Share(std::map<ServiceId, int>& missing, Supply& supply, SizerStep& step) {
+  while (!missing.empty()) {
+    for (auto pool = missing.begin(); pool != missing.end();) {
+      const SizerVm* vm = supply.Take();
+      if (vm == nullptr) {
+        return;
+      }
+      step.moves.push_back({vm->id, pool->first});
+      pool = --pool->second == 0 ? missing.erase(pool) : std::next(pool);
+    }
+  }
+}
+
 SizerStep PoolSizer::Plan(TimePoint now, const std::map<ServiceId, PoolLoad>& loads,
                           const std::vector<SizerVm>& all_vms, const ServiceId& standby) {
   const std::vector<SizerVm> vms = this->WithoutDarkZones(all_vms);
@@ -221,20 +253,7 @@
       supply.off.push_back(&vm);
     }
   }
-  // The pool that lacks most goes first.
-  while (!missing.empty()) {
-    const SizerVm* vm = supply.Take();
-    if (vm == nullptr) {
-      break;
-    }
-    const auto most = std::max_element(
-        missing.begin(), missing.end(),
-        [](const auto& one, const auto& other) { return one.second < other.second; });
-    step.moves.push_back({vm->id, most->first});
-    if (--most->second == 0) {
-      missing.erase(most);
-    }
-  }
+  Share(missing, supply, step);
   if (!standby.IsEmpty()) {
     for (const SizerVm* vm : supply.spare) {
       step.moves.push_back({vm->id, standby});
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -62,6 +62,8 @@
     const bool is_gone = !entry.second->is_registered && entry.second->claims.empty();
     if (is_gone) {
       state.endpoint_index.erase(entry.first);
+      std::erase_if(state.kept_rooms,
+                    [&entry](const auto& kept) { return kept.second.endpoint == entry.first; });
     }
     return is_gone;
   });
@@ -93,9 +95,11 @@
   state.pools[entry.service].arrived_jobs += job.IsLongRunning() ? 0 : 1;
   for (const Step& step : job.steps) {
     if (!step.is_long_running) {
-      state.pools[entry.service].arrived += static_cast<double>(step.count) *
-                                            static_cast<double>(step.need.cpu) *
-                                            static_cast<double>(step.estimate_ms);
+      PoolState& pool = state.pools[entry.service];
+      const double task_ms =
+          static_cast<double>(step.count) * static_cast<double>(step.estimate_ms);
+      pool.arrived_cpu += static_cast<double>(step.need.cpu) * task_ms;
+      pool.arrived_memory += static_cast<double>(step.need.memory_mb) * task_ms;
     }
   }
 }
@@ -285,6 +289,7 @@
   if (now - self.reviewed >= kReviewPace) {
     self.reviewed = now;
     self.tracker.LapseLeases(now);
+    self.state.GiveUpOldRooms(now);
     Evacuation(self.state, now).Run();
   }
   PlacingRound(self.state, now, self.wall_ms).Run();
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -144,6 +144,36 @@
   }
 }
 
+void SchedulerState::KeepRoom(const TaskRef& ref, EndpointState& endpoint, TimePoint until) {
+  this->GiveUpRoom(ref.key);
+  const Resources room = RoomFor(*ref.spec);
+  endpoint.kept = endpoint.kept + room;
+  this->kept_rooms[ref.key] = {endpoint.record.id, room, until};
+}
+
+void SchedulerState::GiveUpRoom(const TaskKey& key) {
+  const auto kept = this->kept_rooms.find(key);
+  if (kept == this->kept_rooms.end()) {
+    return;
+  }
+  if (EndpointState* endpoint = this->FindEndpoint(kept->second.endpoint)) {
+    endpoint->kept = endpoint->kept - kept->second.room;
+  }
+  this->kept_rooms.erase(kept);
+}
+
+void SchedulerState::GiveUpOldRooms(TimePoint now) {
+  std::vector<TaskKey> old;
+  for (const auto& [key, kept] : this->kept_rooms) {
+    if (kept.until < now) {
+      old.push_back(key);
+    }
+  }
+  for (const TaskKey& key : old) {
+    this->GiveUpRoom(key);
+  }
+}
+
 void SchedulerState::Claim(const TaskRef& ref, EndpointState& endpoint, std::uint64_t run,
                            TimePoint now) {
   Task& task = *ref.task;
@@ -153,6 +183,7 @@
   task.progress.endpoint = endpoint.record.id;
   task.progress.endpoint_born_ms = endpoint.born_ms;
   task.state = RunState::kRecording;
+  task.lacks_place = false;
   task.endpoint = &endpoint;
   task.since = now;
   task.percent = 0;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -56,6 +56,8 @@
   /// Passed over in the next placement, as the last run failed there.
   std::string avoid;
   std::string ticket;
+  /// It should leave its endpoint, and no other has room for it.
+  bool lacks_place = false;
 
   /// Placed by a predecessor; nothing was ordered for it since.
   bool IsAdopted() const { return this->ordered == TimePoint{}; }
@@ -153,6 +155,8 @@
   /// By our clock, all that was started there has lost its lease at this time if nobody renews.
   TimePoint lease_end{};
   Resources used;
+  /// Kept free for tasks that are on their way here from an endpoint that is being emptied.
+  Resources kept;
   std::set<TaskKey> claims;
   /// Runs that nobody here knows, with the time of their last stop.
   std::map<std::pair<TaskKey, std::uint64_t>, TimePoint> strays;
@@ -167,13 +171,23 @@
   TimePoint full_until{};
   int pace = 100;
 
-  Resources Room() const { return this->record.capacity - this->used; }
+  Resources Room() const { return this->record.capacity - this->used - this->kept; }
+  bool IsLeaving() const { return this->is_evacuating || this->record.is_draining; }
   std::int64_t ClockAt(TimePoint now) const;
 };
 
+/// Room that is kept for one task.
+struct KeptRoom {
+  std::string endpoint;
+  Resources room;
+  TimePoint until{};
+};
+
 struct PoolState {
-  /// Estimated work of the jobs that came, in thousandths of a core times milliseconds.
-  double arrived = 0;
+  /// Estimated work of the jobs that came, in thousandths of a core and in megabytes, each times
+  /// milliseconds.
+  double arrived_cpu = 0;
+  double arrived_memory = 0;
   double arrived_jobs = 0;
   std::vector<EndpointState*> endpoints;
   std::set<ReadyKey> ready;
@@ -207,6 +221,10 @@
   /// Opens the steps whose predecessors are done, and counts the occurrence when all are.
   void Advance(JobState& job, std::uint32_t number);
 
+  /// Keeps room for a task that is being moved to `endpoint`.
+  void KeepRoom(const TaskRef& ref, EndpointState& endpoint, TimePoint until);
+  void GiveUpRoom(const TaskKey& key);
+  void GiveUpOldRooms(TimePoint now);
   void Claim(const TaskRef& ref, EndpointState& endpoint, std::uint64_t run, TimePoint now);
   /// The run is over or never was; its room is free.
   void Release(const TaskRef& ref);
@@ -239,6 +257,7 @@
   /// The same by hash, for the thousands of look-ups of a round.
   std::unordered_map<std::string, EndpointState*> endpoint_index;
   std::map<ServiceId, PoolState> pools;
+  std::map<TaskKey, KeptRoom> kept_rooms;
   std::map<TeamId, Resources> team_usage;
   std::vector<JobId> dirty;
   /// Tasks whose start or stop may have to be sent again.
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -25,22 +25,29 @@
   return chains;
 }
 
-/// Adds what is left of one step to the load of its pool.
-void AddStep(const StepState& state, const Step& spec, double slack_ms, PoolLoad& load) {
-  const auto cpu = static_cast<double>(RoomFor(spec).cpu);
-  const auto estimate =
-      static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kLeastEstimateMs));
+/// Tasks of one step that wait and that run.
+struct StepCount {
   double waiting = 0;
   double running = 0;
+};
+
+StepCount CountTasks(const StepState& state) {
+  StepCount count;
   for (const Task& task : state.tasks) {
-    waiting += task.IsWaiting() ? 1 : 0;
-    running += task.state != RunState::kNone ? 1 : 0;
+    count.waiting += task.IsWaiting() ? 1 : 0;
+    count.running += task.state != RunState::kNone ? 1 : 0;
   }
-  if (waiting > 0) {
-    load.waiting.push_back({slack_ms, waiting * cpu * estimate});
+  return count;
+}
+
+/// Adds what is left of one step to the load of its pool. `amount`: what one task takes.
+void AddStep(const StepCount& count, bool is_open, double amount, double estimate_ms,
+             double slack_ms, ResourceLoad& load) {
+  if (count.waiting > 0) {
+    load.waiting.push_back({slack_ms, count.waiting * amount * estimate_ms});
   }
-  load.running += running * cpu * estimate * kLeftOfRunning;
-  load.at_once += (running + (state.is_open ? waiting : 0)) * cpu;
+  load.running += count.running * amount * estimate_ms * kLeftOfRunning;
+  load.at_once += (count.running + (is_open ? count.waiting : 0)) * amount;
 }
 
 }  // namespace
@@ -95,7 +102,8 @@
     loads[queue.service];
   }
   for (const auto& [service, pool] : state.pools) {
-    loads[service].arrived = pool.arrived;
+    loads[service].cpu.arrived = pool.arrived_cpu;
+    loads[service].memory.arrived = pool.arrived_memory;
     loads[service].arrived_jobs = pool.arrived_jobs;
   }
   for (const auto& [id, job] : state.jobs) {
@@ -116,12 +124,22 @@
         }
         if (!spec.is_long_running) {
           const std::int64_t latest = job->deadline_ms + begin_ms - chains[i];
-          AddStep(step, spec, static_cast<double>(latest - this->impl->wall_ms), load);
+          const auto slack_ms = static_cast<double>(latest - this->impl->wall_ms);
+          const auto estimate =
+              static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kLeastEstimateMs));
+          const StepCount count = CountTasks(step);
+          AddStep(count, step.is_open, static_cast<double>(RoomFor(spec).cpu), estimate, slack_ms,
+                  load.cpu);
+          AddStep(count, step.is_open, static_cast<double>(RoomFor(spec).memory_mb), estimate,
+                  slack_ms, load.memory);
           continue;
         }
         for (const Task& task : step.tasks) {
-          load.long_running += static_cast<double>(RoomFor(spec).cpu);
-          load.waiting_long_running += task.IsWaiting() ? 1 : 0;
+          const bool lacks_place =
+              task.lacks_place && task.endpoint != nullptr && task.endpoint->IsLeaving();
+          load.cpu.long_running += static_cast<double>(RoomFor(spec).cpu);
+          load.memory.long_running += static_cast<double>(RoomFor(spec).memory_mb);
+          load.waiting_long_running += task.IsWaiting() || lacks_place ? 1 : 0;
         }
       }
     }
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -53,7 +53,7 @@
   /// Many small jobs of so much work together.
   void Arrive(const ServiceId& pool, double work) {
     constexpr double kWorkOfOne = 1000 * 1000;
-    this->loads[pool].arrived += work;
+    this->loads[pool].cpu.arrived += work;
     this->loads[pool].arrived_jobs += work / kWorkOfOne;
   }
 
@@ -133,10 +133,10 @@
   world.AddSwitchedOff(50);
   world.After(std::chrono::seconds(6), 0, 0);
   PoolLoad& load = world.loads[kDesk];
-  load.arrived += 40 * 1000 * 1000;
+  load.cpu.arrived += 40 * 1000 * 1000;
   load.arrived_jobs += 1;
-  load.waiting = {{2500, 40 * 1000 * 1000}};
-  load.at_once = 10 * 1000;
+  load.cpu.waiting = {{2500, 40 * 1000 * 1000}};
+  load.cpu.at_once = 10 * 1000;
   world.After(milliseconds(250), 0, 0);
   EXPECT_LE(world.sizer.Wanted(kDesk), 13) << "a peak of this rate would need 49";
 }
@@ -160,8 +160,8 @@
   SizerWorld world;
   world.After(std::chrono::seconds(6), 0, 0);
   PoolLoad& load = world.loads[kDesk];
-  load.waiting = {{GetParam().slack_ms, GetParam().work * 1000 * 1000}};
-  load.at_once = GetParam().at_once_cores * 1000;
+  load.cpu.waiting = {{GetParam().slack_ms, GetParam().work * 1000 * 1000}};
+  load.cpu.at_once = GetParam().at_once_cores * 1000;
   world.After(milliseconds(250), 0, 0);
   EXPECT_EQ(world.sizer.Wanted(kDesk), GetParam().wanted);
 }
@@ -235,6 +235,29 @@
   }
 }
 
+/// Long-running tasks take most of a VM's memory and little of its cpu. Sized by cpu alone, the
+/// pool stays at its least while tasks wait for memory.
+TEST(PoolSizer, SizesByTheResourceThatBinds) {
+  SizerWorld world;
+  for (SizerVm& vm : world.vms) {
+    vm.memory = 100;
+  }
+  world.loads[kDesk].cpu.long_running = 10 * 1000;
+  world.loads[kDesk].memory.long_running = 500;
+  world.After(std::chrono::seconds(5), 0, 0);
+  EXPECT_EQ(world.sizer.Wanted(kDesk), 7);
+}
+
+/// One pool lacks hundreds of VMs for its peak, another one for a task that serves users. Served by
+/// what they lack, the second waits until the first has all that there are.
+TEST(PoolSizer, APoolThatLacksOneVmIsNotStarved) {
+  SizerWorld world;
+  world.loads[kFleet].least_endpoints = 5;
+  const SizerStep step = world.After(std::chrono::seconds(3), 200, 0);
+  EXPECT_EQ(world.MovesTo(step, kFleet), 1U);
+  EXPECT_GE(world.MovesTo(step, kDesk), 1U);
+}
+
 /// A short lull in a peak must not send VMs away that are needed again at once: each way costs as
 /// much as two seconds of the VM.
 TEST(PoolSizer, KeepsVmsThroughALull) {
--- a/tests/jobs/scheduler_test.cc
+++ b/tests/jobs/scheduler_test.cc
@@ -241,7 +241,9 @@
 class EvacuationTest : public ::testing::Test {
  protected:
   EvacuationTest() {
-    this->world.Register({World::Endpoint("a"), World::Endpoint("b"), World::Endpoint("c")});
+    // The last one is where a task can go.
+    this->world.Register({World::Endpoint("a"), World::Endpoint("b"), World::Endpoint("c"),
+                          World::Endpoint("d")});
     Step step = World::MakeStep(3);
     step.is_long_running = true;
     step.max_per_endpoint = 1;
@@ -305,19 +307,89 @@
 TEST(Evacuation, WaitsAfterATakeover) {
   World world;
   world.now = TimePoint{};
-  world.Register({World::Endpoint("a")});
+  world.Register({World::Endpoint("a"), World::Endpoint("b")});
   Step step = World::MakeStep(1);
   step.is_long_running = true;
   world.scheduler.AddJob(World::MakeJob(1, {step}), WallTime{});
   const StartOrder start = world.StartAll().at(0);
-  world.scheduler.BeginEvacuation("a");
-  world.Hold("a", {World::Active(start, 100)}, {});
+  world.scheduler.BeginEvacuation(start.endpoint);
+  world.Hold(start.endpoint, {World::Active(start, 100)}, {});
   EXPECT_TRUE(world.Round().stops.empty());
   world.Pass(std::chrono::seconds(3));
-  world.Hold("a", {World::Active(start, 100)}, {});
+  world.Hold(
+      "a",
+      start.endpoint == "a" ? std::vector{World::Active(start, 100)} : std::vector<ActiveRun>{},
+      {});
+  world.Hold(
+      "b",
+      start.endpoint == "b" ? std::vector{World::Active(start, 100)} : std::vector<ActiveRun>{},
+      {});
   EXPECT_EQ(world.Round().stops.size(), 1U);
 }
 
+struct MoveCase {
+  const char* name;
+  /// Cores of the only other endpoint; 0 for none.
+  std::int64_t other_cores;
+  std::size_t stops;
+  int waiting;
+};
+
+class LongRunningMoves : public ::testing::TestWithParam<MoveCase> {};
+
+/// A wave empties an endpoint while no other has room: ended all the same, the task that serves
+/// users is away until a VM has come, seconds later.
+TEST_P(LongRunningMoves, WaitForAPlaceElsewhere) {
+  World world;
+  std::vector<EndpointRecord> endpoints = {World::Endpoint("a")};
+  world.Register(endpoints);
+  Step step = World::MakeStep(1, 4000);
+  step.is_long_running = true;
+  world.scheduler.AddJob(World::MakeJob(1, {step}), Wall(world));
+  const StartOrder start = world.StartAll().at(0);
+  world.Pass(std::chrono::seconds(3));
+  if (GetParam().other_cores > 0) {
+    endpoints.push_back(World::Endpoint("b", GetParam().other_cores));
+    world.scheduler.SetEndpoints(endpoints, world.now);
+    world.Hold("b", {}, {});
+  }
+  world.Hold("a", {World::Active(start, 100)}, {});
+  world.scheduler.BeginEvacuation("a");
+  EXPECT_EQ(world.Round().stops.size(), GetParam().stops);
+  EXPECT_EQ(world.scheduler.PoolLoads().at(ServiceId{"desk"}).waiting_long_running,
+            GetParam().waiting);
+}
+
+INSTANTIATE_TEST_SUITE_P(Places, LongRunningMoves,
+                         ::testing::Values(MoveCase{"none", 0, 0, 1},
+                                           MoveCase{"too_small", 3, 0, 1},
+                                           MoveCase{"one", 4, 1, 0}),
+                         [](const auto& info) { return info.param.name; });
+
+/// A task is on its way to an endpoint with just room enough, and a batch job takes that room
+/// before the first endpoint has told the task's end: the task finds no place any more.
+TEST(Evacuation, KeepsRoomForATaskOnItsWay) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  Step serving = World::MakeStep(1, 6000);
+  serving.is_long_running = true;
+  world.scheduler.AddJob(World::MakeJob(1, {serving}), Wall(world));
+  const StartOrder start = world.StartAll().at(0);
+  world.Pass(std::chrono::seconds(3));
+  world.scheduler.SetEndpoints({World::Endpoint("a"), World::Endpoint("b")}, world.now);
+  world.Hold("b", {}, {});
+  world.Hold("a", {World::Active(start, 100)}, {});
+  world.scheduler.BeginEvacuation("a");
+  ASSERT_EQ(world.Round().stops.size(), 1U);
+  world.scheduler.AddJob(World::MakeJob(2, {World::MakeStep(1, 6000)}), Wall(world));
+  EXPECT_TRUE(world.Round().starts.empty());
+  world.Hold("a", {}, {World::Ended(1, start, RunEnd::kStopped)});
+  const std::vector<StartOrder> starts = world.Round().starts;
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].task.job, JobId{1});
+  EXPECT_EQ(starts[0].endpoint, "b");
+}
+
 /// A filler disturbs a serving task beside it: the response times near their target, and the
 /// filler is slowed down, then given its speed back.
 TEST(Pacing, SlowsFillersBesideATaskNearItsTarget) {
