--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -28,11 +28,13 @@
   std::string advice_address;
   std::string key_proof_limit;
   std::string lease_limit;
+  std::string job_partitions;
   std::string vm_order_pause;
   std::string vm_order_rate;
   std::string vm_service_compares_tokens;
   std::string drain_time;
   std::string cores;
+  std::string link_rate;
   std::vector<std::string> seed_peers;
   std::string decisions;
   std::string log_level;
@@ -40,6 +42,9 @@
   friend bool operator==(const RawJobEntrySettings&, const RawJobEntrySettings&) = default;
 };
 
+/// In how many partitions jobs are stored unless the settings say otherwise.
+inline constexpr std::uint32_t kJobPartitions = 4;
+
 /// Checked settings of an entry that takes, stores and schedules jobs.
 struct JobEntrySettings {
   EntryId id;
@@ -57,6 +62,9 @@
   SocketAddress store;
   std::optional<SocketAddress> vm_service;
   std::optional<SocketAddress> advice;
+  /// In how many partitions jobs are stored; the same at all entries, and never fewer than before.
+  /// A slow store takes a few appends a second in each.
+  std::uint32_t job_partitions = kJobPartitions;
   /// Callers' keys are trusted for this long after the last sign that the operators' rules are
   /// known to their end.
   Duration key_proof_limit = std::chrono::milliseconds(3500);
@@ -73,6 +81,8 @@
   Duration drain_time = std::chrono::milliseconds(4500);
   /// The part of the processor that this VM gives. Entries with more go first as owner.
   double cores = 1.0;
+  /// Megabits a second of this VM's link.
+  double link_rate = 1000;
   /// Where some other entries answer entries; they may be down or gone.
   std::vector<SocketAddress> seed_peers;
   DecisionOptions decisions;
--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -38,6 +38,8 @@
   /// Estimated work that is still to be done of what runs, long-running tasks left out; in the unit
   /// of `arrived`.
   double running = 0;
+  /// The part of `running` whose jobs are late already.
+  double running_late = 0;
   /// What long-running tasks take or wait for.
   double long_running = 0;
 
@@ -131,6 +133,8 @@
   double usable = 0.75;
   /// Whether an idle VM that its pool still keeps goes to one that lacks VMs.
   bool lends = true;
+  /// Whether VMs that only run late work are lent as well.
+  bool late_gives_way = true;
   /// Whether VMs of zones that can't be reached are left out.
   bool avoids_dark_zones = true;
   /// Fewest VMs of a pool: the loss of one leaves others to go on.
@@ -174,6 +178,8 @@
     bool is_known = false;
     /// VMs needed now.
     int needed = 0;
+    /// The same for jobs that can still be on time.
+    int needed_on_time = 0;
     /// The most needed lately, and when.
     int wanted = 0;
     TimePoint wanted_at{};
@@ -205,11 +211,17 @@
   /// How many jobs arrive in a millisecond, by those that came lately and how their number rises.
   double ExpectedJobs(const History& history) const;
   /// The amount that what waits and runs needs to be on time, as far as VMs ordered now come in
-  /// time for it. `free`: what the pool's VMs have for it.
-  double ForBacklog(const ResourceLoad& load, double free) const;
-  /// VMs that a pool needs for one resource, and that VMs have `amount` of.
-  int VmsFor(const ResourceLoad& load, double arriving, const ServiceId& pool,
-             const std::vector<SizerVm>& vms, double SizerVm::*amount) const;
+  /// time for it. `running`: the work of what runs; `free`: what the pool's VMs have for all of it.
+  double ForBacklog(const ResourceLoad& load, double running, double free) const;
+  /// VMs that a pool needs.
+  struct Need {
+    int all = 0;
+    /// Without what runs for jobs that are late already.
+    int on_time = 0;
+  };
+  /// For one resource, which VMs have `amount` of.
+  Need NeedFor(const ResourceLoad& load, double arriving, const ServiceId& pool,
+               const std::vector<SizerVm>& vms, double SizerVm::*amount) const;
   void Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
             const std::vector<SizerVm>& vms);
 
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -131,7 +131,8 @@
   void SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint now);
   /// Takes a job; the same id again changes nothing.
   void AddJob(const Job& job, WallTime wall);
-  /// Stored progress of a job taken before; only while the scheduler is being loaded.
+  /// Stored progress of a job; only while the scheduler is being loaded, after all jobs. A job that
+  /// has ended may be known by its progress alone.
   void RestoreProgress(const JobId& id, const JobProgress& progress);
   /// Cancels a job, also one that is yet to come.
   void CancelJob(const JobId& id);
@@ -161,6 +162,8 @@
   Batch TakeBatch();
   /// The batch is stored: gives the starts that it allows.
   Orders ConfirmBatch(TimePoint now);
+  /// Jobs whose end was stored since the last call: what else is stored of them is needless.
+  std::vector<JobId> TakeEnded();
   /// Jobs that ended so long ago that nobody is told of them any more, at most `most`.
   std::vector<JobId> Expired(WallTime wall, std::size_t most) const;
   /// Their submissions are gone from the store: drops what is left of them.
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -54,12 +54,17 @@
           "No orders for VMs this long after a take-over [3s]");
   AddFlag(app, "--vm-order-rate", raw.vm_order_rate,
           "Orders for VMs a second that the platform takes from all entries [64]");
+  AddFlag(app, "--job-partitions", raw.job_partitions,
+          "In how many partitions of the store jobs are kept; never fewer than before [4]");
   AddFlag(app, "--vm-service-compares-tokens", raw.vm_service_compares_tokens,
           "true where the service for VMs refuses orders with an old token [false]");
   AddFlag(app, "--drain-time", raw.drain_time,
           "Longest that a shutdown waits for requests in flight [4500ms]");
   AddFlag(app, "--cores", raw.cores,
           "Part of the processor that this VM gives, in cores; more goes first as owner [1]");
+  AddFlag(app, "--link-rate", raw.link_rate,
+          "Megabits a second of this VM's link; with little, an owner reads its state in sequence "
+          "and stays a member for longer [1000]");
   AddListFlag(app, "--seed-peer", raw.seed_peers,
               "ip:port where another entry answers entries; writes for this one when the store "
               "turns it away [none]");
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -66,7 +66,7 @@
   return this->CarrierFor(endpoint) ? kCarriedAtOnce : kOrdersAtOneEndpoint;
 }
 
-rpc::OrderBatch& CarriedEndpoints::OrderBatchFor(const std::string& carrier, Duration timeout) {
+rpc::OrderBatch& CarriedEndpoints::BatchFor(const std::string& carrier, Duration timeout) {
   rpc::OrderBatch& batch = this->batches->At(carrier);
   batch.reply_address = this->own_address;
   batch.timeout = std::max(batch.timeout, timeout);
@@ -115,7 +115,7 @@
     co_return co_await this->direct->Hold(std::move(order), timeout);
   }
   const std::uint64_t number = this->next_number++;
-  this->OrderBatchFor(*carrier, timeout - order.wait).holds.push_back({number, std::move(order)});
+  this->BatchFor(*carrier, timeout - order.wait).holds.push_back({number, std::move(order)});
   rpc::CarriedAnswer answer = co_await this->Await(*std::move(carrier), number, timeout);
   HeldOutcome held;
   held.outcome = answer.outcome;
@@ -126,37 +126,30 @@
   co_return held;
 }
 
-asio::awaitable<OrderOutcome> CarriedEndpoints::Start(jobs::StartOrder order, Duration timeout) {
+template <typename Order>
+asio::awaitable<OrderOutcome> CarriedEndpoints::Give(Order order, Duration timeout,
+                                                     BatchList<Order> list,
+                                                     DirectCall<Order> direct_call) {
   std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
   if (!carrier) {
-    co_return co_await this->direct->Start(std::move(order), timeout);
+    co_return co_await (this->direct.get()->*direct_call)(std::move(order), timeout);
   }
   const std::uint64_t number = this->next_number++;
-  this->OrderBatchFor(*carrier, timeout).starts.push_back({number, std::move(order)});
+  (this->BatchFor(*carrier, timeout).*list).push_back({number, std::move(order)});
   const rpc::CarriedAnswer answer = co_await this->Await(*std::move(carrier), number, timeout);
   co_return answer.outcome;
 }
 
+asio::awaitable<OrderOutcome> CarriedEndpoints::Start(jobs::StartOrder order, Duration timeout) {
+  return this->Give(std::move(order), timeout, &rpc::OrderBatch::starts, &EndpointLink::Start);
+}
+
 asio::awaitable<OrderOutcome> CarriedEndpoints::Stop(jobs::StopOrder order, Duration timeout) {
-  std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
-  if (!carrier) {
-    co_return co_await this->direct->Stop(std::move(order), timeout);
-  }
-  const std::uint64_t number = this->next_number++;
-  this->OrderBatchFor(*carrier, timeout).stops.push_back({number, std::move(order)});
-  const rpc::CarriedAnswer answer = co_await this->Await(*std::move(carrier), number, timeout);
-  co_return answer.outcome;
+  return this->Give(std::move(order), timeout, &rpc::OrderBatch::stops, &EndpointLink::Stop);
 }
 
 asio::awaitable<OrderOutcome> CarriedEndpoints::Pace(jobs::PaceOrder order, Duration timeout) {
-  std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
-  if (!carrier) {
-    co_return co_await this->direct->Pace(std::move(order), timeout);
-  }
-  const std::uint64_t number = this->next_number++;
-  this->OrderBatchFor(*carrier, timeout).paces.push_back({number, std::move(order)});
-  const rpc::CarriedAnswer answer = co_await this->Await(*std::move(carrier), number, timeout);
-  co_return answer.outcome;
+  return this->Give(std::move(order), timeout, &rpc::OrderBatch::paces, &EndpointLink::Pace);
 }
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -46,12 +46,22 @@
     std::optional<rpc::CarriedAnswer> answer;
   };
 
+  /// Where a batch keeps orders of one kind, and how they are given without a carrier.
+  template <typename Order>
+  using BatchList = std::vector<rpc::Carried<Order>> rpc::OrderBatch::*;
+  template <typename Order>
+  using DirectCall = boost::asio::awaitable<jobs::OrderOutcome> (EndpointLink::*)(Order, Duration);
+
+  template <typename Order>
+  boost::asio::awaitable<jobs::OrderOutcome> Give(Order order, Duration timeout,
+                                                  BatchList<Order> list,
+                                                  DirectCall<Order> direct_call);
   std::optional<std::string> CarrierFor(const std::string& endpoint) const;
   /// Waits for what comes of the order with this number; without an answer in time it may have been
   /// carried out.
   boost::asio::awaitable<rpc::CarriedAnswer> Await(std::string carrier, std::uint64_t number,
                                                    Duration timeout);
-  rpc::OrderBatch& OrderBatchFor(const std::string& carrier, Duration timeout);
+  rpc::OrderBatch& BatchFor(const std::string& carrier, Duration timeout);
 
   const Context context;
   std::unique_ptr<EndpointLink> direct;
--- a/src/job_entry/context.cc
+++ b/src/job_entry/context.cc
@@ -1,12 +1,23 @@
 #include "job_entry/context.h"
 
+#include <algorithm>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "chervilspar/http/wakeup.h"
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Only bounds a missed wake-up.
+constexpr Duration kLookAgain = std::chrono::seconds(1);
+
+}  // namespace
+
 void LogEvent(telemetry::LogLevel level, std::string event, std::string message,
               std::vector<telemetry::LogField> fields, std::string request) {
   telemetry::LogLine line;
@@ -24,6 +35,37 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<bool> AllOf(const Context& context, std::vector<asio::awaitable<bool>> all,
+                            std::size_t at_once) {
+  struct Shared {
+    std::vector<asio::awaitable<bool>> all;
+    std::size_t next = 0;
+    std::size_t runners = 0;
+    bool are_all_true = true;
+    std::shared_ptr<http::Wakeup> ended;
+  };
+  const auto shared = std::make_shared<Shared>();
+  shared->all = std::move(all);
+  shared->ended = std::make_shared<http::Wakeup>(context.io.get_executor());
+  const auto run = [](std::shared_ptr<Shared> shared) -> asio::awaitable<void> {
+    while (shared->next < shared->all.size()) {
+      asio::awaitable<bool> one = std::move(shared->all[shared->next++]);
+      const bool is_true = co_await std::move(one);
+      shared->are_all_true = shared->are_all_true && is_true;
+    }
+    --shared->runners;
+    shared->ended->Notify();
+  };
+  shared->runners = std::min(at_once, shared->all.size());
+  for (std::size_t i = shared->runners; i > 0; --i) {
+    Spawn(context, run(shared));
+  }
+  while (shared->runners > 0) {
+    co_await shared->ended->WaitFor(kLookAgain);
+  }
+  co_return shared->are_all_true;
+}
+
 std::string MillisecondsText(Duration span) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
 }
--- a/src/job_entry/context.h
+++ b/src/job_entry/context.h
@@ -36,6 +36,12 @@
   boost::asio::co_spawn(context.io, std::move(coroutine), boost::asio::detached);
 }
 
+/// Runs all, at most `at_once` side by side; true when all gave true. What they use must live until
+/// they have ended.
+boost::asio::awaitable<bool> AllOf(const Context& context,
+                                   std::vector<boost::asio::awaitable<bool>> all,
+                                   std::size_t at_once);
+
 /// One line for a decision or a change of what this process believes.
 void LogEvent(telemetry::LogLevel level, std::string event, std::string message,
               std::vector<telemetry::LogField> fields = {}, std::string request = {});
--- a/src/job_entry/decision_options.cc
+++ b/src/job_entry/decision_options.cc
@@ -57,6 +57,7 @@
     NamedMember<SizerMember>{"sizer.keep", &jobs::SizerOptions::keep},
     NamedMember<SizerMember>{"sizer.usable", &jobs::SizerOptions::usable},
     NamedMember<SizerMember>{"sizer.avoids_dark_zones", &jobs::SizerOptions::avoids_dark_zones},
+    NamedMember<SizerMember>{"sizer.late_gives_way", &jobs::SizerOptions::late_gives_way},
     NamedMember<SizerMember>{"sizer.lends", &jobs::SizerOptions::lends},
     NamedMember<SizerMember>{"sizer.least_vms", &jobs::SizerOptions::least_vms},
 };
--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -14,6 +14,12 @@
 /// How long the store keeps a silent member; the shortest that it takes is a second. A dead owner's
 /// work waits for this, so it is short; a pause of the process shorter than this keeps the term.
 constexpr Duration kTimeToLive = std::chrono::milliseconds(1000);
+/// On a link of less than this many megabits a second, calls wait behind what an owner reads and
+/// orders; an owner that lives and is dropped by the group costs more than one that is missed
+/// later.
+constexpr double kNarrowLink = 10;
+constexpr Duration kNarrowTimeToLive = std::chrono::milliseconds(2500);
+constexpr Duration kNarrowCallTimeout = std::chrono::milliseconds(1600);
 /// Three tries within the time to live.
 constexpr Duration kPace = std::chrono::milliseconds(280);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
@@ -114,8 +120,10 @@
 }
 
 asio::awaitable<void> Election::JoinOnce() {
+  const bool is_narrow = this->context.settings.link_rate < kNarrowLink;
   const Result<Membership> joined = co_await this->context.links.store->Join(
-      this->member, this->generation, kTimeToLive, kCallTimeout);
+      this->member, this->generation, is_narrow ? kNarrowTimeToLive : kTimeToLive,
+      is_narrow ? kNarrowCallTimeout : kCallTimeout);
   if (joined.HasValue() != this->is_joined) {
     this->is_joined = joined.HasValue();
     LogEvent(this->is_joined ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
--- a/src/job_entry/endpoint_registry.cc
+++ b/src/job_entry/endpoint_registry.cc
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr Duration kLoadTimeout = std::chrono::milliseconds(1500);
+/// For a page of 500 registrations on a link of 2 Mbit a second.
+constexpr Duration kLoadTimeout = std::chrono::seconds(4);
 /// A read that fell silent is noticed this long and a margin after it began; an endpoint must get
 /// nothing new two seconds after it said that it drains.
 constexpr Duration kWait = std::chrono::milliseconds(700);
--- a/src/job_entry/job_log.cc
+++ b/src/job_entry/job_log.cc
@@ -8,27 +8,39 @@
 
 namespace {
 
-constexpr Duration kLoadTimeout = std::chrono::milliseconds(2500);
+/// For a page of 500 jobs with their payloads, some 700 KB, on a link of 2 Mbit a second.
+constexpr Duration kLoadTimeout = std::chrono::seconds(8);
 constexpr Duration kDropTimeout = std::chrono::seconds(2);
-/// News is answered at once; the wait only bounds how old the proof gets that there is none.
-constexpr Duration kWait = std::chrono::milliseconds(1000);
+/// News is answered at once; the wait only bounds how old the proof gets that there is none. Each
+/// read is priced, and there is one for each partition.
+constexpr Duration kWait = std::chrono::milliseconds(1500);
 
 }  // namespace
 
 JobLog::JobLog(const Context& context, jobs::Scheduler& scheduler, std::function<void()> on_news)
-    : context(context), scheduler(scheduler), on_news(std::move(on_news)) {}
+    : context(context),
+      scheduler(scheduler),
+      on_news(std::move(on_news)),
+      next(context.settings.job_partitions),
+      read(context.settings.job_partitions) {}
+
+std::vector<asio::awaitable<bool>> JobLog::Loads() {
+  std::vector<asio::awaitable<bool>> parts;
+  for (std::uint32_t partition = 0; partition < this->read.size(); ++partition) {
+    parts.push_back(this->LoadPartition(partition));
+  }
+  return parts;
+}
 
-asio::awaitable<bool> JobLog::Load() {
-  for (std::uint32_t partition = 0; partition < kJobPartitions; ++partition) {
-    const Result<NewestOutcome> newest =
-        co_await this->context.links.store->Newest(Topic::kJobs, partition, kLoadTimeout);
-    if (!newest) {
-      co_return false;
-    }
-    this->next[partition] = newest->next;
-    for (const KeyedRecord& record : newest->records) {
-      this->Take(record);
-    }
+asio::awaitable<bool> JobLog::LoadPartition(std::uint32_t partition) {
+  const Result<NewestOutcome> newest =
+      co_await this->context.links.store->Newest(Topic::kJobs, partition, kLoadTimeout);
+  if (!newest) {
+    co_return false;
+  }
+  this->next[partition] = newest->next;
+  for (const KeyedRecord& record : newest->records) {
+    this->Take(partition, record);
   }
   co_return true;
 }
@@ -42,12 +54,14 @@
 }
 
 void JobLog::Follow() {
-  for (std::uint32_t partition = 0; partition < kJobPartitions; ++partition) {
+  for (std::uint32_t partition = 0; partition < this->read.size(); ++partition) {
     const RecordTail::Options options{.topic = Topic::kJobs,
                                       .partition = partition,
                                       .wait = kWait,
                                       .from = this->next[partition]};
-    this->tails.push_back(std::make_shared<RecordTail>(this->context, options, *this));
+    this->partitions.push_back(std::make_unique<Partition>(*this, partition));
+    this->tails.push_back(
+        std::make_shared<RecordTail>(this->context, options, *this->partitions.back()));
     this->tails.back()->Start();
   }
 }
@@ -63,16 +77,16 @@
                      [&](const auto& tail) { return tail->IsFresh(limit); });
 }
 
-void JobLog::OnRecords(const std::vector<KeyedRecord>& records) {
+void JobLog::Partition::OnRecords(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
-    this->Take(record);
+    this->log.Take(this->number, record);
   }
-  this->on_news();
+  this->log.on_news();
 }
 
-void JobLog::Take(const KeyedRecord& record) {
+void JobLog::Take(std::uint32_t partition, const KeyedRecord& record) {
   if (!record.value) {
-    return;  // dropped after its job was told of for long enough
+    return;  // dropped after its job has ended
   }
   const std::optional<jobs::JobId> id =
       jobs::ParseJobId(record.key.substr(0, record.key.find('/')));
@@ -80,6 +94,7 @@
     LogEvent(telemetry::LogLevel::kError, "job_unreadable", "a record's key is not a job's");
     return;
   }
+  this->read[partition].insert(*id);
   if (record.key == CancellationKey(*id)) {
     if (this->keeps_cancellations_back) {
       this->cancellations.push_back(*id);
@@ -98,18 +113,48 @@
 }
 
 asio::awaitable<bool> JobLog::Drop(const std::vector<jobs::JobId>& ids) {
+  for (std::uint32_t partition = 0; partition < this->read.size(); ++partition) {
+    // A repeat of a job's submission may stand in any partition.
+    const bool is_dropped = co_await this->DropIn(partition, ids);
+    if (!is_dropped) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> JobLog::DropEnded(const std::vector<jobs::JobId>& ids) {
+  for (std::uint32_t partition = 0; partition < this->read.size(); ++partition) {
+    std::vector<jobs::JobId> here;
+    for (const jobs::JobId& id : ids) {
+      if (this->read[partition].contains(id)) {
+        here.push_back(id);
+      }
+    }
+    if (here.empty()) {
+      continue;
+    }
+    const bool is_dropped = co_await this->DropIn(partition, std::move(here));
+    if (!is_dropped) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> JobLog::DropIn(std::uint32_t partition, std::vector<jobs::JobId> ids) {
   std::vector<KeyedRecord> records;
   for (const jobs::JobId& id : ids) {
     records.push_back({SubmissionKey(id), std::nullopt});
     records.push_back({CancellationKey(id), std::nullopt});
   }
-  for (std::uint32_t partition = 0; partition < kJobPartitions; ++partition) {
-    // A repeat of a job's submission may stand in any partition.
-    const AppendOutcome outcome = co_await this->context.links.store->Append(
-        Topic::kJobs, partition, records, std::nullopt, kDropTimeout);
-    if (outcome.kind != AppendOutcome::Kind::kStored) {
-      co_return false;
-    }
+  const AppendOutcome outcome = co_await this->context.links.store->Append(
+      Topic::kJobs, partition, std::move(records), std::nullopt, kDropTimeout);
+  if (outcome.kind != AppendOutcome::Kind::kStored) {
+    co_return false;
+  }
+  for (const jobs::JobId& id : ids) {
+    this->read[partition].erase(id);
   }
   co_return true;
 }
--- a/src/job_entry/job_writer.cc
+++ b/src/job_entry/job_writer.cc
@@ -39,7 +39,8 @@
 JobWriter::JobWriter(const Context& context, RecordRelay* relay)
     : context(context),
       relay(relay),
-      partition(static_cast<std::uint32_t>(StableHash(context.settings.id.text) % kJobPartitions)),
+      partition(static_cast<std::uint32_t>(StableHash(context.settings.id.text) %
+                                           context.settings.job_partitions)),
       wakeup(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
 
 asio::awaitable<WriteVerdict> JobWriter::Write(KeyedRecord record) {
--- a/src/job_entry/job_writer.h
+++ b/src/job_entry/job_writer.h
@@ -12,7 +12,6 @@
 namespace chervilspar::job_entry {
 
 /// The partitions of jobs: an append takes 4 ms of its partition, so four take a thousand a second.
-inline constexpr std::uint32_t kJobPartitions = 4;
 
 /// The key of a job's submission, and of its cancellation.
 std::string SubmissionKey(const jobs::JobId& id);
--- a/src/job_entry/order_carrier.cc
+++ b/src/job_entry/order_carrier.cc
@@ -49,7 +49,7 @@
       });
 }
 
-void OrderCarrier::OnOrderBatch(const rpc::OrderBatch& batch) {
+void OrderCarrier::OnBatch(const rpc::OrderBatch& batch) {
   const Origin origin{batch.reply_address, batch.timeout, this->context.Now() + batch.timeout};
   for (const auto& stop : batch.stops) {
     this->Queue(stop, origin, [this](const jobs::StopOrder& order, Duration timeout) {
--- a/src/job_entry/order_carrier.h
+++ b/src/job_entry/order_carrier.h
@@ -22,7 +22,7 @@
   /// `link`: the way to the endpoints; `transport` takes the answers.
   OrderCarrier(const Context& context, EndpointLink& link, rpc::PeerTransport& transport);
 
-  void OnOrderBatch(const rpc::OrderBatch& batch);
+  void OnBatch(const rpc::OrderBatch& batch);
 
  private:
   /// Where an answer goes, and until when its order is worth carrying out.
--- a/src/job_entry/order_exchange.cc
+++ b/src/job_entry/order_exchange.cc
@@ -37,6 +37,14 @@
   return Done{};
 }
 
+OrderExchange::Bytes OrderExchange::Carried() const {
+  if (this->transport == nullptr) {
+    return {};
+  }
+  const rpc::TransportCounters counters = this->transport->Counters();
+  return {counters.bytes_sent, counters.bytes_received};
+}
+
 void OrderExchange::Close() {
   this->is_closed = true;
   if (this->transport != nullptr) {
@@ -56,7 +64,7 @@
     return;
   }
   if (const rpc::OrderBatch* batch = std::get_if<rpc::OrderBatch>(&*message)) {
-    this->carrier->OnOrderBatch(*batch);
+    this->carrier->OnBatch(*batch);
   } else {
     this->endpoints.OnAnswers(std::get<rpc::CarriedAnswers>(*std::move(message)));
   }
--- a/src/job_entry/order_exchange.h
+++ b/src/job_entry/order_exchange.h
@@ -21,6 +21,12 @@
 
   /// Listens at the carrier's address; does nothing where the settings name none.
   Status Open(Links& links);
+  /// Bytes of carried orders and their answers that were sent and received so far.
+  struct Bytes {
+    std::size_t sent = 0;
+    std::size_t received = 0;
+  };
+  Bytes Carried() const;
   /// Takes and sends nothing any more.
   void Close();
 
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -1,5 +1,7 @@
 #include "job_entry/owner_term.h"
 
+#include <algorithm>
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
@@ -14,14 +16,23 @@
 /// Between the beginnings of two appends. Each is priced and takes 4 ms at the store; a task waits
 /// for half of this on average.
 constexpr Duration kStorePace = std::chrono::milliseconds(35);
-constexpr Duration kLoadTimeout = std::chrono::milliseconds(2500);
+/// For a page of 500 records on a link of 2 Mbit a second.
+constexpr Duration kLoadTimeout = std::chrono::seconds(8);
+/// Reads of the state side by side, and the rate in megabits a second that one more of them needs.
+/// With more the joins that keep this entry in the group wait behind them, and another is chosen in
+/// the middle of the reading.
+constexpr double kMostReadsAtOnce = 4;
+constexpr double kRateOfRead = 20;
 constexpr Duration kLoadRetry = std::chrono::milliseconds(100);
 constexpr Duration kAdviceTimeout = std::chrono::milliseconds(1500);
-/// Between two looks for registrations that have not returned after an outage of the store.
-constexpr Duration kRegistryPace = std::chrono::milliseconds(250);
+/// Between two looks for registrations that have not returned after an outage of the store, and for
+/// jobs that have ended.
+constexpr Duration kReviewPace = std::chrono::milliseconds(250);
 /// Answers "no such job" only with proof younger than this: callers are promised that a job is
 /// visible 3 s after it was accepted.
 constexpr Duration kVisibleLimit = std::chrono::milliseconds(2500);
+/// Between two times at which the submissions of ended jobs are dropped.
+constexpr Duration kDropPace = std::chrono::milliseconds(2000);
 /// Records of ended jobs dropped in one go.
 constexpr std::size_t kMostDropped = 200;
 
@@ -95,9 +106,10 @@
     co_await term->vms.Run(term->began, term);
   }(self));
   while (!this->is_stopped) {
-    co_await Pause(this->context, kRegistryPace);
+    co_await Pause(this->context, kReviewPace);
     if (!this->is_stopped) {
       this->registry.DropLapsed();
+      co_await this->DropEnded();
     }
   }
 }
@@ -121,26 +133,36 @@
 
 asio::awaitable<bool> OwnerTerm::Load() {
   this->FollowPolicy();
-  const bool is_job_log_read = co_await this->job_log.Load();
-  if (!is_job_log_read) {
-    co_return false;
-  }
-  const bool is_registry_read = co_await this->registry.Load();
-  if (!is_registry_read) {
-    co_return false;
-  }
-  const Result<NewestOutcome> progress =
-      co_await this->context.links.store->Newest(Topic::kProgress, 0, kLoadTimeout);
-  if (!progress) {
+  // Side by side: a slow store takes a quarter of a second for each page. Progress doesn't change
+  // any more, as the token is announced.
+  std::vector<KeyedRecord> progress;
+  std::vector<asio::awaitable<bool>> parts = this->job_log.Loads();
+  parts.push_back(this->registry.Load());
+  parts.push_back(this->ReadProgress(progress));
+  const double at_once =
+      std::clamp(this->context.settings.link_rate / kRateOfRead, 1.0, kMostReadsAtOnce);
+  const bool is_read =
+      co_await AllOf(this->context, std::move(parts), static_cast<std::size_t>(at_once));
+  if (!is_read) {
     co_return false;
   }
   this->SetEndpoints();
-  this->LoadProgress(progress->records);
+  this->LoadProgress(progress);
   this->job_log.ApplyCancellations();
   this->FollowPolicy();
   co_return this->operators.Policy() != nullptr;
 }
 
+asio::awaitable<bool> OwnerTerm::ReadProgress(std::vector<KeyedRecord>& records) {
+  Result<NewestOutcome> progress =
+      co_await this->context.links.store->Newest(Topic::kProgress, 0, kLoadTimeout);
+  if (!progress) {
+    co_return false;
+  }
+  records = std::move(progress->records);
+  co_return true;
+}
+
 void OwnerTerm::LoadProgress(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     if (record.value && VmDriver::IsWaveKey(record.key)) {
@@ -282,6 +304,20 @@
   co_return !this->is_stopped && written == FencedWrite::kStored;
 }
 
+/// Not for each batch: each append is priced, and only a successor reads what is left.
+asio::awaitable<void> OwnerTerm::DropEnded() {
+  const std::vector<jobs::JobId> ended = this->scheduler.TakeEnded();
+  this->ended.insert(this->ended.end(), ended.begin(), ended.end());
+  if (this->ended.empty() || this->context.Now() - this->ended_dropped < kDropPace) {
+    co_return;
+  }
+  this->ended_dropped = this->context.Now();
+  const bool is_dropped = co_await this->job_log.DropEnded(this->ended);
+  if (is_dropped) {
+    this->ended.clear();
+  }
+}
+
 asio::awaitable<void> OwnerTerm::DropExpired() {
   const std::vector<jobs::JobId> expired =
       this->scheduler.Expired(this->context.clock.WallNow(), kMostDropped);
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -51,10 +51,12 @@
   boost::asio::awaitable<void> DecideLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> StoreLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> AdviceLoop(std::shared_ptr<OwnerTerm> self);
+  boost::asio::awaitable<void> DropEnded();
   boost::asio::awaitable<void> DropExpired();
   /// False when the term has ended.
   boost::asio::awaitable<bool> StoreRecords(std::vector<KeyedRecord> records);
   void LoadWave(const KeyedRecord& record);
+  boost::asio::awaitable<bool> ReadProgress(std::vector<KeyedRecord>& records);
   void LoadProgress(const std::vector<KeyedRecord>& records);
   void WatchProof();
   void WatchClaims();
@@ -81,6 +83,9 @@
   jobs::Scheduler scheduler;
   ProgressWriter writer;
   JobLog job_log;
+  /// Jobs whose end is stored and whose submissions are not dropped yet.
+  std::vector<jobs::JobId> ended;
+  TimePoint ended_dropped{};
   EndpointRegistry registry;
   OrderSender sender;
   VmDriver vms;
--- a/src/job_entry/record_relay.cc
+++ b/src/job_entry/record_relay.cc
@@ -46,7 +46,7 @@
   return KeyedRecord{std::string(pair[0].as_string()), std::string(pair[1].as_string())};
 }
 
-Result<RelayedRecords> DecodeRecords(const std::string& body) {
+Result<RelayedRecords> DecodeRecords(const std::string& body, std::uint32_t partitions) {
   const auto wrong = [](const char* field, const char* message) {
     return Reason{ErrorCode::kInvalidArgument, field, message};
   };
@@ -58,7 +58,7 @@
   const json::value* partition = value.as_object().if_contains("partition");
   const json::value* rows = value.as_object().if_contains("records");
   const bool is_partition = partition != nullptr && partition->is_int64() &&
-                            partition->as_int64() >= 0 && partition->as_int64() < kJobPartitions;
+                            partition->as_int64() >= 0 && partition->as_int64() < partitions;
   if (!is_partition) {
     return wrong("partition", "should be the number of a partition of jobs");
   }
@@ -145,7 +145,8 @@
 }
 
 asio::awaitable<http::Response> RelayHandler::Handle(http::Request request) const {
-  Result<RelayedRecords> decoded = DecodeRecords(request.body);
+  Result<RelayedRecords> decoded =
+      DecodeRecords(request.body, this->context.settings.job_partitions);
   if (!decoded) {
     co_return http::ErrorResponse(400, "invalid_argument", ToString(decoded.LastReason()));
   }
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -71,10 +71,12 @@
 /// All parts of one entry process.
 class JobEntryNode {
  public:
-  JobEntryNode(const Context& context, http::Client& client, TrafficMeter& traffic)
+  JobEntryNode(const Context& context, http::Client& client, TrafficMeter& traffic,
+               const OrderExchange& exchange)
       : context(context),
         client(client),
         traffic(traffic),
+        exchange(exchange),
         operators(context),
         directory(context),
         relay(context, this->directory, client),
@@ -173,6 +175,10 @@
     while (true) {
       co_await Pause(this->context, kSweep);
       this->client.CloseStale();
+      const OrderExchange::Bytes carried = this->exchange.Carried();
+      this->traffic.OnExchange("carried", carried.sent - this->carried.sent,
+                               carried.received - this->carried.received);
+      this->carried = carried;
       this->traffic.Tell();
     }
   }
@@ -180,6 +186,9 @@
   const Context context;
   http::Client& client;
   TrafficMeter& traffic;
+  const OrderExchange& exchange;
+  /// As told last.
+  OrderExchange::Bytes carried;
   bool is_stopping = false;
   int exit_code = kExitOk;
   OperatorView operators;
@@ -227,7 +236,7 @@
     // Orders go directly then, as in a small fleet.
     LogEvent(telemetry::LogLevel::kWarning, "carrying_unavailable", ToString(opened.LastReason()));
   }
-  JobEntryNode node(context, client, traffic);
+  JobEntryNode node(context, client, traffic, exchange);
   const Status started = node.Start();
   if (!started) {
     LogEvent(telemetry::LogLevel::kError, "start_failed", ToString(started.LastReason()));
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -1,6 +1,7 @@
 #include "chervilspar/job_entry/settings.h"
 
 #include <charconv>
+#include <cmath>
 
 #include "chervilspar/inventory/document.h"
 
@@ -13,6 +14,7 @@
 constexpr Duration kLongest = std::chrono::minutes(10);
 constexpr double kLeastCores = 0.01;
 constexpr double kMostCores = 1024;
+constexpr std::uint32_t kMostPartitions = 1024;
 constexpr double kLeastRate = 0.1;
 constexpr double kMostRate = 100000;
 
@@ -68,6 +70,17 @@
     return number;
   }
 
+  /// A whole number from 1 to `most`.
+  std::uint32_t Whole(const char* flag, const std::string& value, std::uint32_t otherwise,
+                      std::uint32_t most, const char* what) {
+    const double number = this->Number(flag, value, otherwise, 1, most, what);
+    if (number != std::floor(number)) {
+      this->Add(flag, '"' + value + "\" should be " + what);
+      return otherwise;
+    }
+    return static_cast<std::uint32_t>(number);
+  }
+
   bool YesOrNo(const char* flag, const std::string& value, bool otherwise) {
     if (value.empty()) {
       return otherwise;
@@ -141,6 +154,9 @@
   settings.vm_order_pause =
       check.Span("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
   settings.drain_time = check.Span("--drain-time", raw.drain_time, settings.drain_time);
+  settings.job_partitions =
+      check.Whole("--job-partitions", raw.job_partitions, settings.job_partitions, kMostPartitions,
+                  "a whole number of partitions from 1 to 1024");
   settings.vm_order_rate =
       check.Number("--vm-order-rate", raw.vm_order_rate, settings.vm_order_rate, kLeastRate,
                    kMostRate, "a number of orders a second from 0.1 to 100000");
@@ -149,6 +165,8 @@
                     settings.vm_service_compares_tokens);
   settings.cores = check.Number("--cores", raw.cores, settings.cores, kLeastCores, kMostCores,
                                 "a number of cores from 0.01 to 1024");
+  settings.link_rate = check.Number("--link-rate", raw.link_rate, settings.link_rate, kLeastRate,
+                                    kMostRate, "a number of megabits a second from 0.1 to 100000");
   for (const std::string& peer : raw.seed_peers) {
     settings.seed_peers.push_back(check.Address("--seed-peer", peer));
   }
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -97,12 +97,12 @@
   return belief * (history.job_rate + this->options.trend * rise);
 }
 
-double PoolSizer::ForBacklog(const ResourceLoad& load, double free) const {
+double PoolSizer::ForBacklog(const ResourceLoad& load, double running, double free) const {
   std::vector<WaitingWork> waiting = load.waiting;
   std::sort(waiting.begin(), waiting.end());
   const double move = Milliseconds(this->options.move_time);
   const double least = Milliseconds(this->options.least_use);
-  double due = load.running;
+  double due = running;
   // What would do if it were there now, and what has to come in addition to what is there.
   double at_least = 0;
   double more = 0;
@@ -120,8 +120,8 @@
   return std::min(std::min(at_least, free) + more, load.at_once);
 }
 
-int PoolSizer::VmsFor(const ResourceLoad& load, double arriving, const ServiceId& pool,
-                      const std::vector<SizerVm>& vms, double SizerVm::*amount) const {
+PoolSizer::Need PoolSizer::NeedFor(const ResourceLoad& load, double arriving, const ServiceId& pool,
+                                   const std::vector<SizerVm>& vms, double SizerVm::*amount) const {
   double there = 0;
   double of_one = 0;
   for (const SizerVm& vm : vms) {
@@ -130,12 +130,16 @@
     of_one = std::max(of_one, usable);
   }
   if (of_one <= 0) {
-    return 0;
+    return {};
   }
   const double free = std::max(0.0, there - load.long_running);
-  const double needed = load.long_running + std::max(arriving, this->ForBacklog(load, free));
-  // More than there are would say nothing.
-  return static_cast<int>(std::min(std::ceil(needed / of_one), static_cast<double>(vms.size())));
+  const auto vms_for = [&](double running) {
+    const double needed =
+        load.long_running + std::max(arriving, this->ForBacklog(load, running, free));
+    // More than there are would say nothing.
+    return static_cast<int>(std::min(std::ceil(needed / of_one), static_cast<double>(vms.size())));
+  };
+  return {vms_for(load.running), vms_for(load.running - load.running_late)};
 }
 
 void PoolSizer::Want(TimePoint now, const ServiceId& pool, const PoolLoad& load,
@@ -147,10 +151,12 @@
   }
   History& history = this->pools[pool];
   const double jobs = this->ExpectedJobs(history);
-  const int by_cpu = this->VmsFor(load.cpu, jobs * history.cpu.of_one, pool, vms, &SizerVm::cpu);
-  const int by_memory =
-      this->VmsFor(load.memory, jobs * history.memory.of_one, pool, vms, &SizerVm::memory);
-  int wanted = std::max({this->options.least_vms, load.least_endpoints, by_cpu, by_memory});
+  const Need cpu = this->NeedFor(load.cpu, jobs * history.cpu.of_one, pool, vms, &SizerVm::cpu);
+  const Need memory =
+      this->NeedFor(load.memory, jobs * history.memory.of_one, pool, vms, &SizerVm::memory);
+  const int least = std::max(this->options.least_vms, load.least_endpoints);
+  history.needed_on_time = std::max({least, cpu.on_time, memory.on_time});
+  int wanted = std::max({least, cpu.all, memory.all});
   if (load.waiting_long_running == 0) {
     history.waiting_since.reset();
   } else if (!history.waiting_since) {
@@ -194,7 +200,10 @@
   const History& history = this->pools.at(pool);
   const int serving = Serving(vms, pool);
   const int unwanted = serving - history.wanted;
-  const int unneeded = serving - history.needed;
+  // Others' jobs that can still be on time go before what is late here.
+  const int needed = this->options.late_gives_way ? std::min(history.needed, history.needed_on_time)
+                                                  : history.needed;
+  const int unneeded = serving - needed;
   const std::vector<const SizerVm*> releasable = Releasable(vms, pool);
   const int lendable = this->options.lends ? std::min(unneeded, all_missing) : 0;
   const int most = std::max(unwanted, lendable);
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -108,7 +108,11 @@
   SchedulerState& state = this->impl->state;
   JobState* job = state.FindJob(id);
   if (job == nullptr) {
-    return;
+    if (!progress.IsEnded()) {
+      return;
+    }
+    job = state.jobs.emplace(id, std::make_unique<JobState>()).first->second.get();
+    job->job.id = id;
   }
   job->stored_phase = progress.phase;
   job->ended_ms = progress.ended_ms;
@@ -133,6 +137,9 @@
     job->occurrences.clear();
     state.scheduled.erase(id);
     state.ended.emplace_back(job->ended_ms, id);
+    if (progress.ended_ms != 0 && !job->job.steps.empty()) {
+      this->impl->ended_stored.push_back(id);
+    }
     state.RefreshReady(*job);
     return;
   }
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -43,6 +43,8 @@
     std::uint64_t end = 0;
   };
   std::vector<RecordedEnds> recorded_ends;
+  /// Jobs whose end is stored since they were last asked for.
+  std::vector<JobId> ended_stored;
   bool is_batch_out = false;
   /// Jobs that may have come to their end.
   std::vector<JobId> maybe_ended;
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -96,6 +96,9 @@
   for (const auto& [id, phase] : self.recorded_phases) {
     if (JobState* job = self.state.FindJob(id)) {
       job->stored_phase = phase;
+      if (job->ended_ms != 0 && job->Phase() == phase && !job->is_dirty) {
+        self.ended_stored.push_back(id);
+      }
     }
   }
   for (const Impl::RecordedEnds& ends : self.recorded_ends) {
@@ -138,6 +141,12 @@
   return orders;
 }
 
+std::vector<JobId> Scheduler::TakeEnded() {
+  std::vector<JobId> ended = std::move(this->impl->ended_stored);
+  this->impl->ended_stored.clear();
+  return ended;
+}
+
 std::vector<JobId> Scheduler::Expired(WallTime wall, std::size_t most) const {
   const SchedulerState& state = this->impl->state;
   const auto keep =
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -41,12 +41,14 @@
 }
 
 /// Adds what is left of one step to the load of its pool. `amount`: what one task takes.
-void AddStep(const StepCount& count, bool is_open, double amount, double estimate_ms,
+void AddStep(const StepCount& count, bool is_open, bool is_late, double amount, double estimate_ms,
              double slack_ms, ResourceLoad& load) {
   if (count.waiting > 0) {
     load.waiting.push_back({slack_ms, count.waiting * amount * estimate_ms});
   }
-  load.running += count.running * amount * estimate_ms * kLeftOfRunning;
+  const double running = count.running * amount * estimate_ms * kLeftOfRunning;
+  load.running += running;
+  load.running_late += is_late ? running : 0;
   load.at_once += (count.running + (is_open ? count.waiting : 0)) * amount;
 }
 
@@ -128,10 +130,11 @@
           const auto estimate =
               static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kLeastEstimateMs));
           const StepCount count = CountTasks(step);
-          AddStep(count, step.is_open, static_cast<double>(RoomFor(spec).cpu), estimate, slack_ms,
-                  load.cpu);
-          AddStep(count, step.is_open, static_cast<double>(RoomFor(spec).memory_mb), estimate,
-                  slack_ms, load.memory);
+          const bool is_late = this->impl->wall_ms > job->deadline_ms + begin_ms;
+          AddStep(count, step.is_open, is_late, static_cast<double>(RoomFor(spec).cpu), estimate,
+                  slack_ms, load.cpu);
+          AddStep(count, step.is_open, is_late, static_cast<double>(RoomFor(spec).memory_mb),
+                  estimate, slack_ms, load.memory);
           continue;
         }
         for (const Task& task : step.tasks) {
--- a/src/rpc/carrier_message.cc
+++ b/src/rpc/carrier_message.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::int32_t kMostPort = 65535;
+constexpr std::int32_t kLongestSpanMs = 60000;
 
 std::int32_t ToMilliseconds(Duration span) {
   return static_cast<std::int32_t>(
@@ -180,10 +181,17 @@
   return carried;
 }
 
+Duration SpanOf(std::int32_t milliseconds, const char* field) {
+  if (milliseconds < 0 || milliseconds > kLongestSpanMs) {
+    Fail(field, "should be from 0 to 60000 ms");
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
 OrderBatch FromWire(const gen::WireOrderBatch& wire) {
   OrderBatch batch;
   batch.reply_address = wire.reply_address;
-  batch.timeout = std::chrono::milliseconds(wire.timeout);
+  batch.timeout = SpanOf(wire.timeout, "timeout");
   for (const gen::WireStart& start : wire.starts) {
     if (start.payload < 0 || static_cast<std::size_t>(start.payload) >= wire.payloads.size()) {
       Fail("payload", "is not in the list of payloads");
@@ -213,7 +221,7 @@
   for (const gen::WireHold& hold : wire.holds) {
     auto carried = CommonOf<jobs::HoldOrder>(wire, hold);
     carried.order.confirmed_end = static_cast<std::uint64_t>(hold.confirmed_end);
-    carried.order.wait = std::chrono::milliseconds(hold.wait);
+    carried.order.wait = SpanOf(hold.wait, "wait");
     if (hold.__isset.lease_end) {
       carried.order.lease_end_ms = hold.lease_end;
     }
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -356,6 +356,51 @@
   EXPECT_TRUE(fleet.endpoints.violations.empty());
 }
 
+/// What a successor reads before it starts anything grows with what is stored. Submissions of jobs
+/// that have ended are most of it; dropped too early or told of wrongly, a job runs twice or is
+/// unknown to its caller.
+TEST(Fleet, SubmissionsOfEndedJobsAreDroppedAndTheirEndsKnown) {
+  asio::io_context io;
+  FakeFleet fleet(io, 2);
+  fleet.endpoints.task_time = milliseconds(50);
+  FakeEntry& owner = fleet.AddEntry("a");
+  FakeEntry& other = fleet.AddEntry("b");
+  const auto is_serving = [](const FakeEntry& entry) {
+    const std::shared_ptr<OwnerTerm> term = entry.election->Term();
+    return term != nullptr && term->IsServing();
+  };
+  RunUntil(io, std::chrono::seconds(5),
+           [&] { return is_serving(owner) && fleet.store.members.size() == 2; });
+  ASSERT_TRUE(is_serving(owner));
+  const jobs::Job job = FakeFleet::MakeJob(1, 2);
+  const auto submit = [&] { asio::co_spawn(io, Submit(other, job, [](bool) {}), asio::detached); };
+  submit();
+  const auto newest = [&] {
+    std::optional<std::string> value;
+    for (std::uint32_t partition = 0; partition < kJobPartitions; ++partition) {
+      for (const KeyedRecord& record : fleet.store.At(Topic::kJobs, partition).records) {
+        value = record.key == SubmissionKey(job.id) ? record.value : value;
+      }
+    }
+    return value;
+  };
+  RunUntil(io, std::chrono::seconds(5),
+           [&] { return owner.Find(job.id).phase == jobs::JobPhase::kComplete; });
+  EXPECT_TRUE(newest());
+  RunUntil(io, std::chrono::seconds(5), [&] { return !newest(); });
+  EXPECT_FALSE(newest());
+  submit();
+  io.run_for(milliseconds(500));
+  EXPECT_EQ(fleet.endpoints.starts.size(), 2U) << "a repeat after the end";
+  owner.Cut();
+  RunUntil(io, std::chrono::seconds(8), [&] { return is_serving(other); });
+  ASSERT_TRUE(is_serving(other));
+  EXPECT_EQ(other.Find(job.id).phase, jobs::JobPhase::kComplete);
+  io.run_for(milliseconds(500));
+  EXPECT_EQ(fleet.endpoints.starts.size(), 2U);
+  EXPECT_TRUE(fleet.endpoints.violations.empty());
+}
+
 struct OwnerCase {
   const char* name;
   /// The entries' cores; the group chooses the first of those that stand.
--- a/tests/job_entry/settings_test.cc
+++ b/tests/job_entry/settings_test.cc
@@ -61,6 +61,17 @@
                        raw.vm_service_compares_tokens = "yes";
                      },
                      {"--vm-order-rate", "--vm-service-compares-tokens"}},
+        SettingsCase{
+            "no_link", [](RawJobEntrySettings& raw) { raw.link_rate = "0"; }, {"--link-rate"}},
+        SettingsCase{"half_a_partition",
+                     [](RawJobEntrySettings& raw) { raw.job_partitions = "1.5"; },
+                     {"--job-partitions"}},
+        SettingsCase{"no_partition_and_a_carrier_without_port",
+                     [](RawJobEntrySettings& raw) {
+                       raw.job_partitions = "0";
+                       raw.carrier_address = "10.0.0.3";
+                     },
+                     {"--job-partitions", "--carrier-address"}},
         SettingsCase{"a_peer_without_port",
                      [](RawJobEntrySettings& raw) {
                        raw.seed_peers = {"10.0.0.3:82", "10.0.0.4"};
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -258,6 +258,26 @@
   EXPECT_GE(world.MovesTo(step, kDesk), 1U);
 }
 
+/// One pool is full of work that is late already, another's peak begins and all VMs are taken. What
+/// would be on time becomes late, too, while late work keeps its VMs.
+TEST(PoolSizer, LateWorkGivesWayToAnotherPoolsPeak) {
+  for (const bool is_late : {false, true}) {
+    SizerWorld world;
+    for (SizerVm& vm : world.vms) {
+      vm.pool = vm.pool == kOff ? kFleet : vm.pool;
+      vm.is_serving = true;
+      vm.is_empty = vm.pool == kDesk;
+    }
+    ResourceLoad& fleet = world.loads[kFleet].cpu;
+    fleet.running = 6 * 10 * 1000 * 1000;
+    fleet.running_late = is_late ? fleet.running : 0;
+    fleet.waiting = {{500, 1000}};
+    fleet.at_once = 6 * 10 * 1000;
+    const SizerStep step = world.After(std::chrono::seconds(3), 60, 0);
+    EXPECT_EQ(!step.release.empty(), is_late);
+  }
+}
+
 /// A short lull in a peak must not send VMs away that are needed again at once: each way costs as
 /// much as two seconds of the VM.
 TEST(PoolSizer, KeepsVmsThroughALull) {
--- a/tests/jobs/scheduler_test.cc
+++ b/tests/jobs/scheduler_test.cc
@@ -242,8 +242,8 @@
  protected:
   EvacuationTest() {
     // The last one is where a task can go.
-    this->world.Register({World::Endpoint("a"), World::Endpoint("b"), World::Endpoint("c"),
-                          World::Endpoint("d")});
+    this->world.Register(
+        {World::Endpoint("a"), World::Endpoint("b"), World::Endpoint("c"), World::Endpoint("d")});
     Step step = World::MakeStep(3);
     step.is_long_running = true;
     step.max_per_endpoint = 1;
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -155,5 +155,42 @@
   EXPECT_TRUE(this->after.scheduler.PlanHold("a", this->after.now).order.lease_end_ms);
 }
 
+/// A job's submission is dropped once its end is stored. Its caller asks the successor, which has
+/// only the progress; told that there is no such job, he hands it in again.
+TEST(EndedJobs, AreKnownByTheirProgressAlone) {
+  World world;
+  JobProgress ended;
+  ended.phase = JobPhase::kComplete;
+  ended.ended_ms = 5;
+  world.scheduler.RestoreProgress(JobId{1}, ended);
+  JobProgress going_on;
+  going_on.phase = JobPhase::kRunning;
+  world.scheduler.RestoreProgress(JobId{2}, going_on);
+  world.Register({World::Endpoint("a")});
+  ASSERT_TRUE(world.scheduler.Find(JobId{1}));
+  EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
+  EXPECT_FALSE(world.scheduler.Find(JobId{2})) << "nothing is known of what it is";
+  // A repeat of its submission came after the end.
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), WallTime{});
+  EXPECT_TRUE(world.StartAll().empty());
+  EXPECT_EQ(world.scheduler.Expired(WallTime(std::chrono::hours(1)), 10),
+            std::vector<JobId>{JobId{1}});
+}
+
+/// Told before its end is stored, a job's submission would be dropped while a successor still has
+/// to run it.
+TEST(EndedJobs, CountAsEndedOnceThatIsStored) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), WallTime{});
+  const StartOrder start = world.StartAll().at(0);
+  world.Hold("a", {}, {World::Ended(1, start, RunEnd::kDone)});
+  world.Decide();
+  EXPECT_TRUE(world.scheduler.TakeEnded().empty());
+  world.Store();
+  EXPECT_EQ(world.scheduler.TakeEnded(), std::vector<JobId>{JobId{1}});
+  EXPECT_TRUE(world.scheduler.TakeEnded().empty());
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
--- a/tests/rpc/carrier_message_test.cc
+++ b/tests/rpc/carrier_message_test.cc
@@ -110,6 +110,10 @@
                   "payload"},
         RangeCase{"port", [](gen::WireOrderBatch& batch) { batch.targets[0].port = 70000; },
                   "port"},
+        RangeCase{"endless_wait", [](gen::WireOrderBatch& batch) { batch.holds[0].wait = 60001; },
+                  "wait"},
+        RangeCase{"negative_timeout", [](gen::WireOrderBatch& batch) { batch.timeout = -1; },
+                  "timeout"},
         RangeCase{"index", [](gen::WireOrderBatch& batch) { batch.stops[0].run.index = -1; },
                   "run"}),
     [](const auto& info) { return info.param.name; });
