--- a/tests/job_entry/carrying_test.cc
+++ b/tests/job_entry/carrying_test.cc
@@ -95,14 +95,14 @@
   FakeEntry* const owner = this->Settle();
   ASSERT_NE(owner, nullptr);
   this->SubmitAll(*owner);
-  this->RunUntil(std::chrono::seconds(3), [this] { return this->fleet.endpoints.starts.size() > 6; });
+  this->RunUntil(std::chrono::seconds(3),
+                 [this] { return this->fleet.endpoints.starts.size() > 6; });
   FakeEntry& carrier =
       owner == this->fleet.entries[0].get() ? *this->fleet.entries[1] : *this->fleet.entries[0];
   carrier.Cut();
   this->RunUntil(std::chrono::seconds(15), [this] { return this->AreAllDone(); });
   EXPECT_TRUE(this->AreAllDone());
-  EXPECT_TRUE(this->fleet.endpoints.violations.empty())
-      << this->fleet.endpoints.violations.front();
+  EXPECT_TRUE(this->fleet.endpoints.violations.empty()) << this->fleet.endpoints.violations.front();
 }
 
 /// The owner dies while others carry its orders. Its successor's token has to stop what is still on
@@ -113,12 +113,12 @@
   FakeEntry& other =
       owner == this->fleet.entries[0].get() ? *this->fleet.entries[1] : *this->fleet.entries[0];
   this->SubmitAll(other);
-  this->RunUntil(std::chrono::seconds(3), [this] { return this->fleet.endpoints.starts.size() > 6; });
+  this->RunUntil(std::chrono::seconds(3),
+                 [this] { return this->fleet.endpoints.starts.size() > 6; });
   owner->Cut();
   this->RunUntil(std::chrono::seconds(20), [this] { return this->AreAllDone(); });
   EXPECT_TRUE(this->AreAllDone());
-  EXPECT_TRUE(this->fleet.endpoints.violations.empty())
-      << this->fleet.endpoints.violations.front();
+  EXPECT_TRUE(this->fleet.endpoints.violations.empty()) << this->fleet.endpoints.violations.front();
 }
 
 /// A carrier is cut off from the endpoints, but not from the owner.
@@ -131,8 +131,7 @@
   this->SubmitAll(*owner);
   this->RunUntil(std::chrono::seconds(15), [this] { return this->AreAllDone(); });
   EXPECT_TRUE(this->AreAllDone());
-  EXPECT_TRUE(this->fleet.endpoints.violations.empty())
-      << this->fleet.endpoints.violations.front();
+  EXPECT_TRUE(this->fleet.endpoints.violations.empty()) << this->fleet.endpoints.violations.front();
 }
 
 }  // namespace
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -77,7 +77,8 @@
 void FakeEntry::Carry(std::uint16_t port) {
   this->settings.carrier = SocketAddress{"127.0.0.1", port};
   this->settings.decisions.carriers.endpoints_per_core = 0;
-  auto carried = std::make_unique<CarriedEndpoints>(this->context, std::move(this->links.endpoints));
+  auto carried =
+      std::make_unique<CarriedEndpoints>(this->context, std::move(this->links.endpoints));
   this->exchange = std::make_unique<OrderExchange>(this->context, *carried);
   this->links.endpoints = std::move(carried);
   const Status opened = this->exchange->Open(this->links);
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -37,6 +37,11 @@
   then(verdict == WriteVerdict::kStored);
 }
 
+bool IsServing(const FakeEntry& entry) {
+  const std::shared_ptr<OwnerTerm> term = entry.election->Term();
+  return term != nullptr && term->IsServing();
+}
+
 /// Runs until `is_over`, or for `longest`.
 void RunUntil(asio::io_context& io, Duration longest, const std::function<bool()>& is_over) {
   const SystemClock clock;
@@ -262,7 +267,7 @@
   RunUntil(io, std::chrono::seconds(5), [&] { return fleet.vms.tokens.size() > 3; });
   FakeEntry& owner = is_serving(first) ? first : second;
   FakeEntry& successor = &owner == &first ? second : first;
-  ASSERT_TRUE(is_serving(owner));
+  ASSERT_TRUE(IsServing(owner));
   owner.Cut();
   RunUntil(io, std::chrono::seconds(6), [&] { return is_serving(successor); });
   ASSERT_TRUE(is_serving(successor));
@@ -336,17 +341,13 @@
   FakeFleet fleet(io, 2);
   FakeEntry& owner = fleet.AddEntry("a");
   FakeEntry& claimant = fleet.AddEntry("b");
-  const auto is_serving = [](const FakeEntry& entry) {
-    const std::shared_ptr<OwnerTerm> term = entry.election->Term();
-    return term != nullptr && term->IsServing();
-  };
   RunUntil(io, std::chrono::seconds(5),
-           [&] { return is_serving(owner) && fleet.store.members.size() == 2; });
-  ASSERT_TRUE(is_serving(owner));
+           [&] { return IsServing(owner) && fleet.store.members.size() == 2; });
+  ASSERT_TRUE(IsServing(owner));
   const OwnerClaim late{"b", fleet.store.members.rbegin()->first, claimant.settings.peers};
   fleet.store.At(Topic::kOwners, 0).records.push_back({kOwnerKey, EncodeClaim(late)});
   io.run_for(std::chrono::seconds(3));
-  EXPECT_TRUE(is_serving(owner) || is_serving(claimant));
+  EXPECT_TRUE(IsServing(owner) || IsServing(claimant));
   bool is_accepted = false;
   asio::co_spawn(io, Submit(claimant, FakeFleet::MakeJob(1, 2), [&](bool is) { is_accepted = is; }),
                  asio::detached);
@@ -365,13 +366,9 @@
   fleet.endpoints.task_time = milliseconds(50);
   FakeEntry& owner = fleet.AddEntry("a");
   FakeEntry& other = fleet.AddEntry("b");
-  const auto is_serving = [](const FakeEntry& entry) {
-    const std::shared_ptr<OwnerTerm> term = entry.election->Term();
-    return term != nullptr && term->IsServing();
-  };
   RunUntil(io, std::chrono::seconds(5),
-           [&] { return is_serving(owner) && fleet.store.members.size() == 2; });
-  ASSERT_TRUE(is_serving(owner));
+           [&] { return IsServing(owner) && fleet.store.members.size() == 2; });
+  ASSERT_TRUE(IsServing(owner));
   const jobs::Job job = FakeFleet::MakeJob(1, 2);
   const auto submit = [&] { asio::co_spawn(io, Submit(other, job, [](bool) {}), asio::detached); };
   submit();
@@ -393,8 +390,8 @@
   io.run_for(milliseconds(500));
   EXPECT_EQ(fleet.endpoints.starts.size(), 2U) << "a repeat after the end";
   owner.Cut();
-  RunUntil(io, std::chrono::seconds(8), [&] { return is_serving(other); });
-  ASSERT_TRUE(is_serving(other));
+  RunUntil(io, std::chrono::seconds(8), [&] { return IsServing(other); });
+  ASSERT_TRUE(IsServing(other));
   EXPECT_EQ(other.Find(job.id).phase, jobs::JobPhase::kComplete);
   io.run_for(milliseconds(500));
   EXPECT_EQ(fleet.endpoints.starts.size(), 2U);
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -35,6 +35,8 @@
   std::uint64_t seed = 1;
   int seconds = 20;
   int runs = 1;
+  /// Other entries carry the owner's orders.
+  bool are_orders_carried = false;
   /// Seeds that failed once, one a line, with the cause after the number.
   std::string regressions;
 };
@@ -71,7 +73,9 @@
   std::filesystem::remove_all(log_dir);
   std::filesystem::create_directories(log_dir);
   asio::io_context io(1);
-  SoakFleet fleet(io, {}, options.binary, log_dir);
+  SoakSizes sizes;
+  sizes.are_orders_carried = options.are_orders_carried;
+  SoakFleet fleet(io, sizes, options.binary, log_dir);
   SoakCallers callers(fleet, seed);
   Faults faults(fleet, callers, seed ^ 0x5eedULL);
   asio::co_spawn(io, Play(fleet, callers, faults, options.seconds), asio::detached);
@@ -127,6 +131,8 @@
   app.add_option("--seed", options.seed, "The first seed [1]");
   app.add_option("--seconds", options.seconds, "How long faults come [20]");
   app.add_option("--runs", options.runs, "Seeds in a row [1]");
+  app.add_flag("--carried", options.are_orders_carried,
+               "Other entries carry the owner's orders to the endpoints");
   app.add_option("--regressions", options.regressions, "A file of seeds to run first");
   CLI11_PARSE(app, argc, argv);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -31,7 +31,7 @@
   this->Listen(store_address, this->store_server);
   for (int i = 0; i < sizes.entries; ++i) {
     EntryPlace place{"entry-" + std::to_string(i), this->ports.Next(), this->ports.Next(),
-                     this->ports.Next(), this->ports.Next()};
+                     this->ports.Next(),           this->ports.Next(), this->ports.Next()};
     this->relay.Add(place.name, place.store, store_address);
     this->places.push_back(std::move(place));
     this->processes.emplace_back();
@@ -106,12 +106,26 @@
   }
   const EntryPlace& place = this->places[entry];
   const std::string log = this->log_dir + "/" + place.name + ".log";
-  this->processes[entry] = std::make_unique<scenario::ChildProcess>(
-      std::vector<std::string>{this->binary, "job-entry", "--id", place.name, "--zone", "z",
-                               "--callers-address", ToString(place.callers), "--health-address",
-                               ToString(place.health), "--peer-address", ToString(place.peers),
-                               "--store-address", ToString(place.store)},
-      scenario::OutputFiles{log, log});
+  std::vector<std::string> command{this->binary,
+                                   "job-entry",
+                                   "--id",
+                                   place.name,
+                                   "--zone",
+                                   "z",
+                                   "--callers-address",
+                                   ToString(place.callers),
+                                   "--health-address",
+                                   ToString(place.health),
+                                   "--peer-address",
+                                   ToString(place.peers),
+                                   "--store-address",
+                                   ToString(place.store)};
+  if (this->sizes.are_orders_carried) {
+    command.insert(command.end(), {"--carrier-address", ToString(place.carrier), "--decisions",
+                                   "carriers.endpoints_per_core=0"});
+  }
+  this->processes[entry] =
+      std::make_unique<scenario::ChildProcess>(std::move(command), scenario::OutputFiles{log, log});
 }
 
 void SoakFleet::Switch(const std::string& what, const std::string& group, std::int64_t delay_ms) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -21,11 +21,14 @@
   SocketAddress peers;
   /// The store, through this entry's own relay.
   SocketAddress store;
+  SocketAddress carrier;
 };
 
 struct SoakSizes {
   int entries = 4;
   int endpoints = 6;
+  /// Whether other entries carry the owner's orders to the endpoints.
+  bool are_orders_carried = false;
 
   friend bool operator==(const SoakSizes&, const SoakSizes&) = default;
 };
