Jobs: Give the first order for a VM of a term on a list from after the pause

Cause: found on reading the change. The list of VMs is read each second where there are many, and a predecessor's last reboot may begin after its successor has read it: with the pause over, one VM more of the wave than may be would go down (LIMIT). Change: orders need a list that was asked for after the pause; it is read then, whatever the pace. A function that nothing called is gone. Ruled out: reading the list each 150 ms again, which took a fifth of a small link.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -76,11 +76,14 @@
   }
 }
 
-asio::awaitable<bool> VmDriver::ReadList() {
+/// What can go wrong: a predecessor's last reboot began after the list was read, and more VMs of a
+/// wave go down than may. So the first orders of a term need a list that is newer than the pause.
+asio::awaitable<bool> VmDriver::ReadList(TimePoint first_order) {
   const Duration pace =
       std::min<Duration>(kLongestListPace, kListPacePerVm * static_cast<int>(this->vms.size()));
   const TimePoint asked = this->context.Now();
-  if (!this->vms.empty() && asked - this->listed < pace) {
+  const bool is_before_orders = this->listed <= first_order && asked > first_order;
+  if (!this->vms.empty() && asked - this->listed < pace && !is_before_orders) {
     co_return true;
   }
   Result<std::vector<jobs::VmRecord>> list = co_await this->context.links.vms->List(kCallTimeout);
@@ -94,12 +97,13 @@
 }
 
 asio::awaitable<void> VmDriver::Round(TimePoint began) {
-  const bool is_listed = co_await this->ReadList();
+  const TimePoint first_order = began + this->context.settings.vm_order_pause;
+  const bool is_listed = co_await this->ReadList(first_order);
   if (!is_listed) {
     co_return;
   }
   // The predecessor may just have given an order for the same VM.
-  const bool may_order = this->context.Now() - began > this->context.settings.vm_order_pause;
+  const bool may_order = this->listed > first_order;
   const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
   for (const auto& [number, wave] : known) {
     if (!this->is_stopped && !this->waves[number].progress.is_complete) {
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -64,7 +64,8 @@
   /// Has an order carried out after those before it.
   void Order(WorkLane::Work order);
   /// Reads the list of VMs if the last reading is old enough; false when it isn't to be had.
-  boost::asio::awaitable<bool> ReadList();
+  /// `first_order`: before this no order is given.
+  boost::asio::awaitable<bool> ReadList(TimePoint first_order);
   void NoteReturns();
   /// The VM is up again; its endpoint is expected to register.
   void NoteUp(const jobs::VmRecord& vm);
--- a/src/job_entry/work_lane.h
+++ b/src/job_entry/work_lane.h
@@ -22,8 +22,6 @@
 
   /// Work keeps alive what it uses.
   void Add(Work work);
-  /// Work that has not begun is dropped.
-  void Clear() { this->waiting.clear(); }
 
  private:
   boost::asio::awaitable<void> Run(std::shared_ptr<WorkLane> self);
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -21,6 +21,9 @@
   std::map<VmId, int> reboots;
   /// The tokens of all orders, in the order in which they came.
   std::vector<std::uint64_t> tokens;
+  /// How old the last list was at each order, and when that was read.
+  std::vector<Duration> list_ages;
+  TimePoint listed{};
   /// Orders are refused for now, so that they are given again and again.
   bool is_busy = false;
 };
@@ -30,10 +33,12 @@
   explicit FakeVmLink(FakeVms& all) : all(all) {}
 
   boost::asio::awaitable<Result<std::vector<jobs::VmRecord>>> List(Duration) override {
+    this->all.listed = SystemClock().Now();
     co_return this->all.vms;
   }
   boost::asio::awaitable<jobs::VmOrderOutcome> Reboot(jobs::RebootOrder order, Duration) override {
     this->all.tokens.push_back(order.token);
+    this->all.list_ages.push_back(SystemClock().Now() - this->all.listed);
     if (this->all.is_busy) {
       co_return jobs::VmOrderOutcome::kBusy;
     }
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -357,6 +357,26 @@
   EXPECT_TRUE(fleet.endpoints.violations.empty());
 }
 
+/// A predecessor's last reboot began after its successor had read the list of VMs, which is read
+/// rarely where there are many. Without a newer one, one VM more than may be is down.
+TEST(Fleet, TheFirstOrderForAVmNeedsAListFromAfterThePause) {
+  asio::io_context io;
+  FakeFleet fleet(io, 0);
+  std::string names;
+  for (int i = 0; i < 400; ++i) {
+    const std::string name = "m" + std::to_string(i);
+    fleet.vms.vms.push_back(
+        {.id = VmId{name}, .pool = ServiceId{"off"}, .phase = jobs::VmPhase::kUp});
+    names += (names.empty() ? "" : ",") + name;
+  }
+  fleet.store.At(Topic::kOperators, 0).records.push_back({"wave", names});
+  FakeEntry& owner = fleet.AddEntry("a");
+  owner.settings.vm_order_pause = milliseconds(700);
+  RunUntil(io, std::chrono::seconds(8), [&] { return !fleet.vms.list_ages.empty(); });
+  ASSERT_FALSE(fleet.vms.list_ages.empty());
+  EXPECT_LT(fleet.vms.list_ages.front(), milliseconds(400));
+}
+
 /// What a successor reads before it starts anything grows with what is stored. Submissions of jobs
 /// that have ended are most of it; dropped too early or told of wrongly, a job runs twice or is
 /// unknown to its caller.
