JobEntry: Wait for carried orders in one place; follow the linter

Change: what has an answer to wait for is split from what gives the order; no behaviour changes. Measured: lint of all changed files, then the tests of rpc and of carrying.

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -62,8 +62,9 @@
   SocketAddress store;
   std::optional<SocketAddress> vm_service;
   std::optional<SocketAddress> advice;
-  /// In how many partitions jobs are stored, at most eight; the same at all entries, and never fewer
-  /// than before. A slow store takes a few appends a second in each, and the owner follows each.
+  /// In how many partitions jobs are stored, at most eight; the same at all entries, and never
+  /// fewer than before. A slow store takes a few appends a second in each, and the owner follows
+  /// each.
   std::uint32_t job_partitions = kJobPartitions;
   /// Callers' keys are trusted for this long after the last sign that the operators' rules are
   /// known to their end.
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -112,11 +112,17 @@
 asio::awaitable<HeldOutcome> CarriedEndpoints::Hold(jobs::HoldOrder order, Duration timeout) {
   std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
   if (!carrier) {
-    co_return co_await this->direct->Hold(std::move(order), timeout);
+    return this->direct->Hold(std::move(order), timeout);
   }
   const std::uint64_t number = this->next_number++;
-  this->BatchFor(*carrier, timeout - order.wait).holds.push_back({number, std::move(order)});
-  rpc::CarriedAnswer answer = co_await this->Await(*std::move(carrier), number, timeout);
+  rpc::OrderBatch& batch = this->BatchFor(*carrier, timeout - order.wait);
+  batch.holds.push_back({number, std::move(order)});
+  return this->AwaitReport(*std::move(carrier), number, timeout);
+}
+
+asio::awaitable<HeldOutcome> CarriedEndpoints::AwaitReport(std::string carrier,
+                                                           std::uint64_t number, Duration timeout) {
+  rpc::CarriedAnswer answer = co_await this->Await(std::move(carrier), number, timeout);
   HeldOutcome held;
   held.outcome = answer.outcome;
   held.report = std::move(answer.report);
@@ -132,11 +138,17 @@
                                                      DirectCall<Order> direct_call) {
   std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
   if (!carrier) {
-    co_return co_await (this->direct.get()->*direct_call)(std::move(order), timeout);
+    return (this->direct.get()->*direct_call)(std::move(order), timeout);
   }
   const std::uint64_t number = this->next_number++;
   (this->BatchFor(*carrier, timeout).*list).push_back({number, std::move(order)});
-  const rpc::CarriedAnswer answer = co_await this->Await(*std::move(carrier), number, timeout);
+  return this->AwaitOutcome(*std::move(carrier), number, timeout);
+}
+
+asio::awaitable<OrderOutcome> CarriedEndpoints::AwaitOutcome(std::string carrier,
+                                                             std::uint64_t number,
+                                                             Duration timeout) {
+  const rpc::CarriedAnswer answer = co_await this->Await(std::move(carrier), number, timeout);
   co_return answer.outcome;
 }
 
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -61,6 +61,10 @@
   /// carried out.
   boost::asio::awaitable<rpc::CarriedAnswer> Await(std::string carrier, std::uint64_t number,
                                                    Duration timeout);
+  boost::asio::awaitable<HeldOutcome> AwaitReport(std::string carrier, std::uint64_t number,
+                                                  Duration timeout);
+  boost::asio::awaitable<jobs::OrderOutcome> AwaitOutcome(std::string carrier, std::uint64_t number,
+                                                          Duration timeout);
   rpc::OrderBatch& BatchFor(const std::string& carrier, Duration timeout);
 
   const Context context;
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -159,7 +159,7 @@
   if (!progress) {
     co_return false;
   }
-  records = std::move(progress->records);
+  records = (*std::move(progress)).records;
   co_return true;
 }
 
--- a/src/rpc/carrier_message.cc
+++ b/src/rpc/carrier_message.cc
@@ -51,7 +51,7 @@
     for (const auto& [number, order] : batch.holds) {
       this->AddHold(number, order);
     }
-    return std::move(this->wire);
+    return this->wire;
   }
 
  private:
--- a/tests/rpc/carrier_message_test.cc
+++ b/tests/rpc/carrier_message_test.cc
@@ -77,7 +77,7 @@
   for (std::uint32_t i = 0; i < 30; ++i) {
     batch.starts.push_back({i, MakeStart(i, payload)});
   }
-  EXPECT_LT(Encode(batch).size(), payload.size() + 30 * 60);
+  EXPECT_LT(Encode(batch).size(), payload.size() + std::size_t{30} * 60);
 }
 
 struct RangeCase {
