Tests: Take free ports for the carriers of the tests

Change: a port is asked of the system. Ruled out: a loopback address of its own, which two runs share as well.

--- a/tests/job_entry/carrying_test.cc
+++ b/tests/job_entry/carrying_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <functional>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include "tests/job_entry/fake_fleet.h"
@@ -11,10 +12,16 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t kFirstPort = 18731;
 constexpr std::uint64_t kJobs = 12;
 constexpr std::uint32_t kTasks = 4;
 
+/// A port that nobody listened at a moment ago; a fixed one would be taken where tests run twice.
+std::uint16_t FreePort(asio::io_context& io) {
+  using asio::ip::tcp;
+  const tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint().port();
+}
+
 bool IsServing(const FakeEntry& entry) {
   const std::shared_ptr<OwnerTerm> term = entry.election->Term();
   return term != nullptr && term->IsServing();
@@ -25,9 +32,8 @@
  protected:
   CarryingFleet() : fleet(this->io, 4) {
     this->fleet.endpoints.task_time = milliseconds(300);
-    for (std::uint16_t i = 0; i < 3; ++i) {
-      this->fleet.AddCarrier(std::string(1, static_cast<char>('a' + i)),
-                             static_cast<std::uint16_t>(kFirstPort + i));
+    for (int i = 0; i < 3; ++i) {
+      this->fleet.AddCarrier(std::string(1, static_cast<char>('a' + i)), FreePort(this->io));
     }
   }
 
