Tests: Ask that the owner gives no order itself, not that each carrier gives some

Cause: with free ports the test of carrying failed in 6 of some 40 plays: which of two carriers an endpoint gets follows from their addresses, and all four endpoints fall to one in an eighth of the draws. That each carrier gets some was no promise. Change: the owner gives none, and the others give exactly as many starts as there are tasks, which the test did not ask before. Ruled out: a fault of the choice; the other three tests never failed.

--- a/tests/job_entry/carrying_test.cc
+++ b/tests/job_entry/carrying_test.cc
@@ -90,9 +90,13 @@
   this->RunUntil(std::chrono::seconds(8), [this] { return this->AreAllDone(); });
   EXPECT_TRUE(this->AreAllDone());
   EXPECT_TRUE(this->fleet.endpoints.violations.empty());
+  // Which carrier an endpoint gets depends on the ports; that the owner gives no order doesn't.
+  EXPECT_EQ(owner->endpoints->starts, 0);
+  int carried = 0;
   for (const auto& entry : this->fleet.entries) {
-    EXPECT_EQ(entry->endpoints->starts == 0, entry.get() == owner) << entry->settings.id.text;
+    carried += entry->endpoints->starts;
   }
+  EXPECT_EQ(carried, static_cast<int>(kJobs * kTasks));
 }
 
 /// A carrier dies with orders of which nobody knows whether they were carried out. Given anew
