Tests: Let the soak's judge wait for jobs that are accepted while it asks

The entries' lines show that it was accepted at 53.368 s and started at 53.386, and that the run ended there: the judge had asked for all jobs that it knew, all were complete, and this one was accepted meanwhile, through the repeat of a call that came late. Change: after asking, the judge looks whether any accepted job is not shown as complete, and goes on waiting. Ruled out: a fault of carried orders; the job's tasks were started 18 ms after its acceptance.

--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -1,5 +1,7 @@
 #include "tests/soak/soak_callers.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -135,7 +137,6 @@
 }
 
 asio::awaitable<bool> SoakCallers::AreSettled() {
-  bool are_settled = true;
   // A copy: answers may come while jobs are still being handed in.
   const std::map<jobs::JobId, CallerJob> known = this->all;
   for (const auto& [id, job] : known) {
@@ -146,7 +147,6 @@
     const bool is_complete = exchange.response && exchange.response->status == 200 &&
                              exchange.response->body.find("complete") != std::string::npos;
     this->all[id].is_shown_complete = is_complete;
-    are_settled = are_settled && is_complete;
     if (is_complete) {
       const std::vector<std::uint32_t>& counts = this->fleet.asked.at(id);
       for (std::uint32_t step = 0; step < counts.size(); ++step) {
@@ -158,7 +158,11 @@
       }
     }
   }
-  co_return are_settled;
+  // A job may have been accepted while the others were asked for.
+  co_return std::none_of(this->all.begin(), this->all.end(), [](const auto& entry) {
+    const CallerJob& job = entry.second;
+    return job.is_accepted && !job.is_cancelled && !job.is_shown_complete;
+  });
 }
 
 void SoakCallers::CheckEnd() {
