Jobs: Tell a job's start when an endpoint confirms it, and what a count was made of

What was missing: a caller was told that 12 jobs of a queue wait while 36 did. The logs could not tell whether jobs were missing since an order was taken for a beginning, since the owner had not read them, or since the count was old: `job_started` was written when the first order was sent, a start that was stored and then withdrawn left no line, and no line said what a count was made of.

Change: `job_started` is written when an endpoint shows a run of the job (by its answer to the order, in its list of runs, or by the run's end) and tells how long after the first order that was. `start_withdrawn` tells of a start that is not sent. `waiting_jobs_told` tells each count that a caller was given, and how many jobs of the queue have no confirmed run though an endpoint has a claim, or had. What is counted is unchanged. The time of day moves from the implementation to the state, where the line is written.

--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -63,6 +63,7 @@
     return;  // the job has ended and its tasks are forgotten
   }
   const bool is_mine = this->IsMine(ref, endpoint, ended.run);
+  this->state.NoteBegun(ref, endpoint, now);
   this->state.Tell({"run_ended",
                     ended.task,
                     {},
@@ -163,6 +164,9 @@
 
 void RunTracker::TakeActive(EndpointState& endpoint, const ActiveRun& active, TimePoint now) {
   const TaskRef ref = this->state.Find(active.task);
+  if (ref) {
+    this->state.NoteBegun(ref, endpoint, now);
+  }
   if (!this->IsMine(ref, endpoint, active.run)) {
     endpoint.strays.try_emplace({active.task, active.run}, TimePoint{});
     this->state.has_strays = true;
@@ -306,6 +310,7 @@
   }
   switch (outcome) {
     case OrderOutcome::kDone:
+      this->state.NoteBegun(ref, *endpoint, now);
       task.state = RunState::kActive;
       task.since = now;
       task.percent_since = now;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -75,7 +75,7 @@
   if (state.FindJob(job.id) != nullptr) {
     return;
   }
-  this->impl->wall_ms = ToUnixMs(wall);
+  this->impl->state.wall_ms = ToUnixMs(wall);
   auto added = std::make_unique<JobState>();
   added->job = job;
   added->service = job.service;
@@ -130,7 +130,7 @@
   }
   if (progress.IsEnded()) {
     // The predecessor may have been replaced before it stored when the job ended.
-    job->ended_ms = progress.ended_ms != 0 ? progress.ended_ms : this->impl->wall_ms;
+    job->ended_ms = progress.ended_ms != 0 ? progress.ended_ms : this->impl->state.wall_ms;
     if (progress.ended_ms == 0) {
       state.MarkDirty(*job);
     }
@@ -153,6 +153,7 @@
     ref.task->progress = row.progress;
     ref.step->done += row.progress.phase == TaskPhase::kDone ? 1 : 0;
     job->has_started = true;
+    job->has_begun = job->has_begun || row.progress.ShowsRun();
     if (row.progress.phase == TaskPhase::kPlaced) {
       state.Adopt(ref);
     }
@@ -291,15 +292,15 @@
 
 Orders Scheduler::Decide(TimePoint now, WallTime wall) {
   Impl& self = *this->impl;
-  self.wall_ms = ToUnixMs(wall);
-  self.CreateDueOccurrences(self.wall_ms);
+  self.state.wall_ms = ToUnixMs(wall);
+  self.CreateDueOccurrences(self.state.wall_ms);
   if (now - self.reviewed >= kReviewPace) {
     self.reviewed = now;
     self.tracker.LapseLeases(now);
     self.state.GiveUpOldRooms(now);
     Evacuation(self.state, now).Run();
   }
-  PlacingRound(self.state, now, self.wall_ms).Run();
+  PlacingRound(self.state, now, self.state.wall_ms).Run();
   Orders orders;
   OrderRound(self.state, now).Gather(orders);
   return orders;
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,10 +14,22 @@
 
 namespace chervilspar::jobs {
 
+/// The jobs of one queue of which no task has started.
+struct WaitingJobs {
+  /// As callers are told.
+  std::uint64_t jobs = 0;
+  /// Jobs with a claim on an endpoint that has not confirmed any of their runs.
+  std::uint64_t claimed = 0;
+  /// Jobs whose claims were given up before any of their runs was confirmed.
+  std::uint64_t returned = 0;
+};
+
 /// Jobs of which no task has started, as last counted.
 struct PendingCount {
   std::optional<std::int64_t> counted_ms;
-  std::map<std::string, std::uint64_t> jobs_of_queue;
+  std::map<std::string, WaitingJobs> queues;
+  /// Queues of which this count was logged.
+  std::set<std::string> told;
 };
 
 /// What a scheduler consists of; its public functions stand in several files by subject.
@@ -30,6 +43,7 @@
   void RenewPools();
   void ReviewStalls(EndpointState& endpoint, TimePoint now);
   JobProgress ProgressOf(const JobState& job) const;
+  PendingCount CountPending() const;
 
   SchedulerState state;
   RunTracker tracker;
@@ -50,7 +64,6 @@
   std::vector<JobId> maybe_ended;
   /// Jobs whose progress is to be dropped with the next batch.
   std::vector<JobId> forgotten;
-  std::int64_t wall_ms = 0;
   PendingCount pending;
   /// When leases and evacuations were last reviewed.
   TimePoint reviewed{};
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -53,7 +53,7 @@
       self.maybe_ended.push_back(id);
     }
   }
-  self.EndJobs(self.wall_ms);
+  self.EndJobs(self.state.wall_ms);
   Batch batch;
   for (const JobId& id : self.state.dirty) {
     JobState* job = self.state.FindJob(id);
@@ -118,20 +118,20 @@
     const bool is_wanted = endpoint.is_registered && !endpoint.record.is_draining &&
                            !endpoint.is_evacuating && endpoint.clock_ms;
     if (!is_in_time || !is_wanted) {
+      self.state.Tell(
+          {"start_withdrawn",
+           key,
+           {},
+           endpoint.record.id,
+           is_in_time ? "its endpoint gets no more work" : "it was stored too late for its lease"});
       self.state.Release(ref);
       continue;
     }
     ref.task->state = RunState::kStarting;
     ref.task->since = now;
-    if (!ref.job->has_started) {
-      ref.job->has_started = true;
-      self.state.Tell(
-          {"job_started",
-           key,
-           {},
-           endpoint.record.id,
-           std::to_string(self.wall_ms - ref.job->job.taken_ms) + " ms after it was accepted, " +
-               std::to_string(ref.job->deadline_ms - self.wall_ms) + " ms before it is late"});
+    ref.job->has_started = true;
+    if (!ref.job->first_ordered) {
+      ref.job->first_ordered = now;
     }
     orders.starts.push_back(round.StartOf(ref));
   }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -37,6 +37,10 @@
   return need;
 }
 
+std::int64_t MillisecondsOf(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 std::int64_t ToUnixMs(WallTime wall) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(wall.time_since_epoch()).count();
 }
@@ -249,6 +253,24 @@
   task.stop_answered.reset();
 }
 
+void SchedulerState::NoteBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) {
+  JobState& job = *ref.job;
+  if (job.has_begun) {
+    return;
+  }
+  job.has_begun = true;
+  const std::string ordered =
+      job.first_ordered ? std::to_string(MillisecondsOf(now - *job.first_ordered)) + " ms before"
+                        : "by an earlier owner";
+  this->Tell({"job_started",
+              ref.key,
+              {},
+              endpoint.record.id,
+              std::to_string(this->wall_ms - job.job.taken_ms) + " ms after it was accepted, " +
+                  std::to_string(job.deadline_ms - this->wall_ms) +
+                  " ms before it is late; first ordered " + ordered});
+}
+
 void SchedulerState::MarkDone(const TaskRef& ref, TimePoint now) {
   Task& task = *ref.task;
   if (task.progress.phase == TaskPhase::kDone) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -118,6 +118,10 @@
   bool is_cancelled = false;
   bool is_failed = false;
   bool has_started = false;
+  /// When this owner sent the first order to start one of its tasks.
+  std::optional<TimePoint> first_ordered;
+  /// An endpoint has shown a run of one of its tasks.
+  bool has_begun = false;
   bool is_dirty = false;
   std::int64_t ended_ms = 0;
   /// The last phase that was stored.
@@ -231,6 +235,8 @@
   /// A claim that a predecessor stored.
   void Adopt(const TaskRef& ref);
   void BeginStop(const TaskRef& ref, TimePoint now);
+  /// An endpoint has shown that a run of the task has begun.
+  void NoteBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now);
   void MarkDone(const TaskRef& ref, TimePoint now);
   /// Ends all that runs of a job that is cancelled or has failed.
   void StopAll(JobState& job, TimePoint now);
@@ -247,6 +253,8 @@
   const std::uint64_t token;
   const TimePoint began;
   Policy policy;
+  /// The time of day at the last decision, in Unix milliseconds.
+  std::int64_t wall_ms = 0;
   std::unordered_map<JobId, std::unique_ptr<JobState>> jobs;
   /// Cancelled before the job itself was seen here.
   std::set<JobId> cancelled_early;
@@ -281,6 +289,7 @@
 /// What one task takes of an endpoint: a filler's cpu isn't counted there.
 Resources RoomFor(const Step& step);
 
+std::int64_t MillisecondsOf(Duration span);
 std::int64_t ToUnixMs(WallTime wall);
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -52,6 +52,19 @@
   load.at_once += (count.running + (is_open ? count.waiting : 0)) * amount;
 }
 
+/// Some task of it has had a claim on an endpoint.
+bool WasPlaced(const JobState& job) {
+  const auto was_placed = [](const Task& task) { return task.progress.run > 0; };
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const StepState& step : occurrence.steps) {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(), was_placed)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 void Scheduler::BeginEvacuation(const std::string& id) {
@@ -126,11 +139,11 @@
         }
         if (!spec.is_long_running) {
           const std::int64_t latest = job->deadline_ms + begin_ms - chains[i];
-          const auto slack_ms = static_cast<double>(latest - this->impl->wall_ms);
+          const auto slack_ms = static_cast<double>(latest - this->impl->state.wall_ms);
           const auto estimate =
               static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kLeastEstimateMs));
           const StepCount count = CountTasks(step);
-          const bool is_late = this->impl->wall_ms > job->deadline_ms + begin_ms;
+          const bool is_late = this->impl->state.wall_ms > job->deadline_ms + begin_ms;
           AddStep(count, step.is_open, is_late, static_cast<double>(RoomFor(spec).cpu), estimate,
                   slack_ms, load.cpu);
           AddStep(count, step.is_open, is_late, static_cast<double>(RoomFor(spec).memory_mb),
@@ -187,20 +200,42 @@
 
 std::uint64_t Scheduler::PendingIn(const std::string& queue) const {
   PendingCount& pending = this->impl->pending;
-  const std::int64_t now_ms = this->impl->wall_ms;
+  const std::int64_t now_ms = this->impl->state.wall_ms;
   // The time of day may step back.
   const bool is_fresh = pending.counted_ms && now_ms >= *pending.counted_ms &&
                         now_ms - *pending.counted_ms < kCountAgain;
   if (!is_fresh) {
-    pending = {.counted_ms = now_ms, .jobs_of_queue = {}};
-    for (const auto& [id, job] : this->impl->state.jobs) {
-      if (!job->has_started && !job->IsOver()) {
-        ++pending.jobs_of_queue[job->job.queue];
-      }
+    pending = this->impl->CountPending();
+  }
+  const auto found = pending.queues.find(queue);
+  if (found == pending.queues.end()) {
+    return 0;
+  }
+  const WaitingJobs& waiting = found->second;
+  if (pending.told.insert(queue).second) {
+    this->impl->state.Tell({"waiting_jobs_told",
+                            {},
+                            {},
+                            "",
+                            queue + ": " + std::to_string(waiting.jobs) + "; no run confirmed: " +
+                                std::to_string(waiting.claimed) + " with a claim, " +
+                                std::to_string(waiting.returned) + " whose claims were given up"});
+  }
+  return waiting.jobs;
+}
+
+PendingCount Scheduler::Impl::CountPending() const {
+  PendingCount count{.counted_ms = this->state.wall_ms, .queues = {}, .told = {}};
+  for (const auto& [id, job] : this->state.jobs) {
+    if (job->has_begun || job->IsOver()) {
+      continue;
     }
+    WaitingJobs& waiting = count.queues[job->job.queue];
+    waiting.jobs += job->has_started ? 0 : 1;
+    waiting.claimed += job->claims > 0 ? 1 : 0;
+    waiting.returned += job->claims == 0 && WasPlaced(*job) ? 1 : 0;
   }
-  const auto found = pending.jobs_of_queue.find(queue);
-  return found == pending.jobs_of_queue.end() ? 0 : found->second;
+  return count;
 }
 
 std::size_t Scheduler::JobCount() const { return this->impl->state.jobs.size(); }
