Jobs: Take a job for begun when an endpoint shows a run of it, not when it is ordered

What callers saw: a queue's count of waiting jobs was a third of the true number (12 where 36 had waited for over 5 s), and a job whose order came to nothing was shown as running.

Cause: a job counted as begun from the first order to start one of its tasks, from a successor's taking over of a claim, and from any stored row. Nothing took that back when the run turned out never to have begun: refused, not sent, not listed, lapsed, or its endpoint gone. The job waited again and was missing from the count for good.

Change: a job has begun once an endpoint has shown a run of it: in its answer to the order, in its list of runs, or by a run's end. A successor takes it from the stored phase and from rows that only a run can have left (an end, a saved checkpoint). No further record is written for it: between the confirmation and the next record a successor hears of it from the endpoint.

One expectation of the table Rebirths is replaced: a job whose only order was never answered and isn't listed was expected as running; it is expected as queued, and the phase is now spelled out for each row.

Ruled out by reading: a count from unread partitions (refused after 2.5 s), a count told again (bounded by 400 ms, and the two answers differed).

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -115,6 +115,7 @@
     job->job.id = id;
   }
   job->stored_phase = progress.phase;
+  job->has_begun = progress.phase == JobPhase::kRunning || !progress.complete_occurrences.empty();
   job->ended_ms = progress.ended_ms;
   job->is_failed = progress.phase == JobPhase::kFailed;
   job->is_cancelled = job->is_cancelled || progress.phase == JobPhase::kCancelled;
@@ -152,7 +153,6 @@
     }
     ref.task->progress = row.progress;
     ref.step->done += row.progress.phase == TaskPhase::kDone ? 1 : 0;
-    job->has_started = true;
     job->has_begun = job->has_begun || row.progress.ShowsRun();
     if (row.progress.phase == TaskPhase::kPlaced) {
       state.Adopt(ref);
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -18,9 +18,9 @@
 struct WaitingJobs {
   /// As callers are told.
   std::uint64_t jobs = 0;
-  /// Jobs with a claim on an endpoint that has not confirmed any of their runs.
+  /// Of these, the ones with a claim on an endpoint that has not confirmed their runs.
   std::uint64_t claimed = 0;
-  /// Jobs whose claims were given up before any of their runs was confirmed.
+  /// Of these, the ones whose claims were given up before a run was confirmed.
   std::uint64_t returned = 0;
 };
 
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -129,7 +129,6 @@
     }
     ref.task->state = RunState::kStarting;
     ref.task->since = now;
-    ref.job->has_started = true;
     if (!ref.job->first_ordered) {
       ref.job->first_ordered = now;
     }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -60,7 +60,7 @@
   if (this->is_failed) {
     return JobPhase::kFailed;
   }
-  return this->has_started ? JobPhase::kRunning : JobPhase::kQueued;
+  return this->has_begun ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
 std::int64_t EndpointState::ClockAt(TimePoint now) const {
@@ -216,7 +216,6 @@
   task.start_tries = this->options.start_tries;
   endpoint.lease_end = this->began + this->options.predecessor_grace + this->options.LongestLease();
   this->CountUse(ref, endpoint, true);
-  ref.job->has_started = true;
 }
 
 void SchedulerState::Release(const TaskRef& ref) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -117,10 +117,9 @@
   std::int64_t worthless_ms = 0;
   bool is_cancelled = false;
   bool is_failed = false;
-  bool has_started = false;
   /// When this owner sent the first order to start one of its tasks.
   std::optional<TimePoint> first_ordered;
-  /// An endpoint has shown a run of one of its tasks.
+  /// An endpoint has shown a run of one of its tasks. An order alone may come to nothing.
   bool has_begun = false;
   bool is_dirty = false;
   std::int64_t ended_ms = 0;
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -217,7 +217,7 @@
                             {},
                             {},
                             "",
-                            queue + ": " + std::to_string(waiting.jobs) + "; no run confirmed: " +
+                            queue + ": " + std::to_string(waiting.jobs) + ", of these " +
                                 std::to_string(waiting.claimed) + " with a claim, " +
                                 std::to_string(waiting.returned) + " whose claims were given up"});
   }
@@ -231,7 +231,7 @@
       continue;
     }
     WaitingJobs& waiting = count.queues[job->job.queue];
-    waiting.jobs += job->has_started ? 0 : 1;
+    ++waiting.jobs;
     waiting.claimed += job->claims > 0 ? 1 : 0;
     waiting.returned += job->claims == 0 && WasPlaced(*job) ? 1 : 0;
   }
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -171,6 +171,8 @@
   bool is_done;
   /// The task is started once more, elsewhere or there.
   bool is_started_again;
+  /// What callers are told then.
+  JobPhase phase;
 };
 
 class Rebirths : public ::testing::TestWithParam<RebirthCase> {};
@@ -197,18 +199,22 @@
              GetParam().is_done ? ended : std::vector<EndedRun>{}, 2);
   const Orders next = world.Round();
   EXPECT_EQ(!next.starts.empty(), GetParam().is_started_again);
-  EXPECT_EQ(world.PhaseOf(1), GetParam().is_done ? JobPhase::kComplete : JobPhase::kRunning);
+  EXPECT_EQ(world.PhaseOf(1), GetParam().phase);
 }
 
 INSTANTIATE_TEST_SUITE_P(
     RunRaces, Rebirths,
-    ::testing::Values(
-        RebirthCase{"answered_and_at_work", OrderOutcome::kDone, true, false, false},
-        RebirthCase{"answered_and_done", OrderOutcome::kDone, false, true, false},
-        RebirthCase{"answered_by_the_former_life", OrderOutcome::kDone, false, false, true},
-        RebirthCase{"unanswered_and_at_work", OrderOutcome::kNoAnswer, true, false, false},
-        // It may still be on its way; a stop has to settle that first.
-        RebirthCase{"unanswered_and_not_there", OrderOutcome::kNoAnswer, false, false, false}),
+    ::testing::Values(RebirthCase{"answered_and_at_work", OrderOutcome::kDone, true, false, false,
+                                  JobPhase::kRunning},
+                      RebirthCase{"answered_and_done", OrderOutcome::kDone, false, true, false,
+                                  JobPhase::kComplete},
+                      RebirthCase{"answered_by_the_former_life", OrderOutcome::kDone, false, false,
+                                  true, JobPhase::kRunning},
+                      RebirthCase{"unanswered_and_at_work", OrderOutcome::kNoAnswer, true, false,
+                                  false, JobPhase::kRunning},
+                      // It may still be on its way; a stop has to settle that first.
+                      RebirthCase{"unanswered_and_not_there", OrderOutcome::kNoAnswer, false, false,
+                                  false, JobPhase::kQueued}),
     [](const auto& info) { return info.param.name; });
 
 /// An endpoint that can't be reached may work on until its leases lapse. Started elsewhere before
