Tests: Let the soak compare a queue's count with what the endpoints began

Cause of the gap: no test and no soak asked what a queue's count of waiting jobs says, so that a count that leaves jobs out could only be seen from outside.

Change: a caller of the soak asks for the count four times a second and compares it with the jobs that were accepted 5 s before and of which no endpoint has begun a task; under half of them is a violation.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -28,6 +28,8 @@
 constexpr Duration kLook = std::chrono::milliseconds(500);
 constexpr Duration kWarmUp = std::chrono::seconds(2);
 constexpr std::size_t kMostTold = 20;
+/// Thousandths of a core of each endpoint when room is tight.
+constexpr std::int64_t kTightCpu = 2000;
 
 struct Options {
   std::string binary = "build/chervilspar";
@@ -37,6 +39,8 @@
   int runs = 1;
   /// Other entries carry the owner's orders.
   bool are_orders_carried = false;
+  /// Endpoints have little more room than the jobs need, so that jobs wait after each fault.
+  bool is_room_tight = false;
   /// Seeds that failed once, one a line, with the cause after the number.
   std::string regressions;
 };
@@ -56,6 +60,7 @@
   co_await Sleep(fleet.io, kWarmUp);
   const TimePoint until = clock.Now() + std::chrono::seconds(seconds);
   asio::co_spawn(fleet.io, callers.Load(until), asio::detached);
+  asio::co_spawn(fleet.io, callers.WatchCounts(until + kSettleTime), asio::detached);
   co_await faults.Run(until);
   const TimePoint deadline = clock.Now() + kSettleTime;
   bool are_settled = false;
@@ -75,6 +80,7 @@
   asio::io_context io(1);
   SoakSizes sizes;
   sizes.are_orders_carried = options.are_orders_carried;
+  sizes.endpoint_cpu = options.is_room_tight ? kTightCpu : sizes.endpoint_cpu;
   SoakFleet fleet(io, sizes, options.binary, log_dir);
   SoakCallers callers(fleet, seed);
   Faults faults(fleet, callers, seed ^ 0x5eedULL);
@@ -133,6 +139,8 @@
   app.add_option("--runs", options.runs, "Seeds in a row [1]");
   app.add_flag("--carried", options.are_orders_carried,
                "Other entries carry the owner's orders to the endpoints");
+  app.add_flag("--tight", options.is_room_tight,
+               "Endpoints have little more room than the jobs need");
   app.add_option("--regressions", options.regressions, "A file of seeds to run first");
   CLI11_PARSE(app, argc, argv);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -23,6 +23,9 @@
 constexpr int kMostPauseMs = 120;
 /// From the withdrawal of a key until no entry may take a call with it.
 constexpr Duration kWithdrawalLimit = std::chrono::seconds(5);
+/// From an acceptance until a job that waits has to be in its queue's count.
+constexpr Duration kVisibleLimit = std::chrono::seconds(5);
+constexpr Duration kCountPace = milliseconds(250);
 constexpr int kCancelledPercent = 10;
 constexpr int kTwicePercent = 10;
 constexpr unsigned kGone = 410;
@@ -50,10 +53,15 @@
 
 asio::awaitable<http::Exchange> SoakCallers::Call(const char* method, jobs::JobId id,
                                                   std::string body, std::string key) {
+  co_return co_await this->Send(method, jobs::ToString(id), std::move(body), std::move(key));
+}
+
+asio::awaitable<http::Exchange> SoakCallers::Send(const char* method, const std::string& target,
+                                                  std::string body, std::string key) {
   const EntryPlace& place = this->fleet.places[this->random.Below(this->fleet.places.size())];
   http::Request request;
   request.method = method;
-  request.target = "/bookings/" + jobs::ToString(id);
+  request.target = "/bookings/" + target;
   request.headers.Add("Api-Key", std::move(key));
   request.headers.Add("Content-Type", "application/json");
   request.body = std::move(body);
@@ -165,6 +173,40 @@
   });
 }
 
+std::size_t SoakCallers::WaitingSince(TimePoint time) const {
+  std::set<jobs::JobId> begun;
+  for (const auto& [task, started] : this->fleet.endpoints.last_start) {
+    begun.insert(task.job);
+  }
+  const auto waits = [&](const auto& entry) {
+    const CallerJob& job = entry.second;
+    return job.is_accepted && !job.is_cancelled && job.accepted_at < time &&
+           !begun.contains(entry.first);
+  };
+  return static_cast<std::size_t>(std::count_if(this->all.begin(), this->all.end(), waits));
+}
+
+asio::awaitable<void> SoakCallers::WatchCounts(TimePoint until) {
+  const SystemClock clock;
+  while (clock.Now() < until) {
+    co_await this->Pause(kCountPace);
+    const TimePoint since = clock.Now() - kVisibleLimit;
+    const http::Exchange exchange = co_await this->Send("GET", "", "", kKey);
+    if (!exchange.response || exchange.response->status != 200) {
+      continue;
+    }
+    boost::system::error_code error;
+    const json::value body = json::parse(exchange.response->body, error);
+    const std::size_t waiting = this->WaitingSince(since);
+    const auto told = error ? 0 : body.at("pending").to_number<std::size_t>();
+    if (2 * told < waiting) {
+      this->fleet.endpoints.violations.push_back(std::to_string(told) + " jobs are said to wait; " +
+                                                 std::to_string(waiting) +
+                                                 " have waited for too long to be missing");
+    }
+  }
+}
+
 void SoakCallers::CheckEnd() {
   this->fleet.endpoints.Advance();
   std::set<jobs::JobId> started;
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -31,6 +31,8 @@
 
   /// Hands in jobs until `until`.
   boost::asio::awaitable<void> Load(TimePoint until);
+  /// Asks until `until` how many jobs wait, and compares the answers with what the endpoints began.
+  boost::asio::awaitable<void> WatchCounts(TimePoint until);
   /// From now on answers "stored" for calls with the withdrawn key are violations, after the time
   /// that a withdrawal may take.
   void OnWithdrawn();
@@ -49,6 +51,10 @@
   boost::asio::awaitable<void> CancelSoon(jobs::JobId id);
   boost::asio::awaitable<http::Exchange> Call(const char* method, jobs::JobId id, std::string body,
                                               std::string key);
+  boost::asio::awaitable<http::Exchange> Send(const char* method, const std::string& target,
+                                              std::string body, std::string key);
+  /// Jobs accepted before `time` of which no endpoint has begun a task.
+  std::size_t WaitingSince(TimePoint time) const;
   boost::asio::awaitable<void> Pause(Duration span);
   void Violate(const jobs::JobId& id, const std::string& what);
 
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Room for eight tasks of a job of `SoakCallers` at once.
-constexpr std::int64_t kEndpointCpu = 8000;
 constexpr std::int64_t kEndpointMemoryMb = 8000;
 
 }  // namespace
@@ -60,13 +58,14 @@
 
 void SoakFleet::Register(std::size_t endpoint) {
   const std::string name = EndpointName(endpoint);
-  const json::object record{{"service", "desk"},
-                            {"address", ToString(this->worker_relays[endpoint])},
-                            {"zone", "z"},
-                            {"phase", "ready"},
-                            {"born", this->endpoints.endpoints[name].born_ms},
-                            {"capacity", {{"cpu", kEndpointCpu}, {"mem_mb", kEndpointMemoryMb}}},
-                            {"labels", json::array{"kind", "rack"}}};
+  const json::object record{
+      {"service", "desk"},
+      {"address", ToString(this->worker_relays[endpoint])},
+      {"zone", "z"},
+      {"phase", "ready"},
+      {"born", this->endpoints.endpoints[name].born_ms},
+      {"capacity", {{"cpu", this->sizes.endpoint_cpu}, {"mem_mb", kEndpointMemoryMb}}},
+      {"labels", json::array{"kind", "rack"}}};
   this->store.At(job_entry::Topic::kEndpoints, 0)
       .records.push_back({name, json::serialize(record)});
 }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -29,6 +29,8 @@
   int endpoints = 6;
   /// Whether other entries carry the owner's orders to the endpoints.
   bool are_orders_carried = false;
+  /// Of each endpoint, in thousandths of a core; the callers' jobs need some 9,500 in all.
+  std::int64_t endpoint_cpu = 8000;
 
   friend bool operator==(const SoakSizes&, const SoakSizes&) = default;
 };
