Jobs: Store that a long job has begun; tell its start once and counts of none too

What callers saw, in the other direction: a job that had been shown as running for a minute was shown as queued, and counted as waiting, right after a change of owner, until its endpoint answered the successor.

Cause: since a job counts as begun when an endpoint shows a run, the record that was stored with its placement says that it waits, and nothing else is stored of it until a task ends. On-call, too, were misled: the successor wrote `job_started` anew for each job that it found running, with a wait that had never been; and a count of none, the answer one would look for when jobs are missing, left no line.

Evidence: LongJobs (2 cases), AStartIsToldOnce and ACountOfNoneIsToldToo fail before this commit and pass with it. ASuccessorKnowsOfARunThatWasLost passes before as well; it keeps what is stored when the only run of a job is lost.

Change: the beginning of a job that is long-running, or whose task is estimated at 5 s or more, is stored with the next batch. Each count is told.

Left as it is: a short job may be shown as queued for the time of a take-over. What a further record for each job would cost was not measured.

--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -10,6 +10,8 @@
 constexpr std::size_t kMaxNotes = 4096;
 /// A task without estimate counts as short.
 constexpr std::int64_t kLeastEstimateMs = 50;
+/// By its estimate, such a task is at work for longer than a take-over.
+constexpr std::int64_t kLongTaskMs = 5000;
 
 }  // namespace
 
@@ -258,16 +260,27 @@
     return;
   }
   job.has_begun = true;
-  const std::string ordered =
-      job.first_ordered ? std::to_string(MillisecondsOf(now - *job.first_ordered)) + " ms before"
-                        : "by an earlier owner";
+  // Otherwise nothing may be stored of it for long, and a successor would take it for waiting.
+  if (job.job.IsLongRunning() || ref.spec->estimate_ms >= kLongTaskMs) {
+    this->MarkDirty(job);
+  }
+  if (!job.first_ordered) {
+    this->Tell({"job_found_running",
+                ref.key,
+                {},
+                endpoint.record.id,
+                "ordered by an earlier owner",
+                NoteWeight::kRoutine});
+    return;
+  }
   this->Tell({"job_started",
               ref.key,
               {},
               endpoint.record.id,
               std::to_string(this->wall_ms - job.job.taken_ms) + " ms after it was accepted, " +
                   std::to_string(job.deadline_ms - this->wall_ms) +
-                  " ms before it is late; first ordered " + ordered});
+                  " ms before it is late; first ordered " +
+                  std::to_string(MillisecondsOf(now - *job.first_ordered)) + " ms before"});
 }
 
 void SchedulerState::MarkDone(const TaskRef& ref, TimePoint now) {
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -207,11 +207,7 @@
   if (!is_fresh) {
     pending = this->impl->CountPending();
   }
-  const auto found = pending.queues.find(queue);
-  if (found == pending.queues.end()) {
-    return 0;
-  }
-  const WaitingJobs& waiting = found->second;
+  const WaitingJobs& waiting = pending.queues[queue];
   if (pending.told.insert(queue).second) {
     this->impl->state.Tell({"waiting_jobs_told",
                             {},
--- a/tests/jobs/waiting_jobs_test.cc
+++ b/tests/jobs/waiting_jobs_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <functional>
 
 #include <gtest/gtest.h>
@@ -186,5 +187,79 @@
   EXPECT_EQ(Recount(after), 0U);
 }
 
+/// Guards against a successor that takes a job for waiting whose only run was lost.
+TEST(WaitingJobs, ASuccessorKnowsOfARunThatWasLost) {
+  World before;
+  const StartOrder start = OrderOne(before);
+  Answer(before, start, OrderOutcome::kDone);
+  FallSilent(before, "a");
+  before.Pass(SchedulerOptions{}.LongestLease() + seconds(1));
+  before.Round();
+  World after{{}, 2};
+  TakeOver(after, before, {});
+  EXPECT_EQ(Recount(after), 0U);
+  EXPECT_EQ(after.PhaseOf(1), JobPhase::kRunning);
+}
+
+/// A job of one task that runs for long without anything else to store of it.
+struct LongCase {
+  const char* name;
+  bool is_long_running;
+  std::int64_t estimate_ms;
+};
+
+class LongJobs : public ::testing::TestWithParam<LongCase> {};
+
+/// Guards against a successor that tells callers "queued" of a job that was told to run for long.
+TEST_P(LongJobs, ASuccessorDoesNotTakeBackThatTheyRun) {
+  Step step = World::MakeStep(1);
+  step.is_long_running = GetParam().is_long_running;
+  step.estimate_ms = GetParam().estimate_ms;
+  const Job job = World::MakeJob(1, {step});
+  World before;
+  before.Register({World::Endpoint("a")});
+  before.scheduler.AddJob(job, WallTime{});
+  const StartOrder start = before.Round().starts.at(0);
+  Answer(before, start, OrderOutcome::kDone);
+  before.Round();
+  ASSERT_EQ(before.PhaseOf(1), JobPhase::kRunning);
+  World after{{}, 2};
+  after.now = before.now;
+  after.scheduler.AddJob(job, WallTime{});
+  after.scheduler.RestoreProgress(JobId{1}, *DecodeProgress(before.stored.at(JobId{1})));
+  EXPECT_EQ(after.PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(Recount(after), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(WaitingJobs, LongJobs,
+                         ::testing::Values(LongCase{"long_running", true, 0},
+                                           LongCase{"long_estimate", false, 60000}),
+                         [](const auto& info) { return info.param.name; });
+
+bool IsTold(World& world, const std::string& event) {
+  const std::vector<Note> notes = world.scheduler.TakeNotes();
+  return std::any_of(notes.begin(), notes.end(),
+                     [&](const Note& note) { return note.event == event; });
+}
+
+/// Guards against a second line on a job's start, with a wait that was none, after a take-over.
+TEST(WaitingJobs, AStartIsToldOnce) {
+  World before;
+  const StartOrder start = OrderOne(before);
+  Answer(before, start, OrderOutcome::kDone);
+  EXPECT_TRUE(IsTold(before, "job_started"));
+  World after{{}, 2};
+  TakeOver(after, before, before.endpoints);
+  after.Hold("a", {World::Active(start)}, {});
+  EXPECT_FALSE(IsTold(after, "job_started"));
+}
+
+/// Guards against an answer "none waits" that leaves no trace in the logs.
+TEST(WaitingJobs, ACountOfNoneIsToldToo) {
+  World world;
+  EXPECT_EQ(Recount(world), 0U);
+  EXPECT_TRUE(IsTold(world, "waiting_jobs_told"));
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
