Jobs: Stop the rest of a gang when a member's claim is given up

Cause: a gang counted as together once its members were ordered. A member that was refused broke the gang, but one that never answered, wasn't listed any more, or whose endpoint was gone, reborn or silent past its lease was only released. The others held their room and waited for it until their endpoints ended them as left alone, after three seconds. A successor kept such members in the same way.

Change: whoever gives up a member's claim breaks its gang, after all claims of the endpoint have been looked at, since a member that is stopped looks like one whose start can't arrive any more.

Ruled out: breaking the gang when a start has no answer once; the second try settles most of these.

--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -54,6 +54,7 @@
   }
   if (!task.IsAdopted()) {
     this->state.BeginStop(ref, this->now);
+    this->state.BreakGang(ref, this->now);
     this->GatherStop(ref, orders);
   }
 }
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -52,7 +52,7 @@
     this->TakeActive(endpoint, active, now);
   }
   if (report.ended.size() < kEndsListed) {
-    this->DropMissing(endpoint, report, sent);
+    this->DropMissing(endpoint, report, sent, now);
   }
 }
 
@@ -93,8 +93,8 @@
   if (ended.end == RunEnd::kFailed) {
     this->TakeFailure(ref, endpoint, ended);
   }
-  if (ref.spec->is_gang && is_mine) {
-    this->BreakGang(ref, now);
+  if (is_mine) {
+    this->state.BreakGang(ref, now);
   }
   ref.task->not_before = now;
   if (ref.spec->is_long_running && ended.end != RunEnd::kStopped) {
@@ -154,14 +154,6 @@
   }
 }
 
-void RunTracker::BreakGang(const TaskRef& ref, TimePoint now) {
-  for (std::uint32_t i = 0; i < ref.step->tasks.size(); ++i) {
-    TaskKey key = ref.key;
-    key.index = i;
-    this->state.BeginStop(this->state.Find(key), now);
-  }
-}
-
 void RunTracker::TakeActive(EndpointState& endpoint, const ActiveRun& active, TimePoint now) {
   const TaskRef ref = this->state.Find(active.task);
   if (ref) {
@@ -190,7 +182,8 @@
   }
 }
 
-void RunTracker::DropMissing(EndpointState& endpoint, const HoldReport& report, TimePoint sent) {
+void RunTracker::DropMissing(EndpointState& endpoint, const HoldReport& report, TimePoint sent,
+                             TimePoint now) {
   std::set<std::pair<TaskKey, std::uint64_t>> listed;
   for (const ActiveRun& active : report.active) {
     listed.insert({active.task, active.run});
@@ -198,6 +191,7 @@
   for (auto stray = endpoint.strays.begin(); stray != endpoint.strays.end();) {
     stray = listed.contains(stray->first) ? std::next(stray) : endpoint.strays.erase(stray);
   }
+  std::vector<TaskRef> given_up;
   const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
   for (const TaskKey& key : claims) {
     const TaskRef ref = this->state.Find(key);
@@ -219,8 +213,18 @@
                         endpoint.record.id,
                         "not listed by an answer that is newer than its order"});
       this->state.Release(ref);
+      given_up.push_back(ref);
     }
   }
+  this->BreakGangsOf(given_up, now);
+}
+
+/// After all claims of an endpoint have been looked at: a member that is stopped looks like one
+/// whose start can't arrive any more.
+void RunTracker::BreakGangsOf(const std::vector<TaskRef>& given_up, TimePoint now) {
+  for (const TaskRef& ref : given_up) {
+    this->state.BreakGang(ref, now);
+  }
 }
 
 /// What can go wrong: the new life took a run before anybody here had heard of it. Released on the
@@ -241,6 +245,7 @@
   for (const ActiveRun& active : report.active) {
     kept.insert({active.task, active.run});
   }
+  std::vector<TaskRef> given_up;
   const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
   for (const TaskKey& key : claims) {
     const TaskRef ref = this->state.Find(key);
@@ -253,6 +258,7 @@
       this->state.MarkDirty(*ref.job);
       continue;
     }
+    given_up.push_back(ref);
     const bool may_arrive =
         !task.IsAdopted() && (task.state == RunState::kStarting || task.state == RunState::kUnsure);
     if (may_arrive) {
@@ -264,6 +270,7 @@
     this->state.Tell({"run_lost", key, {}, endpoint.record.id, "the endpoint started anew"});
     this->state.Release(ref);
   }
+  this->BreakGangsOf(given_up, now);
   Forget(endpoint);
 }
 
@@ -277,23 +284,26 @@
   endpoint.failed_jobs.clear();
 }
 
-void RunTracker::Lose(EndpointState& endpoint, const std::string& why) {
+void RunTracker::Lose(EndpointState& endpoint, const std::string& why, TimePoint now) {
+  std::vector<TaskRef> given_up;
   const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
   for (const TaskKey& key : claims) {
     this->state.Tell({"run_lost", key, {}, endpoint.record.id, why});
-    this->state.Release(this->state.Find(key));
+    given_up.push_back(this->state.Find(key));
+    this->state.Release(given_up.back());
   }
+  this->BreakGangsOf(given_up, now);
 }
 
-void RunTracker::OnGone(EndpointState& endpoint) {
-  this->Lose(endpoint, "another endpoint answers at its address");
+void RunTracker::OnGone(EndpointState& endpoint, TimePoint now) {
+  this->Lose(endpoint, "another endpoint answers at its address", now);
   endpoint.is_silent = true;
 }
 
 void RunTracker::LapseLeases(TimePoint now) {
   for (const auto& [id, endpoint] : this->state.endpoints) {
     if (!endpoint->claims.empty() && now > endpoint->lease_end) {
-      this->Lose(*endpoint, "its lease must have lapsed");
+      this->Lose(*endpoint, "its lease must have lapsed", now);
     }
   }
 }
@@ -342,19 +352,18 @@
       endpoint->full_until = now + kFullPause;
       break;
     case OrderOutcome::kOtherLife:
-      this->OnGone(*endpoint);
+      this->OnGone(*endpoint, now);
       return;
   }
   // A try without answer may still be carried out; only the last answer speaks of this one.
   if (task.start_tries > 1) {
     this->state.BeginStop(ref, now);
+    this->state.BreakGang(ref, now);
     return;
   }
   this->state.Tell({"start_refused", order.task, {}, order.endpoint, ToString(outcome)});
   this->state.Release(ref);
-  if (ref.spec->is_gang) {
-    this->BreakGang(ref, now);
-  }
+  this->state.BreakGang(ref, now);
 }
 
 void RunTracker::OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now) {
--- a/src/jobs/run_tracker.h
+++ b/src/jobs/run_tracker.h
@@ -20,7 +20,7 @@
   /// The registry tells of a life of the endpoint that has not answered here yet.
   void OnNewLifeRegistered(EndpointState& endpoint, std::int64_t born_ms);
   /// Another endpoint answers at its address, so this one has ended.
-  void OnGone(EndpointState& endpoint);
+  void OnGone(EndpointState& endpoint, TimePoint now);
   /// Gives up what ran on endpoints whose leases have lapsed.
   void LapseLeases(TimePoint now);
 
@@ -32,10 +32,12 @@
   static void Forget(EndpointState& endpoint);
   void TakeFailure(const TaskRef& ref, EndpointState& endpoint, const EndedRun& ended);
   void TakeActive(EndpointState& endpoint, const ActiveRun& active, TimePoint now);
-  void DropMissing(EndpointState& endpoint, const HoldReport& report, TimePoint sent);
+  void DropMissing(EndpointState& endpoint, const HoldReport& report, TimePoint sent,
+                   TimePoint now);
   void ReleaseGangAfterDone(const TaskRef& ref, std::uint64_t run, TimePoint now);
-  void BreakGang(const TaskRef& ref, TimePoint now);
-  void Lose(EndpointState& endpoint, const std::string& why);
+  /// Of each gang that has lost one of these members, stops the others.
+  void BreakGangsOf(const std::vector<TaskRef>& given_up, TimePoint now);
+  void Lose(EndpointState& endpoint, const std::string& why, TimePoint now);
   bool IsMine(const TaskRef& ref, const EndpointState& endpoint, std::uint64_t run) const;
 
   SchedulerState& state;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -220,7 +220,7 @@
   }
 }
 
-void Scheduler::OnHoldFailed(const std::string& id, OrderOutcome outcome, TimePoint) {
+void Scheduler::OnHoldFailed(const std::string& id, OrderOutcome outcome, TimePoint now) {
   EndpointState* endpoint = this->impl->state.FindEndpoint(id);
   if (outcome == OrderOutcome::kTokenTooLow) {
     this->impl->state.is_superseded = true;
@@ -230,7 +230,7 @@
   }
   endpoint->is_silent = true;
   if (outcome == OrderOutcome::kOtherLife) {
-    this->impl->tracker.OnGone(*endpoint);
+    this->impl->tracker.OnGone(*endpoint, now);
   }
 }
 
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -236,6 +236,19 @@
   this->RefreshReady(*ref.job);
 }
 
+/// What can go wrong: a member was ordered and never came, or is lost, and the others hold their
+/// room and wait for it until their endpoints end them.
+void SchedulerState::BreakGang(const TaskRef& ref, TimePoint now) {
+  if (!ref.spec->is_gang) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < ref.step->tasks.size(); ++i) {
+    TaskKey key = ref.key;
+    key.index = i;
+    this->BeginStop(this->Find(key), now);
+  }
+}
+
 void SchedulerState::BeginStop(const TaskRef& ref, TimePoint now) {
   Task& task = *ref.task;
   if (task.state == RunState::kRecording) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -234,6 +234,8 @@
   /// A claim that a predecessor stored.
   void Adopt(const TaskRef& ref);
   void BeginStop(const TaskRef& ref, TimePoint now);
+  /// Stops what runs of the gang that the task belongs to, if any.
+  void BreakGang(const TaskRef& ref, TimePoint now);
   /// An endpoint has shown that a run of the task has begun.
   void NoteBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now);
   void MarkDone(const TaskRef& ref, TimePoint now);
