Jobs: Start a gang only if none of its members' starts is withdrawn

Cause: between the placement of a gang and the record that allows its starts, one of its endpoints may drain, be emptied for a move or a reboot, or be gone from the registry. That member's start was withdrawn and the others were sent; they waited alone until their endpoints ended them. A move or a reboot is our own order, not a disruption that would excuse it.

Change: what is not to start any more is withdrawn, with its gang, before the first start is made.

--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -44,6 +44,9 @@
   void ReviewStalls(EndpointState& endpoint, TimePoint now);
   JobProgress ProgressOf(const JobState& job) const;
   PendingCount CountPending() const;
+  /// The task if its placement in the batch still stands; else nothing.
+  TaskRef FindRecorded(const TaskKey& key, std::uint64_t run);
+  void WithdrawUnwanted(TimePoint now);
 
   SchedulerState state;
   RunTracker tracker;
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -88,6 +88,38 @@
   return batch;
 }
 
+TaskRef Scheduler::Impl::FindRecorded(const TaskKey& key, std::uint64_t run) {
+  const TaskRef ref = this->state.Find(key);
+  const bool is_recorded =
+      ref && ref.task->state == RunState::kRecording && ref.task->progress.run == run;
+  return is_recorded ? ref : TaskRef{};
+}
+
+/// Before any of the starts is sent: with one member of a gang all others are withdrawn.
+void Scheduler::Impl::WithdrawUnwanted(TimePoint now) {
+  for (const auto& [key, run] : this->recorded_starts) {
+    const TaskRef ref = this->FindRecorded(key, run);
+    if (!ref) {
+      continue;
+    }
+    const EndpointState& endpoint = *ref.task->endpoint;
+    const bool is_in_time = now + kLeastStartTime < ref.task->start_expires;
+    const bool is_wanted = endpoint.is_registered && !endpoint.record.is_draining &&
+                           !endpoint.is_evacuating && endpoint.clock_ms;
+    if (is_in_time && is_wanted) {
+      continue;
+    }
+    this->state.Tell(
+        {"start_withdrawn",
+         key,
+         {},
+         endpoint.record.id,
+         is_in_time ? "its endpoint gets no more work" : "it was stored too late for its lease"});
+    this->state.Release(ref);
+    this->state.BreakGang(ref, now);
+  }
+}
+
 Orders Scheduler::ConfirmBatch(TimePoint now) {
   Impl& self = *this->impl;
   CHERVILSPAR_ASSERT(self.is_batch_out);
@@ -107,24 +139,11 @@
       endpoint->stored_end = ends.end;
     }
   }
+  self.WithdrawUnwanted(now);
   OrderRound round(self.state, now);
   for (const auto& [key, run] : self.recorded_starts) {
-    const TaskRef ref = self.state.Find(key);
-    if (!ref || ref.task->state != RunState::kRecording || ref.task->progress.run != run) {
-      continue;
-    }
-    const EndpointState& endpoint = *ref.task->endpoint;
-    const bool is_in_time = now + kLeastStartTime < ref.task->start_expires;
-    const bool is_wanted = endpoint.is_registered && !endpoint.record.is_draining &&
-                           !endpoint.is_evacuating && endpoint.clock_ms;
-    if (!is_in_time || !is_wanted) {
-      self.state.Tell(
-          {"start_withdrawn",
-           key,
-           {},
-           endpoint.record.id,
-           is_in_time ? "its endpoint gets no more work" : "it was stored too late for its lease"});
-      self.state.Release(ref);
+    const TaskRef ref = self.FindRecorded(key, run);
+    if (!ref) {
       continue;
     }
     ref.task->state = RunState::kStarting;
--- a/tests/jobs/gang_test.cc
+++ b/tests/jobs/gang_test.cc
@@ -133,5 +133,54 @@
   EXPECT_EQ(orders.stops[0].endpoint, "a");
 }
 
+/// What happens to one endpoint while a gang's placement is being stored.
+struct WithdrawalCase {
+  const char* name;
+  std::function<void(World&, const std::string&)> happen;
+};
+
+/// Guards against starting the rest of a gang of which one member's start is withdrawn.
+class GangBeingStored : public ::testing::TestWithParam<WithdrawalCase> {};
+
+TEST_P(GangBeingStored, StartsTogetherOrNotAtAll) {
+  for (const char* endpoint : {"a", "b"}) {
+    World world;
+    world.Register({World::Endpoint("a"), World::Endpoint("b")});
+    world.scheduler.AddJob(MakeGang(), WallTime{});
+    world.Decide();
+    ASSERT_FALSE(world.scheduler.TakeBatch().IsEmpty());
+    GetParam().happen(world, endpoint);
+    EXPECT_TRUE(world.scheduler.ConfirmBatch(world.now).starts.empty()) << endpoint;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Changes, GangBeingStored,
+    ::testing::Values(
+        WithdrawalCase{
+            "emptied",
+            [](World& world, const std::string& id) { world.scheduler.BeginEvacuation(id); }},
+        WithdrawalCase{"draining",
+                       [](World& world, const std::string& id) {
+                         for (EndpointRecord& record : world.endpoints) {
+                           record.is_draining = record.id == id;
+                         }
+                         world.scheduler.SetEndpoints(world.endpoints, world.now);
+                       }},
+        WithdrawalCase{"unregistered",
+                       [](World& world, const std::string& id) {
+                         std::erase_if(world.endpoints, [&](const EndpointRecord& record) {
+                           return record.id == id;
+                         });
+                         world.scheduler.SetEndpoints(world.endpoints, world.now);
+                       }},
+        WithdrawalCase{"another_endpoint_at_its_address",
+                       [](World& world, const std::string& id) {
+                         world.scheduler.OnHoldFailed(id, OrderOutcome::kOtherLife, world.now);
+                       }},
+        WithdrawalCase{"started_anew",
+                       [](World& world, const std::string& id) { world.Hold(id, {}, {}, 2); }}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace chervilspar::jobs
