Jobs: Let a successor keep the room of runs that an ended job left behind

Cause: a job's record says cancelled, failed or complete as soon as that is decided, while its runs are still being stopped; only later is the time of its end stored. A successor took the phase for the end of all its runs and dropped their claims. It heard of them from the endpoints and stopped them, but until then their room and their team's share counted as free, and other tasks were started beside them: on endpoints that take whatever they are told, above their capacity.

Evidence: the table EndedWithARun, 3 of 3 cases (cancelled, failed, complete) failing before this commit and passing with it.

Change: a record without the time of the end is restored with its rows. Each row that names an endpoint is a claim, also that of a task which is done; what isn't wanted any more is stopped at once, without waiting for the endpoint's list. The job gets its end when the last claim is gone.

Ruled out: counting runs that nobody knows against an endpoint's room; what one of a forgotten job takes isn't known.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -129,8 +129,8 @@
       job->complete_occurrences.insert(i);
     }
   }
-  if (progress.IsEnded()) {
-    // The predecessor may have been replaced before it stored when the job ended.
+  // Without a date, runs of it may be left; they are found by its rows.
+  if (progress.IsEnded() && (progress.ended_ms != 0 || job->job.steps.empty())) {
     job->ended_ms = progress.ended_ms != 0 ? progress.ended_ms : this->impl->state.wall_ms;
     if (progress.ended_ms == 0) {
       state.MarkDirty(*job);
@@ -154,9 +154,12 @@
     ref.task->progress = row.progress;
     ref.step->done += row.progress.phase == TaskPhase::kDone ? 1 : 0;
     job->has_begun = job->has_begun || row.progress.ShowsRun();
-    if (row.progress.phase == TaskPhase::kPlaced) {
+    if (!row.progress.endpoint.empty()) {
       state.Adopt(ref);
     }
+    if (row.progress.phase != TaskPhase::kPlaced) {
+      state.BeginStop(ref, state.began);
+    }
     if (row.progress.phase == TaskPhase::kFailed) {
       job->is_failed = true;
     }
@@ -164,6 +167,10 @@
   for (auto& [number, occurrence] : job->occurrences) {
     state.Advance(*job, number);
   }
+  if (job->IsOver()) {
+    state.StopAll(*job, state.began);
+    this->impl->maybe_ended.push_back(id);
+  }
   if (job->Phase() != job->stored_phase) {
     state.MarkDirty(*job);
   }
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -1,3 +1,5 @@
+#include <functional>
+
 #include <gtest/gtest.h>
 
 #include "tests/jobs/scheduler_world.h"
@@ -132,6 +134,87 @@
   EXPECT_EQ(world.PhaseOf(1), JobPhase::kFailed);
 }
 
+/// How a job came to its end while a run of it was still being stopped.
+struct EndingCase {
+  const char* name;
+  /// The job's, which fill an endpoint together.
+  std::uint32_t tasks;
+  /// Gives the run that is left at "a".
+  std::function<StartOrder(World&)> end;
+};
+
+Job MakeFilling(std::uint64_t number, std::uint32_t tasks) {
+  return World::MakeJob(number, {World::MakeStep(tasks, 8000 / tasks)});
+}
+
+StartOrder EndByCancelling(World& world) {
+  StartOrder start = world.StartAll().at(0);
+  world.scheduler.CancelJob(JobId{1});
+  return start;
+}
+
+/// One of two tasks fails for the last time.
+StartOrder EndByFailing(World& world) {
+  const std::vector<StartOrder> starts = world.StartAll();
+  world.Hold("a", {World::Active(starts[0])}, {World::Ended(1, starts[1], RunEnd::kFailed)});
+  const StartOrder again = world.StartAll().at(0);
+  world.Hold("a", {World::Active(starts[0])}, {World::Ended(2, again, RunEnd::kFailed)});
+  return starts[0];
+}
+
+/// The first run, taken as dead, turns out to have ended well.
+StartOrder EndByAnEarlierRun(World& world) {
+  world.scheduler.SetEndpoints({World::Endpoint("b")}, world.now);
+  world.Hold("b", {}, {});
+  const StartOrder first = world.StartAll().at(0);
+  world.scheduler.OnHoldFailed("b", OrderOutcome::kNoAnswer, world.now);
+  world.Pass(SchedulerOptions{}.LongestLease() + std::chrono::seconds(1));
+  world.Decide();
+  world.Store();
+  world.Register({World::Endpoint("a")});
+  StartOrder second = world.StartAll().at(0);
+  world.scheduler.SetEndpoints({World::Endpoint("a"), World::Endpoint("b")}, world.now);
+  world.Hold("b", {}, {World::Ended(1, first, RunEnd::kDone)});
+  return second;
+}
+
+/// Guards against a successor that takes the runs of a job for over because its end is stored, and
+/// starts others in the room where they still are.
+class EndedWithARun : public ::testing::TestWithParam<EndingCase> {};
+
+TEST_P(EndedWithARun, KeepsItsRoomUntilItIsGone) {
+  World before;
+  before.Register({World::Endpoint("a")});
+  before.scheduler.AddJob(MakeFilling(1, GetParam().tasks), WallTime{});
+  const StartOrder left = GetParam().end(before);
+  before.Store();
+  const JobProgress stored = *DecodeProgress(before.stored.at(JobId{1}));
+  ASSERT_TRUE(stored.IsEnded());
+  World after{{}, 2};
+  after.now = before.now;
+  after.scheduler.SetEndpoints({World::Endpoint("a")}, after.now);
+  after.scheduler.AddJob(MakeFilling(1, GetParam().tasks), WallTime{});
+  after.scheduler.AddJob(MakeFilling(2, 1), WallTime{});
+  after.scheduler.RestoreProgress(JobId{1}, stored);
+  after.Hold("a", {World::Active(left)}, {});
+  const Orders orders = after.Round();
+  EXPECT_TRUE(orders.starts.empty());
+  ASSERT_EQ(orders.stops.size(), 1U);
+  EXPECT_EQ(orders.stops[0].task, left.task);
+  after.Hold("a", {}, {World::Ended(9, left, RunEnd::kStopped)});
+  EXPECT_EQ(after.StartAll().size(), 1U);
+  EXPECT_EQ(after.PhaseOf(1), stored.phase);
+  after.Decide();
+  after.Store();
+  EXPECT_EQ(after.scheduler.TakeEnded(), std::vector<JobId>{JobId{1}});
+}
+
+INSTANTIATE_TEST_SUITE_P(Endings, EndedWithARun,
+                         ::testing::Values(EndingCase{"cancelled", 1, EndByCancelling},
+                                           EndingCase{"failed", 2, EndByFailing},
+                                           EndingCase{"complete", 1, EndByAnEarlierRun}),
+                         [](const auto& info) { return info.param.name; });
+
 /// What runs belongs to a job that nobody knows, as it was cancelled and forgotten.
 TEST_F(Takeover, StopsWhatNobodyAskedFor) {
   StartOrder stray = this->start;
