JobEntry: Ask again for a reboot that was refused, instead of counting it as done

Cause: a reboot that the service for VMs refuses, as the wave doesn't name the VM there, was counted among the VMs that are done. The service may hear of a wave later than the owner, or answer so for a moment. The wave was then told as complete although a VM of it had not begun its reboot.

Evidence: VmDriver.ARefusedRebootIsNoReboot fails before this commit (told "complete", no reboot of the VM) and passes with it; so does the new row of UpkeepTable.

Change: a refused VM stays one that is to be done. It is passed over for two seconds and then asked for again; it stays empty meanwhile, as before.

Ruled out: leaving it in use until the next try, as its long-running tasks would be moved each time. A VM that is gone from the list doesn't hold up its wave, as before.

--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -123,6 +123,8 @@
     std::set<VmId> down;
     /// On their way between pools.
     std::set<VmId> moving;
+    /// Their reboot was refused a moment ago.
+    std::set<VmId> refused;
   };
   static UpkeepStep Plan(const Wave& wave, const WaveProgress& progress,
                          const std::vector<VmRecord>& vms, const Absent& absent,
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -21,6 +21,9 @@
 /// A reboot that was answered shows in the list at once; one that wasn't may begin seconds later.
 constexpr Duration kRebootSeen = std::chrono::milliseconds(500);
 constexpr Duration kRebootUnsure = std::chrono::seconds(6);
+/// Before a reboot that the service says the wave doesn't name is asked for again: the service may
+/// hear of a wave later than this entry, and operators must not read that it is complete before.
+constexpr Duration kRebootRefused = std::chrono::seconds(2);
 const std::string kWavePrefix = "wave/";
 /// A move whose answer was lost and that isn't seen after this has not happened.
 constexpr Duration kMoveLost = std::chrono::seconds(6);
@@ -194,6 +197,11 @@
   for (const auto& [vm, away] : this->moving) {
     absent.moving.insert(vm);
   }
+  for (const auto& [vm, until] : this->refused_reboots) {
+    if (this->context.Now() < until) {
+      absent.refused.insert(vm);
+    }
+  }
   const jobs::UpkeepStep step = jobs::UpkeepPlanner::Plan(wave, state.progress, this->vms, absent,
                                                           this->evacuating, this->Loads());
   state.progress.is_complete = step.is_complete;
@@ -243,7 +251,7 @@
     case VmOrderOutcome::kNoAnswer:
       break;  // asked again once the VM is seen up; the answer then tells
     case VmOrderOutcome::kNotAllowed:
-      this->waves[wave].progress.rebooted.insert(vm);
+      this->refused_reboots[vm] = this->context.Now() + kRebootRefused;
       this->down.erase(vm);
       break;
     case VmOrderOutcome::kTokenTooLow:
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -99,6 +99,8 @@
   /// Ordered to reboot and not seen up since; until then it counts as down even if it is listed
   /// as up, as an order without answer may be carried out later.
   std::map<VmId, TimePoint> down;
+  /// The service has refused to reboot these for a wave; asked again after this.
+  std::map<VmId, TimePoint> refused_reboots;
   /// Emptied so that they can be moved.
   std::set<VmId> released;
   /// Ordered to move and not seen up in the new pool since.
--- a/src/jobs/upkeep.cc
+++ b/src/jobs/upkeep.cc
@@ -63,7 +63,8 @@
       continue;
     }
     all_done = false;
-    if (vm.phase != VmPhase::kUp || absent.down.contains(vm.id) || absent.moving.contains(vm.id)) {
+    if (vm.phase != VmPhase::kUp || absent.down.contains(vm.id) || absent.moving.contains(vm.id) ||
+        absent.refused.contains(vm.id)) {
       continue;
     }
     const auto load = loads.find(vm.endpoint);
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
   TimePoint listed{};
   /// Orders are refused for now, so that they are given again and again.
   bool is_busy = false;
+  /// The wave doesn't name these, as far as the service knows.
+  std::set<VmId> refused;
 };
 
 class FakeVmLink final : public VmService {
@@ -42,6 +45,9 @@
     if (this->all.is_busy) {
       co_return jobs::VmOrderOutcome::kBusy;
     }
+    if (this->all.refused.contains(order.vm)) {
+      co_return jobs::VmOrderOutcome::kNotAllowed;
+    }
     ++this->all.reboots[order.vm];
     co_return jobs::VmOrderOutcome::kDone;
   }
--- a/tests/job_entry/fake_store.cc
+++ b/tests/job_entry/fake_store.cc
@@ -42,6 +42,10 @@
   if (!is_reached) {
     co_return outcome;
   }
+  if (this->unanswered == topic) {
+    co_await this->Wait(timeout);
+    co_return outcome;
+  }
   ++this->appends;
   if (this->refuse_appends > 0) {
     --this->refuse_appends;
--- a/tests/job_entry/fake_store.h
+++ b/tests/job_entry/fake_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -68,6 +69,8 @@
   /// After a lost answer, all further appends are refused.
   bool refuses_after_loss = false;
   int appends = 0;
+  /// Appends to this topic get no answer and do nothing.
+  std::optional<Topic> unanswered;
 
  private:
   boost::asio::awaitable<void> Wait(Duration span);
--- /dev/null
+++ b/tests/job_entry/vm_driver_test.cc
@@ -0,0 +1,107 @@
+#include "job_entry/vm_driver.h"
+
+#include <functional>
+
+#include <gtest/gtest.h>
+
+#include "tests/job_entry/fake_fleet.h"
+#include "tests/jobs/scheduler_world.h"
+
+namespace chervilspar::job_entry {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// One driver with its own scheduler, which is told of endpoints by hand. A wave names all VMs.
+class DriverWorld {
+ public:
+  explicit DriverWorld(int count) : fleet(this->io, 0) {
+    std::string names;
+    for (int i = 0; i < count; ++i) {
+      const std::string number = std::to_string(i);
+      jobs::VmRecord vm;
+      vm.id = VmId{"m" + number};
+      vm.pool = ServiceId{"desk"};
+      vm.phase = jobs::VmPhase::kUp;
+      vm.endpoint = "i" + number;
+      vm.capacity = {8000, 8000, 0};
+      this->fleet.vms.vms.push_back(vm);
+      names += (names.empty() ? "" : ",") + vm.id.text;
+    }
+    this->fleet.store.At(Topic::kOperators, 0).records.push_back({"wave", names});
+    this->fleet.store.At(Topic::kOwners, 0)
+        .records.push_back({kOwnerKey, EncodeClaim({"a", "a", {"127.0.0.1", 1}})});
+    this->Register();
+  }
+  ~DriverWorld() {
+    this->driver.Stop();
+    this->io.run_for(milliseconds(200));
+  }
+  DriverWorld(const DriverWorld&) = delete;
+  DriverWorld& operator=(const DriverWorld&) = delete;
+
+  /// The endpoints that the list of VMs names, and no others, are registered.
+  void Register() {
+    std::vector<jobs::EndpointRecord> records;
+    for (const jobs::VmRecord& vm : this->fleet.vms.vms) {
+      records.push_back(jobs::SchedulerWorld::Endpoint(vm.endpoint));
+    }
+    this->world.Register(records);
+  }
+
+  void Start() {
+    this->entry.operators.Start();
+    this->entry.directory.Start();
+    this->RunUntil(std::chrono::seconds(2),
+                   [this] { return this->entry.operators.Policy() != nullptr; });
+    Spawn(this->entry.context, [](DriverWorld& self) -> asio::awaitable<void> {
+      co_await self.driver.Run(self.entry.context.Now(), self.owner);
+    }(*this));
+  }
+
+  void RunUntil(Duration longest, const std::function<bool()>& is_over) {
+    const TimePoint end = this->entry.context.Now() + longest;
+    while (this->entry.context.Now() < end && !is_over()) {
+      this->io.run_for(milliseconds(10));
+    }
+  }
+
+  /// What operators read of the wave; empty before they are told.
+  std::string Told() {
+    const std::vector<KeyedRecord>& told = this->fleet.store.At(Topic::kStatus, 0).records;
+    return told.empty() ? "" : told.back().value.value_or("");
+  }
+
+  asio::io_context io;
+  FakeFleet fleet;
+  FakeEntry entry{this->io, this->fleet.store, this->fleet.endpoints, this->fleet.vms, "a"};
+  jobs::SchedulerWorld world;
+  std::shared_ptr<int> owner = std::make_shared<int>(0);
+  VmDriver driver{this->entry.context,
+                  this->entry.operators,
+                  this->entry.directory,
+                  this->world.scheduler,
+                  "a",
+                  1};
+};
+
+/// Guards against a wave that operators read as complete although a VM's reboot was refused.
+TEST(VmDriver, ARefusedRebootIsNoReboot) {
+  DriverWorld world(2);
+  world.fleet.vms.refused = {VmId{"m1"}};
+  world.Start();
+  const auto is_tried = [&] { return world.fleet.vms.tokens.size() >= 2; };
+  world.RunUntil(std::chrono::seconds(3), is_tried);
+  ASSERT_TRUE(is_tried());
+  world.io.run_for(milliseconds(500));
+  EXPECT_EQ(world.Told(), "running");
+  EXPECT_EQ(world.fleet.vms.reboots[VmId{"m0"}], 1);
+  world.fleet.vms.refused.clear();
+  world.RunUntil(std::chrono::seconds(5), [&] { return world.Told() == "complete"; });
+  EXPECT_EQ(world.Told(), "complete");
+  EXPECT_EQ(world.fleet.vms.reboots[VmId{"m1"}], 1);
+}
+
+}  // namespace
+}  // namespace chervilspar::job_entry
--- a/tests/jobs/upkeep_test.cc
+++ b/tests/jobs/upkeep_test.cc
@@ -108,6 +108,13 @@
                      }
                    },
                    0, 0, false},
+        UpkeepCase{"refused",
+                   [](UpkeepWorld& world) {
+                     for (const VmRecord& vm : world.vms) {
+                       world.absent.refused.insert(vm.id);
+                     }
+                   },
+                   0, 0, false},
         UpkeepCase{"all_begun",
                    [](UpkeepWorld& world) {
                      for (const VmRecord& vm : world.vms) {
