Jobs: Order a filler's pace until the endpoint has taken it, and anew after a takeover

Cause: a filler counted as slowed down once the order for its pace was sent; the answer was only counted in a metric. When the order that halts it was lost, none followed, as no pace is slower, and it went on disturbing the serving task beside it while that was over its target. In the same way a lost order for full speed left it slow for good. A successor took every filler for working at full speed, and one that its predecessor had halted stayed halted.

Change: an order that wasn't done, and a takeover, leave the pace unknown. An unknown pace is ordered with the next look that asks for another; while the serving tasks are neither near their targets nor far below, it is right as it is.

Ruled out: ordering a successor's pace at once, whatever the figures say; it would bring a filler to full speed that its predecessor has just found the right pace for.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -141,6 +141,7 @@
   void OnHoldFailed(const std::string& endpoint, OrderOutcome outcome, TimePoint now);
   void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
+  void OnPaceAnswered(const PaceOrder& order, OrderOutcome outcome);
   void OnAdvice(const TaskKey& step, const std::vector<AdviceTicket>& tickets, TimePoint now);
 
   /// Until this time there was certainly no successor. Leases are renewed for
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -85,6 +85,9 @@
     const OrderOutcome outcome = co_await this->context.links.endpoints->Pace(order, kOrderTimeout);
     this->context.metrics.Count(
         {"chervilspar_paces_total", {{"outcome", jobs::ToString(outcome)}}});
+    if (!this->is_stopped) {
+      this->scheduler.OnPaceAnswered(order, outcome);
+    }
   }
 
   asio::awaitable<void> HoldLoop([[maybe_unused]] std::shared_ptr<Channel> self) {
--- a/src/jobs/pacing.cc
+++ b/src/jobs/pacing.cc
@@ -39,14 +39,16 @@
   } else if (load < kFarEnough) {
     endpoint.pace = std::min(endpoint.pace + kStepUp, kFullPace);
   }
-  this->Order(endpoint);
+  this->Order(endpoint, load >= kFarEnough && load <= kTooNear);
 }
 
-void Pacing::Order(EndpointState& endpoint) {
+void Pacing::Order(EndpointState& endpoint, bool is_load_right) {
   for (const TaskKey& key : endpoint.claims) {
     const TaskRef ref = this->state.Find(key);
     Task& task = *ref.task;
-    if (!ref.spec->is_filler || task.state != RunState::kActive || task.pace == endpoint.pace) {
+    // Where the load is right, so is a pace that isn't known.
+    const bool is_paced = task.pace ? *task.pace == endpoint.pace : is_load_right;
+    if (!ref.spec->is_filler || task.state != RunState::kActive || is_paced) {
       continue;
     }
     task.pace = endpoint.pace;
@@ -55,4 +57,17 @@
   }
 }
 
+/// What can go wrong: the order that halts a filler is lost, no other follows as none is slower,
+/// and the filler disturbs its neighbour for as long as both run.
+void Pacing::OnAnswered(const PaceOrder& order, OrderOutcome outcome) {
+  this->state.is_superseded = this->state.is_superseded || outcome == OrderOutcome::kTokenTooLow;
+  const TaskRef ref = this->state.Find(order.task);
+  const bool is_newest = ref && ref.task->endpoint != nullptr &&
+                         ref.task->endpoint->record.id == order.endpoint &&
+                         ref.task->progress.run == order.run && ref.task->pace == order.percent;
+  if (is_newest && outcome != OrderOutcome::kDone) {
+    ref.task->pace.reset();
+  }
+}
+
 }  // namespace chervilspar::jobs
--- a/src/jobs/pacing.h
+++ b/src/jobs/pacing.h
@@ -16,10 +16,14 @@
 
   /// Looks at the newest figures of an endpoint and orders another pace where needed.
   void Review(EndpointState& endpoint);
+  /// An order that may not have been carried out is given again with the next look that asks for
+  /// it.
+  void OnAnswered(const PaceOrder& order, OrderOutcome outcome);
 
  private:
   double WorstLoad(const EndpointState& endpoint) const;
-  void Order(EndpointState& endpoint);
+  /// `is_load_right`: the serving tasks are neither too near their targets nor far below.
+  void Order(EndpointState& endpoint, bool is_load_right);
 
   SchedulerState& state;
 };
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -249,6 +249,10 @@
   this->impl->tracker.OnStopAnswered(order, outcome, now);
 }
 
+void Scheduler::OnPaceAnswered(const PaceOrder& order, OrderOutcome outcome) {
+  this->impl->pacing.OnAnswered(order, outcome);
+}
+
 void Scheduler::Impl::CreateDueOccurrences(std::int64_t now_ms) {
   for (auto place = this->state.scheduled.begin(); place != this->state.scheduled.end();) {
     JobState* job = this->state.FindJob(*place);
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -211,6 +211,7 @@
   task.endpoint = &endpoint;
   task.since = this->began;
   task.percent_since = this->began;
+  task.pace.reset();
   task.start_expires = this->began + this->options.predecessor_grace;
   // No start is repeated for a predecessor; what doesn't show up is stopped.
   task.start_tries = this->options.start_tries;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -50,7 +50,8 @@
   int percent = 0;
   TimePoint percent_since{};
   std::int64_t gauge = 0;
-  int pace = 100;
+  /// As ordered last; nothing when it isn't known what came of that.
+  std::optional<int> pace = 100;
   TimePoint not_before{};
   int restarts = 0;
   /// Passed over in the next placement, as the last run failed there.
