Jobs: Count the whole work of tasks whose run no endpoint has shown

Cause: for the size of pools, each task with a claim counted as running and half done, also one whose order was still being stored, under way, or never answered. Where orders come to nothing, as when endpoints go or an owner has just taken over, a pool looked as if it had half of that work behind it.

Change: such tasks count with their whole estimate. What they take at once and what waits is as before.

--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -25,17 +25,26 @@
   return chains;
 }
 
-/// Tasks of one step that wait and that run.
+/// Tasks of one step.
 struct StepCount {
   double waiting = 0;
-  double running = 0;
+  /// With a claim on an endpoint.
+  double claimed = 0;
+  /// Of `claimed`, the ones whose endpoint has not shown their run.
+  double unconfirmed = 0;
 };
 
+bool IsUnconfirmed(const Task& task) {
+  return task.state == RunState::kRecording || task.state == RunState::kStarting ||
+         task.state == RunState::kUnsure;
+}
+
 StepCount CountTasks(const StepState& state) {
   StepCount count;
   for (const Task& task : state.tasks) {
     count.waiting += task.IsWaiting() ? 1 : 0;
-    count.running += task.state != RunState::kNone ? 1 : 0;
+    count.claimed += task.state != RunState::kNone ? 1 : 0;
+    count.unconfirmed += IsUnconfirmed(task) ? 1 : 0;
   }
   return count;
 }
@@ -46,10 +55,11 @@
   if (count.waiting > 0) {
     load.waiting.push_back({slack_ms, count.waiting * amount * estimate_ms});
   }
-  const double running = count.running * amount * estimate_ms * kLeftOfRunning;
+  const double left = count.unconfirmed + (count.claimed - count.unconfirmed) * kLeftOfRunning;
+  const double running = left * amount * estimate_ms;
   load.running += running;
   load.running_late += is_late ? running : 0;
-  load.at_once += (count.running + (is_open ? count.waiting : 0)) * amount;
+  load.at_once += (count.claimed + (is_open ? count.waiting : 0)) * amount;
 }
 
 /// Some task of it has had a claim on an endpoint.
