Cli: Say of a job that waited and then started that it was started

Cause: `explain-job` gave the reason for which a job had waited as the present one, also when a later line says that it was started.

Evidence: the case late_then_started fails before this commit ("It has not ended; its team runs as much as it may") and passes with it; started_then_waiting keeps the other order as it was.

Change: of the two lines the later one is the conclusion; the wait is named beside it.

--- a/src/cli/explain_job_command.cc
+++ b/src/cli/explain_job_command.cc
@@ -76,11 +76,14 @@
     why += waited != nullptr ? "; it waited: " + waited->message : "";
     return "It came to its end: " + ended->message + why + ".";
   }
-  if (const Trace* waits = last("job_waits")) {
+  const Trace* const waits = last("job_waits");
+  const Trace* const started = last("job_started");
+  if (waits != nullptr && (started == nullptr || *started < *waits)) {
     return "It has not ended; " + waits->message + ".";
   }
-  if (last("job_started") != nullptr) {
-    return "It was started and has not ended in these logs.";
+  if (started != nullptr) {
+    return "It was started and has not ended in these logs" +
+           (waits != nullptr ? "; it waited: " + waits->message : "") + ".";
   }
   if (last("job_accepted") != nullptr) {
     return "It was stored and has not been started in these logs; see who scheduled then "
