JobEntry: Take a wave for complete once operators have been told so

Cause: that a wave is complete was noted before the status was written, and taken back when that failed. In between, the progress of waves may be stored, as the store answers slowly just then. When the owner ends before the status is written, its successor reads that the wave is complete and never tells operators.

Evidence: VmDriver.AnEndThatIsNotToldIsNotStored fails before this commit and passes with it.

Change: the note is made when the status is stored.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -204,10 +204,9 @@
   }
   const jobs::UpkeepStep step = jobs::UpkeepPlanner::Plan(wave, state.progress, this->vms, absent,
                                                           this->evacuating, this->Loads());
-  state.progress.is_complete = step.is_complete;
   this->scheduler.SetDue(step.due);
   if (!state.is_announced || step.is_complete) {
-    co_await this->Tell(wave, state);
+    co_await this->Tell(wave, state, step.is_complete);
   }
   for (const jobs::VmRecord& vm : this->vms) {
     const bool is_chosen =
@@ -289,20 +288,22 @@
   return loads;
 }
 
-asio::awaitable<void> VmDriver::Tell(const jobs::Wave& wave, WaveState& state) {
+/// What can go wrong: that a wave is complete is stored before operators are told, this entry ends,
+/// and its successor takes the wave for done with. So it counts as complete once that is told.
+asio::awaitable<void> VmDriver::Tell(const jobs::Wave& wave, WaveState& state, bool is_complete) {
   std::vector<KeyedRecord> records;
-  records.push_back(this->context.links.records->WriteWaveStatus(wave, state.progress.is_complete));
+  records.push_back(this->context.links.records->WriteWaveStatus(wave, is_complete));
   const AppendOutcome outcome = co_await this->context.links.store->Append(
       Topic::kStatus, 0, std::move(records), std::nullopt, kStatusTimeout);
   const bool is_told = outcome.kind == AppendOutcome::Kind::kStored;
-  state.is_announced = state.is_announced || is_told;
   if (!is_told) {
-    state.progress.is_complete = false;  // told again with the next round
-    co_return;
+    co_return;  // told again with the next round
   }
+  state.is_announced = true;
+  state.progress.is_complete = is_complete;
   this->changed.insert(wave.number);
   LogEvent(telemetry::LogLevel::kInfo, "wave_told",
-           state.progress.is_complete ? "all VMs are done" : "is under way",
+           is_complete ? "all VMs are done" : "is under way",
            {{"wave", std::to_string(wave.number)}});
 }
 
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -58,7 +58,7 @@
   boost::asio::awaitable<bool> IsStillOwner();
   boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order);
   boost::asio::awaitable<void> Reboot(std::uint64_t wave, VmId vm);
-  boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state);
+  boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state, bool is_complete);
   void Resize(bool may_order);
   boost::asio::awaitable<void> Move(VmId vm, ServiceId pool);
   /// Has an order carried out after those before it.
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -103,5 +103,22 @@
   EXPECT_EQ(world.fleet.vms.reboots[VmId{"m1"}], 1);
 }
 
+/// Guards against a successor that never tells operators of a wave's end, as its predecessor had
+/// stored that it was told before it was.
+TEST(VmDriver, AnEndThatIsNotToldIsNotStored) {
+  DriverWorld world(1);
+  world.entry.store->unanswered = Topic::kStatus;
+  world.Start();
+  world.RunUntil(std::chrono::seconds(3), [&] { return !world.fleet.vms.reboots.empty(); });
+  ASSERT_FALSE(world.fleet.vms.reboots.empty());
+  world.io.run_for(milliseconds(400));
+  const std::vector<KeyedRecord> records = world.driver.TakeRecords();
+  ASSERT_EQ(records.size(), 1U);
+  const Result<jobs::WaveProgress> stored = jobs::DecodeWaveProgress(*records[0].value);
+  ASSERT_TRUE(stored);
+  EXPECT_EQ(stored->rebooted.size(), 1U);
+  EXPECT_FALSE(stored->is_complete);
+}
+
 }  // namespace
 }  // namespace chervilspar::job_entry
