JobEntry: Keep a VM that is being emptied empty when its endpoint is another

Cause: the order to empty a VM was given once, to the endpoint that it had at that time. When the endpoint started anew under another id, or its registration lapsed and came back, the scheduler gave it work, while the VM still counted as one that is being emptied: it was never empty, and its wave or its pool waited for it.

Evidence: 2 of the 3 cases of VmBeingEmptied (lapsed_and_back, another) fail before this commit, all pass with it.

Change: each round says again of each such VM which endpoint is to be emptied. Until the next round and the next list of VMs, at most some 1.2 s, a new endpoint may still get work; the VM isn't empty then and isn't sent down.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -107,6 +107,7 @@
   }
   // The predecessor may just have given an order for the same VM.
   const bool may_order = this->listed > first_order;
+  this->KeepEmptying();
   const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
   for (const auto& [number, wave] : known) {
     if (!this->is_stopped && !this->waves[number].progress.is_complete) {
@@ -187,6 +188,17 @@
            {{"vm", vm.id.text}, {"endpoint", vm.endpoint}});
 }
 
+/// What can go wrong: the endpoint of a VM that is being emptied starts anew under another id, or
+/// its registration lapses and returns. The scheduler knows it as one like any other and gives it
+/// work, and the VM never becomes empty.
+void VmDriver::KeepEmptying() {
+  for (const jobs::VmRecord& vm : this->vms) {
+    if (this->evacuating.contains(vm.id) || this->released.contains(vm.id)) {
+      this->scheduler.BeginEvacuation(vm.endpoint);
+    }
+  }
+}
+
 asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order) {
   WaveState& state = this->waves[wave.number];
   state.progress.number = wave.number;
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -70,6 +70,7 @@
   /// The VM is up again; its endpoint is expected to register.
   void NoteUp(const jobs::VmRecord& vm);
   bool IsRegistering(const jobs::VmRecord& vm) const;
+  void KeepEmptying();
   void Evacuate(const jobs::VmRecord& vm, const char* why);
   void LogSizes(const std::vector<jobs::SizerVm>& sized, const ServiceId& standby);
   /// Parts of a pool's cpu and memory in use, as "34%/20%".
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -120,5 +120,42 @@
   EXPECT_FALSE(stored->is_complete);
 }
 
+/// How the endpoint of a VM that is being emptied comes to be another than it was.
+struct RegistrationCase {
+  const char* name;
+  std::function<void(DriverWorld&)> change;
+};
+
+/// Guards against giving work to a VM that is being emptied, as only its former endpoint was told.
+class VmBeingEmptied : public ::testing::TestWithParam<RegistrationCase> {};
+
+TEST_P(VmBeingEmptied, GetsNoWork) {
+  DriverWorld world(1);
+  world.fleet.vms.is_busy = true;
+  world.Start();
+  world.RunUntil(std::chrono::seconds(3), [&] { return !world.fleet.vms.tokens.empty(); });
+  ASSERT_FALSE(world.fleet.vms.tokens.empty());
+  GetParam().change(world);
+  world.io.run_for(milliseconds(500));
+  world.world.scheduler.AddJob(
+      jobs::SchedulerWorld::MakeJob(1, {jobs::SchedulerWorld::MakeStep(1)}), WallTime{});
+  EXPECT_TRUE(world.world.Round().starts.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Registrations, VmBeingEmptied,
+                         ::testing::Values(RegistrationCase{"unchanged", [](DriverWorld&) {}},
+                                           RegistrationCase{"lapsed_and_back",
+                                                            [](DriverWorld& world) {
+                                                              world.world.Register({});
+                                                              world.Register();
+                                                            }},
+                                           RegistrationCase{"another",
+                                                            [](DriverWorld& world) {
+                                                              world.fleet.vms.vms[0].endpoint =
+                                                                  "j0";
+                                                              world.Register();
+                                                            }}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace chervilspar::job_entry
