Jobs: Settle a start without answer in the new life of its endpoint, also when it is stopped

Cause: when an endpoint starts anew, a start that got no answer may still arrive there, and only a stop in that life holds it back. That was minded for runs that were starting, not for those that were being stopped because nothing had been heard of them: a stop that was ordered, or answered by the former life, was taken for one that settles it. The claim was given up and the task started elsewhere, beside a run that may yet begin.

Evidence: the table OpenStarts, 2 of 4 cases (unanswered_and_being_stopped, unanswered_and_its_stop_answered) failing before this commit, all passing with it.

Change: a run that no endpoint has shown is stopped once more in the new life, and its claim stays until that is answered. Whether a predecessor placed a run is kept by itself, as a stop that is about to be sent looked like it.

--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -52,7 +52,7 @@
     orders.starts.push_back(this->StartOf(ref));
     return;
   }
-  if (!task.IsAdopted()) {
+  if (!task.is_adopted) {
     this->state.BeginStop(ref, this->now);
     this->state.BreakGang(ref, this->now);
     this->GatherStop(ref, orders);
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -165,6 +165,7 @@
     return;
   }
   Task& task = *ref.task;
+  task.is_shown = true;
   if (task.state == RunState::kStarting || task.state == RunState::kUnsure) {
     task.state = RunState::kActive;
     task.since = now;
@@ -205,7 +206,7 @@
     const bool is_past = (task.state == RunState::kUnsure || task.state == RunState::kStopping) &&
                          task.start_expires < sent;
     // This answer knows our token, so that a predecessor's order can't be carried out any more.
-    const bool is_fenced_off = task.state == RunState::kUnsure && task.IsAdopted();
+    const bool is_fenced_off = task.state == RunState::kUnsure && task.is_adopted;
     if (was_confirmed || is_settled || is_past || is_fenced_off) {
       this->state.Tell({"run_absent",
                         key,
@@ -260,11 +261,13 @@
     }
     given_up.push_back(ref);
     const bool may_arrive =
-        !task.IsAdopted() && (task.state == RunState::kStarting || task.state == RunState::kUnsure);
+        !task.is_adopted && !task.is_shown && task.state != RunState::kRecording;
     if (may_arrive) {
       // The start has no answer yet. Its time limit is on the former life's clock and doesn't hold
-      // it back in this one; only a stop does.
+      // it back in this one, nor does a stop there; only a stop here does.
       this->state.BeginStop(ref, now);
+      task.ordered = TimePoint{};
+      task.stop_answered.reset();
       continue;
     }
     this->state.Tell({"run_lost", key, {}, endpoint.record.id, "the endpoint started anew"});
@@ -322,6 +325,7 @@
     case OrderOutcome::kDone:
       this->state.NoteBegun(ref, *endpoint, now);
       task.state = RunState::kActive;
+      task.is_shown = true;
       task.since = now;
       task.percent_since = now;
       return;
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -194,6 +194,8 @@
   task.percent_since = now;
   task.pace = 100;
   task.ordered = now;
+  task.is_adopted = false;
+  task.is_shown = false;
   task.start_tries = 0;
   task.stop_answered.reset();
   this->CountUse(ref, endpoint, true);
@@ -207,6 +209,7 @@
   // predecessor heard of it; a look settles it.
   endpoint.born_ms = std::max(endpoint.born_ms, task.progress.endpoint_born_ms);
   task.state = RunState::kUnsure;
+  task.is_adopted = true;
   this->unsettled.insert(ref.key);
   task.endpoint = &endpoint;
   task.since = this->began;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -45,6 +45,10 @@
   /// The same on the endpoint's clock.
   std::int64_t lease_end_ms = 0;
   int start_tries = 0;
+  /// Placed by a predecessor.
+  bool is_adopted = false;
+  /// The endpoint has shown this run, so that no start of it is under way any more.
+  bool is_shown = false;
   /// When the endpoint answered a stop of this run.
   std::optional<TimePoint> stop_answered;
   int percent = 0;
@@ -60,8 +64,6 @@
   /// It should leave its endpoint, and no other has room for it.
   bool lacks_place = false;
 
-  /// Placed by a predecessor; nothing was ordered for it since.
-  bool IsAdopted() const { return this->ordered == TimePoint{}; }
   bool IsWaiting() const {
     return this->state == RunState::kNone && this->progress.phase == TaskPhase::kWaiting;
   }
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -142,6 +142,67 @@
   EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
 }
 
+/// What became of the orders to start and to stop a run before its endpoint started anew.
+struct OpenStartCase {
+  const char* name;
+  std::function<void(World&, const StartOrder&)> happen;
+};
+
+/// Guards against starting a task elsewhere while its first start, which got no answer, may still
+/// arrive at the new life of its endpoint: a stop that the former life took doesn't hold it back.
+class OpenStarts : public ::testing::TestWithParam<OpenStartCase> {};
+
+TEST_P(OpenStarts, AreSettledInTheNewLife) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  const StartOrder start = world.Round().starts.at(0);
+  GetParam().happen(world, start);
+  world.scheduler.SetEndpoints({World::Endpoint("a"), World::Endpoint("b")}, world.now);
+  world.Hold("b", {}, {});
+  world.Hold("a", {}, {}, 2);
+  const Orders orders = world.Round();
+  EXPECT_TRUE(orders.starts.empty());
+  ASSERT_EQ(orders.stops.size(), 1U);
+  world.scheduler.OnStopAnswered(orders.stops[0], OrderOutcome::kDone, world.now);
+  world.Pass(milliseconds(1));
+  world.Hold("a", {}, {}, 2);
+  EXPECT_EQ(world.Round().starts.size(), 1U);
+}
+
+/// Both tries get no answer, so that the run is stopped.
+std::vector<StopOrder> LoseAnswers(World& world, const StartOrder& start) {
+  std::vector<StopOrder> stops;
+  for (int i = 0; i < 3 && stops.empty(); ++i) {
+    world.scheduler.OnStartAnswered(start, OrderOutcome::kNoAnswer, world.now);
+    world.Pass(world.options.start_retry);
+    stops = world.Round().stops;
+  }
+  return stops;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    RunRaces, OpenStarts,
+    ::testing::Values(OpenStartCase{"under_way", [](World&, const StartOrder&) {}},
+                      OpenStartCase{"unanswered",
+                                    [](World& world, const StartOrder& start) {
+                                      world.scheduler.OnStartAnswered(
+                                          start, OrderOutcome::kNoAnswer, world.now);
+                                    }},
+                      OpenStartCase{"unanswered_and_being_stopped",
+                                    [](World& world, const StartOrder& start) {
+                                      ASSERT_EQ(LoseAnswers(world, start).size(), 1U);
+                                    }},
+                      OpenStartCase{"unanswered_and_its_stop_answered",
+                                    [](World& world, const StartOrder& start) {
+                                      const std::vector<StopOrder> stops =
+                                          LoseAnswers(world, start);
+                                      ASSERT_EQ(stops.size(), 1U);
+                                      world.scheduler.OnStopAnswered(stops[0], OrderOutcome::kDone,
+                                                                     world.now);
+                                    }}),
+    [](const auto& info) { return info.param.name; });
+
 /// An endpoint starts anew and numbers its ends from 1 again. A confirmation of its former life's
 /// ends would make the new life forget ends that nobody has heard of, and finished tasks would run
 /// again. So ends are confirmed once, and only right after the endpoint has told them.
