Jobs: Reckon an endpoint's clock from an old reading as slow as it may be

Cause: an endpoint without work isn't asked for its clock, and a lease there was reckoned as if its clock had run with ours since it was last read. By its contract it may be 2% slower. After a minute without work the first lease lasted 0.9 s longer than the time after which we take the run as dead; if the endpoint was cut off right then, the task was started elsewhere beside it.

Evidence: GetsLeasesThatEndInTime for 20, 40 and 59 s without work fails before this commit (leases of 4.49, 4.90 and 5.28 s where 4.38 s is the longest), 0, 1 and 10 s pass; all pass with it. TellTheirClocksOnceAMinute fails before and passes with it.

Change: leases are reckoned from the least that the clock may show, so that they end early rather than late; the first renewal, right after the start, makes up for it. A registered endpoint is asked for its clock when the last reading is a minute old.

Ruled out: a longer time until a run is taken as dead, as every lost endpoint would hold up its tasks for it.

--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -211,7 +211,9 @@
   Task& task = *ref.task;
   const auto lease =
       std::chrono::duration_cast<std::chrono::milliseconds>(this->state.options.lease);
-  task.lease_end_ms = endpoint->ClockAt(this->now) + lease.count();
+  task.lease_end_ms =
+      endpoint->EarliestClockAt(this->now, this->state.options.endpoint_clock_slowness) +
+      lease.count();
   task.start_expires = this->now + this->state.options.LongestLease();
   endpoint->lease_end = std::max(endpoint->lease_end, task.start_expires);
   const auto ticket = ref.step->advice.ticket_of_endpoint.find(endpoint->record.id);
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -15,6 +15,9 @@
 /// Between two looks at all endpoints for lapsed leases and tasks that are to move; both are about
 /// seconds, and a round comes every few milliseconds.
 constexpr Duration kReviewPace = std::chrono::milliseconds(20);
+/// An endpoint without work is asked for its clock again after this: with each second the first
+/// lease there gets 20 ms shorter, and each look is priced.
+constexpr Duration kClockKept = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -333,14 +336,17 @@
       has_to_confirm && !endpoint->is_silent ? endpoint->stored_end : std::uint64_t{0};
   const bool has_claims = !endpoint->claims.empty();
   const bool is_known = endpoint->clock_ms.has_value();
-  plan.is_needed = has_claims || !endpoint->strays.empty() ||
-                   (endpoint->is_registered && (!is_known || endpoint->is_silent)) ||
-                   endpoint->confirmed_end < endpoint->seen_end;
+  const bool is_clock_old = is_known && now - endpoint->clock_at > kClockKept;
+  plan.is_needed =
+      has_claims || !endpoint->strays.empty() ||
+      (endpoint->is_registered && (!is_known || is_clock_old || endpoint->is_silent)) ||
+      endpoint->confirmed_end < endpoint->seen_end;
   const bool is_heard = is_known && now - endpoint->heard < state.options.silence;
   if (this->MayRenew(now) && has_claims && is_known && (is_heard || !endpoint->is_silent)) {
     const Duration lease = state.options.lease;
-    plan.order.lease_end_ms = endpoint->ClockAt(now) +
-                              std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
+    plan.order.lease_end_ms =
+        endpoint->EarliestClockAt(now, state.options.endpoint_clock_slowness) +
+        MillisecondsOf(lease);
     endpoint->lease_end = std::max(endpoint->lease_end, now + state.options.LongestLease());
   }
   const bool may_wait =
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -63,9 +63,10 @@
   return this->has_begun ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
-std::int64_t EndpointState::ClockAt(TimePoint now) const {
-  const Duration passed = now - this->clock_at;
-  return *this->clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(passed).count();
+std::int64_t EndpointState::EarliestClockAt(TimePoint now, double slowness) const {
+  const auto passed =
+      std::chrono::duration_cast<Duration>((now - this->clock_at) * (1.0 - slowness));
+  return *this->clock_ms + MillisecondsOf(passed);
 }
 
 SchedulerState::SchedulerState(const SchedulerOptions& options, std::uint64_t token,
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -179,7 +179,9 @@
 
   Resources Room() const { return this->record.capacity - this->used - this->kept; }
   bool IsLeaving() const { return this->is_evacuating || this->record.is_draining; }
-  std::int64_t ClockAt(TimePoint now) const;
+  /// The least that its clock may show, if it is by `slowness` slower than ours since it was read.
+  /// A lease that is reckoned from it ends early rather than late.
+  std::int64_t EarliestClockAt(TimePoint now, double slowness) const;
 };
 
 /// Room that is kept for one task.
