--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -65,9 +65,10 @@
   return this->has_begun ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
-std::int64_t EndpointState::ClockAt(TimePoint now) const {
-  const Duration passed = now - this->clock_at;
-  return *this->clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(passed).count();
+std::int64_t EndpointState::EarliestClockAt(TimePoint now, double slowness) const {
+  const auto passed =
+      std::chrono::duration_cast<Duration>((now - this->clock_at) * (1.0 - slowness));
+  return *this->clock_ms + MillisecondsOf(passed);
 }
 
 SchedulerState::SchedulerState(const SchedulerOptions& options, std::uint64_t token,
@@ -196,6 +197,8 @@
   task.percent_since = now;
   task.pace = 100;
   task.ordered = now;
+  task.is_adopted = false;
+  task.is_shown = false;
   task.start_tries = 0;
   task.stop_answered.reset();
   this->CountUse(ref, endpoint, true);
@@ -209,10 +212,12 @@
   // predecessor heard of it; a look settles it.
   endpoint.born_ms = std::max(endpoint.born_ms, task.progress.endpoint_born_ms);
   task.state = RunState::kUnsure;
+  task.is_adopted = true;
   this->unsettled.insert(ref.key);
   task.endpoint = &endpoint;
   task.since = this->began;
   task.percent_since = this->began;
+  task.pace.reset();
   task.start_expires = this->began + this->options.predecessor_grace;
   // No start is repeated for a predecessor; what doesn't show up is stopped.
   task.start_tries = this->options.start_tries;
@@ -238,6 +243,19 @@
   this->RefreshReady(*ref.job);
 }
 
+/// What can go wrong: a member was ordered and never came, or is lost, and the others hold their
+/// room and wait for it until their endpoints end them.
+void SchedulerState::BreakGang(const TaskRef& ref, TimePoint now) {
+  if (!ref.spec->is_gang) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < ref.step->tasks.size(); ++i) {
+    TaskKey key = ref.key;
+    key.index = i;
+    this->BeginStop(this->Find(key), now);
+  }
+}
+
 void SchedulerState::BeginStop(const TaskRef& ref, TimePoint now) {
   Task& task = *ref.task;
   if (task.state == RunState::kRecording) {
