Jobs: Store progress in a compact form where the settings ask for it

Cause: each of a job's records told every task in a row of ten columns: 24 bytes for one that is done, 46 for one that is placed, of which the endpoint's name and birth were 26, the same for all tasks there. On links of 2 Mbit/s this was 54 KB a second of the owner's 279, the largest kind of message after carried orders.

Change: a second form, still JSON. Each endpoint and its birth once, births as differences; tasks of a step that differ only in index, endpoint and checkpoint as one group with a set of bits; places at the end left out at their default. Nothing more is written than before. Jobs that have ended keep their form.

What a successor needs of a done task is its phase alone (an end told again is dropped by it before runs are compared), but `run` costs nothing at its usual value, so that both forms hold the same, and the round trip is the identity.

Versions side by side: the older reader needs all ten columns of a row with their types, so that no form that it reads correctly is much shorter than today's. It can't be made to refuse the take-over by a record. An owner that is to store rows writes compact records anew as soon as it has read them; the other way round nothing is rewritten, as that would be a write for each job at the take-over.

Ruled out: a token raised by the form's version, which the store and the endpoints would use to fence older owners: older entries would go on claiming in vain, nothing would be scheduled while one of them is chosen, and there would be no way back. A form chosen by the list of members: entries that stand back for a larger one are not in it. Thrift's compact protocol: not needed, names and births are what was long, and it can't name a field.

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -9,6 +9,7 @@
 #include "chervilspar/base/socket_address.h"
 #include "chervilspar/base/time.h"
 #include "chervilspar/job_entry/decision_options.h"
+#include "chervilspar/jobs/progress.h"
 #include "chervilspar/telemetry/logger.h"
 
 namespace chervilspar::job_entry {
@@ -35,6 +36,7 @@
   std::string drain_time;
   std::string cores;
   std::string link_rate;
+  std::string progress_form;
   std::vector<std::string> seed_peers;
   std::string decisions;
   std::string log_level;
@@ -84,6 +86,8 @@
   double cores = 1.0;
   /// Megabits a second of this VM's link.
   double link_rate = 1000;
+  /// Compact only where no entry of a version that reads rows only can become the owner.
+  jobs::ProgressForm progress_form = jobs::ProgressForm::kRows;
   /// Where some other entries answer entries; they may be down or gone.
   std::vector<SocketAddress> seed_peers;
   DecisionOptions decisions;
--- a/include/chervilspar/jobs/progress.h
+++ b/include/chervilspar/jobs/progress.h
@@ -68,6 +68,7 @@
   std::int64_t ended_ms = 0;
   /// Occurrences that are complete; they need no rows.
   std::vector<std::uint32_t> complete_occurrences;
+  /// In the order of occurrence, step and index.
   std::vector<TaskRow> rows;
 
   bool IsEnded() const;
@@ -75,7 +76,18 @@
   friend bool operator==(const JobProgress&, const JobProgress&) = default;
 };
 
-std::string EncodeProgress(const JobProgress& progress);
+/// How the progress of a job that goes on is stored. Both forms are read.
+enum class ProgressForm {
+  /// One list for each task. Versions that don't know the other form read only this one.
+  kRows,
+  /// Tasks that differ only in index and endpoint together: a fifth to a third of the bytes.
+  kCompact,
+};
+
+std::string EncodeProgress(const JobProgress& progress, ProgressForm form);
+/// The reason names the first field that can't be read.
 Result<JobProgress> DecodeProgress(std::string_view text);
+/// Whether a record that can be read is in the compact form.
+bool IsCompactProgress(std::string_view text);
 
 }  // namespace chervilspar::jobs
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -134,6 +134,9 @@
   /// Stored progress of a job; only while the scheduler is being loaded, after all jobs. A job that
   /// has ended may be known by its progress alone.
   void RestoreProgress(const JobId& id, const JobProgress& progress);
+  /// The same from its record. One in the compact form is written anew with the next batch where
+  /// rows are to be stored.
+  Status RestoreStored(const JobId& id, std::string_view text);
   /// Cancels a job, also one that is yet to come.
   void CancelJob(const JobId& id);
   /// `sent`: when the hold was sent; what ended after that may be missing in it.
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chervilspar/base/time.h"
+#include "chervilspar/jobs/progress.h"
 
 namespace chervilspar::jobs {
 
@@ -53,6 +54,8 @@
   /// `OverloadPlan`.
   bool plans_overload = true;
 
+  ProgressForm progress_form = ProgressForm::kRows;
+
   /// By our clock, a lease that is given now has certainly lapsed after this.
   Duration LongestLease() const {
     const auto slowed =
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -66,6 +66,9 @@
   AddFlag(app, "--link-rate", raw.link_rate,
           "Megabits a second of this VM's link; with little, an owner reads its state in sequence "
           "and stays a member for longer [1000]");
+  AddFlag(
+      app, "--progress-form", raw.progress_form,
+      "How the progress of jobs is stored: rows, or compact once every entry reads that [rows]");
   AddListFlag(app, "--seed-peer", raw.seed_peers,
               "ip:port where another entry answers entries; writes for this one when the store "
               "turns it away [none]");
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -50,6 +50,7 @@
           [&context] {
             jobs::SchedulerOptions options = context.settings.decisions.scheduler;
             options.lease = std::min(options.lease, context.settings.lease_limit);
+            options.progress_form = context.settings.progress_form;
             return options;
           }(),
           token, this->began),
@@ -173,13 +174,11 @@
     if (!id || !record.value) {
       continue;
     }
-    const Result<jobs::JobProgress> progress = jobs::DecodeProgress(*record.value);
-    if (!progress) {
-      LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(progress.LastReason()),
+    const Status restored = this->scheduler.RestoreStored(*id, *record.value);
+    if (!restored) {
+      LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(restored.LastReason()),
                {}, record.key);
-      continue;
     }
-    this->scheduler.RestoreProgress(*id, *progress);
   }
 }
 
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -95,6 +95,18 @@
     return value == "true";
   }
 
+  jobs::ProgressForm Form(const char* flag, const std::string& value,
+                          jobs::ProgressForm otherwise) {
+    if (value.empty()) {
+      return otherwise;
+    }
+    if (value != "rows" && value != "compact") {
+      this->Add(flag, '"' + value + "\" should be rows or compact");
+      return otherwise;
+    }
+    return value == "rows" ? jobs::ProgressForm::kRows : jobs::ProgressForm::kCompact;
+  }
+
   telemetry::LogLevel Level(const char* flag, const std::string& value,
                             telemetry::LogLevel otherwise) {
     if (value.empty()) {
@@ -171,6 +183,7 @@
                                 "a number of cores from 0.01 to 1024");
   settings.link_rate = check.Number("--link-rate", raw.link_rate, settings.link_rate, kLeastRate,
                                     kMostRate, "a number of megabits a second from 0.1 to 100000");
+  settings.progress_form = check.Form("--progress-form", raw.progress_form, settings.progress_form);
   for (const std::string& peer : raw.seed_peers) {
     settings.seed_peers.push_back(check.Address("--seed-peer", peer));
   }
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -35,6 +35,23 @@
   return progress;
 }
 
+Status Scheduler::RestoreStored(const JobId& id, std::string_view text) {
+  const Result<JobProgress> progress = DecodeProgress(text);
+  if (!progress) {
+    return progress.LastReason();
+  }
+  this->RestoreProgress(id, *progress);
+  SchedulerState& state = this->impl->state;
+  JobState* job = state.FindJob(id);
+  // Versions that read rows only may return once all entries have stored rows.
+  if (job != nullptr && state.options.progress_form == ProgressForm::kRows &&
+      IsCompactProgress(text)) {
+    state.Tell({"progress_rewritten", {}, id, "", "was stored in the compact form"});
+    state.MarkDirty(*job);
+  }
+  return Done{};
+}
+
 bool Scheduler::HasBatch() const {
   const Impl& self = *this->impl;
   if (self.is_batch_out) {
@@ -61,7 +78,8 @@
       continue;
     }
     job->is_dirty = false;
-    batch.records.push_back({id, EncodeProgress(self.ProgressOf(*job))});
+    batch.records.push_back(
+        {id, EncodeProgress(self.ProgressOf(*job), self.state.options.progress_form)});
     self.recorded_phases.emplace_back(id, job->Phase());
     for (const auto& [number, occurrence] : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
