JobEntry: Use carriers again whose late answers show that the owner's link was full

All entries lose power at 41.5 s. The successor claims at 44 s; its link of 2 Mbit/s is full for 3.8 s of jobs, registrations and progress, and right after its term has begun for another 0.6 s of jobs that came meanwhile (140 KB). The first looks at all endpoints go through the carriers together and are answered after 1.2 s, but given up on after 0.75 s. Each of them counted as a miss, so that every carrier was passed over for 2 s, and the answers that came late were thrown away unread. The owner then gave 296 to 870 starts itself (340 bytes each and often a connection, in place of a frame for many).

Change: the carrier of an order that was given up on is remembered. An endpoint's answer that comes late takes the carrier up again if most carriers are passed over, which says that the slow part is this entry's own link. Where one carrier of several answers late, it stays passed over.

Ruled out: to ignore passing over whenever most carriers are concerned, without an answer as proof; an owner cut off from the other entries but not from the endpoints would renew no lease. The stop that settles a start is left as it is.

`CarrierChoice.GoesBackToCarriersWhoseLateAnswersShowThatThisEntryWasSlow` asks for a function that is new; `CarryingFleet.CarriersWhoseAnswersCameLateCarryAgain` fails without the change.

--- a/include/chervilspar/jobs/carrier_choice.h
+++ b/include/chervilspar/jobs/carrier_choice.h
@@ -53,6 +53,9 @@
   std::optional<std::string> Choose(const std::string& endpoint, TimePoint now) const;
   void OnAnswered(const std::string& address);
   void OnMissed(const std::string& address, TimePoint now);
+  /// It brought an endpoint's answer after that had been given up on. Where most carriers are
+  /// passed over at once, what was slow is this entry's own link, which they are to relieve.
+  void OnAnsweredLate(const std::string& address, TimePoint now);
   /// Whether an entry still carries.
   bool IsCarrier(const std::string& address) const { return this->health.contains(address); }
 
@@ -62,6 +65,8 @@
     TimePoint avoided_until{};
   };
 
+  bool AreMostAvoided(TimePoint now) const;
+
   const CarrierOptions options;
   const double cores;
   std::map<ZoneId, std::vector<std::string>> carriers_of_zone;
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -19,6 +19,14 @@
 /// Orders to one endpoint under way at once. The carrier brings them to the endpoint a few at a
 /// time; here they only have to be gathered.
 constexpr std::size_t kCarriedAtOnce = 24;
+/// Orders without answer whose carriers are remembered, in case they answer late.
+constexpr std::size_t kMostGivenUp = 1024;
+
+/// Whether the order has reached the endpoint for certain.
+bool IsFromEndpoint(OrderOutcome outcome) {
+  return outcome != OrderOutcome::kNoAnswer && outcome != OrderOutcome::kNotSent &&
+         outcome != OrderOutcome::kTooLate;
+}
 
 }  // namespace
 
@@ -77,7 +85,8 @@
   for (rpc::CarriedAnswer& answer : answers) {
     const auto found = this->waiting.find(answer.number);
     if (found == this->waiting.end()) {
-      continue;  // it was given up on
+      this->TakeLate(answer);
+      continue;
     }
     if (answer.outcome == OrderOutcome::kNoAnswer) {
       // Its way to the endpoint may be cut where another's isn't.
@@ -90,6 +99,26 @@
   }
 }
 
+void CarriedEndpoints::GiveUp(std::uint64_t number, const std::string& carrier) {
+  this->choice.OnMissed(carrier, this->context.Now());
+  this->given_up.emplace(number, carrier);
+  if (this->given_up.size() > kMostGivenUp) {
+    this->given_up.erase(this->given_up.begin());
+  }
+}
+
+/// What it says of the order comes too late for whoever gave it; a look or a stop settles that.
+void CarriedEndpoints::TakeLate(const rpc::CarriedAnswer& answer) {
+  const auto found = this->given_up.find(answer.number);
+  if (found == this->given_up.end()) {
+    return;
+  }
+  if (IsFromEndpoint(answer.outcome)) {
+    this->choice.OnAnsweredLate(found->second, this->context.Now());
+  }
+  this->given_up.erase(found);
+}
+
 asio::awaitable<rpc::CarriedAnswer> CarriedEndpoints::Await(std::string carrier,
                                                             std::uint64_t number,
                                                             Duration timeout) {
@@ -102,7 +131,7 @@
   if (entry->answer) {
     co_return *std::move(entry->answer);
   }
-  this->choice.OnMissed(entry->carrier, this->context.Now());
+  this->GiveUp(number, entry->carrier);
   this->context.metrics.Count({"chervilspar_carried_unanswered_total", {}});
   rpc::CarriedAnswer none;
   none.number = number;
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -66,6 +66,8 @@
   boost::asio::awaitable<jobs::OrderOutcome> AwaitOutcome(std::string carrier, std::uint64_t number,
                                                           Duration timeout);
   rpc::OrderBatch& BatchFor(const std::string& carrier, Duration timeout);
+  void GiveUp(std::uint64_t number, const std::string& carrier);
+  void TakeLate(const rpc::CarriedAnswer& answer);
 
   const Context context;
   std::unique_ptr<EndpointLink> direct;
@@ -74,6 +76,8 @@
   jobs::CarrierChoice choice;
   std::uint64_t next_number = 1;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
+  /// The carriers of orders that were given up on, by number; the newest only.
+  std::map<std::uint64_t, std::string> given_up;
   std::shared_ptr<AddressBatches<rpc::OrderBatch>> batches;
 };
 
--- a/src/jobs/carrier_choice.cc
+++ b/src/jobs/carrier_choice.cc
@@ -1,5 +1,7 @@
 #include "chervilspar/jobs/carrier_choice.h"
 
+#include <algorithm>
+
 #include "chervilspar/base/hash.h"
 
 namespace chervilspar::jobs {
@@ -68,4 +70,21 @@
   }
 }
 
+/// What can go wrong: a new owner's link is full of what it reads, the first orders of all
+/// endpoints are answered too late, and all carriers are passed over. Then it gives hundreds of
+/// orders itself over that link, starts get no answer in time either, and the stops that settle
+/// them end tasks that serve users.
+void CarrierChoice::OnAnsweredLate(const std::string& address, TimePoint now) {
+  if (this->AreMostAvoided(now)) {
+    this->OnAnswered(address);
+  }
+}
+
+bool CarrierChoice::AreMostAvoided(TimePoint now) const {
+  const auto avoided =
+      std::count_if(this->health.begin(), this->health.end(),
+                    [now](const auto& entry) { return now < entry.second.avoided_until; });
+  return 2 * static_cast<std::size_t>(avoided) > this->health.size();
+}
+
 }  // namespace chervilspar::jobs
--- a/tests/job_entry/carrying_test.cc
+++ b/tests/job_entry/carrying_test.cc
@@ -131,6 +131,36 @@
   EXPECT_TRUE(this->fleet.endpoints.violations.empty()) << this->fleet.endpoints.violations.front();
 }
 
+/// All answers come late for a while, as when the owner's own link is full. It must not give all
+/// orders itself from then on, over that link.
+TEST_F(CarryingFleet, CarriersWhoseAnswersCameLateCarryAgain) {
+  FakeEntry* const owner = this->Settle();
+  ASSERT_NE(owner, nullptr);
+  for (const auto& entry : this->fleet.entries) {
+    entry->endpoints->delay = entry.get() == owner ? milliseconds(0) : milliseconds(1700);
+  }
+  asio::co_spawn(
+      this->io,
+      [owner]() -> asio::awaitable<void> {
+        const jobs::Job job = FakeFleet::MakeJob(kJobs + 1, 4 * kTasks);
+        KeyedRecord record{SubmissionKey(job.id), jobs::EncodeJob(job)};
+        co_await owner->writer->Write(std::move(record));
+      },
+      asio::detached);
+  this->io.run_for(milliseconds(2000));
+  for (const auto& entry : this->fleet.entries) {
+    entry->endpoints->delay = {};
+  }
+  const int given = owner->endpoints->starts;
+  this->SubmitAll(*owner);
+  this->io.run_for(milliseconds(500));
+  EXPECT_EQ(owner->endpoints->starts, given);
+  this->RunUntil(std::chrono::seconds(10),
+                 [this] { return this->fleet.endpoints.confirmed.size() == (kJobs + 4) * kTasks; });
+  EXPECT_EQ(this->fleet.endpoints.confirmed.size(), (kJobs + 4) * kTasks);
+  EXPECT_TRUE(this->fleet.endpoints.violations.empty()) << this->fleet.endpoints.violations.front();
+}
+
 /// A carrier is cut off from the endpoints, but not from the owner.
 TEST_F(CarryingFleet, ACarrierThatDoesNotReachTheEndpointsIsPassedOver) {
   FakeEntry* const owner = this->Settle();
--- a/tests/job_entry/fake_endpoints.cc
+++ b/tests/job_entry/fake_endpoints.cc
@@ -87,7 +87,7 @@
     co_await this->Wait(timeout);
     co_return nullptr;
   }
-  co_await this->Wait(std::chrono::milliseconds(1));
+  co_await this->Wait(this->delay + std::chrono::milliseconds(1));
   this->all.Advance();
   co_return this->is_cut || found.is_dark ? nullptr : &found;
 }
--- a/tests/job_entry/fake_endpoints.h
+++ b/tests/job_entry/fake_endpoints.h
@@ -74,6 +74,8 @@
   boost::asio::awaitable<jobs::OrderOutcome> Pace(jobs::PaceOrder order, Duration timeout) override;
 
   bool is_cut = false;
+  /// What the endpoints answer comes this much later.
+  Duration delay{};
   /// Starts that were given through this link.
   int starts = 0;
 
--- a/tests/jobs/carrier_choice_test.cc
+++ b/tests/jobs/carrier_choice_test.cc
@@ -80,6 +80,34 @@
   EXPECT_EQ(choice.Choose("i1", kNow + milliseconds(2001)), kEast1.address);
 }
 
+const Carrier kEast3{"10.0.0.4:1", ZoneId{"east"}};
+
+/// The owner's own link is full, so that all carriers seem to be gone. Given by the owner itself,
+/// their orders fill that link further, and nothing is answered in time.
+TEST(CarrierChoice, GoesBackToCarriersWhoseLateAnswersShowThatThisEntryWasSlow) {
+  CarrierChoice choice({}, 0.1);
+  choice.SetCarriers({kEast1, kEast2, kEast3, kWest});
+  choice.SetEndpoints(Endpoints(100, "east"));
+  for (const Carrier& carrier : {kEast1, kEast2, kEast3, kWest}) {
+    choice.OnMissed(carrier.address, kNow);
+    choice.OnMissed(carrier.address, kNow);
+  }
+  EXPECT_EQ(choice.Choose("i1", kNow), std::nullopt);
+  choice.OnAnsweredLate(kEast2.address, kNow);
+  EXPECT_EQ(choice.Choose("i1", kNow), kEast2.address);
+}
+
+/// One carrier answers late, the others in time: it is the one that is slow.
+TEST(CarrierChoice, PassesOverTheOneCarrierThatAnswersLate) {
+  CarrierChoice choice({}, 0.1);
+  choice.SetCarriers({kEast1, kWest});
+  choice.SetEndpoints(Endpoints(100, "east"));
+  choice.OnMissed(kEast1.address, kNow);
+  choice.OnMissed(kEast1.address, kNow);
+  choice.OnAnsweredLate(kEast1.address, kNow);
+  EXPECT_EQ(choice.Choose("i1", kNow), std::nullopt);
+}
+
 /// Who is passed over stays so when the group changes, and who has left is no carrier any more.
 TEST(CarrierChoice, KeepsWhatIsKnownOfACarrier) {
   CarrierChoice choice({}, 0.1);
