JobEntry: Renew leases while a successor on a narrow link still reads the jobs

On links of 2 Mbit/s a successor reads 850 jobs, the registrations and the progress for 3.8 to 4.2 s before it renews anything, and a lease lasts 4 s.

Change: where the link takes one read at a time (20 Mbit/s or less), the registrations are read first. `InterimLeases` looks at every endpoint under the new token and renews where something runs, for which it needs no job; then jobs, the registrations again and progress are read as before. It confirms no end, starts and stops nothing, and what the endpoints tell is asked for anew by the scheduler. Callers are answered when all is read, as before. Renewals need proof that there is no successor, as the scheduler's do. The scheduler counts them into the time at which a silent endpoint's runs are taken as dead (`NoteLeases`); without that a run could start elsewhere while it still has a lease of this term. The first looks get 0.4 s alone on the link. Who carries is taken from the look at the group that allowed the claim, so that no call is added before the reading.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -134,6 +134,9 @@
   /// Stored progress of a job; only while the scheduler is being loaded, after all jobs. A job that
   /// has ended may be known by its progress alone.
   void RestoreProgress(const JobId& id, const JobProgress& progress);
+  /// Leases that were given for this token before the jobs were known, with the times by our clock
+  /// at which they have certainly lapsed; after `RestoreProgress`.
+  void NoteLeases(const std::map<std::string, TimePoint>& lease_ends);
   /// Cancels a job, also one that is yet to come.
   void CancelJob(const JobId& id);
   /// `sent`: when the hold was sent; what ended after that may be missing in it.
--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -193,6 +193,9 @@
       std::find(members->begin(), members->end(), owner->member) != members->end();
   if (is_living) {
     this->seen_living = look;
+  } else if (this->context.links.roster != nullptr) {
+    // What is ordered while the state is read goes through others already.
+    this->context.links.roster->SetMembers(*members);
   }
   co_return is_living;
 }
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -16,13 +16,6 @@
 /// Between the beginnings of two appends. Each is priced and takes 4 ms at the store; a task waits
 /// for half of this on average.
 constexpr Duration kStorePace = std::chrono::milliseconds(35);
-/// For a page of 500 records on a link of 2 Mbit a second.
-constexpr Duration kLoadTimeout = std::chrono::seconds(8);
-/// Reads of the state side by side, and the rate in megabits a second that one more of them needs.
-/// With more the joins that keep this entry in the group wait behind them, and another is chosen in
-/// the middle of the reading.
-constexpr double kMostReadsAtOnce = 4;
-constexpr double kRateOfRead = 20;
 constexpr Duration kLoadRetry = std::chrono::milliseconds(100);
 constexpr Duration kAdviceTimeout = std::chrono::milliseconds(1500);
 /// Between two looks for registrations that have not returned after an outage of the store, and for
@@ -36,6 +29,12 @@
 /// Records of ended jobs dropped in one go.
 constexpr std::size_t kMostDropped = 200;
 
+jobs::SchedulerOptions OptionsFor(const Context& context) {
+  jobs::SchedulerOptions options = context.settings.decisions.scheduler;
+  options.lease = std::min(options.lease, context.settings.lease_limit);
+  return options;
+}
+
 }  // namespace
 
 OwnerTerm::OwnerTerm(const Context& context, OperatorView& operators, OwnerDirectory& directory,
@@ -46,17 +45,14 @@
       member(std::move(member)),
       token(token),
       began(context.Now()),
-      scheduler(
-          [&context] {
-            jobs::SchedulerOptions options = context.settings.decisions.scheduler;
-            options.lease = std::min(options.lease, context.settings.lease_limit);
-            return options;
-          }(),
-          token, this->began),
+      scheduler(OptionsFor(context), token, this->began),
       writer(writer),
       job_log(context, this->scheduler, [this] { this->Kick(); }),
       registry(context, [this] { this->TakeEndpoints(); }),
       sender(context, this->scheduler, [this] { this->Kick(); }),
+      keeper(std::make_shared<LeaseKeeper>(
+          context, OptionsFor(context), token, [this] { return this->LastProof(); },
+          [this] { this->Stop("an endpoint has seen a higher token"); })),
       vms(context, operators, directory, this->scheduler, this->member, token),
       decide(std::make_shared<http::Wakeup>(context.io.get_executor())),
       store(std::make_shared<http::Wakeup>(context.io.get_executor())),
@@ -73,6 +69,7 @@
   this->job_log.Stop();
   this->registry.Stop();
   this->sender.Stop();
+  this->keeper->Stop();
   this->vms.Stop();
   this->decide->Notify();
   this->store->Notify();
@@ -95,6 +92,7 @@
            {{"token", std::to_string(this->token)},
             {"jobs", std::to_string(this->scheduler.JobCount())},
             {"endpoints", std::to_string(this->registry.Count())},
+            {"kept", std::to_string(this->keeper->Leases().RenewedCount())},
             {"took_ms", MillisecondsText(this->context.Now() - this->began)}});
   this->job_log.Follow();
   Spawn(this->context, this->DecideLoop(self));
@@ -131,68 +129,6 @@
   }
 }
 
-asio::awaitable<bool> OwnerTerm::Load() {
-  this->FollowPolicy();
-  // Side by side: a slow store takes a quarter of a second for each page. Progress doesn't change
-  // any more, as the token is announced.
-  std::vector<KeyedRecord> progress;
-  std::vector<asio::awaitable<bool>> parts = this->job_log.Loads();
-  parts.push_back(this->registry.Load());
-  parts.push_back(this->ReadProgress(progress));
-  const double at_once =
-      std::clamp(this->context.settings.link_rate / kRateOfRead, 1.0, kMostReadsAtOnce);
-  const bool is_read =
-      co_await AllOf(this->context, std::move(parts), static_cast<std::size_t>(at_once));
-  if (!is_read) {
-    co_return false;
-  }
-  this->SetEndpoints();
-  this->LoadProgress(progress);
-  this->job_log.ApplyCancellations();
-  this->FollowPolicy();
-  co_return this->operators.Policy() != nullptr;
-}
-
-asio::awaitable<bool> OwnerTerm::ReadProgress(std::vector<KeyedRecord>& records) {
-  Result<NewestOutcome> progress =
-      co_await this->context.links.store->Newest(Topic::kProgress, 0, kLoadTimeout);
-  if (!progress) {
-    co_return false;
-  }
-  records = (*std::move(progress)).records;
-  co_return true;
-}
-
-void OwnerTerm::LoadProgress(const std::vector<KeyedRecord>& records) {
-  for (const KeyedRecord& record : records) {
-    if (record.value && VmDriver::IsWaveKey(record.key)) {
-      this->LoadWave(record);
-      continue;
-    }
-    const std::optional<jobs::JobId> id = jobs::ParseJobId(record.key);
-    if (!id || !record.value) {
-      continue;
-    }
-    const Result<jobs::JobProgress> progress = jobs::DecodeProgress(*record.value);
-    if (!progress) {
-      LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(progress.LastReason()),
-               {}, record.key);
-      continue;
-    }
-    this->scheduler.RestoreProgress(*id, *progress);
-  }
-}
-
-void OwnerTerm::LoadWave(const KeyedRecord& record) {
-  const Result<jobs::WaveProgress> progress = jobs::DecodeWaveProgress(*record.value);
-  if (!progress) {
-    LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(progress.LastReason()),
-             {{"key", record.key}});
-    return;
-  }
-  this->vms.Restore(*progress);
-}
-
 void OwnerTerm::FollowPolicy() {
   const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
   if (policy && policy->version > this->policy_version) {
@@ -201,13 +137,16 @@
   }
 }
 
+TimePoint OwnerTerm::LastProof() const {
+  return std::max(this->writer.LastProof(), this->directory.Proof().value_or(this->began));
+}
+
 /// What can go wrong: this entry is cut off from the store but not from the endpoints, goes on
 /// renewing leases, and its successor can't tell how long. So renewals pause a fixed time after the
 /// last proof that there is no successor, which the successor waits out where it can't reach an
 /// endpoint itself.
 void OwnerTerm::WatchProof() {
-  const TimePoint last =
-      std::max(this->writer.LastProof(), this->directory.Proof().value_or(this->began));
+  const TimePoint last = this->LastProof();
   this->scheduler.SetProof(last);
   const bool may_renew = this->scheduler.MayRenew(this->context.Now());
   if (may_renew == this->may_renew) {
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -13,6 +13,7 @@
 
 #include "job_entry/endpoint_registry.h"
 #include "job_entry/job_log.h"
+#include "job_entry/lease_keeper.h"
 #include "job_entry/operator_view.h"
 #include "job_entry/order_sender.h"
 #include "job_entry/owner_directory.h"
@@ -48,6 +49,7 @@
  private:
   boost::asio::awaitable<void> Run(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<bool> Load();
+  boost::asio::awaitable<void> KeepLeases();
   boost::asio::awaitable<void> DecideLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> StoreLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> AdviceLoop(std::shared_ptr<OwnerTerm> self);
@@ -58,6 +60,8 @@
   void LoadWave(const KeyedRecord& record);
   boost::asio::awaitable<bool> ReadProgress(std::vector<KeyedRecord>& records);
   void LoadProgress(const std::vector<KeyedRecord>& records);
+  /// When there was last proof that there is no successor.
+  TimePoint LastProof() const;
   void WatchProof();
   void WatchClaims();
   void FollowPolicy();
@@ -88,6 +92,9 @@
   TimePoint ended_dropped{};
   EndpointRegistry registry;
   OrderSender sender;
+  /// Renews leases until the jobs are read.
+  std::shared_ptr<LeaseKeeper> keeper;
+  bool is_keeping = false;
   VmDriver vms;
   std::shared_ptr<http::Wakeup> decide;
   std::shared_ptr<http::Wakeup> store;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -170,6 +170,14 @@
   state.RefreshReady(*job);
 }
 
+void Scheduler::NoteLeases(const std::map<std::string, TimePoint>& lease_ends) {
+  for (const auto& [id, lease_end] : lease_ends) {
+    if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
+      endpoint->lease_end = std::max(endpoint->lease_end, lease_end);
+    }
+  }
+}
+
 void Scheduler::CancelJob(const JobId& id) {
   SchedulerState& state = this->impl->state;
   JobState* job = state.FindJob(id);
--- a/tests/job_entry/fake_store.cc
+++ b/tests/job_entry/fake_store.cc
@@ -114,6 +114,9 @@
   if (!is_reached) {
     co_return kNoAnswer;
   }
+  if (topic == Topic::kJobs) {
+    co_await this->Wait(this->jobs_read_time);
+  }
   std::map<std::string, std::optional<std::string>> newest;
   const std::vector<KeyedRecord>& records = this->store.At(topic, partition).records;
   for (const KeyedRecord& record : records) {
--- a/tests/job_entry/fake_store.h
+++ b/tests/job_entry/fake_store.h
@@ -61,6 +61,8 @@
 
   /// The entry is cut off, frozen or dead: its calls get no answer and do nothing.
   bool is_cut = false;
+  /// Each read of all jobs of a partition takes this long, as on a link that they fill.
+  Duration jobs_read_time{};
   /// The next appends are refused for certain.
   int refuse_appends = 0;
   /// The next appends take effect and their answers are lost.
--- /dev/null
+++ b/tests/job_entry/slow_takeover_test.cc
@@ -0,0 +1,87 @@
+#include <functional>
+
+#include <gtest/gtest.h>
+
+#include "tests/job_entry/fake_fleet.h"
+
+namespace chervilspar::job_entry {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kTasks = 4;
+constexpr double kSlowLink = 2;
+/// Longer than a lease.
+constexpr Duration kReading = milliseconds(4500);
+
+bool IsServing(const FakeEntry& entry) {
+  const std::shared_ptr<OwnerTerm> term = entry.election->Term();
+  return term != nullptr && term->IsServing();
+}
+
+/// An owner with work at two endpoints, and an entry that takes longer to read the jobs than the
+/// leases last.
+class SlowTakeover : public ::testing::Test {
+ protected:
+  SlowTakeover() : fleet(this->io, 2), owner(this->fleet.AddEntry("a")) {
+    this->fleet.endpoints.task_time = std::chrono::seconds(60);
+    this->RunUntil(std::chrono::seconds(5), [this] { return IsServing(this->owner); });
+    this->successor = &this->fleet.AddEntry("b");
+    this->successor->settings.link_rate = kSlowLink;
+    this->successor->store->jobs_read_time = kReading / this->successor->settings.job_partitions;
+    asio::co_spawn(
+        this->io,
+        [this]() -> asio::awaitable<void> {
+          const jobs::Job job = FakeFleet::MakeJob(1, kTasks);
+          KeyedRecord record{SubmissionKey(job.id), jobs::EncodeJob(job)};
+          co_await this->owner.writer->Write(std::move(record));
+        },
+        asio::detached);
+    this->RunUntil(std::chrono::seconds(5),
+                   [this] { return this->fleet.endpoints.starts.size() == kTasks; });
+    this->io.run_for(milliseconds(200));
+  }
+
+  void RunUntil(Duration longest, const std::function<bool()>& is_over) {
+    const SystemClock clock;
+    const TimePoint end = clock.Now() + longest;
+    while (clock.Now() < end && !is_over()) {
+      this->io.run_for(milliseconds(10));
+    }
+  }
+
+  asio::io_context io;
+  FakeFleet fleet;
+  FakeEntry& owner;
+  FakeEntry* successor = nullptr;
+};
+
+/// Everything that ran has lapsed when the jobs are read, and all of it starts anew at once.
+TEST_F(SlowTakeover, WhatRunsOutlivesTheReadingOfTheJobs) {
+  this->owner.Cut();
+  this->RunUntil(std::chrono::seconds(12), [this] { return IsServing(*this->successor); });
+  ASSERT_TRUE(IsServing(*this->successor));
+  this->io.run_for(milliseconds(1500));
+  EXPECT_EQ(this->fleet.endpoints.starts.size(), kTasks);
+  EXPECT_TRUE(this->fleet.endpoints.violations.empty());
+}
+
+/// An endpoint falls silent in the middle of the reading, after its leases were renewed. Its work
+/// must not start elsewhere before those have lapsed.
+TEST_F(SlowTakeover, WorkOfAnEndpointThatFallsSilentWaitsForTheLeasesOfTheReading) {
+  this->owner.Cut();
+  this->io.run_for(milliseconds(4000));
+  ASSERT_FALSE(IsServing(*this->successor));
+  for (auto& [id, endpoint] : this->fleet.endpoints.endpoints) {
+    endpoint.is_dark = true;
+    break;
+  }
+  this->RunUntil(std::chrono::seconds(16),
+                 [this] { return this->fleet.endpoints.starts.size() > kTasks; });
+  EXPECT_GT(this->fleet.endpoints.starts.size(), kTasks);
+  EXPECT_TRUE(this->fleet.endpoints.violations.empty());
+}
+
+}  // namespace
+}  // namespace chervilspar::job_entry
--- /dev/null
+++ b/tests/jobs/interim_leases_test.cc
@@ -0,0 +1,96 @@
+#include "chervilspar/jobs/interim_leases.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/jobs/scheduler_world.h"
+
+namespace chervilspar::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using World = SchedulerWorld;
+
+constexpr std::uint64_t kToken = 5;
+constexpr std::int64_t kClockMs = 70000;
+
+/// A successor that knows the endpoints "a" and "b" and no job.
+class Interim : public ::testing::Test {
+ protected:
+  Interim() {
+    this->leases.SetEndpoints({World::Endpoint("a"), World::Endpoint("b")});
+    this->leases.SetProof(this->now);
+  }
+
+  static HoldReport Report(bool has_runs) {
+    HoldReport report;
+    report.clock_ms = kClockMs;
+    report.born_ms = 1;
+    if (has_runs) {
+      report.active.push_back({{JobId{1}, 0, 0, 0}, 1, "", 50, 0});
+    }
+    return report;
+  }
+
+  SchedulerOptions options;
+  InterimLeases leases{this->options, kToken};
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+};
+
+/// What runs lapses before the jobs are read. An end that is confirmed before its job is known is
+/// lost, and so is what a look waits for.
+TEST_F(Interim, LooksEverywhereAndRenewsWhereSomethingRuns) {
+  const std::vector<HoldOrder> looks = this->leases.Plan(this->now);
+  ASSERT_EQ(looks.size(), 2U);
+  EXPECT_EQ(looks[0].lease_end_ms, std::nullopt) << "its clock isn't known";
+  EXPECT_FALSE(this->leases.IsSettled());
+  this->leases.OnAnswered("a", Report(true), this->now);
+  this->leases.OnAnswered("b", Report(false), this->now);
+  EXPECT_TRUE(this->leases.IsSettled());
+  this->now += milliseconds(100);
+  const std::vector<HoldOrder> renewals = this->leases.Plan(this->now);
+  ASSERT_EQ(renewals.size(), 1U);
+  EXPECT_EQ(renewals[0].endpoint, "a");
+  EXPECT_EQ(renewals[0].token, kToken);
+  EXPECT_EQ(renewals[0].lease_end_ms, kClockMs + 100 + 4000);
+  EXPECT_EQ(renewals[0].confirmed_end, 0U);
+  EXPECT_EQ(renewals[0].wait, Duration::zero());
+  const std::map<std::string, TimePoint> ends{{"a", this->now + this->options.LongestLease()}};
+  EXPECT_EQ(this->leases.LeaseEnds(), ends);
+}
+
+/// Renewals are under way or were just answered: more of them only fill the link.
+TEST_F(Interim, RenewsAFewTimesInALease) {
+  this->leases.Plan(this->now);
+  this->leases.OnAnswered("a", Report(true), this->now);
+  this->leases.OnAnswered("b", Report(false), this->now);
+  EXPECT_EQ(this->leases.Plan(this->now).size(), 1U);
+  EXPECT_TRUE(this->leases.Plan(this->now).empty());
+  this->leases.OnAnswered("a", Report(true), this->now);
+  EXPECT_TRUE(this->leases.Plan(this->now + milliseconds(900)).empty());
+  EXPECT_EQ(this->leases.Plan(this->now + milliseconds(1000)).size(), 1U);
+}
+
+/// A look got no answer.
+TEST_F(Interim, AsksAgain) {
+  this->leases.Plan(this->now);
+  this->leases.OnAnswered("a", std::nullopt, this->now);
+  EXPECT_TRUE(this->leases.Plan(this->now + milliseconds(100)).empty());
+  const std::vector<HoldOrder> looks = this->leases.Plan(this->now + milliseconds(300));
+  ASSERT_EQ(looks.size(), 1U);
+  EXPECT_EQ(looks[0].endpoint, "a");
+}
+
+/// The entry is cut off from the store while it reads. Its successor counts on no renewal that is
+/// later than the last proof by more than the grace.
+TEST_F(Interim, RenewsNothingWithoutProof) {
+  this->leases.Plan(this->now);
+  this->leases.OnAnswered("a", Report(true), this->now);
+  this->now += this->options.predecessor_grace;
+  const std::vector<HoldOrder> orders = this->leases.Plan(this->now);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].lease_end_ms, std::nullopt);
+  EXPECT_TRUE(this->leases.LeaseEnds().empty());
+}
+
+}  // namespace
+}  // namespace chervilspar::jobs
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -89,6 +89,24 @@
   EXPECT_EQ(orders.starts[0].endpoint, other);
 }
 
+/// The same, after the successor had renewed the leases while it read the jobs: these last longer
+/// than what the predecessor may have given.
+TEST_F(Takeover, WaitsOutTheLeasesThatWereGivenBeforeTheJobsWereKnown) {
+  const std::string other = this->start.endpoint == "a" ? "b" : "a";
+  const SchedulerOptions options;
+  const TimePoint renewed = TimePoint{} + options.predecessor_grace + std::chrono::seconds(2);
+  this->after.scheduler.NoteLeases({{this->start.endpoint, renewed + options.LongestLease()}});
+  this->after.Hold(other, {}, {});
+  this->after.scheduler.OnHoldFailed(this->start.endpoint, OrderOutcome::kNoAnswer,
+                                     this->after.now);
+  this->after.now = renewed + options.lease;
+  EXPECT_TRUE(this->after.Round().starts.empty());
+  this->after.Pass(milliseconds(500));
+  const Orders orders = this->after.Round();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  EXPECT_EQ(orders.starts[0].endpoint, other);
+}
+
 /// The endpoint lives a new life since: what the former ran is gone.
 TEST_F(Takeover, StartsAnewWhatAFormerLifeRan) {
   World world{{}, 2};
