--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -137,6 +137,9 @@
   /// The same from its record. One in the compact form is written anew with the next batch where
   /// rows are to be stored.
   Status RestoreStored(const JobId& id, std::string_view text);
+  /// Leases that were given for this token before the jobs were known, with the times by our clock
+  /// at which they have certainly lapsed; after `RestoreProgress`.
+  void NoteLeases(const std::map<std::string, TimePoint>& lease_ends);
   /// Cancels a job, also one that is yet to come.
   void CancelJob(const JobId& id);
   /// `sent`: when the hold was sent; what ended after that may be missing in it.
