JobEntry: Store whether operators have been told of a wave

Cause: a successor took any record of a wave's progress for a sign that operators had been told that the wave is under way. The record is also written when a reboot was carried out, which doesn't wait for the status: when that couldn't be written and the owner ended, the wave had no status until it was complete.

Evidence: VmDriver.ASuccessorTellsOfAWaveThatWasNotTold fails before this commit (no status) and passes with it.

Change: the record says whether operators were told. One without that is told again.

--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -80,6 +80,9 @@
 struct WaveProgress {
   std::uint64_t number = 0;
   std::set<VmId> rebooted;
+  /// Operators have been told that it is under way.
+  bool is_told = false;
+  /// They have been told that it is complete.
   bool is_complete = false;
 
   friend bool operator==(const WaveProgress&, const WaveProgress&) = default;
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -57,15 +57,13 @@
 bool VmDriver::IsWaveKey(std::string_view key) { return key.starts_with(kWavePrefix); }
 
 void VmDriver::Restore(const jobs::WaveProgress& progress) {
-  WaveState& state = this->waves[progress.number];
-  state.progress = progress;
-  state.is_announced = true;
+  this->waves[progress.number] = progress;
 }
 
 std::vector<KeyedRecord> VmDriver::TakeRecords() {
   std::vector<KeyedRecord> records;
   for (const std::uint64_t wave : this->changed) {
-    records.push_back({KeyOf(wave), jobs::EncodeWaveProgress(this->waves[wave].progress)});
+    records.push_back({KeyOf(wave), jobs::EncodeWaveProgress(this->waves[wave])});
   }
   this->changed.clear();
   return records;
@@ -110,7 +108,7 @@
   this->KeepEmptying();
   const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
   for (const auto& [number, wave] : known) {
-    if (!this->is_stopped && !this->waves[number].progress.is_complete) {
+    if (!this->is_stopped && !this->waves[number].is_complete) {
       co_await this->DriveWave(wave, may_order);
     }
   }
@@ -200,8 +198,8 @@
 }
 
 asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order) {
-  WaveState& state = this->waves[wave.number];
-  state.progress.number = wave.number;
+  jobs::WaveProgress& progress = this->waves[wave.number];
+  progress.number = wave.number;
   jobs::UpkeepPlanner::Absent absent;
   for (const auto& [vm, until] : this->down) {
     absent.down.insert(vm);
@@ -214,11 +212,11 @@
       absent.refused.insert(vm);
     }
   }
-  const jobs::UpkeepStep step = jobs::UpkeepPlanner::Plan(wave, state.progress, this->vms, absent,
-                                                          this->evacuating, this->Loads());
+  const jobs::UpkeepStep step =
+      jobs::UpkeepPlanner::Plan(wave, progress, this->vms, absent, this->evacuating, this->Loads());
   this->scheduler.SetDue(step.due);
-  if (!state.is_announced || step.is_complete) {
-    co_await this->Tell(wave, state, step.is_complete);
+  if (!progress.is_told || step.is_complete) {
+    co_await this->Tell(wave, progress, step.is_complete);
   }
   for (const jobs::VmRecord& vm : this->vms) {
     const bool is_chosen =
@@ -256,7 +254,7 @@
   switch (outcome) {
     case VmOrderOutcome::kDone:
       this->down[vm] = this->context.Now() + kRebootSeen;
-      this->waves[wave].progress.rebooted.insert(vm);
+      this->waves[wave].rebooted.insert(vm);
       this->changed.insert(wave);
       break;
     case VmOrderOutcome::kNoAnswer:
@@ -302,7 +300,8 @@
 
 /// What can go wrong: that a wave is complete is stored before operators are told, this entry ends,
 /// and its successor takes the wave for done with. So it counts as complete once that is told.
-asio::awaitable<void> VmDriver::Tell(const jobs::Wave& wave, WaveState& state, bool is_complete) {
+asio::awaitable<void> VmDriver::Tell(const jobs::Wave& wave, jobs::WaveProgress& progress,
+                                     bool is_complete) {
   std::vector<KeyedRecord> records;
   records.push_back(this->context.links.records->WriteWaveStatus(wave, is_complete));
   const AppendOutcome outcome = co_await this->context.links.store->Append(
@@ -311,8 +310,8 @@
   if (!is_told) {
     co_return;  // told again with the next round
   }
-  state.is_announced = true;
-  state.progress.is_complete = is_complete;
+  progress.is_told = true;
+  progress.is_complete = is_complete;
   this->changed.insert(wave.number);
   LogEvent(telemetry::LogLevel::kInfo, "wave_told",
            is_complete ? "all VMs are done" : "is under way",
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -40,10 +40,6 @@
   static bool IsWaveKey(std::string_view key);
 
  private:
-  struct WaveState {
-    jobs::WaveProgress progress;
-    bool is_announced = false;
-  };
   /// A VM that was ordered to go down or elsewhere.
   struct Away {
     ServiceId pool;
@@ -58,7 +54,8 @@
   boost::asio::awaitable<bool> IsStillOwner();
   boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order);
   boost::asio::awaitable<void> Reboot(std::uint64_t wave, VmId vm);
-  boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state, bool is_complete);
+  boost::asio::awaitable<void> Tell(const jobs::Wave& wave, jobs::WaveProgress& progress,
+                                    bool is_complete);
   void Resize(bool may_order);
   boost::asio::awaitable<void> Move(VmId vm, ServiceId pool);
   /// Has an order carried out after those before it.
@@ -92,7 +89,7 @@
   std::vector<jobs::VmRecord> vms;
   /// When that list was asked for.
   TimePoint listed{};
-  std::map<std::uint64_t, WaveState> waves;
+  std::map<std::uint64_t, jobs::WaveProgress> waves;
   /// Waves whose progress is to be stored.
   std::set<std::uint64_t> changed;
   /// Emptied for a wave.
--- a/src/jobs/wave_progress.cc
+++ b/src/jobs/wave_progress.cc
@@ -13,8 +13,10 @@
   for (const VmId& vm : progress.rebooted) {
     vms.emplace_back(vm.text);
   }
-  return json::serialize(json::object{
-      {"wave", progress.number}, {"complete", progress.is_complete}, {"rebooted", std::move(vms)}});
+  return json::serialize(json::object{{"wave", progress.number},
+                                      {"told", progress.is_told},
+                                      {"complete", progress.is_complete},
+                                      {"rebooted", std::move(vms)}});
 }
 
 Result<WaveProgress> DecodeWaveProgress(std::string_view text) {
@@ -24,6 +26,7 @@
     const json::object& in = value.as_object();
     WaveProgress progress;
     progress.number = in.at("wave").to_number<std::uint64_t>();
+    progress.is_told = FlagOf(in, "told");
     progress.is_complete = FlagOf(in, "complete");
     if (const json::array* vms = ArrayOf(in, "rebooted")) {
       for (const json::value& vm : *vms) {
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -120,6 +120,22 @@
   EXPECT_FALSE(stored->is_complete);
 }
 
+/// Guards against a wave that operators aren't told of, as a successor takes the predecessor's
+/// record of it for a sign that they were.
+TEST(VmDriver, ASuccessorTellsOfAWaveThatWasNotTold) {
+  for (const bool is_told : {false, true}) {
+    DriverWorld world(1);
+    world.fleet.vms.is_busy = true;
+    jobs::WaveProgress progress;
+    progress.number = 1;
+    progress.is_told = is_told;
+    world.driver.Restore(progress);
+    world.Start();
+    world.RunUntil(std::chrono::seconds(3), [&] { return !world.fleet.vms.tokens.empty(); });
+    EXPECT_EQ(world.Told(), is_told ? "" : "running");
+  }
+}
+
 /// How the endpoint of a VM that is being emptied comes to be another than it was.
 struct RegistrationCase {
   const char* name;
--- a/tests/jobs/upkeep_test.cc
+++ b/tests/jobs/upkeep_test.cc
@@ -125,5 +125,19 @@
         UpkeepCase{"no_list_yet", [](UpkeepWorld& world) { world.vms.clear(); }, 0, 0, false}),
     [](const auto& info) { return info.param.name; });
 
+/// What a successor reads of a wave is what its predecessor knew.
+TEST(WaveProgressRecord, KeepsAll) {
+  WaveProgress progress;
+  progress.number = 7;
+  progress.rebooted = {VmId{"m0"}, VmId{"m1"}};
+  for (const bool is_told : {false, true}) {
+    progress.is_told = is_told;
+    progress.is_complete = !is_told;
+    const Result<WaveProgress> read = DecodeWaveProgress(EncodeWaveProgress(progress));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(*read, progress);
+  }
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
