--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -17,8 +17,6 @@
 /// Estimates are rough, and a job that begins a little after its latest start is often still on
 /// time.
 constexpr double kGrace = 200;
-/// A task without estimate counts as short.
-constexpr std::int64_t kLeastEstimateMs = 50;
 
 }  // namespace
 
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -8,8 +8,6 @@
 
 /// Notes kept until the process takes them; a round makes a few hundred at most.
 constexpr std::size_t kMaxNotes = 4096;
-/// A task without estimate counts as short.
-constexpr std::int64_t kLeastEstimateMs = 50;
 /// By its estimate, such a task is at work for longer than a take-over.
 constexpr std::int64_t kLongTaskMs = 5000;
 
@@ -337,97 +335,6 @@
   }
 }
 
-std::int64_t SchedulerState::RemainingChain(const JobState& job,
-                                            const Occurrence& occurrence) const {
-  std::vector<std::int64_t> ends(job.job.steps.size(), 0);
-  std::int64_t longest = 0;
-  for (std::size_t i = 0; i < ends.size(); ++i) {
-    std::int64_t begin = 0;
-    for (const std::uint32_t earlier : job.job.steps[i].after) {
-      begin = std::max(begin, ends[earlier]);
-    }
-    const bool is_done = occurrence.steps[i].IsDone();
-    ends[i] = begin + (is_done ? 0 : std::max(job.job.steps[i].estimate_ms, kLeastEstimateMs));
-    longest = std::max(longest, ends[i]);
-  }
-  return longest;
-}
-
-void SchedulerState::RefreshReady(JobState& job) {
-  std::optional<ReadyKey> key;
-  if (!job.IsOver()) {
-    for (const auto& [number, occurrence] : job.occurrences) {
-      const bool has_waiting =
-          std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const StepState& step) {
-            return step.is_open && std::any_of(step.tasks.begin(), step.tasks.end(),
-                                               [](const Task& task) { return task.IsWaiting(); });
-          });
-      if (has_waiting) {
-        const auto queue = this->policy.queues.find(job.job.queue);
-        const std::uint32_t priority =
-            queue == this->policy.queues.end() ? 0 : queue->second.priority;
-        const std::int64_t due =
-            job.job.IsScheduled() ? std::int64_t{number} * job.job.interval_ms : 0;
-        key = ReadyKey{job.job.IsLongRunning() ? 0 : 1 + priority,
-                       job.deadline_ms + due - this->RemainingChain(job, occurrence), job.job.id};
-        break;
-      }
-    }
-  }
-  if (key == job.ready) {
-    return;
-  }
-  std::set<ReadyKey>& ready = this->pools[job.service].ready;
-  if (job.ready) {
-    ready.erase(*job.ready);
-  }
-  if (key) {
-    ready.insert(*key);
-  }
-  job.ready = key;
-}
-
-void SchedulerState::ApplyPolicyTo(JobState& job) {
-  const auto queue = this->policy.queues.find(job.job.queue);
-  job.needs_advice = queue != this->policy.queues.end() && queue->second.advice;
-  if (queue == this->policy.queues.end()) {
-    return;  // The queue was taken away; what was accepted still runs where it was meant to.
-  }
-  if (job.service != queue->second.service && job.ready) {
-    this->pools[job.service].ready.erase(*job.ready);
-    job.ready.reset();
-  }
-  job.service = queue->second.service;
-  job.attempts = std::max<std::uint32_t>(queue->second.attempts, 1);
-  Occurrence fresh;
-  fresh.steps.resize(job.job.steps.size());
-  for (StepState& step : fresh.steps) {
-    step.tasks.resize(1);
-  }
-  const auto chain = static_cast<double>(this->RemainingChain(job, fresh));
-  const auto target =
-      std::chrono::duration_cast<std::chrono::milliseconds>(queue->second.target).count();
-  const std::int64_t objective =
-      static_cast<std::int64_t>(queue->second.slack_factor * chain) + target;
-  const std::int64_t begin = job.job.IsScheduled() ? job.job.first_due_ms : job.job.taken_ms;
-  job.deadline_ms = begin + objective;
-  job.worthless_ms =
-      begin + static_cast<std::int64_t>(this->options.late_factor * static_cast<double>(objective));
-}
-
-bool SchedulerState::IsWithinCap(const JobState& job, const Resources& need) const {
-  const auto team = this->policy.teams.find(job.job.team);
-  if (team == this->policy.teams.end()) {
-    return true;
-  }
-  const auto usage = this->team_usage.find(job.job.team);
-  const Resources after = usage == this->team_usage.end() ? need : usage->second + need;
-  const Resources& cap = team->second.cap;
-  return (cap.cpu == 0 || after.cpu <= cap.cpu) &&
-         (cap.memory_mb == 0 || after.memory_mb <= cap.memory_mb) &&
-         (cap.gpus == 0 || after.gpus <= cap.gpus);
-}
-
 void SchedulerState::Tell(Note note) {
   if (this->notes.size() >= kMaxNotes) {
     ++this->notes_dropped;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -15,6 +15,9 @@
 
 struct EndpointState;
 
+/// A task without estimate counts as one of so many milliseconds.
+inline constexpr std::int64_t kLeastEstimateMs = 50;
+
 /// Where a task's run is, as this process knows it.
 enum class RunState {
   kNone,
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// A task without estimate counts as short.
-constexpr std::int64_t kLeastEstimateMs = 50;
 /// Milliseconds for which a count of the jobs that wait is told again; callers bear two seconds.
 constexpr std::int64_t kCountAgain = 400;
 /// Of an estimate, what is left of a running task on average.
