--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -134,6 +134,9 @@
   /// Stored progress of a job; only while the scheduler is being loaded, after all jobs. A job that
   /// has ended may be known by its progress alone.
   void RestoreProgress(const JobId& id, const JobProgress& progress);
+  /// The same from its record. One in the compact form is written anew with the next batch where
+  /// rows are to be stored.
+  Status RestoreStored(const JobId& id, std::string_view text);
   /// Leases that were given for this token before the jobs were known, with the times by our clock
   /// at which they have certainly lapsed; after `RestoreProgress`.
   void NoteLeases(const std::map<std::string, TimePoint>& lease_ends);
@@ -144,6 +147,7 @@
   void OnHoldFailed(const std::string& endpoint, OrderOutcome outcome, TimePoint now);
   void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
+  void OnPaceAnswered(const PaceOrder& order, OrderOutcome outcome);
   void OnAdvice(const TaskKey& step, const std::vector<AdviceTicket>& tickets, TimePoint now);
 
   /// Until this time there was certainly no successor. Leases are renewed for
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -32,6 +32,7 @@
 jobs::SchedulerOptions OptionsFor(const Context& context) {
   jobs::SchedulerOptions options = context.settings.decisions.scheduler;
   options.lease = std::min(options.lease, context.settings.lease_limit);
+  options.progress_form = context.settings.progress_form;
   return options;
 }
 
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -87,13 +87,11 @@
     if (!id || !record.value) {
       continue;
     }
-    const Result<jobs::JobProgress> progress = jobs::DecodeProgress(*record.value);
-    if (!progress) {
-      LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(progress.LastReason()),
+    const Status restored = this->scheduler.RestoreStored(*id, *record.value);
+    if (!restored) {
+      LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(restored.LastReason()),
                {}, record.key);
-      continue;
     }
-    this->scheduler.RestoreProgress(*id, *progress);
   }
 }
 
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -21,6 +21,9 @@
 /// A reboot that was answered shows in the list at once; one that wasn't may begin seconds later.
 constexpr Duration kRebootSeen = std::chrono::milliseconds(500);
 constexpr Duration kRebootUnsure = std::chrono::seconds(6);
+/// Before a reboot that the service says the wave doesn't name is asked for again: the service may
+/// hear of a wave later than this entry, and operators must not read that it is complete before.
+constexpr Duration kRebootRefused = std::chrono::seconds(2);
 const std::string kWavePrefix = "wave/";
 /// A move whose answer was lost and that isn't seen after this has not happened.
 constexpr Duration kMoveLost = std::chrono::seconds(6);
@@ -104,6 +107,7 @@
   }
   // The predecessor may just have given an order for the same VM.
   const bool may_order = this->listed > first_order;
+  this->KeepEmptying();
   const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
   for (const auto& [number, wave] : known) {
     if (!this->is_stopped && !this->waves[number].progress.is_complete) {
@@ -184,6 +188,17 @@
            {{"vm", vm.id.text}, {"endpoint", vm.endpoint}});
 }
 
+/// What can go wrong: the endpoint of a VM that is being emptied starts anew under another id, or
+/// its registration lapses and returns. The scheduler knows it as one like any other and gives it
+/// work, and the VM never becomes empty.
+void VmDriver::KeepEmptying() {
+  for (const jobs::VmRecord& vm : this->vms) {
+    if (this->evacuating.contains(vm.id) || this->released.contains(vm.id)) {
+      this->scheduler.BeginEvacuation(vm.endpoint);
+    }
+  }
+}
+
 asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order) {
   WaveState& state = this->waves[wave.number];
   state.progress.number = wave.number;
@@ -194,12 +209,16 @@
   for (const auto& [vm, away] : this->moving) {
     absent.moving.insert(vm);
   }
+  for (const auto& [vm, until] : this->refused_reboots) {
+    if (this->context.Now() < until) {
+      absent.refused.insert(vm);
+    }
+  }
   const jobs::UpkeepStep step = jobs::UpkeepPlanner::Plan(wave, state.progress, this->vms, absent,
                                                           this->evacuating, this->Loads());
-  state.progress.is_complete = step.is_complete;
   this->scheduler.SetDue(step.due);
   if (!state.is_announced || step.is_complete) {
-    co_await this->Tell(wave, state);
+    co_await this->Tell(wave, state, step.is_complete);
   }
   for (const jobs::VmRecord& vm : this->vms) {
     const bool is_chosen =
@@ -243,7 +262,7 @@
     case VmOrderOutcome::kNoAnswer:
       break;  // asked again once the VM is seen up; the answer then tells
     case VmOrderOutcome::kNotAllowed:
-      this->waves[wave].progress.rebooted.insert(vm);
+      this->refused_reboots[vm] = this->context.Now() + kRebootRefused;
       this->down.erase(vm);
       break;
     case VmOrderOutcome::kTokenTooLow:
@@ -281,20 +300,22 @@
   return loads;
 }
 
-asio::awaitable<void> VmDriver::Tell(const jobs::Wave& wave, WaveState& state) {
+/// What can go wrong: that a wave is complete is stored before operators are told, this entry ends,
+/// and its successor takes the wave for done with. So it counts as complete once that is told.
+asio::awaitable<void> VmDriver::Tell(const jobs::Wave& wave, WaveState& state, bool is_complete) {
   std::vector<KeyedRecord> records;
-  records.push_back(this->context.links.records->WriteWaveStatus(wave, state.progress.is_complete));
+  records.push_back(this->context.links.records->WriteWaveStatus(wave, is_complete));
   const AppendOutcome outcome = co_await this->context.links.store->Append(
       Topic::kStatus, 0, std::move(records), std::nullopt, kStatusTimeout);
   const bool is_told = outcome.kind == AppendOutcome::Kind::kStored;
-  state.is_announced = state.is_announced || is_told;
   if (!is_told) {
-    state.progress.is_complete = false;  // told again with the next round
-    co_return;
+    co_return;  // told again with the next round
   }
+  state.is_announced = true;
+  state.progress.is_complete = is_complete;
   this->changed.insert(wave.number);
   LogEvent(telemetry::LogLevel::kInfo, "wave_told",
-           state.progress.is_complete ? "all VMs are done" : "is under way",
+           is_complete ? "all VMs are done" : "is under way",
            {{"wave", std::to_string(wave.number)}});
 }
 
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -58,7 +58,7 @@
   boost::asio::awaitable<bool> IsStillOwner();
   boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order);
   boost::asio::awaitable<void> Reboot(std::uint64_t wave, VmId vm);
-  boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state);
+  boost::asio::awaitable<void> Tell(const jobs::Wave& wave, WaveState& state, bool is_complete);
   void Resize(bool may_order);
   boost::asio::awaitable<void> Move(VmId vm, ServiceId pool);
   /// Has an order carried out after those before it.
@@ -70,6 +70,7 @@
   /// The VM is up again; its endpoint is expected to register.
   void NoteUp(const jobs::VmRecord& vm);
   bool IsRegistering(const jobs::VmRecord& vm) const;
+  void KeepEmptying();
   void Evacuate(const jobs::VmRecord& vm, const char* why);
   void LogSizes(const std::vector<jobs::SizerVm>& sized, const ServiceId& standby);
   /// Parts of a pool's cpu and memory in use, as "34%/20%".
@@ -99,6 +100,8 @@
   /// Ordered to reboot and not seen up since; until then it counts as down even if it is listed
   /// as up, as an order without answer may be carried out later.
   std::map<VmId, TimePoint> down;
+  /// The service has refused to reboot these for a wave; asked again after this.
+  std::map<VmId, TimePoint> refused_reboots;
   /// Emptied so that they can be moved.
   std::set<VmId> released;
   /// Ordered to move and not seen up in the new pool since.
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -15,6 +15,9 @@
 /// Between two looks at all endpoints for lapsed leases and tasks that are to move; both are about
 /// seconds, and a round comes every few milliseconds.
 constexpr Duration kReviewPace = std::chrono::milliseconds(20);
+/// An endpoint without work is asked for its clock again after this: with each second the first
+/// lease there gets 20 ms shorter, and each look is priced.
+constexpr Duration kClockKept = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -129,8 +132,8 @@
       job->complete_occurrences.insert(i);
     }
   }
-  if (progress.IsEnded()) {
-    // The predecessor may have been replaced before it stored when the job ended.
+  // Without a date, runs of it may be left; they are found by its rows.
+  if (progress.IsEnded() && (progress.ended_ms != 0 || job->job.steps.empty())) {
     job->ended_ms = progress.ended_ms != 0 ? progress.ended_ms : this->impl->state.wall_ms;
     if (progress.ended_ms == 0) {
       state.MarkDirty(*job);
@@ -154,9 +157,12 @@
     ref.task->progress = row.progress;
     ref.step->done += row.progress.phase == TaskPhase::kDone ? 1 : 0;
     job->has_begun = job->has_begun || row.progress.ShowsRun();
-    if (row.progress.phase == TaskPhase::kPlaced) {
+    if (!row.progress.endpoint.empty()) {
       state.Adopt(ref);
     }
+    if (row.progress.phase != TaskPhase::kPlaced) {
+      state.BeginStop(ref, state.began);
+    }
     if (row.progress.phase == TaskPhase::kFailed) {
       job->is_failed = true;
     }
@@ -164,6 +170,10 @@
   for (auto& [number, occurrence] : job->occurrences) {
     state.Advance(*job, number);
   }
+  if (job->IsOver()) {
+    state.StopAll(*job, state.began);
+    this->impl->maybe_ended.push_back(id);
+  }
   if (job->Phase() != job->stored_phase) {
     state.MarkDirty(*job);
   }
@@ -228,7 +238,7 @@
   }
 }
 
-void Scheduler::OnHoldFailed(const std::string& id, OrderOutcome outcome, TimePoint) {
+void Scheduler::OnHoldFailed(const std::string& id, OrderOutcome outcome, TimePoint now) {
   EndpointState* endpoint = this->impl->state.FindEndpoint(id);
   if (outcome == OrderOutcome::kTokenTooLow) {
     this->impl->state.is_superseded = true;
@@ -238,7 +248,7 @@
   }
   endpoint->is_silent = true;
   if (outcome == OrderOutcome::kOtherLife) {
-    this->impl->tracker.OnGone(*endpoint);
+    this->impl->tracker.OnGone(*endpoint, now);
   }
 }
 
@@ -250,6 +260,10 @@
   this->impl->tracker.OnStopAnswered(order, outcome, now);
 }
 
+void Scheduler::OnPaceAnswered(const PaceOrder& order, OrderOutcome outcome) {
+  this->impl->pacing.OnAnswered(order, outcome);
+}
+
 void Scheduler::Impl::CreateDueOccurrences(std::int64_t now_ms) {
   for (auto place = this->state.scheduled.begin(); place != this->state.scheduled.end();) {
     JobState* job = this->state.FindJob(*place);
@@ -330,14 +344,17 @@
       has_to_confirm && !endpoint->is_silent ? endpoint->stored_end : std::uint64_t{0};
   const bool has_claims = !endpoint->claims.empty();
   const bool is_known = endpoint->clock_ms.has_value();
-  plan.is_needed = has_claims || !endpoint->strays.empty() ||
-                   (endpoint->is_registered && (!is_known || endpoint->is_silent)) ||
-                   endpoint->confirmed_end < endpoint->seen_end;
+  const bool is_clock_old = is_known && now - endpoint->clock_at > kClockKept;
+  plan.is_needed =
+      has_claims || !endpoint->strays.empty() ||
+      (endpoint->is_registered && (!is_known || is_clock_old || endpoint->is_silent)) ||
+      endpoint->confirmed_end < endpoint->seen_end;
   const bool is_heard = is_known && now - endpoint->heard < state.options.silence;
   if (this->MayRenew(now) && has_claims && is_known && (is_heard || !endpoint->is_silent)) {
     const Duration lease = state.options.lease;
-    plan.order.lease_end_ms = endpoint->ClockAt(now) +
-                              std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
+    plan.order.lease_end_ms =
+        endpoint->EarliestClockAt(now, state.options.endpoint_clock_slowness) +
+        MillisecondsOf(lease);
     endpoint->lease_end = std::max(endpoint->lease_end, now + state.options.LongestLease());
   }
   const bool may_wait =
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -45,12 +45,17 @@
   /// The same on the endpoint's clock.
   std::int64_t lease_end_ms = 0;
   int start_tries = 0;
+  /// Placed by a predecessor.
+  bool is_adopted = false;
+  /// The endpoint has shown this run, so that no start of it is under way any more.
+  bool is_shown = false;
   /// When the endpoint answered a stop of this run.
   std::optional<TimePoint> stop_answered;
   int percent = 0;
   TimePoint percent_since{};
   std::int64_t gauge = 0;
-  int pace = 100;
+  /// As ordered last; nothing when it isn't known what came of that.
+  std::optional<int> pace = 100;
   TimePoint not_before{};
   int restarts = 0;
   /// Passed over in the next placement, as the last run failed there.
@@ -59,8 +64,6 @@
   /// It should leave its endpoint, and no other has room for it.
   bool lacks_place = false;
 
-  /// Placed by a predecessor; nothing was ordered for it since.
-  bool IsAdopted() const { return this->ordered == TimePoint{}; }
   bool IsWaiting() const {
     return this->state == RunState::kNone && this->progress.phase == TaskPhase::kWaiting;
   }
@@ -176,7 +179,9 @@
 
   Resources Room() const { return this->record.capacity - this->used - this->kept; }
   bool IsLeaving() const { return this->is_evacuating || this->record.is_draining; }
-  std::int64_t ClockAt(TimePoint now) const;
+  /// The least that its clock may show, if it is by `slowness` slower than ours since it was read.
+  /// A lease that is reckoned from it ends early rather than late.
+  std::int64_t EarliestClockAt(TimePoint now, double slowness) const;
 };
 
 /// Room that is kept for one task.
@@ -234,6 +239,8 @@
   /// A claim that a predecessor stored.
   void Adopt(const TaskRef& ref);
   void BeginStop(const TaskRef& ref, TimePoint now);
+  /// Stops what runs of the gang that the task belongs to, if any.
+  void BreakGang(const TaskRef& ref, TimePoint now);
   /// An endpoint has shown that a run of the task has begun.
   void NoteBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now);
   void MarkDone(const TaskRef& ref, TimePoint now);
