--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -96,7 +96,7 @@
 
 /// The same, after the successor had renewed the leases while it read the jobs: these last longer
 /// than what the predecessor may have given.
-TEST_F(Takeover, WaitsOutTheLeasesThatWereGivenBeforeTheJobsWereKnown) {
+TEST_P(Takeover, WaitsOutTheLeasesThatWereGivenBeforeTheJobsWereKnown) {
   const std::string other = this->start.endpoint == "a" ? "b" : "a";
   const SchedulerOptions options;
   const TimePoint renewed = TimePoint{} + options.predecessor_grace + std::chrono::seconds(2);
