Jobs: Settle a start that was given twice in the next life of its endpoint

Cause: a start without answer is given again. When the second try is answered, the run counted as shown and no start of it as under way, but the first try may come later. If the endpoint started anew meanwhile, it began the task there while the task was started elsewhere: twice at the same time.

Evidence: RunRaces.ATryThatWasOvertakenMayComeInTheNextLife fails before this commit and passes with it.

Change: a run that was ordered more than once is stopped in the new life, and its claim stays until that is answered. Left: a run that was stopped, then not listed any more, before the endpoint started anew.

--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -260,8 +260,9 @@
       continue;
     }
     given_up.push_back(ref);
-    const bool may_arrive =
-        !task.is_adopted && !task.is_shown && task.state != RunState::kRecording;
+    // Of several tries, one that was overtaken may come after the run has been shown.
+    const bool is_settled = task.is_shown && task.start_tries <= 1;
+    const bool may_arrive = !task.is_adopted && !is_settled && task.state != RunState::kRecording;
     if (may_arrive) {
       // The start has no answer yet. Its time limit is on the former life's clock and doesn't hold
       // it back in this one, nor does a stop there; only a stop here does.
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -361,5 +361,24 @@
   EXPECT_EQ(world.Round().starts.size(), 1U);
 }
 
+/// A start is given twice, and the answer to the second try shows the run. When the endpoint starts
+/// anew, the first try may still be on its way there: started elsewhere at once, the task would run
+/// twice at the same time.
+TEST(RunRaces, ATryThatWasOvertakenMayComeInTheNextLife) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  world.scheduler.OnStartAnswered(world.Round().starts.at(0), OrderOutcome::kNoAnswer, world.now);
+  world.Pass(SchedulerOptions{}.start_retry);
+  const StartOrder second = world.Round().starts.at(0);
+  world.scheduler.OnStartAnswered(second, OrderOutcome::kDone, world.now);
+  EndpointRecord reborn = World::Endpoint("a");
+  reborn.born_ms = 2;
+  world.scheduler.SetEndpoints({reborn, World::Endpoint("b")}, world.now);
+  world.Hold("b", {}, {});
+  world.Hold("a", {}, {}, 2);
+  EXPECT_TRUE(world.Round().starts.empty());
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
