JobEntry: Give back a VM that no open wave wants any more

Cause: a VM that was emptied for its reboot was given back only after a reboot that was seen. When the wave was replaced by one that doesn't name it, it stayed empty for good; since each round says again which endpoints are to be emptied, a new endpoint of it as well.

Evidence: VmDriver.AVmThatAWaveNamesNoMoreGetsWorkAgain fails without this change for both its VMs and passes with it.

Change: each round gives back what no open wave is still to reboot.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -105,8 +105,8 @@
   }
   // The predecessor may just have given an order for the same VM.
   const bool may_order = this->listed > first_order;
-  this->KeepEmptying();
   const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
+  this->KeepEmptying(this->WantedBy(known));
   for (const auto& [number, wave] : known) {
     if (!this->is_stopped && !this->waves[number].is_complete) {
       co_await this->DriveWave(wave, may_order);
@@ -186,11 +186,28 @@
            {{"vm", vm.id.text}, {"endpoint", vm.endpoint}});
 }
 
+std::set<VmId> VmDriver::WantedBy(const std::map<std::uint64_t, jobs::Wave>& known) {
+  std::set<VmId> wanted;
+  for (const auto& [number, wave] : known) {
+    const jobs::WaveProgress& progress = this->waves[number];
+    for (const VmId& vm : wave.vms) {
+      if (!progress.is_complete && !progress.rebooted.contains(vm)) {
+        wanted.insert(vm);
+      }
+    }
+  }
+  return wanted;
+}
+
 /// What can go wrong: the endpoint of a VM that is being emptied starts anew under another id, or
 /// its registration lapses and returns. The scheduler knows it as one like any other and gives it
-/// work, and the VM never becomes empty.
-void VmDriver::KeepEmptying() {
+/// work, and the VM never becomes empty. Or the wave names the VM no more, and it stays empty.
+void VmDriver::KeepEmptying(const std::set<VmId>& wanted) {
   for (const jobs::VmRecord& vm : this->vms) {
+    const bool is_wanted = wanted.contains(vm.id) || this->down.contains(vm.id);
+    if (!is_wanted && this->evacuating.erase(vm.id) > 0) {
+      this->scheduler.EndEvacuation(vm.endpoint);
+    }
     if (this->evacuating.contains(vm.id) || this->released.contains(vm.id)) {
       this->scheduler.BeginEvacuation(vm.endpoint);
     }
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -67,7 +67,10 @@
   /// The VM is up again; its endpoint is expected to register.
   void NoteUp(const jobs::VmRecord& vm);
   bool IsRegistering(const jobs::VmRecord& vm) const;
-  void KeepEmptying();
+  /// The VMs that open waves are still to reboot.
+  std::set<VmId> WantedBy(const std::map<std::uint64_t, jobs::Wave>& known);
+  /// Says again which endpoints are to be emptied, and gives back those that no wave wants.
+  void KeepEmptying(const std::set<VmId>& wanted);
   void Evacuate(const jobs::VmRecord& vm, const char* why);
   void LogSizes(const std::vector<jobs::SizerVm>& sized, const ServiceId& standby);
   /// Parts of a pool's cpu and memory in use, as "34%/20%".
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -173,5 +173,32 @@
                                                             }}),
                          [](const auto& info) { return info.param.name; });
 
+/// Guards against VMs that stay empty for good, as a wave that named them doesn't any more.
+TEST(VmDriver, AVmThatAWaveNamesNoMoreGetsWorkAgain) {
+  DriverWorld world(8);
+  world.fleet.vms.is_busy = true;
+  world.Start();
+  world.RunUntil(std::chrono::seconds(3), [&] { return world.fleet.vms.tokens.size() >= 4; });
+  ASSERT_GE(world.fleet.vms.tokens.size(), 4U);
+  world.fleet.store.At(Topic::kOperators, 0).records.push_back({"wave", "m7"});
+  world.io.run_for(milliseconds(3000));
+  world.fleet.vms.vms[1].endpoint = "j1";
+  world.Register();
+  world.io.run_for(milliseconds(1500));
+  world.world.scheduler.AddJob(
+      jobs::SchedulerWorld::MakeJob(1, {jobs::SchedulerWorld::MakeStep(8, 8000)}), WallTime{});
+  // The pool is sized for the job first; until then idle VMs are free to be moved.
+  std::set<std::string> started;
+  for (int round = 0; round < 2; ++round) {
+    for (const jobs::StartOrder& start : world.world.Round().starts) {
+      started.insert(start.endpoint);
+    }
+    world.io.run_for(milliseconds(1500));
+  }
+  EXPECT_TRUE(started.contains("i0"));
+  EXPECT_TRUE(started.contains("j1"));
+  EXPECT_TRUE(started.contains("i5"));
+}
+
 }  // namespace
 }  // namespace chervilspar::job_entry
