Jobs: Store that a job has begun once it has been shown for three seconds

What callers saw: a job whose estimate is far too low, at work for a minute and shown as running, was shown as queued and counted as waiting after a change of owner. Its beginning was stored at once only if its estimate is long; estimates may be far off.

Evidence: WaitingJobs.ASuccessorDoesNotTakeBackThatAJobRuns fails before this commit and passes with it; the cases of LongJobs pass as before.

Change: whoever shows a run of a job for three seconds without anything else being stored of it has its beginning stored. What the stored phase implies is taken from it alone: the looks at rows and occurrences are gone, as removing them failed no test.

--- a/include/chervilspar/jobs/progress.h
+++ b/include/chervilspar/jobs/progress.h
@@ -45,9 +45,6 @@
   /// The newest saved progress; empty for none.
   std::string checkpoint;
 
-  /// Some run of it has certainly begun; a placement alone doesn't show that.
-  bool ShowsRun() const;
-
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
 
--- a/src/cli/explain_job_command.cc
+++ b/src/cli/explain_job_command.cc
@@ -77,7 +77,8 @@
     return "It came to its end: " + ended->message + why + ".";
   }
   const Trace* const waits = last("job_waits");
-  const Trace* const started = last("job_started");
+  const Trace* const found = last("job_found_running");
+  const Trace* const started = found != nullptr ? found : last("job_started");
   if (waits != nullptr && (started == nullptr || *started < *waits)) {
     return "It has not ended; " + waits->message + ".";
   }
--- a/src/jobs/progress.cc
+++ b/src/jobs/progress.cc
@@ -102,11 +102,6 @@
 
 const char* ToString(JobPhase phase) { return kPhaseNames[static_cast<std::size_t>(phase)]; }
 
-bool TaskProgress::ShowsRun() const {
-  return this->phase == TaskPhase::kDone || this->phase == TaskPhase::kFailed ||
-         this->ended_run > 0 || !this->checkpoint.empty();
-}
-
 bool JobProgress::IsEnded() const {
   return this->phase == JobPhase::kComplete || this->phase == JobPhase::kFailed ||
          this->phase == JobPhase::kCancelled;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -118,7 +118,7 @@
     job->job.id = id;
   }
   job->stored_phase = progress.phase;
-  job->has_begun = progress.phase == JobPhase::kRunning || !progress.complete_occurrences.empty();
+  job->has_begun = progress.phase == JobPhase::kRunning;
   job->ended_ms = progress.ended_ms;
   job->is_failed = progress.phase == JobPhase::kFailed;
   job->is_cancelled = job->is_cancelled || progress.phase == JobPhase::kCancelled;
@@ -156,7 +156,6 @@
     }
     ref.task->progress = row.progress;
     ref.step->done += row.progress.phase == TaskPhase::kDone ? 1 : 0;
-    job->has_begun = job->has_begun || row.progress.ShowsRun();
     if (!row.progress.endpoint.empty()) {
       state.Adopt(ref);
     }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -10,6 +10,9 @@
 constexpr std::size_t kMaxNotes = 4096;
 /// By its estimate, such a task is at work for longer than a take-over.
 constexpr std::int64_t kLongTaskMs = 5000;
+/// That another job has begun is stored after this, unless something else was stored of it before:
+/// most jobs have an end by then, and each record is priced.
+constexpr Duration kBegunUnstored = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -272,21 +275,23 @@
 
 void SchedulerState::NoteBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) {
   JobState& job = *ref.job;
-  if (job.has_begun) {
-    return;
+  if (!job.has_begun) {
+    job.has_begun = true;
+    job.begun = now;
+    this->TellBegun(ref, endpoint, now);
   }
-  job.has_begun = true;
   // Otherwise nothing may be stored of it for long, and a successor would take it for waiting.
-  if (job.job.IsLongRunning() || ref.spec->estimate_ms >= kLongTaskMs) {
+  const bool is_long = job.job.IsLongRunning() || ref.spec->estimate_ms >= kLongTaskMs;
+  if (job.stored_phase == JobPhase::kQueued && (is_long || now - job.begun >= kBegunUnstored)) {
     this->MarkDirty(job);
   }
+}
+
+void SchedulerState::TellBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) {
+  const JobState& job = *ref.job;
   if (!job.first_ordered) {
-    this->Tell({"job_found_running",
-                ref.key,
-                {},
-                endpoint.record.id,
-                "ordered by an earlier owner",
-                NoteWeight::kRoutine});
+    this->Tell(
+        {"job_found_running", ref.key, {}, endpoint.record.id, "ordered by an earlier owner"});
     return;
   }
   this->Tell({"job_started",
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -50,7 +50,7 @@
   int start_tries = 0;
   /// Placed by a predecessor.
   bool is_adopted = false;
-  /// The endpoint has shown this run, so that no start of it is under way any more.
+  /// The endpoint has shown this run; if it was ordered once, no start of it is under way any more.
   bool is_shown = false;
   /// When the endpoint answered a stop of this run.
   std::optional<TimePoint> stop_answered;
@@ -127,6 +127,8 @@
   std::optional<TimePoint> first_ordered;
   /// An endpoint has shown a run of one of its tasks. An order alone may come to nothing.
   bool has_begun = false;
+  /// When that was shown to this owner.
+  TimePoint begun{};
   bool is_dirty = false;
   std::int64_t ended_ms = 0;
   /// The last phase that was stored.
@@ -246,6 +248,7 @@
   void BreakGang(const TaskRef& ref, TimePoint now);
   /// An endpoint has shown that a run of the task has begun.
   void NoteBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now);
+  void TellBegun(const TaskRef& ref, const EndpointState& endpoint, TimePoint now);
   void MarkDone(const TaskRef& ref, TimePoint now);
   /// Ends all that runs of a job that is cancelled or has failed.
   void StopAll(JobState& job, TimePoint now);
--- a/tests/jobs/waiting_jobs_test.cc
+++ b/tests/jobs/waiting_jobs_test.cc
@@ -261,5 +261,24 @@
   EXPECT_TRUE(IsTold(world, "waiting_jobs_told"));
 }
 
+/// Guards against a successor that tells callers "queued" of a run that they were told of, and
+/// counts it as waiting, since nothing is stored while it goes on.
+TEST(WaitingJobs, ASuccessorDoesNotTakeBackThatAJobRuns) {
+  World before;
+  const StartOrder start = OrderOne(before);
+  Answer(before, start, OrderOutcome::kDone);
+  for (int i = 0; i < 60; ++i) {
+    before.Pass(seconds(1));
+    before.scheduler.SetProof(before.now);
+    before.Hold("a", {World::Active(start)}, {});
+    before.Round();
+  }
+  ASSERT_EQ(before.PhaseOf(1), JobPhase::kRunning);
+  World after{{}, 2};
+  TakeOver(after, before, before.endpoints);
+  EXPECT_EQ(after.PhaseOf(1), JobPhase::kRunning);
+  EXPECT_EQ(Recount(after), 0U);
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
