Tests: Let the soak's questions for counts change nothing in what a seed hands in

The questions drew from the random numbers of the callers, so that the seeds of regressions.txt handed in other jobs than before. They draw from numbers of their own now, and an answer that can't be read counts as none waiting.

--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -34,10 +34,22 @@
   return {{"count", count}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", 150}};
 }
 
+/// None if the answer can't be read.
+std::size_t PendingOf(const std::string& text) {
+  boost::system::error_code error;
+  const json::value body = json::parse(text, error);
+  const json::value* pending =
+      !error && body.is_object() ? body.as_object().if_contains("pending") : nullptr;
+  return pending != nullptr && pending->is_int64() ? pending->to_number<std::size_t>() : 0;
+}
+
 }  // namespace
 
 SoakCallers::SoakCallers(SoakFleet& fleet, std::uint64_t seed)
-    : fleet(fleet), random(seed), client({.connections_per_address = 256}, {}) {}
+    : fleet(fleet),
+      random(seed),
+      count_random(~seed),
+      client({.connections_per_address = 256}, {}) {}
 
 asio::awaitable<void> SoakCallers::Pause(Duration span) {
   asio::steady_timer timer(this->fleet.io, span);
@@ -53,12 +65,14 @@
 
 asio::awaitable<http::Exchange> SoakCallers::Call(const char* method, jobs::JobId id,
                                                   std::string body, std::string key) {
-  co_return co_await this->Send(method, jobs::ToString(id), std::move(body), std::move(key));
+  co_return co_await this->Send(method, jobs::ToString(id), std::move(body), std::move(key),
+                                this->random);
 }
 
 asio::awaitable<http::Exchange> SoakCallers::Send(const char* method, const std::string& target,
-                                                  std::string body, std::string key) {
-  const EntryPlace& place = this->fleet.places[this->random.Below(this->fleet.places.size())];
+                                                  std::string body, std::string key,
+                                                  SeededRandom& choice) {
+  const EntryPlace& place = this->fleet.places[choice.Below(this->fleet.places.size())];
   http::Request request;
   request.method = method;
   request.target = "/bookings/" + target;
@@ -191,14 +205,12 @@
   while (clock.Now() < until) {
     co_await this->Pause(kCountPace);
     const TimePoint since = clock.Now() - kVisibleLimit;
-    const http::Exchange exchange = co_await this->Send("GET", "", "", kKey);
+    const http::Exchange exchange = co_await this->Send("GET", "", "", kKey, this->count_random);
     if (!exchange.response || exchange.response->status != 200) {
       continue;
     }
-    boost::system::error_code error;
-    const json::value body = json::parse(exchange.response->body, error);
     const std::size_t waiting = this->WaitingSince(since);
-    const auto told = error ? 0 : body.at("pending").to_number<std::size_t>();
+    const std::size_t told = PendingOf(exchange.response->body);
     if (2 * told < waiting) {
       this->fleet.endpoints.violations.push_back(std::to_string(told) + " jobs are said to wait; " +
                                                  std::to_string(waiting) +
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -52,7 +52,8 @@
   boost::asio::awaitable<http::Exchange> Call(const char* method, jobs::JobId id, std::string body,
                                               std::string key);
   boost::asio::awaitable<http::Exchange> Send(const char* method, const std::string& target,
-                                              std::string body, std::string key);
+                                              std::string body, std::string key,
+                                              SeededRandom& choice);
   /// Jobs accepted before `time` of which no endpoint has begun a task.
   std::size_t WaitingSince(TimePoint time) const;
   boost::asio::awaitable<void> Pause(Duration span);
@@ -60,6 +61,8 @@
 
   SoakFleet& fleet;
   SeededRandom random;
+  /// Of its own, so that the questions change nothing in what a seed hands in.
+  SeededRandom count_random;
   http::Client client;
   std::map<jobs::JobId, CallerJob> all;
   std::optional<TimePoint> withdrawn;
