Scheduler: Let a successor count the time for which leases were left to lapse

Cause: what ran on an endpoint that can't be reached is given up when the predecessor can't have renewed any more: 3.5 s after its announcement and one lease later.

Change: an owner that doesn't reach an endpoint with work for 1.5 s stores a lapse notice with the time that is left, anew each second, and from then on neither renews nor starts anything there; before it does again, the notice is dropped from the store. A successor whose token follows that of the notice waits no longer than it says. Where an owner between them left no notice, it waits the whole time: on a slow link it may have renewed before it read the notices.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -12,6 +12,7 @@
 #include "chervilspar/base/time.h"
 #include "chervilspar/jobs/endpoint.h"
 #include "chervilspar/jobs/job.h"
+#include "chervilspar/jobs/lapse_notice.h"
 #include "chervilspar/jobs/policy.h"
 #include "chervilspar/jobs/pool_sizer.h"
 #include "chervilspar/jobs/progress.h"
@@ -47,11 +48,21 @@
   friend bool operator==(const ProgressRecord&, const ProgressRecord&) = default;
 };
 
+/// A lapse notice to be written, or its removal.
+struct LapseRecord {
+  std::string endpoint;
+  /// Nothing: the endpoint's notice is to be dropped.
+  std::optional<std::string> text;
+
+  friend bool operator==(const LapseRecord&, const LapseRecord&) = default;
+};
+
 /// What has to be stored before anything that follows from it may leave the process.
 struct Batch {
   std::vector<ProgressRecord> records;
+  std::vector<LapseRecord> lapses;
 
-  bool IsEmpty() const { return this->records.empty(); }
+  bool IsEmpty() const { return this->records.empty() && this->lapses.empty(); }
 };
 
 /// Orders to endpoints. They may be sent side by side, in any order.
@@ -137,6 +148,8 @@
   /// The same from its record. One in the compact form is written anew with the next batch where
   /// rows are to be stored.
   Status RestoreStored(const JobId& id, std::string_view text);
+  /// Stored notices, whoever made them; after `RestoreProgress` and before `NoteLeases`.
+  void RestoreLapseNotices(const std::vector<LapseNotice>& notices);
   /// Leases that were given for this token before the jobs were known, with the times by our clock
   /// at which they have certainly lapsed; after `RestoreProgress`.
   void NoteLeases(const std::map<std::string, TimePoint>& lease_ends);
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -36,6 +36,15 @@
   return options;
 }
 
+void AddRecords(jobs::Batch batch, std::vector<KeyedRecord>& records) {
+  for (jobs::ProgressRecord& record : batch.records) {
+    records.push_back({jobs::ToString(record.job), std::move(record.text)});
+  }
+  for (jobs::LapseRecord& record : batch.lapses) {
+    records.push_back({kLapsePrefix + record.endpoint, std::move(record.text)});
+  }
+}
+
 }  // namespace
 
 OwnerTerm::OwnerTerm(const Context& context, OperatorView& operators, OwnerDirectory& directory,
@@ -209,9 +218,7 @@
     const TimePoint begin = this->context.Now();
     std::vector<KeyedRecord> records = this->vms.TakeRecords();
     if (has_batch) {
-      for (const jobs::ProgressRecord& record : this->scheduler.TakeBatch().records) {
-        records.push_back({jobs::ToString(record.job), record.text});
-      }
+      AddRecords(this->scheduler.TakeBatch(), records);
     }
     const bool is_stored = co_await this->StoreRecords(std::move(records));
     if (!is_stored) {
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -22,6 +22,9 @@
 
 namespace chervilspar::job_entry {
 
+/// Begins the key of a lapse notice; the endpoint's id follows.
+inline constexpr const char* kLapsePrefix = "lapse/";
+
 /// One time for which this entry schedules jobs: from its claim until another takes over.
 ///
 /// Reads the state under a new token, drives a `jobs::Scheduler` with facts, and carries out what
@@ -58,6 +61,7 @@
   /// False when the term has ended.
   boost::asio::awaitable<bool> StoreRecords(std::vector<KeyedRecord> records);
   void LoadWave(const KeyedRecord& record);
+  void LoadLapseNotices(const std::vector<KeyedRecord>& records);
   boost::asio::awaitable<bool> ReadProgress(std::vector<KeyedRecord>& records);
   void LoadProgress(const std::vector<KeyedRecord>& records);
   /// When there was last proof that there is no successor.
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -40,6 +40,7 @@
   }
   this->SetEndpoints();
   this->LoadProgress(progress);
+  this->LoadLapseNotices(progress);
   this->keeper->Stop();
   this->scheduler.NoteLeases(this->keeper->Leases().LeaseEnds());
   this->job_log.ApplyCancellations();
@@ -95,6 +96,23 @@
   }
 }
 
+void OwnerTerm::LoadLapseNotices(const std::vector<KeyedRecord>& records) {
+  std::vector<jobs::LapseNotice> notices;
+  for (const KeyedRecord& record : records) {
+    if (!record.value || !record.key.starts_with(kLapsePrefix)) {
+      continue;
+    }
+    const Result<jobs::LapseNotice> notice = jobs::DecodeLapseNotice(*record.value);
+    if (notice) {
+      notices.push_back(*notice);
+    } else {
+      LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(notice.LastReason()),
+               {{"key", record.key}});
+    }
+  }
+  this->scheduler.RestoreLapseNotices(notices);
+}
+
 void OwnerTerm::LoadWave(const KeyedRecord& record) {
   const Result<jobs::WaveProgress> progress = jobs::DecodeWaveProgress(*record.value);
   if (!progress) {
--- /dev/null
+++ b/src/jobs/lapse_review.cc
@@ -0,0 +1,48 @@
+#include "jobs/lapse_review.h"
+
+#include <algorithm>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// Between two notices about one endpoint. A successor waits at most this much longer than the last
+/// owner would have.
+constexpr Duration kNoticePace = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+bool LapseReview::IsLeftToLapse(const EndpointState& endpoint) const {
+  const bool is_unreached = endpoint.is_silent || !endpoint.clock_ms.has_value();
+  const TimePoint heard = std::max(endpoint.heard, this->state.began);
+  return is_unreached && !endpoint.claims.empty() &&
+         this->now - heard >= this->state.options.silence && this->now < endpoint.lease_end;
+}
+
+void LapseReview::Run() {
+  for (const auto& [id, endpoint] : this->state.endpoints) {
+    const bool is_left = this->IsLeftToLapse(*endpoint);
+    if (is_left && (!endpoint->has_lapse_notice || this->now - endpoint->noticed >= kNoticePace)) {
+      endpoint->has_lapse_notice = true;
+      endpoint->noticed = this->now;
+      this->state.lapse_changes[id] =
+          EncodeLapseNotice({id, this->state.token, endpoint->lease_end - this->now});
+    } else if (!is_left && endpoint->has_lapse_notice) {
+      this->state.lapse_changes[id] = std::nullopt;
+    }
+  }
+}
+
+void LapseReview::Restore(const std::vector<LapseNotice>& notices) {
+  for (const LapseNotice& notice : notices) {
+    this->state.lapse_changes[notice.endpoint] = std::nullopt;
+    EndpointState* const endpoint = this->state.FindEndpoint(notice.endpoint);
+    // An owner in between may have renewed there without leaving a trace.
+    const bool is_from_predecessor = notice.token + 1 == this->state.token;
+    if (endpoint != nullptr && is_from_predecessor && !endpoint->claims.empty()) {
+      endpoint->lease_end = std::min(endpoint->lease_end, this->state.began + notice.remaining);
+    }
+  }
+}
+
+}  // namespace chervilspar::jobs
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -27,7 +27,7 @@
 
 bool Placement::IsUsable(const EndpointState& endpoint, TimePoint now) {
   return endpoint.is_registered && !endpoint.record.is_draining && !endpoint.is_evacuating &&
-         !endpoint.is_silent && endpoint.clock_ms.has_value() && endpoint.ejected_until <= now &&
+         !endpoint.is_silent && !endpoint.has_lapse_notice && endpoint.clock_ms.has_value() && endpoint.ejected_until <= now &&
          endpoint.full_until <= now;
 }
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "jobs/evacuation.h"
+#include "jobs/lapse_review.h"
 #include "jobs/order_round.h"
 #include "jobs/placing_round.h"
 #include "jobs/scheduler_impl.h"
@@ -62,7 +63,9 @@
     }
   }
   std::erase_if(state.endpoints, [&state](const auto& entry) {
-    const bool is_gone = !entry.second->is_registered && entry.second->claims.empty();
+    const EndpointState& endpoint = *entry.second;
+    const bool is_gone =
+        !endpoint.is_registered && endpoint.claims.empty() && !endpoint.has_lapse_notice;
     if (is_gone) {
       state.endpoint_index.erase(entry.first);
       std::erase_if(state.kept_rooms,
@@ -179,6 +182,10 @@
   state.RefreshReady(*job);
 }
 
+void Scheduler::RestoreLapseNotices(const std::vector<LapseNotice>& notices) {
+  LapseReview(this->impl->state, this->impl->state.began).Restore(notices);
+}
+
 void Scheduler::NoteLeases(const std::map<std::string, TimePoint>& lease_ends) {
   for (const auto& [id, lease_end] : lease_ends) {
     if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
@@ -318,6 +325,7 @@
   if (now - self.reviewed >= kReviewPace) {
     self.reviewed = now;
     self.tracker.LapseLeases(now);
+    LapseReview(self.state, now).Run();
     self.state.GiveUpOldRooms(now);
     Evacuation(self.state, now).Run();
   }
@@ -349,7 +357,8 @@
       (endpoint->is_registered && (!is_known || is_clock_old || endpoint->is_silent)) ||
       endpoint->confirmed_end < endpoint->seen_end;
   const bool is_heard = is_known && now - endpoint->heard < state.options.silence;
-  if (this->MayRenew(now) && has_claims && is_known && (is_heard || !endpoint->is_silent)) {
+  const bool is_reached = is_known && (is_heard || !endpoint->is_silent);
+  if (this->MayRenew(now) && has_claims && is_reached && !endpoint->has_lapse_notice) {
     const Duration lease = state.options.lease;
     plan.order.lease_end_ms =
         endpoint->EarliestClockAt(now, state.options.endpoint_clock_slowness) +
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -60,6 +60,8 @@
     std::uint64_t end = 0;
   };
   std::vector<RecordedEnds> recorded_ends;
+  /// Endpoints whose lapse notices the batch drops.
+  std::vector<std::string> recorded_lapse_drops;
   /// Jobs whose end is stored since they were last asked for.
   std::vector<JobId> ended_stored;
   bool is_batch_out = false;
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -58,7 +58,7 @@
     return false;
   }
   return !self.state.dirty.empty() || !self.forgotten.empty() || !self.maybe_ended.empty() ||
-         self.state.has_new_ends;
+         self.state.has_new_ends || !self.state.lapse_changes.empty();
 }
 
 Batch Scheduler::TakeBatch() {
@@ -97,6 +97,13 @@
     batch.records.push_back({id, std::nullopt});
   }
   self.forgotten.clear();
+  for (auto& [endpoint, text] : self.state.lapse_changes) {
+    if (!text) {
+      self.recorded_lapse_drops.push_back(endpoint);
+    }
+    batch.lapses.push_back({endpoint, std::move(text)});
+  }
+  self.state.lapse_changes.clear();
   self.state.has_new_ends = false;
   for (const auto& [id, endpoint] : self.state.endpoints) {
     if (endpoint->seen_end > endpoint->stored_end) {
@@ -157,6 +164,16 @@
       endpoint->stored_end = ends.end;
     }
   }
+  for (const std::string& id : self.recorded_lapse_drops) {
+    EndpointState* endpoint = self.state.FindEndpoint(id);
+    const auto change = self.state.lapse_changes.find(id);
+    const bool is_noticed_anew = change != self.state.lapse_changes.end() && change->second;
+    if (endpoint != nullptr && !is_noticed_anew) {
+      endpoint->has_lapse_notice = false;
+      self.state.lapse_changes.erase(id);
+    }
+  }
+  self.recorded_lapse_drops.clear();
   self.WithdrawUnwanted(now);
   OrderRound round(self.state, now);
   for (const auto& [key, run] : self.recorded_starts) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -181,6 +181,10 @@
   TimePoint ejected_until{};
   TimePoint full_until{};
   int pace = 100;
+  /// A `LapseNotice` about it is stored or may be: nothing is renewed or started there.
+  bool has_lapse_notice = false;
+  /// When the last notice was made.
+  TimePoint noticed{};
 
   Resources Room() const { return this->record.capacity - this->used - this->kept; }
   bool IsLeaving() const { return this->is_evacuating || this->record.is_draining; }
@@ -278,6 +282,8 @@
   std::unordered_map<std::string, EndpointState*> endpoint_index;
   std::map<ServiceId, PoolState> pools;
   std::map<TaskKey, KeptRoom> kept_rooms;
+  /// Lapse notices to be stored, or dropped, with the next batch, by endpoint.
+  std::map<std::string, std::optional<std::string>> lapse_changes;
   std::map<TeamId, Resources> team_usage;
   std::vector<JobId> dirty;
   /// Tasks whose start or stop may have to be sent again.
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -104,9 +104,17 @@
     if (!this->scheduler.HasBatch()) {
       return {};
     }
-    for (const ProgressRecord& record : this->scheduler.TakeBatch().records) {
+    const Batch batch = this->scheduler.TakeBatch();
+    for (const ProgressRecord& record : batch.records) {
       this->stored[record.job] = record.text.value_or("");
     }
+    for (const LapseRecord& record : batch.lapses) {
+      if (record.text) {
+        this->lapses[record.endpoint] = *record.text;
+      } else {
+        this->lapses.erase(record.endpoint);
+      }
+    }
     return this->scheduler.ConfirmBatch(this->now);
   }
 
@@ -140,6 +148,8 @@
   TimePoint now = TimePoint{} + std::chrono::seconds(1);
   std::vector<EndpointRecord> endpoints;
   std::map<JobId, std::string> stored;
+  /// Lapse notices by endpoint.
+  std::map<std::string, std::string> lapses;
   HoldOrder last_hold;
 };
 
