Jobs: Start nothing in a zone that operators evacuate

Cause: nothing read the operators' records on evacuated zones.

Change: `ZoneCordon` decides, pure, whether a start may leave for a zone: the zone has to be open, and known to be open by proof younger than the bound less 2 s. `OperatorView` feeds it. Endpoints of a cordoned zone get no placement; a start that is being stored is withdrawn; one without answer isn't repeated, and a look shows whether it runs before a stop settles it. The owner asks once more just before an order leaves, a carrier just before it gives it. What runs there runs on and isn't counted into the load of the pools; VMs there neither serve nor move; waves take what is empty there first. With all zones cordoned, submissions get 503 with a time to come back unless the job was accepted before.

Ruled out: ending what runs there (operators ask for nothing new, and callers would lose work); a stop for each start without answer at once (it may run, and would be ended).

--- a/include/chervilspar/job_entry/links.h
+++ b/include/chervilspar/job_entry/links.h
@@ -88,6 +88,10 @@
   virtual Result<jobs::Policy> ReadPolicy(std::string_view value) const = 0;
   virtual Result<jobs::EndpointRecord> ReadEndpoint(std::string_view key,
                                                     std::string_view value) const = 0;
+  virtual bool IsCordonKey(std::string_view key) const = 0;
+  /// The zone that a cordon's record names; without value it is the record's removal.
+  virtual Result<ZoneId> ReadCordon(std::string_view key,
+                                    const std::optional<std::string>& value) const = 0;
   virtual bool IsWaveKey(std::string_view key) const = 0;
   virtual Result<jobs::Wave> ReadWave(std::string_view value) const = 0;
   /// The record that tells operators how far a wave is.
--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -29,6 +29,7 @@
   std::string advice_address;
   std::string key_proof_limit;
   std::string lease_limit;
+  std::string cordon_bound;
   std::string job_partitions;
   std::string vm_order_pause;
   std::string vm_order_rate;
@@ -38,6 +39,7 @@
   std::string link_rate;
   std::string progress_form;
   std::vector<std::string> seed_peers;
+  std::vector<std::string> fleet_zones;
   std::string decisions;
   std::string log_level;
 
@@ -73,6 +75,9 @@
   Duration key_proof_limit = std::chrono::milliseconds(3500);
   /// The longest lease that endpoints give.
   Duration lease_limit = std::chrono::seconds(10);
+  /// So long after operators have cordoned a zone, no task may start there; nothing where no such
+  /// bound is promised.
+  std::optional<Duration> cordon_bound;
   /// After a take-over, no order is given for a VM for this long, as the predecessor may just have
   /// given one.
   Duration vm_order_pause = std::chrono::seconds(3);
@@ -90,6 +95,8 @@
   jobs::ProgressForm progress_form = jobs::ProgressForm::kRows;
   /// Where some other entries answer entries; they may be down or gone.
   std::vector<SocketAddress> seed_peers;
+  /// The availability zones in which there may be endpoints; empty when that isn't known.
+  std::vector<ZoneId> fleet_zones;
   DecisionOptions decisions;
   telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
 
--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -77,6 +77,8 @@
   bool has_long_running = false;
   /// It has an endpoint that should answer and doesn't.
   bool is_silent = false;
+  /// Its zone gets no new work.
+  bool is_cordoned = false;
   /// Taken by a wave or on its way between pools; not to be touched.
   bool is_taken = false;
 
@@ -199,8 +201,9 @@
 
   /// What can go wrong: a zone is cut off in a peak, its VMs are ordered like others, nobody
   /// reaches them, and the callers wait for VMs that bring nothing. A zone with more silent
-  /// endpoints than answering ones counts as cut off; its VMs neither serve nor move.
-  std::vector<SizerVm> WithoutDarkZones(const std::vector<SizerVm>& vms) const;
+  /// endpoints than answering ones counts as cut off; its VMs neither serve nor move, nor do those
+  /// of a zone that is cordoned.
+  std::vector<SizerVm> WithoutUnusableZones(const std::vector<SizerVm>& vms) const;
   std::map<ServiceId, int> FindMissing(TimePoint now, const std::map<ServiceId, PoolLoad>& loads,
                                        const std::vector<SizerVm>& vms, const ServiceId& standby);
   void ReleaseFrom(const ServiceId& pool, const std::vector<SizerVm>& vms, int all_missing,
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -138,6 +138,8 @@
 
   // Facts.
   void SetPolicy(const Policy& policy);
+  /// Nothing is started in these zones any more; what runs there runs on.
+  void SetCordonedZones(const std::set<ZoneId>& zones);
   /// The endpoints that are registered now; others are gone or not reachable for the registry.
   void SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint now);
   /// Takes a job; the same id again changes nothing.
@@ -190,6 +192,8 @@
   void Forget(const std::vector<JobId>& ids);
   HoldPlan PlanHold(const std::string& endpoint, TimePoint now);
   std::vector<std::string> EndpointIds() const;
+  /// Empty for an endpoint that isn't known here.
+  ZoneId ZoneOf(const std::string& endpoint) const;
   /// Events since the last call, oldest first.
   std::vector<Note> TakeNotes();
   /// True once an endpoint has seen a higher token: another scheduler has taken over.
--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -110,6 +110,8 @@
   bool is_empty = false;
   /// Its tasks have to be moved one after the other, which takes longest.
   bool has_long_running = false;
+  /// Its zone gets no new work.
+  bool is_cordoned = false;
   /// Part of its pool's cpu that is in use, 0 to 1.
   double pool_load = 0;
 };
@@ -118,6 +120,7 @@
 ///
 /// The load that it answers: VMs go down while queues reach their peaks. Emptying those of the
 /// least loaded pools first, and only a part of each pool at once, leaves room where the peak is.
+/// Those that are empty in a cordoned zone go before all others, as nobody misses them.
 class UpkeepPlanner {
  public:
   /// VMs that can't be chosen now.
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -50,6 +50,8 @@
   AddFlag(app, "--key-proof-limit", raw.key_proof_limit,
           "How long keys are trusted without news from the store [3500ms]");
   AddFlag(app, "--lease-limit", raw.lease_limit, "The longest lease that endpoints give [10s]");
+  AddFlag(app, "--cordon-bound", raw.cordon_bound,
+          "So long after a zone was cordoned nothing may start there [no bound]");
   AddFlag(app, "--vm-order-pause", raw.vm_order_pause,
           "No orders for VMs this long after a take-over [3s]");
   AddFlag(app, "--vm-order-rate", raw.vm_order_rate,
@@ -72,6 +74,9 @@
   AddListFlag(app, "--seed-peer", raw.seed_peers,
               "ip:port where another entry answers entries; writes for this one when the store "
               "turns it away [none]");
+  AddListFlag(app, "--fleet-zone", raw.fleet_zones,
+              "Availability zone in which there may be endpoints; with all of them cordoned, jobs "
+              "are refused [not known]");
   AddFlag(app, "--decisions", raw.decisions,
           "NAME=VALUE,...: figures of decisions that differ from the defaults, for experiments")
       ->group("");
--- a/src/job_entry/caller_handler.cc
+++ b/src/job_entry/caller_handler.cc
@@ -8,6 +8,8 @@
 
 /// Another entry, or the next owner, usually answers within a second.
 constexpr int kComeBackSeconds = 1;
+/// Operators lift a cordon when they are done with a zone, which takes seconds at least.
+constexpr int kCordonedComeBackSeconds = 2;
 
 }  // namespace
 
@@ -107,6 +109,13 @@
     this->Count("submit", 400);
     co_return http::ErrorResponse(400, "invalid_argument", ToString(status.LastReason()));
   }
+  if (const bool is_hopeless = co_await this->IsHeldByCordons(job.id); is_hopeless) {
+    this->Count("submit", 503);
+    LogEvent(telemetry::LogLevel::kInfo, "job_refused", "all zones are cordoned; not run",
+             {{"queue", job.queue}}, jobs::ToString(job.id));
+    co_return ComeBack(503, "unavailable", "All zones are cordoned; the job does not run.",
+                       kCordonedComeBackSeconds);
+  }
   KeyedRecord record{SubmissionKey(job.id), jobs::EncodeJob(job)};
   const WriteVerdict verdict = co_await this->writer.Write(std::move(record));
   const std::string id = jobs::ToString(job.id);
@@ -132,6 +141,15 @@
   co_return http::ErrorResponse(504, "may_have_run", "The store has not answered; it may run.");
 }
 
+/// A job that was accepted before is not refused when its caller asks again.
+asio::awaitable<bool> CallerHandler::IsHeldByCordons(jobs::JobId id) {
+  if (!this->operators.AreAllZonesCordoned()) {
+    co_return false;
+  }
+  const OwnerTerm::Answer answer = co_await this->questions.Find(id);
+  co_return answer.knowledge == OwnerTerm::Knowledge::kNoSuchJob;
+}
+
 asio::awaitable<http::Response> CallerHandler::Find(CallerCall call, const CallerFormat& format) {
   const OwnerTerm::Answer answer = co_await this->questions.Find(*call.id);
   switch (answer.knowledge) {
--- a/src/job_entry/caller_handler.h
+++ b/src/job_entry/caller_handler.h
@@ -26,6 +26,8 @@
   boost::asio::awaitable<http::Response> Submit(const http::Request& request, CallerCall call,
                                                 const CallerFormat& format, TeamId team,
                                                 std::string queue, ServiceId service);
+  /// Nothing could be started for this job, and nobody was told that it was accepted.
+  boost::asio::awaitable<bool> IsHeldByCordons(jobs::JobId id);
   boost::asio::awaitable<http::Response> Find(CallerCall call, const CallerFormat& format);
   boost::asio::awaitable<http::Response> Cancel(CallerCall call, const CallerFormat& format);
   boost::asio::awaitable<http::Response> CountPending(std::string queue,
--- a/src/job_entry/operator_view.cc
+++ b/src/job_entry/operator_view.cc
@@ -1,5 +1,7 @@
 #include "job_entry/operator_view.h"
 
+#include <algorithm>
+
 namespace chervilspar::job_entry {
 
 namespace {
@@ -12,6 +14,7 @@
 
 OperatorView::OperatorView(const Context& context)
     : context(context),
+      cordon(context.settings.cordon_bound),
       tail(std::make_shared<RecordTail>(
           context,
           RecordTail::Options{
@@ -20,6 +23,10 @@
 
 void OperatorView::OnRecords(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
+    if (this->context.links.records->IsCordonKey(record.key)) {
+      this->TakeCordon(record);
+      continue;
+    }
     if (!record.value) {
       continue;  // Rules and waves are replaced, never taken back.
     }
@@ -31,6 +38,65 @@
   }
 }
 
+void OperatorView::OnNewest(const std::vector<KeyedRecord>& records) {
+  std::set<std::string> keys;
+  for (const KeyedRecord& record : records) {
+    keys.insert(record.key);
+  }
+  this->LiftCordonsExcept(keys);
+  this->OnRecords(records);
+}
+
+void OperatorView::LiftCordonsExcept(const std::set<std::string>& keys) {
+  std::erase_if(this->zone_of_key, [&](const auto& entry) {
+    const bool is_lifted = !keys.contains(entry.first);
+    if (is_lifted && this->cordon.Remove(entry.second)) {
+      this->TellCordon(entry.second, false);
+    }
+    return is_lifted;
+  });
+}
+
+void OperatorView::TakeCordon(const KeyedRecord& record) {
+  const Result<ZoneId> zone = this->context.links.records->ReadCordon(record.key, record.value);
+  if (!zone) {
+    LogEvent(telemetry::LogLevel::kError, "cordon_unreadable",
+             ToString(zone.LastReason()) + "; what held before holds", {{"record", record.key}});
+    return;
+  }
+  if (record.value) {
+    this->zone_of_key.insert_or_assign(record.key, *zone);
+  } else {
+    this->zone_of_key.erase(record.key);
+  }
+  const bool is_changed = record.value ? this->cordon.Add(*zone) : this->cordon.Remove(*zone);
+  if (is_changed) {
+    this->TellCordon(*zone, record.value.has_value());
+  }
+}
+
+void OperatorView::TellCordon(const ZoneId& zone, bool is_cordoned) {
+  this->context.metrics.Set({"chervilspar_cordoned_zones", {}},
+                            static_cast<double>(this->cordon.Zones().size()));
+  LogEvent(telemetry::LogLevel::kInfo, is_cordoned ? "zone_cordoned" : "zone_uncordoned",
+           is_cordoned ? "nothing more is started there; what runs there runs on"
+                       : "tasks are started there again",
+           {{"zone", zone.text}});
+  const std::vector<ZoneId>& known = this->context.settings.fleet_zones;
+  if (!known.empty() && std::find(known.begin(), known.end(), zone) == known.end()) {
+    LogEvent(telemetry::LogLevel::kWarning, "zone_unknown",
+             "the cordon names a zone that the settings don't", {{"zone", zone.text}});
+  }
+}
+
+bool OperatorView::MayStartIn(const ZoneId& zone) const {
+  return this->cordon.MayStart(zone, this->context.Now(), this->tail->Proof());
+}
+
+bool OperatorView::AreAllZonesCordoned() const {
+  return this->cordon.CoversAll(this->context.settings.fleet_zones);
+}
+
 void OperatorView::TakePolicy(const std::string& value) {
   Result<jobs::Policy> read = this->context.links.records->ReadPolicy(value);
   if (!read) {
--- a/src/job_entry/operator_view.h
+++ b/src/job_entry/operator_view.h
@@ -2,35 +2,52 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
+
+#include "chervilspar/jobs/zone_cordon.h"
 
 #include "job_entry/record_tail.h"
 
 namespace chervilspar::job_entry {
 
-/// The operators' rules and waves as this entry knows them.
+/// The operators' rules, waves and cordons as this entry knows them.
 class OperatorView : public RecordListener {
  public:
   explicit OperatorView(const Context& context);
 
   void Start() { this->tail->Start(); }
   void OnRecords(const std::vector<KeyedRecord>& records) override;
+  void OnNewest(const std::vector<KeyedRecord>& records) override;
 
   /// Null before the first configuration.
   std::shared_ptr<const jobs::Policy> Policy() const { return this->policy; }
   const std::map<std::uint64_t, jobs::Wave>& Waves() const { return this->waves; }
   /// When a wave was first seen here.
   std::optional<TimePoint> SeenAt(std::uint64_t wave) const;
+  const std::set<ZoneId>& CordonedZones() const { return this->cordon.Zones(); }
+  /// Whether it is known well enough that a task may be started in the zone now.
+  bool MayStartIn(const ZoneId& zone) const;
+  /// Nothing can be started anywhere until a cordon is lifted.
+  bool AreAllZonesCordoned() const;
   bool IsFresh(Duration limit) const { return this->tail->IsFresh(limit); }
   std::optional<TimePoint> Proof() const { return this->tail->Proof(); }
 
  private:
   void TakePolicy(const std::string& value);
   void TakeWave(const std::string& value);
+  void TakeCordon(const KeyedRecord& record);
+  /// Lifts the cordons whose keys are not among these.
+  void LiftCordonsExcept(const std::set<std::string>& keys);
+  void TellCordon(const ZoneId& zone, bool is_cordoned);
 
   const Context context;
   std::shared_ptr<const jobs::Policy> policy;
   std::map<std::uint64_t, jobs::Wave> waves;
   std::map<std::uint64_t, TimePoint> seen;
+  jobs::ZoneCordon cordon;
+  /// Which record cordons a zone.
+  std::map<std::string, ZoneId> zone_of_key;
   std::shared_ptr<RecordTail> tail;
 };
 
--- a/src/job_entry/order_carrier.cc
+++ b/src/job_entry/order_carrier.cc
@@ -58,7 +58,7 @@
   }
   for (const auto& start : batch.starts) {
     this->Queue(start, origin, [this](const jobs::StartOrder& order, Duration timeout) {
-      return this->link.Start(order, timeout);
+      return this->Start(order, timeout);
     });
   }
   for (const auto& pace : batch.paces) {
@@ -71,6 +71,13 @@
   }
 }
 
+asio::awaitable<OrderOutcome> OrderCarrier::Start(jobs::StartOrder order, Duration timeout) {
+  if (this->may_start && !this->may_start()) {
+    co_return OrderOutcome::kRefused;
+  }
+  co_return co_await this->link.Start(std::move(order), timeout);
+}
+
 asio::awaitable<void> OrderCarrier::Hold(rpc::Carried<jobs::HoldOrder> carried, Origin origin) {
   const Duration timeout = origin.timeout + carried.order.wait;
   HeldOutcome held = co_await this->link.Hold(std::move(carried.order), timeout);
--- a/src/job_entry/order_carrier.h
+++ b/src/job_entry/order_carrier.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +23,10 @@
   /// `link`: the way to the endpoints; `transport` takes the answers.
   OrderCarrier(const Context& context, EndpointLink& link, rpc::PeerTransport& transport);
 
+  /// Whether tasks may be started in this entry's zone now. An entry that was frozen finds orders
+  /// that were right when they were given.
+  void SetMayStart(std::function<bool()> may_start) { this->may_start = std::move(may_start); }
+
   void OnBatch(const rpc::OrderBatch& batch);
 
  private:
@@ -34,6 +39,7 @@
 
   template <typename Order, typename Carry>
   void Queue(const rpc::Carried<Order>& carried, const Origin& origin, Carry carry);
+  boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order, Duration timeout);
   boost::asio::awaitable<void> Hold(rpc::Carried<jobs::HoldOrder> carried, Origin origin);
   void Answer(const Origin& origin, rpc::CarriedAnswer answer);
   WorkLane& LaneOf(const std::string& endpoint);
@@ -41,6 +47,7 @@
   const Context context;
   EndpointLink& link;
   std::shared_ptr<AddressBatches<rpc::CarriedAnswers>> answers;
+  std::function<bool()> may_start;
   std::map<std::string, std::shared_ptr<WorkLane>> lanes;
 };
 
--- a/src/job_entry/order_exchange.cc
+++ b/src/job_entry/order_exchange.cc
@@ -37,6 +37,12 @@
   return Done{};
 }
 
+void OrderExchange::SetMayStart(std::function<bool()> may_start) {
+  if (this->carrier) {
+    this->carrier->SetMayStart(std::move(may_start));
+  }
+}
+
 OrderExchange::Bytes OrderExchange::Carried() const {
   if (this->transport == nullptr) {
     return {};
--- a/src/job_entry/order_exchange.h
+++ b/src/job_entry/order_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,8 @@
 
   /// Listens at the carrier's address; does nothing where the settings name none.
   Status Open(Links& links);
+  /// Whether tasks may be started in this entry's zone now; asked for each start that it carries.
+  void SetMayStart(std::function<bool()> may_start);
   /// Bytes of carried orders and their answers that were sent and received so far.
   struct Bytes {
     std::size_t sent = 0;
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -36,6 +36,7 @@
       : context(sender.context),
         scheduler(sender.scheduler),
         on_news(sender.on_news),
+        may_start(sender.may_start),
         endpoint(std::move(endpoint)),
         held_count(sender.held_count),
         wakeup(std::make_shared<http::Wakeup>(sender.context.io.get_executor())) {}
@@ -62,8 +63,10 @@
 
   /// The orders live in the sending loop until they are carried out.
   asio::awaitable<void> Carry(const jobs::StartOrder& order) {
-    const OrderOutcome outcome =
-        co_await this->context.links.endpoints->Start(order, kOrderTimeout);
+    OrderOutcome outcome = OrderOutcome::kRefused;
+    if (this->may_start(order.endpoint)) {
+      outcome = co_await this->context.links.endpoints->Start(order, kOrderTimeout);
+    }
     this->context.metrics.Count(
         {"chervilspar_starts_total", {{"outcome", jobs::ToString(outcome)}}});
     if (!this->is_stopped) {
@@ -147,6 +150,7 @@
   const Context context;
   jobs::Scheduler& scheduler;
   const std::function<void()> on_news;
+  const std::function<bool(const std::string&)> may_start;
   const std::string endpoint;
   const std::shared_ptr<int> held_count;
   std::shared_ptr<http::Wakeup> wakeup;
@@ -161,8 +165,12 @@
 };
 
 OrderSender::OrderSender(const Context& context, jobs::Scheduler& scheduler,
-                         std::function<void()> on_news)
-    : context(context), scheduler(scheduler), on_news(std::move(on_news)) {}
+                         std::function<void()> on_news,
+                         std::function<bool(const std::string&)> may_start)
+    : context(context),
+      scheduler(scheduler),
+      on_news(std::move(on_news)),
+      may_start(std::move(may_start)) {}
 
 OrderSender::~OrderSender() { this->Stop(); }
 
--- a/src/job_entry/order_sender.h
+++ b/src/job_entry/order_sender.h
@@ -18,7 +18,10 @@
 /// a few orders side by side.
 class OrderSender {
  public:
-  OrderSender(const Context& context, jobs::Scheduler& scheduler, std::function<void()> on_news);
+  /// `may_start`: whether a task may be started at this endpoint now; asked just before the order
+  /// leaves, as it may have waited.
+  OrderSender(const Context& context, jobs::Scheduler& scheduler, std::function<void()> on_news,
+              std::function<bool(const std::string&)> may_start);
   ~OrderSender();
 
   void Send(jobs::Orders orders);
@@ -42,6 +45,7 @@
   const Context context;
   jobs::Scheduler& scheduler;
   const std::function<void()> on_news;
+  const std::function<bool(const std::string&)> may_start;
   std::map<std::string, std::shared_ptr<Channel>> channels;
   /// Endpoints whose leases are being renewed.
   const std::shared_ptr<int> held_count = std::make_shared<int>(0);
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -59,7 +59,11 @@
       writer(writer),
       job_log(context, this->scheduler, [this] { this->Kick(); }),
       registry(context, [this] { this->TakeEndpoints(); }),
-      sender(context, this->scheduler, [this] { this->Kick(); }),
+      sender(
+          context, this->scheduler, [this] { this->Kick(); },
+          [this](const std::string& endpoint) {
+            return this->operators.MayStartIn(this->scheduler.ZoneOf(endpoint));
+          }),
       keeper(std::make_shared<LeaseKeeper>(
           context, OptionsFor(context), token, [this] { return this->LastProof(); },
           [this] { this->Stop("an endpoint has seen a higher token"); })),
@@ -139,7 +143,8 @@
   }
 }
 
-void OwnerTerm::FollowPolicy() {
+void OwnerTerm::FollowRules() {
+  this->scheduler.SetCordonedZones(this->operators.CordonedZones());
   const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
   if (policy && policy->version > this->policy_version) {
     this->policy_version = policy->version;
@@ -187,7 +192,7 @@
 
 asio::awaitable<void> OwnerTerm::DecideLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
   while (!this->is_stopped) {
-    this->FollowPolicy();
+    this->FollowRules();
     this->WatchProof();
     this->WatchClaims();
     if (this->is_stopped) {
@@ -225,6 +230,7 @@
       co_return;
     }
     if (has_batch) {
+      this->FollowRules();
       this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now()));
       this->sender.OnStored();
       this->Kick();
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -68,7 +68,7 @@
   TimePoint LastProof() const;
   void WatchProof();
   void WatchClaims();
-  void FollowPolicy();
+  void FollowRules();
   /// Follows a change of the registered endpoints.
   void TakeEndpoints();
   void SetEndpoints();
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -21,7 +21,7 @@
 }  // namespace
 
 asio::awaitable<bool> OwnerTerm::Load() {
-  this->FollowPolicy();
+  this->FollowRules();
   const double at_once =
       std::clamp(this->context.settings.link_rate / kRateOfRead, 1.0, kMostReadsAtOnce);
   if (at_once <= 1.0) {
@@ -44,7 +44,7 @@
   this->keeper->Stop();
   this->scheduler.NoteLeases(this->keeper->Leases().LeaseEnds());
   this->job_log.ApplyCancellations();
-  this->FollowPolicy();
+  this->FollowRules();
   co_return this->operators.Policy() != nullptr;
 }
 
@@ -107,7 +107,7 @@
       notices.push_back(*notice);
     } else {
       LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(notice.LastReason()),
-               {{"key", record.key}});
+               {{"record", record.key}});
     }
   }
   this->scheduler.RestoreLapseNotices(notices);
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -72,7 +72,7 @@
 class JobEntryNode {
  public:
   JobEntryNode(const Context& context, http::Client& client, TrafficMeter& traffic,
-               const OrderExchange& exchange)
+               OrderExchange& exchange)
       : context(context),
         client(client),
         traffic(traffic),
@@ -86,7 +86,10 @@
         callers(context, this->operators, *this->writer, this->questions),
         peers(*this->election, context),
         health(context, this->operators, this->is_stopping),
-        signals(context.io, SIGTERM, SIGINT, SIGHUP) {}
+        signals(context.io, SIGTERM, SIGINT, SIGHUP) {
+    exchange.SetMayStart(
+        [this] { return this->operators.MayStartIn(this->context.settings.zone); });
+  }
 
   Status Start() {
     for (const auto& [address, handler, server] :
@@ -186,7 +189,7 @@
   const Context context;
   http::Client& client;
   TrafficMeter& traffic;
-  const OrderExchange& exchange;
+  OrderExchange& exchange;
   /// As told last.
   OrderExchange::Bytes carried;
   bool is_stopping = false;
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -56,6 +56,10 @@
     return *span;
   }
 
+  std::optional<Duration> OptionalSpan(const char* flag, const std::string& value) {
+    return value.empty() ? std::nullopt : std::optional(this->Span(flag, value, kLongest));
+  }
+
   /// `what`: what the number is and its bounds, for the message.
   double Number(const char* flag, const std::string& value, double otherwise, double least,
                 double most, const char* what) {
@@ -166,6 +170,7 @@
   settings.key_proof_limit =
       check.Span("--key-proof-limit", raw.key_proof_limit, settings.key_proof_limit);
   settings.lease_limit = check.Span("--lease-limit", raw.lease_limit, settings.lease_limit);
+  settings.cordon_bound = check.OptionalSpan("--cordon-bound", raw.cordon_bound);
   settings.vm_order_pause =
       check.Span("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
   settings.drain_time = check.Span("--drain-time", raw.drain_time, settings.drain_time);
@@ -187,6 +192,9 @@
   for (const std::string& peer : raw.seed_peers) {
     settings.seed_peers.push_back(check.Address("--seed-peer", peer));
   }
+  for (const std::string& zone : raw.fleet_zones) {
+    settings.fleet_zones.push_back(ZoneId{check.Name("--fleet-zone", zone)});
+  }
   settings.decisions = check.Decisions("--decisions", raw.decisions);
   settings.log_level = check.Level("--log-level", raw.log_level, settings.log_level);
   JobEntrySettingsOutcome outcome{std::nullopt, std::move(check.faults)};
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -310,7 +310,7 @@
     }
     const std::optional<jobs::EndpointUse> use = this->scheduler.UseOf(vm.endpoint);
     loads[vm.endpoint] = {evacuation == jobs::EvacuationState::kEmpty, use && use->has_long_running,
-                          use_of->second};
+                          this->operators.CordonedZones().contains(vm.zone), use_of->second};
   }
   return loads;
 }
@@ -343,6 +343,7 @@
     sized.id = vm.id;
     sized.pool = vm.pool;
     sized.zone = vm.zone;
+    sized.is_cordoned = this->operators.CordonedZones().contains(vm.zone);
     sized.is_silent = use && use->is_silent;
     sized.cpu = static_cast<double>(vm.capacity.cpu);
     sized.memory = static_cast<double>(vm.capacity.memory_mb);
@@ -401,7 +402,7 @@
   std::map<ServiceId, int> sizes;
   for (const jobs::SizerVm& vm : sized) {
     if (vm.pool != standby) {
-      sizes[vm.pool] += vm.is_serving ? 1 : 0;
+      sizes[vm.pool] += vm.is_serving && !vm.is_cordoned ? 1 : 0;
     }
   }
   std::string text;
--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -2,6 +2,14 @@
 
 namespace chervilspar::jobs {
 
+namespace {
+
+/// In a cordoned zone a start without answer isn't repeated. It may have arrived, and what runs is
+/// to run on: a look comes within this time, and only then a stop settles it.
+constexpr Duration kLookFirst = std::chrono::milliseconds(1300);
+
+}  // namespace
+
 StartOrder OrderRound::StartOf(const TaskRef& ref) {
   Task& task = *ref.task;
   task.ordered = this->now;
@@ -45,10 +53,13 @@
 
 void OrderRound::GatherUnsure(const TaskRef& ref, Orders& orders) {
   Task& task = *ref.task;
-  if (this->now - task.ordered < this->state.options.start_retry) {
+  const bool is_cordoned = task.endpoint->is_cordoned;
+  const Duration pause = is_cordoned ? kLookFirst : this->state.options.start_retry;
+  if (this->now - task.ordered < pause) {
     return;
   }
-  if (task.start_tries < this->state.options.start_tries && this->now < task.start_expires) {
+  const bool may_repeat = !is_cordoned && this->now < task.start_expires;
+  if (task.start_tries < this->state.options.start_tries && may_repeat) {
     orders.starts.push_back(this->StartOf(ref));
     return;
   }
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -21,13 +21,19 @@
 /// off, while only the loss of a VM then takes two of them at once.
 constexpr std::int64_t kSharingCost = 1'000'000;
 
+bool HasLabelFor(const TaskRef& ref, const EndpointState& endpoint) {
+  const std::string& label = ref.spec->required_label;
+  return label.empty() || endpoint.record.HasLabel(label);
+}
+
 bool IsServing(const Step& step) { return step.is_long_running && !step.is_filler; }
 
 }  // namespace
 
 bool Placement::IsUsable(const EndpointState& endpoint, TimePoint now) {
   return endpoint.is_registered && !endpoint.record.is_draining && !endpoint.is_evacuating &&
-         !endpoint.is_silent && !endpoint.has_lapse_notice && endpoint.clock_ms.has_value() && endpoint.ejected_until <= now &&
+         !endpoint.is_cordoned && !endpoint.is_silent && !endpoint.has_lapse_notice &&
+         endpoint.clock_ms.has_value() && endpoint.ejected_until <= now &&
          endpoint.full_until <= now;
 }
 
@@ -47,7 +53,7 @@
   if (!IsUsable(endpoint, now)) {
     return false;
   }
-  if (!ref.spec->required_label.empty() && !endpoint.record.HasLabel(ref.spec->required_label)) {
+  if (!HasLabelFor(ref, endpoint)) {
     return false;
   }
   if (ref.job->needs_advice &&
@@ -120,6 +126,18 @@
   return best;
 }
 
+bool Placement::IsHeldByCordon(const TaskRef& ref) const {
+  const auto pool = this->state.pools.find(ref.job->service);
+  if (pool == this->state.pools.end()) {
+    return false;
+  }
+  const std::vector<EndpointState*>& endpoints = pool->second.endpoints;
+  return std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointState* endpoint) {
+    return endpoint->is_cordoned && !endpoint->IsLeaving() && HasLabelFor(ref, *endpoint) &&
+           endpoint->record.capacity.Fits(RoomFor(*ref.spec));
+  });
+}
+
 EndpointState* Placement::ChooseToKeepFree(const TaskRef& ref, TimePoint now) const {
   const auto pool = this->state.pools.find(ref.job->service);
   EndpointState* best = nullptr;
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -18,6 +18,8 @@
                         TimePoint now) const;
   /// True when the endpoint may get new work at all.
   static bool IsUsable(const EndpointState& endpoint, TimePoint now);
+  /// True when only cordons keep the task from some endpoint.
+  bool IsHeldByCordon(const TaskRef& ref) const;
   /// The endpoint that will soonest have room for a task that fits nowhere now; null for none.
   EndpointState* ChooseToKeepFree(const TaskRef& ref, TimePoint now) const;
 
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -83,6 +83,9 @@
   pool.planned = this->now;
   double cpu = 0;
   for (const EndpointState* endpoint : pool.endpoints) {
+    if (endpoint->is_cordoned) {
+      continue;
+    }
     if (Placement::IsUsable(*endpoint, this->now)) {
       cpu += static_cast<double>(endpoint->record.capacity.cpu) * kUsable;
     }
@@ -183,7 +186,9 @@
     if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
       // What no endpoint may run doesn't hold up those that come after it.
       const bool could_run = this->KeepRoomFor(ref);
-      this->wait = could_run ? WaitReason::kNoRoom : WaitReason::kNowhere;
+      const WaitReason nowhere =
+          this->placement.IsHeldByCordon(ref) ? WaitReason::kCordoned : WaitReason::kNowhere;
+      this->wait = could_run ? WaitReason::kNoRoom : nowhere;
       return !could_run;
     }
   }
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -36,14 +36,15 @@
 
 }  // namespace
 
-std::vector<SizerVm> PoolSizer::WithoutDarkZones(const std::vector<SizerVm>& vms) const {
+std::vector<SizerVm> PoolSizer::WithoutUnusableZones(const std::vector<SizerVm>& vms) const {
   std::map<ZoneId, int> answering;
   for (const SizerVm& vm : vms) {
     answering[vm.zone] += vm.is_silent ? -1 : (vm.is_serving && !vm.is_empty ? 1 : 0);
   }
   std::vector<SizerVm> seen = vms;
   for (SizerVm& vm : seen) {
-    if (this->options.avoids_dark_zones && answering[vm.zone] < 0) {
+    const bool is_dark = this->options.avoids_dark_zones && answering[vm.zone] < 0;
+    if (is_dark || vm.is_cordoned) {
       vm.is_serving = false;
       vm.is_taken = true;
     }
@@ -243,7 +244,7 @@
 
 SizerStep PoolSizer::Plan(TimePoint now, const std::map<ServiceId, PoolLoad>& loads,
                           const std::vector<SizerVm>& all_vms, const ServiceId& standby) {
-  const std::vector<SizerVm> vms = this->WithoutDarkZones(all_vms);
+  const std::vector<SizerVm> vms = this->WithoutUnusableZones(all_vms);
   this->Measure(now, loads);
   std::map<ServiceId, int> missing = this->FindMissing(now, loads, vms, standby);
   int all_missing = 0;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -49,6 +49,17 @@
   }
 }
 
+void Scheduler::SetCordonedZones(const std::set<ZoneId>& zones) {
+  SchedulerState& state = this->impl->state;
+  if (zones == state.cordoned_zones) {
+    return;
+  }
+  state.cordoned_zones = zones;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    endpoint->is_cordoned = zones.contains(endpoint->record.zone);
+  }
+}
+
 void Scheduler::SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint) {
   SchedulerState& state = this->impl->state;
   for (const auto& [id, endpoint] : state.endpoints) {
@@ -58,6 +69,7 @@
     EndpointState& endpoint = state.EndpointFor(record.id);
     endpoint.is_registered = true;
     endpoint.record = record;
+    endpoint.is_cordoned = state.cordoned_zones.contains(record.zone);
     if (record.born_ms > endpoint.born_ms) {
       this->impl->tracker.OnNewLifeRegistered(endpoint, record.born_ms);
     }
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -130,7 +130,7 @@
     const EndpointState& endpoint = *ref.task->endpoint;
     const bool is_in_time = now + kLeastStartTime < ref.task->start_expires;
     const bool is_wanted = endpoint.is_registered && !endpoint.record.is_draining &&
-                           !endpoint.is_evacuating && endpoint.clock_ms;
+                           !endpoint.is_evacuating && !endpoint.is_cordoned && endpoint.clock_ms;
     if (is_in_time && is_wanted) {
       continue;
     }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -24,6 +24,8 @@
       return "no endpoint of its pool has room";
     case WaitReason::kNowhere:
       return "no endpoint of its pool may run it";
+    case WaitReason::kCordoned:
+      return "each endpoint that may run it is in a zone that is cordoned";
     case WaitReason::kTeamLimit:
       return "its team runs as much as it may";
     case WaitReason::kAdvice:
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -97,7 +97,7 @@
 };
 
 /// Why a job's next task has no endpoint.
-enum class WaitReason { kNone, kNoRoom, kNowhere, kTeamLimit, kAdvice };
+enum class WaitReason { kNone, kNoRoom, kNowhere, kCordoned, kTeamLimit, kAdvice };
 
 const char* ToString(WaitReason reason);
 
@@ -154,6 +154,8 @@
   EndpointRecord record;
   bool is_registered = false;
   bool is_evacuating = false;
+  /// Its zone is; see `ZoneCordon`.
+  bool is_cordoned = false;
   /// Its VM is to be rebooted soon.
   bool is_due = false;
   /// The life that the claims belong to; 0 until it is known.
@@ -269,6 +271,7 @@
   const std::uint64_t token;
   const TimePoint began;
   Policy policy;
+  std::set<ZoneId> cordoned_zones;
   /// The time of day at the last decision, in Unix milliseconds.
   std::int64_t wall_ms = 0;
   std::unordered_map<JobId, std::unique_ptr<JobState>> jobs;
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -32,6 +32,11 @@
   double unconfirmed = 0;
 };
 
+/// It is to run on there, and takes no room of the endpoints that get work.
+bool IsInCordonedZone(const Task& task) {
+  return task.endpoint != nullptr && task.endpoint->is_cordoned;
+}
+
 bool IsUnconfirmed(const Task& task) {
   return task.state == RunState::kRecording || task.state == RunState::kStarting ||
          task.state == RunState::kUnsure;
@@ -40,6 +45,9 @@
 StepCount CountTasks(const StepState& state) {
   StepCount count;
   for (const Task& task : state.tasks) {
+    if (IsInCordonedZone(task)) {
+      continue;
+    }
     count.waiting += task.IsWaiting() ? 1 : 0;
     count.claimed += task.state != RunState::kNone ? 1 : 0;
     count.unconfirmed += IsUnconfirmed(task) ? 1 : 0;
@@ -159,6 +167,9 @@
           continue;
         }
         for (const Task& task : step.tasks) {
+          if (IsInCordonedZone(task)) {
+            continue;
+          }
           const bool lacks_place =
               task.lacks_place && task.endpoint != nullptr && task.endpoint->IsLeaving();
           load.cpu.long_running += static_cast<double>(RoomFor(spec).cpu);
@@ -244,6 +255,11 @@
 
 std::size_t Scheduler::JobCount() const { return this->impl->state.jobs.size(); }
 
+ZoneId Scheduler::ZoneOf(const std::string& id) const {
+  const EndpointState* endpoint = this->impl->state.FindEndpoint(id);
+  return endpoint == nullptr ? ZoneId{} : endpoint->record.zone;
+}
+
 std::vector<std::string> Scheduler::EndpointIds() const {
   std::vector<std::string> ids;
   for (const auto& [id, endpoint] : this->impl->state.endpoints) {
--- a/src/jobs/upkeep.cc
+++ b/src/jobs/upkeep.cc
@@ -14,6 +14,8 @@
 struct Candidate {
   const VmRecord* vm = nullptr;
   bool is_evacuating = false;
+  /// Empty, and nothing would be started there anyway.
+  bool is_idle = false;
   bool has_long_running = false;
   double load = 0;
 };
@@ -69,16 +71,16 @@
     }
     const auto load = loads.find(vm.endpoint);
     const EndpointLoad known = load == loads.end() ? EndpointLoad{} : load->second;
-    candidates.push_back(
-        {&vm, evacuating.contains(vm.id), known.has_long_running, known.pool_load});
+    candidates.push_back({&vm, evacuating.contains(vm.id), known.is_empty && known.is_cordoned,
+                          known.has_long_running, known.pool_load});
     if (!vm.endpoint.empty()) {
       step.due.insert(vm.endpoint);
     }
   }
   step.is_complete = all_done && !vms.empty();
   std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tuple(!a.is_evacuating, !a.has_long_running, a.load) <
-           std::tuple(!b.is_evacuating, !b.has_long_running, b.load);
+    return std::tuple(!a.is_evacuating, !a.is_idle, !a.has_long_running, a.load) <
+           std::tuple(!b.is_evacuating, !b.is_idle, !b.has_long_running, b.load);
   });
   std::size_t away = down.size();
   for (const Candidate& candidate : candidates) {
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -87,11 +87,40 @@
   RC_ASSERT(!records.ReadPolicy(bytes).HasValue());
   RC_ASSERT(!records.ReadEndpoint("i", bytes).HasValue());
   RC_ASSERT(!records.ReadWave(bytes).HasValue());
+  RC_ASSERT(!records.ReadCordon("evacuate/z", bytes).HasValue());
   http::Request request;
   request.body = bytes;
   RC_ASSERT(!WireCallers().ReadJob(request).HasValue());
 }
 
+struct CordonCase {
+  const char* name;
+  std::string key;
+  std::optional<std::string> value;
+  /// Empty when the record can't be read.
+  std::string zone;
+};
+
+class Cordons : public ::testing::TestWithParam<CordonCase> {};
+
+/// Guards against a zone that is taken for open, or for another, by a record of an unexpected form.
+TEST_P(Cordons, NameAZoneOrNone) {
+  const Result<ZoneId> zone = WireRecords().ReadCordon(GetParam().key, GetParam().value);
+  EXPECT_EQ(zone ? zone->text : "", GetParam().zone);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Records, Cordons,
+    ::testing::Values(CordonCase{"set", "evacuate/is-south-a", "{}", "is-south-a"},
+                      CordonCase{"lifted", "evacuate/is-south-a", std::nullopt, "is-south-a"},
+                      CordonCase{"of_a_newer_form", "evacuate/a", R"({"until":{"ms":5}})", "a"},
+                      CordonCase{"empty", "evacuate/a", "", ""},
+                      CordonCase{"cut", "evacuate/a", R"({"un)", ""},
+                      CordonCase{"another_type", "evacuate/a", "[]", ""},
+                      CordonCase{"no_zone", "evacuate/", "{}", ""},
+                      CordonCase{"too_long", "evacuate/" + std::string(129, 'a'), "{}", ""}),
+    [](const auto& info) { return info.param.name; });
+
 struct HoldCase {
   const char* name;
   const char* body;
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -34,6 +34,7 @@
   queue.name = "bookings";
   queue.service = ServiceId{"desk"};
   queue.attempts = 3;
+  queue.is_public = true;
   policy.queues["bookings"] = queue;
   return policy;
 }
@@ -50,12 +51,20 @@
   return wave;
 }
 
+Result<ZoneId> FakeRecords::ReadCordon(std::string_view key,
+                                       const std::optional<std::string>& value) const {
+  if (value == "?") {
+    return Reason{ErrorCode::kMalformed, "zone", "is not one"};
+  }
+  return ZoneId{std::string(key.substr(key.find('/') + 1))};
+}
+
 Result<jobs::EndpointRecord> FakeRecords::ReadEndpoint(std::string_view key,
-                                                       std::string_view) const {
+                                                       std::string_view value) const {
   jobs::EndpointRecord record;
   record.id = std::string(key);
   record.service = ServiceId{"desk"};
-  record.zone = ZoneId{"z"};
+  record.zone = ZoneId{std::string(value)};
   record.address = {"127.0.0.1", 2};
   record.born_ms = 1;
   record.capacity = {8000, 8000, 0};
@@ -110,7 +119,7 @@
     : io(io), store(io), endpoints(io) {
   this->store.At(Topic::kOperators, 0).records.push_back({"rules", "1"});
   for (int i = 0; i < endpoint_count; ++i) {
-    this->store.At(Topic::kEndpoints, 0).records.push_back({"i" + std::to_string(i), "x"});
+    this->store.At(Topic::kEndpoints, 0).records.push_back({"i" + std::to_string(i), "z"});
   }
 }
 
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -59,13 +59,18 @@
   FakeVms& all;
 };
 
-/// Reads the two records that the tests write: rules "version" and endpoints by name.
+/// Reads the records that the tests write: rules "version", endpoints by name with their zone as
+/// value, and cordons.
 class FakeRecords final : public RecordReader {
  public:
   bool IsPolicyKey(std::string_view key) const override { return key == "rules"; }
   Result<jobs::Policy> ReadPolicy(std::string_view value) const override;
   Result<jobs::EndpointRecord> ReadEndpoint(std::string_view key,
                                             std::string_view value) const override;
+  bool IsCordonKey(std::string_view key) const override { return key.starts_with("cordon/"); }
+  /// The value "?" can't be read.
+  Result<ZoneId> ReadCordon(std::string_view key,
+                            const std::optional<std::string>& value) const override;
   bool IsWaveKey(std::string_view key) const override { return key == "wave"; }
   /// The names of the wave's VMs, with commas.
   Result<jobs::Wave> ReadWave(std::string_view value) const override;
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -178,22 +178,37 @@
 
 /// A zone is cut off as a peak begins. Its VMs take no work, and one that is ordered there brings
 /// nothing; the callers would wait for it for four seconds before another is ordered in its place.
-TEST(PoolSizer, OrdersNoVmsInAZoneThatDoesNotAnswer) {
-  for (const bool is_dark : {false, true}) {
-    SizerWorld world;
-    for (SizerVm& vm : world.vms) {
-      const bool is_east = vm.id == VmId{"m0"} || vm.id == VmId{"m8"};
-      vm.zone = ZoneId{is_east ? "east" : "west"};
-      vm.is_silent = is_dark && vm.id == VmId{"m0"};
-      vm.is_empty = vm.pool != kDesk;
-    }
-    const SizerStep step = world.After(std::chrono::seconds(6), 60, 2);
-    const auto is_in_east = [](const SizerStep::Move& move) { return move.vm == VmId{"m8"}; };
-    EXPECT_EQ(std::none_of(step.moves.begin(), step.moves.end(), is_in_east), is_dark);
-    EXPECT_GE(world.MovesTo(step, kDesk), 1U);
+/// The same for a zone that is cordoned.
+struct ZoneCase {
+  const char* name;
+  bool is_dark;
+  bool is_cordoned;
+};
+
+class UnusableZone : public ::testing::TestWithParam<ZoneCase> {};
+
+TEST_P(UnusableZone, GetsNoVms) {
+  const bool is_unusable = GetParam().is_dark || GetParam().is_cordoned;
+  SizerWorld world;
+  for (SizerVm& vm : world.vms) {
+    const bool is_east = vm.id == VmId{"m0"} || vm.id == VmId{"m8"};
+    vm.zone = ZoneId{is_east ? "east" : "west"};
+    vm.is_silent = GetParam().is_dark && vm.id == VmId{"m0"};
+    vm.is_cordoned = GetParam().is_cordoned && is_east;
+    vm.is_empty = vm.pool != kDesk;
   }
+  const SizerStep step = world.After(std::chrono::seconds(6), 60, 2);
+  const auto is_in_east = [](const SizerStep::Move& move) { return move.vm == VmId{"m8"}; };
+  EXPECT_EQ(std::none_of(step.moves.begin(), step.moves.end(), is_in_east), is_unusable);
+  EXPECT_GE(world.MovesTo(step, kDesk), 1U);
 }
 
+INSTANTIATE_TEST_SUITE_P(Zones, UnusableZone,
+                         ::testing::Values(ZoneCase{"open", false, false},
+                                           ZoneCase{"dark", true, false},
+                                           ZoneCase{"cordoned", false, true}),
+                         [](const auto& info) { return info.param.name; });
+
 /// A VM that runs long-running work, or is taken by a wave, must not be emptied for a move.
 TEST(PoolSizer, LeavesAloneWhatCantMove) {
   SizerWorld world;
--- a/tests/jobs/upkeep_test.cc
+++ b/tests/jobs/upkeep_test.cc
@@ -125,6 +125,18 @@
         UpkeepCase{"no_list_yet", [](UpkeepWorld& world) { world.vms.clear(); }, 0, 0, false}),
     [](const auto& info) { return info.param.name; });
 
+/// Guards against a wave that empties VMs at work while a cordoned zone's stand idle.
+TEST(UpkeepPlanner, TakesWhatIsEmptyInACordonedZoneFirst) {
+  UpkeepWorld world;
+  world.loads["i2"].has_long_running = true;
+  for (const char* endpoint : {"i5", "i6"}) {
+    world.loads[endpoint].is_empty = true;
+    world.loads[endpoint].is_cordoned = true;
+    world.loads[endpoint].pool_load = 0.9;
+  }
+  EXPECT_EQ(world.Plan().evacuate, (std::vector<std::string>{"i5", "i6"}));
+}
+
 /// What a successor reads of a wave is what its predecessor knew.
 TEST(WaveProgressRecord, KeepsAll) {
   WaveProgress progress;
