Evacuation: Ask at once for all places that are missing

Cause: a pool asks for a VM for a task that has to leave its endpoint and finds no place, but whether it finds one was looked at only when the task was allowed to move.

Change: for tasks that may not move yet, a place is looked for as well, each another one, and the pool's load counts those without.

Ruled out: letting more tasks of a step move at once (its availability budget).

--- a/src/jobs/evacuation.cc
+++ b/src/jobs/evacuation.cc
@@ -39,11 +39,32 @@
       this->Review(this->state.Find(key));
     }
   }
+  this->LookAhead();
+}
+
+void Evacuation::LookAhead() {
+  std::set<EndpointState*> taken;
+  for (const auto& [key, kept] : this->state.kept_rooms) {
+    taken.insert(this->state.FindEndpoint(kept.endpoint));
+  }
+  for (const TaskRef& ref : this->waiting) {
+    std::set<EndpointState*> excluded = taken;
+    excluded.insert(ref.task->endpoint);
+    EndpointState* const place = this->placement.Choose(ref, excluded, this->now);
+    ref.task->lacks_place = place == nullptr;
+    if (place != nullptr) {
+      taken.insert(place);
+    }
+  }
 }
 
 void Evacuation::Review(const TaskRef& ref) {
   const bool is_movable = ref.spec->is_long_running && ref.task->state == RunState::kActive;
-  if (!is_movable || !this->MayEnd(ref)) {
+  if (!is_movable) {
+    return;
+  }
+  if (!this->MayEnd(ref)) {
+    this->waiting.push_back(ref);
     return;
   }
   EndpointState* const place = this->placement.Choose(ref, {ref.task->endpoint}, this->now);
--- a/tests/jobs/scheduler_test.cc
+++ b/tests/jobs/scheduler_test.cc
@@ -304,6 +304,16 @@
 }
 
 /// A predecessor may have ended a task just before: it still looks at work.
+/// Guards against a wave that orders the VM for each task only when the task before it has moved:
+/// of two that leave, one moves to the only free place, and the other needs another VM.
+TEST_F(EvacuationTest, AsksAtOnceForAllPlacesThatAreMissing) {
+  this->world.scheduler.BeginEvacuation("a");
+  this->world.scheduler.BeginEvacuation("b");
+  this->world.scheduler.BeginEvacuation("c");
+  EXPECT_EQ(this->world.Round().stops.size(), 1U);
+  EXPECT_EQ(this->world.scheduler.PoolLoads().at(ServiceId{"desk"}).waiting_long_running, 2);
+}
+
 TEST(Evacuation, WaitsAfterATakeover) {
   World world;
   world.now = TimePoint{};
