--- /dev/null
+++ b/src/job_entry/pool_sizes_log.cc
@@ -0,0 +1,42 @@
+#include "job_entry/pool_sizes_log.h"
+
+#include <map>
+
+#include "job_entry/context.h"
+
+namespace chervilspar::job_entry {
+
+void PoolSizesLog::Tell(const std::vector<jobs::SizerVm>& vms, const ServiceId& standby) {
+  std::map<ServiceId, int> sizes;
+  for (const jobs::SizerVm& vm : vms) {
+    if (vm.pool != standby) {
+      sizes[vm.pool] += vm.is_serving && !vm.is_cordoned ? 1 : 0;
+    }
+  }
+  std::string text;
+  std::string use;
+  for (const auto& [pool, count] : sizes) {
+    const char* const gap = text.empty() ? "" : " ";
+    text += gap + pool.text + "=" + std::to_string(count) + "/" +
+            std::to_string(this->sizer.Wanted(pool));
+    use += gap + pool.text + "=" + this->UseText(pool);
+  }
+  if (text == this->last) {
+    return;
+  }
+  this->last = text;
+  LogEvent(telemetry::LogLevel::kInfo, "pool_sizes",
+           "VMs that serve, and VMs wanted; use of cpu and of memory",
+           {{"pools", text}, {"use", use}});
+}
+
+std::string PoolSizesLog::UseText(const ServiceId& pool) const {
+  const jobs::Resources used = this->scheduler.UsedIn(pool);
+  const jobs::Resources all = this->scheduler.CapacityOf(pool);
+  const auto percent = [](std::int64_t part, std::int64_t whole) {
+    return std::to_string(whole > 0 ? 100 * part / whole : 0) + "%";
+  };
+  return percent(used.cpu, all.cpu) + "/" + percent(used.memory_mb, all.memory_mb);
+}
+
+}  // namespace chervilspar::job_entry
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -49,6 +49,7 @@
       member(std::move(member)),
       token(token),
       sizer(context.settings.decisions.sizer),
+      sizes_log(scheduler, this->sizer),
       budget(context.settings.vm_order_rate),
       orders(std::make_shared<WorkLane>(context, kOrdersAtOnce)) {}
 
@@ -387,7 +388,7 @@
   if (!may_order) {
     return;
   }
-  this->LogSizes(sized, standby);
+  this->sizes_log.Tell(sized, standby);
   this->SetReleased(step.release);
   for (const jobs::SizerStep::Move& move : step.moves) {
     const bool may_move = !this->is_stopped && !this->refused.contains({move.vm, move.to});
@@ -398,38 +399,6 @@
   }
 }
 
-void VmDriver::LogSizes(const std::vector<jobs::SizerVm>& sized, const ServiceId& standby) {
-  std::map<ServiceId, int> sizes;
-  for (const jobs::SizerVm& vm : sized) {
-    if (vm.pool != standby) {
-      sizes[vm.pool] += vm.is_serving && !vm.is_cordoned ? 1 : 0;
-    }
-  }
-  std::string text;
-  std::string use;
-  for (const auto& [pool, count] : sizes) {
-    const char* const gap = text.empty() ? "" : " ";
-    text += gap + pool.text + "=" + std::to_string(count) + "/" +
-            std::to_string(this->sizer.Wanted(pool));
-    use += gap + pool.text + "=" + this->UseText(pool);
-  }
-  if (text != this->last_sizes) {
-    this->last_sizes = text;
-    LogEvent(telemetry::LogLevel::kInfo, "pool_sizes",
-             "VMs that serve, and VMs wanted; use of cpu and of memory",
-             {{"pools", text}, {"use", use}});
-  }
-}
-
-std::string VmDriver::UseText(const ServiceId& pool) const {
-  const jobs::Resources used = this->scheduler.UsedIn(pool);
-  const jobs::Resources all = this->scheduler.CapacityOf(pool);
-  const auto percent = [](std::int64_t part, std::int64_t whole) {
-    return std::to_string(whole > 0 ? 100 * part / whole : 0) + "%";
-  };
-  return percent(used.cpu, all.cpu) + "/" + percent(used.memory_mb, all.memory_mb);
-}
-
 asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool) {
   const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
   VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -14,6 +14,7 @@
 #include "job_entry/context.h"
 #include "job_entry/operator_view.h"
 #include "job_entry/owner_directory.h"
+#include "job_entry/pool_sizes_log.h"
 #include "job_entry/work_lane.h"
 
 namespace chervilspar::job_entry {
@@ -72,9 +73,6 @@
   /// Says again which endpoints are to be emptied, and gives back those that no wave wants.
   void KeepEmptying(const std::set<VmId>& wanted);
   void Evacuate(const jobs::VmRecord& vm, const char* why);
-  void LogSizes(const std::vector<jobs::SizerVm>& sized, const ServiceId& standby);
-  /// Parts of a pool's cpu and memory in use, as "34%/20%".
-  std::string UseText(const ServiceId& pool) const;
   void SetReleased(const std::set<VmId>& wanted);
   std::vector<jobs::SizerVm> SizerVms() const;
   std::map<std::string, jobs::EndpointLoad> Loads() const;
@@ -112,9 +110,9 @@
   /// Pools that don't take a VM.
   std::set<std::pair<VmId, ServiceId>> refused;
   jobs::PoolSizer sizer;
+  PoolSizesLog sizes_log;
   jobs::OrderBudget budget;
   std::shared_ptr<WorkLane> orders;
-  std::string last_sizes;
 };
 
 }  // namespace chervilspar::job_entry
