VmDriver: Keep the VMs of all open waves due

Cause: each wave replaced the set of endpoints that are soon to be rebooted, so that with two waves under way only the last one's counted: a task that left a VM of the first could move to one that was to go down next, and moved twice.

Change: the endpoints of all open waves are gathered before the scheduler is told.

Found by reading. The test fails without the change (it places on i2 and i3, which the first wave names).

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -108,11 +108,13 @@
   const bool may_order = this->listed > first_order;
   const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
   this->KeepEmptying(this->WantedBy(known));
+  std::set<std::string> due;
   for (const auto& [number, wave] : known) {
     if (!this->is_stopped && !this->waves[number].is_complete) {
-      co_await this->DriveWave(wave, may_order);
+      co_await this->DriveWave(wave, may_order, due);
     }
   }
+  this->scheduler.SetDue(due);
   if (!this->is_stopped) {
     this->Resize(may_order);
   }
@@ -215,7 +217,8 @@
   }
 }
 
-asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order) {
+asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order,
+                                          std::set<std::string>& due) {
   jobs::WaveProgress& progress = this->waves[wave.number];
   progress.number = wave.number;
   jobs::UpkeepPlanner::Absent absent;
@@ -232,7 +235,7 @@
   }
   const jobs::UpkeepStep step =
       jobs::UpkeepPlanner::Plan(wave, progress, this->vms, absent, this->evacuating, this->Loads());
-  this->scheduler.SetDue(step.due);
+  due.insert(step.due.begin(), step.due.end());
   if (!progress.is_told || step.is_complete) {
     co_await this->Tell(wave, progress, step.is_complete);
   }
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -53,7 +53,9 @@
   /// successor has just filled is sent down. So an order needs proof that there was no successor a
   /// moment ago, and a successor gives none in its first moment.
   boost::asio::awaitable<bool> IsStillOwner();
-  boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order);
+  /// Adds the endpoints that the wave is still to reboot to `due`.
+  boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order,
+                                         std::set<std::string>& due);
   boost::asio::awaitable<void> Reboot(std::uint64_t wave, VmId vm);
   boost::asio::awaitable<void> Tell(const jobs::Wave& wave, jobs::WaveProgress& progress,
                                     bool is_complete);
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -41,7 +41,9 @@
 
 Result<jobs::Wave> FakeRecords::ReadWave(std::string_view value) const {
   jobs::Wave wave;
-  wave.number = 1;
+  const bool is_second = value.starts_with("2:");
+  wave.number = is_second ? 2 : 1;
+  value.remove_prefix(is_second ? 2 : 0);
   wave.most_down = 2;
   while (!value.empty()) {
     const std::size_t comma = value.find(',');
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -71,8 +71,8 @@
   /// The value "?" can't be read.
   Result<ZoneId> ReadCordon(std::string_view key,
                             const std::optional<std::string>& value) const override;
-  bool IsWaveKey(std::string_view key) const override { return key == "wave"; }
-  /// The names of the wave's VMs, with commas.
+  bool IsWaveKey(std::string_view key) const override { return key.starts_with("wave"); }
+  /// The names of the wave's VMs, with commas; before them "2:" for the second wave.
   Result<jobs::Wave> ReadWave(std::string_view value) const override;
   KeyedRecord WriteWaveStatus(const jobs::Wave&, bool is_complete) const override {
     return {"wave", is_complete ? "complete" : "running"};
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -103,6 +103,29 @@
   EXPECT_EQ(world.fleet.vms.reboots[VmId{"m1"}], 1);
 }
 
+/// Guards against tasks that move twice: with two waves under way, what leaves a VM of the first
+/// must not go to one that the other is still to reboot.
+TEST(VmDriver, VmsOfAllWavesAreDue) {
+  DriverWorld world(8);
+  auto& operators = world.fleet.store.At(Topic::kOperators, 0).records;
+  operators.clear();
+  operators.push_back({"rules", "1"});
+  operators.push_back({"wave", "m0,m1,m2,m3,m4"});
+  operators.push_back({"wave2", "2:m5"});
+  world.fleet.vms.is_busy = true;
+  world.Start();
+  world.RunUntil(std::chrono::seconds(2), [&] { return !world.fleet.vms.tokens.empty(); });
+  jobs::Step step = jobs::SchedulerWorld::MakeStep(2);
+  step.is_long_running = true;
+  step.max_per_endpoint = 1;
+  world.world.scheduler.AddJob(jobs::SchedulerWorld::MakeJob(1, {step}), WallTime{});
+  std::set<std::string> endpoints;
+  for (const jobs::StartOrder& start : world.world.Round().starts) {
+    endpoints.insert(start.endpoint);
+  }
+  EXPECT_EQ(endpoints, (std::set<std::string>{"i6", "i7"}));
+}
+
 /// Guards against a successor that never tells operators of a wave's end, as its predecessor had
 /// stored that it was told before it was.
 TEST(VmDriver, AnEndThatIsNotToldIsNotStored) {
