VmDriver: Read the list of VMs as often as the link bears

Change: the list takes at most a twentieth of the link, and is read every 2 s at least; nothing changes where that is less than before. A function of its own, with its table of cases.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "job_entry/vm_list_pace.h"
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
@@ -11,11 +13,6 @@
 
 /// Between two decisions. A queue's demand doubles within a second, and a move takes 1.5 s.
 constexpr Duration kPace = std::chrono::milliseconds(150);
-/// Between two readings of the list of VMs, for each VM in it and at most. A list has some 160
-/// bytes for each VM. What this entry has ordered it knows itself, and endpoints register; the list
-/// only says which VM an endpoint is on.
-constexpr Duration kListPacePerVm = std::chrono::milliseconds(3);
-constexpr Duration kLongestListPace = std::chrono::milliseconds(1000);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
 /// A reboot that was answered shows in the list at once; one that wasn't may begin seconds later.
@@ -81,8 +78,7 @@
 /// What can go wrong: a predecessor's last reboot began after the list was read, and more VMs of a
 /// wave go down than may. So the first orders of a term need a list that is newer than the pause.
 asio::awaitable<bool> VmDriver::ReadList(TimePoint first_order) {
-  const Duration pace =
-      std::min<Duration>(kLongestListPace, kListPacePerVm * static_cast<int>(this->vms.size()));
+  const Duration pace = VmListPace(this->vms.size(), this->context.settings.link_rate);
   const TimePoint asked = this->context.Now();
   const bool is_before_orders = this->listed <= first_order && asked > first_order;
   if (!this->vms.empty() && asked - this->listed < pace && !is_before_orders) {
--- a/tests/jobs/zone_cordon_test.cc
+++ b/tests/jobs/zone_cordon_test.cc
@@ -153,7 +153,7 @@
 StartOrder StartInTheEast(TwoZones& zones, Step step, OrderOutcome outcome) {
   zones.Add(1, std::move(step));
   zones.world.scheduler.BeginEvacuation("w");
-  const StartOrder start = zones.world.Round().starts.at(0);
+  StartOrder start = zones.world.Round().starts.at(0);
   zones.world.scheduler.EndEvacuation("w");
   zones.world.scheduler.OnStartAnswered(start, outcome, zones.world.now);
   return start;
