Scheduler: Count what has to leave a cordoned zone into its pool's load

Cause: long-running tasks in a cordoned zone are left out of the load of their pool, as they run on there. One whose VM is to be rebooted has to move to another zone; if it found no place, nobody asked for a VM, and the wave stood still.

Change: such a task counts like one that waits. Found by reading; the test fails without the change.

--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -167,11 +167,11 @@
           continue;
         }
         for (const Task& task : step.tasks) {
-          if (IsInCordonedZone(task)) {
-            continue;
-          }
           const bool lacks_place =
               task.lacks_place && task.endpoint != nullptr && task.endpoint->IsLeaving();
+          if (IsInCordonedZone(task) && !lacks_place) {
+            continue;
+          }
           load.cpu.long_running += static_cast<double>(RoomFor(spec).cpu);
           load.memory.long_running += static_cast<double>(RoomFor(spec).memory_mb);
           load.waiting_long_running += task.IsWaiting() || lacks_place ? 1 : 0;
--- a/tests/jobs/zone_cordon_test.cc
+++ b/tests/jobs/zone_cordon_test.cc
@@ -291,6 +291,21 @@
   EXPECT_LT(after.cpu.at_once, before.cpu.at_once);
 }
 
+/// Guards against a wave that stands still in a cordoned zone: what has to leave a VM there needs a
+/// place in another zone.
+TEST(CordonedZone, CountsWhatHasToLeaveItAndFindsNoPlace) {
+  TwoZones zones;
+  zones.Add(1, MakeLasting(2, 8000));
+  zones.Live(seconds(3));
+  zones.Cordon();
+  EXPECT_EQ(zones.world.scheduler.PoolLoads().at(ServiceId{"desk"}).waiting_long_running, 0);
+  zones.world.scheduler.BeginEvacuation("e");
+  zones.Live(milliseconds(300));
+  const PoolLoad load = zones.world.scheduler.PoolLoads().at(ServiceId{"desk"});
+  EXPECT_EQ(load.waiting_long_running, 1);
+  EXPECT_EQ(load.cpu.long_running, 16000);
+}
+
 /// Guards against a job of which nobody can say why it waits.
 TEST(CordonedZone, IsNamedAsTheReasonWhyAJobWaits) {
   TwoZones zones;
