PlacingRound: Take jobs by latest start again, also while not all can be on time

Not traced to its end: what waits there are thousands of jobs, and the change copies and sorts them in each round of an owner that is short of processor.

Change: is taken back.

--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -57,10 +57,6 @@
   /// `OverloadPlan`.
   bool plans_overload = true;
 
-  /// Whether the job with the least work left goes first while not all can be on time; otherwise
-  /// always the one that must begin first.
-  bool smallest_first_when_full = true;
-
   ProgressForm progress_form = ProgressForm::kRows;
 
   /// By our clock, a lease that is given now has certainly lapsed after this.
--- a/src/job_entry/decision_options.cc
+++ b/src/job_entry/decision_options.cc
@@ -31,8 +31,6 @@
     NamedMember<SchedulerMember>{"scheduler.lease", &jobs::SchedulerOptions::lease},
     NamedMember<SchedulerMember>{"scheduler.ejection", &jobs::SchedulerOptions::ejection},
     NamedMember<SchedulerMember>{"scheduler.stall", &jobs::SchedulerOptions::stall},
-    NamedMember<SchedulerMember>{"scheduler.smallest_first_when_full",
-                                 &jobs::SchedulerOptions::smallest_first_when_full},
     NamedMember<SchedulerMember>{"scheduler.overload", &jobs::SchedulerOptions::plans_overload},
 };
 
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -99,10 +99,9 @@
     JobState& job = *this->state.FindJob(key.job);
     job.is_given_up = false;
     if (key.rank > 0 && key.latest_start_ms >= this->wall_ms) {
-      job.work_left = this->WorkLeft(job);
       urgent.push_back({key.job, job.job.team,
                         static_cast<double>(key.latest_start_ms - this->wall_ms) + kGrace,
-                        job.work_left});
+                        this->WorkLeft(job)});
     }
   }
   std::stable_sort(urgent.begin(), urgent.end(), [](const UrgentJob& one, const UrgentJob& other) {
@@ -112,38 +111,23 @@
   for (const auto& [id, team] : this->state.policy.teams) {
     weights[id] = team.weight;
   }
-  const std::set<JobId> given_up = OverloadPlan::GiveUp(urgent, std::max(cpu, 0.0), weights);
-  for (const JobId& id : given_up) {
+  for (const JobId& id : OverloadPlan::GiveUp(urgent, std::max(cpu, 0.0), weights)) {
     this->state.FindJob(id)->is_given_up = true;
   }
-  pool.is_overloaded = !given_up.empty();
-}
-
-std::vector<ReadyKey> PlacingRound::InOrder(const PoolState& pool, const ReadyKey& begin,
-                                            const ReadyKey& end) const {
-  std::vector<ReadyKey> keys(pool.ready.lower_bound(begin), pool.ready.lower_bound(end));
-  const bool is_late = begin.latest_start_ms < this->wall_ms;
-  if (this->state.options.smallest_first_when_full && pool.is_overloaded && !is_late) {
-    std::map<JobId, double> work;
-    for (const ReadyKey& key : keys) {
-      work[key.job] = this->state.FindJob(key.job)->work_left;
-    }
-    std::stable_sort(keys.begin(), keys.end(), [&](const ReadyKey& one, const ReadyKey& other) {
-      return work[one.job] < work[other.job];
-    });
-  }
-  return keys;
 }
 
 bool PlacingRound::PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end,
                                 Which which) {
-  for (const ReadyKey& key : this->InOrder(pool, begin, end)) {
+  auto place = pool.ready.lower_bound(begin);
+  while (place != pool.ready.end() && *place < end) {
+    const ReadyKey key = *place;
     JobState& job = *this->state.FindJob(key.job);
     const bool is_meant = which == Which::kAll || job.is_given_up == (which == Which::kGivenUp);
     if (is_meant && !this->PlaceJob(job) &&
         ++this->misses >= this->state.options.misses_per_round) {
       return false;
     }
+    place = pool.ready.upper_bound(key);
   }
   return true;
 }
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -23,9 +23,6 @@
 
   /// Places jobs from `begin` up to `end`; false when the round has to end.
   bool PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end, Which which);
-  /// The jobs from `begin` up to `end`, in the order in which they are placed.
-  std::vector<ReadyKey> InOrder(const PoolState& pool, const ReadyKey& begin,
-                                const ReadyKey& end) const;
   /// Decides which jobs are served on time if not all can be.
   void PlanOverload(PoolState& pool);
   double WorkLeft(const JobState& job) const;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -144,9 +144,6 @@
   std::optional<ReadyKey> ready;
   /// It could be on time, but not together with the others; see `OverloadPlan`.
   bool is_given_up = false;
-  /// Thousandths of a core times milliseconds that are still to be placed, by the last plan of who
-  /// is served on time.
-  double work_left = 0;
   /// Told of once for each reason, when the job is late.
   WaitReason told_wait = WaitReason::kNone;
 
@@ -218,8 +215,6 @@
   std::set<ReadyKey> ready;
   /// When it was last planned who is served on time.
   TimePoint planned{};
-  /// Not all could be by that plan.
-  bool is_overloaded = false;
 };
 
 /// A task together with all that it belongs to.
