--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::string_view kZonePrefix = "zone:";
+
 Links MakeLinks(FakeStore& store, FakeEndpoints& endpoints, FakeVms& vms) {
   Links links;
   links.store = std::make_unique<FakeStoreLink>(store);
@@ -66,7 +68,8 @@
   jobs::EndpointRecord record;
   record.id = std::string(key);
   record.service = ServiceId{"desk"};
-  record.zone = ZoneId{std::string(value)};
+  const bool names_zone = value.starts_with(kZonePrefix);
+  record.zone = ZoneId{names_zone ? std::string(value.substr(kZonePrefix.size())) : "z"};
   record.address = {"127.0.0.1", 2};
   record.born_ms = 1;
   record.capacity = {8000, 8000, 0};
@@ -121,7 +124,7 @@
     : io(io), store(io), endpoints(io) {
   this->store.At(Topic::kOperators, 0).records.push_back({"rules", "1"});
   for (int i = 0; i < endpoint_count; ++i) {
-    this->store.At(Topic::kEndpoints, 0).records.push_back({"i" + std::to_string(i), "z"});
+    this->store.At(Topic::kEndpoints, 0).records.push_back({"i" + std::to_string(i), "x"});
   }
 }
 
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -59,8 +59,8 @@
   FakeVms& all;
 };
 
-/// Reads the records that the tests write: rules "version", endpoints by name with their zone as
-/// value, and cordons.
+/// Reads the records that the tests write: rules "version", endpoints by name, in zone "z" unless
+/// their value is "zone:" with another, and cordons.
 class FakeRecords final : public RecordReader {
  public:
   bool IsPolicyKey(std::string_view key) const override { return key == "rules"; }
--- a/tests/job_entry/zone_cordon_test.cc
+++ b/tests/job_entry/zone_cordon_test.cc
@@ -28,8 +28,8 @@
  public:
   CordonedFleet() : fleet(this->io, 0) {
     auto& endpoints = this->fleet.store.At(Topic::kEndpoints, 0).records;
-    endpoints.push_back({"e", kEast.text});
-    endpoints.push_back({"w", kWest.text});
+    endpoints.push_back({"e", "zone:" + kEast.text});
+    endpoints.push_back({"w", "zone:" + kWest.text});
   }
 
   void Start() {
