--- a/tests/job_entry/carrying_test.cc
+++ b/tests/job_entry/carrying_test.cc
@@ -22,11 +22,6 @@
   return acceptor.local_endpoint().port();
 }
 
-bool IsServing(const FakeEntry& entry) {
-  const std::shared_ptr<OwnerTerm> term = entry.election->Term();
-  return term != nullptr && term->IsServing();
-}
-
 /// Three entries that carry for each other, and endpoints that take 24 tasks at once.
 class CarryingFleet : public ::testing::Test {
  protected:
@@ -38,11 +33,7 @@
   }
 
   void RunUntil(Duration longest, const std::function<bool()>& is_over) {
-    const SystemClock clock;
-    const TimePoint end = clock.Now() + longest;
-    while (clock.Now() < end && !is_over()) {
-      this->io.run_for(milliseconds(10));
-    }
+    job_entry::RunUntil(this->io, longest, is_over);
   }
 
   FakeEntry* Owner() {
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -128,6 +128,19 @@
   }
 }
 
+void RunUntil(boost::asio::io_context& io, Duration longest, const std::function<bool()>& is_over) {
+  const SystemClock clock;
+  const TimePoint end = clock.Now() + longest;
+  while (clock.Now() < end && !is_over()) {
+    io.run_for(std::chrono::milliseconds(10));
+  }
+}
+
+bool IsServing(const FakeEntry& entry) {
+  const std::shared_ptr<OwnerTerm> term = entry.election->Term();
+  return term != nullptr && term->IsServing();
+}
+
 FakeEntry& FakeFleet::AddEntry(const std::string& name, double cores) {
   this->entries.push_back(
       std::make_unique<FakeEntry>(this->io, this->store, this->endpoints, this->vms, name, cores));
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -79,6 +80,9 @@
   }
 };
 
+/// Runs until `is_over`, or for `longest`.
+void RunUntil(boost::asio::io_context& io, Duration longest, const std::function<bool()>& is_over);
+
 /// One entry without its HTTP servers.
 class FakeEntry {
  public:
@@ -107,6 +111,9 @@
   std::shared_ptr<Election> election;
 };
 
+/// The entry is owner and has read the state.
+bool IsServing(const FakeEntry& entry);
+
 /// A store and endpoints with entries that come and go.
 class FakeFleet {
  public:
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -41,20 +41,6 @@
   return is_compact ? jobs::ProgressForm::kCompact : jobs::ProgressForm::kRows;
 }
 
-bool IsServing(const FakeEntry& entry) {
-  const std::shared_ptr<OwnerTerm> term = entry.election->Term();
-  return term != nullptr && term->IsServing();
-}
-
-/// Runs until `is_over`, or for `longest`.
-void RunUntil(asio::io_context& io, Duration longest, const std::function<bool()>& is_over) {
-  const SystemClock clock;
-  const TimePoint end = clock.Now() + longest;
-  while (clock.Now() < end && !is_over()) {
-    io.run_for(milliseconds(10));
-  }
-}
-
 /// The owner is killed with jobs waiting and at work. The next entry has to find what runs, start
 /// what waits, and start nothing twice; until then callers wait. Entries that store progress in
 /// either form follow one another.
--- a/tests/job_entry/slow_takeover_test.cc
+++ b/tests/job_entry/slow_takeover_test.cc
@@ -15,11 +15,6 @@
 /// Longer than a lease.
 constexpr Duration kReading = milliseconds(4500);
 
-bool IsServing(const FakeEntry& entry) {
-  const std::shared_ptr<OwnerTerm> term = entry.election->Term();
-  return term != nullptr && term->IsServing();
-}
-
 /// An owner with work at two endpoints, and an entry that takes longer to read the jobs than the
 /// leases last.
 class SlowTakeover : public ::testing::Test {
@@ -44,11 +39,7 @@
   }
 
   void RunUntil(Duration longest, const std::function<bool()>& is_over) {
-    const SystemClock clock;
-    const TimePoint end = clock.Now() + longest;
-    while (clock.Now() < end && !is_over()) {
-      this->io.run_for(milliseconds(10));
-    }
+    job_entry::RunUntil(this->io, longest, is_over);
   }
 
   asio::io_context io;
--- a/tests/job_entry/zone_cordon_test.cc
+++ b/tests/job_entry/zone_cordon_test.cc
@@ -18,11 +18,6 @@
 const ZoneId kWest{"west"};
 constexpr std::uint32_t kTasks = 6;
 
-bool IsServing(const FakeEntry& entry) {
-  const std::shared_ptr<OwnerTerm> term = entry.election->Term();
-  return term != nullptr && term->IsServing();
-}
-
 /// One entry, an endpoint in the east and one in the west.
 class CordonedFleet {
  public:
@@ -54,11 +49,7 @@
   }
 
   void RunUntil(Duration longest, const std::function<bool()>& is_over) {
-    const SystemClock clock;
-    const TimePoint end = clock.Now() + longest;
-    while (clock.Now() < end && !is_over()) {
-      this->io.run_for(milliseconds(10));
-    }
+    job_entry::RunUntil(this->io, longest, is_over);
   }
 
   std::size_t StartsAt(const std::string& endpoint) {
