Election: Let a claim stand only where it is expected

Nothing starts from 10.5 to 15.8 s; of what was handed in from 14 to 18 s nothing was done on time.

Cause: four terms follow one another in 3.4 s (owner's log: claims at 12.45, 13.71, 15.09 and 15.56 s; term_ended "has claimed after this entry"). An entry looks at the members, sees that the owner is gone, and appends its claim some 0.5 s later; a second entry that looked before that record was there claims as well, and the later claim ends the term of the earlier in the middle of its reading.

Ruled out: slow reading alone (each term had read everything within 0.9 s); loss of the group by the first claimant (it had not told group_lost).

Change: the claim is appended on the condition that the topic still ends where the entry knew it to end before it looked at the members. Of several claims for one vacancy one is stored; whoever is refused reads the other's claim and takes it for the owner. A claim whose answer was lost takes effect late only if nobody has claimed since.

--- a/include/chervilspar/job_entry/store.h
+++ b/include/chervilspar/job_entry/store.h
@@ -56,6 +56,8 @@
     kFenced,
     /// The sequence doesn't follow the last one.
     kOutOfSequence,
+    /// The partition doesn't end where it was expected to; nothing was written.
+    kEndsElsewhere,
     /// No whole answer; it may be written, also later.
     kUnknown,
   };
@@ -111,6 +113,12 @@
                                                        std::vector<KeyedRecord> records,
                                                        std::optional<Writer> writer,
                                                        Duration timeout) = 0;
+  /// Appends all records, only if `end` is still the offset after the partition's last record. Of
+  /// several that know the same end, one is stored. One without answer may take effect later, as
+  /// long as nobody else has appended.
+  virtual boost::asio::awaitable<AppendOutcome> AppendAt(Topic topic, std::uint32_t partition,
+                                                         std::vector<KeyedRecord> records,
+                                                         std::uint64_t end, Duration timeout) = 0;
   /// Answers as soon as there is a record, or empty after `wait`.
   virtual boost::asio::awaitable<Result<ReadOutcome>> Read(Topic topic, std::uint32_t partition,
                                                            std::uint64_t from, Duration wait,
--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -138,8 +138,13 @@
   }
   this->generation = joined->generation;
   this->directory.FollowClosely(this->Term() != nullptr);
+  // Before the members are looked at: whoever claims meanwhile comes first.
+  const std::optional<std::uint64_t> next_claim = this->directory.NextClaim();
+  if (!next_claim) {
+    co_return;
+  }
   if (this->IsNamedInVain()) {
-    co_await this->BeginTerm();
+    co_await this->BeginTerm(*next_claim);
     co_return;
   }
   if (this->Term() != nullptr) {
@@ -156,7 +161,7 @@
   }
   const bool has_owner = co_await this->HasLivingOwner();
   if (!has_owner && !this->is_resigned) {
-    co_await this->BeginTerm();
+    co_await this->BeginTerm(*next_claim);
   }
 }
 
@@ -219,20 +224,30 @@
          now.at - this->at < kLookAgain;
 }
 
-asio::awaitable<void> Election::BeginTerm() {
-  // Before the claim, whose record ends the read that waits: the next one has to be a short one.
-  this->directory.FollowClosely(true);
+/// What can go wrong: two entries see that the owner is gone, both claim, and the second ends the
+/// term that the first has just begun. So a claim stands only where this entry expects it.
+asio::awaitable<bool> Election::Claim(std::uint64_t offset) {
   const OwnerClaim claim{this->context.settings.id.text, this->member,
                          this->context.settings.peers};
   std::vector<KeyedRecord> records;
   records.push_back({kOwnerKey, EncodeClaim(claim)});
-  const AppendOutcome outcome = co_await this->context.links.store->Append(
-      Topic::kOwners, 0, std::move(records), std::nullopt, kClaimTimeout);
-  if (outcome.kind != AppendOutcome::Kind::kStored || this->is_resigned) {
+  const AppendOutcome outcome = co_await this->context.links.store->AppendAt(
+      Topic::kOwners, 0, std::move(records), offset, kClaimTimeout);
+  if (outcome.kind == AppendOutcome::Kind::kEndsElsewhere) {
+    LogEvent(telemetry::LogLevel::kInfo, "claim_refused", "another entry has claimed before");
+  }
+  co_return outcome.kind == AppendOutcome::Kind::kStored && !this->is_resigned;
+}
+
+asio::awaitable<void> Election::BeginTerm(std::uint64_t offset) {
+  // Before the claim, whose record ends the read that waits: the next one has to be a short one.
+  this->directory.FollowClosely(true);
+  const bool is_claimed = co_await this->Claim(offset);
+  if (!is_claimed) {
     co_return;  // claimed again with the next join, if still chosen
   }
   // Offsets begin at 0, tokens at 1: a missing token counts as 0 at the endpoints.
-  const std::uint64_t token = outcome.offset + 1;
+  const std::uint64_t token = offset + 1;
   ProgressWriter writer(this->context, token);
   const FencedWrite announced = co_await writer.Announce(this->is_resigned);
   if (announced != FencedWrite::kStored || this->is_resigned) {
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -39,7 +39,9 @@
   boost::asio::awaitable<bool> HasLivingOwner();
   /// Tells those who choose the carriers of orders who is in the group.
   boost::asio::awaitable<void> TellMembers();
-  boost::asio::awaitable<void> BeginTerm();
+  /// Writes a claim that is to stand at this offset; false when it doesn't or may not.
+  boost::asio::awaitable<bool> Claim(std::uint64_t offset);
+  boost::asio::awaitable<void> BeginTerm(std::uint64_t offset);
   static std::string MakeMember(const Context& context, const Candidacy& candidacy);
 
   /// What a reading of the list of members showed. It holds while the group's generation stays.
--- a/src/job_entry/owner_directory.h
+++ b/src/job_entry/owner_directory.h
@@ -32,6 +32,9 @@
   void Start() { this->tail->Start(); }
   void OnRecords(const std::vector<KeyedRecord>& records) override;
   const std::optional<OwnerClaim>& Owner() const { return this->owner; }
+  /// The offset after the claim that names `Owner`: where the next claim stands, unless another
+  /// comes first. Nothing while claims aren't known.
+  std::optional<std::uint64_t> NextClaim() const { return this->tail->Next(); }
   /// Until this time, nobody had claimed after `Owner`.
   std::optional<TimePoint> Proof() const { return this->tail->Proof(); }
   /// An owner has to hear soon of another's claim; others only ask for its address.
--- a/src/job_entry/record_tail.h
+++ b/src/job_entry/record_tail.h
@@ -51,6 +51,8 @@
   void Stop();
   /// The records that existed at this time have been told; nothing before the first answer.
   std::optional<TimePoint> Proof() const { return this->proof; }
+  /// The offset after the last record that was told; nothing before the first answer.
+  std::optional<std::uint64_t> Next() const { return this->next; }
   /// True when the proof is younger than `limit`.
   bool IsFresh(Duration limit) const;
 
--- a/tests/job_entry/fake_store.cc
+++ b/tests/job_entry/fake_store.cc
@@ -28,7 +28,7 @@
     co_await this->Wait(timeout);
     co_return false;
   }
-  co_await this->Wait(std::chrono::milliseconds(1));
+  co_await this->Wait(this->store.answer_time);
   co_return !this->is_cut && !this->store.is_down;
 }
 
@@ -36,6 +36,22 @@
                                                      std::vector<KeyedRecord> records,
                                                      std::optional<Writer> writer,
                                                      Duration timeout) {
+  co_return co_await this->AppendIf(topic, partition, std::move(records), std::move(writer),
+                                    std::nullopt, timeout);
+}
+
+asio::awaitable<AppendOutcome> FakeStoreLink::AppendAt(Topic topic, std::uint32_t partition,
+                                                       std::vector<KeyedRecord> records,
+                                                       std::uint64_t end, Duration timeout) {
+  co_return co_await this->AppendIf(topic, partition, std::move(records), std::nullopt, end,
+                                    timeout);
+}
+
+asio::awaitable<AppendOutcome> FakeStoreLink::AppendIf(Topic topic, std::uint32_t partition,
+                                                       std::vector<KeyedRecord> records,
+                                                       std::optional<Writer> writer,
+                                                       std::optional<std::uint64_t> end,
+                                                       Duration timeout) {
   AppendOutcome outcome;
   outcome.kind = AppendOutcome::Kind::kUnknown;
   const bool is_reached = co_await this->Reach(timeout);
@@ -54,6 +70,10 @@
   }
   co_await this->Wait(this->store.append_time);
   FakeStore::Partition& at = this->store.At(topic, partition);
+  if (end && *end != at.records.size()) {
+    outcome.kind = AppendOutcome::Kind::kEndsElsewhere;
+    co_return outcome;
+  }
   bool is_repeat = false;
   if (writer) {
     std::uint64_t& token = at.token_of_writer[writer->name];
@@ -114,7 +134,10 @@
 
 asio::awaitable<Result<NewestOutcome>> FakeStoreLink::Newest(Topic topic, std::uint32_t partition,
                                                              Duration timeout) {
+  const int reads = ++this->reads[topic];
+  this->most_reads[topic] = std::max(this->most_reads[topic], reads);
   const bool is_reached = co_await this->Reach(timeout);
+  --this->reads[topic];
   if (!is_reached) {
     co_return kNoAnswer;
   }
--- a/tests/job_entry/fake_store.h
+++ b/tests/job_entry/fake_store.h
@@ -35,6 +35,8 @@
   boost::asio::io_context& io;
   std::map<std::pair<Topic, std::uint32_t>, Partition> partitions;
   std::map<std::string, Member> members;
+  /// A call is answered after this, an append after `append_time` more.
+  Duration answer_time = std::chrono::milliseconds(1);
   /// An append takes this long.
   Duration append_time = std::chrono::milliseconds(4);
   /// Nothing answers and nothing is done.
@@ -50,6 +52,9 @@
                                                std::vector<KeyedRecord> records,
                                                std::optional<Writer> writer,
                                                Duration timeout) override;
+  boost::asio::awaitable<AppendOutcome> AppendAt(Topic topic, std::uint32_t partition,
+                                                 std::vector<KeyedRecord> records,
+                                                 std::uint64_t end, Duration timeout) override;
   boost::asio::awaitable<Result<ReadOutcome>> Read(Topic topic, std::uint32_t partition,
                                                    std::uint64_t from, Duration wait,
                                                    Duration timeout) override;
@@ -71,11 +76,19 @@
   /// After a lost answer, all further appends are refused.
   bool refuses_after_loss = false;
   int appends = 0;
+  /// Reads of a topic's newest records: so many are under way, and so many were at once.
+  std::map<Topic, int> reads;
+  std::map<Topic, int> most_reads;
   /// Appends to this topic get no answer and do nothing.
   std::optional<Topic> unanswered;
 
  private:
   boost::asio::awaitable<void> Wait(Duration span);
+  boost::asio::awaitable<AppendOutcome> AppendIf(Topic topic, std::uint32_t partition,
+                                                 std::vector<KeyedRecord> records,
+                                                 std::optional<Writer> writer,
+                                                 std::optional<std::uint64_t> end,
+                                                 Duration timeout);
   /// True when the call gets through; else it waits out its time limit.
   boost::asio::awaitable<bool> Reach(Duration timeout);
 
--- a/tests/soak/store_server.cc
+++ b/tests/soak/store_server.cc
@@ -114,8 +114,12 @@
   }
   const auto part = static_cast<std::uint32_t>(NumberIn(request, "part"));
   const std::size_t count = frames->records.size();
-  const AppendOutcome outcome = co_await this->link.Append(
-      *TopicIn(request), part, std::move(frames->records), writer, kDownWait);
+  const bool has_end = http::QueryParameter(request.target, "at").has_value();
+  const AppendOutcome outcome =
+      co_await (has_end ? this->link.AppendAt(*TopicIn(request), part, std::move(frames->records),
+                                              NumberIn(request, "at"), kDownWait)
+                        : this->link.Append(*TopicIn(request), part, std::move(frames->records),
+                                            writer, kDownWait));
   switch (outcome.kind) {
     case AppendOutcome::Kind::kStored:
       co_return Answer(200, {{"offset", outcome.offset}, {"end_offset", outcome.offset + count}});
@@ -123,6 +127,8 @@
       co_return Answer(409, {{"reason", "fenced"}});
     case AppendOutcome::Kind::kOutOfSequence:
       co_return Answer(409, {{"reason", "seq"}, {"seq", outcome.expected}});
+    case AppendOutcome::Kind::kEndsElsewhere:
+      co_return Answer(412, {});
     case AppendOutcome::Kind::kNotStored:
       co_return Answer(503, {});
     case AppendOutcome::Kind::kUnknown:
