OwnerProof: Ask once for all orders that wait

An owner that lives and works is replaced, and the work waits for one more take-over.

Cause: where the service for VMs doesn't compare tokens, each order for a VM needs proof younger than 0.3 s that there is no other claim. Twenty orders under way asked the store for it one by one; with answers of 0.25 s they held most of the 32 connections to it.

Change: one question at a time; all that wait take its answer.

Test: VmDriver.OrdersThatWaitTogetherAskOnceWhetherThereIsASuccessor; before, two reads were under way at once with the two reboots that its wave allows.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -30,7 +30,6 @@
 /// How old the proof may be that an order needs. A successor waits longer than this, and than an
 /// order takes on its way, before its first one.
 constexpr Duration kOrderProof = std::chrono::milliseconds(300);
-constexpr Duration kProofTimeout = std::chrono::milliseconds(300);
 /// Orders under way at once: fewer than the client has connections to one address, as the list of
 /// VMs is read beside them. An order takes some 5 ms, so that several thousand leave in a second.
 constexpr std::size_t kOrdersAtOnce = 20;
@@ -41,10 +40,9 @@
                    jobs::Scheduler& scheduler, std::string member, std::uint64_t token)
     : context(context),
       operators(operators),
-      directory(directory),
       scheduler(scheduler),
-      member(std::move(member)),
       token(token),
+      proof(context, directory, std::move(member)),
       sizer(context.settings.decisions.sizer),
       sizes_log(scheduler, this->sizer),
       budget(context.settings.vm_order_rate),
@@ -120,15 +118,8 @@
   if (this->context.settings.vm_service_compares_tokens) {
     co_return !this->is_stopped;
   }
-  const TimePoint asked = this->context.Now();
-  this->proof = std::max(this->proof, this->scheduler.Proof());
-  if (asked - this->proof >= kOrderProof) {
-    const bool is_newest = co_await this->directory.IsNewestClaim(this->member, kProofTimeout);
-    if (is_newest) {
-      this->proof = asked;
-    }
-  }
-  const bool is_proven = this->context.Now() - this->proof < kOrderProof;
+  this->proof.Note(this->scheduler.Proof());
+  const bool is_proven = co_await this->proof.IsYoungerThan(kOrderProof);
   if (!is_proven) {
     this->context.metrics.Count({"chervilspar_vm_orders_unproven_total", {}});
   }
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -14,6 +14,7 @@
 #include "job_entry/context.h"
 #include "job_entry/operator_view.h"
 #include "job_entry/owner_directory.h"
+#include "job_entry/owner_proof.h"
 #include "job_entry/pool_sizes_log.h"
 #include "job_entry/work_lane.h"
 
@@ -81,12 +82,9 @@
 
   const Context context;
   OperatorView& operators;
-  const OwnerDirectory& directory;
   jobs::Scheduler& scheduler;
-  const std::string member;
   const std::uint64_t token;
-  /// When the store was last asked and named no successor.
-  TimePoint proof{};
+  OwnerProof proof;
   std::weak_ptr<void> owner;
   bool is_stopped = false;
   std::vector<jobs::VmRecord> vms;
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -159,6 +159,19 @@
   }
 }
 
+/// Guards against an owner that loses its place in the group as the questions of its VM orders,
+/// asked one each, take all connections to a slow store.
+TEST(VmDriver, OrdersThatWaitTogetherAskOnceWhetherThereIsASuccessor) {
+  DriverWorld world(16);
+  world.entry.settings.vm_service_compares_tokens = false;
+  world.fleet.vms.is_busy = true;
+  world.fleet.store.answer_time = milliseconds(240);
+  world.Start();
+  world.RunUntil(std::chrono::seconds(4), [&] { return world.fleet.vms.tokens.size() >= 3; });
+  EXPECT_GE(world.fleet.vms.tokens.size(), 3U);
+  EXPECT_EQ(world.entry.store->most_reads[Topic::kOwners], 1);
+}
+
 /// How the endpoint of a VM that is being emptied comes to be another than it was.
 struct RegistrationCase {
   const char* name;
