Election: Join on while a claim is on its way

What callers saw: as before, several take-overs for one dead owner while the store is slow.

Cause: the look at the members, the claim and the token's announcement follow one another, and the entry joins only after all of them. With answers of 0.25 s that is 1.2 s, longer than the second for which the group keeps a silent member; the claimant is no member when its term begins, and the next entry finds no living owner. Joins were also spaced from answer to join: 0.53 s apart in a slow store in place of 0.28 s, so that a single late one was enough.

Change: the claim and what follows run beside the joins, which keep their pace from join to join.

Test: TakeoverInASlowStore.TheClaimantStaysInTheGroup; before, the group dropped the claimant.

--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chervilspar/base/scope_guard.h"
+
 #include "job_entry/member_name.h"
 #include "job_entry/owner_directory.h"
 
@@ -20,8 +22,9 @@
 constexpr double kNarrowLink = 10;
 constexpr Duration kNarrowTimeToLive = std::chrono::milliseconds(2500);
 constexpr Duration kNarrowCallTimeout = std::chrono::milliseconds(1600);
-/// Three tries within the time to live.
+/// From join to join, however long an answer takes: three tries within the time to live.
 constexpr Duration kPace = std::chrono::milliseconds(280);
+constexpr Duration kLeastPause = std::chrono::milliseconds(10);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(900);
 /// Between two looks at the members while standing; each is priced, and VMs rarely come and go.
@@ -63,6 +66,7 @@
 asio::awaitable<void> Election::Run([[maybe_unused]] std::shared_ptr<Election> self) {
   co_await Pause(this->context, this->candidacy.FirstDelay());
   while (!this->is_resigned) {
+    const TimePoint begin = this->context.Now();
     if (this->operators.Policy() != nullptr) {  // without rules nothing can be decided
       if (this->context.Now() >= this->next_review) {
         co_await this->Review();
@@ -71,7 +75,8 @@
         co_await this->JoinOnce();
       }
     }
-    co_await Pause(this->context, kPace);
+    const Duration passed = this->context.Now() - begin;
+    co_await Pause(this->context, std::max(kPace - passed, kLeastPause));
   }
 }
 
@@ -137,14 +142,14 @@
     co_return;
   }
   this->generation = joined->generation;
-  this->directory.FollowClosely(this->Term() != nullptr);
+  this->directory.FollowClosely(this->Term() != nullptr || this->is_claiming);
   // Before the members are looked at: whoever claims meanwhile comes first.
   const std::optional<std::uint64_t> next_claim = this->directory.NextClaim();
-  if (!next_claim) {
+  if (!next_claim || this->is_claiming) {
     co_return;
   }
   if (this->IsNamedInVain()) {
-    co_await this->BeginTerm(*next_claim);
+    this->BeginTerm(*next_claim);
     co_return;
   }
   if (this->Term() != nullptr) {
@@ -161,7 +166,7 @@
   }
   const bool has_owner = co_await this->HasLivingOwner();
   if (!has_owner && !this->is_resigned) {
-    co_await this->BeginTerm(*next_claim);
+    this->BeginTerm(*next_claim);
   }
 }
 
@@ -239,7 +244,17 @@
   co_return outcome.kind == AppendOutcome::Kind::kStored && !this->is_resigned;
 }
 
-asio::awaitable<void> Election::BeginTerm(std::uint64_t offset) {
+/// What can go wrong: the store is slow, the claim and the token's announcement take longer than
+/// the group keeps a silent member, and another entry takes over from one that is about to begin.
+/// So this entry joins on beside them.
+void Election::BeginTerm(std::uint64_t offset) {
+  this->is_claiming = true;
+  Spawn(this->context, this->TakeOver(this->shared_from_this(), offset));
+}
+
+asio::awaitable<void> Election::TakeOver([[maybe_unused]] std::shared_ptr<Election> self,
+                                         std::uint64_t offset) {
+  const ScopeGuard claimed([this] { this->is_claiming = false; });
   // Before the claim, whose record ends the read that waits: the next one has to be a short one.
   this->directory.FollowClosely(true);
   const bool is_claimed = co_await this->Claim(offset);
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -41,7 +41,9 @@
   boost::asio::awaitable<void> TellMembers();
   /// Writes a claim that is to stand at this offset; false when it doesn't or may not.
   boost::asio::awaitable<bool> Claim(std::uint64_t offset);
-  boost::asio::awaitable<void> BeginTerm(std::uint64_t offset);
+  /// Claims at this offset and begins a term if the claim is stored.
+  void BeginTerm(std::uint64_t offset);
+  boost::asio::awaitable<void> TakeOver(std::shared_ptr<Election> self, std::uint64_t offset);
   static std::string MakeMember(const Context& context, const Candidacy& candidacy);
 
   /// What a reading of the list of members showed. It holds while the group's generation stays.
@@ -70,6 +72,8 @@
   Look told;
   bool is_resigned = false;
   bool is_joined = true;
+  /// A claim of this entry, or the announcement of its token, is on its way.
+  bool is_claiming = false;
   /// Since when the newest claim names this entry and it has no term.
   std::optional<TimePoint> named_in_vain;
   /// When the store last failed to answer a join.
--- a/tests/job_entry/election_test.cc
+++ b/tests/job_entry/election_test.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "tests/job_entry/fake_fleet.h"
@@ -9,8 +12,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A store that is slow; the usual append takes 4 ms.
+/// A store that is slow; the usual append takes 4 ms, the usual answer a millisecond.
 constexpr Duration kSlowAppend = milliseconds(400);
+constexpr Duration kSlowAnswer = milliseconds(240);
 
 std::size_t ClaimsIn(FakeFleet& fleet) { return fleet.store.At(Topic::kOwners, 0).records.size(); }
 
@@ -36,5 +40,44 @@
   EXPECT_EQ(ClaimsIn(fleet), 2U);
 }
 
+/// An owner that dies while each answer of the store takes a while, and an entry that takes over.
+class TakeoverInASlowStore : public ::testing::Test {
+ protected:
+  TakeoverInASlowStore() : fleet(this->io, 2), owner(this->fleet.AddEntry("m")) {
+    RunUntil(this->io, seconds(5), [this] { return IsServing(this->owner); });
+    this->successor = &this->fleet.AddEntry("n");
+    this->io.run_for(milliseconds(500));
+    this->fleet.store.answer_time = kSlowAnswer;
+  }
+
+  bool IsMember(const std::string& entry) const {
+    return std::any_of(this->fleet.store.members.begin(), this->fleet.store.members.end(),
+                       [&](const auto& member) {
+                         return member.first.starts_with(entry) &&
+                                this->successor->context.Now() - member.second.last <=
+                                    member.second.time_to_live;
+                       });
+  }
+
+  asio::io_context io;
+  FakeFleet fleet;
+  FakeEntry& owner;
+  FakeEntry* successor = nullptr;
+};
+
+/// Guards against an owner that the group drops before its first decision, as it didn't join while
+/// its claim was on its way.
+TEST_F(TakeoverInASlowStore, TheClaimantStaysInTheGroup) {
+  this->fleet.store.append_time = kSlowAppend;
+  this->owner.Cut();
+  bool is_dropped = false;
+  RunUntil(this->io, seconds(8), [&] {
+    is_dropped = is_dropped || !this->IsMember("n");
+    return IsServing(*this->successor);
+  });
+  EXPECT_TRUE(IsServing(*this->successor));
+  EXPECT_FALSE(is_dropped);
+}
+
 }  // namespace
 }  // namespace chervilspar::job_entry
