OwnerTerm: Ask a slow store side by side when taking over

What callers saw: from an owner's kill to the successor's first start in a slow store (answers of 0.25 s) six answers were waited for one after the other beside those of the group: the claim, the announcement, three rounds of reads, the record of the first placements.

Ten parts are read, four at a time, and the announcement waits for the claim although its token is the claim's offset and one, known since a claim stands only where it is expected.

Change: claim and announcement go side by side. If the claim is refused, whoever claimed there has the same token or a higher one, so that the announcement fences nobody who shouldn't be; jobs and progress are read after both, as before: a job whose submission is read before the announcement could be dropped with its progress by the predecessor and would run a second time. The parts of the state are read all at once where the link bears it.

Ruled out: reading jobs before the announcement, for that reason.

--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -241,7 +241,14 @@
   if (outcome.kind == AppendOutcome::Kind::kEndsElsewhere) {
     LogEvent(telemetry::LogLevel::kInfo, "claim_refused", "another entry has claimed before");
   }
-  co_return outcome.kind == AppendOutcome::Kind::kStored && !this->is_resigned;
+  const bool is_stored = outcome.kind == AppendOutcome::Kind::kStored;
+  this->is_claim_over = !is_stored;
+  co_return is_stored;
+}
+
+asio::awaitable<bool> Election::Announce(ProgressWriter& writer) {
+  const FencedWrite announced = co_await writer.Announce(this->is_claim_over);
+  co_return announced == FencedWrite::kStored;
 }
 
 /// What can go wrong: the store is slow, the claim and the token's announcement take longer than
@@ -257,16 +264,17 @@
   const ScopeGuard claimed([this] { this->is_claiming = false; });
   // Before the claim, whose record ends the read that waits: the next one has to be a short one.
   this->directory.FollowClosely(true);
-  const bool is_claimed = co_await this->Claim(offset);
-  if (!is_claimed) {
-    co_return;  // claimed again with the next join, if still chosen
-  }
   // Offsets begin at 0, tokens at 1: a missing token counts as 0 at the endpoints.
   const std::uint64_t token = offset + 1;
   ProgressWriter writer(this->context, token);
-  const FencedWrite announced = co_await writer.Announce(this->is_resigned);
-  if (announced != FencedWrite::kStored || this->is_resigned) {
-    co_return;
+  // Side by side. If the claim is refused, the one that stands there has this token or a higher.
+  this->is_claim_over = false;
+  std::vector<asio::awaitable<bool>> parts;
+  parts.push_back(this->Claim(offset));
+  parts.push_back(this->Announce(writer));
+  const bool is_begun = co_await AllOf(this->context, std::move(parts), 2);
+  if (!is_begun || this->is_resigned) {
+    co_return;  // claimed again with the next join, if still chosen
   }
   // From here on a predecessor that hears from the store knows that its time is over.
   this->term = std::make_shared<OwnerTerm>(this->context, this->operators, this->directory,
@@ -276,6 +284,7 @@
 
 asio::awaitable<void> Election::Resign() {
   this->is_resigned = true;
+  this->is_claim_over = true;
   co_await this->Leave();
 }
 
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -41,6 +41,8 @@
   boost::asio::awaitable<void> TellMembers();
   /// Writes a claim that is to stand at this offset; false when it doesn't or may not.
   boost::asio::awaitable<bool> Claim(std::uint64_t offset);
+  /// Announces the token of a claim, so that its predecessor's records are refused.
+  boost::asio::awaitable<bool> Announce(ProgressWriter& writer);
   /// Claims at this offset and begins a term if the claim is stored.
   void BeginTerm(std::uint64_t offset);
   boost::asio::awaitable<void> TakeOver(std::shared_ptr<Election> self, std::uint64_t offset);
@@ -74,6 +76,8 @@
   bool is_joined = true;
   /// A claim of this entry, or the announcement of its token, is on its way.
   bool is_claiming = false;
+  /// The claim is not stored, or nothing is to come of it: no announcement is tried any more.
+  bool is_claim_over = false;
   /// Since when the newest claim names this entry and it has no term.
   std::optional<TimePoint> named_in_vain;
   /// When the store last failed to answer a join.
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -10,10 +10,10 @@
 
 /// For a page of 500 records on a link of 2 Mbit a second.
 constexpr Duration kLoadTimeout = std::chrono::seconds(8);
-/// Reads of the state side by side, and the rate in megabits a second that one more of them needs.
-/// With more the joins that keep this entry in the group wait behind them, and another is chosen in
-/// the middle of the reading.
-constexpr double kMostReadsAtOnce = 4;
+/// Reads of the state side by side, one for each part of it, and the rate in megabits a second that
+/// one more of them needs. On a narrow link the joins that keep this entry in the group would wait
+/// behind them, and another would be chosen in the middle of the reading.
+constexpr double kMostReadsAtOnce = 10;
 constexpr double kRateOfRead = 20;
 /// Before the jobs are read, so that the first answers of the endpoints don't wait behind them.
 constexpr Duration kHeadStart = std::chrono::milliseconds(400);
--- a/tests/job_entry/election_test.cc
+++ b/tests/job_entry/election_test.cc
@@ -79,5 +79,15 @@
   EXPECT_FALSE(is_dropped);
 }
 
+/// Guards against work that waits for answers of the store which could be asked for together.
+TEST_F(TakeoverInASlowStore, TheStateIsReadSideBySide) {
+  this->owner.Cut();
+  RunUntil(this->io, seconds(8), [&] { return ClaimsIn(this->fleet) == 2; });
+  ASSERT_EQ(ClaimsIn(this->fleet), 2U);
+  const TimePoint claimed = this->successor->context.Now();
+  RunUntil(this->io, seconds(8), [&] { return IsServing(*this->successor); });
+  EXPECT_LT(this->successor->context.Now() - claimed, 2 * kSlowAnswer);
+}
+
 }  // namespace
 }  // namespace chervilspar::job_entry
