JobWriter: Have submissions gathered while the store is crowded

From 12 to 22 s nearly nothing that was handed in was done on time.

Cause, from the owner's log: a partition carries out one append after the other, 0.2 s each while the store is slow, and refuses what would wait for more than 2 s. 147 entries write to eight partitions, an append each. Those that are refused ask the owner and a seed peer, which make one more append of each request, also in vain: 220 relayed appends at the owner from 13 to 17 s ("could not be stored here either"), against 40 that the store takes in each second. They took the owner's connections to the store; its join found none (group_lost, "all connections ... are busy", 15.185 s), and the group dropped it. Four terms and 2.3 s without a decision followed while a peak went on.

Change: records written for others share an append, one under way for each partition; and an entry whose append failed or waited for more than 0.6 s hands its records to a seed peer, the same one for all that write to a partition, until that one answers quickly again. JobWriter and RelayHandler have one queue.

--- a/src/job_entry/job_writer.cc
+++ b/src/job_entry/job_writer.cc
@@ -17,9 +17,6 @@
 /// resets connections for some seconds is back.
 constexpr Duration kTryFor = std::chrono::milliseconds(2000);
 constexpr Duration kTryPause = std::chrono::milliseconds(120);
-/// Submissions in one append: with 4,000 bytes of payload each still far below the store's limit
-/// of 2 MiB for one call.
-constexpr std::size_t kMostTogether = 100;
 /// After no other entry could write either. In an outage of the whole store, entries would else
 /// press on each other with every submission.
 constexpr Duration kRelayPause = std::chrono::milliseconds(1000);
@@ -27,8 +24,9 @@
 /// usual again.
 constexpr Duration kSlowAppend = std::chrono::milliseconds(150);
 constexpr Duration kUsualAppend = std::chrono::milliseconds(50);
-/// Longer than all tries together.
-constexpr Duration kGiveUp = std::chrono::seconds(10);
+/// An append that took longer waited behind those of other entries: alone it takes some hundred
+/// milliseconds in a slow store.
+constexpr Duration kCrowdedAppend = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -41,40 +39,14 @@
       relay(relay),
       partition(static_cast<std::uint32_t>(StableHash(context.settings.id.text) %
                                            context.settings.job_partitions)),
-      wakeup(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
+      queue(std::make_shared<RecordQueue>(context, [this](std::vector<KeyedRecord> records) {
+        return this->Append(std::move(records));
+      })) {}
 
 asio::awaitable<WriteVerdict> JobWriter::Write(KeyedRecord record) {
-  const auto entry = std::make_shared<Waiting>();
-  entry->record = std::move(record);
-  entry->wakeup = std::make_shared<http::Wakeup>(this->context.io.get_executor());
-  this->waiting.push_back(entry);
-  this->wakeup->Notify();
-  while (!entry->verdict) {
-    co_await entry->wakeup->WaitFor(kGiveUp);
-  }
-  co_return *entry->verdict;
-}
-
-asio::awaitable<void> JobWriter::Run([[maybe_unused]] std::shared_ptr<JobWriter> self) {
-  while (true) {
-    while (this->waiting.empty()) {
-      co_await this->wakeup->WaitFor(kGiveUp);
-    }
-    std::vector<std::shared_ptr<Waiting>> together;
-    std::vector<KeyedRecord> records;
-    while (!this->waiting.empty() && together.size() < kMostTogether) {
-      together.push_back(this->waiting.front());
-      records.push_back(together.back()->record);
-      this->waiting.pop_front();
-    }
-    const TimePoint begin = this->context.Now();
-    const WriteVerdict verdict = co_await this->Append(std::move(records));
-    this->NoteTime(this->context.Now() - begin);
-    for (const std::shared_ptr<Waiting>& entry : together) {
-      entry->verdict = verdict;
-      entry->wakeup->Notify();
-    }
-  }
+  std::vector<KeyedRecord> records;
+  records.push_back(std::move(record));
+  co_return co_await this->queue->Write(std::move(records));
 }
 
 /// Callers whose jobs began late ask why; a slow store holds up the acceptance, and so the VMs that
@@ -95,18 +67,18 @@
   bool may_be_stored = false;
   while (true) {
     // A repeat is harmless: the same keys get the same values.
+    const WriteVerdict gathered = co_await this->AppendGathered(records);
     const Duration left = std::max<Duration>(give_up - this->context.Now(), kTryPause);
-    const AppendOutcome outcome = co_await this->context.links.store->Append(
-        Topic::kJobs, this->partition, records, std::nullopt, std::min(kAppendTimeout, left));
-    if (outcome.kind == AppendOutcome::Kind::kStored) {
-      co_return WriteVerdict::kStored;
-    }
-    may_be_stored = may_be_stored || outcome.kind == AppendOutcome::Kind::kUnknown;
-    const WriteVerdict elsewhere = co_await this->AppendElsewhere(records);
+    const WriteVerdict here =
+        gathered == WriteVerdict::kStored ? gathered : co_await this->AppendHere(records, left);
+    const WriteVerdict elsewhere =
+        here == WriteVerdict::kStored ? here : co_await this->AppendElsewhere(records);
     if (elsewhere == WriteVerdict::kStored) {
       co_return elsewhere;
     }
-    may_be_stored = may_be_stored || elsewhere == WriteVerdict::kMayBeStored;
+    for (const WriteVerdict verdict : {gathered, here, elsewhere}) {
+      may_be_stored = may_be_stored || verdict == WriteVerdict::kMayBeStored;
+    }
     if (!may_be_stored) {
       co_return WriteVerdict::kNotStored;
     }
@@ -117,13 +89,63 @@
   }
 }
 
+asio::awaitable<WriteVerdict> JobWriter::AppendHere(std::vector<KeyedRecord> records,
+                                                    Duration timeout) {
+  const TimePoint begin = this->context.Now();
+  const AppendOutcome outcome =
+      co_await this->context.links.store->Append(Topic::kJobs, this->partition, std::move(records),
+                                                 std::nullopt, std::min(kAppendTimeout, timeout));
+  const Duration taken = this->context.Now() - begin;
+  this->NoteTime(taken);
+  const bool is_stored = outcome.kind == AppendOutcome::Kind::kStored;
+  if (!is_stored || taken > kCrowdedAppend) {
+    this->SetGathered(true, is_stored ? "an append waited behind others" : "an append failed");
+  }
+  if (is_stored) {
+    co_return WriteVerdict::kStored;
+  }
+  co_return outcome.kind == AppendOutcome::Kind::kUnknown ? WriteVerdict::kMayBeStored
+                                                          : WriteVerdict::kNotStored;
+}
+
+bool JobWriter::MayAskOthers() const {
+  return this->relay != nullptr && this->context.settings.decisions.relays_records &&
+         this->context.Now() >= this->relay_again;
+}
+
+void JobWriter::SetGathered(bool is_gathered, const char* why) {
+  if (this->relay == nullptr || is_gathered == this->is_gathered) {
+    return;
+  }
+  this->is_gathered = is_gathered;
+  LogEvent(telemetry::LogLevel::kInfo, is_gathered ? "records_gathered" : "records_written_here",
+           why);
+}
+
+asio::awaitable<WriteVerdict> JobWriter::AppendGathered(const std::vector<KeyedRecord>& records) {
+  if (!this->is_gathered || !this->MayAskOthers()) {
+    co_return WriteVerdict::kNotStored;
+  }
+  const TimePoint begin = this->context.Now();
+  const WriteVerdict verdict = co_await this->relay->Gather(this->partition, records);
+  if (verdict != WriteVerdict::kStored) {
+    this->SetGathered(false, "the entry that gathers has not stored them");
+    // A quick refusal leaves time to ask others for this append.
+    if (this->context.Now() - begin > kSlowAppend) {
+      this->relay_again = this->context.Now() + kRelayPause;
+    }
+  } else if (this->context.Now() - begin < kUsualAppend) {
+    this->SetGathered(false, "appends are quick again");
+  }
+  co_return verdict;
+}
+
 /// What can go wrong: the store turns this entry away while it serves the others. Callers whose
 /// connections are here are refused until the balancer has noticed, three seconds later. The same
 /// records in the same partition are harmless twice, so another entry may write them even if a try
 /// of this one takes effect later.
 asio::awaitable<WriteVerdict> JobWriter::AppendElsewhere(const std::vector<KeyedRecord>& records) {
-  const bool may_ask = this->relay != nullptr && this->context.settings.decisions.relays_records;
-  if (!may_ask || this->context.Now() < this->relay_again) {
+  if (!this->MayAskOthers()) {
     co_return WriteVerdict::kNotStored;
   }
   const WriteVerdict verdict = co_await this->relay->Append(this->partition, records);
--- a/src/job_entry/job_writer.h
+++ b/src/job_entry/job_writer.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include <deque>
 #include <memory>
 #include <string>
-
-#include "chervilspar/http/wakeup.h"
+#include <vector>
 
 #include "job_entry/context.h"
+#include "job_entry/record_queue.h"
 #include "job_entry/record_relay.h"
 
 namespace chervilspar::job_entry {
@@ -18,34 +17,37 @@
 std::string CancellationKey(const jobs::JobId& id);
 
 /// Writes submissions and cancellations of one entry; those that wait share one append.
-class JobWriter : public std::enable_shared_from_this<JobWriter> {
+///
+/// What can go wrong: the store is slow, a partition takes some five appends a second, and the many
+/// entries that write to it wait for seconds or are refused. An entry that sees this has its
+/// records gathered by another, until that one's answers are quick again.
+class JobWriter {
  public:
   /// `relay` writes what this entry can't; null when there is no other entry.
   explicit JobWriter(const Context& context, RecordRelay* relay = nullptr);
 
-  void Start() { Spawn(this->context, this->Run(this->shared_from_this())); }
   boost::asio::awaitable<WriteVerdict> Write(KeyedRecord record);
 
  private:
-  struct Waiting {
-    KeyedRecord record;
-    std::shared_ptr<http::Wakeup> wakeup;
-    std::optional<WriteVerdict> verdict;
-  };
-
-  boost::asio::awaitable<void> Run(std::shared_ptr<JobWriter> self);
   boost::asio::awaitable<WriteVerdict> Append(std::vector<KeyedRecord> records);
-  /// Tells when the store becomes slow, and usual again.
-  void NoteTime(Duration taken);
+  boost::asio::awaitable<WriteVerdict> AppendHere(std::vector<KeyedRecord> records,
+                                                  Duration timeout);
   /// What another entry made of the records.
   boost::asio::awaitable<WriteVerdict> AppendElsewhere(const std::vector<KeyedRecord>& records);
+  /// What the entry that gathers made of the records.
+  boost::asio::awaitable<WriteVerdict> AppendGathered(const std::vector<KeyedRecord>& records);
+  /// Tells when the store becomes slow, and usual again.
+  void NoteTime(Duration taken);
+  void SetGathered(bool is_gathered, const char* why);
+  bool MayAskOthers() const;
 
   const Context context;
   RecordRelay* const relay;
   const std::uint32_t partition;
-  std::shared_ptr<http::Wakeup> wakeup;
-  std::deque<std::shared_ptr<Waiting>> waiting;
+  const std::shared_ptr<RecordQueue> queue;
   bool is_slow = false;
+  /// Another entry gathers the records of this one.
+  bool is_gathered = false;
   /// No other entry is asked before this, as none could write.
   TimePoint relay_again{};
 };
--- /dev/null
+++ b/src/job_entry/record_queue.cc
@@ -0,0 +1,59 @@
+#include "job_entry/record_queue.h"
+
+#include <iterator>
+#include <utility>
+
+#include "chervilspar/base/scope_guard.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Records in one append: with 4,000 bytes of payload each still far below the store's limit of
+/// 2 MiB for one call.
+constexpr std::size_t kMostTogether = 100;
+/// Only bounds a missed wake-up.
+constexpr Duration kLookAgain = std::chrono::seconds(10);
+
+}  // namespace
+
+RecordQueue::RecordQueue(const Context& context, Append append)
+    : context(context), append(std::move(append)) {}
+
+asio::awaitable<WriteVerdict> RecordQueue::Write(std::vector<KeyedRecord> records) {
+  const auto entry = std::make_shared<Waiting>();
+  entry->records = std::move(records);
+  entry->wakeup = std::make_shared<http::Wakeup>(this->context.io.get_executor());
+  this->waiting.push_back(entry);
+  if (!this->is_running) {
+    this->is_running = true;
+    Spawn(this->context, this->Run(this->shared_from_this()));
+  }
+  while (!entry->verdict) {
+    co_await entry->wakeup->WaitFor(kLookAgain);
+  }
+  co_return *entry->verdict;
+}
+
+asio::awaitable<void> RecordQueue::Run([[maybe_unused]] std::shared_ptr<RecordQueue> self) {
+  const ScopeGuard ended([this] { this->is_running = false; });
+  while (!this->waiting.empty()) {
+    std::vector<std::shared_ptr<Waiting>> together;
+    std::vector<KeyedRecord> records;
+    while (!this->waiting.empty() && records.size() < kMostTogether) {
+      together.push_back(std::move(this->waiting.front()));
+      this->waiting.pop_front();
+      std::move(together.back()->records.begin(), together.back()->records.end(),
+                std::back_inserter(records));
+    }
+    const WriteVerdict verdict = co_await this->append(std::move(records));
+    for (const std::shared_ptr<Waiting>& entry : together) {
+      entry->verdict = verdict;
+      entry->wakeup->Notify();
+    }
+  }
+}
+
+}  // namespace chervilspar::job_entry
--- a/src/job_entry/record_relay.cc
+++ b/src/job_entry/record_relay.cc
@@ -4,7 +4,7 @@
 
 #include <boost/json.hpp>
 
-#include "job_entry/job_writer.h"
+#include "job_entry/record_queue.h"
 
 namespace chervilspar::job_entry {
 
@@ -17,8 +17,10 @@
 /// For another entry's answer. It takes some 6 ms; longer than this, the store is slow there as
 /// well, and a caller's time is better spent on own tries.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(450);
-/// The other entry's own time limit, below that of whoever asks.
-constexpr Duration kAppendTimeout = std::chrono::milliseconds(350);
+/// The same for the entry that gathers: an append that is under way, and the one that follows.
+constexpr Duration kGatherTimeout = std::chrono::milliseconds(1200);
+/// For one append for others, behind those of entries that write themselves.
+constexpr Duration kAppendTimeout = std::chrono::milliseconds(900);
 /// Peers asked for one append, so that a caller hears within a second when nobody can write.
 constexpr std::size_t kMostPeers = 2;
 
@@ -77,6 +79,22 @@
   return decoded;
 }
 
+asio::awaitable<WriteVerdict> AppendForOthers(Context context, std::uint32_t partition,
+                                              std::vector<KeyedRecord> records) {
+  const std::size_t count = records.size();
+  const AppendOutcome outcome = co_await context.links.store->Append(
+      Topic::kJobs, partition, std::move(records), std::nullopt, kAppendTimeout);
+  const bool is_stored = outcome.kind == AppendOutcome::Kind::kStored;
+  LogEvent(telemetry::LogLevel::kInfo, "records_relayed",
+           is_stored ? "stored for other entries" : "could not be stored here either",
+           {{"records", std::to_string(count)}});
+  if (is_stored) {
+    co_return WriteVerdict::kStored;
+  }
+  co_return outcome.kind == AppendOutcome::Kind::kUnknown ? WriteVerdict::kMayBeStored
+                                                          : WriteVerdict::kNotStored;
+}
+
 }  // namespace
 
 PeerRelay::PeerRelay(const Context& context, const OwnerDirectory& directory, http::Client& client)
@@ -105,7 +123,7 @@
   const std::string body = EncodeRecords(partition, records);
   bool may_be_stored = false;
   for (const SocketAddress& peer : this->Peers()) {
-    const WriteVerdict verdict = co_await this->Ask(peer, body);
+    const WriteVerdict verdict = co_await this->Ask(peer, body, kAskTimeout);
     if (verdict == WriteVerdict::kStored) {
       co_return verdict;
     }
@@ -115,14 +133,42 @@
   co_return may_be_stored ? WriteVerdict::kMayBeStored : WriteVerdict::kNotStored;
 }
 
-asio::awaitable<WriteVerdict> PeerRelay::Ask(SocketAddress peer, std::string body) {
+std::optional<SocketAddress> PeerRelay::GathererOf(std::uint32_t partition) const {
+  const std::optional<OwnerClaim>& owner = this->directory.Owner();
+  std::vector<SocketAddress> gatherers;
+  for (const SocketAddress& seed : this->context.settings.seed_peers) {
+    if (!owner || !(owner->address == seed)) {
+      gatherers.push_back(seed);
+    }
+  }
+  if (gatherers.empty()) {
+    return std::nullopt;
+  }
+  const SocketAddress& gatherer = gatherers[(partition + this->next_gatherer) % gatherers.size()];
+  return gatherer == this->context.settings.peers ? std::nullopt : std::optional(gatherer);
+}
+
+asio::awaitable<WriteVerdict> PeerRelay::Gather(std::uint32_t partition,
+                                                std::vector<KeyedRecord> records) {
+  const std::optional<SocketAddress> gatherer = this->GathererOf(partition);
+  if (!gatherer) {
+    co_return WriteVerdict::kNotStored;
+  }
+  const WriteVerdict verdict =
+      co_await this->Ask(*gatherer, EncodeRecords(partition, records), kGatherTimeout);
+  this->next_gatherer += verdict == WriteVerdict::kStored ? 0 : 1;
+  co_return verdict;
+}
+
+asio::awaitable<WriteVerdict> PeerRelay::Ask(SocketAddress peer, std::string body,
+                                             Duration timeout) {
   http::Request request;
   request.method = "POST";
   request.target = std::string(kRecordsPath);
   request.headers.Add("Content-Type", "application/json");
   request.body = std::move(body);
   const http::Exchange exchange =
-      co_await this->client.Send(peer, std::move(request), kAskTimeout, nullptr);
+      co_await this->client.Send(peer, std::move(request), timeout, nullptr);
   if (!exchange.response) {
     this->client.CloseIdle(peer);
     co_return exchange.verdict == Verdict::kNotRun ? WriteVerdict::kNotStored
@@ -140,6 +186,15 @@
   }
 }
 
+RelayHandler::RelayHandler(const Context& context) : context(context) {
+  for (std::uint32_t i = 0; i < context.settings.job_partitions; ++i) {
+    this->queues.push_back(
+        std::make_shared<RecordQueue>(context, [context, i](std::vector<KeyedRecord> records) {
+          return AppendForOthers(context, i, std::move(records));
+        }));
+  }
+}
+
 bool RelayHandler::IsForIt(const http::Request& request) {
   return request.method == "POST" && http::PathOf(request.target) == kRecordsPath;
 }
@@ -151,20 +206,17 @@
     co_return http::ErrorResponse(400, "invalid_argument", ToString(decoded.LastReason()));
   }
   RelayedRecords relayed = *std::move(decoded);
-  const std::size_t count = relayed.records.size();
-  const AppendOutcome outcome = co_await this->context.links.store->Append(
-      Topic::kJobs, relayed.partition, std::move(relayed.records), std::nullopt, kAppendTimeout);
-  const bool is_stored = outcome.kind == AppendOutcome::Kind::kStored;
-  LogEvent(telemetry::LogLevel::kInfo, "records_relayed",
-           is_stored ? "stored for another entry" : "could not be stored here either",
-           {{"records", std::to_string(count)}});
-  if (is_stored) {
-    co_return http::Response{};
-  }
-  if (outcome.kind == AppendOutcome::Kind::kUnknown) {
-    co_return http::ErrorResponse(504, "may_be_stored", "The store has not answered.");
+  const std::shared_ptr<RecordQueue> queue = this->queues[relayed.partition];
+  const WriteVerdict verdict = co_await queue->Write(std::move(relayed.records));
+  switch (verdict) {
+    case WriteVerdict::kStored:
+      co_return http::Response{};
+    case WriteVerdict::kNotStored:
+      co_return http::ErrorResponse(503, "not_stored", "The store took nothing.");
+    case WriteVerdict::kMayBeStored:
+      break;
   }
-  co_return http::ErrorResponse(503, "not_stored", "The store took nothing.");
+  co_return http::ErrorResponse(504, "may_be_stored", "The store has not answered.");
 }
 
 }  // namespace chervilspar::job_entry
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -103,7 +103,6 @@
 void FakeEntry::Start() {
   this->operators.Start();
   this->directory.Start();
-  this->writer->Start();
   this->election->Start();
 }
 
--- a/tests/job_entry/fake_store.cc
+++ b/tests/job_entry/fake_store.cc
@@ -68,8 +68,17 @@
     outcome.kind = AppendOutcome::Kind::kNotStored;
     co_return outcome;
   }
-  co_await this->Wait(this->store.append_time);
   FakeStore::Partition& at = this->store.At(topic, partition);
+  Duration before{};
+  if (this->store.longest_queue) {
+    before = std::max<Duration>(at.busy_until - Now(), Duration::zero());
+    if (before > *this->store.longest_queue) {
+      outcome.kind = AppendOutcome::Kind::kNotStored;
+      co_return outcome;
+    }
+    at.busy_until = Now() + before + this->store.append_time;
+  }
+  co_await this->Wait(before + this->store.append_time);
   if (end && *end != at.records.size()) {
     outcome.kind = AppendOutcome::Kind::kEndsElsewhere;
     co_return outcome;
--- a/tests/job_entry/fake_store.h
+++ b/tests/job_entry/fake_store.h
@@ -22,6 +22,8 @@
     std::vector<KeyedRecord> records;
     std::map<std::string, std::uint64_t> token_of_writer;
     std::map<std::string, std::uint64_t> next_sequence;
+    /// The appends before have been carried out at this time.
+    TimePoint busy_until{};
   };
   struct Member {
     TimePoint last{};
@@ -39,6 +41,9 @@
   Duration answer_time = std::chrono::milliseconds(1);
   /// An append takes this long.
   Duration append_time = std::chrono::milliseconds(4);
+  /// A partition carries out one append after the other, and refuses what would wait for longer
+  /// than this.
+  std::optional<Duration> longest_queue;
   /// Nothing answers and nothing is done.
   bool is_down = false;
 };
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -282,7 +282,6 @@
   asio::io_context io;
   FakeFleet fleet(io);
   FakeEntry entry(io, fleet.store, fleet.endpoints, fleet.vms, "a");
-  entry.writer->Start();
   GetParam().misbehave(*entry.store);
   std::optional<WriteVerdict> verdict;
   asio::co_spawn(
--- a/tests/job_entry/record_relay_test.cc
+++ b/tests/job_entry/record_relay_test.cc
@@ -32,6 +32,9 @@
     }
     co_return this->verdict;
   }
+  asio::awaitable<WriteVerdict> Gather(std::uint32_t, std::vector<KeyedRecord>) override {
+    co_return WriteVerdict::kNotStored;
+  }
 
   const WriteVerdict verdict;
   FakeStore& store;
@@ -57,7 +60,6 @@
   FakeEntry& entry = fleet.AddEntry("a");
   FakeRelay relay(GetParam().elsewhere, fleet.store);
   const auto writer = std::make_shared<JobWriter>(entry.context, &relay);
-  writer->Start();
   GetParam().misbehave(*entry.store);
   std::optional<WriteVerdict> verdict;
   asio::co_spawn(
