OrderRound: Look before a long-running task without answer is stopped

At 30.695 s task 18 of a step of which two may be away is ended while two others are. No line of the owner says why it is stopped; it isn't moved (no run_moved).

That this stop was the one seen is inferred: every other stop of a task leaves a line; this one does now (start_given_up).

Change: a long-running task is stopped only when a look that was sent after the last order doesn't show it; one that a look shows runs on. Looks don't wait at an endpoint where such a task may run. Batch tasks are settled as before (LostStartIsSettledBeforeTheTaskRunsElsewhere is unchanged).

Tried and dropped before it landed: asking in addition that enough siblings work. Two tasks of one step without answer would both have waited for the end of their leases.

Test: UnansweredServing.IsLookedForBeforeItIsStopped; before, two stops without a look.

--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -63,13 +63,25 @@
     orders.starts.push_back(this->StartOf(ref));
     return;
   }
-  if (!task.is_adopted) {
+  if (!task.is_adopted && !this->MayBeAtWork(ref)) {
+    this->state.Tell({"start_given_up",
+                      ref.key,
+                      {},
+                      task.endpoint->record.id,
+                      "no answer to " + std::to_string(task.start_tries) + " orders; stopped"});
     this->state.BeginStop(ref, this->now);
     this->state.BreakGang(ref, this->now);
     this->GatherStop(ref, orders);
   }
 }
 
+/// What can go wrong: the answer is late, and the task serves its users already. A stop would take
+/// it from them beside siblings that are away. So a look that is newer than the order comes first.
+bool OrderRound::MayBeAtWork(const TaskRef& ref) const {
+  const Task& task = *ref.task;
+  return ref.spec->is_long_running && task.endpoint->looked <= task.ordered;
+}
+
 void OrderRound::GatherStop(const TaskRef& ref, Orders& orders) {
   Task& task = *ref.task;
   const bool is_waiting = this->now - task.ordered < this->state.options.stop_retry;
--- a/src/jobs/order_round.h
+++ b/src/jobs/order_round.h
@@ -15,6 +15,7 @@
 
  private:
   void GatherUnsure(const TaskRef& ref, Orders& orders);
+  bool MayBeAtWork(const TaskRef& ref) const;
   void GatherStop(const TaskRef& ref, Orders& orders);
   void GatherStrays(EndpointState& endpoint, Orders& orders);
 
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -36,6 +36,7 @@
   endpoint.clock_ms = report.clock_ms;
   endpoint.clock_at = now;
   endpoint.heard = now;
+  endpoint.looked = std::max(endpoint.looked, sent);
   endpoint.is_silent = false;
   if (is_first) {
     // From here on no predecessor's order is obeyed, so no lease is longer than one of ours.
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -338,8 +338,9 @@
 bool SchedulerState::HasStartingTask(const EndpointState& endpoint) {
   return std::any_of(endpoint.claims.begin(), endpoint.claims.end(), [this](const TaskKey& key) {
     const TaskRef ref = this->Find(key);
-    return ref.spec->is_long_running && ref.task->state == RunState::kActive &&
-           ref.task->percent < kAtWork;
+    const Task& task = *ref.task;
+    const bool is_starting = task.state == RunState::kActive && task.percent < kAtWork;
+    return ref.spec->is_long_running && (is_starting || task.state == RunState::kUnsure);
   });
 }
 
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -167,6 +167,8 @@
   std::optional<std::int64_t> clock_ms;
   TimePoint clock_at{};
   TimePoint heard{};
+  /// When the last renewal that was answered was sent.
+  TimePoint looked{};
   bool is_silent = false;
   /// By our clock, all that was started there has lost its lease at this time if nobody renews.
   TimePoint lease_end{};
@@ -267,7 +269,7 @@
   void RefreshReady(JobState& job);
   /// Follows a change of the rules in what was derived from them.
   void ApplyPolicyTo(JobState& job);
-  /// A long-running task runs there and isn't at work yet.
+  /// A long-running task runs there and isn't at work yet, or may run there.
   bool HasStartingTask(const EndpointState& endpoint);
   bool IsWithinCap(const JobState& job, const Resources& need) const;
   void Tell(Note note);
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -56,6 +56,53 @@
   EXPECT_GT(next.starts.at(0).run, first.run);
 }
 
+/// Two tasks that serve users, of which one may be away, and whose starts get no answer.
+class UnansweredServing : public ::testing::Test {
+ protected:
+  UnansweredServing() {
+    this->world.Register({World::Endpoint("a"), World::Endpoint("b")});
+    Step step = World::MakeStep(2);
+    step.is_long_running = true;
+    step.max_unavailable = 1;
+    step.max_per_endpoint = 1;
+    this->world.scheduler.AddJob(World::MakeJob(1, {step}), Wall(this->world));
+    this->starts = this->world.Round().starts;
+    for (int i = 0; i < this->world.options.start_tries; ++i) {
+      for (const StartOrder& start : this->starts) {
+        this->world.scheduler.OnStartAnswered(start, OrderOutcome::kNoAnswer, this->world.now);
+      }
+      this->world.Pass(this->world.options.start_retry);
+      this->stops = this->world.Round().stops.size();
+    }
+  }
+
+  /// The endpoint of a start shows its run at work, or nothing.
+  void Look(std::size_t start, bool is_shown) {
+    std::vector<ActiveRun> active;
+    if (is_shown) {
+      active.push_back(World::Active(this->starts[start]));
+      active.back().percent = 100;
+    }
+    this->world.Hold(this->starts[start].endpoint, std::move(active), {});
+  }
+
+  World world;
+  std::vector<StartOrder> starts;
+  std::size_t stops = 0;
+};
+
+/// Guards against ending a task that serves users while its sibling is away: its start was answered
+/// late, and it had come to work.
+TEST_F(UnansweredServing, IsLookedForBeforeItIsStopped) {
+  ASSERT_EQ(this->starts.size(), 2U);
+  EXPECT_EQ(this->stops, 0U);
+  this->Look(0, true);
+  this->Look(1, false);
+  const Orders orders = this->world.Round();
+  ASSERT_EQ(orders.stops.size(), 1U);
+  EXPECT_EQ(orders.stops[0].endpoint, this->starts[1].endpoint);
+}
+
 /// An end is confirmed to the endpoint, which then forgets it, while the record of it is lost with
 /// the process. The successor would run a finished task again.
 TEST(RunRaces, EndsAreConfirmedAndShownOnlyAfterTheyAreStored) {
