--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -26,6 +26,8 @@
 constexpr Duration kPace = std::chrono::milliseconds(280);
 constexpr Duration kLeastPause = std::chrono::milliseconds(10);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
+/// Half of the time to live.
+constexpr Duration kSlowJoin = std::chrono::milliseconds(500);
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(900);
 /// Between two looks at the members while standing; each is priced, and VMs rarely come and go.
 constexpr Duration kStandingReview = std::chrono::seconds(5);
@@ -126,6 +128,7 @@
 
 asio::awaitable<void> Election::JoinOnce() {
   const bool is_narrow = this->context.settings.link_rate < kNarrowLink;
+  const TimePoint sent = this->context.Now();
   const Result<Membership> joined = co_await this->context.links.store->Join(
       this->member, this->generation, is_narrow ? kNarrowTimeToLive : kTimeToLive,
       is_narrow ? kNarrowCallTimeout : kCallTimeout);
@@ -138,6 +141,7 @@
   if (!joined) {
     this->missed = this->context.Now();
   }
+  this->NoteJoin(sent);
   if (!joined || this->is_resigned) {
     co_return;
   }
@@ -170,6 +174,18 @@
   }
 }
 
+/// The group keeps a silent member for a second; whoever looks for why an owner was dropped needs
+/// to see whether it was late itself or its joins were.
+void Election::NoteJoin(TimePoint sent) {
+  const Duration taken = this->context.Now() - sent;
+  const Duration apart = this->joined_at ? sent - *this->joined_at : Duration::zero();
+  this->joined_at = sent;
+  if (this->Term() != nullptr && (taken > kSlowJoin || apart > kSlowJoin)) {
+    LogEvent(telemetry::LogLevel::kWarning, "join_slow", "the group may drop this owner",
+             {{"took_ms", MillisecondsText(taken)}, {"apart_ms", MillisecondsText(apart)}});
+  }
+}
+
 /// What can go wrong: the answer to a claim is lost, and the claim takes effect, perhaps seconds
 /// later. The others take this entry for a living owner, so that none of them claims, and nothing
 /// is scheduled. So whom the newest claim names begins a term.
@@ -203,11 +219,15 @@
       std::find(members->begin(), members->end(), owner->member) != members->end();
   if (is_living) {
     this->seen_living = look;
-  } else if (this->context.links.roster != nullptr) {
+    co_return true;
+  }
+  LogEvent(telemetry::LogLevel::kInfo, "owner_missing", owner->entry + " is not in the group",
+           {{"member", owner->member}, {"members", std::to_string(members->size())}});
+  if (this->context.links.roster != nullptr) {
     // What is ordered while the state is read goes through others already.
     this->context.links.roster->SetMembers(*members);
   }
-  co_return is_living;
+  co_return false;
 }
 
 /// Who may carry orders changes with the group only.
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -33,6 +33,8 @@
   boost::asio::awaitable<void> StandBack();
   boost::asio::awaitable<void> JoinOnce();
   boost::asio::awaitable<void> Leave();
+  /// Tells of a join that came or was answered late.
+  void NoteJoin(TimePoint sent);
   /// True when the newest claim has named this entry for a while although it schedules nothing.
   bool IsNamedInVain();
   /// True while the member that claimed last is still in the group.
@@ -80,6 +82,8 @@
   bool is_claim_over = false;
   /// Since when the newest claim names this entry and it has no term.
   std::optional<TimePoint> named_in_vain;
+  /// When the last join was sent.
+  std::optional<TimePoint> joined_at;
   /// When the store last failed to answer a join.
   std::optional<TimePoint> missed;
   std::shared_ptr<OwnerTerm> term;
