CarriedEndpoints: Number orders from a random number on

What callers could see: a task that is taken for started and never was, or the other way round. An owner that is killed and is owner again within seconds, at the same address, gives its orders the numbers that its former process gave; a carrier's late answer to an order of that one settles an order of this one.

Found by reading ("carried answers, which are matched by numbers that begin at 1 in each process", docs/ACCOUNT.md); not seen in a play.

Test: CarryingFleet.AnswersToAFormerProcessSettleNothing; before, a start without answer was taken for done.

--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -1,5 +1,6 @@
 #include "job_entry/carried_endpoints.h"
 
+#include <random>
 #include <utility>
 
 #include "job_entry/member_name.h"
@@ -22,6 +23,14 @@
 /// Orders without answer whose carriers are remembered, in case they answer late.
 constexpr std::size_t kMostGivenUp = 1024;
 
+/// What can go wrong: this process starts again at its address while a carrier still holds orders
+/// of the former one, and takes the answers to these for answers to its own.
+std::uint64_t FirstNumber() {
+  std::random_device device;
+  // Signed on the wire, with room to count up.
+  return (std::uint64_t{device()} << 30U) ^ device();
+}
+
 /// Whether the order has reached the endpoint for certain.
 bool IsFromEndpoint(OrderOutcome outcome) {
   return outcome != OrderOutcome::kNoAnswer && outcome != OrderOutcome::kNotSent &&
@@ -33,7 +42,8 @@
 CarriedEndpoints::CarriedEndpoints(const Context& context, std::unique_ptr<EndpointLink> direct)
     : context(context),
       direct(std::move(direct)),
-      choice(context.settings.decisions.carriers, context.settings.cores) {}
+      choice(context.settings.decisions.carriers, context.settings.cores),
+      next_number(FirstNumber()) {}
 
 void CarriedEndpoints::Open(rpc::PeerTransport& transport, std::string own_address) {
   this->transport = &transport;
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -74,7 +74,8 @@
   rpc::PeerTransport* transport = nullptr;
   std::string own_address;
   jobs::CarrierChoice choice;
-  std::uint64_t next_number = 1;
+  /// Counts up from a random number.
+  std::uint64_t next_number;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
   /// The carriers of orders that were given up on, by number; the newest only.
   std::map<std::uint64_t, std::string> given_up;
--- a/tests/job_entry/carrying_test.cc
+++ b/tests/job_entry/carrying_test.cc
@@ -14,6 +14,8 @@
 
 constexpr std::uint64_t kJobs = 12;
 constexpr std::uint32_t kTasks = 4;
+/// Orders that a process gives in its first minutes.
+constexpr std::uint64_t kFormerOrders = 100000;
 
 /// A port that nobody listened at a moment ago; a fixed one would be taken where tests run twice.
 std::uint16_t FreePort(asio::io_context& io) {
@@ -165,5 +167,35 @@
   EXPECT_TRUE(this->fleet.endpoints.violations.empty()) << this->fleet.endpoints.violations.front();
 }
 
+/// Guards against taking a start for done as a carrier answers an order of the same number, which
+/// this entry's former process gave.
+TEST_F(CarryingFleet, AnswersToAFormerProcessSettleNothing) {
+  FakeEntry* const owner = this->Settle();
+  ASSERT_NE(owner, nullptr);
+  for (const auto& entry : this->fleet.entries) {
+    entry->endpoints->is_cut = true;
+  }
+  auto* const carried = dynamic_cast<CarriedEndpoints*>(owner->links.endpoints.get());
+  ASSERT_NE(carried, nullptr);
+  std::optional<jobs::OrderOutcome> outcome;
+  asio::co_spawn(
+      this->io,
+      [&]() -> asio::awaitable<void> {
+        jobs::StartOrder order;
+        order.endpoint = "i0";
+        outcome = co_await carried->Start(std::move(order), milliseconds(400));
+      },
+      asio::detached);
+  this->io.run_for(milliseconds(2));
+  rpc::CarriedAnswers answers;
+  for (std::uint64_t number = 1; number <= kFormerOrders; ++number) {
+    answers.push_back({number, jobs::OrderOutcome::kDone, std::nullopt});
+  }
+  carried->OnAnswers(std::move(answers));
+  this->RunUntil(std::chrono::seconds(3), [&] { return outcome.has_value(); });
+  ASSERT_TRUE(outcome);
+  EXPECT_NE(*outcome, jobs::OrderOutcome::kDone);
+}
+
 }  // namespace
 }  // namespace chervilspar::job_entry
