Scheduler: Date a term's first proof by the sending of its announcement

A term's first proof that there is no successor was dated at the answer to its announcement, up to 0.9 s after its sending. A successor that announces itself in between waits 3.5 s and a lease from its own announcement on, while this owner renews for 3.5 s from the answer: what ran on an endpoint that the successor doesn't reach could start elsewhere while the lease still holds.

Test: Takeover.RenewalsPauseByTheTimeAtWhichTheAnnouncementWasSent; with one time for both, as before, the second expectation fails by construction.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -131,7 +131,11 @@
 class Scheduler {
  public:
   /// `token` fences predecessors at the endpoints; `now` is when this scheduler took over.
-  Scheduler(const SchedulerOptions& options, std::uint64_t token, TimePoint now);
+  Scheduler(const SchedulerOptions& options, std::uint64_t token, TimePoint now)
+      : Scheduler(options, token, now, now) {}
+  /// `proof`: when it is known that there was no successor. A term that begins with the answer to
+  /// its announcement has proof of the time at which that was sent.
+  Scheduler(const SchedulerOptions& options, std::uint64_t token, TimePoint now, TimePoint proof);
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
   ~Scheduler();
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -55,7 +55,7 @@
       member(std::move(member)),
       token(token),
       began(context.Now()),
-      scheduler(OptionsFor(context), token, this->began),
+      scheduler(OptionsFor(context), token, this->began, writer.LastProof()),
       writer(writer),
       job_log(context, this->scheduler, [this] { this->Kick(); }),
       registry(context, [this] { this->TakeEndpoints(); }),
@@ -153,7 +153,7 @@
 }
 
 TimePoint OwnerTerm::LastProof() const {
-  return std::max(this->writer.LastProof(), this->directory.Proof().value_or(this->began));
+  return std::max(this->writer.LastProof(), this->directory.Proof().value_or(TimePoint{}));
 }
 
 /// What can go wrong: this entry is cut off from the store but not from the endpoints, goes on
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -22,8 +22,11 @@
 
 }  // namespace
 
-Scheduler::Scheduler(const SchedulerOptions& options, std::uint64_t token, TimePoint now)
-    : impl(std::make_unique<Impl>(options, token, now)) {}
+Scheduler::Scheduler(const SchedulerOptions& options, std::uint64_t token, TimePoint now,
+                     TimePoint proof)
+    : impl(std::make_unique<Impl>(options, token, now)) {
+  this->impl->state.proof = proof;
+}
 
 Scheduler::~Scheduler() = default;
 
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -341,5 +341,16 @@
   EXPECT_TRUE(world.scheduler.TakeEnded().empty());
 }
 
+/// Guards against an owner that renews for longer than its successor waits: the answer to its
+/// announcement took 0.9 s, in which the successor announced its own.
+TEST(Takeover, RenewalsPauseByTheTimeAtWhichTheAnnouncementWasSent) {
+  const SchedulerOptions options;
+  const TimePoint sent{};
+  const TimePoint answered = sent + milliseconds(900);
+  Scheduler scheduler(options, 1, answered, sent);
+  EXPECT_TRUE(scheduler.MayRenew(answered));
+  EXPECT_FALSE(scheduler.MayRenew(sent + options.predecessor_grace));
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
