Election: Read the members beside the joins

What callers saw: an owner that lives is replaced while the store is slow, and the work waits for a take-over.

The group drops a member after a second.

Change: the list is read beside the joins.

Test: Election.AnOwnerStaysInTheGroupWhileItReadsTheMembers, answers of 0.6 s; before, the owner was dropped.

--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -157,7 +157,7 @@
     co_return;
   }
   if (this->Term() != nullptr) {
-    co_await this->TellMembers();
+    this->TellMembers();
     co_return;
   }
   if (!joined->is_chosen) {
@@ -230,12 +230,20 @@
   co_return false;
 }
 
-/// Who may carry orders changes with the group only.
-asio::awaitable<void> Election::TellMembers() {
+/// Who may carry orders changes with the group only. Beside the joins, as both take long while the
+/// store is slow.
+void Election::TellMembers() {
   const Look look{this->member, this->generation, this->context.Now()};
-  if (this->context.links.roster == nullptr || this->told.Covers(look)) {
-    co_return;
+  if (this->context.links.roster == nullptr || this->is_telling || this->told.Covers(look)) {
+    return;
   }
+  this->is_telling = true;
+  Spawn(this->context, this->ReadMembers(this->shared_from_this(), look));
+}
+
+asio::awaitable<void> Election::ReadMembers([[maybe_unused]] std::shared_ptr<Election> self,
+                                            Look look) {
+  const ScopeGuard told([this] { this->is_telling = false; });
   const Result<std::vector<std::string>> members =
       co_await this->context.links.store->Members(kCallTimeout);
   if (members) {
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -40,7 +40,7 @@
   /// True while the member that claimed last is still in the group.
   boost::asio::awaitable<bool> HasLivingOwner();
   /// Tells those who choose the carriers of orders who is in the group.
-  boost::asio::awaitable<void> TellMembers();
+  void TellMembers();
   /// Writes a claim that is to stand at this offset; false when it doesn't or may not.
   boost::asio::awaitable<bool> Claim(std::uint64_t offset);
   /// Announces the token of a claim, so that its predecessor's records are refused.
@@ -60,6 +60,8 @@
     bool Covers(const Look& now) const;
   };
 
+  boost::asio::awaitable<void> ReadMembers(std::shared_ptr<Election> self, Look look);
+
   const Context context;
   OperatorView& operators;
   OwnerDirectory& directory;
@@ -76,6 +78,8 @@
   Look told;
   bool is_resigned = false;
   bool is_joined = true;
+  /// The list of members is being read for `told`.
+  bool is_telling = false;
   /// A claim of this entry, or the announcement of its token, is on its way.
   bool is_claiming = false;
   /// The claim is not stored, or nothing is to come of it: no announcement is tried any more.
--- a/tests/job_entry/carrying_test.cc
+++ b/tests/job_entry/carrying_test.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <functional>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include "tests/job_entry/fake_fleet.h"
@@ -17,13 +16,6 @@
 /// Orders that a process gives in its first minutes.
 constexpr std::uint64_t kFormerOrders = 100000;
 
-/// A port that nobody listened at a moment ago; a fixed one would be taken where tests run twice.
-std::uint16_t FreePort(asio::io_context& io) {
-  using asio::ip::tcp;
-  const tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint().port();
-}
-
 /// Three entries that carry for each other, and endpoints that take 24 tasks at once.
 class CarryingFleet : public ::testing::Test {
  protected:
--- a/tests/job_entry/election_test.cc
+++ b/tests/job_entry/election_test.cc
@@ -40,6 +40,32 @@
   EXPECT_EQ(ClaimsIn(fleet), 2U);
 }
 
+bool IsMember(const FakeFleet& fleet, const std::string& entry) {
+  return std::any_of(
+      fleet.store.members.begin(), fleet.store.members.end(), [&](const auto& member) {
+        return member.first.starts_with(entry) &&
+               SystemClock().Now() - member.second.last <= member.second.time_to_live;
+      });
+}
+
+/// Guards against an owner that the group drops as its next join waits for the list of members,
+/// which it reads to choose who carries its orders.
+TEST(Election, AnOwnerStaysInTheGroupWhileItReadsTheMembers) {
+  asio::io_context io;
+  FakeFleet fleet(io, 2);
+  FakeEntry& owner = fleet.AddCarrier("m", FreePort(io));
+  RunUntil(io, seconds(5), [&] { return IsServing(owner); });
+  ASSERT_TRUE(IsServing(owner));
+  // Two answers after one another take longer than the group keeps a silent member.
+  fleet.store.answer_time = milliseconds(600);
+  bool is_dropped = false;
+  RunUntil(io, seconds(6), [&] {
+    is_dropped = is_dropped || !IsMember(fleet, "m");
+    return is_dropped;
+  });
+  EXPECT_FALSE(is_dropped);
+}
+
 /// An owner that dies while each answer of the store takes a while, and an entry that takes over.
 class TakeoverInASlowStore : public ::testing::Test {
  protected:
@@ -50,15 +76,6 @@
     this->fleet.store.answer_time = kSlowAnswer;
   }
 
-  bool IsMember(const std::string& entry) const {
-    return std::any_of(this->fleet.store.members.begin(), this->fleet.store.members.end(),
-                       [&](const auto& member) {
-                         return member.first.starts_with(entry) &&
-                                this->successor->context.Now() - member.second.last <=
-                                    member.second.time_to_live;
-                       });
-  }
-
   asio::io_context io;
   FakeFleet fleet;
   FakeEntry& owner;
@@ -72,7 +89,7 @@
   this->owner.Cut();
   bool is_dropped = false;
   RunUntil(this->io, seconds(8), [&] {
-    is_dropped = is_dropped || !this->IsMember("n");
+    is_dropped = is_dropped || !IsMember(this->fleet, "n");
     return IsServing(*this->successor);
   });
   EXPECT_TRUE(IsServing(*this->successor));
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -1,5 +1,7 @@
 #include "tests/job_entry/fake_fleet.h"
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "chervilspar/base/assert.h"
 
 namespace chervilspar::job_entry {
@@ -127,6 +129,12 @@
   }
 }
 
+std::uint16_t FreePort(boost::asio::io_context& io) {
+  using boost::asio::ip::tcp;
+  const tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint().port();
+}
+
 void RunUntil(boost::asio::io_context& io, Duration longest, const std::function<bool()>& is_over) {
   const SystemClock clock;
   const TimePoint end = clock.Now() + longest;
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -80,6 +80,9 @@
   }
 };
 
+/// A port that nobody listened at a moment ago; a fixed one would be taken where tests run twice.
+std::uint16_t FreePort(boost::asio::io_context& io);
+
 /// Runs until `is_over`, or for `longest`.
 void RunUntil(boost::asio::io_context& io, Duration longest, const std::function<bool()>& is_over);
 
