--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -114,7 +114,7 @@
     }
     this->operators.Start();
     this->directory.Start();
-      this->election->Start();
+    this->election->Start();
     Spawn(this->context, this->WaitForSignals());
     Spawn(this->context, this->SweepConnections());
     return Done{};
