OwnerDirectory: Read the claims anew when one of ours is refused

Cause, by the test: an entry whose connection for news of the claims fell silent doesn't know the last claim; its own claims are refused until that read runs into its time limit, and nobody else is chosen.

Change: when a claim is refused, the newest is read at once.

Test: Election.AnEntryThatMissedAClaimReadsTheClaimsAnew; before, no owner after 2.5 s.

--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -268,6 +268,7 @@
       Topic::kOwners, 0, std::move(records), offset, kClaimTimeout);
   if (outcome.kind == AppendOutcome::Kind::kEndsElsewhere) {
     LogEvent(telemetry::LogLevel::kInfo, "claim_refused", "another entry has claimed before");
+    co_await this->directory.ReadAnew(kCallTimeout);
   }
   const bool is_stored = outcome.kind == AppendOutcome::Kind::kStored;
   this->is_claim_over = !is_stored;
--- a/src/job_entry/owner_directory.cc
+++ b/src/job_entry/owner_directory.cc
@@ -68,6 +68,17 @@
   co_return false;
 }
 
+/// What can go wrong: the connection on which a read waits for news falls silent, another entry
+/// claims, and this one takes a former owner for the newest for as long as the read may wait.
+boost::asio::awaitable<void> OwnerDirectory::ReadAnew(Duration timeout) {
+  const Result<NewestOutcome> newest =
+      co_await this->context.links.store->Newest(Topic::kOwners, 0, timeout);
+  if (newest && this->NextClaim() < newest->next) {
+    this->next_read = newest->next;
+    this->OnRecords(newest->records);
+  }
+}
+
 void OwnerDirectory::OnRecords(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     if (!record.value) {
--- a/src/job_entry/owner_directory.h
+++ b/src/job_entry/owner_directory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -34,7 +36,11 @@
   const std::optional<OwnerClaim>& Owner() const { return this->owner; }
   /// The offset after the claim that names `Owner`: where the next claim stands, unless another
   /// comes first. Nothing while claims aren't known.
-  std::optional<std::uint64_t> NextClaim() const { return this->tail->Next(); }
+  std::optional<std::uint64_t> NextClaim() const {
+    return std::max(this->tail->Next(), this->next_read);
+  }
+  /// Reads the newest claim now, without waiting for the read that follows the topic.
+  boost::asio::awaitable<void> ReadAnew(Duration timeout);
   /// Until this time, nobody had claimed after `Owner`.
   std::optional<TimePoint> Proof() const { return this->tail->Proof(); }
   /// An owner has to hear soon of another's claim; others only ask for its address.
@@ -45,6 +51,8 @@
  private:
   const Context context;
   std::optional<OwnerClaim> owner;
+  /// The offset after the claim that was read anew.
+  std::optional<std::uint64_t> next_read;
   std::shared_ptr<RecordTail> tail;
 };
 
--- a/tests/job_entry/election_test.cc
+++ b/tests/job_entry/election_test.cc
@@ -15,6 +15,8 @@
 /// A store that is slow; the usual append takes 4 ms, the usual answer a millisecond.
 constexpr Duration kSlowAppend = milliseconds(400);
 constexpr Duration kSlowAnswer = milliseconds(240);
+/// The group drops a dead owner after a second; reads wait for news for five.
+constexpr Duration kLongTakeover = milliseconds(2500);
 
 std::size_t ClaimsIn(FakeFleet& fleet) { return fleet.store.At(Topic::kOwners, 0).records.size(); }
 
@@ -40,6 +42,25 @@
   EXPECT_EQ(ClaimsIn(fleet), 2U);
 }
 
+/// Guards against a fleet without owner for as long as a read waits for news: the connection of the
+/// entry that is chosen fell silent, and its claims are refused as it doesn't know the last one.
+TEST(Election, AnEntryThatMissedAClaimReadsTheClaimsAnew) {
+  asio::io_context io;
+  FakeFleet fleet(io, 2);
+  FakeEntry& owner = fleet.AddEntry("m");
+  RunUntil(io, seconds(5), [&] { return IsServing(owner); });
+  // The group chooses by name.
+  FakeEntry& chosen = fleet.AddEntry("a");
+  io.run_for(milliseconds(500));
+  chosen.store->silent_reads = Topic::kOwners;
+  io.run_for(seconds(1));
+  const OwnerClaim missed{"x", "x", owner.settings.peers};
+  fleet.store.At(Topic::kOwners, 0).records.push_back({kOwnerKey, EncodeClaim(missed)});
+  owner.Cut();
+  RunUntil(io, kLongTakeover, [&] { return IsServing(chosen); });
+  EXPECT_TRUE(IsServing(chosen));
+}
+
 bool IsMember(const FakeFleet& fleet, const std::string& entry) {
   return std::any_of(
       fleet.store.members.begin(), fleet.store.members.end(), [&](const auto& member) {
--- a/tests/job_entry/fake_store.cc
+++ b/tests/job_entry/fake_store.cc
@@ -127,6 +127,10 @@
     if (!is_reached) {
       co_return kNoAnswer;
     }
+    if (this->silent_reads == topic) {
+      co_await this->Wait(timeout);
+      co_return kNoAnswer;
+    }
     const std::vector<KeyedRecord>& records = this->store.At(topic, partition).records;
     if (records.size() > from || Now() >= end) {
       ReadOutcome outcome;
--- a/tests/job_entry/fake_store.h
+++ b/tests/job_entry/fake_store.h
@@ -84,6 +84,8 @@
   /// Reads of a topic's newest records: so many are under way, and so many were at once.
   std::map<Topic, int> reads;
   std::map<Topic, int> most_reads;
+  /// Reads that wait for news of this topic get no answer, as on a connection that fell silent.
+  std::optional<Topic> silent_reads;
   /// Appends to this topic get no answer and do nothing.
   std::optional<Topic> unanswered;
 
