--- a/src/job_entry/job_writer.h
+++ b/src/job_entry/job_writer.h
@@ -39,6 +39,7 @@
   /// Tells when the store becomes slow, and usual again.
   void NoteTime(Duration taken);
   void SetGathered(bool is_gathered, const char* why);
+  /// There are others, and none of them has failed a moment ago.
   bool MayAskOthers() const;
 
   const Context context;
--- a/src/job_entry/record_relay.h
+++ b/src/job_entry/record_relay.h
@@ -53,7 +53,7 @@
  private:
   /// Addresses to ask, in order.
   std::vector<SocketAddress> Peers() const;
-  /// Nothing when there is no other entry than the owner to ask.
+  /// Nothing when that is this entry itself, or when there are no seed peers beside the owner.
   std::optional<SocketAddress> GathererOf(std::uint32_t partition) const;
   boost::asio::awaitable<WriteVerdict> Ask(SocketAddress peer, std::string body, Duration timeout);
 
