--- a/tests/soak/store_server.cc
+++ b/tests/soak/store_server.cc
@@ -114,12 +114,14 @@
   }
   const auto part = static_cast<std::uint32_t>(NumberIn(request, "part"));
   const std::size_t count = frames->records.size();
-  const bool has_end = http::QueryParameter(request.target, "at").has_value();
-  const AppendOutcome outcome =
-      co_await (has_end ? this->link.AppendAt(*TopicIn(request), part, std::move(frames->records),
-                                              NumberIn(request, "at"), kDownWait)
-                        : this->link.Append(*TopicIn(request), part, std::move(frames->records),
-                                            writer, kDownWait));
+  AppendOutcome outcome;
+  if (http::QueryParameter(request.target, "at")) {
+    outcome = co_await this->link.AppendAt(*TopicIn(request), part, std::move(frames->records),
+                                           NumberIn(request, "at"), kDownWait);
+  } else {
+    outcome = co_await this->link.Append(*TopicIn(request), part, std::move(frames->records),
+                                         writer, kDownWait);
+  }
   switch (outcome.kind) {
     case AppendOutcome::Kind::kStored:
       co_return Answer(200, {{"offset", outcome.offset}, {"end_offset", outcome.offset + count}});
