Tests: Let the fake store's generation grow, and say who is owner before another joins

Both assumed what conditional claims no longer give. Two entries that start together claim for the same vacancy, and the first record now stays where the later one used to win; so either may be owner. The first then meets a fault of the fake: its group's generation never changes, so that a look at the members held for three seconds after the owner was gone; the store's grows with each change. The fake counts changes now. The second, and AClaimWhoseAnswerWasLost..., wait until "a" serves before "b" joins. No check or bound changes.

--- a/tests/job_entry/fake_store.cc
+++ b/tests/job_entry/fake_store.cc
@@ -178,12 +178,14 @@
   if (!is_reached) {
     co_return kNoAnswer;
   }
+  const bool is_new = !this->store.members.contains(member);
   this->store.members[member] = {Now(), time_to_live};
-  std::erase_if(this->store.members, [](const auto& entry) {
+  const std::size_t lapsed = std::erase_if(this->store.members, [](const auto& entry) {
     return Now() - entry.second.last > entry.second.time_to_live;
   });
+  this->store.generation += (is_new ? 1 : 0) + lapsed;
   Membership membership;
-  membership.generation = 1;
+  membership.generation = this->store.generation;
   membership.is_chosen = this->store.members.begin()->first == member;
   co_return membership;
 }
@@ -207,7 +209,7 @@
   if (!is_reached) {
     co_return kNoAnswer;
   }
-  this->store.members.erase(member);
+  this->store.generation += this->store.members.erase(member);
   co_return Done{};
 }
 
--- a/tests/job_entry/fake_store.h
+++ b/tests/job_entry/fake_store.h
@@ -37,6 +37,8 @@
   boost::asio::io_context& io;
   std::map<std::pair<Topic, std::uint32_t>, Partition> partitions;
   std::map<std::string, Member> members;
+  /// Grows with each change of the members.
+  std::uint64_t generation = 1;
   /// A call is answered after this, an append after `append_time` more.
   Duration answer_time = std::chrono::milliseconds(1);
   /// An append takes this long.
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -331,9 +331,9 @@
   asio::io_context io;
   FakeFleet fleet(io, 2);
   FakeEntry& owner = fleet.AddEntry("a");
+  RunUntil(io, std::chrono::seconds(5), [&] { return IsServing(owner); });
   FakeEntry& claimant = fleet.AddEntry("b");
-  RunUntil(io, std::chrono::seconds(5),
-           [&] { return IsServing(owner) && fleet.store.members.size() == 2; });
+  RunUntil(io, std::chrono::seconds(5), [&] { return fleet.store.members.size() == 2; });
   ASSERT_TRUE(IsServing(owner));
   const OwnerClaim late{"b", fleet.store.members.rbegin()->first, claimant.settings.peers};
   fleet.store.At(Topic::kOwners, 0).records.push_back({kOwnerKey, EncodeClaim(late)});
@@ -376,9 +376,9 @@
   FakeFleet fleet(io, 2);
   fleet.endpoints.task_time = milliseconds(50);
   FakeEntry& owner = fleet.AddEntry("a");
+  RunUntil(io, std::chrono::seconds(5), [&] { return IsServing(owner); });
   FakeEntry& other = fleet.AddEntry("b");
-  RunUntil(io, std::chrono::seconds(5),
-           [&] { return IsServing(owner) && fleet.store.members.size() == 2; });
+  RunUntil(io, std::chrono::seconds(5), [&] { return fleet.store.members.size() == 2; });
   ASSERT_TRUE(IsServing(owner));
   const jobs::Job job = FakeFleet::MakeJob(1, 2);
   const auto submit = [&] { asio::co_spawn(io, Submit(other, job, [](bool) {}), asio::detached); };
