Pool sizer: Say in the log what determines the size of each pool

Change: the sizer keeps the reason of each pool's need (minimum, long-running, arrivals, backlog, blocked-tasks); `pool_sizes` has it under `reasons`.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -102,6 +102,21 @@
   friend bool operator==(const SizerPlan&, const SizerPlan&) = default;
 };
 
+/// What determines the number of VMs that a pool needs.
+enum class SizeReason {
+  /// The minimum size, or a limit of tasks per endpoint.
+  kMinimum,
+  kLongRunning,
+  /// The rate at which jobs are expected to arrive once ordered VMs take work.
+  kArrivals,
+  /// Work that has arrived and has to be on time.
+  kBacklog,
+  /// Long-running tasks that don't fit into the pool.
+  kBlockedTasks,
+};
+
+const char* ToString(SizeReason reason);
+
 /// Parameters of the sizer.
 struct SizerOptions {
   /// Time from the decision to move a VM until it takes work: 1.5 s for the move itself and the
@@ -163,6 +178,8 @@
                  const std::vector<SizerVm>& vms, const ServiceId& standby);
   /// The number of VMs that a pool should have by the last plan; 0 for an unknown pool.
   int TargetSize(const ServiceId& pool) const;
+  /// What determined the size that the pool needed at the last plan.
+  SizeReason NeedReason(const ServiceId& pool) const;
 
  private:
   /// The average work per job.
@@ -186,6 +203,7 @@
     int needed = 0;
     /// The same without the running work of jobs that are already late.
     int needed_on_time = 0;
+    SizeReason need_reason = SizeReason::kMinimum;
     /// The highest number of VMs needed recently, and when it was set.
     int target = 0;
     TimePoint target_set_at{};
@@ -228,6 +246,7 @@
     int all = 0;
     /// Without the running work of jobs that are already late.
     int on_time = 0;
+    SizeReason reason = SizeReason::kLongRunning;
   };
   /// Returns the VMs that a pool needs for one resource. `amount`: the member of a VM with its
   /// total.
--- a/src/job_entry/pool_sizes_log.cc
+++ b/src/job_entry/pool_sizes_log.cc
@@ -15,11 +15,13 @@
   }
   std::string text;
   std::string use;
+  std::string reasons;
   for (const auto& [pool, count] : sizes) {
     const char* const separator = text.empty() ? "" : " ";
     text += separator + pool.text + "=" + std::to_string(count) + "/" +
             std::to_string(this->sizer.TargetSize(pool));
     use += separator + pool.text + "=" + this->UseText(pool);
+    reasons += separator + pool.text + "=" + jobs::ToString(this->sizer.NeedReason(pool));
   }
   if (text == this->last_logged) {
     return;
@@ -27,7 +29,7 @@
   this->last_logged = text;
   LogEvent(telemetry::LogLevel::kInfo, "pool_sizes",
            "serving and wanted VMs of each pool; CPU and memory use",
-           {{"pools", text}, {"use", use}});
+           {{"pools", text}, {"use", use}, {"reasons", reasons}});
 }
 
 std::string PoolSizesLog::UseText(const ServiceId& pool) const {
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -36,6 +36,22 @@
 
 }  // namespace
 
+const char* ToString(SizeReason reason) {
+  switch (reason) {
+    case SizeReason::kMinimum:
+      return "minimum";
+    case SizeReason::kLongRunning:
+      return "long-running";
+    case SizeReason::kArrivals:
+      return "arrivals";
+    case SizeReason::kBacklog:
+      return "backlog";
+    case SizeReason::kBlockedTasks:
+      return "blocked-tasks";
+  }
+  return "unknown";
+}
+
 std::vector<SizerVm> PoolSizer::ExcludeUnusableZones(const std::vector<SizerVm>& vms) const {
   std::map<ZoneId, int> responding;
   for (const SizerVm& vm : vms) {
@@ -57,6 +73,11 @@
   return found == this->pools.end() ? 0 : found->second.target;
 }
 
+SizeReason PoolSizer::NeedReason(const ServiceId& pool) const {
+  const auto found = this->pools.find(pool);
+  return found == this->pools.end() ? SizeReason::kMinimum : found->second.need_reason;
+}
+
 void PoolSizer::UpdateAverages(TimePoint now, const std::map<ServiceId, PoolLoad>& loads) {
   for (const auto& [pool, load] : loads) {
     History& history = this->pools[pool];
@@ -139,14 +160,20 @@
     return {};
   }
   const double free = std::max(0.0, serving_capacity - load.long_running);
-  const auto vms_for = [&](double running) {
-    const double needed =
-        load.long_running + std::max(arriving, this->BacklogDemand(load, running, free));
+  const double backlog = this->BacklogDemand(load, load.running, free);
+  const auto vms_for = [&](double work) {
+    const double needed = load.long_running + std::max(arriving, work);
     // There is no use in more VMs than exist.
     return static_cast<int>(
         std::min(std::ceil(needed / usable_per_vm), static_cast<double>(vms.size())));
   };
-  return {vms_for(load.running), vms_for(load.running - load.running_late)};
+  const double backlog_on_time =
+      this->BacklogDemand(load, load.running - load.running_late, free);
+  SizeReason reason = arriving < backlog ? SizeReason::kBacklog : SizeReason::kArrivals;
+  if (std::max(arriving, backlog) < load.long_running) {
+    reason = SizeReason::kLongRunning;
+  }
+  return {vms_for(backlog), vms_for(backlog_on_time), reason};
 }
 
 void PoolSizer::UpdateTarget(TimePoint now, const ServiceId& pool, const PoolLoad& load,
@@ -165,12 +192,17 @@
   const int min_vms = std::max(this->options.min_vms, load.min_endpoints);
   history.needed_on_time = std::max({min_vms, cpu.on_time, memory.on_time});
   int required = std::max({min_vms, cpu.all, memory.all});
+  history.need_reason = required == min_vms        ? SizeReason::kMinimum
+                        : cpu.all >= memory.all ? cpu.reason
+                                                : memory.reason;
   if (load.waiting_long_running == 0) {
     history.waiting_since.reset();
   } else if (!history.waiting_since) {
     history.waiting_since = now;
   } else if (now - *history.waiting_since > this->options.blocked_task_delay) {
-    required = std::max(required, CountServing(vms, pool) + load.waiting_long_running);
+    const int unblocked = CountServing(vms, pool) + load.waiting_long_running;
+    history.need_reason = unblocked > required ? SizeReason::kBlockedTasks : history.need_reason;
+    required = std::max(required, unblocked);
     history.waiting_since = now + this->options.move_time;
   }
   history.needed = required;
