Pool sizer: Keep idle VMs until that has cost as much as moving them

Cause: a pool kept idle VMs for 2 s whatever a move costs, and switched them off and on again in each lull. Change: --vm-move-cost says what a move costs, as the time for which an idle VM costs as much (3s by default). An idle VM is kept until it has cost as much as two moves and the time that they are paid for, 10 s by default. The experimental decision sizer.keep is replaced by sizer.move_cost.

--- a/include/chervilspar/job_entry/decision_options.h
+++ b/include/chervilspar/job_entry/decision_options.h
@@ -23,7 +23,7 @@
 };
 
 /// Parses overrides of the defaults, such as
-/// "sizer.usable=0.8,sizer.keep=2s,scheduler.overload=off". On failure, the reason names the
+/// "sizer.usable=0.8,sizer.move_cost=2s,scheduler.overload=off". On failure, the reason names the
 /// invalid option and the values that it accepts.
 Result<DecisionOptions> ParseDecisionOptions(std::string_view text);
 
--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -33,6 +33,7 @@
   std::string job_partitions;
   std::string vm_order_pause;
   std::string vm_order_rate;
+  std::string vm_move_cost;
   std::string vm_service_compares_tokens;
   std::string drain_time;
   std::string cores;
--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -141,10 +141,8 @@
   double trend_threshold_std_devs = 0.5;
   /// The number of jobs in the average at which the forecast has half of its full weight.
   double half_confidence_jobs = 1;
-  /// How long a pool keeps its size after its demand falls, unless another pool lacks VMs. A VM
-  /// that is switched off and returns costs two moves and is paid for meanwhile: as much as five
-  /// seconds of its price.
-  Duration shrink_delay = std::chrono::milliseconds(2000);
+  /// The cost of a move, as the time for which an idle VM in a pool costs as much.
+  Duration move_cost = std::chrono::milliseconds(3000);
   /// Long-running tasks that have waited this long don't fit into their pool, whatever the reason:
   /// labels, the limit of sibling tasks per endpoint, or fragmented memory. The pool gets one more
   /// VM for each of them, and again when these have had time to arrive.
@@ -161,6 +159,12 @@
   /// Minimum number of VMs of a pool, so that the pool survives the loss of one.
   int min_vms = 3;
 
+  /// How long a pool keeps its size after its demand falls, unless another pool lacks VMs: until an
+  /// idle VM has cost as much as to switch it off and on again, which is two moves and the time that
+  /// the VM is paid for meanwhile. Whenever the demand returns, this costs at most twice the
+  /// cheaper of keeping and moving.
+  Duration ShrinkDelay() const { return 2 * (this->move_cost + this->move_time); }
+
   friend bool operator==(const SizerOptions&, const SizerOptions&) = default;
 };
 
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -56,6 +56,9 @@
           "No orders for VMs this long after a take-over [3s]");
   AddFlag(app, "--vm-order-rate", raw.vm_order_rate,
           "Orders for VMs a second that the platform takes from all entries [64]");
+  AddFlag(app, "--vm-move-cost", raw.vm_move_cost,
+          "What moving a VM between pools costs, as the time for which an idle VM costs as much; "
+          "the higher, the longer pools keep idle VMs [3s]");
   AddFlag(
       app, "--job-partitions", raw.job_partitions,
       "In how many partitions of the store jobs are kept, at most 8; never fewer than before [4]");
--- a/src/job_entry/decision_options.cc
+++ b/src/job_entry/decision_options.cc
@@ -54,7 +54,7 @@
     NamedMember<SizerMember>{"sizer.least_use", &jobs::SizerOptions::min_use_time},
     NamedMember<SizerMember>{"sizer.jobs_averaged", &jobs::SizerOptions::jobs_averaged},
     NamedMember<SizerMember>{"sizer.averaging", &jobs::SizerOptions::averaging_time},
-    NamedMember<SizerMember>{"sizer.keep", &jobs::SizerOptions::shrink_delay},
+    NamedMember<SizerMember>{"sizer.move_cost", &jobs::SizerOptions::move_cost},
     NamedMember<SizerMember>{"sizer.usable", &jobs::SizerOptions::usable_fraction},
     NamedMember<SizerMember>{"sizer.avoids_dark_zones",
                              &jobs::SizerOptions::avoids_unreachable_zones},
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -211,7 +211,7 @@
     history.target = CountServing(vms, pool);
     history.target_set_at = now;
   }
-  if (required >= history.target || now - history.target_set_at > this->options.shrink_delay) {
+  if (required >= history.target || now - history.target_set_at > this->options.ShrinkDelay()) {
     history.target = required;
     history.target_set_at = now;
   }
--- a/tests/job_entry/decision_options_test.cc
+++ b/tests/job_entry/decision_options_test.cc
@@ -35,17 +35,17 @@
                       OptionsCase{"not_a_number", "sizer.usable=much", "sizer.usable"},
                       OptionsCase{"negative", "sizer.least_vms=-1", "sizer.least_vms"},
                       OptionsCase{"fraction", "sizer.least_vms=1.5", "sizer.least_vms"},
-                      OptionsCase{"not_a_duration", "sizer.keep=long", "sizer.keep"},
+                      OptionsCase{"not_a_duration", "sizer.move_cost=long", "sizer.move_cost"},
                       OptionsCase{"not_a_boolean", "scheduler.overload=1", "scheduler.overload"},
                       OptionsCase{"second_is_invalid", "sizer.usable=1,b=2", "b"}),
     [](const auto& info) { return info.param.name; });
 
 TEST(DecisionOptions, ChangeOnlyWhatIsNamed) {
   DecisionOptions expected;
-  expected.sizer.shrink_delay = std::chrono::seconds(3);
+  expected.sizer.move_cost = std::chrono::seconds(4);
   expected.scheduler.plans_overload = false;
   const Result<DecisionOptions> options =
-      ParseDecisionOptions("sizer.keep=3s,scheduler.overload=off");
+      ParseDecisionOptions("sizer.move_cost=4s,scheduler.overload=off");
   ASSERT_TRUE(options);
   EXPECT_EQ(*options, expected);
 }
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -12,11 +12,13 @@
 const ServiceId kDesk{"desk"};
 const ServiceId kFleet{"fleet"};
 const ServiceId kOff{"off"};
+/// After this time without demand, no pool keeps VMs for a demand that it had.
+const Duration kAfterShrinking = SizerOptions{}.ShrinkDelay() + milliseconds(2000);
 
 /// Ten VMs of 10 cores: four in each of two pools, two switched off.
 class SizerWorld {
  public:
-  SizerWorld() {
+  explicit SizerWorld(SizerOptions options = {}) : sizer(options) {
     for (int i = 0; i < 10; ++i) {
       SizerVm vm;
       vm.id = VmId{"m" + std::to_string(i)};
@@ -84,7 +86,7 @@
 TEST_P(Demand, MovesVmsToWhereTheyAreNeeded) {
   SizerWorld world;
   const SizerPlan plan =
-      world.PlanAfter(std::chrono::seconds(6), GetParam().desk_cores, GetParam().fleet_cores);
+      world.PlanAfter(kAfterShrinking, GetParam().desk_cores, GetParam().fleet_cores);
   EXPECT_EQ(world.MovesTo(plan, kDesk), GetParam().to_desk);
   EXPECT_EQ(world.MovesTo(plan, kOff), GetParam().to_standby);
 }
@@ -100,7 +102,7 @@
 /// lent to the second, whose callers would otherwise wait while the VMs are idle.
 TEST(PoolSizer, LendsIdleVmsAtOnceToAPoolThatLacksThem) {
   SizerWorld world;
-  world.PlanAfter(std::chrono::seconds(4), 29, 0);
+  world.PlanAfter(kAfterShrinking, 29, 0);
   const SizerPlan plan = world.PlanAfter(std::chrono::seconds(1), 0, 60);
   EXPECT_EQ(world.sizer.TargetSize(kDesk), 4);
   EXPECT_EQ(world.MovesTo(plan, kFleet), 3U);
@@ -122,7 +124,7 @@
 /// second.
 TEST(PoolSizer, OrdersVmsWithinHalfASecondOfAPeaksBeginning) {
   SizerWorld world;
-  world.PlanAfter(std::chrono::seconds(6), 1, 1);
+  world.PlanAfter(kAfterShrinking, 1, 1);
   const SizerPlan plan = world.PlanAfter(milliseconds(500), 50, 1);
   EXPECT_GE(world.MovesTo(plan, kDesk), 2U);
   EXPECT_GE(world.sizer.TargetSize(kDesk), 6);
@@ -133,7 +135,7 @@
 TEST(PoolSizer, OneLargeJobIsNoPeak) {
   SizerWorld world;
   world.AddSwitchedOff(50);
-  world.PlanAfter(std::chrono::seconds(6), 0, 0);
+  world.PlanAfter(kAfterShrinking, 0, 0);
   PoolLoad& load = world.loads[kDesk];
   load.cpu.arrived += 40 * 1000 * 1000;
   load.arrived_jobs += 1;
@@ -160,7 +162,7 @@
 /// can work at the same time. Idle ones would be paid for and moved away again.
 TEST_P(Backlog, OrdersVmsOnlyForWorkThatTheyFinishOnTime) {
   SizerWorld world;
-  world.PlanAfter(std::chrono::seconds(6), 0, 0);
+  world.PlanAfter(kAfterShrinking, 0, 0);
   PoolLoad& load = world.loads[kDesk];
   load.cpu.waiting = {{GetParam().slack_ms, GetParam().work * 1000 * 1000}};
   load.cpu.concurrent_demand = GetParam().at_once_cores * 1000;
@@ -198,7 +200,7 @@
     vm.is_cordoned = GetParam().is_cordoned && is_east;
     vm.is_empty = vm.pool != kDesk;
   }
-  const SizerPlan plan = world.PlanAfter(std::chrono::seconds(6), 60, 2);
+  const SizerPlan plan = world.PlanAfter(kAfterShrinking, 60, 2);
   const auto is_in_east = [](const SizerPlan::Move& move) { return move.vm == VmId{"m8"}; };
   EXPECT_EQ(std::none_of(plan.moves.begin(), plan.moves.end(), is_in_east), is_unusable);
   EXPECT_GE(world.MovesTo(plan, kDesk), 1U);
@@ -217,7 +219,7 @@
     vm.has_long_running = vm.pool == kDesk;
     vm.is_pinned = vm.pool == kFleet;
   }
-  const SizerPlan plan = world.PlanAfter(std::chrono::seconds(6), 0, 0);
+  const SizerPlan plan = world.PlanAfter(kAfterShrinking, 0, 0);
   EXPECT_TRUE(plan.release.empty());
   EXPECT_TRUE(plan.moves.empty());
 }
@@ -228,7 +230,7 @@
   for (SizerVm& vm : world.vms) {
     vm.is_empty = false;
   }
-  const SizerPlan plan = world.PlanAfter(std::chrono::seconds(6), 0, 0);
+  const SizerPlan plan = world.PlanAfter(kAfterShrinking, 0, 0);
   EXPECT_EQ(plan.release.size(), 2U);
   EXPECT_TRUE(plan.moves.empty());
 }
@@ -246,7 +248,7 @@
     world.loads[kDesk].min_endpoints = one.min_endpoints;
     world.loads[kDesk].waiting_long_running = one.waiting;
     // Long enough that the initial size no longer counts.
-    world.PlanAfter(std::chrono::seconds(5), 0, 0);
+    world.PlanAfter(kAfterShrinking, 0, 0);
     EXPECT_EQ(world.sizer.TargetSize(kDesk), one.target) << one.min_endpoints;
   }
 }
@@ -260,7 +262,7 @@
   }
   world.loads[kDesk].cpu.long_running = 10 * 1000;
   world.loads[kDesk].memory.long_running = 500;
-  world.PlanAfter(std::chrono::seconds(5), 0, 0);
+  world.PlanAfter(kAfterShrinking, 0, 0);
   EXPECT_EQ(world.sizer.TargetSize(kDesk), 7);
 }
 
@@ -298,7 +300,7 @@
 /// much as two seconds of the VM.
 TEST(PoolSizer, KeepsVmsThroughALull) {
   SizerWorld world;
-  world.PlanAfter(std::chrono::seconds(4), 28, 0);
+  world.PlanAfter(kAfterShrinking, 28, 0);
   const SizerPlan plan = world.PlanAfter(milliseconds(750), 0, 0);
   for (const SizerPlan::Move& move : plan.moves) {
     EXPECT_NE(move.vm.text.substr(0, 2), "m0");
@@ -306,5 +308,33 @@
   EXPECT_EQ(world.sizer.TargetSize(kDesk), 4);
 }
 
+struct IdleCase {
+  const char* name;
+  Duration move_cost;
+  Duration idle;
+  int target;
+};
+
+class IdlePool : public ::testing::TestWithParam<IdleCase> {};
+
+/// Guards against switching idle VMs off and on again for more than it costs to keep them, and
+/// against keeping them for longer than that pays.
+TEST_P(IdlePool, KeepsItsSizeUntilThatCostsAsMuchAsMovingItsVms) {
+  SizerWorld world(SizerOptions{.move_cost = GetParam().move_cost});
+  world.PlanAfter(std::chrono::seconds(30), 28, 0);
+  world.PlanAfter(GetParam().idle, 0, 0);
+  EXPECT_EQ(world.sizer.TargetSize(kDesk), GetParam().target);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, IdlePool,
+    ::testing::Values(IdleCase{"cheap_moves_early", milliseconds(500), milliseconds(4000), 4},
+                      IdleCase{"cheap_moves_late", milliseconds(500), milliseconds(8000), 3},
+                      IdleCase{"usual_moves_early", milliseconds(3000), milliseconds(9000), 4},
+                      IdleCase{"usual_moves_late", milliseconds(3000), milliseconds(13000), 3},
+                      IdleCase{"dear_moves_early", milliseconds(11000), milliseconds(25000), 4},
+                      IdleCase{"dear_moves_late", milliseconds(11000), milliseconds(30000), 3}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace chervilspar::jobs
