Pool sizer: Average the work of a job over all jobs seen, up to 200

Cause: the first job of a queue was taken for the average, and later ones counted for a twentieth: with sizes that vary by more than their mean, a pool was sized by its largest jobs, at every size of fleet. Change: a running mean, over at most 200 jobs. Test: PoolSizer.OneLargeFirstJobDoesNotSizeThePool.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -127,8 +127,10 @@
   double slack_share = 0.6;
   /// A VM is ordered for work that can still be on time only if it has at least this time for it.
   Duration min_use_time = std::chrono::milliseconds(300);
-  /// The number of jobs over which the work per job is averaged.
-  double jobs_averaged = 20;
+  /// The number of jobs over which the work per job is averaged; with fewer, over all that have
+  /// arrived. The sizes of jobs vary by more than their mean, so that an average of 20 is off by a
+  /// quarter, and a peak would be sized by its largest jobs.
+  double jobs_averaged = 200;
   /// Time constant of the average of arrivals. If it is shorter, a few jobs that arrive together
   /// look like a peak; if it is longer, VMs arrive when the first jobs of a peak are already late.
   Duration averaging_time = std::chrono::milliseconds(350);
@@ -182,6 +184,9 @@
                  const std::vector<SizerVm>& vms, const ServiceId& standby);
   /// The number of VMs that a pool should have by the last plan; 0 for an unknown pool.
   int TargetSize(const ServiceId& pool) const;
+  /// The number of VMs that a pool needed at the last plan, without those that it keeps for a demand
+  /// that it had.
+  int NeededSize(const ServiceId& pool) const;
   /// What determined the size that the pool needed at the last plan.
   SizeReason NeedReason(const ServiceId& pool) const;
 
@@ -190,6 +195,8 @@
   struct JobWork {
     double arrived = 0;
     double work_per_job = 0;
+    /// The number of jobs that contribute to `work_per_job`, at most `jobs_averaged`.
+    double jobs = 0;
   };
   struct History {
     JobWork cpu;
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -73,6 +73,11 @@
   return found == this->pools.end() ? 0 : found->second.target;
 }
 
+int PoolSizer::NeededSize(const ServiceId& pool) const {
+  const auto found = this->pools.find(pool);
+  return found == this->pools.end() ? 0 : found->second.needed;
+}
+
 SizeReason PoolSizer::NeedReason(const ServiceId& pool) const {
   const auto found = this->pools.find(pool);
   return found == this->pools.end() ? SizeReason::kMinimum : found->second.need_reason;
@@ -106,8 +111,8 @@
     return;
   }
   const double sample = (arrived - work.arrived) / jobs;
-  const double sample_weight =
-      work.work_per_job > 0 ? jobs / (jobs + this->options.jobs_averaged) : 1;
+  const double sample_weight = jobs / (jobs + work.jobs);
+  work.jobs = std::min(work.jobs + jobs, this->options.jobs_averaged);
   work.work_per_job += sample_weight * (sample - work.work_per_job);
 }
 
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -336,5 +336,27 @@
                       IdleCase{"dear_moves_late", milliseconds(11000), milliseconds(30000), 3}),
     [](const auto& info) { return info.param.name; });
 
+/// The first job of a queue is thirty times as large as those after it. If it counted for more than
+/// one of them, the pool would be sized by it until hundreds of jobs have arrived.
+TEST(PoolSizer, OneLargeFirstJobDoesNotSizeThePool) {
+  constexpr int kJobs = 60;
+  constexpr double kWork = 1000 * 1000;
+  constexpr double kLargeWork = 30 * kWork;
+  const Duration tick = milliseconds(50);
+  SizerWorld world;
+  world.AddSwitchedOff(50);
+  PoolLoad& load = world.loads[kDesk];
+  for (int job = 0; job < kJobs; ++job) {
+    world.now += tick;
+    load.cpu.arrived += job == 0 ? kLargeWork : kWork;
+    load.arrived_jobs += 1;
+    world.sizer.Plan(world.now, world.loads, world.vms, kOff);
+  }
+  const double cores = (kLargeWork + (kJobs - 1) * kWork) / kJobs /
+                       std::chrono::duration<double, std::milli>(tick).count() / 1000;
+  const double usable_cores_per_vm = 10 * SizerOptions{}.usable_fraction;
+  EXPECT_LE(world.sizer.NeededSize(kDesk), cores / usable_cores_per_vm + 1);
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
