VM driver: Plan and order while the list of VMs is being read

Cause: a round of the driver waited for the list. Change: the list is read beside the rounds, which go on with the last one; no orders from a list older than 4 s. Test: VmDriver.OrdersAreSentWhileTheListIsBeingRead failed before (no order within 1.2 s of a wave's beginning).

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chervilspar/base/scope_guard.h"
+
 #include "job_entry/vm_list_interval.h"
 
 namespace chervilspar::job_entry {
@@ -14,6 +16,9 @@
 /// Between two rounds. The demand of a queue doubles within a second, and a move takes 1.5 s.
 constexpr Duration kRoundInterval = std::chrono::milliseconds(150);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
+/// No orders are derived from a list that is older: the service doesn't answer, and may be executing
+/// orders of which this entry doesn't know.
+constexpr Duration kMaxListAge = std::chrono::seconds(4);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
 /// A reboot with a response is visible in the list at once; one without may begin seconds later.
 constexpr Duration kRebootVisibleDelay = std::chrono::milliseconds(500);
@@ -76,27 +81,35 @@
 
 /// The last reboot of a predecessor may begin after the list was read, and more VMs of a wave than
 /// allowed would be down. So the first orders of a term need a list that is read after the pause.
-asio::awaitable<bool> VmDriver::ReadList(TimePoint first_order) {
+void VmDriver::RefreshList(TimePoint first_order) {
   const Duration interval = VmListInterval(this->vms.size(), this->context.settings.link_rate);
-  const TimePoint requested_at = this->context.Now();
-  const bool is_before_orders = this->listed_at <= first_order && requested_at > first_order;
-  if (!this->vms.empty() && requested_at - this->listed_at < interval && !is_before_orders) {
-    co_return true;
+  const TimePoint now = this->context.Now();
+  const bool is_before_orders = this->listed_at <= first_order && now > first_order;
+  const bool is_recent =
+      !this->vms.empty() && now - this->listed_at < interval && !is_before_orders;
+  if (this->is_listing || is_recent) {
+    return;
   }
+  this->is_listing = true;
+  Spawn(this->context, this->ReadList(this->owner.lock()));
+}
+
+asio::awaitable<void> VmDriver::ReadList([[maybe_unused]] std::shared_ptr<void> self) {
+  const ScopeGuard finished([this] { this->is_listing = false; });
+  const TimePoint requested_at = this->context.Now();
   Result<std::vector<jobs::VmRecord>> list = co_await this->context.links.vms->List(kCallTimeout);
   if (this->is_stopped || !list) {
-    co_return false;
+    co_return;
   }
   this->vms = *std::move(list);
   this->listed_at = requested_at;
   this->UpdateReturnedVms();
-  co_return true;
 }
 
 asio::awaitable<void> VmDriver::Round(TimePoint began) {
   const TimePoint first_order = began + this->context.settings.vm_order_pause;
-  const bool is_listed = co_await this->ReadList(first_order);
-  if (!is_listed) {
+  this->RefreshList(first_order);
+  if (this->vms.empty() || this->context.Now() - this->listed_at > kMaxListAge) {
     co_return;
   }
   // The predecessor may just have sent an order for the same VM.
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -65,9 +65,11 @@
   boost::asio::awaitable<void> Move(VmId vm, ServiceId pool);
   /// Queues an order behind those before it.
   void EnqueueOrder(WorkQueue::Work order);
-  /// Reads the list of VMs if the last one is old enough; false when the read fails. `first_order`:
-  /// no order is sent before this time.
-  boost::asio::awaitable<bool> ReadList(TimePoint first_order);
+  /// Starts a read of the list of VMs if the last one is old enough. `first_order`: no order is sent
+  /// before this time. Rounds go on with the last list meanwhile: with thousands of VMs a read takes
+  /// most of a second, in which demand may double.
+  void RefreshList(TimePoint first_order);
+  boost::asio::awaitable<void> ReadList(std::shared_ptr<void> self);
   void UpdateReturnedVms();
   /// The VM is up again, and its endpoint is expected to register.
   void ExpectRegistration(const jobs::VmRecord& vm);
@@ -92,6 +94,8 @@
   std::vector<jobs::VmRecord> vms;
   /// When the list was requested.
   TimePoint listed_at{};
+  /// A list has been requested and hasn't arrived.
+  bool is_listing = false;
   std::map<std::uint64_t, jobs::WaveProgress> waves;
   /// Waves whose progress has yet to be stored.
   std::set<std::uint64_t> changed_waves;
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -25,6 +25,8 @@
   std::vector<std::uint64_t> tokens;
   /// The age of the last VM list at each reboot order.
   std::vector<Duration> list_ages;
+  /// How long the service takes to list the VMs.
+  Duration list_delay{};
   /// When the VMs were last listed.
   TimePoint listed{};
   /// All orders are answered with `kBusy`, so that the entry repeats them.
@@ -38,6 +40,11 @@
   explicit FakeVmLink(FakeVms& all) : all(all) {}
 
   boost::asio::awaitable<Result<std::vector<jobs::VmRecord>>> List(Duration) override {
+    if (this->all.list_delay > Duration::zero()) {
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                      this->all.list_delay);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
     this->all.listed = SystemClock().Now();
     co_return this->all.vms;
   }
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -103,6 +103,22 @@
   EXPECT_EQ(world.fleet.vms.reboots[VmId{"m1"}], 1);
 }
 
+/// Guards against a driver that stands still while it reads a long list of VMs: a wave or a peak that
+/// begins meanwhile would wait for the list.
+TEST(VmDriver, OrdersAreSentWhileTheListIsBeingRead) {
+  DriverWorld world(2);
+  auto& operators = world.fleet.store.At(Topic::kOperators, 0).records;
+  operators.clear();
+  operators.push_back({"rules", "1"});
+  world.fleet.vms.list_delay = milliseconds(2000);
+  world.Start();
+  // Two lists have arrived, and the third is being read.
+  world.io.run_for(milliseconds(4300));
+  operators.push_back({"wave", "m0"});
+  world.RunUntil(milliseconds(1200), [&] { return !world.fleet.vms.tokens.empty(); });
+  EXPECT_FALSE(world.fleet.vms.tokens.empty());
+}
+
 /// Guards against tasks that move twice: while two waves are in progress, tasks of an evacuated VM
 /// must not be placed on a VM that the other wave has yet to reboot.
 TEST(VmDriver, VmsOfAllWavesAreDue) {
