Pool sizer: Spread jobs that become known after an interruption over its time

Change: if ten jobs were expected since the last one and none came, the jobs of the next round count for the whole time. Evidence: PoolSizer.JobsThatBecomeKnownTogetherAreNoPeak: 33 VMs wanted before, 5 needed.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -198,16 +198,22 @@
     /// The number of jobs that contribute to `work_per_job`, at most `jobs_averaged`.
     double jobs = 0;
   };
+  struct ArrivalRates {
+    /// Jobs that arrive per millisecond, averaged.
+    double recent = 0;
+    /// The same, averaged over a longer time.
+    double slow = 0;
+    /// The decayed number of jobs that contribute to `recent`.
+    double jobs = 0;
+  };
   struct History {
     JobWork cpu;
     JobWork memory;
     double arrived_jobs = 0;
-    /// Jobs that arrive per millisecond, averaged.
-    double job_rate = 0;
-    /// The same, averaged over a longer time.
-    double slow_job_rate = 0;
-    /// The decayed number of jobs that contribute to `job_rate`.
-    double recent_jobs = 0;
+    ArrivalRates rates;
+    /// The rates right after the last jobs arrived, and when that was.
+    ArrivalRates rates_at_arrival;
+    TimePoint arrived_at{};
     TimePoint measured_at{};
     bool has_sample = false;
     /// The number of VMs needed now.
@@ -245,6 +251,9 @@
   static void AssignVms(std::map<ServiceId, int>& shortages, AvailableVms& available,
                         SizerPlan& plan);
   void UpdateAverages(TimePoint now, const std::map<ServiceId, PoolLoad>& loads);
+  void UpdateRates(TimePoint now, double new_jobs, History& history) const;
+  /// Returns the rates after `elapsed_ms` in which this number of jobs arrived.
+  ArrivalRates Advance(const ArrivalRates& rates, double new_jobs, double elapsed_ms) const;
   void UpdateWorkPerJob(double jobs, double arrived, JobWork& work) const;
   /// Forecasts the jobs that arrive per millisecond from recent arrivals and their trend.
   double ForecastJobRate(const History& history) const;
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -10,6 +10,9 @@
 /// A job that starts shortly after its latest start time is often still on time.
 constexpr double kStartGraceMs = 200;
 
+/// If this many jobs were expected since the last one, it isn't by chance that none arrived.
+constexpr double kJobsMissedInInterruption = 10;
+
 double Milliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -89,15 +92,13 @@
     const double elapsed_ms = Milliseconds(now - history.measured_at);
     if (history.has_sample && elapsed_ms > 0) {
       const double new_jobs = load.arrived_jobs - history.arrived_jobs;
-      const double decay = std::exp(-elapsed_ms / Milliseconds(this->options.averaging_time));
-      history.job_rate += (1.0 - decay) * (new_jobs / elapsed_ms - history.job_rate);
-      const double slow_decay = std::exp(-elapsed_ms / Milliseconds(this->options.averaging_time) /
-                                         this->options.slow_averaging_factor);
-      history.slow_job_rate += (1.0 - slow_decay) * (new_jobs / elapsed_ms - history.slow_job_rate);
-      history.recent_jobs = decay * history.recent_jobs + new_jobs;
+      this->UpdateRates(now, new_jobs, history);
       this->UpdateWorkPerJob(new_jobs, load.cpu.arrived, history.cpu);
       this->UpdateWorkPerJob(new_jobs, load.memory.arrived, history.memory);
     }
+    if (!history.has_sample) {
+      history.arrived_at = now;
+    }
     history.has_sample = true;
     history.cpu.arrived = load.cpu.arrived;
     history.memory.arrived = load.memory.arrived;
@@ -106,6 +107,35 @@
   }
 }
 
+/// While the store's reads hang, the jobs of a second become known at once. If they counted as the
+/// arrivals of one round, the forecast would be ten times the demand.
+void PoolSizer::UpdateRates(TimePoint now, double new_jobs, History& history) const {
+  const double pause_ms = Milliseconds(now - history.arrived_at);
+  const bool was_interrupted =
+      history.rates_at_arrival.recent * pause_ms >= kJobsMissedInInterruption;
+  if (new_jobs > 0 && was_interrupted) {
+    history.rates = this->Advance(history.rates_at_arrival, new_jobs, pause_ms);
+  } else {
+    history.rates =
+        this->Advance(history.rates, new_jobs, Milliseconds(now - history.measured_at));
+  }
+  if (new_jobs > 0) {
+    history.rates_at_arrival = history.rates;
+    history.arrived_at = now;
+  }
+}
+
+PoolSizer::ArrivalRates PoolSizer::Advance(const ArrivalRates& rates, double new_jobs,
+                                           double elapsed_ms) const {
+  const double averaging_ms = Milliseconds(this->options.averaging_time);
+  const double decay = std::exp(-elapsed_ms / averaging_ms);
+  const double slow_decay =
+      std::exp(-elapsed_ms / averaging_ms / this->options.slow_averaging_factor);
+  const double rate = new_jobs / elapsed_ms;
+  return {rates.recent + (1.0 - decay) * (rate - rates.recent),
+          rates.slow + (1.0 - slow_decay) * (rate - rates.slow), decay * rates.jobs + new_jobs};
+}
+
 void PoolSizer::UpdateWorkPerJob(double jobs, double arrived, JobWork& work) const {
   if (jobs <= 0) {
     return;
@@ -118,12 +148,12 @@
 
 double PoolSizer::ForecastJobRate(const History& history) const {
   const double std_dev =
-      std::sqrt(history.slow_job_rate / (2 * Milliseconds(this->options.averaging_time)));
-  const double rise = std::max(0.0, history.job_rate - history.slow_job_rate -
+      std::sqrt(history.rates.slow / (2 * Milliseconds(this->options.averaging_time)));
+  const double rise = std::max(0.0, history.rates.recent - history.rates.slow -
                                         this->options.trend_threshold_std_devs * std_dev);
   const double confidence =
-      history.recent_jobs / (history.recent_jobs + this->options.half_confidence_jobs);
-  return confidence * (history.job_rate + this->options.trend_gain * rise);
+      history.rates.jobs / (history.rates.jobs + this->options.half_confidence_jobs);
+  return confidence * (history.rates.recent + this->options.trend_gain * rise);
 }
 
 double PoolSizer::BacklogDemand(const ResourceLoad& load, double running, double free) const {
--- a/tests/jobs/pool_sizer_test.cc
+++ b/tests/jobs/pool_sizer_test.cc
@@ -130,6 +130,21 @@
   EXPECT_GE(world.sizer.TargetSize(kDesk), 6);
 }
 
+/// Jobs arrive steadily, but those of more than a second become known at once, as when the store's
+/// reads hang. That is no peak: the pool needs no more than it would without the pause.
+TEST(PoolSizer, JobsThatBecomeKnownTogetherAreNoPeak) {
+  constexpr double kCores = 28;
+  const Duration pause = milliseconds(1250);
+  SizerWorld world;
+  world.AddSwitchedOff(50);
+  world.PlanAfter(kAfterShrinking, kCores, 0);
+  const int needed = world.sizer.NeededSize(kDesk);
+  world.PlanAfter(pause, 0, 0);
+  world.Arrive(kDesk, kCores * 1000 * std::chrono::duration<double, std::milli>(pause).count());
+  world.PlanAfter(milliseconds(250), kCores, 0);
+  EXPECT_LE(world.sizer.NeededSize(kDesk), needed + 1);
+}
+
 /// One large job arrives at an idle queue. It can use ten cores at once. VMs for as many such jobs
 /// as would arrive at the start of a peak would cost more than the job is worth.
 TEST(PoolSizer, OneLargeJobIsNoPeak) {
