Election: Count the delay of entries on small VMs from the first rules

Cause: the delay (0.65 s at 0.12 cores) ran from the start of the process, but entries stand only once they have rules, which come to all at once 0.7 s after the start.

--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -26,6 +26,7 @@
 /// within the time to live.
 constexpr Duration kJoinInterval = std::chrono::milliseconds(280);
 constexpr Duration kMinPause = std::chrono::milliseconds(10);
+constexpr Duration kRulesPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
 /// Half of `kTimeToLive`.
 constexpr Duration kSlowJoinThreshold = std::chrono::milliseconds(500);
@@ -67,17 +68,25 @@
   return this->term != nullptr && !this->term->IsStopped() ? this->term : nullptr;
 }
 
-asio::awaitable<void> Election::Run([[maybe_unused]] std::shared_ptr<Election> self) {
+/// No decision is possible without rules, and all entries get them at about the same time. If the
+/// delay ran before that, entries on small VMs would be over it, too, and stand at once with those
+/// on large ones.
+asio::awaitable<void> Election::AwaitRules() {
+  while (!this->is_resigned && this->operators.Policy() == nullptr) {
+    co_await Pause(this->context, kRulesPollInterval);
+  }
   co_await Pause(this->context, this->candidacy.InitialDelay());
+}
+
+asio::awaitable<void> Election::Run([[maybe_unused]] std::shared_ptr<Election> self) {
+  co_await this->AwaitRules();
   while (!this->is_resigned) {
     const TimePoint begin = this->context.Now();
-    if (this->operators.Policy() != nullptr) {  // no decision is possible without rules
-      if (this->context.Now() >= this->next_review) {
-        co_await this->Review();
-      }
-      if (this->is_candidate && !this->is_resigned) {
-        co_await this->JoinOnce();
-      }
+    if (this->context.Now() >= this->next_review) {
+      co_await this->Review();
+    }
+    if (this->is_candidate && !this->is_resigned) {
+      co_await this->JoinOnce();
     }
     const Duration passed = this->context.Now() - begin;
     co_await Pause(this->context, std::max(kJoinInterval - passed, kMinPause));
--- a/src/job_entry/election.h
+++ b/src/job_entry/election.h
@@ -27,6 +27,8 @@
 
  private:
   boost::asio::awaitable<void> Run(std::shared_ptr<Election> self);
+  /// Waits until the operators' rules are known and this entry may stand.
+  boost::asio::awaitable<void> AwaitRules();
   /// Decides from the current members of the group whether this entry runs as a candidate.
   boost::asio::awaitable<void> Review();
   /// Called when no member has clearly more cores. `is_first`: the first review, which needs no
--- a/tests/job_entry/fleet_test.cc
+++ b/tests/job_entry/fleet_test.cc
@@ -405,6 +405,24 @@
                       OwnerCase{"a_large_one_comes_later", {0.12, 0.5}, milliseconds(1500), 1, 0}),
     [](const auto& info) { return info.param.name; });
 
+/// All entries of a new fleet wait for the first rules, and get them at once. If those on small VMs
+/// stood together with those on large ones, the first owner would run on any of them, and be
+/// replaced seconds later.
+TEST(Fleet, TheFirstOwnerRunsOnALargeVmWhenTheRulesComeLate) {
+  asio::io_context io;
+  FakeFleet fleet(io, 2);
+  std::vector<KeyedRecord>& rules = fleet.store.At(Topic::kOperators, 0).records;
+  const std::vector<KeyedRecord> published = rules;
+  rules.clear();
+  fleet.AddEntry("a", 0.12);
+  FakeEntry& large = fleet.AddEntry("b", 1.0);
+  io.run_for(milliseconds(1440));
+  rules = published;
+  RunUntil(io, std::chrono::seconds(5), [&] { return IsServing(large); });
+  EXPECT_TRUE(IsServing(large));
+  EXPECT_EQ(fleet.store.At(Topic::kOwners, 0).records.size(), 1U) << "claims";
+}
+
 /// A predecessor's writes are rejected once a higher token has been announced, including a repeated
 /// write whose first response was lost.
 TEST(ProgressWriting, IsFencedByASuccessor) {
