--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -144,7 +144,7 @@
   /// The number of jobs in the average at which the forecast has half of its full weight.
   double half_confidence_jobs = 1;
   /// The cost of a move, as the time for which an idle VM in a pool costs as much.
-  Duration move_cost = std::chrono::milliseconds(3000);
+  Duration move_cost = std::chrono::milliseconds(1000);
   /// Long-running tasks that have waited this long don't fit into their pool, whatever the reason:
   /// labels, the limit of sibling tasks per endpoint, or fragmented memory. The pool gets one more
   /// VM for each of them, and again when these have had time to arrive.
@@ -224,6 +224,7 @@
     /// The highest number of VMs needed recently, and when it was set.
     int target = 0;
     TimePoint target_set_at{};
+    TimePoint first_planned_at{};
     /// The time since which long-running tasks wait.
     std::optional<TimePoint> waiting_since;
   };
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -58,7 +58,7 @@
           "Orders for VMs a second that the platform takes from all entries [64]");
   AddFlag(app, "--vm-move-cost", raw.vm_move_cost,
           "What moving a VM between pools costs, as the time for which an idle VM costs as much; "
-          "the higher, the longer pools keep idle VMs [3s]");
+          "the higher, the longer pools keep idle VMs [1s]");
   AddFlag(
       app, "--job-partitions", raw.job_partitions,
       "In how many partitions of the store jobs are kept, at most 8; never fewer than before [4]");
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -241,10 +241,16 @@
     history.waiting_since = now + this->options.move_time;
   }
   history.needed = required;
-  if (history.target_set_at == TimePoint{}) {
-    // The previous owner chose the current size for a demand that isn't known here yet.
-    history.target = CountServing(vms, pool);
-    history.target_set_at = now;
+  if (history.first_planned_at == TimePoint{}) {
+    history.first_planned_at = now;
+  }
+  // The operators or the previous owner chose the current size for a demand that isn't known here
+  // yet. At the start of a fleet it becomes known only as the endpoints register.
+  const bool is_new = now - history.first_planned_at <= this->options.ShrinkDelay();
+  const int serving = is_new ? CountServing(vms, pool) : 0;
+  if (serving > history.target) {
+    history.target = serving;
+    history.target_set_at = history.first_planned_at;
   }
   if (required >= history.target || now - history.target_set_at > this->options.ShrinkDelay()) {
     history.target = required;
