VM driver: Stop orders when a read of the list fails, not by its age

Cause: rounds go on with the last list while the next one is read, but not with one older than 4 s. The age counts from the request, and a read takes longer with each page: with a slow service, or twice the VMs, reads of 4 s would have ended all orders. Found by reading the change. Change: orders stop only after a read that failed, as before the list was read beside the rounds; the constant is gone.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -16,9 +16,6 @@
 /// Between two rounds. The demand of a queue doubles within a second, and a move takes 1.5 s.
 constexpr Duration kRoundInterval = std::chrono::milliseconds(150);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
-/// No orders are derived from a list that is older: the service doesn't answer, and may be
-/// executing orders of which this entry doesn't know.
-constexpr Duration kMaxListAge = std::chrono::seconds(4);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
 /// A reboot with a response is visible in the list at once; one without may begin seconds later.
 constexpr Duration kRebootVisibleDelay = std::chrono::milliseconds(500);
@@ -98,6 +95,7 @@
   const ScopeGuard finished([this] { this->is_listing = false; });
   const TimePoint requested_at = this->context.Now();
   Result<std::vector<jobs::VmRecord>> list = co_await this->context.links.vms->List(kCallTimeout);
+  this->is_list_current = list.HasValue();
   if (this->is_stopped || !list) {
     co_return;
   }
@@ -109,7 +107,7 @@
 asio::awaitable<void> VmDriver::Round(TimePoint began) {
   const TimePoint first_order = began + this->context.settings.vm_order_pause;
   this->RefreshList(first_order);
-  if (this->vms.empty() || this->context.Now() - this->listed_at > kMaxListAge) {
+  if (!this->is_list_current) {
     co_return;
   }
   // The predecessor may just have sent an order for the same VM.
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -96,6 +96,9 @@
   TimePoint listed_at{};
   /// A list has been requested and hasn't arrived.
   bool is_listing = false;
+  /// The last read succeeded. While the service doesn't answer, it may be executing orders of which
+  /// this entry doesn't know, so no orders are derived from an earlier list.
+  bool is_list_current = false;
   std::map<std::uint64_t, jobs::WaveProgress> waves;
   /// Waves whose progress has yet to be stored.
   std::set<std::uint64_t> changed_waves;
