Settings: Add flags for the decisions under hard load

Cause: account shares, admission, preemption, pool sizes by demand and the budget of a narrow link are to take effect only where a deployment asks for them.

No decision reads them yet.

--- a/include/chervilspar/job_entry/decision_options.h
+++ b/include/chervilspar/job_entry/decision_options.h
@@ -16,6 +16,8 @@
   jobs::SchedulerOptions scheduler;
   jobs::SizerOptions sizer;
   jobs::CarrierOptions carriers;
+  /// Whether submissions that can't be served in time are refused at once.
+  bool admits_by_outlook = false;
   /// Whether another entry is asked to store the records that the store rejects from this one.
   bool relays_records = true;
 
--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -39,6 +39,13 @@
   std::string cores;
   std::string link_rate;
   std::string progress_form;
+  std::string account_shares;
+  std::string job_admission;
+  std::string preemption;
+  std::string preemption_budget;
+  std::string stop_limit;
+  std::string pool_sizing;
+  std::string link_budget;
   std::vector<std::string> seed_peers;
   std::vector<std::string> fleet_zones;
   std::string decisions;
--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -21,6 +21,8 @@
   double slack_ms = 0;
   /// In the resource's unit times milliseconds.
   double work = 0;
+  /// The job's team already uses its share of the fleet.
+  bool is_beyond_share = false;
 
   friend auto operator<=>(const WaitingWork&, const WaitingWork&) = default;
 };
@@ -39,6 +41,10 @@
   double running = 0;
   /// The part of `running` whose jobs are already late.
   double running_late = 0;
+  /// The part of `running` that is on time and beyond the share of its team.
+  double running_beyond_share = 0;
+  /// The amount that running tasks except long-running ones use.
+  double in_use = 0;
   /// The amount that long-running tasks use or wait for.
   double long_running = 0;
 
@@ -159,6 +165,9 @@
   bool late_work_yields = true;
   /// Whether VMs of unreachable zones are ignored.
   bool avoids_unreachable_zones = true;
+  /// Whether a pool's size follows the work that more VMs would still serve on time. Otherwise it
+  /// follows the peak of all open work.
+  bool sizes_by_demand = false;
   /// Minimum number of VMs of a pool, so that the pool survives the loss of one.
   int min_vms = 3;
 
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -60,6 +60,21 @@
   /// `OverloadPlan`.
   bool plans_overload = true;
 
+  /// Whether accounts are served by their weighted shares over all pools when not all work fits.
+  bool divides_shares = false;
+
+  /// Whether running tasks are stopped for on-time tasks that find no capacity.
+  bool preempts = false;
+  /// The longest time that an endpoint takes to stop a run, from the contract of the endpoint.
+  Duration stop_limit = std::chrono::milliseconds(1000);
+  /// The part of a pool's recent work that preemption may discard.
+  double preemption_budget = 0.02;
+
+  /// Whether starts are limited to what the link of the owner carries besides lease renewals.
+  bool budgets_link = false;
+  /// Bandwidth of the owner's link, in megabits per second.
+  double link_rate = 1000;
+
   ProgressForm progress_form = ProgressForm::kRows;
 
   /// The duration by the local clock after which a lease that is granted now has certainly lapsed.
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -74,6 +74,21 @@
   AddFlag(
       app, "--progress-form", raw.progress_form,
       "How the progress of jobs is stored: rows, or compact once every entry reads that [rows]");
+  AddFlag(app, "--account-shares", raw.account_shares,
+          "true to serve accounts by their shares over all pools when not all work fits [false]");
+  AddFlag(app, "--job-admission", raw.job_admission,
+          "true to refuse jobs at once that can't be served in time [false]");
+  AddFlag(app, "--preemption", raw.preemption,
+          "true to stop running tasks for on-time tasks that find no capacity [false]");
+  AddFlag(app, "--preemption-budget", raw.preemption_budget,
+          "The part of a pool's recent work that preemption may discard, from 0 to 1 [0.02]");
+  AddFlag(app, "--stop-limit", raw.stop_limit,
+          "The longest time that an endpoint takes to stop a task [1000ms]");
+  AddFlag(app, "--pool-sizing", raw.pool_sizing,
+          "What the size of a pool follows: peak, all open work, or demand, the work that more VMs "
+          "would serve on time [peak]");
+  AddFlag(app, "--link-budget", raw.link_budget,
+          "true to limit starts to what the owner's link carries besides lease renewals [false]");
   AddListFlag(app, "--seed-peer", raw.seed_peers,
               "ip:port where another entry answers entries; writes for this one when the store "
               "turns it away [none]");
--- a/src/job_entry/decision_options.cc
+++ b/src/job_entry/decision_options.cc
@@ -13,7 +13,8 @@
 namespace {
 
 using SchedulerMember =
-    std::variant<Duration jobs::SchedulerOptions::*, bool jobs::SchedulerOptions::*>;
+    std::variant<Duration jobs::SchedulerOptions::*, double jobs::SchedulerOptions::*,
+                 bool jobs::SchedulerOptions::*>;
 using SizerMember = std::variant<Duration jobs::SizerOptions::*, double jobs::SizerOptions::*,
                                  int jobs::SizerOptions::*, bool jobs::SizerOptions::*>;
 
@@ -32,6 +33,11 @@
     NamedMember<SchedulerMember>{"scheduler.ejection", &jobs::SchedulerOptions::ejection},
     NamedMember<SchedulerMember>{"scheduler.stall", &jobs::SchedulerOptions::stall_timeout},
     NamedMember<SchedulerMember>{"scheduler.overload", &jobs::SchedulerOptions::plans_overload},
+    NamedMember<SchedulerMember>{"scheduler.shares", &jobs::SchedulerOptions::divides_shares},
+    NamedMember<SchedulerMember>{"scheduler.preemption", &jobs::SchedulerOptions::preempts},
+    NamedMember<SchedulerMember>{"scheduler.preemption_budget",
+                                 &jobs::SchedulerOptions::preemption_budget},
+    NamedMember<SchedulerMember>{"scheduler.link_budget", &jobs::SchedulerOptions::budgets_link},
 };
 
 constexpr std::array kCarrierMembers = {
@@ -42,6 +48,7 @@
 
 constexpr std::array kEntryMembers = {
     NamedMember<EntryMember>{"entry.relays_records", &DecisionOptions::relays_records},
+    NamedMember<EntryMember>{"entry.admission", &DecisionOptions::admits_by_outlook},
 };
 
 constexpr std::array kSizerMembers = {
@@ -60,6 +67,7 @@
                              &jobs::SizerOptions::avoids_unreachable_zones},
     NamedMember<SizerMember>{"sizer.late_gives_way", &jobs::SizerOptions::late_work_yields},
     NamedMember<SizerMember>{"sizer.lends", &jobs::SizerOptions::lends_idle_vms},
+    NamedMember<SizerMember>{"sizer.by_demand", &jobs::SizerOptions::sizes_by_demand},
     NamedMember<SizerMember>{"sizer.least_vms", &jobs::SizerOptions::min_vms},
 };
 
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -111,6 +111,17 @@
     return value == "rows" ? jobs::ProgressForm::kRows : jobs::ProgressForm::kCompact;
   }
 
+  bool IsSizedByDemand(const char* flag, const std::string& value, bool fallback) {
+    if (value.empty()) {
+      return fallback;
+    }
+    if (value != "demand" && value != "peak") {
+      this->Add(flag, '"' + value + "\" should be demand or peak");
+      return fallback;
+    }
+    return value == "demand";
+  }
+
   telemetry::LogLevel Level(const char* flag, const std::string& value,
                             telemetry::LogLevel fallback) {
     if (value.empty()) {
@@ -123,6 +134,26 @@
     return level.value_or(fallback);
   }
 
+  /// The decisions that a deployment has to ask for. They override the defaults of `--decisions`.
+  void SetOptionalDecisions(const RawJobEntrySettings& raw, JobEntrySettings& settings) {
+    jobs::SchedulerOptions& scheduler = settings.decisions.scheduler;
+    scheduler.divides_shares =
+        this->Boolean("--account-shares", raw.account_shares, scheduler.divides_shares);
+    scheduler.preempts = this->Boolean("--preemption", raw.preemption, scheduler.preempts);
+    scheduler.preemption_budget =
+        this->Number("--preemption-budget", raw.preemption_budget, scheduler.preemption_budget, 0,
+                     1, "a fraction from 0 to 1");
+    scheduler.stop_limit =
+        this->DurationValue("--stop-limit", raw.stop_limit, scheduler.stop_limit);
+    scheduler.budgets_link =
+        this->Boolean("--link-budget", raw.link_budget, scheduler.budgets_link);
+    scheduler.link_rate = settings.link_rate;
+    settings.decisions.sizer.sizes_by_demand = this->IsSizedByDemand(
+        "--pool-sizing", raw.pool_sizing, settings.decisions.sizer.sizes_by_demand);
+    settings.decisions.admits_by_outlook =
+        this->Boolean("--job-admission", raw.job_admission, settings.decisions.admits_by_outlook);
+  }
+
   DecisionOptions Decisions(const char* flag, const std::string& value) {
     const Result<DecisionOptions> options = ParseDecisionOptions(value);
     if (!options) {
@@ -199,6 +230,7 @@
   settings.decisions = check.Decisions("--decisions", raw.decisions);
   settings.decisions.sizer.move_cost =
       check.DurationValue("--vm-move-cost", raw.vm_move_cost, settings.decisions.sizer.move_cost);
+  check.SetOptionalDecisions(raw, settings);
   settings.log_level = check.Level("--log-level", raw.log_level, settings.log_level);
   JobEntrySettingsOutcome outcome{std::nullopt, std::move(check.faults)};
   if (outcome.faults.empty()) {
--- a/tests/job_entry/settings_test.cc
+++ b/tests/job_entry/settings_test.cc
@@ -61,6 +61,29 @@
                        raw.vm_service_compares_tokens = "yes";
                      },
                      {"--vm-order-rate", "--vm-service-compares-tokens"}},
+        SettingsCase{"decisions_on_request",
+                     [](RawJobEntrySettings& raw) {
+                       raw.account_shares = "true";
+                       raw.job_admission = "true";
+                       raw.preemption = "true";
+                       raw.preemption_budget = "0.1";
+                       raw.stop_limit = "900ms";
+                       raw.pool_sizing = "demand";
+                       raw.link_budget = "true";
+                     },
+                     {}},
+        SettingsCase{"decisions_that_are_misspelt",
+                     [](RawJobEntrySettings& raw) {
+                       raw.account_shares = "yes";
+                       raw.job_admission = "1";
+                       raw.preemption = "on";
+                       raw.preemption_budget = "2";
+                       raw.stop_limit = "soon";
+                       raw.pool_sizing = "small";
+                       raw.link_budget = "2";
+                     },
+                     {"--account-shares", "--job-admission", "--preemption", "--preemption-budget",
+                      "--stop-limit", "--pool-sizing", "--link-budget"}},
         SettingsCase{
             "no_link", [](RawJobEntrySettings& raw) { raw.link_rate = "0"; }, {"--link-rate"}},
         SettingsCase{"half_a_partition",
