Scheduler: Place work within account shares first

Cause: the order by deadline lets the account with the most work take the VMs of all pools. PlacingRound places on-time work within shares, then beyond, then late work; OverloadPlan judges an account by its open work of all pools; PoolLoads marks work beyond shares.

--- a/include/chervilspar/jobs/overload_plan.h
+++ b/include/chervilspar/jobs/overload_plan.h
@@ -37,8 +37,11 @@
  public:
   /// Returns the jobs to abandon. `jobs` are sorted by slack. `cpu` is the capacity of the pool for
   /// them in thousandths of a core. A team without an entry in `weights` has the weight 1.
+  /// `open_work`: a team's running and waiting work over all pools, including that of `jobs`. A
+  /// team with an entry is judged by this, and one without by its work in `jobs`.
   static std::set<JobId> SelectJobsToAbandon(const std::vector<UrgentJob>& jobs, double cpu,
-                                             const std::map<TeamId, double>& weights);
+                                             const std::map<TeamId, double>& weights,
+                                             const std::map<TeamId, double>& open_work = {});
 };
 
 }  // namespace chervilspar::jobs
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "chervilspar/base/time.h"
+#include "chervilspar/jobs/account_shares.h"
 #include "chervilspar/jobs/endpoint.h"
 #include "chervilspar/jobs/job.h"
 #include "chervilspar/jobs/lapse_notice.h"
@@ -222,6 +223,11 @@
   /// `nullopt` for an unknown endpoint.
   std::optional<EndpointUsage> UsageOf(const std::string& endpoint) const;
   std::map<ServiceId, PoolLoad> PoolLoads() const;
+  /// The last division among accounts; empty if `SchedulerOptions::divides_shares` is off.
+  const AccountShares& Shares() const;
+  /// The number of jobs that have waited because their account was beyond its share. Never
+  /// decreases.
+  std::uint64_t JobsBehindShare() const;
   /// Resources in use, and in total, over the registered endpoints of a service; input to the
   /// selection of VMs.
   Resources UsedIn(const ServiceId& service) const;
--- a/src/jobs/account_shares.cc
+++ b/src/jobs/account_shares.cc
@@ -27,6 +27,10 @@
   return *std::max_element(fractions.begin(), fractions.end());
 }
 
+/// Bounds of a weight, far outside of what operators configure, so that sums stay finite.
+constexpr double kMinWeight = 1e-6;
+constexpr double kMaxWeight = 1e6;
+
 bool IsValidWeight(double weight) { return std::isfinite(weight) && weight > 0; }
 
 double SmallestWeight(const std::vector<AccountDemand>& demands) {
@@ -94,13 +98,15 @@
   }
 
   void StopGrowing(const std::array<bool, 2>& is_used_up) {
+    for (const Claimant& claimant : this->growing) {
+      AccountShare& share = *claimant.share;
+      share.due = std::min(share.requested, share.weight * this->level);
+    }
     std::erase_if(this->growing, [&](const Claimant& claimant) {
       bool is_stopped = claimant.FullLevel() <= this->level;
       for (std::size_t i = 0; i < is_used_up.size(); ++i) {
         is_stopped = is_stopped || (is_used_up[i] && claimant.profile[i] > 0);
       }
-      claimant.share->due =
-          std::min(claimant.share->requested, claimant.share->weight * this->level);
       return is_stopped;
     });
   }
@@ -129,7 +135,8 @@
   Resources total;
   for (const AccountDemand& demand : demands) {
     AccountShare& share = this->shares[demand.team];
-    share.weight = IsValidWeight(demand.weight) ? demand.weight : smallest_weight;
+    const double weight = IsValidWeight(demand.weight) ? demand.weight : smallest_weight;
+    share.weight = std::clamp(weight, kMinWeight, kMaxWeight);
     Fractions profile = FractionsOf(demand.requested, capacity);
     share.requested = Largest(profile);
     share.used = this->DominantFraction(demand.in_use);
--- a/src/jobs/overload_plan.cc
+++ b/src/jobs/overload_plan.cc
@@ -18,15 +18,21 @@
 }  // namespace
 
 std::set<JobId> OverloadPlan::SelectJobsToAbandon(const std::vector<UrgentJob>& jobs, double cpu,
-                                                  const std::map<TeamId, double>& weights) {
+                                                  const std::map<TeamId, double>& weights,
+                                                  const std::map<TeamId, double>& open_work) {
   std::set<JobId> abandoned;
   std::map<TeamId, TeamBacklog> teams;
   double total_work = 0;
   for (const UrgentJob& job : jobs) {
-    TeamBacklog& team = teams[job.team];
+    const auto [entry, is_new] = teams.try_emplace(job.team);
+    TeamBacklog& team = entry->second;
+    const auto known = open_work.find(job.team);
+    if (is_new && known != open_work.end()) {
+      team.work = known->second;
+    }
     const auto weight = weights.find(job.team);
     team.weight = weight == weights.end() ? 1 : std::max(weight->second, 1e-6);
-    team.work += job.work;
+    team.work += known == open_work.end() ? job.work : 0;
     team.jobs_by_work.insert({job.work, job.job});
     total_work += job.work;
     while (total_work > cpu * std::max(job.slack_ms, 0.0) && total_work > 0) {
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -5,6 +5,8 @@
 
 #include "chervilspar/jobs/overload_plan.h"
 
+#include "jobs/division_round.h"
+
 namespace chervilspar::jobs {
 
 namespace {
@@ -17,10 +19,13 @@
 /// Added to the slack of a job. Estimates are rough, and a job that starts a little after its
 /// latest start often still meets its deadline.
 constexpr double kSlackToleranceMs = 200;
+/// Before the latest start of every job.
+constexpr std::int64_t kFirst = std::numeric_limits<std::int64_t>::min();
 
 }  // namespace
 
 void PlacingRound::Run() {
+  this->is_divided = DivisionRound(this->state, this->now, this->wall_ms).Run();
   for (auto& [service, pool] : this->state.pools) {
     if (!pool.ready.empty() && !pool.endpoints.empty()) {
       this->PlacePool(pool);
@@ -29,7 +34,6 @@
 }
 
 void PlacingRound::PlacePool(PoolState& pool) {
-  constexpr std::int64_t kFirst = std::numeric_limits<std::int64_t>::min();
   this->reserved.clear();
   this->unplaced_jobs = 0;
   std::vector<std::uint32_t> ranks;
@@ -38,12 +42,11 @@
     place = pool.ready.lower_bound({place->rank + 1, kFirst, {}});
   }
   this->PlanOverload(pool);
-  for (const std::uint32_t rank : ranks) {
-    const std::int64_t begin = rank == 0 ? kFirst : this->wall_ms;
-    if (!this->PlaceBetween(pool, {rank, begin, {}}, {rank + 1, kFirst, {}},
-                            JobFilter::kExpectedOnTime)) {
-      return;
-    }
+  const bool divides = this->state.options.divides_shares;
+  if (!this->PlaceOnTime(pool, ranks,
+                         divides ? JobFilter::kWithinShare : JobFilter::kExpectedOnTime) ||
+      (divides && !this->PlaceOnTime(pool, ranks, JobFilter::kBeyondShare))) {
+    return;
   }
   // The remaining capacity is for jobs that can still meet their deadlines.
   if (this->unplaced_jobs > 0) {
@@ -61,23 +64,32 @@
   }
 }
 
-double PlacingRound::RemainingWork(const JobState& job) const {
-  double work = 0;
-  for (const auto& [number, occurrence] : job.occurrences) {
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      const Step& spec = job.job.steps[i];
-      const auto waiting =
-          std::count_if(occurrence.steps[i].tasks.begin(), occurrence.steps[i].tasks.end(),
-                        [](const Task& task) { return task.IsWaiting(); });
-      work += static_cast<double>(waiting) * static_cast<double>(RequiredCapacity(spec).cpu) *
-              static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kMinEstimateMs));
-    }
+bool PlacingRound::PlaceOnTime(PoolState& pool, const std::vector<std::uint32_t>& ranks,
+                               JobFilter filter) {
+  return std::all_of(ranks.begin(), ranks.end(), [&](std::uint32_t rank) {
+    const std::int64_t begin = rank == 0 ? kFirst : this->wall_ms;
+    return this->PlaceBetween(pool, {rank, begin, {}}, {rank + 1, kFirst, {}}, filter);
+  });
+}
+
+bool PlacingRound::IsSelected(const JobState& job, JobFilter filter) const {
+  if (filter == JobFilter::kAll) {
+    return true;
   }
-  return work;
+  if (filter == JobFilter::kAbandoned || filter == JobFilter::kExpectedOnTime || job.is_abandoned) {
+    return job.is_abandoned == (filter == JobFilter::kAbandoned);
+  }
+  // Claims made since the division count as well.
+  const bool is_beyond = job.is_beyond_share || (job.ready && job.ready->rank > 0 &&
+                                                 this->state.division.IsBeyond(job.job.team));
+  return is_beyond == (filter == JobFilter::kBeyondShare);
 }
 
 void PlacingRound::PlanOverload(PoolState& pool) {
-  if (!this->state.options.plans_overload || this->now - pool.planned < kPlanInterval) {
+  const bool is_due = this->state.options.divides_shares
+                          ? this->is_divided
+                          : this->now - pool.planned >= kPlanInterval;
+  if (!this->state.options.plans_overload || !is_due) {
     return;
   }
   pool.planned = this->now;
@@ -102,7 +114,7 @@
       urgent.push_back(
           {key.job, job.job.team,
            static_cast<double>(key.latest_start_ms - this->wall_ms) + kSlackToleranceMs,
-           this->RemainingWork(job)});
+           WaitingWorkOf(job)});
     }
   }
   std::stable_sort(urgent.begin(), urgent.end(), [](const UrgentJob& one, const UrgentJob& other) {
@@ -112,7 +124,15 @@
   for (const auto& [id, team] : this->state.policy.teams) {
     weights[id] = team.weight;
   }
-  for (const JobId& id : OverloadPlan::SelectJobsToAbandon(urgent, std::max(cpu, 0.0), weights)) {
+  std::map<TeamId, double> open_work;
+  if (this->state.options.divides_shares) {
+    for (const auto& [team, share] : this->state.division.shares.All()) {
+      weights[team] = share.weight;
+      open_work[team] = this->state.division.accounts[team].open_work;
+    }
+  }
+  for (const JobId& id :
+       OverloadPlan::SelectJobsToAbandon(urgent, std::max(cpu, 0.0), weights, open_work)) {
     this->state.FindJob(id)->is_abandoned = true;
   }
 }
@@ -123,9 +143,7 @@
   while (place != pool.ready.end() && *place < end) {
     const ReadyKey key = *place;
     JobState& job = *this->state.FindJob(key.job);
-    const bool is_selected =
-        filter == JobFilter::kAll || job.is_abandoned == (filter == JobFilter::kAbandoned);
-    if (is_selected && !this->PlaceJob(job) &&
+    if (this->IsSelected(job, filter) && !this->PlaceJob(job) &&
         ++this->unplaced_jobs >= this->state.options.max_unplaced_per_round) {
       return false;
     }
@@ -151,8 +169,10 @@
 
 void PlacingRound::LogWaitReason(JobState& job) {
   const bool is_late = this->wall_ms > job.deadline_ms;
+  const bool is_beyond_share = this->wait_reason == WaitReason::kNoCapacity &&
+                               job.reported_wait_reason == WaitReason::kBeyondShare;
   if (this->wait_reason == WaitReason::kNone || this->wait_reason == job.reported_wait_reason ||
-      !is_late) {
+      is_beyond_share || !is_late) {
     return;
   }
   job.reported_wait_reason = this->wait_reason;
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -10,6 +10,8 @@
 /// When the demand of a queue exceeds its pool for some seconds, jobs that can still meet their
 /// deadlines go first, in the order of their latest start, and late jobs take the remaining
 /// capacity. Oldest first would make every job late as soon as the queue is longer than the slack.
+/// With `SchedulerOptions::divides_shares`, on-time jobs within their account's share go before
+/// those beyond it.
 class PlacingRound {
  public:
   PlacingRound(SchedulerState& state, TimePoint now, std::int64_t wall_ms)
@@ -19,14 +21,16 @@
 
  private:
   void PlacePool(PoolState& pool);
-  enum class JobFilter { kExpectedOnTime, kAbandoned, kAll };
+  enum class JobFilter { kExpectedOnTime, kWithinShare, kBeyondShare, kAbandoned, kAll };
+
+  bool IsSelected(const JobState& job, JobFilter filter) const;
+  /// Places the jobs that are expected to be on time. False if the round has to end.
+  bool PlaceOnTime(PoolState& pool, const std::vector<std::uint32_t>& ranks, JobFilter filter);
 
   /// Places jobs from `begin` up to, but not including, `end`. False if the round has to end.
   bool PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end, JobFilter filter);
   /// Decides which jobs to abandon if not all of them can meet their deadlines.
   void PlanOverload(PoolState& pool);
-  /// Estimated work of the waiting tasks, in thousandths of a core times milliseconds.
-  double RemainingWork(const JobState& job) const;
   /// False if a task of the job found no free capacity, although some endpoint is large enough.
   bool PlaceJob(JobState& job);
   bool PlaceStep(JobState& job, std::uint32_t occurrence, std::uint32_t step);
@@ -49,6 +53,8 @@
   std::set<EndpointState*> reserved;
   /// Jobs of this pool that did not fit in this round.
   int unplaced_jobs = 0;
+  /// The division among accounts was computed in this round.
+  bool is_divided = false;
   /// What the job that was handled last waits for.
   WaitReason wait_reason = WaitReason::kNone;
   /// More than one, as a single endpoint may stay busy for long.
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -33,6 +33,7 @@
 void Scheduler::SetPolicy(const Policy& policy) {
   SchedulerState& state = this->impl->state;
   state.policy = policy;
+  state.division.computed.reset();
   for (const auto& [id, job] : state.jobs) {
     if (!job->IsOver()) {
       state.ApplyPolicyTo(*job);
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -30,6 +30,8 @@
       return "its team has reached its limit";
     case WaitReason::kAdvice:
       return "the adviser has not answered on which endpoints it may run";
+    case WaitReason::kBeyondShare:
+      return "waits behind";
   }
   return "unknown";
 }
@@ -152,6 +154,22 @@
     endpoint.claims.erase(ref.key);
     --ref.job->claims;
   }
+  if (this->options.divides_shares) {
+    this->AccountBatchUse(ref, endpoint, is_added);
+  }
+}
+
+void SchedulerState::AccountBatchUse(const TaskRef& ref, EndpointState& endpoint, bool is_added) {
+  const Resources capacity = RequiredCapacity(*ref.spec);
+  const Resources change = is_added ? capacity : Resources{} - capacity;
+  if (ref.spec->is_long_running) {
+    endpoint.used_by_long_running = endpoint.used_by_long_running + change;
+    return;
+  }
+  AccountUse& use = this->division.accounts[ref.job->job.team];
+  use.in_use = use.in_use + change;
+  use.claimed_work += static_cast<double>(change.cpu) *
+                      static_cast<double>(std::max(ref.spec->estimate_ms, kMinEstimateMs));
 }
 
 void SchedulerState::ReserveCapacity(const TaskRef& ref, EndpointState& endpoint, TimePoint until) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -11,6 +11,8 @@
 
 #include "chervilspar/jobs/scheduler.h"
 
+#include "jobs/account_division.h"
+
 namespace chervilspar::jobs {
 
 struct EndpointState;
@@ -102,7 +104,15 @@
 };
 
 /// Why the next task of a job has no endpoint.
-enum class WaitReason { kNone, kNoCapacity, kNoEligibleEndpoint, kCordoned, kTeamLimit, kAdvice };
+enum class WaitReason {
+  kNone,
+  kNoCapacity,
+  kNoEligibleEndpoint,
+  kCordoned,
+  kTeamLimit,
+  kAdvice,
+  kBeyondShare
+};
 
 const char* ToString(WaitReason reason);
 
@@ -148,6 +158,9 @@
   std::optional<ReadyKey> ready;
   /// The job could meet its deadline alone, but not together with the others; see `OverloadPlan`.
   bool is_abandoned = false;
+  /// Its next tasks, or if none waits its running ones, exceed what its account is due; see
+  /// `DivisionRound`. Always false for late and long-running jobs.
+  bool is_beyond_share = false;
   /// The last reason logged for a late job; each change is logged once.
   WaitReason reported_wait_reason = WaitReason::kNone;
 
@@ -179,6 +192,8 @@
   /// renewed.
   TimePoint lease_end{};
   Resources used;
+  /// The part of `used` by long-running tasks.
+  Resources used_by_long_running;
   /// Reserved for tasks that are moving here from an endpoint that is being evacuated.
   Resources reserved_capacity;
   std::set<TaskKey> claims;
@@ -314,6 +329,7 @@
   /// By endpoint: encoded lapse notices to store with the next batch; `std::nullopt` deletes one.
   std::map<std::string, std::optional<std::string>> lapse_changes;
   std::map<TeamId, Resources> team_usage;
+  AccountDivision division;
   std::vector<JobId> dirty;
   /// Tasks whose start or stop may have to be repeated.
   std::set<TaskKey> retry_candidates;
@@ -333,6 +349,8 @@
   std::int64_t CriticalPathMs(const JobState& job, const Occurrence& occurrence) const;
   /// Adds or removes the task's claim in the usage of its endpoint, team and job.
   void AccountUsage(const TaskRef& ref, EndpointState& endpoint, bool is_added);
+  /// The same in the division among accounts.
+  void AccountBatchUse(const TaskRef& ref, EndpointState& endpoint, bool is_added);
 };
 
 /// The capacity that one task of the step claims on an endpoint; the cpu of a filler isn't counted.
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -57,17 +57,34 @@
   return count;
 }
 
+/// What the division among accounts says of a job; all false or 0 without a division.
+struct ShareOfJob {
+  bool is_waiting_beyond = false;
+  /// The part of its running work that is beyond the share of its account.
+  double running_beyond = 0;
+};
+
+ShareOfJob ShareOf(const JobState& job, const SchedulerState& state) {
+  if (!state.options.divides_shares) {
+    return {};
+  }
+  return {job.is_beyond_share || job.is_abandoned,
+          job.is_abandoned ? 1.0 : state.division.ExcessPart(job.job.team)};
+}
+
 /// Adds the remaining work of one step to the load of its pool. `amount` is the need of one task.
-void AddStep(const StepCount& count, bool is_open, bool is_late, double amount, double estimate_ms,
-             double slack_ms, ResourceLoad& load) {
+void AddStep(const StepCount& count, bool is_open, bool is_late, const ShareOfJob& share,
+             double amount, double estimate_ms, double slack_ms, ResourceLoad& load) {
   if (count.waiting > 0) {
-    load.waiting.push_back({slack_ms, count.waiting * amount * estimate_ms});
+    load.waiting.push_back(
+        {slack_ms, count.waiting * amount * estimate_ms, share.is_waiting_beyond});
   }
   const double remaining =
       count.unconfirmed + (count.claimed - count.unconfirmed) * kRemainingShareOfRunning;
   const double running = remaining * amount * estimate_ms;
   load.running += running;
   load.running_late += is_late ? running : 0;
+  load.running_beyond_share += is_late ? 0 : running * share.running_beyond;
   load.concurrent_demand += (count.claimed + (is_open ? count.waiting : 0)) * amount;
 }
 
@@ -146,6 +163,7 @@
     }
     PoolLoad& load = loads[job->service];
     const std::vector<std::int64_t> chains = ChainsFrom(job->job);
+    const ShareOfJob share = ShareOf(*job, state);
     for (const auto& [number, occurrence] : job->occurrences) {
       const std::int64_t begin_ms = std::int64_t{number} * job->job.interval_ms;
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
@@ -163,9 +181,9 @@
               static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kMinEstimateMs));
           const StepCount count = CountTasks(step);
           const bool is_late = this->impl->state.wall_ms > job->deadline_ms + begin_ms;
-          AddStep(count, step.is_open, is_late, static_cast<double>(RequiredCapacity(spec).cpu),
-                  estimate, slack_ms, load.cpu);
-          AddStep(count, step.is_open, is_late,
+          AddStep(count, step.is_open, is_late, share,
+                  static_cast<double>(RequiredCapacity(spec).cpu), estimate, slack_ms, load.cpu);
+          AddStep(count, step.is_open, is_late, share,
                   static_cast<double>(RequiredCapacity(spec).memory_mb), estimate, slack_ms,
                   load.memory);
           continue;
@@ -186,6 +204,10 @@
   return loads;
 }
 
+const AccountShares& Scheduler::Shares() const { return this->impl->state.division.shares; }
+
+std::uint64_t Scheduler::JobsBehindShare() const { return this->impl->state.division.jobs_behind; }
+
 Resources Scheduler::UsedIn(const ServiceId& service) const {
   Resources sum;
   const auto pool = this->impl->state.pools.find(service);
