Shares: Report waits behind a share, export ratios, and test the division

Cause: operators could not see whose work goes first when not everything fits. The event is reported only while the account's use is above its due: otherwise the job waits for room. An account that has all of its request is due exactly that, free of rounding.

--- a/src/cli/explain_job_command.cc
+++ b/src/cli/explain_job_command.cc
@@ -62,6 +62,14 @@
   }
 }
 
+/// Of a job that doesn't wait any more: why it did.
+std::string DescribeWait(const Trace& waits) {
+  constexpr std::string_view kWaits = "waits behind: ";
+  const bool is_behind = waits.message.starts_with(kWaits);
+  return is_behind ? "; it waited behind: " + waits.message.substr(kWaits.size())
+                   : "; it waited: " + waits.message;
+}
+
 /// What the lines come to, in one sentence.
 std::string Conclusion(const std::vector<Trace>& traces) {
   const auto last = [&](std::string_view event) {
@@ -73,18 +81,19 @@
     const Trace* failed = last("job_failed");
     const Trace* waited = last("job_waits");
     std::string why = failed != nullptr ? "; " + failed->message + failed->fields : "";
-    why += waited != nullptr ? "; it waited: " + waited->message : "";
+    why += waited != nullptr ? DescribeWait(*waited) : "";
     return "It came to its end: " + ended->message + why + ".";
   }
   const Trace* const waits = last("job_waits");
   const Trace* const found = last("job_found_running");
   const Trace* const started = found != nullptr ? found : last("job_started");
   if (waits != nullptr && (started == nullptr || *started < *waits)) {
-    return "It has not ended; " + waits->message + ".";
+    const bool is_behind = waits->message.starts_with("waits behind: ");
+    return (is_behind ? "It has not ended; it " : "It has not ended; ") + waits->message + ".";
   }
   if (started != nullptr) {
     return "It was started and has not ended in these logs" +
-           (waits != nullptr ? "; it waited: " + waits->message : "") + ".";
+           (waits != nullptr ? DescribeWait(*waits) : "") + ".";
   }
   if (last("job_accepted") != nullptr) {
     return "It was stored and has not been started in these logs; see who scheduled then "
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -68,6 +68,7 @@
           context, OptionsFor(context), token, [this] { return this->LastProof(); },
           [this] { this->Stop("an endpoint has seen a higher token"); })),
       vms(context, operators, directory, this->scheduler, this->member, token),
+      share_metrics(context.metrics),
       decide(std::make_shared<http::Wakeup>(context.io.get_executor())),
       store(std::make_shared<http::Wakeup>(context.io.get_executor())),
       advise(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
@@ -86,6 +87,7 @@
   this->sender.Stop();
   this->keeper->Stop();
   this->vms.Stop();
+  this->share_metrics.Clear();
   this->decide->Notify();
   this->store->Notify();
   this->advise->Notify();
@@ -122,6 +124,7 @@
     co_await Pause(this->context, kReviewInterval);
     if (!this->is_stopped) {
       this->registry.DropLapsed();
+      this->UpdateShareMetrics();
       co_await this->DropEnded();
     }
   }
@@ -326,6 +329,13 @@
   }
 }
 
+void OwnerTerm::UpdateShareMetrics() {
+  if (this->context.settings.decisions.scheduler.divides_shares) {
+    this->share_metrics.Update(this->scheduler.Shares(), this->scheduler.JobsBehindShare(),
+                               this->operators.Policy().get());
+  }
+}
+
 OwnerTerm::Answer OwnerTerm::Find(const jobs::JobId& id) const {
   if (!this->IsServing()) {
     return {};
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -18,6 +18,7 @@
 #include "job_entry/order_sender.h"
 #include "job_entry/owner_directory.h"
 #include "job_entry/progress_writer.h"
+#include "job_entry/share_metrics.h"
 #include "job_entry/vm_driver.h"
 
 namespace chervilspar::job_entry {
@@ -74,6 +75,7 @@
   void OnEndpointsChanged();
   void SetEndpoints();
   void LogNotes();
+  void UpdateShareMetrics();
   void RequestRound();
 
   const Context context;
@@ -102,6 +104,7 @@
   std::shared_ptr<LeaseKeeper> keeper;
   bool is_keeper_started = false;
   VmDriver vms;
+  ShareMetrics share_metrics;
   std::shared_ptr<http::Wakeup> decide;
   std::shared_ptr<http::Wakeup> store;
   std::shared_ptr<http::Wakeup> advise;
--- a/src/jobs/account_division.h
+++ b/src/jobs/account_division.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
-#include <string>
 #include <unordered_map>
 
 #include "chervilspar/base/time.h"
@@ -30,8 +29,6 @@
   bool IsBeyond(const TeamId& team) const;
   /// The part of the account's use at the last division that exceeded what it was due.
   double ExcessPart(const TeamId& team) const;
-  /// For the log: how much of its share the account uses.
-  std::string Describe(const TeamId& team) const;
 
   AccountShares shares;
   std::unordered_map<TeamId, AccountUse> accounts;
--- a/src/jobs/account_shares.cc
+++ b/src/jobs/account_shares.cc
@@ -100,7 +100,9 @@
   void StopGrowing(const std::array<bool, 2>& is_used_up) {
     for (const Claimant& claimant : this->growing) {
       AccountShare& share = *claimant.share;
-      share.due = std::min(share.requested, share.weight * this->level);
+      const double due = std::min(share.requested, share.weight * this->level);
+      // Rounding must not leave an account that has all of its request below it.
+      share.due = claimant.FullLevel() <= this->level ? share.requested : due;
     }
     std::erase_if(this->growing, [&](const Claimant& claimant) {
       bool is_stopped = claimant.FullLevel() <= this->level;
--- a/src/jobs/division_round.cc
+++ b/src/jobs/division_round.cc
@@ -1,6 +1,8 @@
 #include "jobs/division_round.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 #include "jobs/placement.h"
 
@@ -46,6 +48,12 @@
   return need;
 }
 
+std::string DescribeUse(const AccountShare& share) {
+  std::array<char, 64> text{};
+  std::snprintf(text.data(), text.size(), "its account uses %.1f of its share", share.Ratio());
+  return text.data();
+}
+
 }  // namespace
 
 double WaitingWorkOf(const JobState& job) {
@@ -250,19 +258,19 @@
 
 void DivisionRound::ReportBehind(JobState& job) {
   const AccountShare* share = this->state.division.shares.Find(job.job.team);
-  // Otherwise the account has all that it may use, and the job waits for its cap.
-  const bool is_limited = share != nullptr && share->due < share->requested;
-  if (!is_limited || job.reported_wait_reason == WaitReason::kBeyondShare || job.claims > 0) {
+  // Otherwise it waits for room only, or for the account's cap.
+  const bool is_behind = share != nullptr && share->IsBeyond() && share->due < share->requested;
+  if (!is_behind || job.reported_wait_reason == WaitReason::kBeyondShare || job.claims > 0) {
     return;
   }
   job.reported_wait_reason = WaitReason::kBeyondShare;
   ++this->state.division.jobs_behind;
-  this->state.ReportEvent({"job_waits",
-                           {},
-                           job.job.id,
-                           "",
-                           std::string(ToString(WaitReason::kBeyondShare)) + ": " +
-                               this->state.division.Describe(job.job.team)});
+  this->state.ReportEvent(
+      {"job_waits",
+       {},
+       job.job.id,
+       "",
+       std::string(ToString(WaitReason::kBeyondShare)) + ": " + DescribeUse(*share)});
 }
 
 }  // namespace chervilspar::jobs
--- a/tests/cli/explain_job_test.cc
+++ b/tests/cli/explain_job_test.cc
@@ -88,6 +88,14 @@
                     {Line(2, "job_waits", "its team has reached its limit"),
                      Line(3, "job_ended", "complete, late by 80 ms")},
                     "it waited: its team has reached its limit"},
+        ExplainCase{"behind_its_share",
+                    {Line(1, "job_accepted", "stored"),
+                     Line(2, "job_waits", "waits behind: its account uses 2.3 of its share")},
+                    "It has not ended; it waits behind: its account uses 2.3 of its share."},
+        ExplainCase{"behind_its_share_and_done",
+                    {Line(2, "job_waits", "waits behind: its account uses 2.3 of its share"),
+                     Line(3, "job_ended", "complete, late by 80 ms")},
+                    "it waited behind: its account uses 2.3 of its share."},
         ExplainCase{"unknown", {}, "say nothing of it"}),
     [](const auto& info) { return info.param.name; });
 
--- a/tests/jobs/overload_plan_test.cc
+++ b/tests/jobs/overload_plan_test.cc
@@ -95,6 +95,21 @@
   EXPECT_NEAR(world.KeptJobsOf("small"), 5, 1);
 }
 
+/// The account with less work in this pool has taken another pool; judged by this pool alone, the
+/// other account would lose all jobs that don't fit.
+TEST(OverloadPlan, CountsOpenWorkOfOtherPools) {
+  Overload world;
+  world.Add("hot", 10, 2000, 1);
+  world.Add("counter", 15, 2000, 1);
+  const std::set<JobId> abandoned = OverloadPlan::SelectJobsToAbandon(
+      world.jobs, 10000, {}, {{TeamId{"hot"}, 90e6}, {TeamId{"counter"}, 15e6}});
+  const auto is_hot = [&](const UrgentJob& job) { return job.team.text == "hot"; };
+  EXPECT_EQ(abandoned.size(), 5U);
+  EXPECT_TRUE(std::all_of(world.jobs.begin(), world.jobs.end(), [&](const UrgentJob& job) {
+    return is_hot(job) || !abandoned.contains(job.job);
+  }));
+}
+
 /// A pool without VMs can't serve any job on time; the plan must still terminate.
 TEST(OverloadPlan, AbandonsAllWithoutCpu) {
   Overload world;
