--- /dev/null
+++ b/src/jobs/account_division.cc
@@ -0,0 +1,19 @@
+#include "jobs/account_division.h"
+
+namespace chervilspar::jobs {
+
+bool AccountDivision::IsBeyond(const TeamId& team) const {
+  const auto found = this->accounts.find(team);
+  if (found == this->accounts.end()) {
+    return false;
+  }
+  const AccountUse& use = found->second;
+  return AccountShare{.due = use.due, .used = this->shares.DominantFraction(use.in_use)}.IsBeyond();
+}
+
+double AccountDivision::ExcessPart(const TeamId& team) const {
+  const AccountShare* share = this->shares.Find(team);
+  return share != nullptr && share->IsBeyond() ? 1 - share->due / share->used : 0;
+}
+
+}  // namespace chervilspar::jobs
