Jobs: Stop late or lower-ranked runs for on-time tasks without capacity

Late work could fill a pool while tasks that could still be on time waited for it to end. PreemptionPlan selects the runs to stop; Preemption describes the blocked tasks and runs to it every 50 ms and begins the stops. It is off unless SchedulerOptions::preempts.

The existing tests of the module pass (jobs_test).

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -80,6 +80,16 @@
   friend bool operator==(const JobView&, const JobView&) = default;
 };
 
+/// Runs that were stopped for other tasks, counted when the stop is decided.
+struct PreemptionCounts {
+  std::uint64_t saved = 0;
+  std::uint64_t unsaved = 0;
+  /// Work of the runs that don't save their progress.
+  double discarded_core_seconds = 0;
+
+  friend bool operator==(const PreemptionCounts&, const PreemptionCounts&) = default;
+};
+
 /// Asks the adviser of a queue on which of these endpoints the step may run.
 struct AdviceRequest {
   TaskKey step;
@@ -208,6 +218,8 @@
   ZoneId ZoneOf(const std::string& endpoint) const;
   /// Events since the last call, oldest first.
   std::vector<DecisionEvent> TakeEvents();
+  /// Counts since the last call.
+  PreemptionCounts TakePreemptionCounts();
   /// True once an endpoint has reported a higher token, which means that another scheduler has
   /// taken over.
   bool IsSuperseded() const;
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -19,6 +19,8 @@
                         TimePoint now) const;
   /// True if the endpoint accepts new tasks at all.
   static bool IsUsable(const EndpointState& endpoint, TimePoint now);
+  /// Whether the task may run on the endpoint, regardless of its free capacity.
+  bool MayRunOn(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) const;
   /// True if some endpoint could run the task but for a cordon.
   bool IsBlockedByCordon(const TaskRef& ref) const;
   /// The endpoint to reserve for a task that fits nowhere now: the one with the most free cpu of
@@ -26,7 +28,6 @@
   EndpointState* ChooseToReserve(const TaskRef& ref, TimePoint now) const;
 
  private:
-  bool MayRunOn(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) const;
   bool IsBelowLimitPerEndpoint(const TaskRef& ref, const EndpointState& endpoint) const;
   std::int64_t Cost(const TaskRef& ref, const EndpointState& endpoint) const;
   std::int64_t SharingCost(const TaskRef& ref, const EndpointState& endpoint) const;
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -189,6 +189,9 @@
     if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
       // A task that no endpoint can run doesn't block the jobs after it.
       const bool could_run = this->ReserveEndpointFor(ref);
+      if (could_run && this->state.options.preempts) {
+        this->blocked.push_back(ref.key);
+      }
       const WaitReason nowhere = this->placement.IsBlockedByCordon(ref)
                                      ? WaitReason::kCordoned
                                      : WaitReason::kNoEligibleEndpoint;
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -16,6 +16,9 @@
       : state(state), placement(state), now(now), wall_ms(wall_ms) {}
 
   void Run();
+  /// For each step with tasks that found no free capacity, the first of them, in the order of
+  /// placing. Only filled if `SchedulerOptions::preempts`.
+  const std::vector<TaskKey>& BlockedTasks() const { return this->blocked; }
 
  private:
   void PlacePool(PoolState& pool);
@@ -51,6 +54,7 @@
   int unplaced_jobs = 0;
   /// What the job that was handled last waits for.
   WaitReason wait_reason = WaitReason::kNone;
+  std::vector<TaskKey> blocked;
   /// More than one, as a single endpoint may stay busy for long.
   static constexpr std::size_t kMaxReserved = 2;
 };
--- /dev/null
+++ b/src/jobs/preemption.cc
@@ -0,0 +1,203 @@
+#include "jobs/preemption.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilspar::jobs {
+
+namespace {
+
+/// Interval of the plans. Each describes all runs of the pools with blocked tasks.
+constexpr Duration kPlanInterval = std::chrono::milliseconds(50);
+/// The discarded work is limited by the work of this duration.
+constexpr Duration kBudgetWindow = std::chrono::seconds(10);
+/// A task is not preempted again within this duration.
+constexpr Duration kPreemptionPause = std::chrono::seconds(3);
+/// From the end of a run until a round knows of it.
+constexpr Duration kReportDelay = std::chrono::milliseconds(200);
+/// A run counts as late only if it is expected to miss the deadline by more than this, because
+/// estimates are rough.
+constexpr double kLatenessToleranceMs = 200;
+/// Thousandths of a core times milliseconds in one core-second.
+constexpr double kWorkPerCoreSecond = 1e6;
+
+double MillisecondsBetween(TimePoint begin, TimePoint end) {
+  return std::chrono::duration<double, std::milli>(end - begin).count();
+}
+
+/// The time for which the active run has worked. For a run that a predecessor started, the reported
+/// progress may show a longer one.
+double AgeMs(const TaskRef& ref, TimePoint now) {
+  const double reported =
+      static_cast<double>(ref.spec->estimate_ms) * ref.task->percent / kReadyPercent;
+  const double observed = MillisecondsBetween(ref.task->since, now);
+  return ref.task->is_adopted ? std::max(observed, reported) : observed;
+}
+
+/// The time until the active run ends, by its reported progress if there is any, otherwise by its
+/// estimate. Negative if it is overdue.
+double ExpectedRemainingMs(const TaskRef& ref, TimePoint now) {
+  const Task& task = *ref.task;
+  if (task.percent <= 0) {
+    const auto estimate =
+        static_cast<double>(std::max<std::int64_t>(ref.spec->estimate_ms, kMinEstimateMs));
+    return estimate - MillisecondsBetween(task.since, now);
+  }
+  const double worked = MillisecondsBetween(task.since, task.percent_since);
+  const double remaining_then = worked * (kReadyPercent - task.percent) / task.percent;
+  return remaining_then - MillisecondsBetween(task.percent_since, now);
+}
+
+}  // namespace
+
+void Preemption::Run(const std::vector<TaskKey>& blocked, TimePoint now) {
+  const bool is_due = !this->planned || now - *this->planned >= kPlanInterval;
+  if (!this->state.options.preempts || !is_due) {
+    return;
+  }
+  this->Accrue(this->planned ? now - *this->planned : Duration::zero());
+  this->planned = now;
+  std::map<ServiceId, std::vector<TaskRef>> urgent;
+  for (const TaskKey& key : blocked) {
+    const TaskRef ref = this->state.Find(key);
+    if (ref && this->IsUrgent(ref)) {
+      urgent[ref.job->service].push_back(ref);
+    }
+  }
+  for (const auto& [service, tasks] : urgent) {
+    this->PlanPool(service, tasks);
+  }
+}
+
+PreemptionCounts Preemption::TakeCounts() { return std::exchange(this->counts, {}); }
+
+void Preemption::Accrue(Duration elapsed) {
+  const auto window = static_cast<double>(ToMilliseconds(kBudgetWindow));
+  const double elapsed_ms = std::min(MillisecondsBetween({}, TimePoint{} + elapsed), window);
+  for (const auto& [service, pool] : this->state.pools) {
+    double cpu = 0;
+    for (const EndpointState* endpoint : pool.endpoints) {
+      cpu += static_cast<double>(endpoint->used.cpu);
+    }
+    const double part = cpu * this->state.options.preemption_budget;
+    double& allowance = this->allowances[service];
+    allowance = std::min(allowance + part * elapsed_ms, part * window);
+  }
+}
+
+bool Preemption::IsUrgent(const TaskRef& ref) const {
+  const JobState& job = *ref.job;
+  const std::int64_t started_ms =
+      this->state.wall_ms + ToMilliseconds(this->state.options.stop_limit);
+  return !ref.spec->is_long_running && !job.is_abandoned && job.ready &&
+         job.ready->latest_start_ms >= started_ms;
+}
+
+void Preemption::PlanPool(const ServiceId& service, const std::vector<TaskRef>& blocked) {
+  std::vector<EndpointState*> endpoints;
+  std::vector<EndpointRuns> runs;
+  for (EndpointState* endpoint : this->state.pools[service].endpoints) {
+    if (Placement::IsUsable(*endpoint, *this->planned)) {
+      endpoints.push_back(endpoint);
+      runs.push_back(this->RunsOn(*endpoint));
+    }
+  }
+  std::vector<BlockedStep> steps;
+  std::map<TeamId, Resources> promised;
+  steps.reserve(blocked.size());
+  for (const TaskRef& ref : blocked) {
+    steps.push_back(this->Describe(ref, endpoints, promised));
+  }
+  double& allowance = this->allowances[service];
+  const PreemptionLimits limits{
+      .stop_limit_ms = static_cast<double>(ToMilliseconds(this->state.options.stop_limit)),
+      .allowance = allowance};
+  for (const PlannedStop& stop : PreemptionPlan::SelectRunsToStop(steps, runs, limits)) {
+    allowance -= stop.discarded_work;
+    this->Stop(stop);
+  }
+}
+
+BlockedStep Preemption::Describe(const TaskRef& ref, const std::vector<EndpointState*>& endpoints,
+                                 std::map<TeamId, Resources>& promised) const {
+  BlockedStep step{.first = ref.key,
+                   .count = 0,
+                   .need = RequiredCapacity(*ref.spec),
+                   .rank = this->state.RankOf(*ref.job),
+                   .is_beyond_share = ref.job->is_beyond_share,
+                   .is_one_per_endpoint = ref.spec->max_per_endpoint > 0,
+                   .endpoints = {}};
+  Resources& team = promised[ref.job->job.team];
+  for (const Task& task : ref.step->tasks) {
+    const Resources need = team + ref.spec->need;
+    if (!this->state.IsWithinCap(*ref.job, need)) {
+      break;
+    }
+    if (task.IsWaiting() && task.not_before <= *this->planned) {
+      team = need;
+      ++step.count;
+    }
+  }
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    if (this->placement.MayRunOn(ref, *endpoints[i], *this->planned)) {
+      step.endpoints.push_back(i);
+    }
+  }
+  return step;
+}
+
+EndpointRuns Preemption::RunsOn(const EndpointState& endpoint) const {
+  EndpointRuns runs{.free = endpoint.FreeCapacity(), .runs = {}};
+  for (const TaskKey& key : endpoint.claims) {
+    runs.runs.push_back(this->DescribeRun(this->state.Find(key)));
+  }
+  return runs;
+}
+
+PreemptibleRun Preemption::DescribeRun(const TaskRef& ref) const {
+  const Task& task = *ref.task;
+  const TimePoint now = *this->planned;
+  PreemptibleRun run{.task = ref.key,
+                     .capacity = RequiredCapacity(*ref.spec),
+                     .rank = this->state.RankOf(*ref.job),
+                     .is_beyond_share = ref.job->is_beyond_share,
+                     .saves_progress = ref.spec->saves_progress,
+                     .is_stopping = task.state == RunState::kStopping};
+  const bool is_batch = !ref.spec->is_long_running && !ref.spec->is_gang && !ref.spec->is_filler;
+  if (!is_batch || task.state != RunState::kActive) {
+    return run;
+  }
+  run.age_ms = AgeMs(ref, now);
+  run.may_be_stopped = !task.preempted || now - *task.preempted >= kPreemptionPause;
+  const double expected_ms = ExpectedRemainingMs(ref, now);
+  // A run that is long overdue may take any time.
+  if (expected_ms >= -static_cast<double>(ToMilliseconds(this->state.options.stop_limit))) {
+    run.remaining_ms = std::max(expected_ms, 0.0);
+  }
+  const std::int64_t due_ms =
+      ref.job->deadline_ms + std::int64_t{ref.key.occurrence} * ref.job->job.interval_ms;
+  const auto slack_ms = static_cast<double>(due_ms - this->state.wall_ms);
+  run.is_late = slack_ms < 0 || run.remaining_ms.value_or(0) > slack_ms + kLatenessToleranceMs;
+  return run;
+}
+
+void Preemption::Stop(const PlannedStop& stop) {
+  const TaskRef ref = this->state.Find(stop.task);
+  this->state.ReportEvent(
+      {"run_preempted",
+       stop.task,
+       {},
+       ref.task->endpoint->record.id,
+       "stopped for job " + ToString(stop.beneficiary) + ", which can be on time; " +
+           (stop.saves_progress ? "its progress is saved" : "its progress is not saved")});
+  ref.task->preempted = this->planned;
+  // The other stops for the same job have ended by then. Otherwise the task could take its place
+  // back before the job's need is free.
+  ref.task->not_before = *this->planned + this->state.options.stop_limit + kReportDelay;
+  this->counts.saved += stop.saves_progress ? 1 : 0;
+  this->counts.unsaved += stop.saves_progress ? 0 : 1;
+  this->counts.discarded_core_seconds += stop.discarded_work / kWorkPerCoreSecond;
+  this->state.BeginStop(ref, *this->planned);
+}
+
+}  // namespace chervilspar::jobs
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -345,12 +345,16 @@
     self.state.ReleaseExpiredReservations(now);
     Evacuation(self.state, now).Run();
   }
-  PlacingRound(self.state, now, self.state.wall_ms).Run();
+  PlacingRound round(self.state, now, self.state.wall_ms);
+  round.Run();
+  self.preemption.Run(round.BlockedTasks(), now);
   Orders orders;
   OrderRound(self.state, now).Gather(orders);
   return orders;
 }
 
+PreemptionCounts Scheduler::TakePreemptionCounts() { return this->impl->preemption.TakeCounts(); }
+
 RenewalPlan Scheduler::PlanRenewal(const std::string& id, TimePoint now) {
   SchedulerState& state = this->impl->state;
   EndpointState* endpoint = state.FindEndpoint(id);
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jobs/filler_throttle.h"
+#include "jobs/preemption.h"
 #include "jobs/run_tracker.h"
 #include "jobs/scheduler_state.h"
 
@@ -36,7 +37,10 @@
 class Scheduler::Impl {
  public:
   Impl(const SchedulerOptions& options, std::uint64_t token, TimePoint now)
-      : state(options, token, now), tracker(this->state), pacing(this->state) {}
+      : state(options, token, now),
+        tracker(this->state),
+        pacing(this->state),
+        preemption(this->state) {}
 
   void CreateDueOccurrences(std::int64_t wall_ms);
   void EndJobs(std::int64_t wall_ms);
@@ -51,6 +55,7 @@
   SchedulerState state;
   RunTracker tracker;
   FillerThrottle pacing;
+  Preemption preemption;
   /// Effects of the outstanding batch, applied once it is stored.
   std::vector<std::pair<TaskKey, std::uint64_t>> recorded_starts;
   std::vector<std::pair<JobId, JobPhase>> recorded_phases;
--- a/src/jobs/scheduler_ready.cc
+++ b/src/jobs/scheduler_ready.cc
@@ -20,6 +20,14 @@
   return longest;
 }
 
+std::uint32_t SchedulerState::RankOf(const JobState& job) const {
+  if (job.job.IsLongRunning()) {
+    return 0;
+  }
+  const auto queue = this->policy.queues.find(job.job.queue);
+  return 1 + (queue == this->policy.queues.end() ? 0 : queue->second.priority);
+}
+
 void SchedulerState::RefreshReady(JobState& job) {
   std::optional<ReadyKey> key;
   if (!job.IsOver()) {
@@ -30,12 +38,9 @@
                                                [](const Task& task) { return task.IsWaiting(); });
           });
       if (has_waiting) {
-        const auto queue = this->policy.queues.find(job.job.queue);
-        const std::uint32_t priority =
-            queue == this->policy.queues.end() ? 0 : queue->second.priority;
         const std::int64_t due_offset_ms =
             job.job.IsScheduled() ? std::int64_t{number} * job.job.interval_ms : 0;
-        key = ReadyKey{job.job.IsLongRunning() ? 0 : 1 + priority,
+        key = ReadyKey{this->RankOf(job),
                        job.deadline_ms + due_offset_ms - this->CriticalPathMs(job, occurrence),
                        job.job.id};
         break;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -65,6 +65,8 @@
   std::optional<int> speed_percent = 100;
   /// The task isn't placed earlier than this.
   TimePoint not_before{};
+  /// When a run of it was last stopped for another task.
+  std::optional<TimePoint> preempted;
   int restarts = 0;
   /// Skipped in the next placement, as the last run failed there.
   std::string avoided_endpoint;
@@ -148,6 +150,8 @@
   std::optional<ReadyKey> ready;
   /// The job could meet its deadline alone, but not together with the others; see `OverloadPlan`.
   bool is_abandoned = false;
+  /// The job's team already uses its share of the fleet; see `AccountShares`.
+  bool is_beyond_share = false;
   /// The last reason logged for a late job; each change is logged once.
   WaitReason reported_wait_reason = WaitReason::kNone;
 
@@ -284,6 +288,8 @@
   void MarkDirty(JobState& job);
   /// Updates the job's position among the waiting jobs, or removes it from them.
   void RefreshReady(JobState& job);
+  /// As in `ReadyKey`.
+  std::uint32_t RankOf(const JobState& job) const;
   /// Recomputes the fields of the job that are derived from the policy.
   void ApplyPolicyTo(JobState& job);
   /// Whether a long-running task on the endpoint isn't ready yet, or may be active there.
