Jobs: Reserve preempted capacity for the blocked task

Runs that are stopped for one task may end one after the other, and smaller tasks could take what the first one frees. The capacity is now reserved for the blocked task until the stops have taken effect, and is kept when an attempt to place the task fails. Preemptions are counted in metrics, and explain-job names them.

--- a/include/chervilspar/jobs/preemption_plan.h
+++ b/include/chervilspar/jobs/preemption_plan.h
@@ -72,8 +72,6 @@
 /// A run to stop.
 struct PlannedStop {
   TaskKey task;
-  /// The job that gets the capacity.
-  JobId beneficiary;
   bool saves_progress = false;
   /// In the unit of `PreemptionLimits::allowance`; 0 if the run saves its progress.
   double discarded_work = 0;
@@ -81,6 +79,16 @@
   friend bool operator==(const PlannedStop&, const PlannedStop&) = default;
 };
 
+/// Runs of one endpoint that are stopped for one task.
+struct PlannedPreemption {
+  /// The positions of the task's step and of the endpoint, on which the task is to run.
+  std::size_t step = 0;
+  std::size_t endpoint = 0;
+  std::vector<PlannedStop> stops;
+
+  friend bool operator==(const PlannedPreemption&, const PlannedPreemption&) = default;
+};
+
 /// Selects the runs of a pool that are stopped for blocked tasks.
 ///
 /// Late work, or work of accounts beyond their shares, may occupy a pool while tasks that can still
@@ -91,9 +99,9 @@
   static constexpr std::size_t kMaxStops = 32;
 
   /// `blocked` is in the order of placing.
-  static std::vector<PlannedStop> SelectRunsToStop(const std::vector<BlockedStep>& blocked,
-                                                   const std::vector<EndpointRuns>& endpoints,
-                                                   const PreemptionLimits& limits);
+  static std::vector<PlannedPreemption> SelectRunsToStop(const std::vector<BlockedStep>& blocked,
+                                                         const std::vector<EndpointRuns>& endpoints,
+                                                         const PreemptionLimits& limits);
 };
 
 }  // namespace chervilspar::jobs
--- a/src/cli/explain_job_command.cc
+++ b/src/cli/explain_job_command.cc
@@ -69,22 +69,25 @@
                                     [&](const Trace& trace) { return trace.event == event; });
     return found == traces.rend() ? nullptr : &*found;
   };
+  const Trace* const preempted = last("run_preempted");
+  const std::string stopped =
+      preempted == nullptr ? "" : "; a run of it was preempted: " + preempted->message;
   if (const Trace* ended = last("job_ended")) {
     const Trace* failed = last("job_failed");
     const Trace* waited = last("job_waits");
     std::string why = failed != nullptr ? "; " + failed->message + failed->fields : "";
     why += waited != nullptr ? "; it waited: " + waited->message : "";
-    return "It came to its end: " + ended->message + why + ".";
+    return "It came to its end: " + ended->message + why + stopped + ".";
   }
   const Trace* const waits = last("job_waits");
   const Trace* const found = last("job_found_running");
   const Trace* const started = found != nullptr ? found : last("job_started");
   if (waits != nullptr && (started == nullptr || *started < *waits)) {
-    return "It has not ended; " + waits->message + ".";
+    return "It has not ended; " + waits->message + stopped + ".";
   }
   if (started != nullptr) {
     return "It was started and has not ended in these logs" +
-           (waits != nullptr ? "; it waited: " + waits->message : "") + ".";
+           (waits != nullptr ? "; it waited: " + waits->message : "") + stopped + ".";
   }
   if (last("job_accepted") != nullptr) {
     return "It was stored and has not been started in these logs; see who scheduled then "
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -205,6 +205,7 @@
     }
     this->advise->Notify();
     this->LogNotes();
+    this->CountPreemptions();
     if (this->scheduler.IsSuperseded()) {
       this->Stop("an endpoint has seen a higher token");
       break;
@@ -326,6 +327,20 @@
   }
 }
 
+void OwnerTerm::CountPreemptions() {
+  const jobs::PreemptionCounts counts = this->scheduler.TakePreemptionCounts();
+  if (counts == jobs::PreemptionCounts{}) {
+    return;
+  }
+  telemetry::MetricsRegistry& metrics = this->context.metrics;
+  metrics.Count({"chervilspar_runs_preempted_total", {{"saved", "true"}}},
+                static_cast<double>(counts.saved));
+  metrics.Count({"chervilspar_runs_preempted_total", {{"saved", "false"}}},
+                static_cast<double>(counts.unsaved));
+  metrics.Count({"chervilspar_preempted_work_core_seconds_total", {}},
+                counts.discarded_core_seconds);
+}
+
 OwnerTerm::Answer OwnerTerm::Find(const jobs::JobId& id) const {
   if (!this->IsServing()) {
     return {};
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -74,6 +74,7 @@
   void OnEndpointsChanged();
   void SetEndpoints();
   void LogNotes();
+  void CountPreemptions();
   void RequestRound();
 
   const Context context;
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -170,6 +170,7 @@
 
 bool PlacingRound::PlaceStep(JobState& job, std::uint32_t occurrence, std::uint32_t step) {
   const std::uint32_t count = job.job.steps[step].count;
+  bool is_placed = true;
   for (std::uint32_t index = 0; index < count; ++index) {
     const TaskRef ref = this->state.Find({job.job.id, occurrence, step, index});
     if (!ref.task->IsWaiting() || ref.task->not_before > this->now) {
@@ -189,6 +190,10 @@
     if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
       // A task that no endpoint can run doesn't block the jobs after it.
       const bool could_run = this->ReserveEndpointFor(ref);
+      if (this->IsReservedByPreemption(ref)) {
+        is_placed = false;
+        continue;  // The capacity for the next task of the step may be free already.
+      }
       if (could_run && this->state.options.preempts) {
         this->blocked.push_back(ref.key);
       }
@@ -196,10 +201,15 @@
                                      ? WaitReason::kCordoned
                                      : WaitReason::kNoEligibleEndpoint;
       this->wait_reason = could_run ? WaitReason::kNoCapacity : nowhere;
-      return !could_run;
+      return is_placed && !could_run;
     }
   }
-  return true;
+  return is_placed;
+}
+
+bool PlacingRound::IsReservedByPreemption(const TaskRef& ref) const {
+  return this->state.options.preempts && !ref.spec->is_long_running &&
+         this->state.reservations.contains(ref.key);
 }
 
 bool PlacingRound::ReserveEndpointFor(const TaskRef& ref) {
@@ -212,9 +222,16 @@
 
 bool PlacingRound::PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded,
                              std::uint64_t run) {
+  std::optional<CapacityReservation> kept;
+  if (this->IsReservedByPreemption(ref)) {
+    kept = this->state.reservations.at(ref.key);
+  }
   this->state.ReleaseReservation(ref.key);  // The capacity was reserved for this task.
   EndpointState* endpoint = this->placement.Choose(ref, excluded, this->now);
   if (endpoint == nullptr) {
+    if (kept) {
+      this->state.ReserveCapacity(ref, *this->state.FindEndpoint(kept->endpoint), kept->until);
+    }
     return false;
   }
   this->state.Claim(ref, *endpoint, run, this->now);
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -42,6 +42,8 @@
   bool ReserveEndpointFor(const TaskRef& ref);
   /// Logs what a late job waits for, once per reason.
   void LogWaitReason(JobState& job);
+  /// Runs are being stopped for the task, and their capacity is reserved for it.
+  bool IsReservedByPreemption(const TaskRef& ref) const;
   bool NeedsAdvice(const TaskRef& ref) const;
 
   SchedulerState& state;
--- a/src/jobs/preemption.cc
+++ b/src/jobs/preemption.cc
@@ -112,9 +112,12 @@
   const PreemptionLimits limits{
       .stop_limit_ms = static_cast<double>(ToMilliseconds(this->state.options.stop_limit)),
       .allowance = allowance};
-  for (const PlannedStop& stop : PreemptionPlan::SelectRunsToStop(steps, runs, limits)) {
-    allowance -= stop.discarded_work;
-    this->Stop(stop);
+  for (const PlannedPreemption& planned : PreemptionPlan::SelectRunsToStop(steps, runs, limits)) {
+    this->ReserveFor(blocked[planned.step], *endpoints[planned.endpoint]);
+    for (const PlannedStop& stop : planned.stops) {
+      allowance -= stop.discarded_work;
+      this->Stop(stop, blocked[planned.step].key.job);
+    }
   }
 }
 
@@ -128,12 +131,13 @@
                    .is_one_per_endpoint = ref.spec->max_per_endpoint > 0,
                    .endpoints = {}};
   Resources& team = promised[ref.job->job.team];
-  for (const Task& task : ref.step->tasks) {
+  TaskKey key = ref.key;
+  for (key.index = 0; key.index < ref.step->tasks.size(); ++key.index) {
     const Resources need = team + ref.spec->need;
     if (!this->state.IsWithinCap(*ref.job, need)) {
       break;
     }
-    if (task.IsWaiting() && task.not_before <= *this->planned) {
+    if (this->IsUnserved(this->state.Find(key))) {
       team = need;
       ++step.count;
     }
@@ -146,6 +150,23 @@
   return step;
 }
 
+bool Preemption::IsUnserved(const TaskRef& ref) const {
+  return ref.task->IsWaiting() && ref.task->not_before <= *this->planned &&
+         !this->state.reservations.contains(ref.key);
+}
+
+void Preemption::ReserveFor(const TaskRef& first, EndpointState& endpoint) {
+  TaskKey key = first.key;
+  for (key.index = 0; key.index < first.step->tasks.size(); ++key.index) {
+    const TaskRef ref = this->state.Find(key);
+    if (this->IsUnserved(ref)) {
+      this->state.ReserveCapacity(ref, endpoint,
+                                  *this->planned + this->state.options.stop_limit + kReportDelay);
+      return;
+    }
+  }
+}
+
 EndpointRuns Preemption::RunsOn(const EndpointState& endpoint) const {
   EndpointRuns runs{.free = endpoint.FreeCapacity(), .runs = {}};
   for (const TaskKey& key : endpoint.claims) {
@@ -181,19 +202,16 @@
   return run;
 }
 
-void Preemption::Stop(const PlannedStop& stop) {
+void Preemption::Stop(const PlannedStop& stop, const JobId& beneficiary) {
   const TaskRef ref = this->state.Find(stop.task);
   this->state.ReportEvent(
       {"run_preempted",
        stop.task,
        {},
        ref.task->endpoint->record.id,
-       "stopped for job " + ToString(stop.beneficiary) + ", which can be on time; " +
+       "stopped for job " + ToString(beneficiary) + ", which can be on time; " +
            (stop.saves_progress ? "its progress is saved" : "its progress is not saved")});
   ref.task->preempted = this->planned;
-  // The other stops for the same job have ended by then. Otherwise the task could take its place
-  // back before the job's need is free.
-  ref.task->not_before = *this->planned + this->state.options.stop_limit + kReportDelay;
   this->counts.saved += stop.saves_progress ? 1 : 0;
   this->counts.unsaved += stop.saves_progress ? 0 : 1;
   this->counts.discarded_core_seconds += stop.discarded_work / kWorkPerCoreSecond;
--- a/src/jobs/preemption.h
+++ b/src/jobs/preemption.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "chervilspar/jobs/preemption_plan.h"
+
 #include "jobs/placement.h"
 #include "jobs/scheduler_state.h"
 
@@ -12,8 +13,9 @@
 
 /// Stops runs for blocked tasks as `PreemptionPlan` selects them.
 ///
-/// Nothing about a preemption is stored: a successor finds the run active and keeps it, or finds
-/// its end at the endpoint.
+/// The capacity is reserved for the blocked task until the stops have taken effect, so that neither
+/// the stopped task nor another one takes it. Nothing about a preemption is stored: a successor
+/// finds the run active and keeps it, or finds its end at the endpoint.
 class Preemption {
  public:
   explicit Preemption(SchedulerState& state) : state(state), placement(state) {}
@@ -24,7 +26,6 @@
   PreemptionCounts TakeCounts();
 
  private:
-
   /// Adds the part of the work since the last plan that may be discarded.
   void Accrue(Duration elapsed);
   /// Whether the task can be on time if it starts after a stop.
@@ -34,7 +35,12 @@
                        std::map<TeamId, Resources>& promised) const;
   EndpointRuns RunsOn(const EndpointState& endpoint) const;
   PreemptibleRun DescribeRun(const TaskRef& ref) const;
-  void Stop(const PlannedStop& stop);
+  /// Whether the task waits and no capacity is reserved for it.
+  bool IsUnserved(const TaskRef& ref) const;
+  /// Reserves capacity on the endpoint for a task of the step. Otherwise others could take what the
+  /// stopped runs free one by one.
+  void ReserveFor(const TaskRef& first, EndpointState& endpoint);
+  void Stop(const PlannedStop& stop, const JobId& beneficiary);
 
   SchedulerState& state;
   Placement placement;
--- a/src/jobs/preemption_plan.cc
+++ b/src/jobs/preemption_plan.cc
@@ -22,7 +22,7 @@
 }
 
 /// Follows the order of placing: work within shares goes before work beyond them, and late work
-/// comes last. Otherwise the stopped task could take its place back in the next round.
+/// comes last. Otherwise a stopped task would go before the task that it was stopped for.
 bool GivesWayTo(const PreemptibleRun& run, const BlockedStep& step) {
   if (run.task.job == step.first.job) {
     return false;
@@ -66,12 +66,13 @@
     }
   }
 
-  void Serve(const BlockedStep& step) {
+  /// `position` is that of the step.
+  void Serve(const BlockedStep& step, std::size_t position) {
     std::set<std::size_t> used;
     for (std::uint32_t i = 0; i < step.count; ++i) {
       std::optional<std::size_t> endpoint = this->FindRoom(step, used);
       if (!endpoint) {
-        endpoint = this->StopFor(step, used);
+        endpoint = this->StopFor(step, position, used);
       }
       if (!endpoint) {
         return;
@@ -83,7 +84,7 @@
     }
   }
 
-  std::vector<PlannedStop> stops;
+  std::vector<PlannedPreemption> preemptions;
 
  private:
   /// The endpoint with the least room that suffices without another stop.
@@ -100,7 +101,8 @@
   }
 
   /// Stops the cheapest runs that free enough capacity on one endpoint, if there are any.
-  std::optional<std::size_t> StopFor(const BlockedStep& step, const std::set<std::size_t>& used) {
+  std::optional<std::size_t> StopFor(const BlockedStep& step, std::size_t position,
+                                     const std::set<std::size_t>& used) {
     std::optional<Choice> best;
     for (const std::size_t endpoint : step.endpoints) {
       if (used.contains(endpoint)) {
@@ -111,15 +113,18 @@
         best = std::move(choice);
       }
     }
-    if (!best || this->stops.size() + best->runs.size() > PreemptionPlan::kMaxStops) {
+    if (!best || this->stop_count + best->runs.size() > PreemptionPlan::kMaxStops) {
       return std::nullopt;
     }
+    PlannedPreemption preemption{.step = position, .endpoint = best->endpoint, .stops = {}};
     for (const PreemptibleRun* run : best->runs) {
       this->room[best->endpoint] = this->room[best->endpoint] + run->capacity;
-      this->stops.push_back({run->task, step.first.job, run->saves_progress, DiscardedWork(*run)});
+      preemption.stops.push_back({run->task, run->saves_progress, DiscardedWork(*run)});
       std::erase(this->candidates[best->endpoint], run);
     }
+    this->stop_count += best->runs.size();
     this->allowance -= best->discarded_work;
+    this->preemptions.push_back(std::move(preemption));
     return best->endpoint;
   }
 
@@ -160,18 +165,19 @@
   /// Of each endpoint, the cheapest first.
   std::vector<RunList> candidates;
   double allowance;
+  std::size_t stop_count = 0;
 };
 
 }  // namespace
 
-std::vector<PlannedStop> PreemptionPlan::SelectRunsToStop(
+std::vector<PlannedPreemption> PreemptionPlan::SelectRunsToStop(
     const std::vector<BlockedStep>& blocked, const std::vector<EndpointRuns>& endpoints,
     const PreemptionLimits& limits) {
   Planner planner(endpoints, limits);
-  for (const BlockedStep& step : blocked) {
-    planner.Serve(step);
+  for (std::size_t i = 0; i < blocked.size(); ++i) {
+    planner.Serve(blocked[i], i);
   }
-  return std::move(planner.stops);
+  return std::move(planner.preemptions);
 }
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -98,8 +98,7 @@
   if (is_current) {
     this->state.StopGang(ref, now);
   }
-  // A preempted task may have to wait longer.
-  ref.task->not_before = std::max(ref.task->not_before, now);
+  ref.task->not_before = now;
   if (ref.spec->is_long_running && ended.end != RunEnd::kStopped) {
     const int factor = std::min(ref.task->restarts++, kMaxRestartFactor);
     ref.task->not_before = now + factor * this->state.options.restart_pause;
