--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -188,12 +188,13 @@
       return this->PlaceGang(ref);
     }
     if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
-      // A task that no endpoint can run doesn't block the jobs after it.
-      const bool could_run = this->ReserveEndpointFor(ref);
       if (this->IsReservedByPreemption(ref)) {
+        this->wait_reason = WaitReason::kNoCapacity;
         is_placed = false;
         continue;  // The capacity for the next task of the step may be free already.
       }
+      // A task that no endpoint can run doesn't block the jobs after it.
+      const bool could_run = this->ReserveEndpointFor(ref);
       if (could_run && this->state.options.preempts) {
         this->blocked.push_back(ref.key);
       }
--- a/tests/cli/explain_job_test.cc
+++ b/tests/cli/explain_job_test.cc
@@ -53,6 +53,10 @@
 INSTANTIATE_TEST_SUITE_P(
     Requests, ExplainJob,
     ::testing::Values(
+        ExplainCase{"preempted",
+                    {Line(1, "job_started", "150 ms after it was accepted"),
+                     Line(2, "run_preempted", "stopped for job 0000000000000002")},
+                    "a run of it was preempted: stopped for job 0000000000000002"},
         ExplainCase{"turned_away",
                     {Line(1, "job_refused", "the store did not accept the job; not run")},
                     "turned away and did not run: the store did not accept the job"},
