--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -76,6 +76,7 @@
   void SetEndpoints();
   void LogNotes();
   void UpdateShareMetrics();
+  void CountPreemptions();
   void RequestRound();
 
   const Context context;
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -18,6 +18,9 @@
       : state(state), placement(state), now(now), wall_ms(wall_ms) {}
 
   void Run();
+  /// For each step with tasks that found no free capacity, the first of them, in the order of
+  /// placing. Only filled if `SchedulerOptions::preempts`.
+  const std::vector<TaskKey>& BlockedTasks() const { return this->blocked; }
 
  private:
   void PlacePool(PoolState& pool);
@@ -43,6 +46,8 @@
   bool ReserveEndpointFor(const TaskRef& ref);
   /// Logs what a late job waits for, once per reason.
   void LogWaitReason(JobState& job);
+  /// Runs are being stopped for the task, and their capacity is reserved for it.
+  bool IsReservedByPreemption(const TaskRef& ref) const;
   bool NeedsAdvice(const TaskRef& ref) const;
 
   SchedulerState& state;
@@ -57,6 +62,7 @@
   bool is_divided = false;
   /// What the job that was handled last waits for.
   WaitReason wait_reason = WaitReason::kNone;
+  std::vector<TaskKey> blocked;
   /// More than one, as a single endpoint may stay busy for long.
   static constexpr std::size_t kMaxReserved = 2;
 };
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -67,6 +67,8 @@
   std::optional<int> speed_percent = 100;
   /// The task isn't placed earlier than this.
   TimePoint not_before{};
+  /// When a run of it was last stopped for another task.
+  std::optional<TimePoint> preempted;
   int restarts = 0;
   /// Skipped in the next placement, as the last run failed there.
   std::string avoided_endpoint;
@@ -299,6 +301,8 @@
   void MarkDirty(JobState& job);
   /// Updates the job's position among the waiting jobs, or removes it from them.
   void RefreshReady(JobState& job);
+  /// As in `ReadyKey`.
+  std::uint32_t RankOf(const JobState& job) const;
   /// Recomputes the fields of the job that are derived from the policy.
   void ApplyPolicyTo(JobState& job);
   /// Whether a long-running task on the endpoint isn't ready yet, or may be active there.
