--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -85,6 +85,7 @@
   load.running += running;
   load.running_late += is_late ? running : 0;
   load.running_beyond_share += is_late ? 0 : running * share.running_beyond;
+  load.in_use += count.claimed * amount;
   load.concurrent_demand += (count.claimed + (is_open ? count.waiting : 0)) * amount;
 }
 
