--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -20,6 +20,8 @@
 
 namespace chervilspar::jobs {
 
+struct AdmissionOutlook;
+
 /// How relevant an event is to a reader who follows a job through the logs.
 enum class EventImportance {
   /// Part of the normal course of a task.
@@ -232,6 +234,9 @@
   /// The number of accepted jobs of a queue of which no task has started. May be up to 0.4 s old.
   std::uint64_t PendingIn(const std::string& queue) const;
   std::size_t JobCount() const;
+  /// What new jobs can expect. `listed`: the capacity of all VMs that may take work, including those
+  /// that are off; 0 if there is no list of VMs. Promises are not included.
+  AdmissionOutlook Outlook(const Resources& listed, TimePoint now) const;
 
  private:
   class Impl;
