Admission: Ask the owner for the outlook and refuse with a time to return

Cause: an entry has no knowledge of the load, so that no submission is refused for it. A job that the owner knows, or does not answer for within 40 ms, is admitted, and so is everything while appends of this entry are slow. The owner spaces the questions so that the answers take about 5% of its link. With the flag off nothing is asked, and decisions are as before.

--- a/src/job_entry/caller_handler.cc
+++ b/src/job_entry/caller_handler.cc
@@ -21,8 +21,12 @@
 }
 
 CallerHandler::CallerHandler(const Context& context, OperatorView& operators, JobWriter& writer,
-                             JobQueries& queries)
-    : context(context), operators(operators), writer(writer), queries(queries) {}
+                             JobQueries& queries, AdmissionView* admission)
+    : context(context),
+      operators(operators),
+      writer(writer),
+      queries(queries),
+      admission(admission) {}
 
 const CallerFormat& CallerHandler::FormatFor(const http::Request& request) const {
   if (NativeCallerFormat::Matches(request)) {
@@ -118,6 +122,14 @@
                                  "All zones are cordoned; the job does not run.",
                                  kCordonedRetryAfterSeconds);
   }
+  std::optional<JobRefusal> refusal;
+  if (this->admission != nullptr) {
+    refusal = co_await this->admission->Review(job);
+  }
+  if (refusal) {
+    this->Count("submit", 429);
+    co_return RetryLaterResponse(429, refusal->code, refusal->message, refusal->return_after_s);
+  }
   KeyedRecord record{SubmissionKey(job.id), jobs::EncodeJob(job)};
   const WriteVerdict verdict = co_await this->writer.Write(std::move(record));
   const std::string id = jobs::ToString(job.id);
--- a/src/job_entry/caller_handler.h
+++ b/src/job_entry/caller_handler.h
@@ -4,6 +4,7 @@
 
 #include "chervilspar/http/server.h"
 
+#include "job_entry/admission_view.h"
 #include "job_entry/job_queries.h"
 #include "job_entry/job_writer.h"
 #include "job_entry/native_caller_format.h"
@@ -14,8 +15,9 @@
 /// Handles callers' submissions, cancellations and queries.
 class CallerHandler final : public http::Handler {
  public:
+  /// `admission` may be null, which admits every job.
   CallerHandler(const Context& context, OperatorView& operators, JobWriter& writer,
-                JobQueries& queries);
+                JobQueries& queries, AdmissionView* admission = nullptr);
 
   boost::asio::awaitable<http::Response> Handle(http::Request request,
                                                 std::shared_ptr<http::CancelToken> caller) override;
@@ -40,6 +42,7 @@
   OperatorView& operators;
   JobWriter& writer;
   JobQueries& queries;
+  AdmissionView* const admission;
   NativeCallerFormat native_format;
 };
 
--- a/src/job_entry/job_queries.cc
+++ b/src/job_entry/job_queries.cc
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include "job_entry/admission_message.h"
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
@@ -9,9 +11,6 @@
 
 namespace {
 
-/// An owner responds from memory. One that does not respond within this time is unreachable or
-/// stopped, and the caller is asked to retry.
-constexpr Duration kOwnerQueryTimeout = std::chrono::milliseconds(700);
 constexpr std::string_view kJobsPath = "/v1/jobs/";
 constexpr std::string_view kPendingPath = "/v1/pending";
 
@@ -53,7 +52,8 @@
                        http::Client& client)
     : context(context), election(election), directory(directory), client(client) {}
 
-asio::awaitable<std::optional<http::Response>> JobQueries::QueryOwner(std::string target) {
+asio::awaitable<std::optional<http::Response>> JobQueries::QueryOwner(std::string target,
+                                                                      Duration timeout) {
   const std::optional<OwnerClaim> owner = this->directory.Owner();
   if (!owner || owner->address == this->context.settings.peers) {
     co_return std::nullopt;
@@ -61,7 +61,7 @@
   http::Request request;
   request.target = std::move(target);
   const http::Exchange exchange =
-      co_await this->client.Send(owner->address, std::move(request), kOwnerQueryTimeout, nullptr);
+      co_await this->client.Send(owner->address, std::move(request), timeout, nullptr);
   if (!exchange.response) {
     this->client.CloseIdle(owner->address);
     this->context.metrics.Count({"chervilspar_owner_questions_failed_total", {}});
@@ -69,13 +69,13 @@
   co_return exchange.response;
 }
 
-asio::awaitable<OwnerTerm::Answer> JobQueries::Find(jobs::JobId id) {
+asio::awaitable<OwnerTerm::Answer> JobQueries::Find(jobs::JobId id, Duration timeout) {
   using Knowledge = OwnerTerm::Knowledge;
   if (const std::shared_ptr<OwnerTerm> term = this->election.Term()) {
     co_return term->Find(id);
   }
   const std::optional<http::Response> response =
-      co_await this->QueryOwner(std::string(kJobsPath) + jobs::ToString(id));
+      co_await this->QueryOwner(std::string(kJobsPath) + jobs::ToString(id), timeout);
   if (response && response->status == 404) {
     co_return OwnerTerm::Answer{Knowledge::kNoSuchJob};
   }
@@ -92,7 +92,7 @@
     co_return term->PendingIn(queue);
   }
   const std::optional<http::Response> response =
-      co_await this->QueryOwner(std::string(kPendingPath) + "?queue=" + queue);
+      co_await this->QueryOwner(std::string(kPendingPath) + "?queue=" + queue, kOwnerQueryTimeout);
   const std::optional<json::object> body =
       response && response->status == 200 ? BodyOf(*response) : std::nullopt;
   const json::value* pending = body ? body->if_contains("pending") : nullptr;
@@ -104,6 +104,25 @@
   co_return error ? std::nullopt : std::optional(count);
 }
 
+namespace {
+
+http::Response AnswerAdmission(OwnerTerm& term, const http::Request& request) {
+  const std::optional<jobs::AdmissionQuestion> question = DecodeAdmissionQuestion(request.body);
+  if (!question) {
+    return http::ErrorResponse(400, "invalid_argument", "The question can't be read.");
+  }
+  const std::optional<jobs::AdmissionOutlook> outlook = term.Outlook(*question);
+  if (!outlook) {
+    return http::ErrorResponse(503, "unavailable", "The jobs or the VMs are not known.");
+  }
+  http::Response response;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = EncodeAdmissionOutlook(*outlook);
+  return response;
+}
+
+}  // namespace
+
 asio::awaitable<http::Response> PeerHandler::Handle(http::Request request,
                                                     std::shared_ptr<http::CancelToken>) {
   if (RelayHandler::IsRelayRequest(request)) {
@@ -130,6 +149,10 @@
                                       "The store has not been read to its end.");
     }
   }
+  const bool is_admission = path == kAdmissionPath && request.method == "POST";
+  if (is_admission && this->context.settings.decisions.admits_by_outlook) {
+    co_return AnswerAdmission(*term, request);
+  }
   const std::optional<std::string_view> queue = http::QueryParameter(request.target, "queue");
   if (path == kPendingPath && queue) {
     const std::optional<std::uint64_t> pending = term->PendingIn(std::string(*queue));
--- a/src/job_entry/job_writer.cc
+++ b/src/job_entry/job_writer.cc
@@ -62,7 +62,20 @@
   }
 }
 
+bool JobWriter::IsSlow() const {
+  const bool is_waiting =
+      this->append_began && this->context.Now() - *this->append_began > kSlowAppend;
+  return this->is_slow || this->is_gathered || is_waiting;
+}
+
 asio::awaitable<WriteVerdict> JobWriter::Append(std::vector<KeyedRecord> records) {
+  this->append_began = this->context.Now();
+  const WriteVerdict verdict = co_await this->AppendWithRetries(std::move(records));
+  this->append_began.reset();
+  co_return verdict;
+}
+
+asio::awaitable<WriteVerdict> JobWriter::AppendWithRetries(std::vector<KeyedRecord> records) {
   const TimePoint deadline = this->context.Now() + kMaxRetryTime;
   bool may_be_stored = false;
   while (true) {
--- a/src/job_entry/job_writer.h
+++ b/src/job_entry/job_writer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,9 +29,12 @@
   explicit JobWriter(const Context& context, RecordRelay* relay = nullptr);
 
   boost::asio::awaitable<WriteVerdict> Write(KeyedRecord record);
+  /// Whether submissions wait unusually long to be stored, or others store them for this entry.
+  bool IsSlow() const;
 
  private:
   boost::asio::awaitable<WriteVerdict> Append(std::vector<KeyedRecord> records);
+  boost::asio::awaitable<WriteVerdict> AppendWithRetries(std::vector<KeyedRecord> records);
   boost::asio::awaitable<WriteVerdict> AppendLocally(std::vector<KeyedRecord> records,
                                                      Duration timeout);
   /// Has another entry write the records, unless relaying is paused.
@@ -48,6 +52,8 @@
   const std::uint32_t partition;
   const std::shared_ptr<RecordQueue> queue;
   bool is_slow = false;
+  /// When the append in progress began.
+  std::optional<TimePoint> append_began;
   /// Records of this entry go to the gathering entry first.
   bool is_gathered = false;
   /// Relaying is paused until then, since no other entry could write.
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -68,6 +68,7 @@
           context, OptionsFor(context), token, [this] { return this->LastProof(); },
           [this] { this->Stop("an endpoint has seen a higher token"); })),
       vms(context, operators, directory, this->scheduler, this->member, token),
+      admission(context, this->scheduler),
       decide(std::make_shared<http::Wakeup>(context.io.get_executor())),
       store(std::make_shared<http::Wakeup>(context.io.get_executor())),
       advise(std::make_shared<http::Wakeup>(context.io.get_executor())) {}
@@ -345,4 +346,12 @@
   return this->scheduler.PendingIn(queue);
 }
 
+std::optional<jobs::AdmissionOutlook> OwnerTerm::Outlook(const jobs::AdmissionQuestion& question) {
+  const std::optional<jobs::Resources> listed = this->vms.ListedCapacity();
+  if (!this->IsServing() || !this->job_log.IsFresh(kMaxJobListAge) || !listed) {
+    return std::nullopt;
+  }
+  return this->admission.Answer(question, *listed);
+}
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -11,6 +11,7 @@
 #include "chervilspar/http/wakeup.h"
 #include "chervilspar/jobs/scheduler.h"
 
+#include "job_entry/admission_service.h"
 #include "job_entry/endpoint_registry.h"
 #include "job_entry/job_log.h"
 #include "job_entry/lease_keeper.h"
@@ -49,6 +50,8 @@
   };
   Answer Find(const jobs::JobId& id) const;
   std::optional<std::uint64_t> PendingIn(const std::string& queue) const;
+  /// Answers an entry that decides on submissions; nothing while the jobs or VMs are not known.
+  std::optional<jobs::AdmissionOutlook> Outlook(const jobs::AdmissionQuestion& question);
 
  private:
   boost::asio::awaitable<void> Run(std::shared_ptr<OwnerTerm> self);
@@ -102,6 +105,7 @@
   std::shared_ptr<LeaseKeeper> keeper;
   bool is_keeper_started = false;
   VmDriver vms;
+  AdmissionService admission;
   std::shared_ptr<http::Wakeup> decide;
   std::shared_ptr<http::Wakeup> store;
   std::shared_ptr<http::Wakeup> advise;
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -83,7 +83,10 @@
         writer(std::make_shared<JobWriter>(context, &this->relay)),
         election(std::make_shared<Election>(context, this->operators, this->directory)),
         queries(context, *this->election, this->directory, client),
-        callers(context, this->operators, *this->writer, this->queries),
+        admission(std::make_shared<AdmissionView>(context, this->operators, *this->election,
+                                                  this->directory, client, *this->writer,
+                                                  this->queries)),
+        callers(context, this->operators, *this->writer, this->queries, this->admission.get()),
         peers(*this->election, context),
         health(context, this->operators, this->is_stopping),
         signals(context.io, SIGTERM, SIGINT, SIGHUP) {
@@ -199,6 +202,7 @@
   std::shared_ptr<JobWriter> writer;
   std::shared_ptr<Election> election;
   JobQueries queries;
+  std::shared_ptr<AdmissionView> admission;
   CallerHandler callers;
   PeerHandler peers;
   HealthHandler health;
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +41,9 @@
   /// The key of a wave's progress, and whether a key is one.
   static std::string WaveKey(std::uint64_t wave);
   static bool IsWaveKey(std::string_view key);
+  /// The capacity of all VMs outside cordoned zones, including those that are off. 0 if there is no
+  /// VM service; nothing before the first list has been read.
+  std::optional<jobs::Resources> ListedCapacity() const;
 
  private:
   /// The move of a VM to a pool that was ordered.
