Scheduler: Limit starts to what the owner's link carries

On links of 2 Mbit/s, queues demand more starts than the link carries, and lease renewals and joins wait behind them in socket buffers.

A round ends at the first task that doesn't fit; the next begins with the next pool. Repeated starts count, too. Without the switch, nothing is counted or held back.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -13,6 +13,7 @@
 #include "chervilspar/jobs/endpoint.h"
 #include "chervilspar/jobs/job.h"
 #include "chervilspar/jobs/lapse_notice.h"
+#include "chervilspar/jobs/link_budget.h"
 #include "chervilspar/jobs/policy.h"
 #include "chervilspar/jobs/pool_sizer.h"
 #include "chervilspar/jobs/progress.h"
@@ -117,6 +118,16 @@
   friend bool operator==(const EndpointUsage&, const EndpointUsage&) = default;
 };
 
+/// The starts that the owner's link has room for.
+struct LinkUsage {
+  /// Bytes of starts that may be placed now.
+  std::int64_t allowance = 0;
+  /// Starts that had to wait for the link as the first in their order, since the term began.
+  std::uint64_t held_back = 0;
+
+  friend bool operator==(const LinkUsage&, const LinkUsage&) = default;
+};
+
 /// Assigns tasks to endpoints. Owns the state of all jobs of its pools and uses no network, clock
 /// or threads: the caller passes in events with their times, and takes out orders and records.
 ///
@@ -173,6 +184,8 @@
   void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
   void OnThrottleAnswered(const ThrottleOrder& order, OrderOutcome outcome);
+  /// Bytes that were handed to the owner's link since the last call.
+  void OnLinkTraffic(const LinkTraffic& traffic, TimePoint now);
   void OnAdvice(const TaskKey& step, const std::vector<AdviceTicket>& tickets, TimePoint now);
 
   /// Sets the latest time at which there was provably no successor. Leases are renewed for
@@ -226,6 +239,7 @@
   /// selection of VMs.
   Resources UsedIn(const ServiceId& service) const;
   Resources CapacityOf(const ServiceId& service) const;
+  LinkUsage LinkUsageAt(TimePoint now) const;
 
   // Queries of callers. An end is reported only once it is stored.
   std::optional<JobView> Find(const JobId& id) const;
--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -11,8 +11,17 @@
 
 }  // namespace
 
+std::int64_t OrderRound::StartBytes(const TaskRef& ref) {
+  return LinkBudget::StartBytes(ref.job->job.payload.size(), ref.task->progress.checkpoint.size());
+}
+
 StartOrder OrderRound::StartOf(const TaskRef& ref) {
   Task& task = *ref.task;
+  this->state.link.budget.Release(task.reserved_bytes);
+  task.reserved_bytes = 0;
+  if (this->state.options.budgets_link) {
+    this->state.link.budget.OnStartSent(StartBytes(ref), this->now);
+  }
   task.last_order_sent = this->now;
   ++task.start_tries;
   const EndpointRecord& record = task.endpoint->record;
@@ -62,6 +71,11 @@
   }
   const bool may_repeat = !is_cordoned && this->now < task.start_expires;
   if (task.start_tries < this->state.options.start_tries && may_repeat) {
+    if (this->state.options.budgets_link &&
+        !this->state.link.budget.Admits(StartBytes(ref), LinkBudget::Precedence::kHigh,
+                                        this->now)) {
+      return;
+    }
     orders.starts.push_back(this->StartOf(ref));
     return;
   }
--- a/src/jobs/order_round.h
+++ b/src/jobs/order_round.h
@@ -12,6 +12,8 @@
   void Gather(Orders& orders);
   /// Builds the start of a task whose placement is stored, and counts it as an attempt.
   StartOrder StartOf(const TaskRef& ref);
+  /// What the start of the task takes of the owner's link, in bytes.
+  static std::int64_t StartBytes(const TaskRef& ref);
 
  private:
   void GatherUnconfirmed(const TaskRef& ref, Orders& orders);
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "chervilspar/jobs/overload_plan.h"
 
+#include "jobs/order_round.h"
+
 namespace chervilspar::jobs {
 
 namespace {
@@ -17,15 +20,73 @@
 /// Added to the slack of a job. Estimates are rough, and a job that starts a little after its
 /// latest start often still meets its deadline.
 constexpr double kSlackToleranceMs = 200;
+/// The minimum interval between two reports that the owner's link is full.
+constexpr Duration kLinkReportInterval = std::chrono::seconds(1);
 
 }  // namespace
 
 void PlacingRound::Run() {
-  for (auto& [service, pool] : this->state.pools) {
+  std::map<ServiceId, PoolState>& pools = this->state.pools;
+  const std::optional<ServiceId> first = std::exchange(this->state.link.next_pool, std::nullopt);
+  auto place = first ? pools.lower_bound(*first) : pools.begin();
+  for (std::size_t i = 0; i < pools.size() && !this->is_link_full; ++i) {
+    place = place == pools.end() ? pools.begin() : place;
+    auto& [service, pool] = *place++;
     if (!pool.ready.empty() && !pool.endpoints.empty()) {
+      this->has_placed = false;
       this->PlacePool(pool);
     }
+    if (this->is_link_full) {
+      this->EndAtFullLink(service);
+    }
+  }
+}
+
+void PlacingRound::EndAtFullLink(const ServiceId& pool) {
+  LinkState& link = this->state.link;
+  const auto next = this->state.pools.upper_bound(pool);
+  const bool is_last = next == this->state.pools.end();
+  // A pool that has placed nothing stays first. Otherwise a gang that needs the whole allowance
+  // would find the allowance used by other pools each time.
+  if (!this->has_placed) {
+    link.next_pool = pool;
+  } else if (!is_last) {
+    link.next_pool = next->first;
+  }
+  if (link.reported && this->now - *link.reported < kLinkReportInterval) {
+    return;
+  }
+  link.reported = this->now;
+  const LinkTraffic recent = link.budget.Recent(this->now);
+  this->state.ReportEvent(
+      {"owner_link_full",
+       {},
+       {},
+       "",
+       "starts wait; sent in the last 200 ms: " + std::to_string(recent.starts) +
+           " bytes of starts, " + std::to_string(recent.urgent) + " of renewals and stops, " +
+           std::to_string(recent.progress) + " of progress; starts may take " +
+           std::to_string(link.budget.Bound()) + " bytes in 200 ms"});
+}
+
+bool PlacingRound::FitsLink(const TaskRef& ref, std::size_t count) {
+  if (!this->state.options.budgets_link) {
+    return true;
+  }
+  LinkState& link = this->state.link;
+  const auto precedence =
+      ref.spec->is_long_running ? LinkBudget::Precedence::kHigh : LinkBudget::Precedence::kNormal;
+  const std::int64_t bytes = OrderRound::StartBytes(ref) * static_cast<std::int64_t>(count);
+  if (!this->is_link_full && link.budget.Admits(bytes, precedence, this->now)) {
+    return true;
+  }
+  if (!this->is_link_full && link.first_waiting != ref.key) {
+    link.first_waiting = ref.key;
+    ++link.held_back;
   }
+  this->is_link_full = true;
+  this->wait_reason = WaitReason::kOwnerLink;
+  return false;
 }
 
 void PlacingRound::PlacePool(PoolState& pool) {
@@ -126,7 +187,8 @@
     const bool is_selected =
         filter == JobFilter::kAll || job.is_abandoned == (filter == JobFilter::kAbandoned);
     if (is_selected && !this->PlaceJob(job) &&
-        ++this->unplaced_jobs >= this->state.options.max_unplaced_per_round) {
+        (this->is_link_full ||
+         ++this->unplaced_jobs >= this->state.options.max_unplaced_per_round)) {
       return false;
     }
     place = pool.ready.upper_bound(key);
@@ -183,6 +245,9 @@
       this->wait_reason = WaitReason::kTeamLimit;
       return true;  // The limit of the team blocks the task, not a lack of capacity.
     }
+    if (!this->FitsLink(ref, ref.spec->is_gang ? ref.step->tasks.size() : 1)) {
+      return false;
+    }
     if (ref.spec->is_gang) {
       return this->PlaceGang(ref);
     }
@@ -216,6 +281,11 @@
   }
   this->state.Claim(ref, *endpoint, run, this->now);
   Task& task = *ref.task;
+  if (this->state.options.budgets_link) {
+    task.reserved_bytes = OrderRound::StartBytes(ref);
+    this->state.link.budget.Reserve(task.reserved_bytes);
+  }
+  this->has_placed = true;
   const auto lease =
       std::chrono::duration_cast<std::chrono::milliseconds>(this->state.options.lease);
   task.lease_end_ms =
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -40,6 +40,11 @@
   /// Logs what a late job waits for, once per reason.
   void LogWaitReason(JobState& job);
   bool NeedsAdvice(const TaskRef& ref) const;
+  /// Whether the owner's link has room for `count` starts like that of this task. If not, the round
+  /// ends, so that no job is placed before this one.
+  bool FitsLink(const TaskRef& ref, std::size_t count);
+  /// Sets the pool with which the next round begins, and reports that the link is full.
+  void EndAtFullLink(const ServiceId& pool);
 
   SchedulerState& state;
   Placement placement;
@@ -49,6 +54,10 @@
   std::set<EndpointState*> reserved;
   /// Jobs of this pool that did not fit in this round.
   int unplaced_jobs = 0;
+  /// A start has to wait for the owner's link; the round is over.
+  bool is_link_full = false;
+  /// A task of this pool was placed in this round.
+  bool has_placed = false;
   /// What the job that was handled last waits for.
   WaitReason wait_reason = WaitReason::kNone;
   /// More than one, as a single endpoint may stay busy for long.
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -286,6 +286,15 @@
   this->impl->pacing.OnAnswered(order, outcome);
 }
 
+void Scheduler::OnLinkTraffic(const LinkTraffic& traffic, TimePoint now) {
+  this->impl->state.link.budget.OnTraffic(traffic, now);
+}
+
+LinkUsage Scheduler::LinkUsageAt(TimePoint now) const {
+  const LinkState& link = this->impl->state.link;
+  return {link.budget.Allowance(LinkBudget::Precedence::kHigh, now), link.held_back};
+}
+
 void Scheduler::Impl::CreateDueOccurrences(std::int64_t now_ms) {
   for (auto place = this->state.scheduled.begin(); place != this->state.scheduled.end();) {
     JobState* job = this->state.FindJob(*place);
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -30,6 +30,8 @@
       return "its team has reached its limit";
     case WaitReason::kAdvice:
       return "the adviser has not answered on which endpoints it may run";
+    case WaitReason::kOwnerLink:
+      return "the owner's link is full";
   }
   return "unknown";
 }
@@ -76,7 +78,11 @@
 
 SchedulerState::SchedulerState(const SchedulerOptions& options, std::uint64_t token,
                                TimePoint term_start)
-    : options(options), token(token), term_start(term_start), proof(term_start) {}
+    : options(options),
+      token(token),
+      term_start(term_start),
+      link(options.link_rate),
+      proof(term_start) {}
 
 JobState* SchedulerState::FindJob(const JobId& id) {
   const auto found = this->jobs.find(id);
@@ -235,6 +241,8 @@
     return;
   }
   this->AccountUsage(ref, *task.endpoint, false);
+  this->link.budget.Release(task.reserved_bytes);
+  task.reserved_bytes = 0;
   task.state = RunState::kNone;
   task.endpoint = nullptr;
   task.ticket.clear();
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "chervilspar/jobs/link_budget.h"
 #include "chervilspar/jobs/scheduler.h"
 
 namespace chervilspar::jobs {
@@ -51,6 +52,8 @@
   /// The end of the first lease on the endpoint's clock, after which it refuses the start.
   std::int64_t lease_end_ms = 0;
   int start_tries = 0;
+  /// Bytes of the owner's link that are reserved for the start until it is sent; see `LinkBudget`.
+  std::int64_t reserved_bytes = 0;
   /// Placed by a predecessor.
   bool is_adopted = false;
   /// The endpoint has reported this run. If only one start was sent, none is in flight any more.
@@ -102,7 +105,15 @@
 };
 
 /// Why the next task of a job has no endpoint.
-enum class WaitReason { kNone, kNoCapacity, kNoEligibleEndpoint, kCordoned, kTeamLimit, kAdvice };
+enum class WaitReason {
+  kNone,
+  kNoCapacity,
+  kNoEligibleEndpoint,
+  kCordoned,
+  kTeamLimit,
+  kAdvice,
+  kOwnerLink,
+};
 
 const char* ToString(WaitReason reason);
 
@@ -241,6 +252,21 @@
   explicit operator bool() const { return this->task != nullptr; }
 };
 
+/// The starts that wait for the owner's link.
+struct LinkState {
+  explicit LinkState(double link_rate) : budget(link_rate) {}
+
+  LinkBudget budget;
+  /// The pool with which the next round begins. A round that ended because the link was full would
+  /// otherwise begin with the same pool again, and the last pools would get nothing.
+  std::optional<ServiceId> next_pool;
+  /// The task at which the last round ended because the link was full.
+  std::optional<TaskKey> first_waiting;
+  std::uint64_t held_back = 0;
+  /// When `owner_link_full` was last reported.
+  std::optional<TimePoint> reported;
+};
+
 /// The tables of the scheduler and the operations that keep them consistent with one another.
 struct SchedulerState {
   SchedulerState(const SchedulerOptions& options, std::uint64_t token, TimePoint term_start);
@@ -314,6 +340,7 @@
   /// By endpoint: encoded lapse notices to store with the next batch; `std::nullopt` deletes one.
   std::map<std::string, std::optional<std::string>> lapse_changes;
   std::map<TeamId, Resources> team_usage;
+  LinkState link;
   std::vector<JobId> dirty;
   /// Tasks whose start or stop may have to be repeated.
   std::set<TaskKey> retry_candidates;
