--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -49,6 +49,11 @@
   /// Runs are being stopped for the task, and their capacity is reserved for it.
   bool IsReservedByPreemption(const TaskRef& ref) const;
   bool NeedsAdvice(const TaskRef& ref) const;
+  /// Whether the owner's link has room for `count` starts like that of this task. If not, the round
+  /// ends, so that no job is placed before this one.
+  bool FitsLink(const TaskRef& ref, std::size_t count);
+  /// Sets the pool with which the next round begins, and reports that the link is full.
+  void EndAtFullLink(const ServiceId& pool);
 
   SchedulerState& state;
   Placement placement;
@@ -60,6 +65,10 @@
   int unplaced_jobs = 0;
   /// The division among accounts was computed in this round.
   bool is_divided = false;
+  /// A start has to wait for the owner's link; the round is over.
+  bool is_link_full = false;
+  /// A task of this pool was placed in this round.
+  bool has_placed = false;
   /// What the job that was handled last waits for.
   WaitReason wait_reason = WaitReason::kNone;
   std::vector<TaskKey> blocked;
