Jobs: Test that preemption reserves what is freed in parts

The earlier form of the test passed without the reservation, because the round held the only endpoint for the waiting task. Runs whose start is not answered and runs that a successor has not seen are covered as well.

--- a/tests/jobs/preemption_test.cc
+++ b/tests/jobs/preemption_test.cc
@@ -47,8 +47,9 @@
     this->harness.AdvanceTime(milliseconds(100));
   }
 
-  void AddUrgent(std::uint64_t number, std::int64_t cpu) {
+  void AddUrgent(std::uint64_t number, std::int64_t cpu, std::int64_t estimate_ms = 1000) {
     Job job = Harness::MakeJob(number, {Harness::MakeStep(1, cpu)});
+    job.steps[0].estimate_ms = estimate_ms;
     job.accepted_ms = NowMs(this->harness);
     this->harness.scheduler.AddJob(job, Wall(this->harness));
   }
@@ -168,17 +169,26 @@
   EXPECT_EQ(pool.StoredProgressOf(stop.task).phase, TaskPhase::kDone);
 }
 
-/// Guards against a smaller task that takes what the first of two stopped runs frees.
+/// Guards against a smaller task that takes what the first of two stopped runs frees, while the
+/// round holds an endpoint with more free cpu for the task that the runs were stopped for.
 TEST(Preemption, WhatIsFreedInPartsIsReserved) {
   FullPool pool;
+  pool.harness.scheduler.SetEndpoints({Harness::Endpoint("a", 4), Harness::Endpoint("b", 4)},
+                                      pool.harness.now);
+  pool.harness.AnswerRenewal("b", {}, {});
+  pool.AddUrgent(kUrgentJob + 1, 2500, 8000);
+  ASSERT_EQ(pool.harness.StartAll().at(0).endpoint, "b");
+  pool.harness.AdvanceTime(milliseconds(100));
   ASSERT_EQ(pool.Preempt(2000).size(), 2U);
-  pool.AddUrgent(kUrgentJob + 1, 1000);
+  pool.AddUrgent(kUrgentJob + 2, 1000);
   pool.EndStopped(RunEnd::kStopped);
-  EXPECT_TRUE(pool.harness.Round().starts.empty());
+  const Orders small = pool.harness.Round();
+  ASSERT_EQ(small.starts.size(), 1U);
+  EXPECT_EQ(small.starts[0].endpoint, "b");
   pool.EndStopped(RunEnd::kStopped, 2);
-  const Orders orders = pool.harness.Round();
-  ASSERT_EQ(orders.starts.size(), 1U);
-  EXPECT_EQ(orders.starts[0].task.job, JobId{kUrgentJob});
+  const Orders large = pool.harness.Round();
+  ASSERT_EQ(large.starts.size(), 1U);
+  EXPECT_EQ(large.starts[0].task.job, JobId{kUrgentJob});
 }
 
 /// Guards against a task that makes no progress because it is preempted again and again.
@@ -256,15 +266,40 @@
   EXPECT_EQ(orders.starts[0].checkpoint, "half");
 }
 
-/// Guards against stops of runs of which nothing is known: a predecessor placed them, and the
-/// endpoint has not reported them to this owner.
+/// Guards against stops of runs of which nothing is known. The endpoint lists so many ends that the
+/// predecessor's runs may be missing from its list.
 TEST_F(PreemptionTakeover, StopsNoRunThatIsNotReported) {
+  constexpr std::uint64_t kFullList = 500;
+  std::vector<EndedRun> ended;
+  for (std::uint64_t i = 1; i <= kFullList; ++i) {
+    ended.push_back({i, {JobId{1000 + i}, 0, 0, 0}, 1, RunEnd::kDone, ""});
+  }
+  this->after.AnswerRenewal("a", {}, ended);
   Job job = Harness::MakeJob(kUrgentJob, {Harness::MakeStep(1)});
   job.accepted_ms = NowMs(this->after);
   this->after.scheduler.AddJob(job, Wall(this->after));
   EXPECT_TRUE(this->after.Round().stops.empty());
 }
 
+/// Guards against stops of runs whose starts aren't answered: nothing may run there.
+TEST(Preemption, StopsNoRunThatIsNotConfirmed) {
+  for (const bool is_lost : {false, true}) {
+    Harness harness(Options(true));
+    harness.Register({Harness::Endpoint("a", 4)});
+    harness.scheduler.AddJob(LateJob(4), Wall(harness));
+    for (const StartOrder& start : harness.Round().starts) {
+      if (is_lost) {
+        harness.scheduler.OnStartAnswered(start, OrderOutcome::kNoAnswer, harness.now);
+      }
+    }
+    harness.AdvanceTime(milliseconds(60));
+    Job job = Harness::MakeJob(kUrgentJob, {Harness::MakeStep(1)});
+    job.accepted_ms = NowMs(harness);
+    harness.scheduler.AddJob(job, Wall(harness));
+    EXPECT_TRUE(harness.Round().stops.empty()) << is_lost;
+  }
+}
+
 /// A change to the late job, and how many of its runs are stopped then.
 struct VictimCase {
   const char* name;
