Jobs: End the search for preemptions at the limit of stops

A plan went on searching all endpoints for each further step after it had selected the maximum number of runs. It now ends there. The tests are shorter and share their set-up.

--- a/src/jobs/preemption_plan.cc
+++ b/src/jobs/preemption_plan.cc
@@ -103,6 +103,9 @@
   /// Stops the cheapest runs that free enough capacity on one endpoint, if there are any.
   std::optional<std::size_t> StopFor(const BlockedStep& step, std::size_t position,
                                      const std::set<std::size_t>& used) {
+    if (this->stop_count >= PreemptionPlan::kMaxStops) {
+      return std::nullopt;
+    }
     std::optional<Choice> best;
     for (const std::size_t endpoint : step.endpoints) {
       if (used.contains(endpoint)) {
--- a/tests/jobs/preemption_test.cc
+++ b/tests/jobs/preemption_test.cc
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <functional>
+#include <optional>
 
 #include <gtest/gtest.h>
 
@@ -21,14 +21,12 @@
   return options;
 }
 
-WallTime Wall(const Harness& harness) { return WallTime(harness.now.time_since_epoch()); }
-
 std::int64_t NowMs(const Harness& harness) {
   return std::chrono::duration_cast<milliseconds>(harness.now.time_since_epoch()).count();
 }
 
-Job LateJob(std::uint32_t tasks) {
-  Step step = Harness::MakeStep(tasks);
+Job LateJob(std::uint32_t tasks = 4, std::int64_t cpu = 1000) {
+  Step step = Harness::MakeStep(tasks, cpu);
   step.estimate_ms = 8000;
   step.saves_progress = true;
   Job job = Harness::MakeJob(kLateJob, {step});
@@ -36,27 +34,36 @@
   return job;
 }
 
-/// An endpoint of four cores is full of the tasks of a late job, of one core each. Then a job
-/// arrives that can be on time if it starts within 1.5 s.
+/// Adds a job that can be on time if it starts within its estimate plus 500 ms.
+void AddUrgent(Harness& harness, std::uint64_t number, std::int64_t cpu,
+               std::int64_t estimate_ms = 1000) {
+  Job job = Harness::MakeJob(number, {Harness::MakeStep(1, cpu)});
+  job.steps[0].estimate_ms = estimate_ms;
+  job.accepted_ms = NowMs(harness);
+  harness.scheduler.AddJob(job, WallTime(harness.now.time_since_epoch()));
+}
+
+/// An endpoint of four cores is full of the tasks of a late job.
 class FullPool {
  public:
-  explicit FullPool(bool preempts = true) : harness(Options(preempts)) {
+  /// `answer` is that to the starts of the late job; absent if they aren't answered yet.
+  explicit FullPool(const Job& late_job = LateJob(), bool preempts = true,
+                    std::optional<OrderOutcome> answer = OrderOutcome::kDone)
+      : late_job(late_job), harness(Options(preempts)) {
     this->harness.Register({Harness::Endpoint("a", 4)});
-    this->harness.scheduler.AddJob(this->late_job, Wall(this->harness));
-    this->late = this->harness.StartAll();
+    this->harness.scheduler.AddJob(late_job, WallTime(this->harness.now.time_since_epoch()));
+    this->late = this->harness.Round().starts;
+    for (const StartOrder& start : this->late) {
+      if (answer) {
+        this->harness.scheduler.OnStartAnswered(start, *answer, this->harness.now);
+      }
+    }
     this->harness.AdvanceTime(milliseconds(100));
   }
 
-  void AddUrgent(std::uint64_t number, std::int64_t cpu, std::int64_t estimate_ms = 1000) {
-    Job job = Harness::MakeJob(number, {Harness::MakeStep(1, cpu)});
-    job.steps[0].estimate_ms = estimate_ms;
-    job.accepted_ms = NowMs(this->harness);
-    this->harness.scheduler.AddJob(job, Wall(this->harness));
-  }
-
   /// Adds the urgent job and returns the stops that follow.
-  std::vector<StopOrder> Preempt(std::int64_t cpu = 1000) {
-    this->AddUrgent(kUrgentJob, cpu);
+  std::vector<StopOrder> Preempt(std::int64_t cpu = 1000, std::uint64_t number = kUrgentJob) {
+    AddUrgent(this->harness, number, cpu);
     this->stops = this->harness.Round().stops;
     return this->stops;
   }
@@ -66,31 +73,27 @@
                        [&](const StopOrder& stop) { return stop.task == start.task; });
   }
 
-  /// The first `count` stopped runs end as `end`; the other late runs are still active.
-  void EndStopped(RunEnd end, std::size_t count = 1) {
+  /// The first `count` stopped runs end as `end`, as seen by this owner or by `other`; the other
+  /// late runs are still active.
+  void EndStopped(RunEnd end, std::size_t count = 1, Harness* other = nullptr, int percent = 0) {
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended;
     for (const StartOrder& start : this->late) {
       if (this->IsStopped(start) && ended.size() < count) {
         ended.push_back(Harness::Ended(ended.size() + 1, start, end, "half"));
       } else {
-        active.push_back(Harness::Active(start, 0));
+        active.push_back(Harness::Active(start, percent));
       }
     }
-    this->harness.AnswerRenewal("a", active, ended);
+    (other == nullptr ? this->harness : *other).AnswerRenewal("a", active, ended);
   }
 
+  /// All tasks of the late job were placed, so that each has a row.
   TaskProgress StoredProgressOf(const TaskKey& key) const {
-    const auto stored = DecodeProgress(this->harness.stored.at(key.job));
-    for (const TaskRow& row : stored->rows) {
-      if (row.index == key.index) {
-        return row.progress;
-      }
-    }
-    return {};
+    return DecodeProgress(this->harness.stored.at(key.job))->rows.at(key.index).progress;
   }
 
-  Job late_job = LateJob(4);
+  Job late_job;
   Harness harness;
   std::vector<StartOrder> late;
   std::vector<StopOrder> stops;
@@ -114,7 +117,7 @@
 
 /// Without the switch, nothing changes.
 TEST(Preemption, IsOffByDefault) {
-  FullPool pool(SchedulerOptions{}.preempts);
+  FullPool pool(LateJob(), SchedulerOptions{}.preempts);
   EXPECT_TRUE(pool.Preempt().empty());
 }
 
@@ -134,15 +137,20 @@
   EXPECT_EQ(again->checkpoint, "half");
 }
 
-/// Guards against a second run of a task that ended by itself while its stop was on its way.
+/// Guards against a second run of a task that ended by itself while its stop was on its way, and
+/// against releasing its claim before its end is known: the stop may be refused as too old.
 TEST(Preemption, AnEndThatComesWithTheStopCountsAsDone) {
-  FullPool pool;
-  const TaskKey key = pool.Preempt().at(0).task;
-  pool.EndStopped(RunEnd::kDone);
-  const std::vector<StartOrder> starts = pool.harness.StartAll();
-  ASSERT_EQ(starts.size(), 1U);
-  EXPECT_EQ(starts[0].task.job, JobId{kUrgentJob});
-  EXPECT_EQ(pool.StoredProgressOf(key).phase, TaskPhase::kDone);
+  for (const OrderOutcome outcome : {OrderOutcome::kDone, OrderOutcome::kRunTooOld}) {
+    FullPool pool;
+    const StopOrder stop = pool.Preempt().at(0);
+    pool.harness.scheduler.OnStopAnswered(stop, outcome, pool.harness.now);
+    EXPECT_TRUE(pool.harness.Round().starts.empty());
+    pool.EndStopped(RunEnd::kDone);
+    const std::vector<StartOrder> starts = pool.harness.StartAll();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].task.job, JobId{kUrgentJob});
+    EXPECT_EQ(pool.StoredProgressOf(stop.task).phase, TaskPhase::kDone);
+  }
 }
 
 /// Guards against a run that goes on forever while its claim counts as being freed.
@@ -157,18 +165,6 @@
   EXPECT_EQ(second[0].task, first[0].task) << "not a second run";
 }
 
-/// Guards against releasing a claim before its end is known: the endpoint refuses the stop as too
-/// old, because the run has ended, and lists the end later.
-TEST(Preemption, AStopRefusedAsTooOldLeavesTheEndToTheEndpoint) {
-  FullPool pool;
-  const StopOrder stop = pool.Preempt().at(0);
-  pool.harness.scheduler.OnStopAnswered(stop, OrderOutcome::kRunTooOld, pool.harness.now);
-  EXPECT_TRUE(pool.harness.Round().starts.empty());
-  pool.EndStopped(RunEnd::kDone);
-  EXPECT_EQ(pool.harness.Round().starts.size(), 1U);
-  EXPECT_EQ(pool.StoredProgressOf(stop.task).phase, TaskPhase::kDone);
-}
-
 /// Guards against a smaller task that takes what the first of two stopped runs frees, while the
 /// round holds an endpoint with more free cpu for the task that the runs were stopped for.
 TEST(Preemption, WhatIsFreedInPartsIsReserved) {
@@ -176,11 +172,11 @@
   pool.harness.scheduler.SetEndpoints({Harness::Endpoint("a", 4), Harness::Endpoint("b", 4)},
                                       pool.harness.now);
   pool.harness.AnswerRenewal("b", {}, {});
-  pool.AddUrgent(kUrgentJob + 1, 2500, 8000);
+  AddUrgent(pool.harness, kUrgentJob + 1, 2500, 8000);
   ASSERT_EQ(pool.harness.StartAll().at(0).endpoint, "b");
   pool.harness.AdvanceTime(milliseconds(100));
   ASSERT_EQ(pool.Preempt(2000).size(), 2U);
-  pool.AddUrgent(kUrgentJob + 2, 1000);
+  AddUrgent(pool.harness, kUrgentJob + 2, 1000);
   pool.EndStopped(RunEnd::kStopped);
   const Orders small = pool.harness.Round();
   ASSERT_EQ(small.starts.size(), 1U);
@@ -193,31 +189,16 @@
 
 /// Guards against a task that makes no progress because it is preempted again and again.
 TEST(Preemption, ATaskIsNotPreemptedTwiceInShortTime) {
-  struct Case {
-    Duration after;
-    std::size_t stops;
-  };
-  for (const Case& one : {Case{milliseconds(2000), 0}, Case{milliseconds(4000), 1}}) {
-    Harness harness(Options(true));
-    harness.Register({Harness::Endpoint("a", 1)});
-    harness.scheduler.AddJob(LateJob(1), Wall(harness));
-    std::uint64_t end = 0;
-    std::vector<StopOrder> stops;
-    for (std::uint64_t number = kUrgentJob; number < kUrgentJob + 2; ++number) {
-      const StartOrder late = harness.StartAll().at(0);
-      harness.AdvanceTime(number == kUrgentJob ? milliseconds(100) : one.after);
-      harness.AnswerRenewal("a", {Harness::Active(late, 0)}, {});
-      Job job = Harness::MakeJob(number, {Harness::MakeStep(1)});
-      job.accepted_ms = NowMs(harness);
-      harness.scheduler.AddJob(job, Wall(harness));
-      stops = harness.Round().stops;
-      if (number == kUrgentJob) {
-        harness.AnswerRenewal("a", {}, {Harness::Ended(++end, late, RunEnd::kStopped)});
-        const StartOrder urgent = harness.StartAll().at(0);
-        harness.AnswerRenewal("a", {}, {Harness::Ended(++end, urgent, RunEnd::kDone)});
-      }
-    }
-    EXPECT_EQ(stops.size(), one.stops) << one.after.count();
+  for (const bool is_soon : {true, false}) {
+    FullPool pool(LateJob(1, 4000));
+    ASSERT_EQ(pool.Preempt().size(), 1U);
+    pool.EndStopped(RunEnd::kStopped);
+    const StartOrder urgent = pool.harness.StartAll().at(0);
+    pool.harness.AnswerRenewal("a", {}, {Harness::Ended(2, urgent, RunEnd::kDone)});
+    pool.late = pool.harness.StartAll();
+    pool.harness.AdvanceTime(milliseconds(is_soon ? 2000 : 4000));
+    pool.EndStopped(RunEnd::kStopped, 0);
+    EXPECT_EQ(pool.Preempt(1000, kUrgentJob + 1).size(), is_soon ? 0U : 1U);
   }
 }
 
@@ -232,26 +213,13 @@
         JobId{kLateJob}, *DecodeProgress(this->before.harness.stored.at(JobId{kLateJob})));
   }
 
-  void Report(bool is_stopped) {
-    std::vector<ActiveRun> active;
-    std::vector<EndedRun> ended;
-    for (const StartOrder& start : this->before.late) {
-      if (is_stopped && this->before.IsStopped(start)) {
-        ended.push_back(Harness::Ended(1, start, RunEnd::kStopped, "half"));
-      } else {
-        active.push_back(Harness::Active(start, 0));
-      }
-    }
-    this->after.AnswerRenewal("a", active, ended);
-  }
-
   FullPool before;
   Harness after{Options(true), 2};
 };
 
 /// The stop never arrived, and the run goes on.
 TEST_F(PreemptionTakeover, KeepsARunThatIsStillActive) {
-  this->Report(false);
+  this->before.EndStopped(RunEnd::kStopped, 0, &this->after);
   const Orders orders = this->after.Round();
   EXPECT_TRUE(orders.starts.empty());
   EXPECT_TRUE(orders.stops.empty());
@@ -259,7 +227,7 @@
 
 /// The run ended before the successor asked. It isn't a failure, and its progress isn't lost.
 TEST_F(PreemptionTakeover, RestartsARunThatWasStopped) {
-  this->Report(true);
+  this->before.EndStopped(RunEnd::kStopped, 1, &this->after);
   const Orders orders = this->after.Round();
   ASSERT_EQ(orders.starts.size(), 1U);
   EXPECT_EQ(orders.starts[0].task, this->before.stops.at(0).task);
@@ -275,35 +243,23 @@
     ended.push_back({i, {JobId{1000 + i}, 0, 0, 0}, 1, RunEnd::kDone, ""});
   }
   this->after.AnswerRenewal("a", {}, ended);
-  Job job = Harness::MakeJob(kUrgentJob, {Harness::MakeStep(1)});
-  job.accepted_ms = NowMs(this->after);
-  this->after.scheduler.AddJob(job, Wall(this->after));
+  AddUrgent(this->after, kUrgentJob, 1000);
   EXPECT_TRUE(this->after.Round().stops.empty());
 }
 
 /// Guards against stops of runs whose starts aren't answered: nothing may run there.
 TEST(Preemption, StopsNoRunThatIsNotConfirmed) {
-  for (const bool is_lost : {false, true}) {
-    Harness harness(Options(true));
-    harness.Register({Harness::Endpoint("a", 4)});
-    harness.scheduler.AddJob(LateJob(4), Wall(harness));
-    for (const StartOrder& start : harness.Round().starts) {
-      if (is_lost) {
-        harness.scheduler.OnStartAnswered(start, OrderOutcome::kNoAnswer, harness.now);
-      }
-    }
-    harness.AdvanceTime(milliseconds(60));
-    Job job = Harness::MakeJob(kUrgentJob, {Harness::MakeStep(1)});
-    job.accepted_ms = NowMs(harness);
-    harness.scheduler.AddJob(job, Wall(harness));
-    EXPECT_TRUE(harness.Round().stops.empty()) << is_lost;
+  for (const auto& answer :
+       {std::optional<OrderOutcome>(), std::optional(OrderOutcome::kNoAnswer)}) {
+    FullPool pool(LateJob(), true, answer);
+    EXPECT_TRUE(pool.Preempt().empty());
   }
 }
 
 /// A change to the late job, and how many of its runs are stopped then.
 struct VictimCase {
   const char* name;
-  std::function<void(Job& late)> change;
+  void (*change)(Job& late);
   /// As the endpoint reports the runs after 1,100 ms.
   int percent = 0;
   std::size_t stops = 0;
@@ -313,37 +269,26 @@
 
 /// Guards against stops of runs that must go on, or that end before a stop takes effect.
 TEST_P(Victims, AreStoppedOnlyIfNothingProtectsThem) {
-  Harness harness(Options(true));
-  harness.Register({Harness::Endpoint("a", 4)});
-  Job late = LateJob(4);
+  Job late = LateJob();
   GetParam().change(late);
-  harness.scheduler.AddJob(late, Wall(harness));
-  std::vector<ActiveRun> active;
-  for (const StartOrder& start : harness.StartAll()) {
-    active.push_back(Harness::Active(start, GetParam().percent));
-  }
-  harness.AdvanceTime(milliseconds(1100));
-  harness.AnswerRenewal("a", active, {});
-  Job urgent = Harness::MakeJob(kUrgentJob, {Harness::MakeStep(1)});
-  urgent.accepted_ms = NowMs(harness);
-  harness.scheduler.AddJob(urgent, Wall(harness));
-  EXPECT_EQ(harness.Round().stops.size(), GetParam().stops);
+  FullPool pool(late);
+  pool.harness.AdvanceTime(milliseconds(1000));
+  pool.EndStopped(RunEnd::kStopped, 0, nullptr, GetParam().percent);
+  EXPECT_EQ(pool.Preempt().size(), GetParam().stops);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Preemption, Victims,
-    ::testing::Values(VictimCase{"late", [](Job&) {}, 0, 1},
-                      VictimCase{"late_at_half_its_work", [](Job&) {}, 50, 1},
-                      VictimCase{"long_running",
-                                 [](Job& late) { late.steps[0].is_long_running = true; }},
-                      VictimCase{"gang", [](Job& late) { late.steps[0].is_gang = true; }},
-                      VictimCase{"on_time", [](Job& late) { late.accepted_ms = 0; }},
-                      VictimCase{"ends_soon_by_its_estimate",
-                                 [](Job& late) { late.steps[0].estimate_ms = 2000; }},
-                      VictimCase{"ends_soon_by_its_report", [](Job&) {}, 60},
-                      VictimCase{"not_saved_beyond_the_budget",
-                                 [](Job& late) { late.steps[0].saves_progress = false; }}),
-    [](const auto& info) { return info.param.name; });
+const std::vector<VictimCase> kCases = {
+    {"late", [](Job&) {}, 0, 1},
+    {"late_at_half_its_work", [](Job&) {}, 50, 1},
+    {"long_running", [](Job& late) { late.steps[0].is_long_running = true; }},
+    {"gang", [](Job& late) { late.steps[0].is_gang = true; }},
+    {"on_time", [](Job& late) { late.accepted_ms = 0; }},
+    {"ends_soon_by_its_estimate", [](Job& late) { late.steps[0].estimate_ms = 2000; }},
+    {"ends_soon_by_its_report", [](Job&) {}, 60},
+    {"beyond_the_budget", [](Job& late) { late.steps[0].saves_progress = false; }}};
+
+INSTANTIATE_TEST_SUITE_P(Preemption, Victims, ::testing::ValuesIn(kCases),
+                         [](const auto& info) { return info.param.name; });
 
 }  // namespace
 }  // namespace chervilspar::jobs
