Admission: Test the answer to a refused caller and a promise whose job is not stored

Cause: the refusal was tested up to the decision, not up to the answer; the failure of the store after an admission was not tested. The tests of the entry were seen to fail with the guards taken out: the question whether the job is known, the drop of the outlook after an answer without one, and the check for slow appends.

--- a/tests/job_entry/admission_test.cc
+++ b/tests/job_entry/admission_test.cc
@@ -6,6 +6,7 @@
 
 #include "job_entry/admission_message.h"
 #include "job_entry/admission_view.h"
+#include "job_entry/caller_handler.h"
 #include "tests/job_entry/fake_fleet.h"
 
 namespace chervilspar::job_entry {
@@ -41,7 +42,7 @@
   }
 
  private:
-  const FakeRecords base;
+  FakeRecords base;
 };
 
 /// An entry that decides on submissions, with the requests between entries over loopback HTTP.
@@ -170,6 +171,48 @@
       1.0);
 }
 
+/// The refusal on the caller's side. Only what is answered 200 may be stored.
+TEST_F(OverloadedFleet, AnswersWith429AndStoresNothing) {
+  ASSERT_TRUE(this->Overload());
+  CallerHandler handler(this->other->entry.context, this->other->entry.operators,
+                        *this->other->entry.writer, this->other->queries, this->other->view.get());
+  const auto submit = [&](const std::string& id) {
+    http::Request request;
+    request.method = "POST";
+    request.target = "/v1/queues/bookings/jobs/" + id;
+    request.body = R"({"payload":"x","steps":[{"count":4,"cpu":500,"estimate_ms":1500}]})";
+    std::optional<http::Response> response;
+    asio::co_spawn(
+        this->io,
+        [&]() -> asio::awaitable<void> { response = co_await handler.Handle(request, nullptr); },
+        asio::detached);
+    this->RunFor([&] { return response.has_value(); });
+    return response.value_or(http::Response{});
+  };
+  const auto is_stored = [&](const std::string& id) {
+    for (const auto& [key, partition] : this->fleet.store.partitions) {
+      for (const KeyedRecord& record : partition.records) {
+        if (key.first == Topic::kJobs && record.key == id) {
+          return true;
+        }
+      }
+    }
+    return false;
+  };
+  http::Response refused;
+  std::string id;
+  for (int i = 0; refused.status != 429 && i < 10; ++i) {
+    id = "00000000000000c" + std::to_string(i);
+    refused = submit(id);
+    EXPECT_EQ(is_stored(id), refused.status == 200);
+  }
+  ASSERT_EQ(refused.status, 429U);
+  const int seconds = std::stoi(std::string(refused.headers.Find("Retry-After").value_or("0")));
+  EXPECT_GE(seconds, 1);
+  EXPECT_LE(seconds, 30);
+  EXPECT_EQ(submit("0000000000000005").status, 200U);
+}
+
 /// The owner dies or is cut off. Its last outlook must not refuse anybody for longer than a second.
 TEST_F(OverloadedFleet, AdmitsEverythingWhileTheOwnerIsSilent) {
   ASSERT_TRUE(this->Overload());
--- a/tests/jobs/admission_policy_test.cc
+++ b/tests/jobs/admission_policy_test.cc
@@ -163,7 +163,8 @@
     AdmissionPolicy policy;
     policy.SetOutlook(outlook, kNow);
     for (int job = 0; job < kJobsPerEntry; ++job) {
-      const auto number = static_cast<std::uint64_t>(1000 * entry + job);
+      const auto number =
+          std::uint64_t{1000} * static_cast<unsigned>(entry) + static_cast<unsigned>(job);
       admitted += policy.Decide(Request(number), kNow).IsRefused() ? 0 : 1;
     }
   }
@@ -195,6 +196,24 @@
   EXPECT_TRUE(decision.is_returned);
 }
 
+/// The store fails after a returning caller was admitted, and the caller tries again through
+/// another entry. Without its promise it would be refused although it came at its time.
+TEST(PromisedRoom, KeepsThePromiseUntilTheJobIsStored) {
+  PromisedRoom room;
+  room.Add({{JobId{1}, TeamId{"flood"}, "bookings", 1000.0 * 1000.0, 1000}}, kNow);
+  const auto is_admitted_at = [&](Duration time, bool is_stored) {
+    room.Review(kNow + time, [&](const JobId&) { return is_stored; });
+    AdmissionOutlook outlook = OutlookOf(20000);
+    room.AddTo(outlook, kNow + time, std::chrono::seconds(2));
+    AdmissionPolicy entry;
+    entry.SetOutlook(outlook, kNow + time);
+    return !entry.Decide(Request(), kNow + time).IsRefused();
+  };
+  EXPECT_TRUE(is_admitted_at(milliseconds(1000), false));
+  EXPECT_TRUE(is_admitted_at(milliseconds(2000), false));
+  EXPECT_FALSE(is_admitted_at(milliseconds(2001), true));
+}
+
 /// Room must not be kept for callers that never return, for jobs that are stored, or for more than
 /// 256 ids.
 TEST(PromisedRoom, IsBoundedInTimeAndNumber) {
