Account shares: Divide in one pass over the accounts and one over the waiting tasks

Cause: the division took time with the square of the number of accounts, and it read the tasks of all waiting jobs twice, the overload plan a third time. Change: accounts are sorted by the level at which they have what they request and passed once for each resource that is used up; the need and the work of a waiting job are measured together, and the overload plan of the same round reuses the work. Tests: jobs_test passes.

--- a/src/jobs/account_shares.cc
+++ b/src/jobs/account_shares.cc
@@ -52,65 +52,88 @@
 };
 
 /// Raises the level, the share per unit of weight, for all accounts at once. An account stops at
-/// its request, or when a resource that it needs is used up.
+/// its request, or when a resource that it needs is used up. Takes time in proportion to the number
+/// of accounts, besides sorting them.
 class LevelFilling {
  public:
-  explicit LevelFilling(std::vector<Claimant> claimants) : growing(std::move(claimants)) {}
+  explicit LevelFilling(std::vector<Claimant> claimants) : growing(std::move(claimants)) {
+    std::sort(this->growing.begin(), this->growing.end(),
+              [](const Claimant& one, const Claimant& other) {
+                return one.FullLevel() < other.FullLevel();
+              });
+  }
 
   void Run() {
     while (!this->growing.empty()) {
-      const Fractions rates = this->Rates();
-      const double next = this->NextLevel(rates);
-      std::array<bool, 2> is_used_up{};
-      for (std::size_t i = 0; i < rates.size(); ++i) {
-        this->left[i] -= rates[i] * (next - this->level);
-        is_used_up[i] = this->left[i] <= kTolerance;
-      }
-      this->level = next;
-      this->StopGrowing(is_used_up);
+      this->RaiseUntilUsedUp();
     }
   }
 
  private:
-  /// Use of each resource per unit of the level.
-  Fractions Rates() const {
-    Fractions rates{};
-    for (const Claimant& claimant : this->growing) {
-      for (std::size_t i = 0; i < rates.size(); ++i) {
-        rates[i] += claimant.share->weight * claimant.profile[i];
+  /// Raises the level until a resource is used up, and removes the accounts that need it, or until
+  /// all accounts have what they request.
+  void RaiseUntilUsedUp() {
+    const std::vector<Fractions> rates = this->Rates();
+    for (std::size_t i = 0; i < this->growing.size(); ++i) {
+      const Claimant& next = this->growing[i];
+      const Fractions ends = this->LevelsAtEnd(rates[i]);
+      const double first_end = *std::min_element(ends.begin(), ends.end());
+      if (first_end < next.FullLevel()) {
+        this->RaiseTo(first_end, rates[i]);
+        this->StopAt(
+            i, static_cast<std::size_t>(std::min_element(ends.begin(), ends.end()) - ends.begin()));
+        return;
+      }
+      this->RaiseTo(next.FullLevel(), rates[i]);
+      next.share->due = next.share->requested;
+    }
+    this->growing.clear();
+  }
+
+  /// For each account: the use of each resource per unit of the level by it and those after it.
+  /// Summed from the end, as differences would lose the small weights among large ones.
+  std::vector<Fractions> Rates() const {
+    std::vector<Fractions> rates(this->growing.size());
+    Fractions sum{};
+    for (std::size_t i = rates.size(); i-- > 0;) {
+      for (std::size_t resource = 0; resource < sum.size(); ++resource) {
+        sum[resource] += this->growing[i].share->weight * this->growing[i].profile[resource];
       }
+      rates[i] = sum;
     }
     return rates;
   }
 
-  /// The next level at which an account stops or a resource is used up.
-  double NextLevel(const Fractions& rates) const {
-    double next = std::numeric_limits<double>::infinity();
-    for (const Claimant& claimant : this->growing) {
-      next = std::min(next, claimant.FullLevel());
+  /// The levels at which the resources are used up.
+  Fractions LevelsAtEnd(const Fractions& rates) const {
+    Fractions ends{};
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+      ends[i] = rates[i] > 0 ? this->level + std::max(this->left[i], 0.0) / rates[i]
+                             : std::numeric_limits<double>::infinity();
     }
+    return ends;
+  }
+
+  void RaiseTo(double next, const Fractions& rates) {
     for (std::size_t i = 0; i < rates.size(); ++i) {
-      if (rates[i] > 0) {
-        next = std::min(next, this->level + std::max(this->left[i], 0.0) / rates[i]);
-      }
+      this->left[i] -= rates[i] * (next - this->level);
     }
-    return std::max(next, this->level);
+    this->level = next;
   }
 
-  void StopGrowing(const std::array<bool, 2>& is_used_up) {
-    for (const Claimant& claimant : this->growing) {
+  /// Accounts before `first` have what they request. Of the others, those that need the resource
+  /// stop at the present level.
+  void StopAt(std::size_t first, std::size_t resource) {
+    std::vector<Claimant> others;
+    for (std::size_t i = first; i < this->growing.size(); ++i) {
+      const Claimant& claimant = this->growing[i];
       AccountShare& share = *claimant.share;
-      const double due = std::min(share.requested, share.weight * this->level);
-      // Rounding must not leave an account that has all of its request below it.
-      share.due = claimant.FullLevel() <= this->level ? share.requested : due;
-    }
-    std::erase_if(this->growing, [&](const Claimant& claimant) {
-      bool is_stopped = claimant.FullLevel() <= this->level;
-      for (std::size_t i = 0; i < is_used_up.size(); ++i) {
-        is_stopped = is_stopped || (is_used_up[i] && claimant.profile[i] > 0);
+      share.due = std::min(share.requested, share.weight * this->level);
+      if (claimant.profile[resource] <= 0) {
+        others.push_back(claimant);
       }
-      return is_stopped;
-    });
+    }
+    this->growing = std::move(others);
   }
 
   std::vector<Claimant> growing;
--- a/src/jobs/division_round.cc
+++ b/src/jobs/division_round.cc
@@ -34,14 +34,24 @@
                        [](const Task& task) { return task.IsWaiting(); });
 }
 
-/// What the waiting tasks of open steps need.
-Resources OpenNeedOf(const JobState& job) {
+double WorkOf(const Step& step, std::int64_t tasks) {
+  return static_cast<double>(tasks) * static_cast<double>(RequiredCapacity(step).cpu) *
+         static_cast<double>(std::max<std::int64_t>(step.estimate_ms, kMinEstimateMs));
+}
+
+/// Returns what the waiting tasks of open steps need, and updates the job's waiting work. One pass,
+/// as reading the tasks of all waiting jobs is most of the cost of a division.
+Resources MeasureWaiting(JobState& job) {
   Resources need;
+  job.divided_work = 0;
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const StepState& step = occurrence.steps[i];
+      const Step& spec = job.job.steps[i];
+      const std::int64_t tasks = WaitingTasks(step);
+      job.divided_work += WorkOf(spec, tasks);
       if (step.is_open) {
-        need = need + Multiply(RequiredCapacity(job.job.steps[i]), WaitingTasks(step));
+        need = need + Multiply(RequiredCapacity(spec), tasks);
       }
     }
   }
@@ -60,10 +70,7 @@
   double work = 0;
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      const Step& spec = job.job.steps[i];
-      work += static_cast<double>(WaitingTasks(occurrence.steps[i])) *
-              static_cast<double>(RequiredCapacity(spec).cpu) *
-              static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kMinEstimateMs));
+      work += WorkOf(job.job.steps[i], WaitingTasks(occurrence.steps[i]));
     }
   }
   return work;
@@ -107,7 +114,7 @@
     for (const ReadyKey& key : pool.ready) {
       JobState& job = *this->state.FindJob(key.job);
       if (key.rank > 0 && key.latest_start_ms >= this->wall_ms) {
-        waiting.push_back({key, &job, OpenNeedOf(job)});
+        waiting.push_back({key, &job, MeasureWaiting(job)});
       } else {
         job.is_beyond_share = false;
       }
@@ -131,7 +138,7 @@
     const TeamId& team = entry.job->job.team;
     Resources& need = needs[team];
     need = need + entry.need;
-    accounts[team].open_work += WaitingWorkOf(*entry.job);
+    accounts[team].open_work += entry.job->divided_work;
   }
   std::vector<AccountDemand> demands;
   demands.reserve(accounts.size());
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -114,7 +114,7 @@
       urgent.push_back(
           {key.job, job.job.team,
            static_cast<double>(key.latest_start_ms - this->wall_ms) + kSlackToleranceMs,
-           WaitingWorkOf(job)});
+           this->is_divided ? job.divided_work : WaitingWorkOf(job)});
     }
   }
   std::stable_sort(urgent.begin(), urgent.end(), [](const UrgentJob& one, const UrgentJob& other) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -161,6 +161,8 @@
   /// Its next tasks, or if none waits its running ones, exceed what its account is due; see
   /// `DivisionRound`. Always false for late and long-running jobs.
   bool is_beyond_share = false;
+  /// The result of `WaitingWorkOf` at the last division, for on-time jobs with waiting tasks.
+  double divided_work = 0;
   /// The last reason logged for a late job; each change is logged once.
   WaitReason reported_wait_reason = WaitReason::kNone;
 
