Division: Mark runs beyond a share apart from waiting tasks

Cause: one mark for a job made the runs of a partly placed job count as beyond the share because its waiting tasks are. Stopping such runs takes an account that is within its share below it. PoolLoads spread the excess over all running work of the account instead of naming runs. Change: JobState::are_runs_beyond_share marks the running tasks that exceed what the account is due, by rank and deadline; PoolLoads uses it. Late work is left out of this order. A change of a cap is tested with that of a weight, and the export of the ratios with a running owner.

--- a/src/jobs/account_division.cc
+++ b/src/jobs/account_division.cc
@@ -11,9 +11,4 @@
   return AccountShare{.due = use.due, .used = this->shares.DominantFraction(use.in_use)}.IsBeyond();
 }
 
-double AccountDivision::ExcessPart(const TeamId& team) const {
-  const AccountShare* share = this->shares.Find(team);
-  return share != nullptr && share->IsBeyond() ? 1 - share->due / share->used : 0;
-}
-
 }  // namespace chervilspar::jobs
--- a/src/jobs/account_division.h
+++ b/src/jobs/account_division.h
@@ -27,8 +27,6 @@
 struct AccountDivision {
   /// True if the account now uses more than it is due.
   bool IsBeyond(const TeamId& team) const;
-  /// The part of the account's use at the last division that exceeded what it was due.
-  double ExcessPart(const TeamId& team) const;
 
   AccountShares shares;
   std::unordered_map<TeamId, AccountUse> accounts;
--- a/src/jobs/division_round.cc
+++ b/src/jobs/division_round.cc
@@ -220,32 +220,32 @@
   }
 }
 
-std::vector<DivisionRound::RunningJob> DivisionRound::CollectRunning(
-    std::map<TeamId, Resources>& elsewhere) {
-  std::unordered_map<JobState*, Resources> claimed;
+std::vector<DivisionRound::RunningJob> DivisionRound::CollectRunning() {
+  std::unordered_map<JobState*, RunningJob> claimed;
   for (const auto& [id, endpoint] : this->state.endpoints) {
     for (const TaskKey& key : endpoint->claims) {
       const TaskRef ref = this->state.Find(key);
       if (!ref.spec->is_long_running) {
-        Resources& sum = claimed[ref.job];
-        sum = sum + RequiredCapacity(*ref.spec);
+        RunningJob& entry = claimed[ref.job];
+        entry.in_use = entry.in_use + RequiredCapacity(*ref.spec);
+        const std::int64_t begin_ms = std::int64_t{key.occurrence} * ref.job->job.interval_ms;
+        entry.key.latest_start_ms =
+            std::max(entry.key.latest_start_ms, ref.job->deadline_ms + begin_ms);
       }
     }
   }
   std::vector<RunningJob> running;
-  for (const auto& [job, in_use] : claimed) {
-    const auto queue = this->state.policy.queues.find(job->job.queue);
-    const bool has_queue = queue != this->state.policy.queues.end();
-    const bool is_late = this->wall_ms > job->deadline_ms;
-    if (job->ready || is_late) {
-      job->is_beyond_share = job->ready && job->is_beyond_share;
-      elsewhere[job->job.team] = elsewhere[job->job.team] + (is_late ? Resources{} : in_use);
+  for (auto& [job, entry] : claimed) {
+    if (this->wall_ms > entry.key.latest_start_ms) {
+      job->is_beyond_share = false;
+      job->are_runs_beyond_share = false;
       continue;
     }
-    running.push_back(
-        {{1 + (has_queue ? queue->second.priority : 0), job->deadline_ms, job->job.id},
-         job,
-         in_use});
+    const auto queue = this->state.policy.queues.find(job->job.queue);
+    entry.key.rank = 1 + (queue == this->state.policy.queues.end() ? 0 : queue->second.priority);
+    entry.key.job = job->job.id;
+    entry.job = job;
+    running.push_back(entry);
   }
   std::sort(running.begin(), running.end(),
             [](const RunningJob& one, const RunningJob& other) { return one.key < other.key; });
@@ -253,12 +253,14 @@
 }
 
 void DivisionRound::MarkRunning() {
-  // Runs of jobs that also have waiting tasks count before the others.
-  std::map<TeamId, Resources> used;
-  for (const RunningJob& entry : this->CollectRunning(used)) {
-    const TeamId& team = entry.job->job.team;
-    Resources& ahead = used[team];
-    entry.job->is_beyond_share = this->IsBeyond(team, ahead);
+  std::unordered_map<TeamId, Resources> used;
+  for (const RunningJob& entry : this->CollectRunning()) {
+    JobState& job = *entry.job;
+    Resources& ahead = used[job.job.team];
+    job.are_runs_beyond_share = this->IsBeyond(job.job.team, ahead);
+    if (!job.ready) {
+      job.is_beyond_share = job.are_runs_beyond_share;
+    }
     ahead = ahead + entry.in_use;
   }
 }
--- a/src/jobs/division_round.h
+++ b/src/jobs/division_round.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <vector>
 
 #include "jobs/scheduler_state.h"
@@ -13,10 +12,10 @@
 /// Divides the capacity of all pools among the accounts and marks the jobs that are beyond their
 /// account's share.
 ///
-/// The running tasks of an account count before its waiting ones, and each in the order of rank and
-/// latest start. A job is beyond the share if those ahead of it already use more than the account
-/// is due, so the one that crosses the limit still counts as within: otherwise an account that is
-/// due less than one task would never be served.
+/// The running tasks of an account count before its waiting ones. Running jobs are ordered by rank
+/// and deadline, waiting ones by rank and latest start. A job is beyond the share if those ahead of
+/// it already use more than the account is due, so the one that crosses the limit still counts as
+/// within: otherwise an account that is due less than one task would never be served.
 class DivisionRound {
  public:
   DivisionRound(SchedulerState& state, TimePoint now, std::int64_t wall_ms)
@@ -33,8 +32,9 @@
     /// What its waiting tasks of open steps need.
     Resources need;
   };
-  /// A job with claims and without waiting tasks.
+  /// A job with claims that is on time.
   struct RunningJob {
+    /// With the deadline in place of the latest start.
     ReadyKey key;
     JobState* job = nullptr;
     Resources in_use;
@@ -50,7 +50,8 @@
   Resources UsableCapacity() const;
   void MarkWaiting(const std::vector<WaitingJob>& waiting);
   void MarkRunning();
-  std::vector<RunningJob> CollectRunning(std::map<TeamId, Resources>& elsewhere);
+  /// Collects these in their order, and clears the marks of the late ones.
+  std::vector<RunningJob> CollectRunning();
   bool IsBeyond(const TeamId& team, const Resources& used) const;
   void ReportBehind(JobState& job);
 
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -158,9 +158,11 @@
   std::optional<ReadyKey> ready;
   /// The job could meet its deadline alone, but not together with the others; see `OverloadPlan`.
   bool is_abandoned = false;
-  /// Its next tasks, or if none waits its running ones, exceed what its account is due; see
+  /// Its waiting tasks, or if none waits its running ones, exceed what its account is due; see
   /// `DivisionRound`. Always false for late and long-running jobs.
   bool is_beyond_share = false;
+  /// The same of its running tasks alone.
+  bool are_runs_beyond_share = false;
   /// The result of `WaitingWorkOf` at the last division, for on-time jobs with waiting tasks.
   double divided_work = 0;
   /// The last reason logged for a late job; each change is logged once.
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -57,19 +57,17 @@
   return count;
 }
 
-/// What the division among accounts says of a job; all false or 0 without a division.
+/// Which work of a job is beyond the share of its account; none without a division.
 struct ShareOfJob {
   bool is_waiting_beyond = false;
-  /// The part of its running work that is beyond the share of its account.
-  double running_beyond = 0;
+  bool is_running_beyond = false;
 };
 
 ShareOfJob ShareOf(const JobState& job, const SchedulerState& state) {
   if (!state.options.divides_shares) {
     return {};
   }
-  return {job.is_beyond_share || job.is_abandoned,
-          job.is_abandoned ? 1.0 : state.division.ExcessPart(job.job.team)};
+  return {job.is_beyond_share || job.is_abandoned, job.are_runs_beyond_share || job.is_abandoned};
 }
 
 /// Adds the remaining work of one step to the load of its pool. `amount` is the need of one task.
@@ -84,7 +82,7 @@
   const double running = remaining * amount * estimate_ms;
   load.running += running;
   load.running_late += is_late ? running : 0;
-  load.running_beyond_share += is_late ? 0 : running * share.running_beyond;
+  load.running_beyond_share += share.is_running_beyond && !is_late ? running : 0;
   load.concurrent_demand += (count.claimed + (is_open ? count.waiting : 0)) * amount;
 }
 
--- a/tests/job_entry/share_metrics_test.cc
+++ b/tests/job_entry/share_metrics_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "tests/job_entry/fake_fleet.h"
+
 namespace chervilspar::job_entry {
 namespace {
 
@@ -34,5 +36,22 @@
   EXPECT_EQ(RatioOf(metrics, "other"), 0);
 }
 
+/// Guards against an owner that divides and doesn't export it, or exports it without the switch.
+TEST(ShareMetrics, AreExportedByAnOwnerThatDivides) {
+  for (const bool divides_shares : {true, false}) {
+    boost::asio::io_context io;
+    FakeFleet fleet(io, 2);
+    fleet.endpoints.task_time = std::chrono::seconds(2);
+    FakeEntry& owner = fleet.AddEntry("a");
+    owner.settings.decisions.scheduler.divides_shares = divides_shares;
+    RunUntil(io, std::chrono::seconds(5), [&] { return IsServing(owner); });
+    const jobs::Job job = FakeFleet::MakeJob(1, 2);
+    boost::asio::co_spawn(io, owner.writer->Write({SubmissionKey(job.id), jobs::EncodeJob(job)}),
+                          boost::asio::detached);
+    RunUntil(io, std::chrono::seconds(2), [&] { return RatioOf(owner.metrics, "other") > 0; });
+    EXPECT_EQ(RatioOf(owner.metrics, "other") > 0, divides_shares);
+  }
+}
+
 }  // namespace
 }  // namespace chervilspar::job_entry
--- a/tests/jobs/division_test.cc
+++ b/tests/jobs/division_test.cc
@@ -194,6 +194,10 @@
   world.SetWeights(4, 1);
   world.Decide();
   EXPECT_NEAR(world.scheduler.Shares().Find(kHot)->due, 0.8, 0.01);
+  world.policy.teams[kGuest].cap = {5'000, 0, 0};  // Of 34 cores.
+  world.scheduler.SetPolicy(world.policy);
+  world.Decide();
+  EXPECT_NEAR(world.scheduler.Shares().Find(kHot)->due, 29.0 / 34, 0.01);
 }
 
 /// An account that the policy doesn't name has the weight 1 and isn't lost.
@@ -276,8 +280,8 @@
   const bool has_mark = std::any_of(load.waiting.begin(), load.waiting.end(),
                                     [](const WaitingWork& work) { return work.is_beyond_share; });
   EXPECT_EQ(has_mark, GetParam());
-  EXPECT_EQ(load.running_beyond_share > 0, GetParam());
-  EXPECT_LT(load.running_beyond_share, load.running);
+  // 18 of the 20 running jobs are within the 17 cores that are due; half of each is done.
+  EXPECT_DOUBLE_EQ(load.running_beyond_share, GetParam() ? 2 * 0.5 * 1e6 : 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Switch, LoadsOfPools, ::testing::Bool());
