Merge the marks of runs beyond the share of their account

A run gives way by the mark of its job's runs, not of its waiting tasks: those of a partly placed job may be beyond the share while its runs are within.

--- a/src/jobs/preemption.cc
+++ b/src/jobs/preemption.cc
@@ -181,7 +181,7 @@
   PreemptibleRun run{.task = ref.key,
                      .capacity = RequiredCapacity(*ref.spec),
                      .rank = this->state.RankOf(*ref.job),
-                     .is_beyond_share = ref.job->is_beyond_share,
+                     .is_beyond_share = ref.job->are_runs_beyond_share,
                      .saves_progress = ref.spec->saves_progress,
                      .is_stopping = task.state == RunState::kStopping};
   const bool is_batch = !ref.spec->is_long_running && !ref.spec->is_gang && !ref.spec->is_filler;
