Tests: Add long-running tasks and idle VM seconds to the simulated fleet

Cause: the fleet of the tests had no VMs that long-running tasks hold, started late jobs before on-time ones, and didn't say what idle VMs were kept for.

Change: FleetShape sets VM size, demand between turns and long-running tasks; on-time jobs start first, as in the scheduler; DayOutcome has the idle VM seconds by reason.

--- a/tests/jobs/turns_fleet.cc
+++ b/tests/jobs/turns_fleet.cc
@@ -12,10 +12,7 @@
 constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr int kTicksPerPlan = 3;
 constexpr Duration kMoveTime = std::chrono::milliseconds(2000);
-constexpr double kVmCpu = 64000;
 constexpr int kStandby = -1;
-/// A queue's demand between its turns, as a fraction of that at its peak.
-constexpr double kIdleShare = 0.02;
 constexpr double kMaxRelativeSize = 4;
 
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
@@ -24,11 +21,18 @@
 }  // namespace
 
 TurnsFleet::TurnsFleet(std::vector<QueueShape> shapes, int idle_vms, SizerOptions options,
-                       std::uint64_t seed)
-    : shapes(std::move(shapes)), sizer(options), random(seed), queues(this->shapes.size()) {
+                       std::uint64_t seed, FleetShape fleet)
+    : shapes(std::move(shapes)),
+      fleet(fleet),
+      sizer(options),
+      random(seed),
+      queues(this->shapes.size()) {
   for (std::size_t i = 0; i < this->shapes.size(); ++i) {
     for (int vm = 0; vm < this->shapes[i].vms; ++vm) {
-      this->vms.push_back({.pool = static_cast<int>(i)});
+      const bool has_long_running = vm < fleet.long_running_vms;
+      this->vms.push_back({.pool = static_cast<int>(i),
+                           .used_cpu = has_long_running ? fleet.long_running_cpu : 0,
+                           .has_long_running = has_long_running});
     }
   }
   for (int vm = 0; vm < idle_vms; ++vm) {
@@ -42,10 +46,10 @@
 
 double TurnsFleet::RateOf(int queue, Duration since_traffic, Duration turn) const {
   const double peak = this->shapes[queue].peak_jobs_per_s;
+  const double idle = this->fleet.idle_share;
   const double position = Seconds(since_traffic) / Seconds(turn) - queue;
   const bool has_turn = position >= 0 && position < 1;
-  return peak *
-         (has_turn ? std::max(kIdleShare, std::sin(position * std::numbers::pi)) : kIdleShare);
+  return peak * (has_turn ? std::max(idle, std::sin(position * std::numbers::pi)) : idle);
 }
 
 void TurnsFleet::Arrive(TimePoint now, int queue, double rate_per_s) {
@@ -74,25 +78,34 @@
   }
 }
 
+/// Starts tasks of on-time jobs first, then those of late ones, each in order of arrival.
 void TurnsFleet::StartTasks(TimePoint now, int queue) {
   const QueueShape& shape = this->shapes[queue];
   std::deque<Job>& waiting = this->queues[queue].waiting;
+  const auto on_time = std::find_if(waiting.begin(), waiting.end(),
+                                    [now](const Job& job) { return job.latest_start >= now; });
+  std::vector<Job*> order;
+  for (auto job = on_time; job != waiting.end(); ++job) {
+    order.push_back(&*job);
+  }
+  for (auto job = waiting.begin(); job != on_time; ++job) {
+    order.push_back(&*job);
+  }
+  auto next = order.begin();
   for (Vm& vm : this->vms) {
     if (vm.pool != queue || vm.available_at > now || vm.is_released) {
       continue;
     }
-    while (!waiting.empty() && vm.used_cpu + shape.task_cpu <= kVmCpu) {
+    while (next != order.end() && vm.used_cpu + shape.task_cpu <= this->fleet.vm_cpu) {
       vm.used_cpu += shape.task_cpu;
-      vm.tasks.push_back({now + shape.task_time, queue});
-      if (--waiting.front().waiting_tasks == 0) {
-        this->outcome.late_jobs += now > waiting.front().latest_start ? 1 : 0;
-        waiting.pop_front();
+      vm.tasks.push_back({now + shape.task_time, queue, (*next)->latest_start < now});
+      if (--(*next)->waiting_tasks == 0) {
+        this->outcome.late_jobs += now > (*next)->latest_start ? 1 : 0;
+        ++next;
       }
     }
-    if (waiting.empty()) {
-      return;
-    }
   }
+  std::erase_if(waiting, [](const Job& job) { return job.waiting_tasks == 0; });
 }
 
 std::map<ServiceId, PoolLoad> TurnsFleet::Loads(TimePoint now) const {
@@ -102,6 +115,8 @@
     const QueueShape& shape = this->shapes[i];
     PoolLoad& load = loads[this->PoolName(static_cast<int>(i))];
     load.arrived_jobs = this->queues[i].arrived_jobs;
+    load.min_endpoints = this->fleet.long_running_vms;
+    load.cpu.long_running = this->fleet.long_running_vms * this->fleet.long_running_cpu;
     load.cpu.arrived = this->queues[i].arrived_work;
     for (const Job& job : this->queues[i].waiting) {
       const double work = job.waiting_tasks * shape.task_cpu * Milliseconds(shape.task_time);
@@ -112,8 +127,11 @@
   for (const Vm& vm : this->vms) {
     for (const Task& task : vm.tasks) {
       ResourceLoad& cpu = loads[this->PoolName(task.queue)].cpu;
-      cpu.running += this->shapes[task.queue].task_cpu * Milliseconds(task.end - now);
+      const double work = this->shapes[task.queue].task_cpu * Milliseconds(task.end - now);
+      cpu.running += work;
+      cpu.running_late += task.is_late ? work : 0;
       cpu.concurrent_demand += this->shapes[task.queue].task_cpu;
+      cpu.in_use += this->shapes[task.queue].task_cpu;
     }
   }
   return loads;
@@ -126,9 +144,10 @@
     SizerVm entry;
     entry.id = VmId{std::to_string(i)};
     entry.pool = this->PoolName(vm.pool);
-    entry.cpu = kVmCpu;
+    entry.cpu = this->fleet.vm_cpu;
     entry.used = vm.used_cpu;
-    entry.is_empty = vm.tasks.empty();
+    entry.has_long_running = vm.has_long_running;
+    entry.is_empty = vm.tasks.empty() && !vm.has_long_running;
     entry.is_serving = vm.pool != kStandby;
     entry.is_pinned = vm.available_at > now;
     listed.push_back(std::move(entry));
@@ -146,6 +165,24 @@
   }
 }
 
+void TurnsFleet::CountVmSeconds() {
+  for (std::size_t i = 0; i < this->queues.size(); ++i) {
+    const int pool = static_cast<int>(i);
+    const ServiceId name = this->PoolName(pool);
+    double paid = 0;
+    double used = 0;
+    for (const Vm& vm : this->vms) {
+      paid += vm.pool == pool ? 1 : 0;
+      used += vm.pool == pool ? vm.used_cpu / this->fleet.vm_cpu : 0;
+    }
+    this->outcome.vm_seconds += paid * Seconds(kTick);
+    const double kept = std::max(0.0, paid - std::max<double>(used, this->sizer.NeededSize(name)));
+    this->outcome.idle_vm_seconds["kept"] += kept * Seconds(kTick);
+    this->outcome.idle_vm_seconds[ToString(this->sizer.NeedReason(name))] +=
+        (paid - used - kept) * Seconds(kTick);
+  }
+}
+
 DayOutcome TurnsFleet::Play(Duration lead, Duration turn) {
   const TimePoint begin = TimePoint{} + std::chrono::seconds(1);
   const Duration day = turn * static_cast<int>(this->queues.size());
@@ -164,9 +201,7 @@
       this->Resize(now, passed < lead ? this->outcome.early_moves : this->outcome.moves);
     }
     if (passed >= lead) {
-      const auto paid = std::count_if(this->vms.begin(), this->vms.end(),
-                                      [](const Vm& vm) { return vm.pool != kStandby; });
-      this->outcome.vm_seconds += static_cast<double>(paid) * Seconds(kTick);
+      this->CountVmSeconds();
     }
   }
   for (const Queue& queue : this->queues) {
--- a/tests/jobs/turns_fleet.h
+++ b/tests/jobs/turns_fleet.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "chervilspar/base/random.h"
@@ -26,6 +27,20 @@
   friend bool operator==(const QueueShape&, const QueueShape&) = default;
 };
 
+/// The VMs of a simulated fleet and what holds them apart from jobs.
+struct FleetShape {
+  /// In thousandths of a core.
+  double vm_cpu = 64000;
+  /// A queue's demand between its turns, as a fraction of that at its peak.
+  double idle_share = 0.02;
+  /// VMs of each pool with a long-running task, which stay in the pool.
+  int long_running_vms = 0;
+  /// The use of a long-running task, in thousandths of a core.
+  double long_running_cpu = 0;
+
+  friend bool operator==(const FleetShape&, const FleetShape&) = default;
+};
+
 /// What a day costs and how callers are served.
 struct DayOutcome {
   /// Moves before there is traffic, and while there is.
@@ -33,6 +48,9 @@
   int moves = 0;
   /// Seconds that VMs spend in pools while there is traffic, moves included.
   double vm_seconds = 0;
+  /// The part of `vm_seconds` that no task used, by what determined the size of the pool. VMs above
+  /// the pool's need count as "kept".
+  std::map<std::string, double> idle_vm_seconds;
   int jobs = 0;
   int late_jobs = 0;
 
@@ -45,8 +63,8 @@
 class TurnsFleet {
  public:
   /// `idle_vms`: VMs that are switched off at the start.
-  TurnsFleet(std::vector<QueueShape> shapes, int idle_vms, SizerOptions options,
-             std::uint64_t seed);
+  TurnsFleet(std::vector<QueueShape> shapes, int idle_vms, SizerOptions options, std::uint64_t seed,
+             FleetShape fleet = {});
 
   /// Runs without jobs for `lead`, then with one turn of each queue in order.
   DayOutcome Play(Duration lead, Duration turn);
@@ -55,11 +73,13 @@
   struct Task {
     TimePoint end{};
     int queue = 0;
+    bool is_late = false;
   };
   struct Vm {
     int pool = 0;
     double used_cpu = 0;
     std::vector<Task> tasks;
+    bool has_long_running = false;
     /// Set while the VM moves to `pool`.
     TimePoint available_at{};
     bool is_released = false;
@@ -79,10 +99,12 @@
   void Arrive(TimePoint now, int queue, double rate_per_s);
   void EndTasks(TimePoint now);
   void StartTasks(TimePoint now, int queue);
+  void CountVmSeconds();
   void Resize(TimePoint now, int& moves);
   std::map<ServiceId, PoolLoad> Loads(TimePoint now) const;
 
   const std::vector<QueueShape> shapes;
+  const FleetShape fleet;
   PoolSizer sizer;
   SeededRandom random;
   std::vector<Vm> vms;
