Jobs: Size pools by the work that more VMs would still serve on time

Cause: with peak sizing the remaining work of running tasks is divided by the slack of the first waiting job, their room by the usable fraction, chance rises are extrapolated over a whole move, and a pool keeps the highest size of its turn for six of the next eight seconds.

Change: with sizes_by_demand, running tasks need the room that they use, waiting on-time work what they don't free in time, and the forecast looks ahead only as far as slack and run time don't cover. VMs are given to long- running tasks, on-time work within shares, other on-time work and forecasts in this order, are lent by later groups, and go back at the end of a turn. While VMs are short, slack isn't relied on and sizes are kept. The scheduler fills ResourceLoad::in_use.

--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -123,6 +126,31 @@
 
 const char* ToString(SizeReason reason);
 
+/// What a pool needs VMs for, in the order in which they are given while they don't suffice for
+/// all.
+enum class NeedGroup : std::uint8_t {
+  /// Long-running tasks, the minimum size and limits of tasks per endpoint.
+  kLongRunning,
+  /// On-time work within the shares of its teams.
+  kOnTime,
+  kBeyondShare,
+  /// Expected arrivals.
+  kForecast,
+};
+constexpr std::size_t kNeedGroups = 4;
+
+/// The number of VMs that a pool needs for each group and those before it.
+struct PoolNeed {
+  std::array<int, kNeedGroups> up_to{};
+  /// The number that running tasks use. While another pool lacks VMs, these get no new work.
+  int in_use = 0;
+  SizeReason reason = SizeReason::kMinimum;
+
+  int UpTo(NeedGroup group) const { return this->up_to.at(static_cast<std::size_t>(group)); }
+  int All() const { return std::max(this->up_to.back(), this->in_use); }
+  friend bool operator==(const PoolNeed&, const PoolNeed&) = default;
+};
+
 /// Parameters of the sizer.
 struct SizerOptions {
   /// Time from the decision to move a VM until it takes work: 1.5 s for the move itself and the
@@ -237,6 +265,14 @@
     TimePoint first_planned_at{};
     /// The time since which long-running tasks wait.
     std::optional<TimePoint> waiting_since;
+    // Used while sizes follow the demand:
+    PoolNeed need;
+    /// The highest arrival rate since `target_set_at`.
+    double peak_rate = 0;
+    /// The slack of the most urgent on-time work that waited, averaged, in milliseconds.
+    double slack_ms = 0;
+    /// The mean time until running tasks end, averaged, in milliseconds.
+    double remaining_ms = 0;
   };
 
   /// Empty VMs that may move to a pool that lacks VMs, in order of preference: those above their
@@ -264,10 +300,11 @@
   void UpdateAverages(TimePoint now, const std::map<ServiceId, PoolLoad>& loads);
   void UpdateRates(TimePoint now, double new_jobs, History& history) const;
   /// Returns the rates after `elapsed_ms` in which this number of jobs arrived.
-  ArrivalRates Advance(const ArrivalRates& rates, double new_jobs, double elapsed_ms) const;
+  ArrivalRates Advance(const ArrivalRates& rates, double new_jobs, double elapsed_ms,
+                       double averaging_ms) const;
   void UpdateWorkPerJob(double jobs, double arrived, JobWork& work) const;
   /// Forecasts the jobs that arrive per millisecond from recent arrivals and their trend.
-  double ForecastJobRate(const History& history) const;
+  double ForecastJobRate(const History& history, double trend_gain) const;
   /// Returns the amount of a resource that waiting and running work needs to be on time, as far as
   /// VMs ordered now arrive in time for it. `running`: the remaining running work. `free`: the
   /// amount that the pool's VMs have for this work.
@@ -283,11 +320,50 @@
   /// total.
   VmDemand RequiredVms(const ResourceLoad& load, double arriving, const ServiceId& pool,
                        const std::vector<SizerVm>& vms, double SizerVm::*amount) const;
-  void UpdateTarget(TimePoint now, const ServiceId& pool, const PoolLoad& load,
-                    const std::vector<SizerVm>& vms);
+  void UpdateSize(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+                  const std::vector<SizerVm>& vms);
+  void UpdateNeed(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+                  const std::vector<SizerVm>& vms);
+  /// Returns the number of VMs that a pool needs for long-running tasks that don't fit into it, or
+  /// 0.
+  int NeededForBlockedTasks(TimePoint now, const PoolLoad& load, int serving,
+                            History& history) const;
+  void UpdateTarget(TimePoint now, const ServiceId& pool, const std::vector<SizerVm>& vms);
+
+  // While sizes follow the demand:
+
+  /// The state of a plan: VMs are given to one group of needs after another.
+  struct DemandRound {
+    SizerPlan plan;
+    AvailableVms available;
+    /// For each pool, the number of VMs that it keeps or gets.
+    std::map<ServiceId, int> sizes;
+    /// For each pool, the VMs that it may still lend, in reverse order of preference.
+    std::map<ServiceId, std::vector<const SizerVm*>> lendable;
+  };
+
+  void UpdateUrgency(const PoolLoad& load, double elapsed_ms, History& history) const;
+  void UpdateNeedByDemand(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+                          const std::vector<SizerVm>& vms);
+  /// The time constant of the average of a pool's arrivals, in milliseconds.
+  double AveragingMs(const History& history) const;
+  /// How far a rise is extrapolated, as a multiple of the difference of the two averages.
+  double TrendGain(TimePoint now, const History& history) const;
+  /// Whether arrivals have fallen for good since the pool's size was set.
+  bool HasTurnEnded(TimePoint now, const History& history) const;
+  /// Whether the VMs recently didn't suffice for what the pools needed.
+  bool WasShort(TimePoint now) const;
+  SizerPlan PlanByDemand(TimePoint now, const std::map<ServiceId, PoolLoad>& loads,
+                         const std::vector<SizerVm>& vms, const ServiceId& standby);
+  /// Releases the VMs above the pool's target and offers the empty ones above its need.
+  void OfferVms(const ServiceId& pool, const std::vector<SizerVm>& vms, DemandRound& round) const;
+  /// Assigns VMs for one group of needs. Returns the number that idle VMs lacked.
+  int AssignGroup(NeedGroup group, DemandRound& round) const;
 
   const SizerOptions options;
   std::map<ServiceId, History> pools;
+  /// When the VMs last didn't suffice for what the pools needed.
+  std::optional<TimePoint> short_at;
 };
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/pool_sizer.cc
+++ b/src/jobs/pool_sizer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "jobs/pool_vms.h"
+
 namespace chervilspar::jobs {
 
 namespace {
@@ -17,26 +19,6 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-/// Counts the VMs of a pool that take work or soon will.
-int CountServing(const std::vector<SizerVm>& vms, const ServiceId& pool) {
-  return static_cast<int>(std::count_if(
-      vms.begin(), vms.end(), [&](const SizerVm& vm) { return vm.pool == pool && vm.is_serving; }));
-}
-
-/// Lists the VMs that may be moved out of a pool: empty ones first, then by rising cpu use.
-std::vector<const SizerVm*> Releasable(const std::vector<SizerVm>& vms, const ServiceId& pool) {
-  std::vector<const SizerVm*> found;
-  for (const SizerVm& vm : vms) {
-    if (vm.pool == pool && vm.is_serving && !vm.has_long_running && !vm.is_pinned) {
-      found.push_back(&vm);
-    }
-  }
-  std::stable_sort(found.begin(), found.end(), [](const SizerVm* one, const SizerVm* other) {
-    return std::pair(!one->is_empty, one->used) < std::pair(!other->is_empty, other->used);
-  });
-  return found;
-}
-
 }  // namespace
 
 const char* ToString(SizeReason reason) {
@@ -91,6 +73,7 @@
     History& history = this->pools[pool];
     const double elapsed_ms = Milliseconds(now - history.measured_at);
     if (history.has_sample && elapsed_ms > 0) {
+      this->UpdateUrgency(load, elapsed_ms, history);
       const double new_jobs = load.arrived_jobs - history.arrived_jobs;
       this->UpdateRates(now, new_jobs, history);
       this->UpdateWorkPerJob(new_jobs, load.cpu.arrived, history.cpu);
@@ -110,13 +93,15 @@
 /// While the store's reads hang, the jobs of a second become known at once. If they counted as the
 /// arrivals of one round, the forecast would be ten times the demand.
 void PoolSizer::UpdateRates(TimePoint now, double new_jobs, History& history) const {
+  const double averaging_ms = this->AveragingMs(history);
   const double pause_ms = Milliseconds(now - history.arrived_at);
   const bool was_interrupted =
       history.rates_at_arrival.recent * pause_ms >= kJobsMissedInInterruption;
   if (new_jobs > 0 && was_interrupted) {
-    history.rates = this->Advance(history.rates_at_arrival, new_jobs, pause_ms);
+    history.rates = this->Advance(history.rates_at_arrival, new_jobs, pause_ms, averaging_ms);
   } else {
-    history.rates = this->Advance(history.rates, new_jobs, Milliseconds(now - history.measured_at));
+    history.rates = this->Advance(history.rates, new_jobs, Milliseconds(now - history.measured_at),
+                                  averaging_ms);
   }
   if (new_jobs > 0) {
     history.rates_at_arrival = history.rates;
@@ -125,8 +110,7 @@
 }
 
 PoolSizer::ArrivalRates PoolSizer::Advance(const ArrivalRates& rates, double new_jobs,
-                                           double elapsed_ms) const {
-  const double averaging_ms = Milliseconds(this->options.averaging_time);
+                                           double elapsed_ms, double averaging_ms) const {
   const double decay = std::exp(-elapsed_ms / averaging_ms);
   const double slow_decay =
       std::exp(-elapsed_ms / averaging_ms / this->options.slow_averaging_factor);
@@ -145,14 +129,13 @@
   work.work_per_job += sample_weight * (sample - work.work_per_job);
 }
 
-double PoolSizer::ForecastJobRate(const History& history) const {
-  const double std_dev =
-      std::sqrt(history.rates.slow / (2 * Milliseconds(this->options.averaging_time)));
+double PoolSizer::ForecastJobRate(const History& history, double trend_gain) const {
+  const double std_dev = std::sqrt(history.rates.slow / (2 * this->AveragingMs(history)));
   const double rise = std::max(0.0, history.rates.recent - history.rates.slow -
                                         this->options.trend_threshold_std_devs * std_dev);
   const double confidence =
       history.rates.jobs / (history.rates.jobs + this->options.half_confidence_jobs);
-  return confidence * (history.rates.recent + this->options.trend_gain * rise);
+  return confidence * (history.rates.recent + trend_gain * rise);
 }
 
 double PoolSizer::BacklogDemand(const ResourceLoad& load, double running, double free) const {
@@ -209,36 +192,59 @@
   return {vms_for(backlog), vms_for(backlog_on_time), reason};
 }
 
-void PoolSizer::UpdateTarget(TimePoint now, const ServiceId& pool, const PoolLoad& load,
-                             const std::vector<SizerVm>& vms) {
+void PoolSizer::UpdateSize(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+                           const std::vector<SizerVm>& vms) {
   const bool is_known =
       std::any_of(vms.begin(), vms.end(), [](const SizerVm& vm) { return vm.cpu > 0; });
   if (!is_known) {
     return;
   }
+  if (this->options.sizes_by_demand) {
+    this->UpdateNeedByDemand(now, pool, load, vms);
+  } else {
+    this->UpdateNeed(now, pool, load, vms);
+  }
+  this->UpdateTarget(now, pool, vms);
+}
+
+void PoolSizer::UpdateNeed(TimePoint now, const ServiceId& pool, const PoolLoad& load,
+                           const std::vector<SizerVm>& vms) {
   History& history = this->pools[pool];
-  const double jobs = this->ForecastJobRate(history);
+  const double jobs = this->ForecastJobRate(history, this->options.trend_gain);
   const VmDemand cpu =
       this->RequiredVms(load.cpu, jobs * history.cpu.work_per_job, pool, vms, &SizerVm::cpu);
   const VmDemand memory = this->RequiredVms(load.memory, jobs * history.memory.work_per_job, pool,
                                             vms, &SizerVm::memory);
   const int min_vms = std::max(this->options.min_vms, load.min_endpoints);
   history.needed_on_time = std::max({min_vms, cpu.on_time, memory.on_time});
-  int required = std::max({min_vms, cpu.all, memory.all});
+  const int required = std::max({min_vms, cpu.all, memory.all});
   history.need_reason = required == min_vms     ? SizeReason::kMinimum
                         : cpu.all >= memory.all ? cpu.reason
                                                 : memory.reason;
+  history.needed = required;
+  const int for_blocked = this->NeededForBlockedTasks(now, load, CountServing(vms, pool), history);
+  if (for_blocked > required) {
+    history.need_reason = SizeReason::kBlockedTasks;
+    history.needed = for_blocked;
+  }
+}
+
+int PoolSizer::NeededForBlockedTasks(TimePoint now, const PoolLoad& load, int serving,
+                                     History& history) const {
   if (load.waiting_long_running == 0) {
     history.waiting_since.reset();
   } else if (!history.waiting_since) {
     history.waiting_since = now;
   } else if (now - *history.waiting_since > this->options.blocked_task_delay) {
-    const int unblocked = CountServing(vms, pool) + load.waiting_long_running;
-    history.need_reason = unblocked > required ? SizeReason::kBlockedTasks : history.need_reason;
-    required = std::max(required, unblocked);
     history.waiting_since = now + this->options.move_time;
+    return serving + load.waiting_long_running;
   }
-  history.needed = required;
+  return 0;
+}
+
+void PoolSizer::UpdateTarget(TimePoint now, const ServiceId& pool,
+                             const std::vector<SizerVm>& vms) {
+  History& history = this->pools[pool];
   if (history.first_planned_at == TimePoint{}) {
     history.first_planned_at = now;
   }
@@ -250,10 +256,14 @@
     history.target = serving;
     history.target_set_at = history.first_planned_at;
   }
-  if (required >= history.target || now - history.target_set_at > this->options.ShrinkDelay()) {
-    history.target = required;
+  const bool is_over = this->options.sizes_by_demand && !is_new && this->HasTurnEnded(now, history);
+  if (history.needed >= history.target || is_over ||
+      now - history.target_set_at > this->options.ShrinkDelay()) {
+    history.target = history.needed;
     history.target_set_at = now;
+    history.peak_rate = history.rates.recent;
   }
+  history.peak_rate = std::max(history.peak_rate, history.rates.recent);
 }
 
 std::map<ServiceId, int> PoolSizer::FindShortages(TimePoint now,
@@ -265,7 +275,7 @@
     if (pool == standby) {
       continue;
     }
-    this->UpdateTarget(now, pool, load, vms);
+    this->UpdateSize(now, pool, load, vms);
     const int shortage = this->pools[pool].needed - CountServing(vms, pool);
     if (shortage > 0) {
       shortages[pool] = shortage;
@@ -332,6 +342,9 @@
   for (const auto& [pool, shortage] : shortages) {
     total_shortage += shortage;
   }
+  if (this->options.sizes_by_demand) {
+    return this->PlanByDemand(now, loads, vms, standby);
+  }
   SizerPlan plan;
   AvailableVms available;
   for (const auto& [pool, load] : loads) {
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -68,6 +68,7 @@
   const double running = remaining * amount * estimate_ms;
   load.running += running;
   load.running_late += is_late ? running : 0;
+  load.in_use += count.claimed * amount;
   load.concurrent_demand += (count.claimed + (is_open ? count.waiting : 0)) * amount;
 }
 
--- a/tests/jobs/pool_load_test.cc
+++ b/tests/jobs/pool_load_test.cc
@@ -55,5 +55,21 @@
                                kTaskWork / 2}),
     [](const auto& info) { return info.param.name; });
 
+/// Guards against a pool that is sized for waiting tasks as if running ones used no room, and
+/// against counting long-running tasks twice.
+TEST(PoolLoad, CountsTheRoomOfTasksWithAClaim) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(2)}), WallTime{});
+  Step service = World::MakeStep(1);
+  service.is_long_running = true;
+  world.scheduler.AddJob(World::MakeJob(2, {service}), WallTime{});
+  EXPECT_DOUBLE_EQ(world.scheduler.PoolLoads().at(ServiceId{"desk"}).cpu.in_use, 0);
+  EXPECT_EQ(world.Round().starts.size(), 3U);
+  const PoolLoad load = world.scheduler.PoolLoads().at(ServiceId{"desk"});
+  EXPECT_DOUBLE_EQ(load.cpu.in_use, 2000);
+  EXPECT_DOUBLE_EQ(load.cpu.long_running, 1000);
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
