--- a/include/chervilspar/jobs/pool_sizer.h
+++ b/include/chervilspar/jobs/pool_sizer.h
@@ -126,7 +126,8 @@
 
 const char* ToString(SizeReason reason);
 
-/// What a pool needs VMs for, in the order in which they are given while they don't suffice for all.
+/// What a pool needs VMs for, in the order in which they are given while they don't suffice for
+/// all.
 enum class NeedGroup : std::uint8_t {
   /// Long-running tasks, the minimum size and limits of tasks per endpoint.
   kLongRunning,
--- a/tests/jobs/turns_fleet.cc
+++ b/tests/jobs/turns_fleet.cc
@@ -49,8 +49,7 @@
   const double idle = this->fleet.idle_share;
   const double position = Seconds(since_traffic) / Seconds(turn) - queue;
   const bool has_turn = position >= 0 && position < 1;
-  return peak *
-         (has_turn ? std::max(idle, std::sin(position * std::numbers::pi)) : idle);
+  return peak * (has_turn ? std::max(idle, std::sin(position * std::numbers::pi)) : idle);
 }
 
 void TurnsFleet::Arrive(TimePoint now, int queue, double rate_per_s) {
--- a/tests/jobs/turns_fleet.h
+++ b/tests/jobs/turns_fleet.h
@@ -63,8 +63,8 @@
 class TurnsFleet {
  public:
   /// `idle_vms`: VMs that are switched off at the start.
-  TurnsFleet(std::vector<QueueShape> shapes, int idle_vms, SizerOptions options,
-             std::uint64_t seed, FleetShape fleet = {});
+  TurnsFleet(std::vector<QueueShape> shapes, int idle_vms, SizerOptions options, std::uint64_t seed,
+             FleetShape fleet = {});
 
   /// Runs without jobs for `lead`, then with one turn of each queue in order.
   DayOutcome Play(Duration lead, Duration turn);
