Rpc: Let a forwarded start name a payload that its carrier has kept

A payload of about 1,000 bytes goes to each carrier in each frame.

A start may now have the digest of its payload instead, and an answer may say that the carrier keeps the payload or lacks it. Both fields are optional, and frames without them are as before.

--- a/include/chervilspar/jobs/endpoint.h
+++ b/include/chervilspar/jobs/endpoint.h
@@ -162,6 +162,8 @@
   kNoAnswer,
   /// The order was not sent.
   kNotSent,
+  /// Refused: the order has no payload, and the entry that forwards it doesn't have it either.
+  kPayloadMissing,
 };
 
 const char* ToString(OrderOutcome outcome);
--- a/include/chervilspar/rpc/carrier_message.h
+++ b/include/chervilspar/rpc/carrier_message.h
@@ -20,6 +20,8 @@
 struct Carried {
   std::uint64_t number = 0;
   Order order;
+  /// Only of a start: the digest of its payload, which the carrier has kept. The order has none.
+  std::optional<std::uint64_t> kept_payload;
 
   friend bool operator==(const Carried&, const Carried&) = default;
 };
@@ -44,6 +46,8 @@
   jobs::OrderOutcome outcome = jobs::OrderOutcome::kNoAnswer;
   /// Of a hold that was carried out.
   std::optional<jobs::RenewalReport> report;
+  /// Of a start: the carrier has its payload now. Carriers of earlier versions never say so.
+  bool keeps_payload = false;
 
   friend bool operator==(const CarriedAnswer&, const CarriedAnswer&) = default;
 };
@@ -51,6 +55,9 @@
 using CarriedAnswers = std::vector<CarriedAnswer>;
 using CarrierMessage = std::variant<OrderBatch, CarriedAnswers>;
 
+/// Distinguishes the payloads of a job whose id was used again. The same on all machines.
+std::uint64_t PayloadDigest(std::string_view payload);
+
 std::string Encode(const CarrierMessage& message);
 
 /// Errors: `kMalformed` for bytes that are no such message, or one with fields out of range.
--- a/src/jobs/endpoint.cc
+++ b/src/jobs/endpoint.cc
@@ -48,6 +48,8 @@
       return "no_answer";
     case OrderOutcome::kNotSent:
       return "not_sent";
+    case OrderOutcome::kPayloadMissing:
+      return "payload_missing";
   }
   return "unknown";
 }
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -358,6 +358,8 @@
     case OrderOutcome::kBadTicket:
       ref.step->advice = {};
       break;
+    case OrderOutcome::kPayloadMissing:
+      break;
     case OrderOutcome::kTooLate:
     case OrderOutcome::kRefused:
       endpoint->full_until = now + kFullBackoff;
--- a/src/rpc/carrier.thrift
+++ b/src/rpc/carrier.thrift
@@ -17,7 +17,8 @@
   3: required i32 port
 }
 
-// `target` and `payload` are places in the lists of the batch.
+// `target` and `payload` are places in the lists of the batch. With `kept_payload`, the payload isn't in the batch and `payload` is
+// -1: the carrier has kept the payload of this job with this digest. Only sent to a carrier that has answered with `keeps_payload`.
 struct WireStart {
   1: required i64 number,
   2: required i32 target,
@@ -26,7 +27,8 @@
   5: required i32 payload,
   6: required i64 lease_end,
   7: optional string checkpoint,
-  8: optional string ticket
+  8: optional string ticket,
+  9: optional i64 kept_payload
 }
 
 struct WireStop {
@@ -88,7 +90,8 @@
 struct WireAnswer {
   1: required i64 number,
   2: required i32 outcome,
-  3: optional WireReport report
+  3: optional WireReport report,
+  4: optional bool keeps_payload
 }
 
 struct WireCarrierMessage {
--- a/src/rpc/carrier_message.cc
+++ b/src/rpc/carrier_message.cc
@@ -12,6 +12,9 @@
 
 constexpr std::int32_t kMostPort = 65535;
 constexpr std::int32_t kLongestSpanMs = 60000;
+/// The place of a payload that isn't in the batch. Versions that know no kept payloads refuse it,
+/// rather than start a task without its payload.
+constexpr std::int32_t kNoPayload = -1;
 
 std::int32_t ToMilliseconds(Duration span) {
   return static_cast<std::int32_t>(
@@ -34,21 +37,21 @@
   gen::WireOrderBatch Write(const OrderBatch& batch) {
     this->wire.reply_address = batch.reply_address;
     this->wire.timeout = ToMilliseconds(batch.timeout);
-    for (const auto& [number, order] : batch.starts) {
-      this->AddStart(number, order);
+    for (const Carried<jobs::StartOrder>& start : batch.starts) {
+      this->AddStart(start);
     }
-    for (const auto& [number, order] : batch.stops) {
+    for (const auto& [number, order, kept] : batch.stops) {
       gen::WireStop& stop = this->wire.stops.emplace_back();
       this->SetCommon(number, order, stop);
       stop.run = ToWire(order.task, order.run);
     }
-    for (const auto& [number, order] : batch.paces) {
+    for (const auto& [number, order, kept] : batch.paces) {
       gen::WirePace& pace = this->wire.paces.emplace_back();
       this->SetCommon(number, order, pace);
       pace.run = ToWire(order.task, order.run);
       pace.percent = order.percent;
     }
-    for (const auto& [number, order] : batch.holds) {
+    for (const auto& [number, order, kept] : batch.holds) {
       this->AddHold(number, order);
     }
     return this->wire;
@@ -62,11 +65,17 @@
     wire_order.token = static_cast<std::int64_t>(order.token);
   }
 
-  void AddStart(std::uint64_t number, const jobs::StartOrder& order) {
+  void AddStart(const Carried<jobs::StartOrder>& carried) {
+    const jobs::StartOrder& order = carried.order;
     gen::WireStart& start = this->wire.starts.emplace_back();
-    this->SetCommon(number, order, start);
+    this->SetCommon(carried.number, order, start);
     start.run = ToWire(order.task, order.run);
-    start.payload = this->PayloadOf(order.payload);
+    if (carried.kept_payload) {
+      start.payload = kNoPayload;
+      start.__set_kept_payload(static_cast<std::int64_t>(*carried.kept_payload));
+    } else {
+      start.payload = this->PayloadOf(order.payload);
+    }
     start.lease_end = order.lease_end_ms;
     if (!order.checkpoint.empty()) {
       start.__set_checkpoint(order.checkpoint);
@@ -193,13 +202,17 @@
   batch.reply_address = wire.reply_address;
   batch.timeout = SpanOf(wire.timeout, "timeout");
   for (const gen::WireStart& start : wire.starts) {
-    if (start.payload < 0 || static_cast<std::size_t>(start.payload) >= wire.payloads.size()) {
+    auto carried = CommonOf<jobs::StartOrder>(wire, start);
+    if (start.__isset.kept_payload) {
+      carried.kept_payload = static_cast<std::uint64_t>(start.kept_payload);
+    } else if (start.payload < 0 ||
+               static_cast<std::size_t>(start.payload) >= wire.payloads.size()) {
       Fail("payload", "is not in the list of payloads");
+    } else {
+      carried.order.payload = wire.payloads[static_cast<std::size_t>(start.payload)];
     }
-    auto carried = CommonOf<jobs::StartOrder>(wire, start);
     carried.order.task = TaskOf(start.run);
     carried.order.run = static_cast<std::uint64_t>(start.run.run);
-    carried.order.payload = wire.payloads[static_cast<std::size_t>(start.payload)];
     carried.order.checkpoint = start.checkpoint;
     carried.order.ticket = start.ticket;
     carried.order.lease_end_ms = start.lease_end;
@@ -251,8 +264,8 @@
   CarriedAnswers answers;
   for (const gen::WireAnswer& answer : wire) {
     CarriedAnswer read{static_cast<std::uint64_t>(answer.number),
-                       EnumOf(answer.outcome, jobs::OrderOutcome::kNotSent, "outcome"),
-                       std::nullopt};
+                       EnumOf(answer.outcome, jobs::OrderOutcome::kPayloadMissing, "outcome"),
+                       std::nullopt, answer.__isset.keeps_payload && answer.keeps_payload};
     if (answer.__isset.report) {
       read.report = FromWire(answer.report);
     }
@@ -263,6 +276,17 @@
 
 }  // namespace
 
+/// FNV-1a.
+std::uint64_t PayloadDigest(std::string_view payload) {
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325U;
+  constexpr std::uint64_t kPrime = 0x100000001b3U;
+  std::uint64_t digest = kOffset;
+  for (const char byte : payload) {
+    digest = (digest ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  return digest;
+}
+
 std::string Encode(const CarrierMessage& message) {
   gen::WireCarrierMessage wire;
   if (const OrderBatch* batch = std::get_if<OrderBatch>(&message)) {
@@ -277,6 +301,9 @@
     if (answer.report) {
       written.__set_report(ToWire(*answer.report));
     }
+    if (answer.keeps_payload) {
+      written.__set_keeps_payload(true);
+    }
   }
   wire.__set_answers(answers);
   return EncodeCompact(wire);
--- a/src/rpc/gen/carrier_types.cpp
+++ b/src/rpc/gen/carrier_types.cpp
@@ -373,6 +373,11 @@
   this->ticket = val;
 __isset.ticket = true;
 }
+
+void WireStart::__set_kept_payload(const int64_t val) {
+  this->kept_payload = val;
+__isset.kept_payload = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireStart& obj)
 {
   obj.printTo(out);
@@ -471,6 +476,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->kept_payload);
+          this->__isset.kept_payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -534,6 +547,11 @@
     xfer += oprot->writeString(this->ticket);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.kept_payload) {
+    xfer += oprot->writeFieldBegin("kept_payload", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->kept_payload);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -549,6 +567,7 @@
   swap(a.lease_end, b.lease_end);
   swap(a.checkpoint, b.checkpoint);
   swap(a.ticket, b.ticket);
+  swap(a.kept_payload, b.kept_payload);
   swap(a.__isset, b.__isset);
 }
 
@@ -561,6 +580,7 @@
   lease_end = other4.lease_end;
   checkpoint = other4.checkpoint;
   ticket = other4.ticket;
+  kept_payload = other4.kept_payload;
   __isset = other4.__isset;
 }
 WireStart& WireStart::operator=(const WireStart& other5) {
@@ -572,6 +592,7 @@
   lease_end = other5.lease_end;
   checkpoint = other5.checkpoint;
   ticket = other5.ticket;
+  kept_payload = other5.kept_payload;
   __isset = other5.__isset;
   return *this;
 }
@@ -586,6 +607,7 @@
   out << ", " << "lease_end=" << to_string(lease_end);
   out << ", " << "checkpoint="; (__isset.checkpoint ? (out << to_string(checkpoint)) : (out << "<null>"));
   out << ", " << "ticket="; (__isset.ticket ? (out << to_string(ticket)) : (out << "<null>"));
+  out << ", " << "kept_payload="; (__isset.kept_payload ? (out << to_string(kept_payload)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2060,6 +2082,11 @@
   this->report = val;
 __isset.report = true;
 }
+
+void WireAnswer::__set_keeps_payload(const bool val) {
+  this->keeps_payload = val;
+__isset.keeps_payload = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireAnswer& obj)
 {
   obj.printTo(out);
@@ -2114,6 +2141,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->keeps_payload);
+          this->__isset.keeps_payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2148,6 +2183,11 @@
     xfer += this->report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.keeps_payload) {
+    xfer += oprot->writeFieldBegin("keeps_payload", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->keeps_payload);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2158,6 +2198,7 @@
   swap(a.number, b.number);
   swap(a.outcome, b.outcome);
   swap(a.report, b.report);
+  swap(a.keeps_payload, b.keeps_payload);
   swap(a.__isset, b.__isset);
 }
 
@@ -2165,12 +2206,14 @@
   number = other68.number;
   outcome = other68.outcome;
   report = other68.report;
+  keeps_payload = other68.keeps_payload;
   __isset = other68.__isset;
 }
 WireAnswer& WireAnswer::operator=(const WireAnswer& other69) {
   number = other69.number;
   outcome = other69.outcome;
   report = other69.report;
+  keeps_payload = other69.keeps_payload;
   __isset = other69.__isset;
   return *this;
 }
@@ -2180,6 +2223,7 @@
   out << "number=" << to_string(number);
   out << ", " << "outcome=" << to_string(outcome);
   out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
+  out << ", " << "keeps_payload="; (__isset.keeps_payload ? (out << to_string(keeps_payload)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/rpc/gen/carrier_types.h
+++ b/src/rpc/gen/carrier_types.h
@@ -156,9 +156,10 @@
 std::ostream& operator<<(std::ostream& out, const WireTarget& obj);
 
 typedef struct _WireStart__isset {
-  _WireStart__isset() : checkpoint(false), ticket(false) {}
+  _WireStart__isset() : checkpoint(false), ticket(false), kept_payload(false) {}
   bool checkpoint :1;
   bool ticket :1;
+  bool kept_payload :1;
 } _WireStart__isset;
 
 class WireStart : public virtual ::apache::thrift::TBase {
@@ -173,7 +174,8 @@
               payload(0),
               lease_end(0),
               checkpoint(),
-              ticket() {
+              ticket(),
+              kept_payload(0) {
   }
 
   virtual ~WireStart() noexcept;
@@ -185,6 +187,7 @@
   int64_t lease_end;
   std::string checkpoint;
   std::string ticket;
+  int64_t kept_payload;
 
   _WireStart__isset __isset;
 
@@ -204,6 +207,8 @@
 
   void __set_ticket(const std::string& val);
 
+  void __set_kept_payload(const int64_t val);
+
   bool operator == (const WireStart & rhs) const
   {
     if (!(number == rhs.number))
@@ -226,6 +231,10 @@
       return false;
     else if (__isset.ticket && !(ticket == rhs.ticket))
       return false;
+    if (__isset.kept_payload != rhs.__isset.kept_payload)
+      return false;
+    else if (__isset.kept_payload && !(kept_payload == rhs.kept_payload))
+      return false;
     return true;
   }
   bool operator != (const WireStart &rhs) const {
@@ -684,8 +693,9 @@
 std::ostream& operator<<(std::ostream& out, const WireReport& obj);
 
 typedef struct _WireAnswer__isset {
-  _WireAnswer__isset() : report(false) {}
+  _WireAnswer__isset() : report(false), keeps_payload(false) {}
   bool report :1;
+  bool keeps_payload :1;
 } _WireAnswer__isset;
 
 class WireAnswer : public virtual ::apache::thrift::TBase {
@@ -695,13 +705,15 @@
   WireAnswer& operator=(const WireAnswer&);
   WireAnswer() noexcept
              : number(0),
-               outcome(0) {
+               outcome(0),
+               keeps_payload(0) {
   }
 
   virtual ~WireAnswer() noexcept;
   int64_t number;
   int32_t outcome;
   WireReport report;
+  bool keeps_payload;
 
   _WireAnswer__isset __isset;
 
@@ -711,6 +723,8 @@
 
   void __set_report(const WireReport& val);
 
+  void __set_keeps_payload(const bool val);
+
   bool operator == (const WireAnswer & rhs) const
   {
     if (!(number == rhs.number))
@@ -721,6 +735,10 @@
       return false;
     else if (__isset.report && !(report == rhs.report))
       return false;
+    if (__isset.keeps_payload != rhs.__isset.keeps_payload)
+      return false;
+    else if (__isset.keeps_payload && !(keeps_payload == rhs.keeps_payload))
+      return false;
     return true;
   }
   bool operator != (const WireAnswer &rhs) const {
--- a/tests/rpc/carrier_message_test.cc
+++ b/tests/rpc/carrier_message_test.cc
@@ -32,6 +32,14 @@
   return batch;
 }
 
+/// A batch whose start has a payload that the carrier has kept.
+OrderBatch MakeBatchWithoutPayload() {
+  OrderBatch batch = MakeBatch();
+  batch.starts[0].order.payload.clear();
+  batch.starts[0].kept_payload = 0xfedcba9876543210U;
+  return batch;
+}
+
 CarriedAnswers MakeAnswers() {
   jobs::RenewalReport report;
   report.clock_ms = 1000;
@@ -62,12 +70,17 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Kinds, Messages,
-                         ::testing::Values(MessageCase{"orders", MakeBatch()},
-                                           MessageCase{"no_orders", OrderBatch{}},
-                                           MessageCase{"answers", MakeAnswers()},
-                                           MessageCase{"no_answers", CarriedAnswers{}}),
-                         [](const auto& info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, Messages,
+    ::testing::Values(MessageCase{"orders", MakeBatch()}, MessageCase{"no_orders", OrderBatch{}},
+                      MessageCase{"kept_payload", MakeBatchWithoutPayload()},
+                      MessageCase{"answers", MakeAnswers()},
+                      MessageCase{
+                          "kept_and_missing",
+                          CarriedAnswers{{1, jobs::OrderOutcome::kPayloadMissing, std::nullopt},
+                                         {2, jobs::OrderOutcome::kDone, std::nullopt, true}}},
+                      MessageCase{"no_answers", CarriedAnswers{}}),
+    [](const auto& info) { return info.param.name; });
 
 /// Tasks of one job carry the same payload of up to 4,000 bytes. Sent with each of them, it fills
 /// the owner's link.
@@ -80,6 +93,18 @@
   EXPECT_LT(Encode(batch).size(), payload.size() + std::size_t{30} * 60);
 }
 
+/// Guards versions that run side by side: without kept payloads, frames have no new fields, and an
+/// earlier version refuses a start whose payload is left out rather than run it with another one.
+TEST(CarrierMessage, NamesNoOtherPayloadForAKeptOne) {
+  const auto before =
+      DecodeCompact<gen::WireCarrierMessage>(Encode(MakeBatch()), "carrier-message");
+  const auto kept =
+      DecodeCompact<gen::WireCarrierMessage>(Encode(MakeBatchWithoutPayload()), "carrier-message");
+  ASSERT_TRUE(before && kept);
+  EXPECT_FALSE(before->batch.starts[0].__isset.kept_payload);
+  EXPECT_EQ(kept->batch.starts[0].payload, -1);
+}
+
 struct RangeCase {
   const char* name;
   void (*spoil)(gen::WireOrderBatch&);
