Job entry: Send payloads to a carrier once and feed the link budget

On a narrow link, payloads and renewals leave no room for joins and answers.

The bytes of each frame are counted as it is handed to the transport, and the difference from what was assumed is returned to the budget before the next round. Renewals at all endpoints take at most a quarter of the link, as far as a lease survives two lost ones. A variable replaces a temporary in an awaited call: GCC 12.2 crashed with 'free(): invalid pointer' there.

--- a/include/chervilspar/job_entry/links.h
+++ b/include/chervilspar/job_entry/links.h
@@ -61,6 +61,8 @@
   /// Replaces the names of the members that the group currently has.
   virtual void SetMembers(const std::vector<std::string>& members) = 0;
   virtual void SetEndpoints(const std::vector<jobs::EndpointRecord>& endpoints) = 0;
+  /// The bytes of forwarded orders that were handed to the link since the last call.
+  virtual jobs::LinkTraffic TakeTraffic() = 0;
 };
 
 /// The platform's VM service.
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -34,7 +34,7 @@
 /// Whether this outcome proves that the order has reached the endpoint.
 bool HasReachedEndpoint(OrderOutcome outcome) {
   return outcome != OrderOutcome::kNoAnswer && outcome != OrderOutcome::kNotSent &&
-         outcome != OrderOutcome::kTooLate;
+         outcome != OrderOutcome::kTooLate && outcome != OrderOutcome::kPayloadMissing;
 }
 
 }  // namespace
@@ -49,8 +49,14 @@
   this->transport = &transport;
   this->own_address = std::move(own_address);
   this->batches = std::make_shared<AddressBatcher<rpc::OrderBatch>>(
-      this->context, kBatchDelay, [&transport](const std::string& address, rpc::OrderBatch batch) {
-        transport.Send(address, rpc::Encode(std::move(batch)));
+      this->context, kBatchDelay,
+      [this, &transport](const std::string& address, rpc::OrderBatch batch) {
+        const rpc::CarrierMessage message(std::move(batch));
+        std::string frame = rpc::Encode(message);
+        if (this->context.settings.decisions.scheduler.budgets_link) {
+          this->traffic.OnBatch(address, std::get<rpc::OrderBatch>(message), frame.size());
+        }
+        transport.Send(address, std::move(frame));
       });
 }
 
@@ -111,6 +117,7 @@
 
 void CarriedEndpoints::Abandon(std::uint64_t number, const std::string& carrier) {
   this->choice.OnUnanswered(carrier, this->context.Now());
+  this->known_payloads.RemoveAll(carrier);
   this->abandoned.emplace(number, carrier);
   if (this->abandoned.size() > kMaxAbandonedOrders) {
     this->abandoned.erase(this->abandoned.begin());
@@ -195,9 +202,48 @@
 }
 
 asio::awaitable<OrderOutcome> CarriedEndpoints::Start(jobs::StartOrder order, Duration timeout) {
+  std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
+  if (carrier && this->context.settings.decisions.scheduler.budgets_link) {
+    return this->ForwardStart(*std::move(carrier), std::move(order), timeout);
+  }
   return this->SendOrder(std::move(order), timeout, &rpc::OrderBatch::starts, &EndpointLink::Start);
 }
 
+asio::awaitable<rpc::CarriedAnswer> CarriedEndpoints::QueueStart(
+    const std::string& carrier, rpc::Carried<jobs::StartOrder> start, Duration timeout) {
+  const std::uint64_t number = this->next_number++;
+  start.number = number;
+  this->BatchFor(carrier, timeout).starts.push_back(std::move(start));
+  return this->AwaitAnswer(carrier, number, timeout);
+}
+
+asio::awaitable<OrderOutcome> CarriedEndpoints::ForwardStart(std::string carrier,
+                                                             jobs::StartOrder order,
+                                                             Duration timeout) {
+  const jobs::JobId job = order.task.job;
+  const std::uint64_t digest = rpc::PayloadDigest(order.payload);
+  this->traffic.OnQueued(
+      carrier, jobs::LinkBudget::StartBytes(order.payload.size(), order.checkpoint.size()));
+  rpc::Carried<jobs::StartOrder> start{0, order, std::nullopt};
+  if (!order.payload.empty() && this->known_payloads.Has(carrier, job, digest)) {
+    start.order.payload.clear();
+    start.kept_payload = digest;
+  }
+  rpc::CarriedAnswer answer = co_await this->QueueStart(carrier, std::move(start), timeout);
+  if (answer.outcome == OrderOutcome::kPayloadMissing) {
+    // The carrier has restarted or dropped the payload. Nothing has run.
+    this->known_payloads.Remove(carrier, job);
+    this->context.metrics.Count({"chervilspar_payloads_sent_again_total", {}});
+    // A variable, as GCC 12 destroys some temporaries of an awaited expression twice.
+    rpc::Carried<jobs::StartOrder> complete{0, std::move(order), std::nullopt};
+    answer = co_await this->QueueStart(carrier, std::move(complete), timeout);
+  }
+  if (answer.keeps_payload) {
+    this->known_payloads.Add(carrier, job, digest);
+  }
+  co_return answer.outcome;
+}
+
 asio::awaitable<OrderOutcome> CarriedEndpoints::Stop(jobs::StopOrder order, Duration timeout) {
   return this->SendOrder(std::move(order), timeout, &rpc::OrderBatch::stops, &EndpointLink::Stop);
 }
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -14,6 +14,8 @@
 
 #include "job_entry/address_batches.h"
 #include "job_entry/context.h"
+#include "job_entry/forwarded_traffic.h"
+#include "job_entry/payload_cache.h"
 
 namespace chervilspar::job_entry {
 
@@ -30,6 +32,7 @@
 
   void SetMembers(const std::vector<std::string>& members) override;
   void SetEndpoints(const std::vector<jobs::EndpointRecord>& endpoints) override;
+  jobs::LinkTraffic TakeTraffic() override { return this->traffic.Take(); }
 
   boost::asio::awaitable<RenewalOutcome> RenewLease(jobs::RenewalOrder order,
                                                     Duration timeout) override;
@@ -59,6 +62,12 @@
   boost::asio::awaitable<jobs::OrderOutcome> SendOrder(Order order, Duration timeout,
                                                        BatchList<Order> list,
                                                        DirectCall<Order> direct_call);
+  /// Forwards a start, without its payload if the carrier is known to have it.
+  boost::asio::awaitable<jobs::OrderOutcome> ForwardStart(std::string carrier,
+                                                          jobs::StartOrder order, Duration timeout);
+  boost::asio::awaitable<rpc::CarriedAnswer> QueueStart(const std::string& carrier,
+                                                        rpc::Carried<jobs::StartOrder> start,
+                                                        Duration timeout);
   std::optional<std::string> CarrierFor(const std::string& endpoint) const;
   /// Waits for the answer to the order with this number. The outcome is `kNoAnswer` when none comes
   /// in time; the order may have been executed all the same.
@@ -83,6 +92,8 @@
   /// The carriers of abandoned orders by order number, limited to the newest.
   std::map<std::uint64_t, std::string> abandoned;
   std::shared_ptr<AddressBatcher<rpc::OrderBatch>> batches;
+  ForwardedTraffic traffic;
+  KnownPayloads known_payloads;
 };
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/order_carrier.cc
+++ b/src/job_entry/order_carrier.cc
@@ -14,6 +14,8 @@
 /// The queues kept per endpoint. All are dropped when there are more, since endpoints come and go
 /// under new names.
 constexpr std::size_t kMaxQueues = 4096;
+/// Two thousand payloads of 1,000 bytes, several seconds of starts on a link of 2 Mbit/s.
+constexpr std::size_t kMaxPayloadCacheBytes = std::size_t{2} * 1000 * 1000;
 
 }  // namespace
 
@@ -25,7 +27,8 @@
           context, kBatchDelay,
           [&transport](const std::string& address, rpc::CarriedAnswers batch) {
             transport.Send(address, rpc::Encode(std::move(batch)));
-          })) {}
+          })),
+      payloads(kMaxPayloadCacheBytes) {}
 
 WorkQueue& OrderCarrier::QueueFor(const std::string& endpoint) {
   if (this->queues.size() > kMaxQueues) {
@@ -40,31 +43,29 @@
 
 template <typename Order, typename Execute>
 void OrderCarrier::Enqueue(const rpc::Carried<Order>& carried, const Origin& origin,
-                           Execute execute) {
+                           bool keeps_payload, Execute execute) {
   this->QueueFor(carried.order.endpoint)
-      .Add([this, carried, origin, execute]() -> asio::awaitable<void> {
+      .Add([this, carried, origin, keeps_payload, execute]() -> asio::awaitable<void> {
         OrderOutcome outcome = OrderOutcome::kTooLate;
         if (this->context.Now() < origin.expires) {
           outcome = co_await execute(carried.order, origin.timeout);
         }
-        this->Answer(origin, {carried.number, outcome, std::nullopt});
+        this->Answer(origin, {carried.number, outcome, std::nullopt, keeps_payload});
       });
 }
 
 void OrderCarrier::OnBatch(const rpc::OrderBatch& batch) {
   const Origin origin{batch.reply_address, batch.timeout, this->context.Now() + batch.timeout};
   for (const auto& stop : batch.stops) {
-    this->Enqueue(stop, origin, [this](const jobs::StopOrder& order, Duration timeout) {
+    this->Enqueue(stop, origin, false, [this](const jobs::StopOrder& order, Duration timeout) {
       return this->link.Stop(order, timeout);
     });
   }
   for (const auto& start : batch.starts) {
-    this->Enqueue(start, origin, [this](const jobs::StartOrder& order, Duration timeout) {
-      return this->Start(order, timeout);
-    });
+    this->EnqueueStart(start, origin);
   }
   for (const auto& pace : batch.paces) {
-    this->Enqueue(pace, origin, [this](const jobs::ThrottleOrder& order, Duration timeout) {
+    this->Enqueue(pace, origin, false, [this](const jobs::ThrottleOrder& order, Duration timeout) {
       return this->link.Throttle(order, timeout);
     });
   }
@@ -73,6 +74,26 @@
   }
 }
 
+void OrderCarrier::EnqueueStart(rpc::Carried<jobs::StartOrder> start, const Origin& origin) {
+  const bool is_budgeted = this->context.settings.decisions.scheduler.budgets_link;
+  bool keeps_payload = false;
+  if (start.kept_payload) {
+    const std::string* payload = this->payloads.Find(start.order.task.job, *start.kept_payload);
+    if (payload == nullptr) {
+      this->Answer(origin, {start.number, OrderOutcome::kPayloadMissing, std::nullopt, false});
+      return;
+    }
+    start.order.payload = *payload;
+    keeps_payload = true;
+  } else if (is_budgeted) {
+    keeps_payload = this->payloads.Put(start.order.task.job, start.order.payload);
+  }
+  this->Enqueue(start, origin, keeps_payload,
+                [this](const jobs::StartOrder& order, Duration timeout) {
+                  return this->Start(order, timeout);
+                });
+}
+
 asio::awaitable<OrderOutcome> OrderCarrier::Start(jobs::StartOrder order, Duration timeout) {
   if (this->may_start && !this->may_start()) {
     co_return OrderOutcome::kRefused;
--- a/src/job_entry/order_carrier.h
+++ b/src/job_entry/order_carrier.h
@@ -10,6 +10,7 @@
 
 #include "job_entry/address_batches.h"
 #include "job_entry/context.h"
+#include "job_entry/payload_cache.h"
 #include "job_entry/work_queue.h"
 
 namespace chervilspar::job_entry {
@@ -38,8 +39,10 @@
     TimePoint expires{};
   };
 
+  void EnqueueStart(rpc::Carried<jobs::StartOrder> start, const Origin& origin);
   template <typename Order, typename Execute>
-  void Enqueue(const rpc::Carried<Order>& carried, const Origin& origin, Execute execute);
+  void Enqueue(const rpc::Carried<Order>& carried, const Origin& origin, bool keeps_payload,
+               Execute execute);
   boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order, Duration timeout);
   boost::asio::awaitable<void> RenewLease(rpc::Carried<jobs::RenewalOrder> carried, Origin origin);
   void Answer(const Origin& origin, rpc::CarriedAnswer answer);
@@ -49,6 +52,7 @@
   EndpointLink& link;
   std::shared_ptr<AddressBatcher<rpc::CarriedAnswers>> answers;
   std::function<bool()> may_start;
+  PayloadCache payloads;
   std::map<std::string, std::shared_ptr<WorkQueue>> queues;
 };
 
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -29,6 +29,10 @@
 /// The longest wait for the records of ended runs, which must be stored before the ends are
 /// confirmed. Storing usually takes a few milliseconds.
 constexpr Duration kMaxStoreWait = std::chrono::milliseconds(250);
+/// What one renewal takes of the owner's link, by the layout of the messages: forwarded, up to 70
+/// bytes and a part of the frame and of its packet; sent directly, a request with its headers.
+constexpr std::int64_t kForwardedRenewalBytes = 160;
+constexpr std::int64_t kDirectRenewalBytes = 400;
 
 }  // namespace
 
@@ -119,8 +123,7 @@
         co_await this->wakeup->WaitFor(kRenewalPause);
       }
       const Duration elapsed = this->context.Now() - begin;
-      const Duration interval = std::max<Duration>(
-          kMinRenewalInterval, kMinRenewalIntervalPerEndpoint * *this->renewing_count);
+      const Duration interval = this->RenewalInterval();
       if (elapsed < interval) {
         co_await Pause(this->context, interval - elapsed);
       }
@@ -128,6 +131,20 @@
     this->SetRenewing(false);
   }
 
+  Duration RenewalInterval() const {
+    const JobEntrySettings& settings = this->context.settings;
+    jobs::SchedulerOptions options = settings.decisions.scheduler;
+    options.lease = std::min(options.lease, settings.lease_limit);
+    const bool is_forwarded =
+        this->context.links.endpoints->MaxConcurrentOrders(this->endpoint) > kMaxOrdersPerEndpoint;
+    const Duration by_link =
+        jobs::RenewalInterval(options, static_cast<std::size_t>(*this->renewing_count),
+                              is_forwarded ? kForwardedRenewalBytes : kDirectRenewalBytes,
+                              options.renewal_wait + kRenewalMargin + kRenewalPause);
+    return std::max<Duration>(
+        {kMinRenewalInterval, kMinRenewalIntervalPerEndpoint * *this->renewing_count, by_link});
+  }
+
   void SetRenewing(bool is_needed) {
     *this->renewing_count += (is_needed ? 1 : 0) - (this->is_renewing ? 1 : 0);
     this->is_renewing = is_needed;
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -56,6 +56,7 @@
       token(token),
       began(context.Now()),
       scheduler(OptionsFor(context), token, this->began, writer.LastProof()),
+      link_meter(context, this->scheduler),
       writer(writer),
       job_log(context, this->scheduler, [this] { this->RequestRound(); }),
       registry(context, [this] { this->OnEndpointsChanged(); }),
@@ -199,6 +200,7 @@
     if (this->is_stopped) {
       break;
     }
+    this->link_meter.Report();
     this->sender.Send(this->scheduler.Decide(this->context.Now(), this->context.clock.WallNow()));
     if (this->scheduler.HasBatch()) {
       this->store->Notify();
@@ -248,6 +250,7 @@
   if (records.empty()) {
     co_return !this->is_stopped;
   }
+  this->link_meter.OnRecords(records);
   const TimePoint begin = this->context.Now();
   const FencedWrite written = co_await this->writer.Write(std::move(records), this->is_stopped);
   if (written == FencedWrite::kSuperseded) {
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -14,6 +14,7 @@
 #include "job_entry/endpoint_registry.h"
 #include "job_entry/job_log.h"
 #include "job_entry/lease_keeper.h"
+#include "job_entry/link_meter.h"
 #include "job_entry/operator_view.h"
 #include "job_entry/order_sender.h"
 #include "job_entry/owner_directory.h"
@@ -91,6 +92,7 @@
   bool may_renew = true;
   std::uint64_t policy_version = 0;
   jobs::Scheduler scheduler;
+  LinkMeter link_meter;
   ProgressWriter writer;
   JobLog job_log;
   /// Jobs whose end is stored and whose submissions are not yet dropped.
