--- a/tests/jobs/narrow_link_test.cc
+++ b/tests/jobs/narrow_link_test.cc
@@ -44,6 +44,7 @@
  public:
   explicit LoadedOwner(const SchedulerOptions& options) : harness(options) {
     std::vector<EndpointRecord> records;
+    records.reserve(kEndpoints);
     for (int i = 0; i < kEndpoints; ++i) {
       records.push_back(SchedulerHarness::Endpoint("e" + std::to_string(i), 64));
     }
