Admission: Count what the owner's link carries; sizes ignore forecasts as shortages

Cause: on a link of 2 Mbit/s the outlook took all VMs as capacity although the link orders a tenth of that, and a forecast above the number of VMs counted as a shortage, after which sizes stay at the peak for 15 s.

Change: the capacity in the outlook is at most what the starts that the link carries use; only work on time within shares that lacks VMs is a shortage.

--- a/src/jobs/pool_sizer_by_demand.cc
+++ b/src/jobs/pool_sizer_by_demand.cc
@@ -220,8 +220,12 @@
       round.available.switched_off.push_back(&vm);
     }
   }
-  for (std::size_t group = 0; group < kNeedGroups; ++group) {
-    if (this->AssignGroup(static_cast<NeedGroup>(group), round) > 0) {
+  for (const NeedGroup group : {NeedGroup::kLongRunning, NeedGroup::kOnTime,
+                                NeedGroup::kBeyondShare, NeedGroup::kForecast}) {
+    const int lacking = this->AssignGroup(group, round);
+    // Forecasts overshoot as a turn begins, and an account may request any number of VMs beyond its
+    // share. Neither shows that the next turn will lack VMs.
+    if (lacking > 0 && group <= NeedGroup::kOnTime) {
       this->short_at = now;
     }
   }
--- a/src/jobs/scheduler_outlook.cc
+++ b/src/jobs/scheduler_outlook.cc
@@ -21,6 +21,8 @@
 constexpr double kMinBacklogMs = 1000;
 /// Limits the size of the outlook. Accounts that are not listed are admitted.
 constexpr std::size_t kMaxAccounts = 64;
+constexpr double kWorkPerCoreSecond = 1e6;
+constexpr double kMillicoresPerCore = 1000;
 
 using QueueKey = std::pair<TeamId, std::string>;
 
@@ -76,6 +78,22 @@
   }
 };
 
+/// The starts of waiting batch tasks.
+struct StartSum {
+  double count = 0;
+  /// On the owner's link.
+  double bytes = 0;
+  /// In thousandths of a core times milliseconds.
+  double work = 0;
+
+  void Add(std::int64_t tasks, std::size_t payload_bytes, double work_per_task) {
+    const auto added = static_cast<double>(tasks);
+    this->count += added;
+    this->bytes += added * static_cast<double>(LinkBudget::StartBytes(payload_bytes, 0));
+    this->work += added * work_per_task;
+  }
+};
+
 /// Computes the outlook from the tables of the scheduler.
 class OutlookRound {
  public:
@@ -92,6 +110,7 @@
   AdmissionOutlook Make() {
     AdmissionOutlook outlook;
     outlook.token = this->state.token;
+    this->LimitByLink();
     const AccountShares shares = this->Divide();
     outlook.is_full = shares.IsFull();
     for (const auto& [pool, cpu] : this->pool_cpu) {
@@ -160,6 +179,8 @@
             static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kMinEstimateMs));
         backlog.open_work += work;
         backlog.on_time_work += is_on_time ? work : 0;
+        this->waiting_starts.Add(count.waiting, job.job.payload.size(),
+                                 PositiveCpu(need) * static_cast<double>(spec.estimate_ms));
         const bool waits = is_on_time && occurrence.steps[i].is_open;
         const Resources used = Times(need, count.claimed);
         const Resources requested = used + Times(need, waits ? count.waiting : 0);
@@ -170,6 +191,19 @@
     }
   }
 
+  /// A narrow link carries fewer starts than the VMs could run. Work beyond that can't be served,
+  /// however many VMs are free.
+  void LimitByLink() {
+    const StartSum& starts = this->waiting_starts;
+    if (!this->state.options.budgets_link || starts.count <= 0) {
+      return;
+    }
+    const double cores = this->state.link.budget.CoresPerSecond(
+        starts.bytes / starts.count, starts.work / starts.count / kWorkPerCoreSecond);
+    this->capacity.cpu =
+        std::min(this->capacity.cpu, static_cast<std::int64_t>(cores * kMillicoresPerCore));
+  }
+
   Resources CapOf(const TeamId& team) const {
     const auto policy = this->state.policy.teams.find(team);
     return policy == this->state.policy.teams.end() ? Resources{} : policy->second.cap;
@@ -270,6 +304,7 @@
   std::map<TeamId, AccountDemand> demands;
   std::map<ServiceId, std::map<TeamId, double>> requested_cpu;
   double total_requested_cpu = 0;
+  StartSum waiting_starts;
 };
 
 }  // namespace
