Tests: Guard the outlook of an owner on a narrow link

Cause: nothing failed when the outlook took free VMs as room although the link carries no starts for them.

--- a/tests/jobs/scheduler_outlook_test.cc
+++ b/tests/jobs/scheduler_outlook_test.cc
@@ -249,5 +249,24 @@
   EXPECT_EQ(after.others_refused, 0);
 }
 
+/// Guards against callers who are accepted for work that free VMs could run but whose starts the
+/// owner's link doesn't carry: all of it waits for the link until it is worthless.
+TEST(SchedulerOutlook, NarrowLinkLimitsWhatAccountsAreDue) {
+  SchedulerOptions options;
+  options.budgets_link = true;
+  options.link_rate = 0.01;
+  World world(options);
+  world.policy.teams[TeamId{"flood"}] = {TeamId{"flood"}, 1.0, {}};
+  world.scheduler.SetPolicy(world.policy);
+  world.Register({World::Endpoint("a", 64), World::Endpoint("b", 64)});
+  world.scheduler.AddJob(JobOf(world, 1, "flood", 48), WallTime(world.now.time_since_epoch()));
+  const AdmissionOutlook outlook = world.scheduler.Outlook({}, world.now);
+  const AccountOutlook* const flood = Find(outlook, "flood");
+  ASSERT_NE(flood, nullptr);
+  EXPECT_TRUE(outlook.is_full);
+  // The link carries two or three starts of one core-second each per second.
+  EXPECT_LT(flood->due_cpu, 4000);
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
