--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -277,6 +277,8 @@
 
   const std::string& Id() const { return this->id; }
   const WorkerPlace& Place() const { return this->place; }
+  /// How often it was held and looked at.
+  int Holds() const { return this->holds; }
   std::size_t ActiveCount() const { return this->active.size(); }
   std::int64_t LeaseLeftMs() const { return this->lease_until - this->ClockMs(); }
 
@@ -564,6 +566,7 @@
 
   asio::awaitable<Response> OnHold(json::object body) {
     const int own_life = this->life;
+    ++this->holds;
     this->TakeLease(body);
     const auto cursor =
         body.contains("ack_cursor") ? body.at("ack_cursor").to_number<std::uint64_t>() : 0;
@@ -620,6 +623,7 @@
   /// What it has started since it fails all, by task.
   std::map<std::string, std::uint64_t> to_fail;
   int cuts = 0;
+  int holds = 0;
   std::int64_t born_ms = 0;
   Clock::time_point begin{};
   std::int64_t lease_until = 0;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -3,7 +3,6 @@
 // 2 if the case couldn't run.
 #include <cstdlib>
 #include <iostream>
-#include <random>
 #include <sstream>
 
 #include "cloud.hpp"
@@ -185,10 +184,15 @@
   }
   co_await Sleep(milliseconds(300));
   co_await stage.AwaitRuns(*near, 4, milliseconds(8000));
-  co_await Sleep(milliseconds(1000));
+  co_await Sleep(milliseconds(1500));
   if (trouble == "1" || trouble == "cut") {
+    // Late in the wait of a look, so that the owner misses the worker early.
+    for (const int before = near->Holds(); near->Holds() == before;) {
+      co_await Sleep(milliseconds(5));
+    }
+    co_await Sleep(milliseconds(600));
     near->Cut(true);
-    co_await Sleep(milliseconds(6000));
+    co_await Sleep(milliseconds(5500));
     near->Cut(false);
   }
   for (int i = 0; i < 45; ++i) {
@@ -348,35 +352,41 @@
   stage.io.stop();
 }
 
-/// Ports below those that the system gives to outgoing connections, so that none of these takes one
-/// before it is bound.
-int FreePorts(int count) {
+/// Prints `count` free ports, all from one block. The search begins with a block that depends on
+/// `start`, so that runs side by side get blocks of their own. The ports are below those that the
+/// system gives to outgoing connections, so that none of these takes one before it is bound.
+int FreePorts(int count, int start) {
   constexpr int kLowest = 15000;
-  constexpr int kCount = 17000;
-  asio::io_context io;
-  std::vector<std::unique_ptr<tcp::acceptor>> taken;
-  std::random_device random;
-  for (int tries = 0; static_cast<int>(taken.size()) < count && tries < 10000; ++tries) {
-    const auto port = static_cast<unsigned short>(kLowest + random() % kCount);
-    auto acceptor = std::make_unique<tcp::acceptor>(io, tcp::v4());
+  constexpr int kBlockSize = 100;
+  constexpr int kBlocks = 170;
+  for (int i = 0; i < kBlocks; ++i) {
+    const int first = kLowest + (start + i) % kBlocks * kBlockSize;
+    asio::io_context io;
+    std::vector<std::unique_ptr<tcp::acceptor>> taken;
     boost::system::error_code error;
-    acceptor->bind({asio::ip::make_address("127.0.0.1"), port}, error);
+    for (int port = first; port < first + count && !error; ++port) {
+      taken.push_back(std::make_unique<tcp::acceptor>(io, tcp::v4()));
+      taken.back()->bind({asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)},
+                         error);
+    }
     if (!error) {
-      taken.push_back(std::move(acceptor));
-      std::cout << port << '\n';
+      for (int port = first; port < first + count; ++port) {
+        std::cout << port << '\n';
+      }
+      return 0;
     }
   }
-  return static_cast<int>(taken.size()) == count ? 0 : 2;
+  return 2;
 }
 
 }  // namespace review
 
 int main(int count, char** words) {
-  if (count == 3 && std::string(words[1]) == "free-ports") {
-    return review::FreePorts(std::atoi(words[2]));
+  if (count == 4 && std::string(words[1]) == "free-ports") {
+    return review::FreePorts(std::atoi(words[2]), std::atoi(words[3]));
   }
   if (count != 3) {
-    std::cerr << "usage: standin CASE RECORD | standin free-ports N\n";
+    std::cerr << "usage: standin CASE RECORD | standin free-ports N START\n";
     return 2;
   }
   review::asio::io_context io(1);
@@ -384,7 +394,12 @@
   const char* trouble = std::getenv("TROUBLE");
   int code = 2;
   review::Stage stage(io, record, trouble == nullptr || std::string(trouble) != "0");
-  stage.Open();
+  try {
+    stage.Open();
+  } catch (const std::exception& error) {
+    record.Line(std::string("can't run: ") + error.what());
+    return 2;
+  }
   review::asio::co_spawn(io, review::Play(stage, words[1], code), review::asio::detached);
   io.run();
   std::_Exit(code);
--- a/review/standin/play.sh
+++ b/review/standin/play.sh
@@ -12,7 +12,7 @@
   fi
   temporary=$(mktemp -d)
   local ports
-  mapfile -t ports < <("$standin" free-ports 70)
+  mapfile -t ports < <("$standin" free-ports 70 "$$")
   local store=${ports[0]} cloud=${ports[1]} advice=${ports[2]}
   local at=3 zones=(is-south-a is-south-b is-south-c) seeds="" fronts="" i
   for i in 0 1 2; do
@@ -56,6 +56,8 @@
     ) >"$temporary/entry-$i.log" 2>&1 &
     pids+=($!)
   done
+  # Also if the script is interrupted.
+  trap "kill -KILL ${pids[*]} 2>/dev/null" EXIT
   local code=0
   STORE_PORT=$store CLOUD_PORT=$cloud ADVICE_PORT=$advice FRONT_PORTS=$fronts \
     WORKER_PORTS=$(IFS=,; echo "${ports[*]:18:52}") \
@@ -66,6 +68,7 @@
   fi
   kill -KILL "${pids[@]}" 2>/dev/null
   wait "${pids[@]}" 2>/dev/null
+  trap - EXIT
   rm -rf "$temporary"
   return "$code"
 }
