Scheduler: Ask the adviser about endpoints without an answer

Cause: each request named the first 30 usable endpoints of the pool, in the order of their ids, and its answer replaced the one before. An endpoint behind them could not be named. The adviser's record of the case shows the same 30 ids each 2.8 s; the owner's log showed answers that allowed nothing, not what was asked.

Change: answers are kept for each endpoint and incarnation.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -199,7 +199,9 @@
   void OnThrottleAnswered(const ThrottleOrder& order, OrderOutcome outcome);
   /// Bytes that were handed to the owner's link since the last call.
   void OnLinkTraffic(const LinkTraffic& traffic, TimePoint now);
-  void OnAdvice(const TaskKey& step, const std::vector<AdviceTicket>& tickets, TimePoint now);
+  /// `tickets`: the answer to the request; it allows the step on none of the other endpoints.
+  void OnAdvice(const AdviceRequest& request, const std::vector<AdviceTicket>& tickets,
+                TimePoint now);
 
   /// Sets the latest time at which there was provably no successor. Leases are renewed for
   /// `SchedulerOptions::predecessor_grace` after it.
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -305,7 +305,7 @@
         co_return;
       }
       if (tickets) {
-        this->scheduler.OnAdvice(question.step, *tickets, this->context.Now());
+        this->scheduler.OnAdvice(question, *tickets, this->context.Now());
         this->RequestRound();
       } else {
         LogEvent(telemetry::LogLevel::kWarning, "advice_failed", ToString(tickets.LastReason()), {},
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -49,19 +49,15 @@
   return there < limit;
 }
 
+bool Placement::IsEligible(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) const {
+  return IsUsable(endpoint, now) && HasLabelFor(ref, endpoint) &&
+         this->IsBelowLimitPerEndpoint(ref, endpoint);
+}
+
 bool Placement::MayRunOn(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) const {
-  if (!IsUsable(endpoint, now)) {
-    return false;
-  }
-  if (!HasLabelFor(ref, endpoint)) {
-    return false;
-  }
-  if (ref.job->needs_advice &&
-      (ref.step->advice.valid_until <= now ||
-       !ref.step->advice.ticket_of_endpoint.contains(endpoint.record.id))) {
-    return false;
-  }
-  return this->IsBelowLimitPerEndpoint(ref, endpoint);
+  const bool is_allowed =
+      !ref.job->needs_advice || ref.step->advice.FindTicket(endpoint, now) != nullptr;
+  return is_allowed && this->IsEligible(ref, endpoint, now);
 }
 
 std::int64_t Placement::SharingCost(const TaskRef& ref, const EndpointState& endpoint) const {
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -19,8 +19,13 @@
                         TimePoint now) const;
   /// True if the endpoint accepts new tasks at all.
   static bool IsUsable(const EndpointState& endpoint, TimePoint now);
-  /// Whether the task may run on the endpoint, regardless of its free capacity.
+  /// Whether the task may run on the endpoint, regardless of its free capacity and of the adviser.
+  bool IsEligible(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) const;
+  /// As `IsEligible`, and the adviser allows it if the task's queue has one.
   bool MayRunOn(const TaskRef& ref, const EndpointState& endpoint, TimePoint now) const;
+  /// The cost of placing the task on the endpoint; of those that may run it, the one with the
+  /// lowest cost is chosen.
+  std::int64_t Cost(const TaskRef& ref, const EndpointState& endpoint) const;
   /// True if some endpoint could run the task but for a cordon.
   bool IsBlockedByCordon(const TaskRef& ref) const;
   /// The endpoint to reserve for a task that fits nowhere now: the one with the most free cpu of
@@ -29,7 +34,6 @@
 
  private:
   bool IsBelowLimitPerEndpoint(const TaskRef& ref, const EndpointState& endpoint) const;
-  std::int64_t Cost(const TaskRef& ref, const EndpointState& endpoint) const;
   std::int64_t SharingCost(const TaskRef& ref, const EndpointState& endpoint) const;
 
   SchedulerState& state;
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -246,7 +246,11 @@
 }
 
 bool PlacingRound::NeedsAdvice(const TaskRef& ref) const {
-  return ref.job->needs_advice && ref.step->advice.valid_until <= this->now;
+  const std::vector<EndpointState*>& endpoints = this->state.pools.at(ref.job->service).endpoints;
+  return ref.job->needs_advice &&
+         std::none_of(endpoints.begin(), endpoints.end(), [&](const EndpointState* endpoint) {
+           return ref.step->advice.FindTicket(*endpoint, this->now) != nullptr;
+         });
 }
 
 bool PlacingRound::PlaceStep(JobState& job, std::uint32_t occurrence, std::uint32_t step) {
@@ -258,7 +262,8 @@
       continue;
     }
     if (this->NeedsAdvice(ref)) {
-      this->wait_reason = WaitReason::kAdvice;
+      this->wait_reason =
+          ref.step->advice.is_asked ? WaitReason::kAdvice : WaitReason::kNoEligibleEndpoint;
       return true;  // The adviser is asked first; no capacity is reserved meanwhile.
     }
     if (!this->state.IsWithinCap(job, ref.spec->need)) {
@@ -333,9 +338,8 @@
       lease.count();
   task.start_expires = this->now + this->state.options.LongestLease();
   endpoint->lease_end = std::max(endpoint->lease_end, task.start_expires);
-  const auto ticket = ref.step->advice.ticket_of_endpoint.find(endpoint->record.id);
-  if (ticket != ref.step->advice.ticket_of_endpoint.end()) {
-    task.ticket = ticket->second;
+  if (const std::string* ticket = ref.step->advice.FindTicket(*endpoint, this->now)) {
+    task.ticket = *ticket;
   }
   return true;
 }
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -356,7 +356,7 @@
       endpoint->full_until = now + kFullBackoff;
       break;
     case OrderOutcome::kBadTicket:
-      ref.step->advice = {};
+      ref.step->advice.answers.erase(order.endpoint);
       break;
     case OrderOutcome::kPayloadMissing:
       break;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -84,12 +84,30 @@
   }
 };
 
-/// The adviser's last answer on a step.
+/// The adviser's answer on one endpoint.
+struct EndpointAdvice {
+  /// The endpoint's incarnation that the answer is about.
+  std::int64_t born_ms = 0;
+  /// Empty if the step may not run there; such an answer stays valid.
+  std::string ticket;
+  TimePoint valid_until{};
+
+  bool IsRefusal() const { return this->ticket.empty(); }
+};
+
+/// What the adviser has answered on a step.
 struct StepAdvice {
+  /// A request is pending.
   bool is_asked = false;
   TimePoint asked{};
-  TimePoint valid_until{};
-  std::map<std::string, std::string> ticket_of_endpoint;
+  /// No request is made earlier than this.
+  TimePoint next_review{};
+  std::map<std::string, EndpointAdvice> answers;
+
+  /// The ticket for the endpoint's current incarnation; null if there is none that is valid.
+  const std::string* FindTicket(const EndpointState& endpoint, TimePoint now) const;
+  /// The adviser doesn't allow the step on the endpoint's current incarnation.
+  bool IsRefused(const EndpointState& endpoint) const;
 };
 
 struct StepState {
--- a/tests/jobs/scheduler_test.cc
+++ b/tests/jobs/scheduler_test.cc
@@ -460,7 +460,7 @@
   EXPECT_EQ(requests[0].endpoints.size(), 2U);
   EXPECT_TRUE(harness.scheduler.TakeAdviceRequests(harness.now).empty())
       << "one pending request at a time";
-  harness.scheduler.OnAdvice(requests[0].step, {{"b", "ticket"}}, harness.now);
+  harness.scheduler.OnAdvice(requests[0], {{"b", "ticket"}}, harness.now);
   const std::vector<StartOrder> starts = harness.StartAll();
   ASSERT_EQ(starts.size(), 1U);
   EXPECT_EQ(starts[0].endpoint, "b");
