Scheduler: Count the longest lease of an endpoint that restarted

Cause: the end of a lease is a time on the worker's clock, which starts anew with each life. The renewal after the failed one was computed with the clock of the former life; the new life took its end for far ahead and granted hold_max_ms, 10 s, while the owner counted 4.4 s.

Change: a renewal has a lease end only if the endpoint answered the last request; after a failure it is probed first, and renewed right after its answer.

The same cause on related paths: starts with the former clock; an endpoint that is registered anew and never answers; a successor that finds a run of another incarnation; lapse notices longer than the usual wait; interim leases.

Ruled out: the end of the cut and the owner's interval of looks; with the lease counted right the moment of the cut does not matter (EndpointRestart cuts at nine points).

--- a/include/chervilspar/jobs/interim_leases.h
+++ b/include/chervilspar/jobs/interim_leases.h
@@ -45,6 +45,8 @@
  private:
   struct EndpointLease {
     SocketAddress address;
+    /// Of the incarnation that answered last; 0 if none has.
+    std::int64_t born_ms = 0;
     std::optional<std::int64_t> clock_ms;
     TimePoint clock_at{};
     bool has_runs = true;
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -54,9 +54,17 @@
 
 /// A lapse notice to store, or its removal.
 struct LapseRecord {
+  enum class Kind {
+    /// The owner lets the leases lapse.
+    kLapse,
+    /// The owner renews the leases, and some may last longer than it has asked for.
+    kLongLease,
+  };
+
   std::string endpoint;
-  /// `nullopt` removes the notice of the endpoint.
+  /// `nullopt` removes the notice of this kind of the endpoint.
   std::optional<std::string> text;
+  Kind kind = Kind::kLapse;
 
   friend bool operator==(const LapseRecord&, const LapseRecord&) = default;
 };
@@ -113,6 +121,9 @@
   RenewalOrder order;
   /// False if there is nothing to renew, confirm or poll at the endpoint.
   bool is_needed = false;
+  /// The endpoint did not answer the last request. Its leases are due for renewal once it answers
+  /// this one, which renews nothing.
+  bool is_probe = false;
 };
 
 /// Whether an endpoint that is being evacuated still has claims.
@@ -185,6 +196,8 @@
   /// Restores stored lapse notices of any owner. Call after `RestoreProgress` and before
   /// `RecordInterimLeases`.
   void RestoreLapseNotices(const std::vector<LapseNotice>& notices);
+  /// The same for the notices of the kind `LapseRecord::Kind::kLongLease`.
+  void RestoreLongLeases(const std::vector<LapseNotice>& notices);
   /// Records leases that were granted for this token before the jobs were loaded, with the times by
   /// the local clock at which they have certainly lapsed. Call after `RestoreProgress`.
   void RecordInterimLeases(const std::map<std::string, TimePoint>& lease_ends);
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -12,6 +12,9 @@
   /// of its predecessor, still finds the runs active. Short enough that the tasks of a dead
   /// endpoint can soon be restarted.
   Duration lease = std::chrono::milliseconds(4000);
+  /// The longest lease that an endpoint grants whatever end it is told, from the contract of the
+  /// endpoint.
+  Duration lease_limit = std::chrono::milliseconds(10000);
   /// The fraction by which the clock of an endpoint may be slower than the local clock, from the
   /// contract of the endpoint.
   double endpoint_clock_slowness = 0.02;
@@ -38,8 +41,8 @@
   /// Pause between renewals while ends can't be confirmed, since the endpoint then answers each at
   /// once.
   Duration renewal_pause = std::chrono::milliseconds(300);
-  /// An endpoint that has not answered for this long is only polled. Its leases are not renewed, so
-  /// that they lapse and its tasks can move to other endpoints.
+  /// An endpoint that has not answered for this long is left to lapse, so that its tasks can move
+  /// to other endpoints.
   Duration unresponsive_after = std::chrono::milliseconds(1500);
   /// How long an endpoint gets no tasks after runs of several jobs failed on it in a row.
   Duration ejection = std::chrono::seconds(4);
@@ -77,12 +80,15 @@
 
   ProgressForm progress_form = ProgressForm::kRows;
 
-  /// The duration by the local clock after which a lease that is granted now has certainly lapsed.
-  Duration LongestLease() const {
+  /// The time by the local clock after which a lease of this duration that is granted now has
+  /// certainly lapsed.
+  Duration TimeToLapse(Duration granted) const {
     const auto slowed =
-        std::chrono::duration_cast<Duration>(this->lease * (1.0 + this->endpoint_clock_slowness));
+        std::chrono::duration_cast<Duration>(granted * (1.0 + this->endpoint_clock_slowness));
     return slowed + this->lease_margin;
   }
+  /// The same for the leases that the scheduler grants.
+  Duration LongestLease() const { return this->TimeToLapse(this->lease); }
 
   friend bool operator==(const SchedulerOptions&, const SchedulerOptions&) = default;
 };
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -116,10 +116,11 @@
       }
       this->on_change();
       const bool has_waited = plan.order.wait > Duration::zero();
+      const bool is_renewal_due = is_renewed && plan.is_probe;
       if (this->awaits_stored_ends) {
         co_await this->wakeup->WaitFor(kMaxStoreWait);
         this->awaits_stored_ends = false;
-      } else if (!is_renewed || !has_waited) {
+      } else if (!is_renewed || (!has_waited && !is_renewal_due)) {
         co_await this->wakeup->WaitFor(kRenewalPause);
       }
       const Duration elapsed = this->context.Now() - begin;
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -32,6 +32,7 @@
 jobs::SchedulerOptions OptionsFor(const Context& context) {
   jobs::SchedulerOptions options = context.settings.decisions.scheduler;
   options.lease = std::min(options.lease, context.settings.lease_limit);
+  options.lease_limit = context.settings.lease_limit;
   options.progress_form = context.settings.progress_form;
   return options;
 }
@@ -41,7 +42,9 @@
     records.push_back({jobs::ToString(record.job), std::move(record.text)});
   }
   for (jobs::LapseRecord& record : batch.lapses) {
-    records.push_back({kLapsePrefix + record.endpoint, std::move(record.text)});
+    const bool is_lapse = record.kind == jobs::LapseRecord::Kind::kLapse;
+    records.push_back(
+        {(is_lapse ? kLapsePrefix : kLongLeasePrefix) + record.endpoint, std::move(record.text)});
   }
 }
 
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -27,6 +27,8 @@
 
 /// Prefix of the key of a lapse notice; the endpoint's id follows.
 inline constexpr const char* kLapsePrefix = "lapse/";
+/// The same for a notice of leases that may last longer than the owner asked for.
+inline constexpr const char* kLongLeasePrefix = "long_lease/";
 
 /// A term of this entry as owner, in which it schedules jobs: from its claim until another entry
 /// takes over.
@@ -67,6 +69,9 @@
   /// False when the term has ended.
   boost::asio::awaitable<bool> StoreRecords(std::vector<KeyedRecord> records);
   void LoadWave(const KeyedRecord& record);
+  /// Decodes the records whose keys begin with `prefix`.
+  static std::vector<jobs::LapseNotice> ReadNotices(const std::vector<KeyedRecord>& records,
+                                                    std::string_view prefix);
   void LoadLapseNotices(const std::vector<KeyedRecord>& records);
   boost::asio::awaitable<bool> ReadProgress(std::vector<KeyedRecord>& records);
   void LoadProgress(const std::vector<KeyedRecord>& records);
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -99,10 +99,11 @@
   }
 }
 
-void OwnerTerm::LoadLapseNotices(const std::vector<KeyedRecord>& records) {
+std::vector<jobs::LapseNotice> OwnerTerm::ReadNotices(const std::vector<KeyedRecord>& records,
+                                                      std::string_view prefix) {
   std::vector<jobs::LapseNotice> notices;
   for (const KeyedRecord& record : records) {
-    if (!record.value || !record.key.starts_with(kLapsePrefix)) {
+    if (!record.value || !record.key.starts_with(prefix)) {
       continue;
     }
     const Result<jobs::LapseNotice> notice = jobs::DecodeLapseNotice(*record.value);
@@ -113,7 +114,12 @@
                {{"record", record.key}});
     }
   }
-  this->scheduler.RestoreLapseNotices(notices);
+  return notices;
+}
+
+void OwnerTerm::LoadLapseNotices(const std::vector<KeyedRecord>& records) {
+  this->scheduler.RestoreLapseNotices(ReadNotices(records, kLapsePrefix));
+  this->scheduler.RestoreLongLeases(ReadNotices(records, kLongLeasePrefix));
 }
 
 void OwnerTerm::LoadWave(const KeyedRecord& record) {
--- a/src/jobs/interim_leases.cc
+++ b/src/jobs/interim_leases.cc
@@ -63,6 +63,15 @@
     lease.next_request = now + kRetryPause;
     return;
   }
+  const bool has_restarted = lease.born_ms != 0 && report->born_ms != lease.born_ms;
+  lease.born_ms = report->born_ms;
+  const auto granted = this->lease_ends.find(endpoint);
+  if (has_restarted && granted != this->lease_ends.end()) {
+    // The new incarnation may have taken an order for the former one, with the end of the lease on
+    // the former clock.
+    granted->second =
+        std::max(granted->second, now + this->options.TimeToLapse(this->options.lease_limit));
+  }
   const bool is_renewed = lease.clock_ms.has_value();
   lease.clock_ms = report->clock_ms;
   lease.clock_at = now;
--- a/src/jobs/lapse_review.cc
+++ b/src/jobs/lapse_review.cc
@@ -41,10 +41,12 @@
     EndpointState* const endpoint = this->state.FindEndpoint(notice.endpoint);
     // An owner between the two may have renewed the leases without a record.
     const bool is_from_predecessor = notice.token + 1 == this->state.token;
-    if (endpoint != nullptr && is_from_predecessor && !endpoint->claims.empty()) {
-      endpoint->lease_end =
-          std::min(endpoint->lease_end, this->state.term_start + notice.remaining);
+    if (endpoint == nullptr || endpoint->claims.empty()) {
+      continue;
     }
+    const TimePoint noticed_end = this->state.term_start + notice.remaining;
+    endpoint->lease_end =
+        is_from_predecessor ? noticed_end : std::max(endpoint->lease_end, noticed_end);
   }
 }
 
--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -1,5 +1,7 @@
 #include "jobs/order_round.h"
 
+#include "jobs/former_leases.h"
+
 namespace chervilspar::jobs {
 
 namespace {
@@ -24,6 +26,7 @@
   }
   task.last_order_sent = this->now;
   ++task.start_tries;
+  FormerLeases::OnStartOrdered(*task.endpoint, task.lease_end_ms);
   const EndpointRecord& record = task.endpoint->record;
   return {.endpoint = record.id,
           .address = record.address,
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -39,8 +39,7 @@
   endpoint.last_answered_request = std::max(endpoint.last_answered_request, sent);
   endpoint.is_silent = false;
   if (is_first) {
-    // The endpoint now refuses a predecessor's orders, so no lease exceeds one of this owner.
-    endpoint.lease_end = now + this->state.options.LongestLease();
+    this->former_leases.OnFirstAnswer(endpoint, report, sent, now);
   }
   for (const EndedRun& ended : report.ended) {
     if (ended.number > endpoint.seen_end) {
@@ -236,7 +235,7 @@
 /// The new incarnation may have started a run before this process learned of the restart. If the
 /// claim were released on the registration, the task would run twice. Therefore a registration only
 /// causes a status request, whose answer lists the active runs.
-void RunTracker::OnRestartRegistered(EndpointState& endpoint, std::int64_t born_ms) {
+void RunTracker::OnRestartRegistered(EndpointState& endpoint, std::int64_t born_ms, TimePoint now) {
   if (endpoint.claims.empty()) {
     ResetIncarnation(endpoint);
     endpoint.born_ms = born_ms;
@@ -244,6 +243,22 @@
   }
   endpoint.is_silent = true;
   endpoint.clock_ms.reset();
+  // A start that was given after the last answered request may have reached the new incarnation,
+  // even if the start was answered.
+  const bool may_run =
+      std::any_of(endpoint.claims.begin(), endpoint.claims.end(), [&](const TaskKey& key) {
+        const Task& task = *this->state.Find(key).task;
+        return MayStartLate(task) || task.last_order_sent >= endpoint.last_answered_request;
+      });
+  if (may_run) {
+    this->former_leases.OnUnansweredRestart(endpoint, now);
+  }
+}
+
+bool RunTracker::MayStartLate(const Task& task) {
+  // Of several tries, a delayed one may arrive after the run was reported.
+  const bool is_settled = task.is_reported && task.start_tries <= 1;
+  return !task.is_adopted && !is_settled && task.state != RunState::kRecording;
 }
 
 void RunTracker::OnRestart(EndpointState& endpoint, const RenewalReport& report, TimePoint now) {
@@ -265,10 +280,7 @@
       continue;
     }
     lost.push_back(ref);
-    // Of several tries, a delayed one may arrive after the run was reported.
-    const bool is_settled = task.is_reported && task.start_tries <= 1;
-    const bool may_start = !task.is_adopted && !is_settled && task.state != RunState::kRecording;
-    if (may_start) {
+    if (MayStartLate(task)) {
       // The start is unanswered. Its deadline is on the former incarnation's clock and doesn't stop
       // this one from executing it, and neither does a stop that the former one executed. Only a
       // stop sent to this incarnation does.
@@ -281,10 +293,13 @@
     this->state.Release(ref);
   }
   this->StopGangsOf(lost, now);
+  const bool is_first_contact = endpoint.last_response == TimePoint{};
+  endpoint.has_former_orders_of_predecessor |= is_first_contact && !claims.empty();
   ResetIncarnation(endpoint);
 }
 
 void RunTracker::ResetIncarnation(EndpointState& endpoint) {
+  FormerLeases::OnNewIncarnation(endpoint);
   endpoint.clock_ms.reset();
   endpoint.seen_end = 0;
   endpoint.stored_end = 0;
--- a/src/jobs/run_tracker.h
+++ b/src/jobs/run_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/former_leases.h"
 #include "jobs/scheduler_state.h"
 
 namespace chervilspar::jobs {
@@ -12,14 +13,14 @@
 /// listing the run, or has restarted, or its leases have certainly lapsed.
 class RunTracker {
  public:
-  explicit RunTracker(SchedulerState& state) : state(state) {}
+  explicit RunTracker(SchedulerState& state) : state(state), former_leases(state) {}
 
   /// Processes an endpoint's answer to a request that was sent at `sent`.
   void OnHeld(EndpointState& endpoint, const RenewalReport& report, TimePoint sent, TimePoint now);
   void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
   /// The registry lists an incarnation of the endpoint that has not answered this process yet.
-  void OnRestartRegistered(EndpointState& endpoint, std::int64_t born_ms);
+  void OnRestartRegistered(EndpointState& endpoint, std::int64_t born_ms, TimePoint now);
   /// Another endpoint answers at its address, so this one no longer exists.
   void OnEndpointReplaced(EndpointState& endpoint, TimePoint now);
   /// Releases the claims on endpoints whose leases have lapsed.
@@ -47,7 +48,11 @@
   /// Whether `run` is the current run of the task and its claim is on `endpoint`.
   bool IsCurrentRun(const TaskRef& ref, const EndpointState& endpoint, std::uint64_t run) const;
 
+  /// Whether a start of the task may be executed by an incarnation that the task was not meant for.
+  static bool MayStartLate(const Task& task);
+
   SchedulerState& state;
+  FormerLeases former_leases;
 };
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "jobs/evacuation.h"
+#include "jobs/former_leases.h"
 #include "jobs/lapse_review.h"
 #include "jobs/order_round.h"
 #include "jobs/placing_round.h"
@@ -64,7 +65,7 @@
   }
 }
 
-void Scheduler::SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint) {
+void Scheduler::SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint now) {
   SchedulerState& state = this->impl->state;
   for (const auto& [id, endpoint] : state.endpoints) {
     endpoint->is_registered = false;
@@ -75,13 +76,13 @@
     endpoint.record = record;
     endpoint.is_cordoned = state.cordoned_zones.contains(record.zone);
     if (record.born_ms > endpoint.born_ms) {
-      this->impl->tracker.OnRestartRegistered(endpoint, record.born_ms);
+      this->impl->tracker.OnRestartRegistered(endpoint, record.born_ms, now);
     }
   }
   std::erase_if(state.endpoints, [&state](const auto& entry) {
     const EndpointState& endpoint = *entry.second;
-    const bool is_gone =
-        !endpoint.is_registered && endpoint.claims.empty() && !endpoint.has_lapse_notice;
+    const bool is_gone = !endpoint.is_registered && endpoint.claims.empty() &&
+                         !endpoint.has_lapse_notice && !endpoint.has_long_lease_notice;
     if (is_gone) {
       state.endpoint_index.erase(entry.first);
       std::erase_if(state.reservations,
@@ -202,10 +203,16 @@
   LapseReview(this->impl->state, this->impl->state.term_start).Restore(notices);
 }
 
+void Scheduler::RestoreLongLeases(const std::vector<LapseNotice>& notices) {
+  FormerLeases(this->impl->state).Restore(notices);
+}
+
 void Scheduler::RecordInterimLeases(const std::map<std::string, TimePoint>& lease_ends) {
+  SchedulerState& state = this->impl->state;
   for (const auto& [id, lease_end] : lease_ends) {
-    if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
+    if (EndpointState* endpoint = state.FindEndpoint(id)) {
       endpoint->lease_end = std::max(endpoint->lease_end, lease_end);
+      FormerLeases::OnGrantedBefore(*endpoint, lease_end, state.options);
     }
   }
 }
@@ -232,6 +239,7 @@
   if (endpoint == nullptr) {
     return;
   }
+  FormerLeases::OnRenewalSettled(*endpoint, now);
   this->impl->tracker.OnHeld(*endpoint, report, sent, now);
   if (report.born_ms == endpoint->born_ms && order.confirmed_end <= endpoint->seen_end) {
     endpoint->confirmed_end = std::max(endpoint->confirmed_end, order.confirmed_end);
@@ -269,6 +277,7 @@
   if (endpoint == nullptr) {
     return;
   }
+  FormerLeases::OnRenewalSettled(*endpoint, now);
   endpoint->is_silent = true;
   if (outcome == OrderOutcome::kOtherIncarnation) {
     this->impl->tracker.OnEndpointReplaced(*endpoint, now);
@@ -276,6 +285,9 @@
 }
 
 void Scheduler::OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now) {
+  if (EndpointState* endpoint = this->impl->state.FindEndpoint(order.endpoint)) {
+    FormerLeases::OnStartSettled(*endpoint, now);
+  }
   this->impl->tracker.OnStartAnswered(order, outcome, now);
 }
 
@@ -352,6 +364,7 @@
     self.last_review = now;
     self.tracker.ReleaseExpiredLeases(now);
     LapseReview(self.state, now).Run();
+    FormerLeases(self.state).Review(now);
     self.state.ReleaseExpiredReservations(now);
     Evacuation(self.state, now).Run();
   }
@@ -387,14 +400,17 @@
       has_claims || !endpoint->orphaned_runs.empty() ||
       (endpoint->is_registered && (!is_known || is_clock_old || endpoint->is_silent)) ||
       endpoint->confirmed_end < endpoint->seen_end;
-  const bool is_responsive =
-      is_known && now - endpoint->last_response < state.options.unresponsive_after;
-  const bool is_reachable = is_known && (is_responsive || !endpoint->is_silent);
-  if (this->MayRenew(now) && has_claims && is_reachable && !endpoint->has_lapse_notice) {
+  const bool may_renew =
+      this->MayRenew(now) && has_claims && is_known && !endpoint->has_lapse_notice;
+  // Its process may have restarted since it last answered. The answer to a request without a lease
+  // end tells.
+  plan.is_probe = may_renew && endpoint->is_silent;
+  if (may_renew && !endpoint->is_silent) {
     const Duration lease = state.options.lease;
     plan.order.lease_end_ms =
         endpoint->EarliestClockAt(now, state.options.endpoint_clock_slowness) +
         ToMilliseconds(lease);
+    FormerLeases::OnRenewalPlanned(*endpoint, *plan.order.lease_end_ms);
     endpoint->lease_end = std::max(endpoint->lease_end, now + state.options.LongestLease());
   }
   const bool may_wait =
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -58,7 +58,8 @@
     return false;
   }
   return !self.state.dirty.empty() || !self.forgotten.empty() || !self.end_candidates.empty() ||
-         self.state.has_new_ends || !self.state.lapse_changes.empty();
+         self.state.has_new_ends || !self.state.lapse_changes.empty() ||
+         !self.state.long_lease_changes.empty();
 }
 
 Batch Scheduler::TakeBatch() {
@@ -101,9 +102,13 @@
     if (!text) {
       self.recorded_lapse_drops.push_back(endpoint);
     }
-    batch.lapses.push_back({endpoint, std::move(text)});
+    batch.lapses.push_back({endpoint, std::move(text), LapseRecord::Kind::kLapse});
   }
   self.state.lapse_changes.clear();
+  for (auto& [endpoint, text] : self.state.long_lease_changes) {
+    batch.lapses.push_back({endpoint, std::move(text), LapseRecord::Kind::kLongLease});
+  }
+  self.state.long_lease_changes.clear();
   self.state.has_new_ends = false;
   for (const auto& [id, endpoint] : self.state.endpoints) {
     if (endpoint->seen_end > endpoint->stored_end) {
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -237,6 +237,8 @@
   EndpointState& endpoint = this->GetOrCreateEndpoint(task.progress.endpoint);
   // If the registry already lists a newer incarnation, that one may have started the run before the
   // predecessor learned of it. The next status response tells which it is.
+  endpoint.has_former_orders_of_predecessor |=
+      endpoint.born_ms != 0 && endpoint.born_ms != task.progress.endpoint_born_ms;
   endpoint.born_ms = std::max(endpoint.born_ms, task.progress.endpoint_born_ms);
   task.state = RunState::kUnconfirmed;
   task.is_adopted = true;
@@ -248,8 +250,10 @@
   task.start_expires = this->term_start + this->options.predecessor_grace;
   // A predecessor's start is never repeated; a run that isn't reported is stopped.
   task.start_tries = this->options.start_tries;
-  endpoint.lease_end =
-      this->term_start + this->options.predecessor_grace + this->options.LongestLease();
+  const Duration longest_lease = endpoint.has_former_orders_of_predecessor
+                                     ? this->options.TimeToLapse(this->options.lease_limit)
+                                     : this->options.LongestLease();
+  endpoint.lease_end = this->term_start + this->options.predecessor_grace + longest_lease;
   this->AccountUsage(ref, endpoint, true);
 }
 
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -219,6 +219,20 @@
   /// The time on this process's clock at which all leases on it have lapsed unless they are
   /// renewed.
   TimePoint lease_end{};
+  /// The latest lease end that this owner has asked for on the clock of its current incarnation,
+  /// and on that of a former one since whose end it has not answered; see `FormerLeases`.
+  std::optional<std::int64_t> asked_lease_end_ms;
+  std::optional<std::int64_t> former_lease_end_ms;
+  /// Such orders that have neither been answered nor failed, and when the last one was or did.
+  bool is_renewal_pending = false;
+  int pending_starts = 0;
+  TimePoint last_order_settled{};
+  /// An earlier owner may have asked for leases on the clock of a former incarnation.
+  bool has_former_orders_of_predecessor = false;
+  /// Leases that its current incarnation took from orders for a former one may last until then.
+  TimePoint long_lease_end{};
+  /// A notice of them is stored or may be.
+  bool has_long_lease_notice = false;
   Resources used;
   /// The part of `used` by long-running tasks.
   Resources used_by_long_running;
@@ -246,6 +260,9 @@
   Resources FreeCapacity() const {
     return this->record.capacity - this->used - this->reserved_capacity;
   }
+  bool HasPendingLeaseOrders() const {
+    return this->is_renewal_pending || this->pending_starts > 0;
+  }
   bool IsLeaving() const { return this->is_evacuating || this->record.is_draining; }
   /// The lowest value, in milliseconds, that its clock may show at `now` if it is slower than this
   /// process's clock by the fraction `slowness`. A lease that is computed from it ends early rather
@@ -373,6 +390,8 @@
   std::map<TaskKey, CapacityReservation> reservations;
   /// By endpoint: encoded lapse notices to store with the next batch; `std::nullopt` deletes one.
   std::map<std::string, std::optional<std::string>> lapse_changes;
+  /// The same for notices of long leases.
+  std::map<std::string, std::optional<std::string>> long_lease_changes;
   std::map<TeamId, Resources> team_usage;
   AccountDivision division;
   LinkState link;
--- a/tests/jobs/interim_leases_test.cc
+++ b/tests/jobs/interim_leases_test.cc
@@ -80,6 +80,20 @@
   EXPECT_EQ(requests[0].endpoint, "a");
 }
 
+/// Guards against a task that runs twice, as an endpoint that restarted took a lease that was
+/// computed with its former clock.
+TEST_F(InterimLeasesTest, ARestartedEndpointMayHaveTakenItsLongestLease) {
+  this->leases.Plan(this->now);
+  this->leases.OnAnswered("a", Report(true), this->now);
+  ASSERT_EQ(this->leases.Plan(this->now).size(), 1U);
+  RenewalReport restarted = Report(true);
+  restarted.born_ms = 2;
+  restarted.clock_ms = 5;
+  this->leases.OnAnswered("a", restarted, this->now);
+  EXPECT_EQ(this->leases.LeaseEnds().at("a"),
+            this->now + this->options.TimeToLapse(this->options.lease_limit));
+}
+
 /// The entry is partitioned from the store while it reads. Its successor relies on no renewal being
 /// later than the last proof plus `predecessor_grace`.
 TEST_F(InterimLeasesTest, RenewsNothingWithoutProof) {
--- a/tests/jobs/scheduler_harness.h
+++ b/tests/jobs/scheduler_harness.h
@@ -109,10 +109,12 @@
       this->stored[record.job] = record.text.value_or("");
     }
     for (const LapseRecord& record : batch.lapses) {
+      const bool is_lapse = record.kind == LapseRecord::Kind::kLapse;
+      std::map<std::string, std::string>& notices = is_lapse ? this->lapses : this->long_leases;
       if (record.text) {
-        this->lapses[record.endpoint] = *record.text;
+        notices[record.endpoint] = *record.text;
       } else {
-        this->lapses.erase(record.endpoint);
+        notices.erase(record.endpoint);
       }
     }
     return this->scheduler.ConfirmBatch(this->now);
@@ -150,6 +152,7 @@
   std::map<JobId, std::string> stored;
   /// Lapse notices by endpoint.
   std::map<std::string, std::string> lapses;
+  std::map<std::string, std::string> long_leases;
   RenewalOrder last_renewal;
 };
 
