Scheduler: Count a failed run of a gang as one attempt

Cause: the attempts of a gang were the sum of its members' failures, so that members that fail in the same run, as on one worker that fails all it starts, used up all attempts. The record shows three ends "failed" of run 1 and no run 2.

Change: the first failed end of a run counts for the gang and marks the run as ended for all members in ended_run, which is stored.

The same cause on related paths: members on two workers, also with a change of owner between their reports; an end that is listed after the next run has begun; the ejection of a worker, for which members that fail together are one failure; a worker where one member failed is avoided by all members.

--- a/include/chervilspar/jobs/progress.h
+++ b/include/chervilspar/jobs/progress.h
@@ -34,9 +34,10 @@
   /// The number of the last run; 0 before the first.
   std::uint64_t run = 0;
   /// The highest run whose end has been counted. Endpoints report an end repeatedly until it is
-  /// confirmed; counting it twice would fail a job too early.
+  /// confirmed; counting it twice would fail a job too early. A failed run of a gang has ended for
+  /// all members once it is counted for one.
   std::uint64_t ended_run = 0;
-  /// The number of failed runs.
+  /// The number of failed runs. For a gang, each of its failed runs is counted for one member.
   std::uint32_t failures = 0;
   /// The endpoint on which the last run was placed.
   std::string endpoint;
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -26,6 +26,16 @@
   return label.empty() || endpoint.record.HasLabel(label);
 }
 
+/// The last run of the task, or of a member of its gang, failed on the endpoint.
+bool HasFailedOn(const TaskRef& ref, const EndpointState& endpoint) {
+  const std::string& id = endpoint.record.id;
+  if (!ref.spec->is_gang) {
+    return ref.task->avoided_endpoint == id;
+  }
+  return std::any_of(ref.step->tasks.begin(), ref.step->tasks.end(),
+                     [&](const Task& member) { return member.avoided_endpoint == id; });
+}
+
 bool IsServing(const Step& step) { return step.is_long_running && !step.is_filler; }
 
 }  // namespace
@@ -85,7 +95,7 @@
 
 std::int64_t Placement::Cost(const TaskRef& ref, const EndpointState& endpoint) const {
   std::int64_t cost = this->SharingCost(ref, endpoint);
-  if (endpoint.record.id == ref.task->avoided_endpoint) {
+  if (HasFailedOn(ref, endpoint)) {
     cost += kFailedThereCost;
   }
   if (!ref.spec->data_rack.empty() && !endpoint.record.HasLabel(ref.spec->data_rack)) {
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -86,13 +86,16 @@
     }
     return;
   }
+  if (ended.end == RunEnd::kFailed) {
+    this->CountEndpointFailure(ref, endpoint, ended);
+  }
   if (ended.run <= ref.task->progress.ended_run) {
     return;  // already counted
   }
   ref.task->progress.ended_run = ended.run;
   this->state.MarkDirty(*ref.job);
   if (ended.end == RunEnd::kFailed) {
-    this->ProcessFailure(ref, endpoint, ended);
+    this->CountAttempt(ref, endpoint, ended);
   }
   if (is_current) {
     this->state.StopGang(ref, now);
@@ -104,10 +107,17 @@
   }
 }
 
-void RunTracker::ProcessFailure(const TaskRef& ref, EndpointState& endpoint,
-                                const EndedRun& ended) {
-  Task& task = *ref.task;
-  task.avoided_endpoint = endpoint.record.id;
+void RunTracker::CountEndpointFailure(const TaskRef& ref, EndpointState& endpoint,
+                                      const EndedRun& ended) {
+  ref.task->avoided_endpoint = endpoint.record.id;
+  if (ref.spec->is_gang) {
+    const TaskKey first{ended.task.job, ended.task.occurrence, ended.task.step, 0};
+    const std::pair<TaskKey, std::uint64_t> gang{first, ended.run};
+    if (endpoint.last_failed_gang == gang) {
+      return;
+    }
+    endpoint.last_failed_gang = gang;
+  }
   ++endpoint.failures;
   endpoint.failed_jobs.insert(ended.task.job);
   const bool has_several = endpoint.failed_jobs.size() > 1;
@@ -121,14 +131,21 @@
                              endpoint.record.id,
                              "consecutive runs of several jobs failed"});
   }
+}
+
+void RunTracker::CountAttempt(const TaskRef& ref, const EndpointState& endpoint,
+                              const EndedRun& ended) {
   if (ref.spec->is_long_running) {
     return;
   }
+  Task& task = *ref.task;
   ++task.progress.failures;
   std::uint32_t failures = task.progress.failures;
   if (ref.spec->is_gang) {
     failures = 0;
-    for (const Task& member : ref.step->tasks) {
+    for (Task& member : ref.step->tasks) {
+      // A run of the gang is one attempt, however many of its members fail.
+      member.progress.ended_run = std::max(member.progress.ended_run, ended.run);
       failures += member.progress.failures;
     }
   }
@@ -307,6 +324,7 @@
   endpoint.orphaned_runs.clear();
   endpoint.failures = 0;
   endpoint.failed_jobs.clear();
+  endpoint.last_failed_gang.reset();
 }
 
 void RunTracker::ReleaseAll(EndpointState& endpoint, const std::string& why, TimePoint now) {
--- a/src/jobs/run_tracker.h
+++ b/src/jobs/run_tracker.h
@@ -32,9 +32,11 @@
   void OnRestart(EndpointState& endpoint, const RenewalReport& report, TimePoint now);
   /// Resets everything known about the former incarnation except its claims.
   static void ResetIncarnation(EndpointState& endpoint);
-  /// Counts a failed run against its task, and ejects an endpoint on which runs of several jobs
-  /// failed.
-  void ProcessFailure(const TaskRef& ref, EndpointState& endpoint, const EndedRun& ended);
+  /// Counts a failed run against its endpoint, and ejects an endpoint on which runs of several jobs
+  /// failed. The failures of several members of a gang in one run count once.
+  void CountEndpointFailure(const TaskRef& ref, EndpointState& endpoint, const EndedRun& ended);
+  /// Counts a failed run against its task or, once for each run, against its gang.
+  void CountAttempt(const TaskRef& ref, const EndpointState& endpoint, const EndedRun& ended);
   void ProcessActive(EndpointState& endpoint, const ActiveRun& active, TimePoint now);
   /// Releases the claims whose runs the report proves to be neither active nor startable.
   void ReleaseUnlisted(EndpointState& endpoint, const RenewalReport& report, TimePoint sent,
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -73,7 +73,8 @@
   /// When a run of it was last stopped for another task.
   std::optional<TimePoint> preempted;
   int restarts = 0;
-  /// Skipped in the next placement, as the last run failed there.
+  /// Skipped in the next placement, by all members if the task belongs to a gang, as the last run
+  /// failed there.
   std::string avoided_endpoint;
   std::string ticket;
   /// The task has to move to another endpoint, and none has free capacity for it.
@@ -248,6 +249,8 @@
   /// The number of consecutive failed runs, and the jobs that they belong to.
   int failures = 0;
   std::set<JobId> failed_jobs;
+  /// The first task and the run of the gang that failed here last.
+  std::optional<std::pair<TaskKey, std::uint64_t>> last_failed_gang;
   TimePoint ejected_until{};
   TimePoint full_until{};
   /// The speed of its fillers.
