Placing: Go on behind jobs that fit on no free endpoint

Callers would see: an accepted job that is never started though an endpoint is idle (LOST), as 24 jobs before it wait for a label whose only endpoint is full, or, for a late job, as one such job waits.

Late jobs are placed only when nothing else waits. A gang larger than its pool counted as a job that waits.

Change: after blocked jobs, the round places others on endpoints that no blocked job could use, examines 24 that don't fit, and continues behind them next time. Where every endpoint suits the blocked jobs, nothing changes. A gang that the pool can't hold when it is empty blocks nothing.

--- a/include/chervilspar/jobs/job.h
+++ b/include/chervilspar/jobs/job.h
@@ -48,6 +48,8 @@
   Resources operator-(const Resources& other) const;
   /// Returns true if `need` fits into this in every dimension.
   bool Fits(const Resources& need) const;
+  /// Returns how many times `need` fits into this, up to `max_count`.
+  std::size_t CountFitting(const Resources& need, std::size_t max_count) const;
 
   friend bool operator==(const Resources&, const Resources&) = default;
 };
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -146,6 +146,24 @@
   });
 }
 
+bool Placement::HasCapacityForGang(const TaskRef& ref, TimePoint now) const {
+  const auto pool = this->state.pools.find(ref.job->service);
+  if (pool == this->state.pools.end()) {
+    return false;
+  }
+  const std::size_t count = ref.step->tasks.size();
+  const std::size_t limit =
+      ref.spec->max_per_endpoint > 0 ? std::size_t{ref.spec->max_per_endpoint} : count;
+  const Resources need = RequiredCapacity(*ref.spec);
+  std::size_t found = 0;
+  for (const EndpointState* endpoint : pool->second.endpoints) {
+    if (this->MayRunOn(ref, *endpoint, now)) {
+      found += endpoint->record.capacity.CountFitting(need, limit);
+    }
+  }
+  return found >= count;
+}
+
 EndpointState* Placement::ChooseToReserve(const TaskRef& ref, TimePoint now) const {
   const auto pool = this->state.pools.find(ref.job->service);
   EndpointState* best = nullptr;
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -28,6 +28,8 @@
   std::int64_t Cost(const TaskRef& ref, const EndpointState& endpoint) const;
   /// True if some endpoint could run the task but for a cordon.
   bool IsBlockedByCordon(const TaskRef& ref) const;
+  /// Whether the pool could run the whole gang of the task if its endpoints were empty.
+  bool HasCapacityForGang(const TaskRef& ref, TimePoint now) const;
   /// The endpoint to reserve for a task that fits nowhere now: the one with the most free cpu of
   /// those that are large enough. Null if there is none.
   EndpointState* ChooseToReserve(const TaskRef& ref, TimePoint now) const;
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -95,6 +95,7 @@
 
 void PlacingRound::PlacePool(PoolState& pool) {
   this->reserved.clear();
+  this->wanted.clear();
   this->unplaced_jobs = 0;
   std::vector<std::uint32_t> ranks;
   for (auto place = pool.ready.begin(); place != pool.ready.end();) {
@@ -106,12 +107,15 @@
   if (!this->PlaceOnTime(pool, ranks,
                          divides ? JobFilter::kWithinShare : JobFilter::kExpectedOnTime) ||
       (divides && !this->PlaceOnTime(pool, ranks, JobFilter::kBeyondShare))) {
+    this->PlaceOnUnwanted(pool);
     return;
   }
   // The remaining capacity is for jobs that can still meet their deadlines.
   if (this->unplaced_jobs > 0) {
+    this->PlaceOnUnwanted(pool);
     return;
   }
+  pool.resume_after.reset();
   for (const std::uint32_t rank : ranks) {
     const bool may_continue =
         rank == 0 ||
@@ -124,6 +128,45 @@
   }
 }
 
+/// The jobs that found no capacity may be the same in each round. If nothing else were placed, jobs
+/// that could run on other endpoints would never start.
+void PlacingRound::PlaceOnUnwanted(PoolState& pool) {
+  const bool has_unwanted =
+      std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](EndpointState* endpoint) {
+        return Placement::IsUsable(*endpoint, this->now) && !this->wanted.contains(endpoint);
+      });
+  if (this->is_link_full || !has_unwanted) {
+    return;
+  }
+  this->reserved.insert(this->wanted.begin(), this->wanted.end());
+  this->unplaced_jobs = 0;
+  auto place = pool.resume_after ? pool.ready.upper_bound(*pool.resume_after) : pool.ready.begin();
+  pool.resume_after.reset();
+  while (place != pool.ready.end()) {
+    const ReadyKey key = *place;
+    if (!this->PlaceJob(*this->state.FindJob(key.job)) &&
+        (this->is_link_full ||
+         ++this->unplaced_jobs >= this->state.options.max_unplaced_per_round)) {
+      pool.resume_after = key;
+      return;
+    }
+    place = pool.ready.upper_bound(key);
+  }
+}
+
+void PlacingRound::AddWanted(const TaskRef& ref) {
+  const std::vector<EndpointState*>& endpoints = this->state.pools.at(ref.job->service).endpoints;
+  if (this->wanted.size() == endpoints.size()) {
+    return;
+  }
+  for (EndpointState* endpoint : endpoints) {
+    if (this->placement.MayRunOn(ref, *endpoint, this->now) &&
+        endpoint->record.capacity.Fits(RequiredCapacity(*ref.spec))) {
+      this->wanted.insert(endpoint);
+    }
+  }
+}
+
 bool PlacingRound::PlaceOnTime(PoolState& pool, const std::vector<std::uint32_t>& ranks,
                                JobFilter filter) {
   return std::all_of(ranks.begin(), ranks.end(), [&](std::uint32_t rank) {
@@ -274,7 +317,15 @@
       return false;
     }
     if (ref.spec->is_gang) {
-      return this->PlaceGang(ref);
+      if (this->PlaceGang(ref)) {
+        return true;
+      }
+      if (!this->placement.HasCapacityForGang(ref, this->now)) {
+        this->wait_reason = WaitReason::kNoEligibleEndpoint;
+        return true;  // A gang that the pool can't run doesn't block the jobs after it.
+      }
+      this->AddWanted(ref);
+      return false;
     }
     if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
       if (this->IsReservedByPreemption(ref)) {
@@ -284,6 +335,7 @@
       }
       // A task that no endpoint can run doesn't block the jobs after it.
       const bool could_run = this->ReserveEndpointFor(ref);
+      this->AddWanted(ref);
       if (could_run && this->state.options.preempts) {
         this->blocked.push_back(ref.key);
       }
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -32,6 +32,11 @@
 
   /// Places jobs from `begin` up to, but not including, `end`. False if the round has to end.
   bool PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end, JobFilter filter);
+  /// Places jobs of any kind on the endpoints that no blocked job could use. Examines a limited
+  /// number of jobs that don't fit, and continues behind them in the next round.
+  void PlaceOnUnwanted(PoolState& pool);
+  /// Adds the endpoints on which the blocked task could run if they were free.
+  void AddWanted(const TaskRef& ref);
   /// Decides which jobs to abandon if not all of them can meet their deadlines.
   void PlanOverload(PoolState& pool);
   /// False if a task of the job found no free capacity, although some endpoint is large enough.
@@ -61,6 +66,8 @@
   const std::int64_t wall_ms;
   /// Endpoints reserved for jobs that found no free capacity in this pool.
   std::set<EndpointState*> reserved;
+  /// Endpoints of this pool that a blocked job could use.
+  std::set<EndpointState*> wanted;
   /// Jobs of this pool that did not fit in this round.
   int unplaced_jobs = 0;
   /// The division among accounts was computed in this round.
--- a/src/jobs/scheduler_advice.cc
+++ b/src/jobs/scheduler_advice.cc
@@ -23,16 +23,6 @@
                                                 [](const Task& task) { return task.IsWaiting(); }));
 }
 
-/// The number of tasks that fit into `capacity`, up to `max_count`.
-std::size_t CountFitting(Resources capacity, const Resources& need, std::size_t max_count) {
-  std::size_t count = 0;
-  while (count < max_count && capacity.Fits(need)) {
-    capacity = capacity - need;
-    ++count;
-  }
-  return count;
-}
-
 /// An endpoint without a valid answer. Compares less if it is better for the step.
 struct Candidate {
   bool is_full = false;
@@ -62,7 +52,7 @@
     }
     if (ref.step->advice.FindTicket(*endpoint, now) != nullptr) {
       has_ticket = true;
-      room += CountFitting(free_capacity, need, waiting);
+      room += free_capacity.CountFitting(need, waiting);
     } else {
       candidates.push_back(
           {!free_capacity.Fits(need), placement.Cost(ref, *endpoint), endpoint->record.id});
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -288,6 +288,8 @@
   double arrived_jobs = 0;
   std::vector<EndpointState*> endpoints;
   std::set<ReadyKey> ready;
+  /// Where the last round stopped to examine jobs behind those that found no capacity.
+  std::optional<ReadyKey> resume_after;
   /// When the last `OverloadPlan` was made.
   TimePoint planned{};
 };
