VM driver: Repeat orders without an answer until their outcome is known

Cause: a reboot without an answer counted as lost after 6 s. Its VM lost its place in the wave and was given work again, and another one was preferred, as the tasks that last had moved to others. A successor knew nothing of the order.

Change: such an order is repeated each second until an answer tells the outcome, which the service gives as for the first. Until then the VM stays empty and counts as down. A reboot is stored in the wave's progress (ordered) before it is ordered, and a successor goes on with it. Moves without an answer, taken for lost in the same way, are repeated too. The orders of the driver have a file of their own.

--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -80,6 +80,9 @@
 struct WaveProgress {
   std::uint64_t number = 0;
   std::set<VmId> rebooted;
+  /// VMs whose reboot has been or will be ordered, and whose reboot is not known to have begun. An
+  /// order without an answer may be executed seconds later, also under the next owner.
+  std::set<VmId> ordered;
   /// The start of the wave has been reported to the operators.
   bool is_reported = false;
   /// The completion of the wave has been reported to the operators.
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -240,6 +240,7 @@
     if (!is_stored) {
       co_return;
     }
+    this->vms.OnRecordsStored();
     if (has_batch) {
       this->ApplyOperatorSettings();
       this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now()));
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -1,6 +1,7 @@
 #include "job_entry/vm_driver.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "chervilspar/base/scope_guard.h"
 
@@ -9,7 +10,6 @@
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
-using jobs::VmOrderOutcome;
 
 namespace {
 
@@ -17,22 +17,12 @@
 constexpr Duration kRoundInterval = std::chrono::milliseconds(150);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
-/// A reboot with a response is visible in the list at once; one without may begin seconds later.
-constexpr Duration kRebootVisibleDelay = std::chrono::milliseconds(500);
-constexpr Duration kUnansweredRebootTimeout = std::chrono::seconds(6);
-/// Before the retry of a reboot that the service has refused because the wave doesn't name the VM:
-/// the service may learn of a wave later than this entry, and operators must not read that the wave
-/// is complete before the reboot.
-constexpr Duration kRefusedRebootRetryDelay = std::chrono::seconds(2);
 const std::string kWavePrefix = "wave/";
-/// A move without a response that isn't visible after this has not happened.
+/// A move that isn't visible after this has not happened.
 constexpr Duration kLostMoveTimeout = std::chrono::seconds(6);
 /// An endpoint registers about 1 s after its VM is up.
 constexpr Duration kRegistrationTimeout = std::chrono::milliseconds(2500);
 
-/// Maximum age of the proof that an order needs. A successor waits longer than this plus the
-/// transit time of an order before its own first order.
-constexpr Duration kMaxOrderProofAge = std::chrono::milliseconds(300);
 /// Fewer than the client's connections to one address, as the list of VMs is read concurrently. An
 /// order takes about 5 ms, so several thousand can be sent per second.
 constexpr std::size_t kMaxConcurrentOrders = 20;
@@ -57,6 +47,11 @@
 
 void VmDriver::Restore(const jobs::WaveProgress& progress) {
   this->waves[progress.number] = progress;
+  for (const VmId& vm : progress.ordered) {
+    this->pending_reboots[vm] = {.wave = progress.number, .is_stored = true, .is_unanswered = true};
+    this->down[vm] = TimePoint::max();
+    this->evacuating.insert(vm);
+  }
 }
 
 std::vector<KeyedRecord> VmDriver::TakeRecords() {
@@ -65,9 +60,22 @@
     records.push_back({WaveKey(wave), jobs::EncodeWaveProgress(this->waves[wave])});
   }
   this->changed_waves.clear();
+  for (const auto& [vm, reboot] : this->pending_reboots) {
+    this->recording_reboots.insert(vm);
+  }
   return records;
 }
 
+void VmDriver::OnRecordsStored() {
+  for (const VmId& vm : std::exchange(this->recording_reboots, {})) {
+    const auto reboot = this->pending_reboots.find(vm);
+    if (reboot != this->pending_reboots.end()) {
+      reboot->second.is_stored = true;
+    }
+  }
+  this->OrderPendingReboots();
+}
+
 asio::awaitable<void> VmDriver::Run(TimePoint began, std::weak_ptr<void> owner) {
   this->owner = std::move(owner);
   while (!this->is_stopped && this->context.links.vms != nullptr) {
@@ -111,33 +119,24 @@
     co_return;
   }
   // The predecessor may just have sent an order for the same VM.
-  const bool may_order = this->listed_at > first_order;
+  this->may_order = this->listed_at > first_order;
   const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
   this->RenewEvacuations(this->VmsToReboot(known));
+  this->DropUnwantedReboots(known);
+  this->OrderPendingReboots();
+  this->RepeatUnansweredMoves();
   std::set<std::string> due;
   for (const auto& [number, wave] : known) {
     if (!this->is_stopped && !this->waves[number].is_complete) {
-      co_await this->DriveWave(wave, may_order, due);
+      co_await this->DriveWave(wave, due);
     }
   }
   this->scheduler.SetUpcomingReboots(due);
   if (!this->is_stopped) {
-    this->ResizePools(may_order);
+    this->ResizePools();
   }
 }
 
-asio::awaitable<bool> VmDriver::IsStillOwner() {
-  if (this->context.settings.vm_service_compares_tokens) {
-    co_return !this->is_stopped;
-  }
-  this->proof.Record(this->scheduler.Proof());
-  const bool is_proven = co_await this->proof.IsYoungerThan(kMaxOrderProofAge);
-  if (!is_proven) {
-    this->context.metrics.Count({"chervilspar_vm_orders_unproven_total", {}});
-  }
-  co_return is_proven && !this->is_stopped;
-}
-
 void VmDriver::UpdateReturnedVms() {
   std::erase_if(this->registering,
                 [this](const auto& entry) { return this->context.Now() >= entry.second; });
@@ -156,7 +155,8 @@
     if (move == this->moving.end()) {
       continue;
     }
-    const bool is_lost = this->listed_at - move->second.since > kLostMoveTimeout;
+    const bool is_lost =
+        !move->second.is_unanswered && this->listed_at - move->second.since > kLostMoveTimeout;
     if (vm.pool == move->second.pool || is_lost) {
       this->moving.erase(move);
       this->ExpectRegistration(vm);
@@ -217,8 +217,7 @@
   }
 }
 
-asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, bool may_order,
-                                          std::set<std::string>& due) {
+asio::awaitable<void> VmDriver::DriveWave(const jobs::Wave& wave, std::set<std::string>& due) {
   jobs::WaveProgress& progress = this->waves[wave.number];
   progress.number = wave.number;
   jobs::UpkeepPlanner::UnavailableVms absent;
@@ -249,52 +248,11 @@
     }
   }
   for (const VmId& vm : step.reboot) {
-    if (!may_order || this->is_stopped || !this->budget.TryAcquire(this->context.Now())) {
-      break;
-    }
-    // Counts as down before the order is sent: an order without a response may have been executed.
-    this->down[vm] = this->context.Now() + kUnansweredRebootTimeout;
-    this->EnqueueOrder([this, number = wave.number, vm] { return this->Reboot(number, vm); });
-  }
-}
-
-void VmDriver::EnqueueOrder(WorkQueue::Work order) {
-  this->orders->Add([owner = this->owner.lock(), order = std::move(order)] { return order(); });
-}
-
-asio::awaitable<void> VmDriver::Reboot(std::uint64_t wave, VmId vm) {
-  const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->token};
-  this->down[vm] = this->context.Now() + kUnansweredRebootTimeout;
-  VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
-  const bool is_owner = co_await this->IsStillOwner();
-  if (is_owner) {
-    outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
-  }
-  LogEvent(telemetry::LogLevel::kInfo, "vm_reboot_ordered", "a wave requires the reboot",
-           {{"vm", vm.text}, {"outcome", jobs::ToString(outcome)}});
-  switch (outcome) {
-    case VmOrderOutcome::kDone:
-      this->down[vm] = this->context.Now() + kRebootVisibleDelay;
-      this->waves[wave].rebooted.insert(vm);
-      this->changed_waves.insert(wave);
-      break;
-    case VmOrderOutcome::kNoAnswer:
-      break;  // retried once the VM is up; the response then shows the outcome
-    case VmOrderOutcome::kNotAllowed:
-      this->refused_reboots[vm] = this->context.Now() + kRefusedRebootRetryDelay;
-      this->down.erase(vm);
-      break;
-    case VmOrderOutcome::kTokenTooLow:
-      this->is_stopped = true;
-      break;
-    case VmOrderOutcome::kRateLimited:
-      this->budget.OnRefused(this->context.Now());
-      this->down.erase(vm);
-      break;
-    case VmOrderOutcome::kNotSent:
-    case VmOrderOutcome::kBusy:
-      this->down.erase(vm);
-      break;
+    // Counts as down before the order is sent.
+    this->down[vm] = TimePoint::max();
+    this->pending_reboots[vm] = {.wave = wave.number};
+    progress.ordered.insert(vm);
+    this->changed_waves.insert(wave.number);
   }
 }
 
@@ -383,13 +341,13 @@
   }
 }
 
-void VmDriver::ResizePools(bool may_order) {
+void VmDriver::ResizePools() {
   const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
   const ServiceId standby = policy->standby.empty() ? ServiceId{} : *policy->standby.begin();
   const std::vector<jobs::SizerVm> sized = this->SizerVms();
   const jobs::SizerPlan step =
       this->sizer.Plan(this->context.Now(), this->scheduler.PoolLoads(), sized, standby);
-  if (!may_order) {
+  if (!this->may_order) {
     return;
   }
   this->sizes_log.LogIfChanged(sized, standby);
@@ -403,36 +361,4 @@
   }
 }
 
-asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool) {
-  const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
-  VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
-  const bool is_owner = co_await this->IsStillOwner();
-  if (is_owner) {
-    outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
-  }
-  LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered",
-           "the demand of the queues requires the move",
-           {{"vm", vm.text}, {"pool", pool.text}, {"outcome", jobs::ToString(outcome)}});
-  switch (outcome) {
-    case VmOrderOutcome::kDone:
-    case VmOrderOutcome::kNoAnswer:
-      break;
-    case VmOrderOutcome::kNotAllowed:
-      this->refused_moves.insert({vm, pool});
-      this->moving.erase(vm);
-      break;
-    case VmOrderOutcome::kTokenTooLow:
-      this->is_stopped = true;
-      break;
-    case VmOrderOutcome::kRateLimited:
-      this->budget.OnRefused(this->context.Now());
-      this->moving.erase(vm);
-      break;
-    case VmOrderOutcome::kNotSent:
-    case VmOrderOutcome::kBusy:
-      this->moving.erase(vm);
-      break;
-  }
-}
-
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -38,6 +38,8 @@
   /// The progress of waves that has changed and is to be stored. Without it, a successor would
   /// evacuate and reboot all VMs of a wave again.
   std::vector<KeyedRecord> TakeRecords();
+  /// The records that were taken last are stored.
+  void OnRecordsStored();
   /// The key of a wave's progress, and whether a key is one.
   static std::string WaveKey(std::uint64_t wave);
   static bool IsWaveKey(std::string_view key);
@@ -50,6 +52,21 @@
   struct PendingMove {
     ServiceId pool;
     TimePoint since{};
+    /// An order got no answer and may be executed later, so it is repeated until one does.
+    bool is_unanswered = false;
+    bool is_in_flight = true;
+    TimePoint next_try{};
+  };
+  /// A reboot that is ordered until an answer tells its outcome. Its VM counts as down meanwhile,
+  /// as an order without an answer may be executed seconds later.
+  struct PendingReboot {
+    std::uint64_t wave = 0;
+    /// A successor knows of it.
+    bool is_stored = false;
+    /// An order got no answer, possibly one of a predecessor.
+    bool is_unanswered = false;
+    bool is_in_flight = false;
+    TimePoint next_try{};
   };
 
   boost::asio::awaitable<void> Round(TimePoint began);
@@ -60,13 +77,21 @@
   /// first moment.
   boost::asio::awaitable<bool> IsStillOwner();
   /// Adds the endpoints that the wave has yet to reboot to `due`.
-  boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, bool may_order,
-                                         std::set<std::string>& due);
-  boost::asio::awaitable<void> Reboot(std::uint64_t wave, VmId vm);
+  boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, std::set<std::string>& due);
+  /// Forgets reboots that were not ordered yet and that no wave requires any more.
+  void DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known);
+  void ForgetReboot(const VmId& vm);
+  void OrderPendingReboots();
+  void RepeatUnansweredMoves();
+  /// Whether the list shows the VM as up, or not at all, and its endpoint has no work.
+  bool MayBeOrdered(const VmId& vm) const;
+  boost::asio::awaitable<void> Reboot(VmId vm);
+  void OnRebootAnswered(const VmId& vm, jobs::VmOrderOutcome outcome);
   boost::asio::awaitable<void> PublishWaveStatus(const jobs::Wave& wave,
                                                  jobs::WaveProgress& progress, bool is_complete);
-  void ResizePools(bool may_order);
+  void ResizePools();
   boost::asio::awaitable<void> Move(VmId vm, ServiceId pool);
+  void OnMoveAnswered(const VmId& vm, const ServiceId& pool, jobs::VmOrderOutcome outcome);
   /// Queues an order behind those before it.
   void EnqueueOrder(WorkQueue::Work order);
   /// Starts a read of the list of VMs if the last one is old enough. `first_order`: no order is
@@ -103,15 +128,20 @@
   /// The last read succeeded. While the service doesn't answer, it may be executing orders of which
   /// this entry doesn't know, so no orders are derived from an earlier list.
   bool is_list_current = false;
+  /// The list is recent enough for orders of this term: a predecessor may just have sent one for
+  /// the same VM.
+  bool may_order = false;
   std::map<std::uint64_t, jobs::WaveProgress> waves;
   /// Waves whose progress has yet to be stored.
   std::set<std::uint64_t> changed_waves;
   /// Evacuated for a wave.
   std::set<VmId> evacuating;
-  /// VMs that were ordered to reboot and haven't been seen up since. A VM counts as down until the
-  /// time here even if the list shows it as up, as an order without a response may be executed
-  /// later.
+  /// VMs whose reboot is pending or was executed, and that haven't been seen up since. A VM counts
+  /// as down until the time here even if the list shows it as up.
   std::map<VmId, TimePoint> down;
+  std::map<VmId, PendingReboot> pending_reboots;
+  /// Those that the records taken last contain.
+  std::set<VmId> recording_reboots;
   /// VMs whose reboot the service has refused for a wave; it is retried after the time here.
   std::map<VmId, TimePoint> refused_reboots;
   /// Evacuated so that they can be moved.
--- /dev/null
+++ b/src/job_entry/vm_driver_orders.cc
@@ -0,0 +1,213 @@
+#include <algorithm>
+
+#include "job_entry/vm_driver.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+using jobs::VmOrderOutcome;
+
+namespace {
+
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
+/// A reboot with a response is visible in the list within this time.
+constexpr Duration kRebootVisibleDelay = std::chrono::milliseconds(500);
+/// Before an order without a response is repeated. The service answers a repeat as if it were the
+/// first, so that the response tells the outcome.
+constexpr Duration kUnansweredOrderRetryDelay = std::chrono::seconds(1);
+/// Before the retry of a reboot that the service has refused because the wave doesn't name the VM:
+/// the service may learn of a wave later than this entry, and operators must not read that the wave
+/// is complete before the reboot.
+constexpr Duration kRefusedRebootRetryDelay = std::chrono::seconds(2);
+/// Maximum age of the proof that an order needs. A successor waits longer than this plus the
+/// transit time of an order before its own first order.
+constexpr Duration kMaxOrderProofAge = std::chrono::milliseconds(300);
+
+}  // namespace
+
+asio::awaitable<bool> VmDriver::IsStillOwner() {
+  if (this->context.settings.vm_service_compares_tokens) {
+    co_return !this->is_stopped;
+  }
+  this->proof.Record(this->scheduler.Proof());
+  const bool is_proven = co_await this->proof.IsYoungerThan(kMaxOrderProofAge);
+  if (!is_proven) {
+    this->context.metrics.Count({"chervilspar_vm_orders_unproven_total", {}});
+  }
+  co_return is_proven && !this->is_stopped;
+}
+
+void VmDriver::EnqueueOrder(WorkQueue::Work order) {
+  this->orders->Add([owner = this->owner.lock(), order = std::move(order)] { return order(); });
+}
+
+bool VmDriver::MayBeOrdered(const VmId& id) const {
+  const auto vm = std::find_if(this->vms.begin(), this->vms.end(),
+                               [&](const jobs::VmRecord& listed) { return listed.id == id; });
+  return vm == this->vms.end() ||
+         (vm->phase == jobs::VmPhase::kUp &&
+          this->scheduler.EvacuationOf(vm->endpoint) != jobs::EvacuationState::kRunning);
+}
+
+void VmDriver::DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known) {
+  const std::map<VmId, PendingReboot> pending = this->pending_reboots;
+  for (const auto& [vm, reboot] : pending) {
+    const auto wave = known.find(reboot.wave);
+    const bool is_wanted =
+        wave != known.end() &&
+        std::find(wave->second.vms.begin(), wave->second.vms.end(), vm) != wave->second.vms.end();
+    if (!is_wanted && !reboot.is_unanswered && !reboot.is_in_flight) {
+      this->ForgetReboot(vm);
+    }
+  }
+}
+
+void VmDriver::ForgetReboot(const VmId& vm) {
+  const auto reboot = this->pending_reboots.find(vm);
+  const std::uint64_t wave = reboot->second.wave;
+  this->waves[wave].ordered.erase(vm);
+  this->changed_waves.insert(wave);
+  this->down.erase(vm);
+  this->pending_reboots.erase(reboot);
+}
+
+void VmDriver::OrderPendingReboots() {
+  if (!this->may_order || !this->is_list_current || this->is_stopped) {
+    return;
+  }
+  const TimePoint now = this->context.Now();
+  std::vector<VmId> due;
+  for (const auto& [vm, reboot] : this->pending_reboots) {
+    const bool is_due = reboot.is_stored && !reboot.is_in_flight && now >= reboot.next_try;
+    if (is_due && this->MayBeOrdered(vm)) {
+      due.push_back(vm);
+    }
+  }
+  for (const VmId& vm : due) {
+    if (!this->budget.TryAcquire(now)) {
+      break;
+    }
+    this->pending_reboots.at(vm).is_in_flight = true;
+    this->EnqueueOrder([this, vm] { return this->Reboot(vm); });
+  }
+}
+
+asio::awaitable<void> VmDriver::Reboot(VmId vm) {
+  const std::uint64_t wave = this->pending_reboots.at(vm).wave;
+  const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->token};
+  VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
+  const bool is_owner = co_await this->IsStillOwner();
+  if (is_owner) {
+    outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
+  }
+  LogEvent(telemetry::LogLevel::kInfo, "vm_reboot_ordered", "a wave requires the reboot",
+           {{"vm", vm.text}, {"outcome", jobs::ToString(outcome)}});
+  this->OnRebootAnswered(vm, outcome);
+}
+
+void VmDriver::OnRebootAnswered(const VmId& vm, VmOrderOutcome outcome) {
+  const TimePoint now = this->context.Now();
+  PendingReboot& reboot = this->pending_reboots.at(vm);
+  reboot.is_in_flight = false;
+  switch (outcome) {
+    case VmOrderOutcome::kDone:
+      this->waves[reboot.wave].rebooted.insert(vm);
+      this->ForgetReboot(vm);
+      this->down[vm] = now + kRebootVisibleDelay;
+      break;
+    case VmOrderOutcome::kNoAnswer:
+      reboot.is_unanswered = true;
+      reboot.next_try = now + kUnansweredOrderRetryDelay;
+      break;
+    case VmOrderOutcome::kNotAllowed:
+      this->refused_reboots[vm] = now + kRefusedRebootRetryDelay;
+      this->ForgetReboot(vm);
+      break;
+    case VmOrderOutcome::kTokenTooLow:
+      this->is_stopped = true;
+      break;
+    case VmOrderOutcome::kRateLimited:
+      this->budget.OnRefused(now);
+      break;
+    case VmOrderOutcome::kNotSent:
+      break;
+    case VmOrderOutcome::kBusy:
+      if (reboot.is_unanswered) {
+        reboot.next_try = now + kUnansweredOrderRetryDelay;
+      } else {
+        this->ForgetReboot(vm);
+      }
+      break;
+  }
+}
+
+void VmDriver::RepeatUnansweredMoves() {
+  if (!this->may_order || this->is_stopped) {
+    return;
+  }
+  const TimePoint now = this->context.Now();
+  std::vector<std::pair<VmId, ServiceId>> due;
+  for (const auto& [vm, move] : this->moving) {
+    const bool is_due = move.is_unanswered && !move.is_in_flight && now >= move.next_try;
+    if (is_due && this->MayBeOrdered(vm)) {
+      due.emplace_back(vm, move.pool);
+    }
+  }
+  for (const auto& [vm, pool] : due) {
+    if (!this->budget.TryAcquire(now)) {
+      break;
+    }
+    this->moving.at(vm).is_in_flight = true;
+    this->EnqueueOrder([this, vm = vm, pool = pool] { return this->Move(vm, pool); });
+  }
+}
+
+asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool) {
+  const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
+  VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
+  const bool is_owner = co_await this->IsStillOwner();
+  if (is_owner) {
+    outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
+  }
+  LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered",
+           "the demand of the queues requires the move",
+           {{"vm", vm.text}, {"pool", pool.text}, {"outcome", jobs::ToString(outcome)}});
+  this->OnMoveAnswered(vm, pool, outcome);
+}
+
+void VmDriver::OnMoveAnswered(const VmId& vm, const ServiceId& pool, VmOrderOutcome outcome) {
+  const auto move = this->moving.find(vm);
+  if (move == this->moving.end()) {
+    return;  // The list has shown it in its new pool before the answer.
+  }
+  const TimePoint now = this->context.Now();
+  move->second.is_in_flight = false;
+  move->second.next_try = now + kUnansweredOrderRetryDelay;
+  switch (outcome) {
+    case VmOrderOutcome::kDone:
+      move->second.is_unanswered = false;
+      move->second.since = now;
+      return;
+    case VmOrderOutcome::kNoAnswer:
+      move->second.is_unanswered = true;
+      return;
+    case VmOrderOutcome::kNotAllowed:
+      this->refused_moves.insert({vm, pool});
+      this->moving.erase(move);
+      return;
+    case VmOrderOutcome::kTokenTooLow:
+      this->is_stopped = true;
+      return;
+    case VmOrderOutcome::kRateLimited:
+      this->budget.OnRefused(now);
+      break;
+    case VmOrderOutcome::kNotSent:
+    case VmOrderOutcome::kBusy:
+      break;
+  }
+  if (!move->second.is_unanswered) {
+    this->moving.erase(move);
+  }
+}
+
+}  // namespace chervilspar::job_entry
--- a/src/jobs/wave_progress.cc
+++ b/src/jobs/wave_progress.cc
@@ -8,15 +8,37 @@
 
 namespace json = boost::json;
 
+namespace {
+
+json::array EncodeVms(const std::set<VmId>& vms) {
+  json::array out;
+  for (const VmId& vm : vms) {
+    out.emplace_back(vm.text);
+  }
+  return out;
+}
+
+std::set<VmId> DecodeVms(const json::object& in, const char* field) {
+  std::set<VmId> vms;
+  if (const json::array* texts = ArrayOf(in, field)) {
+    for (const json::value& vm : *texts) {
+      vms.insert(VmId{std::string(vm.as_string())});
+    }
+  }
+  return vms;
+}
+
+}  // namespace
+
 std::string EncodeWaveProgress(const WaveProgress& progress) {
-  json::array vms;
-  for (const VmId& vm : progress.rebooted) {
-    vms.emplace_back(vm.text);
+  json::object out{{"wave", progress.number},
+                   {"told", progress.is_reported},
+                   {"complete", progress.is_complete},
+                   {"rebooted", EncodeVms(progress.rebooted)}};
+  if (!progress.ordered.empty()) {
+    out["ordered"] = EncodeVms(progress.ordered);
   }
-  return json::serialize(json::object{{"wave", progress.number},
-                                      {"told", progress.is_reported},
-                                      {"complete", progress.is_complete},
-                                      {"rebooted", std::move(vms)}});
+  return json::serialize(out);
 }
 
 Result<WaveProgress> DecodeWaveProgress(std::string_view text) {
@@ -28,11 +50,8 @@
     progress.number = in.at("wave").to_number<std::uint64_t>();
     progress.is_reported = FlagOf(in, "told");
     progress.is_complete = FlagOf(in, "complete");
-    if (const json::array* vms = ArrayOf(in, "rebooted")) {
-      for (const json::value& vm : *vms) {
-        progress.rebooted.insert(VmId{std::string(vm.as_string())});
-      }
-    }
+    progress.rebooted = DecodeVms(in, "rebooted");
+    progress.ordered = DecodeVms(in, "ordered");
     return progress;
   } catch (const std::exception&) {
     return unreadable;
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +34,19 @@
   bool is_busy = false;
   /// VMs whose orders are answered with `kNotAllowed`, as if the wave did not include them.
   std::set<VmId> refused;
+  /// How many more orders for the VM get no answer. The first of them is executed after
+  /// `late_delay`.
+  std::map<VmId, int> unanswered;
+  Duration late_delay{};
+  /// How long a VM is listed as rebooting.
+  Duration reboot_time{};
+  /// The highest number of VMs that were rebooting at once.
+  std::size_t max_rebooting = 0;
+
+  jobs::VmRecord& At(const VmId& id) {
+    return *std::find_if(this->vms.begin(), this->vms.end(),
+                         [&](const jobs::VmRecord& vm) { return vm.id == id; });
+  }
 };
 
 class FakeVmLink final : public VmService {
@@ -57,7 +71,14 @@
     if (this->all.refused.contains(order.vm)) {
       co_return jobs::VmOrderOutcome::kNotAllowed;
     }
-    ++this->all.reboots[order.vm];
+    if (this->all.unanswered[order.vm] > 0) {
+      --this->all.unanswered[order.vm];
+      if (this->late.insert(order.vm).second) {
+        Spawn(co_await boost::asio::this_coro::executor, this->RebootLate(order.vm));
+      }
+      co_return jobs::VmOrderOutcome::kNoAnswer;
+    }
+    this->Begin(co_await boost::asio::this_coro::executor, order.vm);
     co_return jobs::VmOrderOutcome::kDone;
   }
   boost::asio::awaitable<jobs::VmOrderOutcome> Move(jobs::MoveOrder, Duration) override {
@@ -65,7 +86,44 @@
   }
 
  private:
+  static void Spawn(const boost::asio::any_io_executor& executor,
+                    boost::asio::awaitable<void> work) {
+    boost::asio::co_spawn(executor, std::move(work), boost::asio::detached);
+  }
+
+  boost::asio::awaitable<void> RebootLate(VmId vm) {
+    const boost::asio::any_io_executor executor = co_await boost::asio::this_coro::executor;
+    boost::asio::steady_timer timer(executor, this->all.late_delay);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    this->Begin(executor, vm);
+  }
+
+  /// Does nothing if the VM has been rebooted before.
+  void Begin(const boost::asio::any_io_executor& executor, const VmId& id) {
+    if (this->all.reboots[id] > 0) {
+      return;
+    }
+    ++this->all.reboots[id];
+    if (this->all.reboot_time > Duration::zero()) {
+      this->all.At(id).phase = jobs::VmPhase::kRebooting;
+      const auto rebooting = static_cast<std::size_t>(std::count_if(
+          this->all.vms.begin(), this->all.vms.end(),
+          [](const jobs::VmRecord& vm) { return vm.phase == jobs::VmPhase::kRebooting; }));
+      this->all.max_rebooting = std::max(this->all.max_rebooting, rebooting);
+      Spawn(executor, this->Return(id));
+    }
+  }
+
+  boost::asio::awaitable<void> Return(VmId id) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                    this->all.reboot_time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    this->all.At(id).phase = jobs::VmPhase::kUp;
+  }
+
   FakeVms& all;
+  /// VMs with an order that is executed late.
+  std::set<VmId> late;
 };
 
 /// Reads the records that the tests write: rules, whose value is the version; endpoints, in zone
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -36,6 +36,7 @@
   }
   ~DriverWorld() {
     this->driver.Stop();
+    this->is_over = true;
     this->io.run_for(milliseconds(200));
   }
   DriverWorld(const DriverWorld&) = delete;
@@ -46,6 +47,7 @@
     std::vector<jobs::EndpointRecord> records;
     for (const jobs::VmRecord& vm : this->fleet.vms.vms) {
       records.push_back(jobs::SchedulerHarness::Endpoint(vm.endpoint));
+      records.back().service = vm.pool;
     }
     this->world.Register(records);
   }
@@ -58,6 +60,22 @@
     Spawn(this->entry.context, [](DriverWorld& self) -> asio::awaitable<void> {
       co_await self.driver.Run(self.entry.context.Now(), self.owner);
     }(*this));
+    Spawn(this->entry.context, [](DriverWorld& self) -> asio::awaitable<void> {
+      while (!self.is_over) {
+        if (self.stores_records) {
+          self.Store();
+        }
+        co_await Pause(self.entry.context, milliseconds(10));
+      }
+    }(*this));
+  }
+
+  /// Stores the driver's records as the owner does.
+  void Store() {
+    for (const KeyedRecord& record : this->driver.TakeRecords()) {
+      this->stored = *jobs::DecodeWaveProgress(*record.value);
+    }
+    this->driver.OnRecordsStored();
   }
 
   void RunUntil(Duration timeout, const std::function<bool()>& is_done) {
@@ -78,6 +96,10 @@
   FakeEntry entry{this->io, this->fleet.store, this->fleet.endpoints, this->fleet.vms, "a"};
   jobs::SchedulerHarness world;
   std::shared_ptr<int> owner = std::make_shared<int>(0);
+  bool is_over = false;
+  bool stores_records = true;
+  /// The stored progress of the wave.
+  jobs::WaveProgress stored;
   VmDriver driver{this->entry.context,
                   this->entry.operators,
                   this->entry.directory,
@@ -151,12 +173,8 @@
   world.RunUntil(std::chrono::seconds(3), [&] { return !world.fleet.vms.reboots.empty(); });
   ASSERT_FALSE(world.fleet.vms.reboots.empty());
   world.io.run_for(milliseconds(400));
-  const std::vector<KeyedRecord> records = world.driver.TakeRecords();
-  ASSERT_EQ(records.size(), 1U);
-  const Result<jobs::WaveProgress> stored = jobs::DecodeWaveProgress(*records[0].value);
-  ASSERT_TRUE(stored);
-  EXPECT_EQ(stored->rebooted.size(), 1U);
-  EXPECT_FALSE(stored->is_complete);
+  EXPECT_EQ(world.stored.rebooted.size(), 1U);
+  EXPECT_FALSE(world.stored.is_complete);
 }
 
 /// Guards against a wave that is never published because the successor takes the stored progress of
@@ -226,6 +244,69 @@
                                                             }}),
                          [](const auto& info) { return info.param.name; });
 
+/// A reboot without an answer that is executed 7 s later.
+struct LateRebootCase {
+  const char* name;
+  /// How many of the orders get no answer.
+  int unanswered;
+  /// The order was given by a predecessor.
+  bool is_predecessors;
+};
+
+/// Guards against more VMs of a wave down at once than it allows, as a reboot that was taken for
+/// lost begins beside those ordered in its place.
+class LateReboot : public ::testing::TestWithParam<LateRebootCase> {};
+
+TEST_P(LateReboot, KeepsItsPlaceInTheWave) {
+  DriverWorld world(6);
+  FakeVms& vms = world.fleet.vms;
+  for (std::size_t i = 1; i < 5; ++i) {
+    vms.vms[i].pool = ServiceId{"pool" + std::to_string(i)};
+  }
+  world.Register();
+  world.fleet.store.At(Topic::kOperators, 0).records.push_back({"wave", "m0,m1,m2,m3,m4"});
+  vms.unanswered[VmId{"m0"}] = GetParam().unanswered;
+  vms.late_delay = std::chrono::seconds(7);
+  vms.reboot_time = milliseconds(2500);
+  if (GetParam().is_predecessors) {
+    jobs::WaveProgress progress;
+    progress.number = 1;
+    progress.ordered = {VmId{"m0"}};
+    world.driver.Restore(progress);
+  }
+  world.Start();
+  world.RunUntil(std::chrono::seconds(3), [&] { return !vms.tokens.empty(); });
+  ASSERT_FALSE(vms.tokens.empty());
+  EXPECT_TRUE(world.stored.ordered.contains(VmId{"m0"}) || GetParam().is_predecessors);
+  // Its pool is busy from now on, so that the other VMs would be chosen before it.
+  world.world.scheduler.AddJob(
+      jobs::SchedulerHarness::MakeJob(1, {jobs::SchedulerHarness::MakeStep(4)}), WallTime{});
+  EXPECT_EQ(world.world.Round().starts.size(), 4U);
+  world.RunUntil(std::chrono::seconds(25), [&] { return world.WaveStatus() == "complete"; });
+  EXPECT_EQ(world.WaveStatus(), "complete");
+  EXPECT_LE(vms.max_rebooting, 2U);
+  EXPECT_TRUE(world.stored.ordered.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Orders, LateReboot,
+                         ::testing::Values(LateRebootCase{"first_unanswered", 1, false},
+                                           LateRebootCase{"all_until_it_begins", 8, false},
+                                           LateRebootCase{"of_a_predecessor", 8, true}),
+                         [](const auto& info) { return info.param.name; });
+
+/// Guards against a reboot of which a successor doesn't know, as it was ordered before it was
+/// stored.
+TEST(VmDriver, NoRebootIsOrderedBeforeItIsStored) {
+  DriverWorld world(2);
+  world.stores_records = false;
+  world.Start();
+  world.io.run_for(milliseconds(1500));
+  EXPECT_TRUE(world.fleet.vms.tokens.empty());
+  world.stores_records = true;
+  world.RunUntil(std::chrono::seconds(3), [&] { return !world.fleet.vms.tokens.empty(); });
+  EXPECT_FALSE(world.fleet.vms.tokens.empty());
+}
+
 /// Guards against VMs that stay empty after they are removed from a wave.
 TEST(VmDriver, AVmThatIsRemovedFromAWaveGetsWorkAgain) {
   DriverWorld world(8);
