Jobs: Keep capital letters in the ids of jobs

Cause: an id was kept as a number and written in small letters.

Change: JobId keeps which digits are capitals.

Tests: JobIds, TaskNameTest and Messages have cases with capitals. By construction they fail without the change, as the number alone can't tell them apart; not run on the code before.

--- a/include/chervilspar/jobs/job.h
+++ b/include/chervilspar/jobs/job.h
@@ -16,12 +16,15 @@
 /// Identifies a job; chosen by the caller. 64 bits, written as 16 hexadecimal digits.
 struct JobId {
   std::uint64_t number = 0;
+  /// Bit i is set if digit i, counted from the left, is written as a capital letter.
+  std::uint16_t capitals = 0;
 
   friend auto operator<=>(const JobId&, const JobId&) = default;
 };
 
 /// Parses exactly 16 hexadecimal digits; returns nothing for any other text.
 std::optional<JobId> ParseJobId(std::string_view text);
+/// Returns the id as its submitter wrote it.
 std::string ToString(const JobId& id);
 
 /// One task of one occurrence of a job.
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -11,6 +11,10 @@
 
 constexpr std::size_t kIdDigits = 16;
 
+constexpr std::uint16_t CapitalBit(std::size_t digit) {
+  return static_cast<std::uint16_t>(1U << digit);
+}
+
 Reason InvalidField(std::string field, std::string message) {
   return {ErrorCode::kInvalidArgument, std::move(field), std::move(message)};
 }
@@ -47,12 +51,19 @@
   if (error != std::errc() || rest != end) {
     return std::nullopt;
   }
+  for (std::size_t i = 0; i < kIdDigits; ++i) {
+    id.capitals |= text[i] >= 'A' && text[i] <= 'F' ? CapitalBit(i) : 0;
+  }
   return id;
 }
 
 std::string ToString(const JobId& id) {
   std::array<char, kIdDigits + 1> text{};
   std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id.number));
+  for (std::size_t i = 0; i < kIdDigits; ++i) {
+    const bool is_capital = (id.capitals & CapitalBit(i)) != 0 && text[i] >= 'a';
+    text[i] = is_capital ? static_cast<char>(text[i] - 'a' + 'A') : text[i];
+  }
   return {text.data(), kIdDigits};
 }
 
--- a/src/rpc/carrier.thrift
+++ b/src/rpc/carrier.thrift
@@ -8,7 +8,8 @@
   2: required i32 occurrence,
   3: required i32 step,
   4: required i32 index,
-  5: required i64 run
+  5: required i64 run,
+  6: optional i32 job_capitals
 }
 
 struct WireTarget {
--- a/src/rpc/carrier_message.cc
+++ b/src/rpc/carrier_message.cc
@@ -1,5 +1,6 @@
 #include "chervilspar/rpc/carrier_message.h"
 
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -28,6 +29,9 @@
   wire.step = static_cast<std::int32_t>(task.step);
   wire.index = static_cast<std::int32_t>(task.index);
   wire.run = static_cast<std::int64_t>(run);
+  if (task.job.capitals != 0) {
+    wire.__set_job_capitals(task.job.capitals);
+  }
   return wire;
 }
 
@@ -159,7 +163,11 @@
   if (run.occurrence < 0 || run.step < 0 || run.index < 0) {
     Fail("run", "has a negative part");
   }
-  return {jobs::JobId{static_cast<std::uint64_t>(run.job)},
+  const std::int32_t capitals = run.__isset.job_capitals ? run.job_capitals : 0;
+  if (capitals < 0 || capitals > std::numeric_limits<std::uint16_t>::max()) {
+    Fail("job_capitals", "has more bits than an id has digits");
+  }
+  return {jobs::JobId{static_cast<std::uint64_t>(run.job), static_cast<std::uint16_t>(capitals)},
           static_cast<std::uint32_t>(run.occurrence), static_cast<std::uint32_t>(run.step),
           static_cast<std::uint32_t>(run.index)};
 }
--- a/src/rpc/gen/carrier_types.cpp
+++ b/src/rpc/gen/carrier_types.cpp
@@ -37,6 +37,11 @@
 void WireRun::__set_run(const int64_t val) {
   this->run = val;
 }
+
+void WireRun::__set_job_capitals(const int32_t val) {
+  this->job_capitals = val;
+__isset.job_capitals = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireRun& obj)
 {
   obj.printTo(out);
@@ -110,6 +115,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->job_capitals);
+          this->__isset.job_capitals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -157,6 +170,11 @@
   xfer += oprot->writeI64(this->run);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.job_capitals) {
+    xfer += oprot->writeFieldBegin("job_capitals", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->job_capitals);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -169,6 +187,8 @@
   swap(a.step, b.step);
   swap(a.index, b.index);
   swap(a.run, b.run);
+  swap(a.job_capitals, b.job_capitals);
+  swap(a.__isset, b.__isset);
 }
 
 WireRun::WireRun(const WireRun& other0) noexcept {
@@ -177,6 +197,8 @@
   step = other0.step;
   index = other0.index;
   run = other0.run;
+  job_capitals = other0.job_capitals;
+  __isset = other0.__isset;
 }
 WireRun& WireRun::operator=(const WireRun& other1) noexcept {
   job = other1.job;
@@ -184,6 +206,8 @@
   step = other1.step;
   index = other1.index;
   run = other1.run;
+  job_capitals = other1.job_capitals;
+  __isset = other1.__isset;
   return *this;
 }
 void WireRun::printTo(std::ostream& out) const {
@@ -194,6 +218,7 @@
   out << ", " << "step=" << to_string(step);
   out << ", " << "index=" << to_string(index);
   out << ", " << "run=" << to_string(run);
+  out << ", " << "job_capitals="; (__isset.job_capitals ? (out << to_string(job_capitals)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/rpc/gen/carrier_types.h
+++ b/src/rpc/gen/carrier_types.h
@@ -45,6 +45,10 @@
 
 class WireCarrierMessage;
 
+typedef struct _WireRun__isset {
+  _WireRun__isset() : job_capitals(false) {}
+  bool job_capitals :1;
+} _WireRun__isset;
 
 class WireRun : public virtual ::apache::thrift::TBase {
  public:
@@ -56,7 +60,8 @@
             occurrence(0),
             step(0),
             index(0),
-            run(0) {
+            run(0),
+            job_capitals(0) {
   }
 
   virtual ~WireRun() noexcept;
@@ -65,6 +70,9 @@
   int32_t step;
   int32_t index;
   int64_t run;
+  int32_t job_capitals;
+
+  _WireRun__isset __isset;
 
   void __set_job(const int64_t val);
 
@@ -76,6 +84,8 @@
 
   void __set_run(const int64_t val);
 
+  void __set_job_capitals(const int32_t val);
+
   bool operator == (const WireRun & rhs) const
   {
     if (!(job == rhs.job))
@@ -88,6 +98,10 @@
       return false;
     if (!(run == rhs.run))
       return false;
+    if (__isset.job_capitals != rhs.__isset.job_capitals)
+      return false;
+    else if (__isset.job_capitals && !(job_capitals == rhs.job_capitals))
+      return false;
     return true;
   }
   bool operator != (const WireRun &rhs) const {
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -35,6 +35,7 @@
 INSTANTIATE_TEST_SUITE_P(Forms, TaskNameTest,
                          ::testing::Values(NameCase{"5c0e7a21d94b36f8.0.1.17", true},
                                            NameCase{"5c0e7a21d94b36f8.4294967295.0.0", true},
+                                           NameCase{"5C0E7a21D94B36f8.0.1.17", true},
                                            NameCase{"5c0e7a21d94b36f8.4294967296.0.0", false},
                                            NameCase{"5c0e7a21d94b36f8", false},
                                            NameCase{"5c0e7a21d94b36f8.0.1", false},
--- a/tests/jobs/job_test.cc
+++ b/tests/jobs/job_test.cc
@@ -13,6 +13,7 @@
   bool is_valid;
 };
 
+/// Guards against tasks that are ordered under another id than their submitter wrote.
 class JobIds : public ::testing::TestWithParam<IdCase> {};
 
 TEST_P(JobIds, AreSixteenHexDigits) {
@@ -26,10 +27,16 @@
 INSTANTIATE_TEST_SUITE_P(
     Forms, JobIds,
     ::testing::Values(IdCase{"5c0e7a21d94b36f8", true}, IdCase{"0000000000000000", true},
+                      IdCase{"5C0E7A21D94B36F8", true}, IdCase{"5c0E7a21d94B36f8", true},
                       IdCase{"", false}, IdCase{"5c0e7a21d94b36f", false},
                       IdCase{"5c0e7a21d94b36f80", false}, IdCase{"5c0e7a21d94b36fg", false},
                       IdCase{"-c0e7a21d94b36f8", false}, IdCase{"5c0e7a21 94b36f8", false}));
 
+/// Guards against a job that is taken for another one whose id differs in capital letters only.
+TEST(JobIds, DifferInCapitalLetters) {
+  EXPECT_NE(*ParseJobId("5c0e7a21d94b36f8"), *ParseJobId("5C0E7A21D94B36F8"));
+}
+
 Job ValidJob() {
   Job job;
   job.id = JobId{7};
--- a/tests/rpc/carrier_message_test.cc
+++ b/tests/rpc/carrier_message_test.cc
@@ -11,7 +11,7 @@
 jobs::StartOrder MakeStart(std::uint32_t index, const std::string& payload) {
   return {.endpoint = "i-1",
           .address = {"10.0.0.1", 8080},
-          .task = {jobs::JobId{0xfedcba9876543210U}, 1, 2, index},
+          .task = {jobs::JobId{0xfedcba9876543210U, 0x8001}, 1, 2, index},
           .run = 3,
           .payload = payload,
           .checkpoint = "c",
@@ -44,7 +44,7 @@
   jobs::RenewalReport report;
   report.clock_ms = 1000;
   report.born_ms = 1790000000000;
-  report.active = {{{jobs::JobId{5}, 0, 0, 1}, 2, "saved", 41, 77}};
+  report.active = {{{jobs::JobId{0xa5, 0x4000}, 0, 0, 1}, 2, "saved", 41, 77}};
   report.ended = {{58, {jobs::JobId{5}, 0, 0, 0}, 1, jobs::RunEnd::kGangIncomplete, ""}};
   return {{5, jobs::OrderOutcome::kDone, report}, {1, jobs::OrderOutcome::kNotSent, std::nullopt}};
 }
