Scheduler: Spell out when the last order of a former incarnation may arrive

Cause: a nested condition in FormerLeases stopped a reader. Change: one case a step; no change of behaviour.

--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -50,7 +50,7 @@
 }
 
 void VmDriver::DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known) {
-  const std::map<VmId, PendingReboot> pending = this->pending_reboots;
+  const std::map<VmId, PendingReboot> pending = this->pending_reboots;  // a copy, as it changes
   for (const auto& [vm, reboot] : pending) {
     const auto wave = known.find(reboot.wave);
     const bool is_wanted =
--- a/src/jobs/former_leases.cc
+++ b/src/jobs/former_leases.cc
@@ -60,10 +60,12 @@
 
 void FormerLeases::OnUnansweredRestart(EndpointState& endpoint, TimePoint now) const {
   const SchedulerOptions& options = this->state.options;
-  const TimePoint last_arrival =
-      endpoint.last_response == TimePoint{}
-          ? this->state.term_start + options.predecessor_grace
-          : (endpoint.HasPendingLeaseOrders() ? now + kMaxOrderTime : endpoint.last_order_settled);
+  TimePoint last_arrival = endpoint.last_order_settled;
+  if (endpoint.last_response == TimePoint{}) {
+    last_arrival = this->state.term_start + options.predecessor_grace;
+  } else if (endpoint.HasPendingLeaseOrders()) {
+    last_arrival = now + kMaxOrderTime;
+  }
   endpoint.lease_end =
       std::max(endpoint.lease_end, last_arrival + options.TimeToLapse(options.lease_limit));
 }
@@ -72,6 +74,7 @@
                                         TimePoint sent, TimePoint now) const {
   const SchedulerOptions& options = this->state.options;
   const Duration clock = std::chrono::milliseconds(report.clock_ms);
+  // Its clock may be slow.
   const auto max_age =
       std::chrono::duration_cast<Duration>(clock / (1.0 - options.endpoint_clock_slowness));
   const TimePoint earliest_start = sent - max_age;
--- a/src/jobs/former_leases.h
+++ b/src/jobs/former_leases.h
@@ -39,6 +39,7 @@
                      TimePoint now);
   /// Deletes the notices of long leases that have lapsed.
   void Review(TimePoint now);
+  /// Restores stored notices of any owner.
   void Restore(const std::vector<LapseNotice>& notices);
 
  private:
