Telemetry: Measure what keeps the owner's thread

On the large deployment a class falls below its floor once the owner is behind its work, and no figure told which part of the work takes its processor. WorkMeter counts calls, time and the longest stretch of each part; the owner logs them each two seconds (owner_work) and adds them to the metrics.

--- a/src/job_entry/admission_service.cc
+++ b/src/job_entry/admission_service.cc
@@ -55,6 +55,7 @@
 
 jobs::AdmissionOutlook AdmissionService::Answer(const jobs::AdmissionQuestion& question,
                                                 const jobs::Resources& listed) {
+  const auto span = this->context.Measure(telemetry::WorkPart::kOutlook);
   const TimePoint now = this->context.Now();
   if (!this->outlook || now - this->computed_at > kReuseTime) {
     this->outlook = this->scheduler.Outlook(listed, now);
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -51,6 +51,7 @@
   this->batches = std::make_shared<AddressBatcher<rpc::OrderBatch>>(
       this->context, kBatchDelay,
       [this, &transport](const std::string& address, rpc::OrderBatch batch) {
+        const auto span = this->context.Measure(telemetry::WorkPart::kCarry);
         const rpc::CarrierMessage message(std::move(batch));
         std::string frame = rpc::Encode(message);
         if (this->context.settings.decisions.scheduler.budgets_link) {
--- a/src/job_entry/context.h
+++ b/src/job_entry/context.h
@@ -15,6 +15,7 @@
 #include "chervilspar/job_entry/settings.h"
 #include "chervilspar/telemetry/logger.h"
 #include "chervilspar/telemetry/metrics.h"
+#include "chervilspar/telemetry/work_meter.h"
 
 namespace chervilspar::job_entry {
 
@@ -26,8 +27,11 @@
   const Clock& clock;
   telemetry::MetricsRegistry& metrics;
   boost::asio::io_context& io;
+  telemetry::WorkMeter& work;
 
   TimePoint Now() const { return this->clock.Now(); }
+  /// Measures the work of this scope as `part`.
+  telemetry::WorkMeter::Span Measure(telemetry::WorkPart part) const { return {this->work, part}; }
 };
 
 /// Runs a coroutine on the entry's thread until it ends.
--- a/src/job_entry/endpoint_registry.cc
+++ b/src/job_entry/endpoint_registry.cc
@@ -60,6 +60,7 @@
 }
 
 void EndpointRegistry::OnRecords(const std::vector<KeyedRecord>& records) {
+  const auto span = this->context.Measure(telemetry::WorkPart::kReadEndpoints);
   bool is_changed = false;
   for (const KeyedRecord& record : records) {
     is_changed = this->Apply(record) || is_changed;
--- a/src/job_entry/job_log.cc
+++ b/src/job_entry/job_log.cc
@@ -82,6 +82,7 @@
 }
 
 void JobLog::Partition::OnRecords(const std::vector<KeyedRecord>& records) {
+  const auto span = this->log.context.Measure(telemetry::WorkPart::kReadJobs);
   for (const KeyedRecord& record : records) {
     this->log.Apply(this->number, record);
   }
--- a/src/job_entry/order_exchange.cc
+++ b/src/job_entry/order_exchange.cc
@@ -62,6 +62,7 @@
   if (this->is_closed) {
     return;
   }
+  const auto span = this->context.Measure(telemetry::WorkPart::kCarry);
   Result<rpc::CarrierMessage> message = rpc::DecodeCarrierMessage(frame);
   if (!message) {
     this->context.metrics.Count({"chervilspar_carrier_messages_unreadable_total", {}});
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -76,6 +76,7 @@
     this->context.metrics.Count(
         {"chervilspar_starts_total", {{"outcome", jobs::ToString(outcome)}}});
     if (!this->is_stopped) {
+      const auto span = this->context.Measure(telemetry::WorkPart::kOrder);
       this->scheduler.OnStartAnswered(order, outcome, this->context.Now());
       this->wakeup->Notify();
     }
@@ -102,8 +103,7 @@
 
   asio::awaitable<void> RenewalLoop([[maybe_unused]] std::shared_ptr<Channel> self) {
     while (!this->is_stopped) {
-      const jobs::RenewalPlan plan =
-          this->scheduler.PlanRenewal(this->endpoint, this->context.Now());
+      const jobs::RenewalPlan plan = this->PlanRenewal();
       this->SetRenewing(plan.is_needed);
       if (!plan.is_needed || plan.order.address.ip.empty()) {
         co_await this->wakeup->WaitFor(kIdleRecheckInterval);
@@ -132,6 +132,11 @@
     this->SetRenewing(false);
   }
 
+  jobs::RenewalPlan PlanRenewal() {
+    const auto span = this->context.Measure(telemetry::WorkPart::kRenew);
+    return this->scheduler.PlanRenewal(this->endpoint, this->context.Now());
+  }
+
   Duration RenewalInterval() const {
     const JobEntrySettings& settings = this->context.settings;
     jobs::SchedulerOptions options = settings.decisions.scheduler;
@@ -165,6 +170,7 @@
       this->scheduler.OnRenewalFailed(this->endpoint, held.outcome, this->context.Now());
       co_return false;
     }
+    const auto span = this->context.Measure(telemetry::WorkPart::kRenew);
     this->awaits_stored_ends = !held.report->ended.empty();
     this->scheduler.OnRenewalAnswered(order, *held.report, sent, this->context.Now());
     co_return true;
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -145,6 +145,7 @@
 }
 
 void OwnerTerm::SetEndpoints() {
+  const auto span = this->context.Measure(telemetry::WorkPart::kReadEndpoints);
   const std::vector<jobs::EndpointRecord> endpoints = this->registry.Endpoints();
   this->scheduler.SetEndpoints(endpoints, this->context.Now());
   if (this->context.links.fleet_observer != nullptr) {
@@ -208,7 +209,7 @@
       break;
     }
     this->link_meter.Report();
-    this->sender.Send(this->scheduler.Decide(this->context.Now(), this->context.clock.WallNow()));
+    this->Decide();
     if (this->scheduler.HasBatch()) {
       this->store->Notify();
     }
@@ -224,6 +225,11 @@
   }
 }
 
+void OwnerTerm::Decide() {
+  const auto span = this->context.Measure(telemetry::WorkPart::kDecide);
+  this->sender.Send(this->scheduler.Decide(this->context.Now(), this->context.clock.WallNow()));
+}
+
 asio::awaitable<void> OwnerTerm::StoreLoop([[maybe_unused]] std::shared_ptr<OwnerTerm> self) {
   while (!this->is_stopped) {
     const bool has_batch = this->scheduler.HasBatch();
@@ -234,6 +240,7 @@
     const TimePoint begin = this->context.Now();
     std::vector<KeyedRecord> records = this->vms.TakeRecords();
     if (has_batch) {
+      const auto span = this->context.Measure(telemetry::WorkPart::kRecord);
       AddRecords(this->scheduler.TakeBatch(), records);
     }
     const bool is_stored = co_await this->StoreRecords(std::move(records));
@@ -243,6 +250,7 @@
     this->vms.OnRecordsStored();
     if (has_batch) {
       this->ApplyOperatorSettings();
+      const auto span = this->context.Measure(telemetry::WorkPart::kRecord);
       this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now()));
       this->sender.OnStored();
       this->RequestRound();
@@ -323,6 +331,7 @@
 }
 
 void OwnerTerm::LogNotes() {
+  const auto span = this->context.Measure(telemetry::WorkPart::kLog);
   for (const jobs::DecisionEvent& note : this->scheduler.TakeEvents()) {
     std::vector<telemetry::LogField> fields;
     if (note.task) {
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -87,6 +87,7 @@
   void UpdateShareMetrics();
   void CountPreemptions();
   void RequestRound();
+  void Decide();
 
   const Context context;
   OperatorView& operators;
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -185,9 +185,28 @@
                                carried.received - this->carried.received);
       this->carried = carried;
       this->traffic.Report();
+      this->ReportWork();
     }
   }
 
+  /// Logged by the owner only, as the other entries do little of this work.
+  void ReportWork() {
+    const std::vector<telemetry::WorkMeter::Amount> amounts = this->context.work.Take();
+    if (this->election->Term() == nullptr) {
+      return;
+    }
+    std::vector<telemetry::LogField> fields;
+    fields.reserve(amounts.size());
+    for (const telemetry::WorkMeter::Amount& amount : amounts) {
+      fields.push_back({telemetry::ToString(amount.part),
+                        std::to_string(amount.calls) + " calls, " + MillisecondsText(amount.time) +
+                            " ms, longest " + MillisecondsText(amount.longest)});
+    }
+    LogEvent(telemetry::LogLevel::kInfo, "owner_work",
+             "how long each part of the work kept the thread since the last report",
+             std::move(fields));
+  }
+
   const Context context;
   http::Client& client;
   TrafficMeter& traffic;
@@ -234,7 +253,8 @@
   TrafficMeter traffic(metrics);
   http::Client client(limits, {}, &traffic);
   Links links = factory.Make(settings, client);
-  const Context context{settings, links, clock, metrics, io};
+  telemetry::WorkMeter work(clock, metrics);
+  const Context context{settings, links, clock, metrics, io, work};
   auto carried = std::make_unique<CarriedEndpoints>(context, std::move(links.endpoints));
   OrderExchange exchange(context, *carried);
   links.endpoints = std::move(carried);
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -138,6 +138,7 @@
 }
 
 void VmDriver::UpdateReturnedVms() {
+  const auto span = this->context.Measure(telemetry::WorkPart::kVms);
   std::erase_if(this->registering,
                 [this](const auto& entry) { return this->context.Now() >= entry.second; });
   for (const jobs::VmRecord& vm : this->vms) {
@@ -257,6 +258,7 @@
 }
 
 std::map<std::string, jobs::EndpointLoad> VmDriver::Loads() const {
+  const auto span = this->context.Measure(telemetry::WorkPart::kVms);
   std::map<std::string, jobs::EndpointLoad> loads;
   std::map<ServiceId, double> use_of_pool;
   for (const jobs::VmRecord& vm : this->vms) {
@@ -342,6 +344,7 @@
 }
 
 void VmDriver::ResizePools() {
+  const auto span = this->context.Measure(telemetry::WorkPart::kVms);
   const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
   const ServiceId standby = policy->standby.empty() ? ServiceId{} : *policy->standby.begin();
   const std::vector<jobs::SizerVm> sized = this->SizerVms();
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -82,7 +82,7 @@
                      FakeVms& vms, const std::string& name, double cores)
     : settings(SettingsFor(name, cores)),
       links(MakeLinks(store, endpoints, vms)),
-      context{this->settings, this->links, this->clock, this->metrics, io},
+      context{this->settings, this->links, this->clock, this->metrics, io, this->work},
       store(static_cast<FakeStoreLink*>(this->links.store.get())),
       endpoints(static_cast<FakeEndpointLink*>(this->links.endpoints.get())),
       operators(this->context),
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -171,6 +171,7 @@
   JobEntrySettings settings;
   telemetry::MetricsRegistry metrics;
   SystemClock clock;
+  telemetry::WorkMeter work{this->clock, this->metrics};
   Links links;
   Context context;
   FakeStoreLink* store = nullptr;
--- a/tests/job_entry/kept_payloads_test.cc
+++ b/tests/job_entry/kept_payloads_test.cc
@@ -127,9 +127,11 @@
   Links links;
   SystemClock clock;
   telemetry::MetricsRegistry metrics;
-  Context owner_context{this->owner_settings, this->links, this->clock, this->metrics, this->io};
-  Context carrier_context{this->carrier_settings, this->links, this->clock, this->metrics,
-                          this->io};
+  telemetry::WorkMeter work{this->clock, this->metrics};
+  Context owner_context{this->owner_settings, this->links, this->clock,
+                        this->metrics,        this->io,    this->work};
+  Context carrier_context{this->carrier_settings, this->links, this->clock,
+                          this->metrics,          this->io,    this->work};
   std::vector<std::string> executed;
   std::vector<std::string> sent_directly;
   RecordingLink link{this->executed};
