--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -116,6 +116,7 @@
   EndpointState* best = nullptr;
   std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
   for (EndpointState* endpoint : pool->second.endpoints) {
+    ++this->state.endpoints_examined;
     const Resources free_capacity = endpoint->FreeCapacity();
     // The remaining free cpu is a lower bound of the cost of a batch task and rules out most
     // endpoints.
@@ -157,6 +158,7 @@
   const Resources need = RequiredCapacity(*ref.spec);
   std::size_t found = 0;
   for (const EndpointState* endpoint : pool->second.endpoints) {
+    ++this->state.endpoints_examined;
     if (this->MayRunOn(ref, *endpoint, now)) {
       found += endpoint->record.capacity.CountFitting(need, limit);
     }
@@ -171,6 +173,7 @@
     return nullptr;
   }
   for (EndpointState* endpoint : pool->second.endpoints) {
+    ++this->state.endpoints_examined;
     const bool may_run = this->MayRunOn(ref, *endpoint, now) &&
                          endpoint->record.capacity.Fits(RequiredCapacity(*ref.spec));
     if (may_run && (best == nullptr || best->FreeCapacity().cpu < endpoint->FreeCapacity().cpu)) {
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -160,6 +160,7 @@
     return;
   }
   for (EndpointState* endpoint : endpoints) {
+    ++this->state.endpoints_examined;
     if (this->placement.MayRunOn(ref, *endpoint, this->now) &&
         endpoint->record.capacity.Fits(RequiredCapacity(*ref.spec))) {
       this->wanted.insert(endpoint);
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -407,6 +407,8 @@
   std::vector<DecisionEvent> notes;
   std::uint64_t notes_dropped = 0;
   bool is_superseded = false;
+  /// As in `Scheduler::EndpointsExamined`.
+  std::uint64_t endpoints_examined = 0;
   /// An endpoint may have orphaned runs.
   bool has_orphaned_runs = false;
   /// An endpoint may have reported ends that are not in a batch yet.
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -281,6 +281,8 @@
 
 std::size_t Scheduler::JobCount() const { return this->impl->state.jobs.size(); }
 
+std::uint64_t Scheduler::EndpointsExamined() const { return this->impl->state.endpoints_examined; }
+
 ZoneId Scheduler::ZoneOf(const std::string& id) const {
   const EndpointState* endpoint = this->impl->state.FindEndpoint(id);
   return endpoint == nullptr ? ZoneId{} : endpoint->record.zone;
