Job entry: Let rounds of decisions become rarer as they become longer

Callers of the large deployment saw avail-check fall below its floor. A round followed the last one after 4 ms whatever it cost, and costs more the more jobs wait: at 25 ms a round, rounds took what orders, answers and records needed, so that more waited.

The pause after a round is four times what the round took, from 4 to 200 ms.

--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -2,15 +2,14 @@
 
 #include <algorithm>
 
+#include "job_entry/round_pause.h"
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
 
 namespace {
 
-/// Facts that arrive within this time are decided on together: an endpoint reports several ends at
-/// once, and a round costs about as much for ten facts as for one.
-constexpr Duration kBatchingDelay = std::chrono::milliseconds(4);
 /// Between two rounds without new facts: leases lapse, occurrences become due, pauses end.
 constexpr Duration kRoundInterval = std::chrono::milliseconds(100);
 /// Between the starts of two appends. Each is billed and takes 4 ms at the store; a task waits for
@@ -209,7 +208,9 @@
       break;
     }
     this->link_meter.Report();
+    const TimePoint begin = this->context.Now();
     this->Decide();
+    const Duration taken = this->context.Now() - begin;
     if (this->scheduler.HasBatch()) {
       this->store->Notify();
     }
@@ -221,7 +222,7 @@
       break;
     }
     co_await this->decide->WaitFor(kRoundInterval);
-    co_await Pause(this->context, kBatchingDelay);
+    co_await Pause(this->context, PauseAfterRound(taken));
   }
 }
 
--- /dev/null
+++ b/tests/job_entry/round_pause_test.cc
@@ -0,0 +1,34 @@
+#include "job_entry/round_pause.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace chervilspar::job_entry {
+namespace {
+
+struct PauseCase {
+  const char* name;
+  Duration taken;
+  Duration pause;
+};
+
+class PauseBetweenRounds : public ::testing::TestWithParam<PauseCase> {};
+
+/// Guards against rounds that take the thread from the orders that carry their decisions out.
+TEST_P(PauseBetweenRounds, LeavesTimeForOtherWork) {
+  EXPECT_EQ(PauseAfterRound(GetParam().taken), GetParam().pause);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rounds, PauseBetweenRounds,
+    ::testing::Values(PauseCase{"ShortRoundsOnlyGatherFacts", std::chrono::microseconds(300),
+                                std::chrono::milliseconds(4)},
+                      PauseCase{"LongRoundsLeaveFourFifths", std::chrono::milliseconds(12),
+                                std::chrono::milliseconds(48)},
+                      PauseCase{"LeasesDontWaitForever", std::chrono::seconds(3),
+                                std::chrono::milliseconds(200)}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace chervilspar::job_entry
