HTTP: Take the whole listen queue in one turn, drop given-up requests

The entry that is asked passes the question to the owner and waits 700 ms.

Cause: the server accepted one connection in each turn of its thread. A question that fails closes its connection, so each next one dials anew. At an owner whose turns take 45 to 100 ms the listen queue (4,096) filled with connections whose callers had gone, and was served first in, first out: of 7,603 questions that arrived in 4 s 7,589 were older than their caller waits, 13 s at the median. The owner was idle again by then, and knew the job as complete since 15 s.

After each accepted connection the rest of the queue is taken as well, and a request whose caller has reset its connection isn't handled.

--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -162,6 +162,9 @@
   Request request = this->reader->Take();
   const bool is_head = request.method == "HEAD";
   this->reader.reset();
+  if (this->HasCallerReset()) {
+    co_return AfterAnswer::kClose;
+  }
   Response response = co_await this->CallHandler(std::move(request));
   if (is_head) {
     response.body.clear();
@@ -172,6 +175,15 @@
   co_return is_written ? after : AfterAnswer::kClose;
 }
 
+/// A request may have waited for longer than its caller did. Nobody reads the answer then.
+bool Connection::HasCallerReset() {
+  char next = 0;
+  error_code error;
+  this->socket.non_blocking(true, error);
+  this->socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::connection_reset;
+}
+
 asio::awaitable<Response> Connection::CallHandler(Request request) {
   this->EnterPhase(Phase::kHandling, std::nullopt);
   this->caller = CancelToken::Create();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -64,6 +64,7 @@
   void EnterPhase(Phase next, std::optional<Duration> time);
   void WatchCaller();
   void OnCallerReadable(std::uint64_t watched_request);
+  bool HasCallerReset();
 
   boost::asio::ip::tcp::socket socket;
   std::shared_ptr<ConnectionContext> context;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -131,6 +131,7 @@
     co_await acceptor->async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
       self->Take(std::move(socket), shard);
+      self->TakeBacklog(*acceptor);
     } else if (acceptor->is_open()) {
       back_off.expires_after(kAcceptBackOff);
       co_await back_off.async_wait(asio::redirect_error(asio::use_awaitable, error));
@@ -177,7 +178,9 @@
 }
 
 /// Connections in the listen queue are open in their callers' eyes, and a request may be in them.
-/// Closing the listener would reset them.
+/// Closing the listener would reset them. If only one were taken in each turn of a busy thread, the
+/// queue would fill with connections whose callers have given up, and all others would wait behind
+/// those.
 void Server::State::TakeBacklog(tcp::acceptor& acceptor) {
   error_code error;
   acceptor.non_blocking(true, error);
