HTTP: Read long answers in growing chunks

Cause: an answer was read 8 KB a turn of the thread. A page of 4,000 registrations (1 MB) took 1.5 s at an owner that was behind its work, and over 1.6 s it timed out; the next read began at the same offset, with more to read. From 28.4 to 36.7 s no read of registrations passed, and the owner sent 30 starts to a VM whose notice was stored at 26.3 s.

A chunk that was filled doubles the next one, up to 256 KB.

--- a/src/http/attempt.cc
+++ b/src/http/attempt.cc
@@ -18,7 +18,10 @@
 
 namespace {
 
-constexpr std::size_t kReadChunk = std::size_t{8} * 1024;
+/// An answer is read in chunks of the first size at first. A chunk that was filled doubles the next
+/// one, as each takes a turn of the thread, and a busy thread would take seconds for a long answer.
+constexpr std::size_t kFirstReadChunk = std::size_t{8} * 1024;
+constexpr std::size_t kMaxReadChunk = std::size_t{256} * 1024;
 
 /// Whether an endpoint's whole answer says that it did not start the request.
 bool SaysNotRun(const Response& response) {
@@ -126,18 +129,20 @@
   using BodyRule = ResponseReader::BodyRule;
   ResponseReader reader(this->limits, is_head ? BodyRule::kNone : BodyRule::kAsDeclared);
   std::string buffer;
+  std::size_t chunk = kFirstReadChunk;
   while (reader.Current() == ResponseReader::State::kNeedMore) {
     const std::size_t before = buffer.size();
-    buffer.resize(before + kReadChunk);
+    buffer.resize(before + chunk);
     error_code error;
     const std::size_t count = co_await this->lease->socket.async_read_some(
-        asio::buffer(buffer.data() + before, kReadChunk),
+        asio::buffer(buffer.data() + before, chunk),
         asio::redirect_error(asio::use_awaitable, error));
     buffer.resize(before + count);
     this->bytes_received += count;
     if (error) {
       co_return this->Failed(reader.ReasonOfEnd());
     }
+    chunk = count == chunk ? std::min(2 * chunk, kMaxReadChunk) : chunk;
     buffer.erase(0, reader.Feed(buffer));
   }
   if (reader.Current() == ResponseReader::State::kFault) {
