Jobs: Examine a pool once a step for the tasks that wait to move

Cause: each review of an evacuation, 20 ms apart, chose a target for every task that may not be stopped yet, and for every task that may but has none, by a walk over its whole pool with a copy of the set of excluded endpoints: endpoints times tasks. Change: TargetSearch prices the endpoints of a pool once for each step and takes them in the order in which Placement::Choose would. A step without any target is not tried again in a review until capacity was reserved. The limit per endpoint is counted from the claims of the endpoint instead of all tasks of the step. Endpoints that are leaving are indexed, so that nothing is walked when there are none. Scheduler::EndpointsExamined counts the work. Not measured on a deployment.

--- a/src/jobs/evacuation.cc
+++ b/src/jobs/evacuation.cc
@@ -1,5 +1,7 @@
 #include "jobs/evacuation.h"
 
+#include "jobs/target_search.h"
+
 namespace chervilspar::jobs {
 
 namespace {
@@ -30,10 +32,7 @@
   if (this->now - this->state.term_start < kPredecessorStopDelay) {
     return;
   }
-  for (const auto& [id, endpoint] : this->state.endpoints) {
-    if (!endpoint->IsLeaving() || endpoint->claims.empty()) {
-      continue;
-    }
+  for (const auto& [id, endpoint] : this->state.leaving) {
     const std::vector<TaskKey> claims(endpoint->claims.begin(), endpoint->claims.end());
     for (const TaskKey& key : claims) {
       this->Review(this->state.Find(key));
@@ -43,18 +42,12 @@
 }
 
 void Evacuation::FindTargets() {
-  std::set<EndpointState*> taken;
-  for (const auto& [key, reservation] : this->state.reservations) {
-    taken.insert(this->state.FindEndpoint(reservation.endpoint));
+  if (this->waiting.empty()) {
+    return;
   }
+  TargetSearch search(this->state, this->now);
   for (const TaskRef& ref : this->waiting) {
-    std::set<EndpointState*> excluded = taken;
-    excluded.insert(ref.task->endpoint);
-    EndpointState* const target = this->placement.Choose(ref, excluded, this->now);
-    ref.task->lacks_target = target == nullptr;
-    if (target != nullptr) {
-      taken.insert(target);
-    }
+    ref.task->lacks_target = search.Find(ref) == nullptr;
   }
 }
 
@@ -67,7 +60,7 @@
     this->waiting.push_back(ref);
     return;
   }
-  EndpointState* const target = this->placement.Choose(ref, {ref.task->endpoint}, this->now);
+  EndpointState* const target = this->ChooseTarget(ref);
   ref.task->lacks_target = target == nullptr;
   if (target == nullptr) {
     return;
@@ -79,9 +72,22 @@
        ref.task->endpoint->record.id,
        "its endpoint is being evacuated; capacity is reserved on " + target->record.id});
   this->state.ReserveCapacity(ref, *target, this->now + kReservationDuration);
+  this->without_target.clear();
   this->state.BeginStop(ref, this->now);
 }
 
+EndpointState* Evacuation::ChooseTarget(const TaskRef& ref) {
+  if (this->without_target.contains(ref.step)) {
+    return nullptr;
+  }
+  // Its own endpoint is leaving and therefore accepts no tasks.
+  EndpointState* const target = this->placement.Choose(ref, {}, this->now);
+  if (target == nullptr) {
+    this->without_target.insert(ref.step);
+  }
+  return target;
+}
+
 bool Evacuation::MayStop(const TaskRef& ref) const {
   const bool is_draining = ref.task->endpoint->record.is_draining;
   if (is_draining || !ref.spec->max_unavailable) {
--- a/src/jobs/evacuation.h
+++ b/src/jobs/evacuation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <vector>
 
 #include "jobs/placement.h"
@@ -29,6 +30,8 @@
   void Review(const TaskRef& ref);
   /// Sets `lacks_target` of the waiting tasks.
   void FindTargets();
+  /// Null if no endpoint has free capacity for the task.
+  EndpointState* ChooseTarget(const TaskRef& ref);
   bool MayStop(const TaskRef& ref) const;
 
   SchedulerState& state;
@@ -36,6 +39,8 @@
   const TimePoint now;
   /// Tasks that have to move but may not be stopped yet.
   std::vector<TaskRef> waiting;
+  /// Steps for whose tasks no endpoint had free capacity since the last reservation.
+  std::set<const StepState*> without_target;
 };
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -30,6 +30,10 @@
                      [&](const Task& member) { return member.avoided_endpoint == id; });
 }
 
+bool IsOfSameStep(const TaskKey& one, const TaskKey& other) {
+  return one.job == other.job && one.occurrence == other.occurrence && one.step == other.step;
+}
+
 bool IsServing(const Step& step) { return step.is_long_running && !step.is_filler; }
 
 }  // namespace
@@ -52,8 +56,9 @@
     return true;
   }
   std::uint32_t there = 0;
-  for (const Task& sibling : ref.step->tasks) {
-    there += sibling.endpoint == &endpoint ? 1 : 0;
+  for (auto claim = endpoint.claims.lower_bound({ref.key.job, ref.key.occurrence, ref.key.step, 0});
+       claim != endpoint.claims.end() && IsOfSameStep(*claim, ref.key); ++claim) {
+    ++there;
   }
   return there < limit;
 }
@@ -92,11 +97,16 @@
          (endpoint.is_reboot_due ? kRebootSoonCost : 0);
 }
 
+std::int64_t Placement::FailureCost(const TaskRef& ref, const EndpointState& endpoint) {
+  return HasFailedOn(ref, endpoint) ? kFailedThereCost : 0;
+}
+
 std::int64_t Placement::Cost(const TaskRef& ref, const EndpointState& endpoint) const {
+  return this->CostForStep(ref, endpoint) + FailureCost(ref, endpoint);
+}
+
+std::int64_t Placement::CostForStep(const TaskRef& ref, const EndpointState& endpoint) const {
   std::int64_t cost = this->SharingCost(ref, endpoint);
-  if (HasFailedOn(ref, endpoint)) {
-    cost += kFailedThereCost;
-  }
   if (!ref.spec->data_rack.empty() && !endpoint.record.HasLabel(ref.spec->data_rack)) {
     cost += kOtherRackCost;
   }
@@ -168,6 +178,25 @@
   }
 }
 
+std::vector<PricedEndpoint> Placement::ListForStep(const TaskRef& ref, TimePoint now) const {
+  std::vector<PricedEndpoint> found;
+  const auto pool = this->state.pools.find(ref.job->service);
+  if (pool == this->state.pools.end()) {
+    return found;
+  }
+  const Resources need = RequiredCapacity(*ref.spec);
+  const FreeCpuIndex& index = pool->second.by_free_cpu;
+  const std::vector<FreeCpuIndex::Entry>& entries = index.Entries();
+  for (std::size_t i = index.FirstWith(need.cpu); i < entries.size(); ++i) {
+    EndpointState* const endpoint = pool->second.endpoints[entries[i].position];
+    ++this->state.endpoints_examined;
+    if (endpoint->FreeCapacity().Fits(need) && this->MayRunOn(ref, *endpoint, now)) {
+      found.push_back({this->CostForStep(ref, *endpoint), entries[i].position, endpoint});
+    }
+  }
+  return found;
+}
+
 bool Placement::IsBlockedByCordon(const TaskRef& ref) const {
   const auto pool = this->state.pools.find(ref.job->service);
   if (pool == this->state.pools.end()) {
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -4,6 +4,17 @@
 
 namespace chervilspar::jobs {
 
+/// An endpoint with enough free capacity for the tasks of a step. Compares less if `Choose` prefers
+/// it.
+struct PricedEndpoint {
+  std::int64_t cost = 0;
+  /// Its position in the pool.
+  std::size_t position = 0;
+  EndpointState* endpoint = nullptr;
+
+  friend auto operator<=>(const PricedEndpoint&, const PricedEndpoint&) = default;
+};
+
 /// Chooses the endpoint for a task.
 ///
 /// Batch tasks are placed by best fit, which keeps contiguous capacity for large tasks.
@@ -17,6 +28,11 @@
   /// that have waited longer.
   EndpointState* Choose(const TaskRef& ref, const std::set<EndpointState*>& reserved,
                         TimePoint now) const;
+  /// The endpoints that `Choose` considers for the task, unordered. Their costs are without
+  /// `FailureCost` and therefore the same for all tasks of the step.
+  std::vector<PricedEndpoint> ListForStep(const TaskRef& ref, TimePoint now) const;
+  /// The part of `Cost` for an endpoint where the last run of the task failed.
+  static std::int64_t FailureCost(const TaskRef& ref, const EndpointState& endpoint);
   /// True if the endpoint accepts new tasks at all.
   static bool IsUsable(const EndpointState& endpoint, TimePoint now);
   /// Whether the endpoint has the label that the task requires, if any.
@@ -51,6 +67,7 @@
   void Consider(const TaskRef& ref, EndpointState& endpoint,
                 const std::set<EndpointState*>& reserved, TimePoint now, Choice& best) const;
   bool IsBelowLimitPerEndpoint(const TaskRef& ref, const EndpointState& endpoint) const;
+  std::int64_t CostForStep(const TaskRef& ref, const EndpointState& endpoint) const;
   std::int64_t SharingCost(const TaskRef& ref, const EndpointState& endpoint) const;
 
   SchedulerState& state;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -82,6 +82,7 @@
     endpoint.is_registered = true;
     endpoint.record = record;
     endpoint.is_cordoned = state.cordoned_zones.contains(record.zone);
+    state.RefreshLeaving(endpoint);
     if (record.born_ms > endpoint.born_ms) {
       this->impl->tracker.OnRestartRegistered(endpoint, record.born_ms, now);
     }
@@ -92,6 +93,7 @@
                          !endpoint.has_lapse_notice && !endpoint.has_long_lease_notice;
     if (is_gone) {
       state.endpoint_index.erase(entry.first);
+      state.leaving.erase(entry.first);
       std::erase_if(state.reservations,
                     [&entry](const auto& kept) { return kept.second.endpoint == entry.first; });
     }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -122,6 +122,14 @@
   return *slot;
 }
 
+void SchedulerState::RefreshLeaving(EndpointState& endpoint) {
+  if (endpoint.IsLeaving()) {
+    this->leaving.emplace(endpoint.record.id, &endpoint);
+  } else {
+    this->leaving.erase(endpoint.record.id);
+  }
+}
+
 Occurrence& SchedulerState::GetOrCreateOccurrence(JobState& job, std::uint32_t number) {
   const auto [entry, is_new] = job.occurrences.try_emplace(number);
   if (is_new) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -339,6 +339,8 @@
   JobState* FindJob(const JobId& id);
   EndpointState* FindEndpoint(const std::string& id);
   EndpointState& GetOrCreateEndpoint(const std::string& id);
+  /// Call after a change of what `EndpointState::IsLeaving` depends on.
+  void RefreshLeaving(EndpointState& endpoint);
 
   /// Returns the occurrence; creates its tasks if it doesn't exist yet.
   Occurrence& GetOrCreateOccurrence(JobState& job, std::uint32_t number);
@@ -399,6 +401,8 @@
   std::map<std::string, std::unique_ptr<EndpointState>> endpoints;
   /// A hash index of `endpoints`, for the thousands of lookups in a round.
   std::unordered_map<std::string, EndpointState*> endpoint_index;
+  /// The endpoints that are leaving, by id.
+  std::map<std::string, EndpointState*> leaving;
   std::map<ServiceId, PoolState> pools;
   std::map<TaskKey, CapacityReservation> reservations;
   /// By endpoint: encoded lapse notices to store with the next batch; `std::nullopt` deletes one.
@@ -414,6 +418,8 @@
   std::vector<ThrottleOrder> paces;
   std::vector<DecisionEvent> notes;
   std::uint64_t notes_dropped = 0;
+  /// As in `Scheduler::EndpointsExamined`.
+  std::uint64_t endpoints_examined = 0;
   bool is_superseded = false;
   /// As in `Scheduler::EndpointsExamined`.
   std::uint64_t endpoints_examined = 0;
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -105,12 +105,14 @@
 void Scheduler::BeginEvacuation(const std::string& id) {
   if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
     endpoint->is_evacuating = true;
+    this->impl->state.RefreshLeaving(*endpoint);
   }
 }
 
 void Scheduler::EndEvacuation(const std::string& id) {
   if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
     endpoint->is_evacuating = false;
+    this->impl->state.RefreshLeaving(*endpoint);
   }
 }
 
