--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -418,8 +418,6 @@
   std::vector<ThrottleOrder> paces;
   std::vector<DecisionEvent> notes;
   std::uint64_t notes_dropped = 0;
-  /// As in `Scheduler::EndpointsExamined`.
-  std::uint64_t endpoints_examined = 0;
   bool is_superseded = false;
   /// As in `Scheduler::EndpointsExamined`.
   std::uint64_t endpoints_examined = 0;
