Preemption: Examine only the runs that a blocked step may stop

Cause: each plan looked up every task on every usable endpoint of the pool, listed the endpoints of each blocked step one by one, sorted all runs and, for each task of a step, compared the runs of all endpoints again.

Change: claims are visited job by job (`VisitClaims`; the jobs with claims and the claims per step are counted in `AccountUsage`). Runs that give way to no blocked step by rank, share and lateness are left out, and no plan is made if no run may be stopped within the allowance. Steps without advice and limit share the list of endpoints per label. The planner sorts an endpoint's runs when it first needs them, keeps choices until the endpoint's room or the demand changes, passes over endpoints whose runs are too few or cost more than the allowance or the best choice, and doesn't repeat a failed search for an equal step.

--- a/include/chervilspar/jobs/preemption_plan.h
+++ b/include/chervilspar/jobs/preemption_plan.h
@@ -48,12 +48,33 @@
   /// nor expected to end.
   std::optional<double> remaining_ms;
 
+  /// Its capacity becomes free within `limit_ms` without a new stop.
+  bool EndsWithin(double limit_ms) const;
+  /// What a stop discards, in the unit of `PreemptionLimits::allowance`.
+  double DiscardedWork() const;
+
   friend bool operator==(const PreemptibleRun&, const PreemptibleRun&) = default;
 };
 
+/// The lowest ranks of blocked steps. They rule out most runs without a look at each step.
+class BlockedRanks {
+ public:
+  /// Adds a step.
+  void Add(std::uint32_t rank, bool is_beyond_share);
+  /// False if the run gives way to none of the steps, or isn't stopped at all.
+  bool MayStop(const PreemptibleRun& run) const;
+
+  friend bool operator==(const BlockedRanks&, const BlockedRanks&) = default;
+
+ private:
+  std::optional<std::uint32_t> lowest_within_share;
+  std::optional<std::uint32_t> lowest_beyond_share;
+};
+
 struct EndpointRuns {
-  /// The capacity that is free now.
+  /// The capacity that is free now, or becomes free soon.
   Resources free;
+  /// Runs that end soon or may be stopped; others have no effect.
   std::vector<PreemptibleRun> runs;
 
   friend bool operator==(const EndpointRuns&, const EndpointRuns&) = default;
@@ -89,6 +110,16 @@
   friend bool operator==(const PlannedPreemption&, const PlannedPreemption&) = default;
 };
 
+/// What a selection costs.
+struct PreemptionCost {
+  /// Runs that were compared with a blocked step, each comparison counted.
+  std::size_t examined_runs = 0;
+  /// Searches for a task's endpoint.
+  std::size_t searches = 0;
+
+  friend bool operator==(const PreemptionCost&, const PreemptionCost&) = default;
+};
+
 /// Selects the runs of a pool that are stopped for blocked tasks.
 ///
 /// Late work, or work of accounts beyond their shares, may occupy a pool while tasks that can still
@@ -98,10 +129,11 @@
   /// The maximum number of runs that one plan stops. Limits the cost of a plan.
   static constexpr std::size_t kMaxStops = 32;
 
-  /// `blocked` is in the order of placing.
+  /// `blocked` is in the order of placing. Sets `cost` if it isn't null.
   static std::vector<PlannedPreemption> SelectRunsToStop(const std::vector<BlockedStep>& blocked,
                                                          const std::vector<EndpointRuns>& endpoints,
-                                                         const PreemptionLimits& limits);
+                                                         const PreemptionLimits& limits,
+                                                         PreemptionCost* cost = nullptr);
 };
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/preemption.cc
+++ b/src/jobs/preemption.cc
@@ -1,6 +1,7 @@
 #include "jobs/preemption.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace chervilspar::jobs {
@@ -57,15 +58,26 @@
   }
   this->Accrue(this->planned ? now - *this->planned : Duration::zero());
   this->planned = now;
-  std::map<ServiceId, std::vector<TaskRef>> urgent;
+  std::map<ServiceId, PoolPlan> pools;
   for (const TaskKey& key : blocked) {
     const TaskRef ref = this->state.Find(key);
     if (ref && this->IsUrgent(ref)) {
-      urgent[ref.job->service].push_back(ref);
+      PoolPlan& pool = pools[ref.job->service];
+      pool.blocked.push_back(ref);
+      pool.ranks.Add(this->state.RankOf(*ref.job), ref.job->is_beyond_share);
     }
   }
-  for (const auto& [service, tasks] : urgent) {
-    this->PlanPool(service, tasks);
+  if (pools.empty()) {
+    return;
+  }
+  for (auto& [service, pool] : pools) {
+    this->AddEndpoints(service, pool);
+  }
+  this->AddRuns(pools);
+  for (auto& [service, pool] : pools) {
+    if (pool.has_candidates) {
+      this->PlanPool(service, pool);
+    }
   }
 }
 
@@ -93,35 +105,78 @@
          job.ready->latest_start_ms >= started_ms;
 }
 
-void Preemption::PlanPool(const ServiceId& service, const std::vector<TaskRef>& blocked) {
-  std::vector<EndpointState*> endpoints;
-  std::vector<EndpointRuns> runs;
+void Preemption::AddEndpoints(const ServiceId& service, PoolPlan& pool) {
   for (EndpointState* endpoint : this->state.pools[service].endpoints) {
     if (Placement::IsUsable(*endpoint, *this->planned)) {
-      endpoints.push_back(endpoint);
-      runs.push_back(this->RunsOn(*endpoint));
+      pool.endpoints.push_back(endpoint);
+      pool.runs.push_back({.free = endpoint->FreeCapacity(), .runs = {}});
     }
   }
+}
+
+void Preemption::AddRuns(std::map<ServiceId, PoolPlan>& pools) {
+  struct Place {
+    PoolPlan* pool = nullptr;
+    EndpointRuns* runs = nullptr;
+    double allowance = 0;
+  };
+  std::unordered_map<const EndpointState*, Place> places;
+  for (auto& [service, pool] : pools) {
+    const double allowance = this->allowances[service];
+    for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
+      places.emplace(pool.endpoints[i], Place{&pool, &pool.runs[i], allowance});
+    }
+  }
+  const double stop_limit_ms = this->StopLimitMs();
+  const JobState* job = nullptr;
+  std::uint32_t rank = 0;
+  this->state.VisitClaims([&](const TaskRef& ref) {
+    const auto place = places.find(ref.task->endpoint);
+    if (place == places.end()) {
+      return;
+    }
+    if (ref.job != job) {
+      job = ref.job;
+      rank = this->state.RankOf(*job);
+    }
+    const auto& [pool, runs, allowance] = place->second;
+    const PreemptibleRun run = this->DescribeRun(ref, rank);
+    if (run.EndsWithin(stop_limit_ms)) {
+      runs->free = runs->free + run.capacity;
+    } else if (pool->ranks.MayStop(run)) {
+      if (runs->runs.empty()) {
+        runs->runs.reserve(place->first->claims.size());
+      }
+      runs->runs.push_back(run);
+      pool->has_candidates |= run.DiscardedWork() <= allowance;
+    }
+  });
+}
+
+double Preemption::StopLimitMs() const {
+  return static_cast<double>(ToMilliseconds(this->state.options.stop_limit));
+}
+
+void Preemption::PlanPool(const ServiceId& service, PoolPlan& pool) {
   std::vector<BlockedStep> steps;
   std::map<TeamId, Resources> promised;
-  steps.reserve(blocked.size());
-  for (const TaskRef& ref : blocked) {
-    steps.push_back(this->Describe(ref, endpoints, promised));
+  steps.reserve(pool.blocked.size());
+  for (const TaskRef& ref : pool.blocked) {
+    steps.push_back(this->Describe(ref, pool, promised));
   }
   double& allowance = this->allowances[service];
-  const PreemptionLimits limits{
-      .stop_limit_ms = static_cast<double>(ToMilliseconds(this->state.options.stop_limit)),
-      .allowance = allowance};
-  for (const PlannedPreemption& planned : PreemptionPlan::SelectRunsToStop(steps, runs, limits)) {
-    this->ReserveFor(blocked[planned.step], *endpoints[planned.endpoint]);
+  const PreemptionLimits limits{.stop_limit_ms = this->StopLimitMs(), .allowance = allowance};
+  for (const PlannedPreemption& planned :
+       PreemptionPlan::SelectRunsToStop(steps, pool.runs, limits)) {
+    this->ReserveFor(pool.blocked[planned.step], *pool.endpoints[planned.endpoint]);
     for (const PlannedStop& stop : planned.stops) {
       allowance -= stop.discarded_work;
-      this->Stop(stop, blocked[planned.step].key.job);
+      this->Stop(stop, pool.blocked[planned.step].key.job);
     }
   }
 }
 
-BlockedStep Preemption::Describe(const TaskRef& ref, const std::vector<EndpointState*>& endpoints,
+BlockedStep Preemption::Describe(const TaskRef& ref, PoolPlan& pool,
                                  std::map<TeamId, Resources>& promised) const {
   BlockedStep step{.first = ref.key,
                    .count = 0,
@@ -129,7 +184,7 @@
                    .rank = this->state.RankOf(*ref.job),
                    .is_beyond_share = ref.job->is_beyond_share,
                    .is_one_per_endpoint = ref.spec->max_per_endpoint > 0,
-                   .endpoints = {}};
+                   .endpoints = this->EndpointsFor(ref, pool)};
   Resources& team = promised[ref.job->job.team];
   TaskKey key = ref.key;
   for (key.index = 0; key.index < ref.step->tasks.size(); ++key.index) {
@@ -142,12 +197,28 @@
       ++step.count;
     }
   }
-  for (std::size_t i = 0; i < endpoints.size(); ++i) {
-    if (this->placement.MayRunOn(ref, *endpoints[i], *this->planned)) {
-      step.endpoints.push_back(i);
+  return step;
+}
+
+std::vector<std::size_t> Preemption::EndpointsFor(const TaskRef& ref, PoolPlan& pool) const {
+  // Without advice and a limit, only the label tells usable endpoints apart.
+  const bool is_shared = !ref.job->needs_advice && ref.spec->max_per_endpoint == 0;
+  if (is_shared) {
+    const auto known = pool.labelled.find(ref.spec->required_label);
+    if (known != pool.labelled.end()) {
+      return known->second;
     }
   }
-  return step;
+  std::vector<std::size_t> positions;
+  for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
+    if (this->placement.MayRunOn(ref, *pool.endpoints[i], *this->planned)) {
+      positions.push_back(i);
+    }
+  }
+  if (is_shared) {
+    pool.labelled.emplace(ref.spec->required_label, positions);
+  }
+  return positions;
 }
 
 bool Preemption::IsUnserved(const TaskRef& ref) const {
@@ -167,20 +238,12 @@
   }
 }
 
-EndpointRuns Preemption::RunsOn(const EndpointState& endpoint) const {
-  EndpointRuns runs{.free = endpoint.FreeCapacity(), .runs = {}};
-  for (const TaskKey& key : endpoint.claims) {
-    runs.runs.push_back(this->DescribeRun(this->state.Find(key)));
-  }
-  return runs;
-}
-
-PreemptibleRun Preemption::DescribeRun(const TaskRef& ref) const {
+PreemptibleRun Preemption::DescribeRun(const TaskRef& ref, std::uint32_t rank) const {
   const Task& task = *ref.task;
   const TimePoint now = *this->planned;
   PreemptibleRun run{.task = ref.key,
                      .capacity = RequiredCapacity(*ref.spec),
-                     .rank = this->state.RankOf(*ref.job),
+                     .rank = rank,
                      .is_beyond_share = ref.job->are_runs_beyond_share,
                      .saves_progress = ref.spec->saves_progress,
                      .is_stopping = task.state == RunState::kStopping};
@@ -192,7 +255,7 @@
   run.may_be_stopped = !task.preempted || now - *task.preempted >= kPreemptionPause;
   const double expected_ms = ExpectedRemainingMs(ref, now);
   // A run that is long overdue may take any time.
-  if (expected_ms >= -static_cast<double>(ToMilliseconds(this->state.options.stop_limit))) {
+  if (expected_ms >= -this->StopLimitMs()) {
     run.remaining_ms = std::max(expected_ms, 0.0);
   }
   const std::int64_t due_ms =
--- a/src/jobs/preemption.h
+++ b/src/jobs/preemption.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "chervilspar/jobs/preemption_plan.h"
@@ -26,15 +27,34 @@
   PreemptionCounts TakeCounts();
 
  private:
+  /// A pool with blocked tasks.
+  struct PoolPlan {
+    std::vector<TaskRef> blocked;
+    BlockedRanks ranks;
+    std::vector<EndpointState*> endpoints;
+    /// Of each of `endpoints`.
+    std::vector<EndpointRuns> runs;
+    /// A run may be stopped within the allowance.
+    bool has_candidates = false;
+    /// By required label: positions of the endpoints with it, for steps that may run on all these.
+    std::map<std::string, std::vector<std::size_t>> labelled;
+  };
+
   /// Adds the part of the work since the last plan that may be discarded.
   void Accrue(Duration elapsed);
   /// Whether the task can be on time if it starts after a stop.
   bool IsUrgent(const TaskRef& ref) const;
-  void PlanPool(const ServiceId& service, const std::vector<TaskRef>& blocked);
-  BlockedStep Describe(const TaskRef& ref, const std::vector<EndpointState*>& endpoints,
+  /// Adds the usable endpoints of the pool.
+  void AddEndpoints(const ServiceId& service, PoolPlan& pool);
+  /// Adds the runs that may be stopped and the capacity of those that end soon.
+  void AddRuns(std::map<ServiceId, PoolPlan>& pools);
+  void PlanPool(const ServiceId& service, PoolPlan& pool);
+  BlockedStep Describe(const TaskRef& ref, PoolPlan& pool,
                        std::map<TeamId, Resources>& promised) const;
-  EndpointRuns RunsOn(const EndpointState& endpoint) const;
-  PreemptibleRun DescribeRun(const TaskRef& ref) const;
+  /// Positions of the endpoints that may run the task.
+  std::vector<std::size_t> EndpointsFor(const TaskRef& ref, PoolPlan& pool) const;
+  double StopLimitMs() const;
+  PreemptibleRun DescribeRun(const TaskRef& ref, std::uint32_t rank) const;
   /// Whether the task waits and no capacity is reserved for it.
   bool IsUnserved(const TaskRef& ref) const;
   /// Reserves capacity on the endpoint for a task of the step. Otherwise others could take what the
--- a/src/jobs/preemption_plan.cc
+++ b/src/jobs/preemption_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -11,10 +12,6 @@
 
 using RunList = std::vector<const PreemptibleRun*>;
 
-double DiscardedWork(const PreemptibleRun& run) {
-  return run.saves_progress ? 0 : static_cast<double>(run.capacity.cpu) * run.age_ms;
-}
-
 /// Runs that save their progress come first, then the youngest.
 bool IsCheaper(const PreemptibleRun* one, const PreemptibleRun* other) {
   return std::tuple(!one->saves_progress, one->age_ms, one->task) <
@@ -35,7 +32,6 @@
 
 /// Runs to stop on one endpoint, with what this costs. Smaller costs are preferred.
 struct Choice {
-  std::size_t endpoint = 0;
   RunList runs;
   double discarded_work = 0;
   double stopped_cpu = 0;
@@ -47,37 +43,104 @@
   }
 };
 
+/// What a choice depends on, apart from the endpoint.
+struct Demand {
+  Resources need;
+  std::uint32_t rank = 0;
+  bool is_beyond_share = false;
+  /// The step's job if it has candidates, which are not chosen.
+  std::optional<JobId> job;
+
+  friend bool operator==(const Demand&, const Demand&) = default;
+};
+
+/// An endpoint during the selection.
+struct EndpointPlan {
+  /// Capacity that is free now or soon, less what is planned for tasks.
+  Resources room;
+  /// `room` and the capacity of all candidates.
+  Resources most_room;
+  /// Runs that may give way to a blocked step; the cheapest first if `is_sorted`.
+  RunList candidates;
+  bool is_sorted = false;
+  /// The smallest discarded work of a candidate.
+  double least_work = std::numeric_limits<double>::infinity();
+  /// The choice for the demand with this number, regardless of the allowance; 0 if none is known.
+  std::size_t chosen_for = 0;
+  std::optional<Choice> choice;
+
+  void AddCandidate(const PreemptibleRun& run) {
+    this->candidates.push_back(&run);
+    this->most_room = this->most_room + run.capacity;
+    this->least_work = std::min(this->least_work, run.DiscardedWork());
+  }
+
+  void RemoveCandidate(const PreemptibleRun* run) {
+    std::erase(this->candidates, run);
+    this->least_work = std::numeric_limits<double>::infinity();
+    for (const PreemptibleRun* other : this->candidates) {
+      this->least_work = std::min(this->least_work, other->DiscardedWork());
+    }
+  }
+};
+
 class Planner {
  public:
-  Planner(const std::vector<EndpointRuns>& endpoints, const PreemptionLimits& limits)
+  Planner(const std::vector<BlockedStep>& blocked, const std::vector<EndpointRuns>& endpoints,
+          const PreemptionLimits& limits)
       : allowance(limits.allowance) {
+    BlockedRanks ranks;
+    std::set<JobId> blocked_jobs;
+    for (const BlockedStep& step : blocked) {
+      ranks.Add(step.rank, step.is_beyond_share);
+      blocked_jobs.insert(step.first.job);
+    }
+    this->endpoints.reserve(endpoints.size());
     for (const EndpointRuns& endpoint : endpoints) {
-      this->room.push_back(endpoint.free);
-      this->candidates.emplace_back();
+      EndpointPlan& plan = this->endpoints.emplace_back();
+      plan.room = endpoint.free;
+      plan.candidates.reserve(endpoint.runs.size());
       for (const PreemptibleRun& run : endpoint.runs) {
-        const bool ends_soon = run.remaining_ms && *run.remaining_ms <= limits.stop_limit_ms;
-        if (run.is_stopping || ends_soon) {
-          this->room.back() = this->room.back() + run.capacity;
-        } else if (run.may_be_stopped && run.remaining_ms) {
-          this->candidates.back().push_back(&run);
+        if (run.EndsWithin(limits.stop_limit_ms)) {
+          plan.room = plan.room + run.capacity;
+        } else if (ranks.MayStop(run)) {
+          plan.AddCandidate(run);
+          this->has_candidates = true;
+          if (blocked_jobs.contains(run.task.job)) {
+            this->own_jobs.insert(run.task.job);
+          }
         }
       }
-      std::sort(this->candidates.back().begin(), this->candidates.back().end(), IsCheaper);
+      plan.most_room = plan.most_room + plan.room;
     }
   }
 
+  /// Whether another stop is possible. Planned room alone has no effect.
+  bool MayStop() const {
+    return this->has_candidates && this->stop_count < PreemptionPlan::kMaxStops;
+  }
+
   /// `position` is that of the step.
   void Serve(const BlockedStep& step, std::size_t position) {
+    if (this->FailsAsLast(step)) {
+      return;
+    }
+    this->failed = nullptr;
+    this->SetDemand(step);
     std::set<std::size_t> used;
-    for (std::uint32_t i = 0; i < step.count; ++i) {
+    for (std::uint32_t i = 0; i < step.count && this->MayStop(); ++i) {
       std::optional<std::size_t> endpoint = this->FindRoom(step, used);
       if (!endpoint) {
         endpoint = this->StopFor(step, position, used);
       }
       if (!endpoint) {
+        this->failed = &step;
         return;
       }
-      this->room[*endpoint] = this->room[*endpoint] - step.need;
+      EndpointPlan& plan = this->endpoints[*endpoint];
+      plan.room = plan.room - step.need;
+      plan.most_room = plan.most_room - step.need;
+      plan.chosen_for = 0;
       if (step.is_one_per_endpoint) {
         used.insert(*endpoint);
       }
@@ -85,59 +148,106 @@
   }
 
   std::vector<PlannedPreemption> preemptions;
+  PreemptionCost cost;
 
  private:
+  Demand DemandOf(const BlockedStep& step) const {
+    Demand demand{.need = step.need,
+                  .rank = step.rank,
+                  .is_beyond_share = step.is_beyond_share,
+                  .job = std::nullopt};
+    if (this->own_jobs.contains(step.first.job)) {
+      demand.job = step.first.job;
+    }
+    return demand;
+  }
+
+  /// The step before found no endpoint for a task with the same demand, and nothing has changed.
+  bool FailsAsLast(const BlockedStep& step) const {
+    return this->failed != nullptr && !step.is_one_per_endpoint &&
+           !this->failed->is_one_per_endpoint && this->DemandOf(step) == this->demand &&
+           step.endpoints == this->failed->endpoints;
+  }
+
+  /// Choices are kept while consecutive steps have the same demand.
+  void SetDemand(const BlockedStep& step) {
+    const Demand next = this->DemandOf(step);
+    if (this->demand_number == 0 || next != this->demand) {
+      this->demand = next;
+      ++this->demand_number;
+    }
+  }
+
   /// The endpoint with the least room that suffices without another stop.
-  std::optional<std::size_t> FindRoom(const BlockedStep& step,
-                                      const std::set<std::size_t>& used) const {
+  std::optional<std::size_t> FindRoom(const BlockedStep& step, const std::set<std::size_t>& used) {
+    ++this->cost.searches;
     std::optional<std::size_t> best;
     for (const std::size_t endpoint : step.endpoints) {
-      const bool is_better = !best || this->room[endpoint].cpu < this->room[*best].cpu;
-      if (is_better && this->room[endpoint].Fits(step.need) && !used.contains(endpoint)) {
+      const Resources& room = this->endpoints[endpoint].room;
+      const bool is_better = !best || room.cpu < this->endpoints[*best].room.cpu;
+      if (is_better && room.Fits(step.need) && !used.contains(endpoint)) {
         best = endpoint;
       }
     }
     return best;
   }
 
-  /// Stops the cheapest runs that free enough capacity on one endpoint, if there are any.
+  /// Stops the cheapest runs that free enough capacity on one endpoint, if there are any. Only for
+  /// a step without room, so that every choice has runs.
   std::optional<std::size_t> StopFor(const BlockedStep& step, std::size_t position,
                                      const std::set<std::size_t>& used) {
-    if (this->stop_count >= PreemptionPlan::kMaxStops) {
-      return std::nullopt;
-    }
-    std::optional<Choice> best;
+    const Choice* best = nullptr;
+    std::size_t best_endpoint = 0;
     for (const std::size_t endpoint : step.endpoints) {
-      if (used.contains(endpoint)) {
+      EndpointPlan& plan = this->endpoints[endpoint];
+      const double most_work = best == nullptr ? this->allowance : best->discarded_work;
+      if (plan.least_work > most_work || !plan.most_room.Fits(step.need) ||
+          used.contains(endpoint)) {
         continue;
       }
-      std::optional<Choice> choice = this->Choose(step, endpoint);
-      if (choice && (!best || choice->IsCheaperThan(*best))) {
-        best = std::move(choice);
+      const std::optional<Choice>& choice = this->ChoiceOn(plan, step);
+      if (choice && choice->discarded_work <= this->allowance &&
+          (best == nullptr || choice->IsCheaperThan(*best))) {
+        best = &*choice;
+        best_endpoint = endpoint;
       }
     }
-    if (!best || this->stop_count + best->runs.size() > PreemptionPlan::kMaxStops) {
+    if (best == nullptr || this->stop_count + best->runs.size() > PreemptionPlan::kMaxStops) {
       return std::nullopt;
     }
-    PlannedPreemption preemption{.step = position, .endpoint = best->endpoint, .stops = {}};
+    EndpointPlan& plan = this->endpoints[best_endpoint];
+    PlannedPreemption preemption{.step = position, .endpoint = best_endpoint, .stops = {}};
     for (const PreemptibleRun* run : best->runs) {
-      this->room[best->endpoint] = this->room[best->endpoint] + run->capacity;
-      preemption.stops.push_back({run->task, run->saves_progress, DiscardedWork(*run)});
-      std::erase(this->candidates[best->endpoint], run);
+      plan.room = plan.room + run->capacity;
+      preemption.stops.push_back({run->task, run->saves_progress, run->DiscardedWork()});
+      plan.RemoveCandidate(run);
     }
     this->stop_count += best->runs.size();
     this->allowance -= best->discarded_work;
     this->preemptions.push_back(std::move(preemption));
-    return best->endpoint;
+    return best_endpoint;
   }
 
-  std::optional<Choice> Choose(const BlockedStep& step, std::size_t endpoint) const {
-    Choice choice{.endpoint = endpoint};
-    Resources freed = this->room[endpoint];
-    for (const PreemptibleRun* run : this->candidates[endpoint]) {
+  const std::optional<Choice>& ChoiceOn(EndpointPlan& plan, const BlockedStep& step) {
+    if (plan.chosen_for != this->demand_number) {
+      if (!plan.is_sorted) {
+        std::sort(plan.candidates.begin(), plan.candidates.end(), IsCheaper);
+        plan.is_sorted = true;
+      }
+      plan.choice = this->Choose(step, plan);
+      plan.chosen_for = this->demand_number;
+    }
+    return plan.choice;
+  }
+
+  std::optional<Choice> Choose(const BlockedStep& step, const EndpointPlan& plan) {
+    Choice choice;
+    Resources freed = plan.room;
+    for (const PreemptibleRun* run : plan.candidates) {
       if (freed.Fits(step.need)) {
         break;
       }
+      ++this->cost.examined_runs;
       if (GivesWayTo(*run, step)) {
         freed = freed + run->capacity;
         choice.runs.push_back(run);
@@ -156,30 +266,64 @@
       }
     }
     for (const PreemptibleRun* run : choice.runs) {
-      choice.discarded_work += DiscardedWork(*run);
+      choice.discarded_work += run->DiscardedWork();
       choice.stopped_cpu += static_cast<double>(run->capacity.cpu);
       choice.age_ms += run->age_ms;
     }
-    return choice.discarded_work <= this->allowance ? std::optional(choice) : std::nullopt;
+    return choice;
   }
 
-  /// Of each endpoint: capacity that is free now or soon, less what is planned for tasks.
-  std::vector<Resources> room;
-  /// Of each endpoint, the cheapest first.
-  std::vector<RunList> candidates;
+  std::vector<EndpointPlan> endpoints;
+  /// Jobs with both blocked steps and candidates.
+  std::set<JobId> own_jobs;
+  bool has_candidates = false;
+  Demand demand;
+  /// The last step, if it found no endpoint for one of its tasks.
+  const BlockedStep* failed = nullptr;
+  /// Counts the demands, from 1.
+  std::size_t demand_number = 0;
   double allowance;
   std::size_t stop_count = 0;
 };
 
 }  // namespace
 
+bool PreemptibleRun::EndsWithin(double limit_ms) const {
+  return this->is_stopping || (this->remaining_ms && *this->remaining_ms <= limit_ms);
+}
+
+double PreemptibleRun::DiscardedWork() const {
+  return this->saves_progress ? 0 : static_cast<double>(this->capacity.cpu) * this->age_ms;
+}
+
+void BlockedRanks::Add(std::uint32_t rank, bool is_beyond_share) {
+  std::optional<std::uint32_t>& lowest =
+      is_beyond_share ? this->lowest_beyond_share : this->lowest_within_share;
+  lowest = std::min(lowest.value_or(rank), rank);
+}
+
+bool BlockedRanks::MayStop(const PreemptibleRun& run) const {
+  if (!run.may_be_stopped || !run.remaining_ms) {
+    return false;
+  }
+  if (run.is_late || (run.is_beyond_share && this->lowest_within_share)) {
+    return true;
+  }
+  const std::optional<std::uint32_t>& lowest =
+      run.is_beyond_share ? this->lowest_beyond_share : this->lowest_within_share;
+  return lowest && *lowest < run.rank;
+}
+
 std::vector<PlannedPreemption> PreemptionPlan::SelectRunsToStop(
     const std::vector<BlockedStep>& blocked, const std::vector<EndpointRuns>& endpoints,
-    const PreemptionLimits& limits) {
-  Planner planner(endpoints, limits);
-  for (std::size_t i = 0; i < blocked.size(); ++i) {
+    const PreemptionLimits& limits, PreemptionCost* cost) {
+  Planner planner(blocked, endpoints, limits);
+  for (std::size_t i = 0; i < blocked.size() && planner.MayStop(); ++i) {
     planner.Serve(blocked[i], i);
   }
+  if (cost != nullptr) {
+    *cost = planner.cost;
+  }
   return std::move(planner.preemptions);
 }
 
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -153,12 +153,17 @@
     endpoint.used = endpoint.used + capacity;
     team = team + ref.spec->need;
     endpoint.claims.insert(ref.key);
+    ++ref.step->claims;
     ++ref.job->claims;
+    this->claiming_jobs.insert(ref.key.job);
   } else {
     endpoint.used = endpoint.used - capacity;
     team = team - ref.spec->need;
     endpoint.claims.erase(ref.key);
-    --ref.job->claims;
+    --ref.step->claims;
+    if (--ref.job->claims == 0) {
+      this->claiming_jobs.erase(ref.key.job);
+    }
   }
   if (this->options.divides_shares) {
     this->AccountBatchUse(ref, endpoint, is_added);
@@ -368,6 +373,32 @@
   this->RefreshReady(job);
 }
 
+void SchedulerState::VisitClaims(const std::function<void(const TaskRef&)>& visit) {
+  for (const JobId& id : this->claiming_jobs) {
+    JobState* job = this->FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    for (auto& [number, occurrence] : job->occurrences) {
+      for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+        StepState& step = occurrence.steps[i];
+        std::uint32_t left = step.claims;
+        for (std::uint32_t index = 0; left > 0 && index < step.tasks.size(); ++index) {
+          if (step.tasks[index].endpoint != nullptr) {
+            visit({job,
+                   &occurrence,
+                   &step,
+                   &job->job.steps[i],
+                   &step.tasks[index],
+                   {id, number, i, index}});
+            --left;
+          }
+        }
+      }
+    }
+  }
+}
+
 bool SchedulerState::HasStartingTask(const EndpointState& endpoint) {
   return std::any_of(endpoint.claims.begin(), endpoint.claims.end(), [this](const TaskKey& key) {
     const TaskRef ref = this->Find(key);
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "chervilspar/jobs/link_budget.h"
@@ -114,6 +116,8 @@
 struct StepState {
   std::vector<Task> tasks;
   std::uint32_t done = 0;
+  /// Tasks with a claim on an endpoint.
+  std::uint32_t claims = 0;
   /// All steps that it depends on are done.
   bool is_open = false;
   StepAdvice advice;
@@ -368,6 +372,9 @@
   std::uint32_t RankOf(const JobState& job) const;
   /// Recomputes the fields of the job that are derived from the policy.
   void ApplyPolicyTo(JobState& job);
+  /// Calls `visit` for each task with a claim, job by job. Costs a lookup per job, while a walk
+  /// over the claims of the endpoints costs one per task.
+  void VisitClaims(const std::function<void(const TaskRef&)>& visit);
   /// Whether a long-running task on the endpoint isn't ready yet, or may be active there.
   bool HasStartingTask(const EndpointState& endpoint);
   bool IsWithinCap(const JobState& job, const Resources& need) const;
@@ -383,6 +390,8 @@
   /// The wall-clock time of the last decision, in Unix milliseconds.
   std::int64_t wall_ms = 0;
   std::unordered_map<JobId, std::unique_ptr<JobState>> jobs;
+  /// Jobs with claims.
+  std::unordered_set<JobId> claiming_jobs;
   /// Jobs whose cancellation was read before their submission.
   std::set<JobId> cancelled_early;
   std::set<JobId> scheduled;
