DivisionRound: Sum running work by step instead of by task

Cause: to order the running jobs, each division walked the claims of all endpoints and looked up the task, job and sum of each.

Change: it visits the jobs with claims and multiplies the capacity of each step by its claims, which `AccountUsage` counts.

Waiting tasks are still counted one by one: no single place sees all changes of their phase.

--- a/src/jobs/division_round.cc
+++ b/src/jobs/division_round.cc
@@ -221,37 +221,48 @@
 }
 
 std::vector<DivisionRound::RunningJob> DivisionRound::CollectRunning() {
-  std::unordered_map<JobState*, RunningJob> claimed;
-  for (const auto& [id, endpoint] : this->state.endpoints) {
-    for (const TaskKey& key : endpoint->claims) {
-      const TaskRef ref = this->state.Find(key);
-      if (!ref.spec->is_long_running) {
-        RunningJob& entry = claimed[ref.job];
-        entry.in_use = entry.in_use + RequiredCapacity(*ref.spec);
-        const std::int64_t begin_ms = std::int64_t{key.occurrence} * ref.job->job.interval_ms;
-        entry.key.latest_start_ms =
-            std::max(entry.key.latest_start_ms, ref.job->deadline_ms + begin_ms);
-      }
-    }
-  }
   std::vector<RunningJob> running;
-  for (auto& [job, entry] : claimed) {
-    if (this->wall_ms > entry.key.latest_start_ms) {
+  running.reserve(this->state.claiming_jobs.size());
+  for (const JobId& id : this->state.claiming_jobs) {
+    JobState* job = this->state.FindJob(id);
+    std::optional<RunningJob> entry = job == nullptr ? std::nullopt : DescribeRunning(*job);
+    if (!entry) {
+      continue;
+    }
+    if (this->wall_ms > entry->key.latest_start_ms) {
       job->is_beyond_share = false;
       job->are_runs_beyond_share = false;
       continue;
     }
     const auto queue = this->state.policy.queues.find(job->job.queue);
-    entry.key.rank = 1 + (queue == this->state.policy.queues.end() ? 0 : queue->second.priority);
-    entry.key.job = job->job.id;
-    entry.job = job;
-    running.push_back(entry);
+    entry->key.rank = 1 + (queue == this->state.policy.queues.end() ? 0 : queue->second.priority);
+    running.push_back(*entry);
   }
   std::sort(running.begin(), running.end(),
             [](const RunningJob& one, const RunningJob& other) { return one.key < other.key; });
   return running;
 }
 
+std::optional<DivisionRound::RunningJob> DivisionRound::DescribeRunning(JobState& job) {
+  std::optional<RunningJob> entry;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const Step& spec = job.job.steps[i];
+      const std::uint32_t claims = occurrence.steps[i].claims;
+      if (claims == 0 || spec.is_long_running) {
+        continue;
+      }
+      if (!entry) {
+        entry = RunningJob{.key = {.job = job.job.id}, .job = &job, .in_use = {}};
+      }
+      entry->in_use = entry->in_use + Multiply(RequiredCapacity(spec), claims);
+      const std::int64_t begin_ms = std::int64_t{number} * job.job.interval_ms;
+      entry->key.latest_start_ms = std::max(entry->key.latest_start_ms, job.deadline_ms + begin_ms);
+    }
+  }
+  return entry;
+}
+
 void DivisionRound::MarkRunning() {
   std::unordered_map<TeamId, Resources> used;
   for (const RunningJob& entry : this->CollectRunning()) {
--- a/src/jobs/division_round.h
+++ b/src/jobs/division_round.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "jobs/scheduler_state.h"
@@ -52,6 +53,8 @@
   void MarkRunning();
   /// Collects these in their order, and clears the marks of the late ones.
   std::vector<RunningJob> CollectRunning();
+  /// Without the rank; empty if all claims of the job are of long-running tasks.
+  static std::optional<RunningJob> DescribeRunning(JobState& job);
   bool IsBeyond(const TeamId& team, const Resources& used) const;
   void ReportBehind(JobState& job);
 
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -87,6 +87,7 @@
       proof(term_start) {}
 
 JobState* SchedulerState::FindJob(const JobId& id) {
+  ++this->job_lookups;
   const auto found = this->jobs.find(id);
   return found == this->jobs.end() ? nullptr : found->second.get();
 }
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -392,6 +392,8 @@
   std::unordered_map<JobId, std::unique_ptr<JobState>> jobs;
   /// Jobs with claims.
   std::unordered_set<JobId> claiming_jobs;
+  /// The number of calls of `FindJob`; a measure of the cost of a round.
+  std::uint64_t job_lookups = 0;
   /// Jobs whose cancellation was read before their submission.
   std::set<JobId> cancelled_early;
   std::set<JobId> scheduled;
