Jobs: Pass over the jobs that are not over only

Cause: `PoolLoads`, `Outlook`, `CountPending` and `SetPolicy` went through all jobs, and ended jobs are kept for 150 s.

Change: `SchedulerState::open_jobs` lists the jobs that aren't over by id. It is kept by `RefreshReady`, which every change of `IsOver` passes through; `Forget` removes jobs from it. A batch step without waiting tasks and claims is skipped, and one without claims is counted without going through its tasks. `Scheduler::JobsVisited` counts the jobs that passes have examined. A step whose tasks are done is not skipped while one of their runs still has its claim.

The order of the passes is that of the ids instead of the hash table's. The sums are of multiples of one half, which are exact in any order below 2^52, and the readers of `ResourceLoad::waiting` sort it or take its minimum.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -281,6 +281,9 @@
   /// The number of accepted jobs of a queue of which no task has started. May be up to 0.4 s old.
   std::uint64_t PendingIn(const std::string& queue) const;
   std::size_t JobCount() const;
+  /// The number of jobs that passes over all open jobs, such as `PoolLoads` and `Outlook`, have
+  /// examined. Never decreases; a measure of their cost.
+  std::uint64_t JobsVisited() const;
   /// What new jobs can expect. `listed`: the capacity of all VMs that may take work, including
   /// those that are off; 0 if there is no list of VMs. Promises are not included.
   AdmissionOutlook Outlook(const Resources& listed, TimePoint now) const;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -35,12 +35,10 @@
   SchedulerState& state = this->impl->state;
   state.policy = policy;
   state.division.computed.reset();
-  for (const auto& [id, job] : state.jobs) {
-    if (!job->IsOver()) {
-      state.ApplyPolicyTo(*job);
-      state.RefreshReady(*job);
-    }
-  }
+  state.ForEachOpenJob([&state](JobState& job) {
+    state.ApplyPolicyTo(job);
+    state.RefreshReady(job);
+  });
 }
 
 void Scheduler::Impl::RebuildPools() {
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -47,7 +47,7 @@
   void RebuildPools();
   void StopStalledRuns(EndpointState& endpoint, TimePoint now);
   JobProgress ProgressOf(const JobState& job) const;
-  PendingCount CountPending() const;
+  PendingCount CountPending();
   /// The task if its placement in the batch is still current, otherwise an empty reference.
   TaskRef FindRecorded(const TaskKey& key, std::uint64_t run);
   void WithdrawObsoleteStarts(TimePoint now);
--- a/src/jobs/scheduler_outlook.cc
+++ b/src/jobs/scheduler_outlook.cc
@@ -55,7 +55,8 @@
   double on_time_work = 0;
 };
 
-/// The number of a step's tasks that use or wait for endpoints that take work.
+/// The number of a step's tasks that use or wait for endpoints that take work. The step's job isn't
+/// over, so none of them has failed.
 struct TaskCount {
   std::int64_t waiting = 0;
   std::int64_t claimed = 0;
@@ -63,6 +64,10 @@
   std::int64_t active = 0;
 
   explicit TaskCount(const StepState& step) {
+    if (step.claims == 0) {
+      this->waiting = static_cast<std::int64_t>(step.tasks.size() - step.done);
+      return;
+    }
     for (const Task& task : step.tasks) {
       if (task.endpoint != nullptr && task.endpoint->is_cordoned) {
         continue;
@@ -100,11 +105,7 @@
   OutlookRound(SchedulerState& state, const Resources& listed, TimePoint now)
       : state(state), now(now) {
     this->AddCapacity(listed);
-    for (const auto& [id, job] : state.jobs) {
-      if (!job->IsOver()) {
-        this->AddJob(*job);
-      }
-    }
+    state.ForEachOpenJob([this](const JobState& job) { this->AddJob(job); });
   }
 
   AdmissionOutlook Make() {
@@ -169,7 +170,7 @@
     for (const auto& [number, occurrence] : job.occurrences) {
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         const Step& spec = job.job.steps[i];
-        if (spec.is_long_running) {
+        if (spec.is_long_running || !occurrence.steps[i].HasWork()) {
           continue;
         }
         const TaskCount count(occurrence.steps[i]);
--- a/src/jobs/scheduler_ready.cc
+++ b/src/jobs/scheduler_ready.cc
@@ -29,6 +29,11 @@
 }
 
 void SchedulerState::RefreshReady(JobState& job) {
+  if (job.IsOver()) {
+    this->open_jobs.erase(job.job.id);
+  } else {
+    this->open_jobs.emplace(job.job.id, &job);
+  }
   std::optional<ReadyKey> key;
   if (!job.IsOver()) {
     for (const auto& [number, occurrence] : job.occurrences) {
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -224,6 +224,7 @@
 void Scheduler::Forget(const std::vector<JobId>& ids) {
   SchedulerState& state = this->impl->state;
   for (const JobId& id : ids) {
+    state.open_jobs.erase(id);
     state.jobs.erase(id);
     this->impl->forgotten.push_back(id);
   }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -154,11 +154,13 @@
     team = team + ref.spec->need;
     endpoint.claims.insert(ref.key);
     ++ref.job->claims;
+    ++ref.step->claims;
   } else {
     endpoint.used = endpoint.used - capacity;
     team = team - ref.spec->need;
     endpoint.claims.erase(ref.key);
     --ref.job->claims;
+    --ref.step->claims;
   }
   if (this->options.divides_shares) {
     this->AccountBatchUse(ref, endpoint, is_added);
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -114,11 +114,16 @@
 struct StepState {
   std::vector<Task> tasks;
   std::uint32_t done = 0;
+  /// Tasks with a claim on an endpoint.
+  std::uint32_t claims = 0;
   /// All steps that it depends on are done.
   bool is_open = false;
   StepAdvice advice;
 
   bool IsDone() const { return this->done == this->tasks.size(); }
+  /// A task of it waits or has a claim. The run of a task that is done keeps its claim until it has
+  /// stopped.
+  bool HasWork() const { return !this->IsDone() || this->claims > 0; }
 };
 
 struct Occurrence {
@@ -362,8 +367,19 @@
 
   /// Has the job's progress stored with the next batch.
   void MarkDirty(JobState& job);
-  /// Updates the job's position among the waiting jobs, or removes it from them.
+  /// Updates the job's position among the waiting jobs, or removes it from them and from
+  /// `open_jobs`. Called whenever a job may have become over.
   void RefreshReady(JobState& job);
+  /// Calls `visit` for each job that isn't over, in the order of their ids.
+  template <typename Visit>
+  void ForEachOpenJob(Visit visit) {
+    for (const auto& [id, job] : this->open_jobs) {
+      ++this->jobs_visited;
+      if (!job->IsOver()) {
+        visit(*job);
+      }
+    }
+  }
   /// As in `ReadyKey`.
   std::uint32_t RankOf(const JobState& job) const;
   /// Recomputes the fields of the job that are derived from the policy.
@@ -383,6 +399,10 @@
   /// The wall-clock time of the last decision, in Unix milliseconds.
   std::int64_t wall_ms = 0;
   std::unordered_map<JobId, std::unique_ptr<JobState>> jobs;
+  /// Those of `jobs` that aren't over. Ended jobs are kept for minutes, and may be the most.
+  std::map<JobId, JobState*> open_jobs;
+  /// The number of jobs that passes over all open jobs have examined.
+  std::uint64_t jobs_visited = 0;
   /// Jobs whose cancellation was read before their submission.
   std::set<JobId> cancelled_early;
   std::set<JobId> scheduled;
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -44,8 +44,13 @@
          task.state == RunState::kUnconfirmed;
 }
 
+/// Counts the tasks of a job that isn't over, so that none has failed.
 StepCount CountTasks(const StepState& state) {
   StepCount count;
+  if (state.claims == 0) {
+    count.waiting = static_cast<double>(state.tasks.size() - state.done);
+    return count;
+  }
   for (const Task& task : state.tasks) {
     if (IsInCordonedZone(task)) {
       continue;
@@ -87,6 +92,56 @@
   load.concurrent_demand += (count.claimed + (is_open ? count.waiting : 0)) * amount;
 }
 
+/// Adds the tasks of a long-running step to the load of its pool.
+void AddLongRunning(const Step& spec, const StepState& step, PoolLoad& load) {
+  const Resources need = RequiredCapacity(spec);
+  for (const Task& task : step.tasks) {
+    const bool lacks_target =
+        task.lacks_target && task.endpoint != nullptr && task.endpoint->IsLeaving();
+    if (IsInCordonedZone(task) && !lacks_target) {
+      continue;
+    }
+    load.cpu.long_running += static_cast<double>(need.cpu);
+    load.memory.long_running += static_cast<double>(need.memory_mb);
+    load.waiting_long_running += task.IsWaiting() || lacks_target ? 1 : 0;
+  }
+}
+
+/// Adds the remaining work of a job that isn't over to the load of its pool.
+void AddLoadOf(const JobState& job, const SchedulerState& state, PoolLoad& load) {
+  const std::vector<std::int64_t> chains = ChainsFrom(job.job);
+  const ShareOfJob share = ShareOf(job, state);
+  for (const auto& [number, occurrence] : job.occurrences) {
+    const std::int64_t end_ms = job.deadline_ms + std::int64_t{number} * job.job.interval_ms;
+    const bool is_late = state.wall_ms > end_ms;
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const Step& spec = job.job.steps[i];
+      const StepState& step = occurrence.steps[i];
+      if (spec.max_per_endpoint > 0 && !step.IsDone()) {
+        const std::uint32_t limit = spec.max_per_endpoint;
+        const std::uint32_t endpoints = (spec.count + limit - 1) / limit;
+        load.min_endpoints = std::max(load.min_endpoints, static_cast<int>(endpoints));
+      }
+      if (spec.is_long_running) {
+        AddLongRunning(spec, step, load);
+        continue;
+      }
+      if (!step.HasWork()) {
+        continue;
+      }
+      const auto slack_ms = static_cast<double>(end_ms - chains[i] - state.wall_ms);
+      const auto estimate =
+          static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kMinEstimateMs));
+      const StepCount count = CountTasks(step);
+      const Resources need = RequiredCapacity(spec);
+      AddStep(count, step.is_open, is_late, share, static_cast<double>(need.cpu), estimate,
+              slack_ms, load.cpu);
+      AddStep(count, step.is_open, is_late, share, static_cast<double>(need.memory_mb), estimate,
+              slack_ms, load.memory);
+    }
+  }
+}
+
 /// True if some task of the job has had a claim on an endpoint.
 bool WasPlaced(const JobState& job) {
   const auto was_placed = [](const Task& task) { return task.progress.run > 0; };
@@ -146,7 +201,7 @@
 }
 
 std::map<ServiceId, PoolLoad> Scheduler::PoolLoads() const {
-  const SchedulerState& state = this->impl->state;
+  SchedulerState& state = this->impl->state;
   std::map<ServiceId, PoolLoad> loads;
   for (const auto& [name, queue] : state.policy.queues) {
     loads[queue.service];
@@ -156,50 +211,7 @@
     loads[service].memory.arrived = pool.arrived_memory;
     loads[service].arrived_jobs = pool.arrived_jobs;
   }
-  for (const auto& [id, job] : state.jobs) {
-    if (job->IsOver()) {
-      continue;
-    }
-    PoolLoad& load = loads[job->service];
-    const std::vector<std::int64_t> chains = ChainsFrom(job->job);
-    const ShareOfJob share = ShareOf(*job, state);
-    for (const auto& [number, occurrence] : job->occurrences) {
-      const std::int64_t begin_ms = std::int64_t{number} * job->job.interval_ms;
-      for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-        const Step& spec = job->job.steps[i];
-        const StepState& step = occurrence.steps[i];
-        if (spec.max_per_endpoint > 0 && !step.IsDone()) {
-          const std::uint32_t limit = spec.max_per_endpoint;
-          const std::uint32_t endpoints = (spec.count + limit - 1) / limit;
-          load.min_endpoints = std::max(load.min_endpoints, static_cast<int>(endpoints));
-        }
-        if (!spec.is_long_running) {
-          const std::int64_t latest = job->deadline_ms + begin_ms - chains[i];
-          const auto slack_ms = static_cast<double>(latest - this->impl->state.wall_ms);
-          const auto estimate =
-              static_cast<double>(std::max<std::int64_t>(spec.estimate_ms, kMinEstimateMs));
-          const StepCount count = CountTasks(step);
-          const bool is_late = this->impl->state.wall_ms > job->deadline_ms + begin_ms;
-          AddStep(count, step.is_open, is_late, share,
-                  static_cast<double>(RequiredCapacity(spec).cpu), estimate, slack_ms, load.cpu);
-          AddStep(count, step.is_open, is_late, share,
-                  static_cast<double>(RequiredCapacity(spec).memory_mb), estimate, slack_ms,
-                  load.memory);
-          continue;
-        }
-        for (const Task& task : step.tasks) {
-          const bool lacks_target =
-              task.lacks_target && task.endpoint != nullptr && task.endpoint->IsLeaving();
-          if (IsInCordonedZone(task) && !lacks_target) {
-            continue;
-          }
-          load.cpu.long_running += static_cast<double>(RequiredCapacity(spec).cpu);
-          load.memory.long_running += static_cast<double>(RequiredCapacity(spec).memory_mb);
-          load.waiting_long_running += task.IsWaiting() || lacks_target ? 1 : 0;
-        }
-      }
-    }
-  }
+  state.ForEachOpenJob([&](const JobState& job) { AddLoadOf(job, state, loads[job.service]); });
   return loads;
 }
 
@@ -265,20 +277,22 @@
   return waiting.jobs;
 }
 
-PendingCount Scheduler::Impl::CountPending() const {
+PendingCount Scheduler::Impl::CountPending() {
   PendingCount count{.counted_ms = this->state.wall_ms, .queues = {}, .logged_queues = {}};
-  for (const auto& [id, job] : this->state.jobs) {
-    if (job->has_started || job->IsOver()) {
-      continue;
+  this->state.ForEachOpenJob([&count](const JobState& job) {
+    if (job.has_started) {
+      return;
     }
-    WaitingJobs& waiting = count.queues[job->job.queue];
+    WaitingJobs& waiting = count.queues[job.job.queue];
     ++waiting.jobs;
-    waiting.claimed += job->claims > 0 ? 1 : 0;
-    waiting.released += job->claims == 0 && WasPlaced(*job) ? 1 : 0;
-  }
+    waiting.claimed += job.claims > 0 ? 1 : 0;
+    waiting.released += job.claims == 0 && WasPlaced(job) ? 1 : 0;
+  });
   return count;
 }
 
+std::uint64_t Scheduler::JobsVisited() const { return this->impl->state.jobs_visited; }
+
 std::size_t Scheduler::JobCount() const { return this->impl->state.jobs.size(); }
 
 ZoneId Scheduler::ZoneOf(const std::string& id) const {
--- a/tests/jobs/pool_load_test.cc
+++ b/tests/jobs/pool_load_test.cc
@@ -71,5 +71,38 @@
   EXPECT_DOUBLE_EQ(load.cpu.long_running, 1000);
 }
 
+/// A job whose first step is restored with one task that is done; the second step waits for it.
+PoolLoad LoadWithADoneTask(std::uint32_t count, const char* endpoint) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  Step second = World::MakeStep(1);
+  second.after = {0};
+  const Job job = World::MakeJob(1, {World::MakeStep(count), second});
+  world.scheduler.AddJob(job, WallTime{});
+  JobProgress progress;
+  progress.phase = JobPhase::kRunning;
+  progress.rows.push_back({0, 0, 0, {.phase = TaskPhase::kDone, .run = 1}});
+  progress.rows[0].progress.endpoint = endpoint;
+  progress.rows[0].progress.endpoint_born_ms = 1;
+  world.scheduler.RestoreProgress(job.id, progress);
+  return world.scheduler.PoolLoads().at(ServiceId{"desk"});
+}
+
+TEST(PoolLoad, CountsTheOtherTasksOfAStepThatIsPartlyDone) {
+  const PoolLoad load = LoadWithADoneTask(3, "");
+  ASSERT_EQ(load.cpu.waiting.size(), 2U);
+  EXPECT_DOUBLE_EQ(load.cpu.waiting[0].work, 2 * kTaskWork);
+  EXPECT_DOUBLE_EQ(load.cpu.waiting[1].work, kTaskWork);
+  EXPECT_DOUBLE_EQ(load.cpu.concurrent_demand, 2000);
+  EXPECT_DOUBLE_EQ(load.cpu.in_use, 0);
+}
+
+/// Guards against skipping a step that is done as if it used no room, while a run of its tasks may
+/// still be active.
+TEST(PoolLoad, CountsTheRoomOfADoneTaskUntilItsRunHasStopped) {
+  EXPECT_DOUBLE_EQ(LoadWithADoneTask(1, "a").cpu.in_use, 1000);
+  EXPECT_DOUBLE_EQ(LoadWithADoneTask(1, "").cpu.in_use, 0);
+}
+
 }  // namespace
 }  // namespace chervilspar::jobs
