Jobs: Count the long-running claims of an endpoint

Cause: `UsageOf` and `Outlook` looked up every claim of an endpoint only to learn which are long-running, and each VM round called `UsageOf` and `EvacuationOf` several times per VM.

Change: `AccountUsage` keeps the number and the capacity of the long-running claims, with and without a division among accounts. `UsageOf` tells `has_claims` as well, so that `VmDriver::Loads` needs one look-up per VM, `SizerVms` looks an endpoint up again only if it is unknown, and the passes over VMs for evacuations are skipped when no VM is or was to be released or evacuated.

All jobs_test pass, and the tests that print their result show the same figures as before.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -132,6 +132,8 @@
 /// How an endpoint is used; input to the selection of VMs.
 struct EndpointUsage {
   Resources used;
+  bool has_claims = false;
+  /// It has neither claims nor runs that match no claim.
   bool is_empty = false;
   bool has_long_running = false;
   /// It is registered, responsive and not draining. Also true while it is being evacuated.
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -206,6 +206,9 @@
 /// the VM would never become empty. A VM that is removed from the wave, in turn, must not stay
 /// empty.
 void VmDriver::RenewEvacuations(const std::set<VmId>& wanted) {
+  if (this->evacuating.empty() && this->released.empty()) {
+    return;
+  }
   for (const jobs::VmRecord& vm : this->vms) {
     const bool is_wanted = wanted.contains(vm.id) || this->down.contains(vm.id);
     if (!is_wanted && this->evacuating.erase(vm.id) > 0) {
@@ -260,8 +263,8 @@
   std::map<std::string, jobs::EndpointLoad> loads;
   std::map<ServiceId, double> use_of_pool;
   for (const jobs::VmRecord& vm : this->vms) {
-    const jobs::EvacuationState evacuation = this->scheduler.EvacuationOf(vm.endpoint);
-    if (evacuation == jobs::EvacuationState::kUnknownEndpoint) {
+    const std::optional<jobs::EndpointUsage> use = this->scheduler.UsageOf(vm.endpoint);
+    if (!use) {
       continue;
     }
     const auto [use_of, is_new] = use_of_pool.try_emplace(vm.pool, 0.0);
@@ -270,8 +273,7 @@
       const auto used = static_cast<double>(this->scheduler.UsedIn(vm.pool).cpu);
       use_of->second = all > 0 ? used / all : 0;
     }
-    const std::optional<jobs::EndpointUsage> use = this->scheduler.UsageOf(vm.endpoint);
-    loads[vm.endpoint] = {evacuation == jobs::EvacuationState::kEmpty, use && use->has_long_running,
+    loads[vm.endpoint] = {!use->has_claims, use->has_long_running,
                           this->operators.CordonedZones().contains(vm.zone), use_of->second};
   }
   return loads;
@@ -311,11 +313,12 @@
     sized.cpu = static_cast<double>(vm.capacity.cpu);
     sized.memory = static_cast<double>(vm.capacity.memory_mb);
     const auto move = this->moving.find(vm.id);
+    const bool is_registering = !use && this->IsRegistering(vm);
     const bool is_reserved = this->evacuating.contains(vm.id) || this->down.contains(vm.id);
     if (move != this->moving.end()) {
       sized.pool = move->second.pool;
       sized.is_serving = true;
-    } else if (this->IsRegistering(vm)) {
+    } else if (is_registering) {
       sized.is_serving = !is_reserved;
     } else if (use) {
       sized.used = static_cast<double>(use->used.cpu);
@@ -323,7 +326,7 @@
       sized.has_long_running = use->has_long_running;
       sized.is_serving = use->is_serving && !is_reserved;
     }
-    sized.is_pinned = is_reserved || this->IsRegistering(vm) || move != this->moving.end() ||
+    sized.is_pinned = is_reserved || is_registering || move != this->moving.end() ||
                       vm.phase != jobs::VmPhase::kUp;
     out.push_back(std::move(sized));
   }
@@ -331,6 +334,9 @@
 }
 
 void VmDriver::SetReleased(const std::set<VmId>& wanted) {
+  if (wanted.empty() && this->released.empty()) {
+    return;
+  }
   for (const jobs::VmRecord& vm : this->vms) {
     const bool is_wanted = wanted.contains(vm.id);
     if (is_wanted && this->released.insert(vm.id).second) {
--- a/src/jobs/scheduler_outlook.cc
+++ b/src/jobs/scheduler_outlook.cc
@@ -146,13 +146,8 @@
         if (Placement::IsUsable(*endpoint, this->now)) {
           cpu += PositiveCpu(endpoint->record.capacity);
         }
-        for (const TaskKey& key : endpoint->claims) {
-          const TaskRef ref = this->state.Find(key);
-          if (ref && ref.spec->is_long_running) {
-            long_running = long_running + RequiredCapacity(*ref.spec);
-            cpu -= PositiveCpu(RequiredCapacity(*ref.spec));
-          }
-        }
+        long_running = long_running + endpoint->used_by_long_running;
+        cpu -= PositiveCpu(endpoint->used_by_long_running);
       }
       cpu = std::max(cpu, 0.0);
     }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -162,18 +162,19 @@
     --ref.job->claims;
     --ref.step->claims;
   }
-  if (this->options.divides_shares) {
-    this->AccountBatchUse(ref, endpoint, is_added);
+  if (ref.spec->is_long_running) {
+    const Resources change = is_added ? capacity : Resources{} - capacity;
+    endpoint.used_by_long_running = endpoint.used_by_long_running + change;
+    endpoint.long_running_claims += is_added ? 1 : -1;
+  }
+  if (this->options.divides_shares && !ref.spec->is_long_running) {
+    this->AccountBatchUse(ref, is_added);
   }
 }
 
-void SchedulerState::AccountBatchUse(const TaskRef& ref, EndpointState& endpoint, bool is_added) {
+void SchedulerState::AccountBatchUse(const TaskRef& ref, bool is_added) {
   const Resources capacity = RequiredCapacity(*ref.spec);
   const Resources change = is_added ? capacity : Resources{} - capacity;
-  if (ref.spec->is_long_running) {
-    endpoint.used_by_long_running = endpoint.used_by_long_running + change;
-    return;
-  }
   AccountUse& use = this->division.accounts[ref.job->job.team];
   use.in_use = use.in_use + change;
   use.claimed_work += static_cast<double>(change.cpu) *
@@ -371,6 +372,9 @@
 }
 
 bool SchedulerState::HasStartingTask(const EndpointState& endpoint) {
+  if (endpoint.long_running_claims == 0) {
+    return false;
+  }
   return std::any_of(endpoint.claims.begin(), endpoint.claims.end(), [this](const TaskKey& key) {
     const TaskRef ref = this->Find(key);
     const Task& task = *ref.task;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -245,6 +245,8 @@
   /// Reserved for tasks that are moving here from an endpoint that is being evacuated.
   Resources reserved_capacity;
   std::set<TaskKey> claims;
+  /// The number of `claims` by long-running tasks.
+  std::uint32_t long_running_claims = 0;
   /// Runs that match no claim of this process, with the time of their last stop.
   std::map<std::pair<TaskKey, std::uint64_t>, TimePoint> orphaned_runs;
   /// The highest numbers of ends that were processed, stored, and confirmed to the endpoint.
@@ -439,8 +441,8 @@
   std::int64_t CriticalPathMs(const JobState& job, const Occurrence& occurrence) const;
   /// Adds or removes the task's claim in the usage of its endpoint, team and job.
   void AccountUsage(const TaskRef& ref, EndpointState& endpoint, bool is_added);
-  /// The same in the division among accounts.
-  void AccountBatchUse(const TaskRef& ref, EndpointState& endpoint, bool is_added);
+  /// The same for a batch task in the division among accounts.
+  void AccountBatchUse(const TaskRef& ref, bool is_added);
 };
 
 /// The capacity that one task of the step claims on an endpoint; the cpu of a filler isn't counted.
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -190,13 +190,11 @@
   }
   EndpointUsage use;
   use.used = endpoint->used;
-  use.is_empty = endpoint->claims.empty() && endpoint->orphaned_runs.empty();
+  use.has_claims = !endpoint->claims.empty();
+  use.is_empty = !use.has_claims && endpoint->orphaned_runs.empty();
   use.is_silent = endpoint->is_silent;
   use.is_serving = endpoint->is_registered && !endpoint->record.is_draining && !endpoint->is_silent;
-  for (const TaskKey& key : endpoint->claims) {
-    const TaskRef ref = this->impl->state.Find(key);
-    use.has_long_running = use.has_long_running || ref.spec->is_long_running;
-  }
+  use.has_long_running = endpoint->long_running_claims > 0;
   return use;
 }
 
