--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -132,6 +132,8 @@
 /// How an endpoint is used; input to the selection of VMs.
 struct EndpointUsage {
   Resources used;
+  bool has_claims = false;
+  /// It has neither claims nor runs that match no claim.
   bool is_empty = false;
   bool has_long_running = false;
   /// It is registered, responsive and not draining. Also true while it is being evacuated.
@@ -284,6 +286,9 @@
   /// Endpoints that were examined for the placing of tasks since this scheduler began; a measure of
   /// the cost of its rounds.
   std::uint64_t EndpointsExamined() const;
+  /// The number of jobs that passes over all open jobs, such as `PoolLoads` and `Outlook`, have
+  /// examined. Never decreases; a measure of their cost.
+  std::uint64_t JobsVisited() const;
   /// What new jobs can expect. `listed`: the capacity of all VMs that may take work, including
   /// those that are off; 0 if there is no list of VMs. Promises are not included.
   AdmissionOutlook Outlook(const Resources& listed, TimePoint now) const;
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -124,6 +124,9 @@
   StepAdvice advice;
 
   bool IsDone() const { return this->done == this->tasks.size(); }
+  /// A task of it waits or has a claim. The run of a task that is done keeps its claim until it has
+  /// stopped.
+  bool HasWork() const { return !this->IsDone() || this->claims > 0; }
 };
 
 struct Occurrence {
@@ -247,6 +250,8 @@
   /// Reserved for tasks that are moving here from an endpoint that is being evacuated.
   Resources reserved_capacity;
   std::set<TaskKey> claims;
+  /// The number of `claims` by long-running tasks.
+  std::uint32_t long_running_claims = 0;
   /// Runs that match no claim of this process, with the time of their last stop.
   std::map<std::pair<TaskKey, std::uint64_t>, TimePoint> orphaned_runs;
   /// The highest numbers of ends that were processed, stored, and confirmed to the endpoint.
@@ -376,8 +381,19 @@
 
   /// Has the job's progress stored with the next batch.
   void MarkDirty(JobState& job);
-  /// Updates the job's position among the waiting jobs, or removes it from them.
+  /// Updates the job's position among the waiting jobs, or removes it from them and from
+  /// `open_jobs`. Called whenever a job may have become over.
   void RefreshReady(JobState& job);
+  /// Calls `visit` for each job that isn't over, in the order of their ids.
+  template <typename Visit>
+  void ForEachOpenJob(Visit visit) {
+    for (const auto& [id, job] : this->open_jobs) {
+      ++this->jobs_visited;
+      if (!job->IsOver()) {
+        visit(*job);
+      }
+    }
+  }
   /// As in `ReadyKey`.
   std::uint32_t RankOf(const JobState& job) const;
   /// Recomputes the fields of the job that are derived from the policy.
@@ -404,6 +420,10 @@
   std::unordered_set<JobId> claiming_jobs;
   /// The number of calls of `FindJob`; a measure of the cost of a round.
   std::uint64_t job_lookups = 0;
+  /// Those of `jobs` that aren't over. Ended jobs are kept for minutes, and may be the most.
+  std::map<JobId, JobState*> open_jobs;
+  /// The number of jobs that passes over all open jobs have examined.
+  std::uint64_t jobs_visited = 0;
   /// Jobs whose cancellation was read before their submission.
   std::set<JobId> cancelled_early;
   std::set<JobId> scheduled;
@@ -447,8 +467,8 @@
   static void ChangeFreeCapacity(EndpointState& endpoint, const Change& change);
   /// Adds or removes the task's claim in the usage of its endpoint, team and job.
   void AccountUsage(const TaskRef& ref, EndpointState& endpoint, bool is_added);
-  /// The same in the division among accounts.
-  void AccountBatchUse(const TaskRef& ref, EndpointState& endpoint, bool is_added);
+  /// The same for a batch task in the division among accounts.
+  void AccountBatchUse(const TaskRef& ref, bool is_added);
 };
 
 /// The capacity that one task of the step claims on an endpoint; the cpu of a filler isn't counted.
