Placing: Read what long-running tasks use from its count

Each overload plan, 50 ms apart, looked up every run on every endpoint of a pool to learn how much of it is long-running. AccountUsage keeps that sum for each endpoint.

--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -191,10 +191,7 @@
     if (Placement::IsUsable(*endpoint, this->now)) {
       cpu += static_cast<double>(endpoint->record.capacity.cpu) * kUsableCpuShare;
     }
-    for (const TaskKey& key : endpoint->claims) {
-      const TaskRef ref = this->state.Find(key);
-      cpu -= ref.spec->is_long_running ? static_cast<double>(RequiredCapacity(*ref.spec).cpu) : 0;
-    }
+    cpu -= static_cast<double>(endpoint->used_by_long_running.cpu);
   }
   std::vector<UrgentJob> urgent;
   for (const ReadyKey& key : pool.ready) {
