Placing: Look for cordons only where no endpoint may run a task

The look is made only for the reason that needs it and is counted, wanted endpoints are marks by position, at most 256 connections are taken at once, and FreeCpuIndex asserts that it knew the former value.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,6 +1,7 @@
 #include "chervilspar/http/server.h"
 
 #include <atomic>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -29,6 +30,9 @@
 constexpr std::chrono::milliseconds kSweepInterval(100);
 /// Wait after a failed accept, so that a process out of file descriptors doesn't spin.
 constexpr std::chrono::milliseconds kAcceptBackOff(50);
+/// Connections taken from the listen queue at once, so that the requests of earlier ones are
+/// handled in between.
+constexpr std::size_t kMaxTakenInATurn = 256;
 /// How long a stopping server leaves an idle connection open for a request that may be on its way.
 constexpr Duration kDrainIdleTime = std::chrono::seconds(1);
 
@@ -72,7 +76,7 @@
   static asio::awaitable<void> Sweep(std::shared_ptr<State> self, Shard& shard);
   static asio::awaitable<void> Serve(std::shared_ptr<State> self, Shard& shard, tcp::socket socket);
   void Take(tcp::socket socket, Shard& shard);
-  void TakeBacklog(tcp::acceptor& acceptor);
+  void TakeBacklog(tcp::acceptor& acceptor, std::size_t max_count);
   Shard& NextShard();
 
   std::vector<std::unique_ptr<Shard>> shards;
@@ -131,7 +135,7 @@
     co_await acceptor->async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
       self->Take(std::move(socket), shard);
-      self->TakeBacklog(*acceptor);
+      self->TakeBacklog(*acceptor, kMaxTakenInATurn);
     } else if (acceptor->is_open()) {
       back_off.expires_after(kAcceptBackOff);
       co_await back_off.async_wait(asio::redirect_error(asio::use_awaitable, error));
@@ -181,10 +185,10 @@
 /// Closing the listener would reset them. If only one were taken in each turn of a busy thread, the
 /// queue would fill with connections whose callers have given up, and all others would wait behind
 /// those.
-void Server::State::TakeBacklog(tcp::acceptor& acceptor) {
+void Server::State::TakeBacklog(tcp::acceptor& acceptor, std::size_t max_count) {
   error_code error;
   acceptor.non_blocking(true, error);
-  while (!error) {
+  for (std::size_t count = 0; count < max_count && !error; ++count) {
     Shard& shard = this->NextShard();
     tcp::socket socket(*shard.io);
     acceptor.accept(socket, error);
@@ -198,7 +202,7 @@
   this->shared->draining = true;
   asio::post(*this->shards.front()->io, [self = this->shared_from_this()] {
     if (const auto acceptor = self->listener.lock()) {
-      self->TakeBacklog(*acceptor);
+      self->TakeBacklog(*acceptor, std::numeric_limits<std::size_t>::max());
       error_code ignored;
       acceptor->close(ignored);
     }
--- a/src/jobs/free_cpu_index.cc
+++ b/src/jobs/free_cpu_index.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chervilspar/base/assert.h"
+
 #include "jobs/scheduler_state.h"
 
 namespace chervilspar::jobs {
@@ -22,6 +24,7 @@
   const Entry old_entry{former, position};
   const Entry new_entry{current, position};
   const auto from = std::lower_bound(this->entries.begin(), this->entries.end(), old_entry);
+  CHERVILSPAR_ASSERT(from != this->entries.end() && *from == old_entry);
   const auto to = std::lower_bound(this->entries.begin(), this->entries.end(), new_entry);
   if (from < to) {
     std::move(from + 1, to, from);
--- a/src/jobs/free_cpu_index.h
+++ b/src/jobs/free_cpu_index.h
@@ -22,7 +22,7 @@
     friend auto operator<=>(const Entry&, const Entry&) = default;
   };
 
-  /// The list must outlive this object or be replaced by another call.
+  /// Reads the free cpu of all endpoints of a pool anew.
   void Rebuild(const std::vector<EndpointState*>& endpoints);
   /// Call when the free cpu of the endpoint at this position has changed from `former` to
   /// `current`.
@@ -30,7 +30,7 @@
 
   /// Ascending.
   const std::vector<Entry>& Entries() const { return this->entries; }
-  /// The number of entries with less free cpu than `cpu`; the entries from there on have enough.
+  /// The number of entries with less free cpu than `cpu`; from that entry on all have enough.
   std::size_t FirstWith(std::int64_t cpu) const;
 
  private:
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -204,6 +204,7 @@
   }
   const std::vector<EndpointState*>& endpoints = pool->second.endpoints;
   return std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointState* endpoint) {
+    ++this->state.endpoints_examined;
     return endpoint->is_cordoned && !endpoint->IsLeaving() && HasLabelFor(ref, *endpoint) &&
            endpoint->record.capacity.Fits(RequiredCapacity(*ref.spec));
   });
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -95,7 +95,7 @@
 
 void PlacingRound::PlacePool(PoolState& pool) {
   this->reserved.clear();
-  this->wanted.Clear();
+  this->wanted.Begin(pool);
   this->unplaced_jobs = 0;
   std::vector<std::uint32_t> ranks;
   for (auto place = pool.ready.begin(); place != pool.ready.end();) {
@@ -133,12 +133,12 @@
 void PlacingRound::PlaceOnUnwanted(PoolState& pool) {
   const bool has_unwanted =
       std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](EndpointState* endpoint) {
-        return Placement::IsUsable(*endpoint, this->now) && !this->wanted.Contains(endpoint);
+        return Placement::IsUsable(*endpoint, this->now) && !this->wanted.Contains(*endpoint);
       });
   if (this->is_link_full || !has_unwanted) {
     return;
   }
-  this->reserved.insert(this->wanted.All().begin(), this->wanted.All().end());
+  this->reserved.merge(this->wanted.All());
   this->unplaced_jobs = 0;
   auto place = pool.resume_after ? pool.ready.upper_bound(*pool.resume_after) : pool.ready.begin();
   pool.resume_after.reset();
@@ -325,16 +325,18 @@
       if (could_run && this->state.options.preempts) {
         this->blocked.push_back(ref.key);
       }
-      const WaitReason nowhere = this->placement.IsBlockedByCordon(ref)
-                                     ? WaitReason::kCordoned
-                                     : WaitReason::kNoEligibleEndpoint;
-      this->wait_reason = could_run ? WaitReason::kNoCapacity : nowhere;
+      this->wait_reason = could_run ? WaitReason::kNoCapacity : this->ReasonWithoutEndpoint(ref);
       return is_placed && !could_run;
     }
   }
   return is_placed;
 }
 
+WaitReason PlacingRound::ReasonWithoutEndpoint(const TaskRef& ref) const {
+  return this->placement.IsBlockedByCordon(ref) ? WaitReason::kCordoned
+                                                : WaitReason::kNoEligibleEndpoint;
+}
+
 bool PlacingRound::IsReservedByPreemption(const TaskRef& ref) const {
   return this->state.options.preempts && !ref.spec->is_long_running &&
          this->state.reservations.contains(ref.key);
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -56,6 +56,8 @@
   void LogWaitReason(JobState& job);
   /// Runs are being stopped for the task, and their capacity is reserved for it.
   bool IsReservedByPreemption(const TaskRef& ref) const;
+  /// Why a task waits that no endpoint may run now.
+  WaitReason ReasonWithoutEndpoint(const TaskRef& ref) const;
   bool NeedsAdvice(const TaskRef& ref) const;
   /// Whether the owner's link has room for `count` starts like that of this task. If not, the round
   /// ends, so that no job is placed before this one.
--- a/src/jobs/wanted_endpoints.cc
+++ b/src/jobs/wanted_endpoints.cc
@@ -4,11 +4,22 @@
 
 namespace chervilspar::jobs {
 
-void WantedEndpoints::Clear() {
-  this->endpoints.clear();
+void WantedEndpoints::Begin(const PoolState& next) {
+  this->pool = &next;
+  this->is_wanted.assign(next.endpoints.size(), 0);
   this->added.clear();
 }
 
+std::set<EndpointState*> WantedEndpoints::All() const {
+  std::set<EndpointState*> all;
+  for (EndpointState* endpoint : this->pool->endpoints) {
+    if (this->Contains(*endpoint)) {
+      all.insert(endpoint);
+    }
+  }
+  return all;
+}
+
 bool WantedEndpoints::Added::Covers(const TaskRef& ref, const Resources& need) const {
   return ref.spec->required_label == this->label && need.Fits(this->need);
 }
@@ -27,16 +38,16 @@
     std::erase_if(covering->missing, [&](EndpointState* endpoint) {
       const bool could_run = this->CouldRun(ref, need, *endpoint);
       if (could_run) {
-        this->endpoints.insert(endpoint);
+        this->is_wanted[endpoint->position] = 1;
       }
       return could_run;
     });
     return;
   }
   Added one{ref.spec->required_label, need, {}};
-  for (EndpointState* endpoint : this->state.pools.at(ref.job->service).endpoints) {
+  for (EndpointState* endpoint : this->pool->endpoints) {
     if (this->CouldRun(ref, need, *endpoint)) {
-      this->endpoints.insert(endpoint);
+      this->is_wanted[endpoint->position] = 1;
     } else if (endpoint->record.capacity.Fits(need) && Placement::IsUsable(*endpoint, this->now) &&
                Placement::HasLabelFor(ref, *endpoint)) {
       one.missing.push_back(endpoint);
--- a/src/jobs/wanted_endpoints.h
+++ b/src/jobs/wanted_endpoints.h
@@ -12,17 +12,18 @@
 /// The endpoints of one pool on which blocked tasks could run if they were free.
 ///
 /// The blocked tasks of a round are many and alike. What one of them could run on is remembered, so
-/// that the pool is walked again only for a task that asks for less than all before it.
+/// that the pool is walked again only for a task that may run on other endpoints than those before.
 class WantedEndpoints {
  public:
   WantedEndpoints(SchedulerState& state, const Placement& placement, TimePoint now)
       : state(state), placement(placement), now(now) {}
 
-  /// Starts over, for another pool.
-  void Clear();
+  /// Starts over, for this pool.
+  void Begin(const PoolState& pool);
+  /// Adds the endpoints on which the blocked task, which is of this pool, could run.
   void Add(const TaskRef& ref);
-  bool Contains(EndpointState* endpoint) const { return this->endpoints.contains(endpoint); }
-  const std::set<EndpointState*>& All() const { return this->endpoints; }
+  bool Contains(const EndpointState& endpoint) const { return this->is_wanted[endpoint.position]; }
+  std::set<EndpointState*> All() const;
 
  private:
   /// Blocked tasks whose endpoints were added.
@@ -41,7 +42,9 @@
   SchedulerState& state;
   const Placement& placement;
   const TimePoint now;
-  std::set<EndpointState*> endpoints;
+  const PoolState* pool = nullptr;
+  /// By the position in the pool.
+  std::vector<char> is_wanted;
   std::vector<Added> added;
 };
 
--- a/tests/job_entry/round_pause_test.cc
+++ b/tests/job_entry/round_pause_test.cc
@@ -26,7 +26,7 @@
                                 std::chrono::milliseconds(4)},
                       PauseCase{"LongRoundsLeaveFourFifths", std::chrono::milliseconds(12),
                                 std::chrono::milliseconds(48)},
-                      PauseCase{"LeasesDontWaitForever", std::chrono::seconds(3),
+                      PauseCase{"ThePauseIsBounded", std::chrono::seconds(3),
                                 std::chrono::milliseconds(200)}),
     [](const auto& info) { return std::string(info.param.name); });
 
