Orders: Don't repeat a start on an endpoint that is leaving

A start without an answer was sent again whatever the owner had learned of its endpoint since. A worker that had said that it leaves could be told to start a task seconds later (DRAIN). Such a start is now stopped, as one that was tried often enough. Three of four cases of UnansweredStartOnALeavingEndpoint fail before.

--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -72,7 +72,8 @@
   if (this->now - task.last_order_sent < pause) {
     return;
   }
-  const bool may_repeat = !is_cordoned && this->now < task.start_expires;
+  const bool takes_work = task.endpoint->is_registered && !task.endpoint->IsLeaving();
+  const bool may_repeat = takes_work && !is_cordoned && this->now < task.start_expires;
   if (task.start_tries < this->state.options.start_tries && may_repeat) {
     if (this->state.options.budgets_link &&
         !this->state.link.budget.Admits(StartBytes(ref), LinkBudget::Precedence::kHigh,
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -191,6 +191,50 @@
   EXPECT_EQ(world.PhaseOf(1), JobPhase::kComplete);
 }
 
+/// What the owner learns of the endpoint after a start there got no answer.
+struct LeavingCase {
+  const char* name;
+  std::function<void(World&, EndpointRecord)> learn;
+  std::size_t repeated;
+};
+
+/// Guards against a start on a VM that has said that it leaves.
+class UnansweredStartOnALeavingEndpoint : public ::testing::TestWithParam<LeavingCase> {};
+
+TEST_P(UnansweredStartOnALeavingEndpoint, IsNotRepeated) {
+  World world;
+  world.Register({World::Endpoint("a")});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1)}), Wall(world));
+  const StartOrder start = world.Round().starts.at(0);
+  world.scheduler.OnStartAnswered(start, OrderOutcome::kNoAnswer, world.now);
+  GetParam().learn(world, World::Endpoint("a"));
+  world.AdvanceTime(milliseconds(200));
+  const Orders orders = world.Round();
+  EXPECT_EQ(orders.starts.size(), GetParam().repeated);
+  EXPECT_EQ(orders.stops.size(), 1 - GetParam().repeated);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    RunRaces, UnansweredStartOnALeavingEndpoint,
+    ::testing::Values(LeavingCase{"StillThere", [](World&, const EndpointRecord&) {}, 1},
+                      LeavingCase{"Draining",
+                                  [](World& world, EndpointRecord record) {
+                                    record.is_draining = true;
+                                    world.scheduler.SetEndpoints({record}, world.now);
+                                  },
+                                  0},
+                      LeavingCase{"Evacuated",
+                                  [](World& world, const EndpointRecord& record) {
+                                    world.scheduler.BeginEvacuation(record.id);
+                                  },
+                                  0},
+                      LeavingCase{"Gone",
+                                  [](World& world, const EndpointRecord&) {
+                                    world.scheduler.SetEndpoints({}, world.now);
+                                  },
+                                  0}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 /// What happened to the orders to start and to stop a run before its endpoint restarted.
 struct UnansweredStartCase {
   const char* name;
