--- /dev/null
+++ b/review/standin-2/json.cpp
@@ -0,0 +1,2 @@
+// The one translation unit with the header-only build of Boost.JSON.
+#include <boost/json/src.hpp>
