--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -31,6 +31,8 @@
   std::string lease_limit;
   std::string cordon_bound;
   std::string job_partitions;
+  std::string record_limit;
+  std::string append_limit;
   std::string vm_order_pause;
   std::string vm_order_rate;
   std::string vm_move_cost;
@@ -80,6 +82,9 @@
   /// number, and it must never decrease. More partitions raise throughput, as a slow store accepts
   /// only a few appends per second in each, but the owner has to follow each of them.
   std::uint32_t job_partitions = kDefaultJobPartitions;
+  /// The store's limits on the size of one record and of all records of one append, in bytes.
+  std::uint32_t record_limit = 256U * 1024;
+  std::uint32_t append_limit = 2048U * 1024;
   /// Callers' keys are accepted for this long after the last proof that the operators' rules have
   /// been read to their end.
   Duration key_proof_limit = std::chrono::milliseconds(3500);
--- a/include/chervilspar/job_entry/store.h
+++ b/include/chervilspar/job_entry/store.h
@@ -52,8 +52,10 @@
 struct AppendOutcome {
   enum class Kind {
     kStored,
-    /// Definitely not written.
+    /// Definitely not written; a later attempt may succeed.
     kNotStored,
+    /// Definitely not written, and no attempt to write these records can succeed.
+    kRejected,
     /// The store has seen a higher token: another owner writes.
     kFenced,
     /// The sequence number does not follow the last one.
--- a/include/chervilspar/jobs/job.h
+++ b/include/chervilspar/jobs/job.h
@@ -115,6 +115,10 @@
   std::int64_t accepted_ms = 0;
 
   std::uint32_t Occurrences() const { return this->repeats == 0 ? 1 : this->repeats; }
+  /// The number of occurrences of a scheduled job that are due at this time in Unix milliseconds.
+  std::uint32_t DueOccurrences(std::int64_t now_ms) const;
+  /// The number of tasks of one occurrence.
+  std::uint64_t TaskCount() const;
   bool IsScheduled() const { return this->repeats > 0; }
   bool IsLongRunning() const;
 
@@ -124,8 +128,8 @@
 /// The maximum size of a job's payload, from the contract with the callers. A longer one is
 /// rejected.
 inline constexpr std::size_t kMaxPayloadBytes = 4000;
-/// Limits on the size of one job. They keep a single caller from exhausting the memory of an entry,
-/// and keep the stored progress, up to 80 bytes per task, within one record of 256 KiB.
+/// Limits on the size of one job, which keep a single caller from exhausting the memory of an
+/// entry. A job that repeats has more tasks in all, but not at the same time.
 inline constexpr std::uint32_t kMaxSteps = 256;
 inline constexpr std::uint32_t kMaxTasks = 3000;
 
@@ -134,6 +138,9 @@
 
 /// Validates a job. The reason of a failure names the field and the cause.
 Status CheckJob(const Job& job);
+/// Validates a job that is being submitted. Stricter than `CheckJob`, which also has to pass the
+/// jobs that earlier versions have accepted.
+Status CheckSubmission(const Job& job);
 
 /// Encodes a job in its stored form.
 std::string EncodeJob(const Job& job);
--- a/include/chervilspar/jobs/progress.h
+++ b/include/chervilspar/jobs/progress.h
@@ -7,6 +7,7 @@
 
 #include "chervilspar/base/result.h"
 #include "chervilspar/jobs/job.h"
+#include "chervilspar/jobs/occurrence_set.h"
 
 namespace chervilspar::jobs {
 
@@ -64,10 +65,12 @@
   JobPhase phase = JobPhase::kQueued;
   /// When the job ended, in Unix milliseconds; 0 if it hasn't.
   std::int64_t ended_ms = 0;
-  /// Completed occurrences; they have no rows.
-  std::vector<std::uint32_t> complete_occurrences;
+  /// A complete occurrence has rows only while a superfluous run of one of its tasks may be active.
+  OccurrenceSet complete_occurrences;
   /// Sorted by occurrence, step and index.
   std::vector<TaskRow> rows;
+  /// The number of further records that contain the rest of the rows.
+  std::uint32_t further_parts = 0;
 
   bool IsEnded() const;
 
@@ -83,8 +86,14 @@
 };
 
 std::string EncodeProgress(const JobProgress& progress, ProgressForm form);
+/// Encodes as many records as are needed to keep each within `max_bytes`. Exceeds it only for a
+/// record that can't be divided further, as it has a single row or none.
+std::vector<std::string> EncodeProgressParts(const JobProgress& progress, ProgressForm form,
+                                             std::size_t max_bytes);
 /// Decodes either format. The reason of a failure names the first invalid field.
 Result<JobProgress> DecodeProgress(std::string_view text);
+/// Decodes all records of a job, the main one first. Ignores surplus ones.
+Result<JobProgress> DecodeProgressParts(const std::vector<std::string_view>& texts);
 /// Returns true if a valid record is in the compact format.
 bool IsCompactProgress(std::string_view text);
 
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -43,11 +43,13 @@
   friend bool operator==(const DecisionEvent&, const DecisionEvent&) = default;
 };
 
-/// A keyed record to store: the progress of a job, or its removal.
+/// A keyed record to store: the progress of a job or a part of it, or its removal.
 struct ProgressRecord {
   JobId job;
-  /// `nullopt` removes the records of the job.
+  /// `nullopt` removes the record.
   std::optional<std::string> text;
+  /// 0 for the main record, then counting up. All parts of a job have to be stored together.
+  std::uint32_t part = 0;
 
   friend bool operator==(const ProgressRecord&, const ProgressRecord&) = default;
 };
@@ -191,10 +193,11 @@
   /// Restores the stored progress of a job. May only be called while the scheduler is loaded, after
   /// all calls of `AddJob`. A job that has ended may be unknown to `AddJob`.
   void RestoreProgress(const JobId& id, const JobProgress& progress);
-  /// Decodes a stored record and restores it like `RestoreProgress`; returns the decoding error if
-  /// there is one. If `SchedulerOptions::progress_form` is `kRows`, a record in the compact form is
-  /// rewritten with the next batch.
-  Status RestoreStored(const JobId& id, std::string_view text);
+  /// Decodes the stored records of a job, the main one first, and restores them like
+  /// `RestoreProgress`; returns the decoding error if there is one. If
+  /// `SchedulerOptions::progress_form` is `kRows`, records in the compact form are rewritten with
+  /// the next batch.
+  Status RestoreStored(const JobId& id, const std::vector<std::string_view>& parts);
   /// Restores stored lapse notices of any owner. Call after `RestoreProgress` and before
   /// `RecordInterimLeases`.
   void RestoreLapseNotices(const std::vector<LapseNotice>& notices);
@@ -236,8 +239,11 @@
   /// Returns the changes since the last batch. Only one batch may be outstanding: call
   /// `ConfirmBatch` before taking the next.
   Batch TakeBatch();
-  /// Call once the batch is stored. Returns the starts that depended on it.
-  Orders ConfirmBatch(TimePoint now);
+  /// Call once the batch is stored, except for the progress of the jobs in `rejected`, which the
+  /// store will not accept in this form. Returns the starts that depended on the batch. Rejected
+  /// jobs are stored again in smaller records; if these are rejected as well, nothing more of the
+  /// job is started until a later attempt succeeds.
+  Orders ConfirmBatch(TimePoint now, const std::set<JobId>& rejected = {});
   /// Jobs whose end was stored since the last call. Their submissions needn't be kept any longer.
   std::vector<JobId> TakeEndedJobs();
   /// At most `max_count` jobs that ended more than `SchedulerOptions::ended_job_retention` ago.
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include "chervilspar/base/time.h"
 #include "chervilspar/jobs/progress.h"
 
@@ -79,6 +81,8 @@
   double link_rate = 1000;
 
   ProgressForm progress_form = ProgressForm::kRows;
+  /// The maximum size of a progress record, in bytes. Longer progress is stored in several records.
+  std::size_t max_record_bytes = std::size_t{200} * 1024;
 
   /// The time by the local clock after which a lease of this duration that is granted now has
   /// certainly lapsed.
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -62,6 +62,10 @@
   AddFlag(
       app, "--job-partitions", raw.job_partitions,
       "In how many partitions of the store jobs are kept, at most 8; never fewer than before [4]");
+  AddFlag(app, "--record-limit", raw.record_limit,
+          "The largest record that the store accepts, in bytes [262144]");
+  AddFlag(app, "--append-limit", raw.append_limit,
+          "The largest sum of the records that the store accepts at once, in bytes [2097152]");
   AddFlag(app, "--vm-service-compares-tokens", raw.vm_service_compares_tokens,
           "true where the service for VMs refuses orders with an old token [false]");
   AddFlag(app, "--drain-time", raw.drain_time,
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -25,6 +25,8 @@
 constexpr Duration kMaxJobListAge = std::chrono::milliseconds(2500);
 /// Between two removals of the submissions of ended jobs.
 constexpr Duration kDropInterval = std::chrono::milliseconds(2000);
+/// A job id, a separator and the number of a part.
+constexpr std::size_t kMaxProgressKeyBytes = 32;
 /// Maximum number of expired jobs that are dropped at once.
 constexpr std::size_t kMaxDropped = 200;
 
@@ -33,12 +35,14 @@
   options.lease = std::min(options.lease, context.settings.lease_limit);
   options.lease_limit = context.settings.lease_limit;
   options.progress_form = context.settings.progress_form;
+  options.max_record_bytes = context.settings.record_limit - kMaxProgressKeyBytes;
   return options;
 }
 
 void AddRecords(jobs::Batch batch, std::vector<KeyedRecord>& records) {
   for (jobs::ProgressRecord& record : batch.records) {
-    records.push_back({jobs::ToString(record.job), std::move(record.text)});
+    records.push_back(
+        {ProgressKey(jobs::ToString(record.job), record.part), std::move(record.text)});
   }
   for (jobs::LapseRecord& record : batch.lapses) {
     const bool is_lapse = record.kind == jobs::LapseRecord::Kind::kLapse;
@@ -244,18 +248,12 @@
       const auto span = this->context.Measure(telemetry::WorkPart::kRecord);
       AddRecords(this->scheduler.TakeBatch(), records);
     }
-    const bool is_stored = co_await this->StoreRecords(std::move(records));
-    if (!is_stored) {
+    const std::optional<std::set<std::string>> rejected =
+        co_await this->StoreRecords(std::move(records));
+    if (!rejected) {
       co_return;
     }
-    this->vms.OnRecordsStored();
-    if (has_batch) {
-      this->ApplyOperatorSettings();
-      const auto span = this->context.Measure(telemetry::WorkPart::kRecord);
-      this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now()));
-      this->sender.OnStored();
-      this->RequestRound();
-    }
+    this->OnRecordsStored(*rejected, has_batch);
     co_await this->DropExpired();
     const Duration passed = this->context.Now() - begin;
     if (passed < kAppendInterval) {
@@ -264,19 +262,75 @@
   }
 }
 
-asio::awaitable<bool> OwnerTerm::StoreRecords(std::vector<KeyedRecord> records) {
-  if (records.empty()) {
-    co_return !this->is_stopped;
+void OwnerTerm::OnRecordsStored(const std::set<std::string>& rejected, bool has_batch) {
+  std::set<jobs::JobId> jobs;
+  for (const std::string& key : rejected) {
+    if (const std::optional<jobs::JobId> id = jobs::ParseJobId(key)) {
+      jobs.insert(*id);
+    }
   }
+  // A reboot whose record is rejected isn't ordered.
+  if (std::none_of(rejected.begin(), rejected.end(), VmDriver::IsWaveKey)) {
+    this->vms.OnRecordsStored();
+  }
+  if (has_batch) {
+    this->ApplyOperatorSettings();
+    const auto span = this->context.Measure(telemetry::WorkPart::kRecord);
+    this->sender.Send(this->scheduler.ConfirmBatch(this->context.Now(), jobs));
+    this->sender.OnStored();
+    this->RequestRound();
+  }
+}
+
+asio::awaitable<std::optional<std::set<std::string>>> OwnerTerm::StoreRecords(
+    std::vector<KeyedRecord> records) {
   this->link_meter.OnRecords(records);
-  const TimePoint begin = this->context.Now();
-  const FencedWrite written = co_await this->writer.Write(std::move(records), this->is_stopped);
-  if (written == FencedWrite::kSuperseded) {
-    this->Stop("another owner has a higher token");
-  }
-  this->context.metrics.Sample({"chervilspar_progress_append_seconds", {}},
-                               std::chrono::duration<double>(this->context.Now() - begin).count());
-  co_return !this->is_stopped && written == FencedWrite::kStored;
+  std::set<std::string> rejected;
+  for (Append& append : PlanAppends(std::move(records), this->context.settings.append_limit)) {
+    std::optional<std::set<std::string>> keys = co_await this->StoreAppend(std::move(append));
+    if (!keys) {
+      co_return std::nullopt;
+    }
+    rejected.merge(*keys);
+  }
+  if (this->is_stopped) {
+    co_return std::nullopt;
+  }
+  co_return rejected;
+}
+
+asio::awaitable<std::optional<std::set<std::string>>> OwnerTerm::StoreAppend(Append append) {
+  std::set<std::string> rejected;
+  std::vector<Append> remaining;
+  remaining.push_back(std::move(append));
+  while (!remaining.empty()) {
+    Append next = std::move(remaining.back());
+    remaining.pop_back();
+    const TimePoint begin = this->context.Now();
+    const FencedWrite written = co_await this->writer.Write(RecordsOf(next), this->is_stopped);
+    this->context.metrics.Sample(
+        {"chervilspar_progress_append_seconds", {}},
+        std::chrono::duration<double>(this->context.Now() - begin).count());
+    if (written == FencedWrite::kSuperseded) {
+      this->Stop("another owner has a higher token");
+    }
+    if (written == FencedWrite::kRejected && next.size() > 1) {
+      const auto middle = next.begin() + static_cast<std::ptrdiff_t>(next.size() / 2);
+      remaining.emplace_back(middle, next.end());
+      remaining.emplace_back(next.begin(), middle);
+    } else if (written == FencedWrite::kRejected) {
+      const RecordGroup& group = next.front();
+      this->context.metrics.Count({"chervilspar_records_rejected_total", {}});
+      LogEvent(telemetry::LogLevel::kError, "records_rejected", "the store will not accept them",
+               {{"record", group.key},
+                {"records", std::to_string(group.records.size())},
+                {"bytes", std::to_string(group.Size())}});
+      rejected.insert(group.key);
+    } else if (written != FencedWrite::kStored) {
+      co_return std::nullopt;
+    }
+  }
+  co_return rejected;
 }
 
 /// Not with each batch: each append is billed, and only a successor reads what is left.
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -12,6 +12,7 @@
 #include "chervilspar/jobs/scheduler.h"
 
 #include "job_entry/admission_service.h"
+#include "job_entry/append_plan.h"
 #include "job_entry/endpoint_registry.h"
 #include "job_entry/job_log.h"
 #include "job_entry/lease_keeper.h"
@@ -66,8 +67,14 @@
   boost::asio::awaitable<void> AdviceLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> DropEnded();
   boost::asio::awaitable<void> DropExpired();
-  /// False when the term has ended.
-  boost::asio::awaitable<bool> StoreRecords(std::vector<KeyedRecord> records);
+  /// Returns the keys of the groups of records that the store has rejected; nothing when the term
+  /// has ended.
+  boost::asio::awaitable<std::optional<std::set<std::string>>> StoreRecords(
+      std::vector<KeyedRecord> records);
+  /// Stores the groups. If the store rejects them together, divides them to find those that it
+  /// rejects, as the others must not wait for these.
+  boost::asio::awaitable<std::optional<std::set<std::string>>> StoreAppend(Append append);
+  void OnRecordsStored(const std::set<std::string>& rejected, bool has_batch);
   void LoadWave(const KeyedRecord& record);
   /// Decodes the records whose keys begin with `prefix`.
   static std::vector<jobs::LapseNotice> ReadNotices(const std::vector<KeyedRecord>& records,
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -82,6 +82,12 @@
 }
 
 void OwnerTerm::LoadProgress(const std::vector<KeyedRecord>& records) {
+  std::unordered_map<std::string_view, std::string_view> texts;
+  for (const KeyedRecord& record : records) {
+    if (record.value) {
+      texts.emplace(record.key, *record.value);
+    }
+  }
   for (const KeyedRecord& record : records) {
     if (record.value && VmDriver::IsWaveKey(record.key)) {
       this->LoadWave(record);
@@ -91,7 +97,12 @@
     if (!id || !record.value) {
       continue;
     }
-    const Status restored = this->scheduler.RestoreStored(*id, *record.value);
+    std::vector<std::string_view> parts{*record.value};
+    for (auto part = texts.find(ProgressKey(record.key, 1)); part != texts.end();
+         part = texts.find(ProgressKey(record.key, static_cast<std::uint32_t>(parts.size())))) {
+      parts.push_back(part->second);
+    }
+    const Status restored = this->scheduler.RestoreStored(*id, parts);
     if (!restored) {
       LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(restored.LastReason()),
                {}, record.key);
--- a/src/job_entry/progress_writer.cc
+++ b/src/job_entry/progress_writer.cc
@@ -44,6 +44,8 @@
                   {"expected", std::to_string(outcome.expected)}});
         this->sequence = outcome.expected;
         continue;
+      case AppendOutcome::Kind::kRejected:
+        co_return FencedWrite::kRejected;
       case AppendOutcome::Kind::kEndMismatch:
       case AppendOutcome::Kind::kNotStored:
       case AppendOutcome::Kind::kUnknown:
--- a/src/job_entry/progress_writer.h
+++ b/src/job_entry/progress_writer.h
@@ -12,6 +12,8 @@
   kStored,
   /// Another owner has taken over; no further write can succeed.
   kSuperseded,
+  /// Nothing was stored, and the store will never accept these records.
+  kRejected,
   /// Abandoned, as the caller has stopped it.
   kStopped,
 };
@@ -29,7 +31,8 @@
 
   /// Announces the token: from then on, the store refuses the writes of predecessors.
   boost::asio::awaitable<FencedWrite> Announce(const bool& is_stopped);
-  /// Retries until the records are stored, the token is superseded, or `is_stopped` becomes true.
+  /// Retries until the records are stored or rejected, the token is superseded, or `is_stopped`
+  /// becomes true.
   boost::asio::awaitable<FencedWrite> Write(std::vector<KeyedRecord> records,
                                             const bool& is_stopped);
   /// The latest time at which there was certainly no higher token.
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -18,6 +18,8 @@
 constexpr std::uint32_t kMaxPartitions = 1024;
 /// Upper bound on the partitions in use, as the owner follows each of them.
 constexpr std::uint32_t kMaxUsedPartitions = 8;
+constexpr std::uint32_t kMinLimitBytes = 1024;
+constexpr std::uint32_t kMaxLimitBytes = 1024U * 1024 * 1024;
 constexpr double kMinRate = 0.1;
 constexpr double kMaxRate = 100000;
 
@@ -78,10 +80,9 @@
     return number;
   }
 
-  /// A whole number from 1 to `max`.
   std::uint32_t WholeNumber(const char* flag, const std::string& value, std::uint32_t fallback,
-                            std::uint32_t max, const char* what) {
-    const double number = this->Number(flag, value, fallback, 1, max, what);
+                            std::uint32_t min, std::uint32_t max, const char* what) {
+    const double number = this->Number(flag, value, fallback, min, max, what);
     if (number != std::floor(number)) {
       this->Add(flag, '"' + value + "\" should be " + what);
       return fallback;
@@ -208,8 +209,14 @@
   settings.drain_time = check.DurationValue("--drain-time", raw.drain_time, settings.drain_time);
   settings.job_partitions =
       std::min(kMaxUsedPartitions,
-               check.WholeNumber("--job-partitions", raw.job_partitions, settings.job_partitions,
+               check.WholeNumber("--job-partitions", raw.job_partitions, settings.job_partitions, 1,
                                  kMaxPartitions, "a whole number of partitions from 1 to 1024"));
+  settings.record_limit =
+      check.WholeNumber("--record-limit", raw.record_limit, settings.record_limit, kMinLimitBytes,
+                        kMaxLimitBytes, "a whole number of bytes from 1024 to 1073741824");
+  settings.append_limit =
+      check.WholeNumber("--append-limit", raw.append_limit, settings.append_limit, kMinLimitBytes,
+                        kMaxLimitBytes, "a whole number of bytes from 1024 to 1073741824");
   settings.vm_order_rate =
       check.Number("--vm-order-rate", raw.vm_order_rate, settings.vm_order_rate, kMinRate, kMaxRate,
                    "a number of orders per second from 0.1 to 100000");
--- a/src/jobs/compact_progress.cc
+++ b/src/jobs/compact_progress.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "jobs/complete_columns.h"
 #include "jobs/json_columns.h"
 
 namespace chervilspar::jobs {
@@ -14,8 +15,17 @@
 
 namespace {
 
-enum RecordColumn : std::size_t { kJobPhase, kEndpoints, kGroups, kComplete, kEndedMs };
-constexpr const char* kRecordNames[] = {"phase", "endpoints", "groups", "complete", "ended_ms"};
+enum RecordColumn : std::size_t {
+  kJobPhase,
+  kEndpoints,
+  kGroups,
+  kComplete,
+  kEndedMs,
+  kCompleteRanges,
+  kFurtherParts
+};
+constexpr const char* kRecordNames[] = {"phase",    "endpoints",       "groups",       "complete",
+                                        "ended_ms", "complete_ranges", "further_parts"};
 
 enum GroupColumn : std::size_t {
   kPhase,
@@ -230,9 +240,14 @@
   for (const auto& [key, group] : groups) {
     encoded.emplace_back(EncodeGroup(group, incarnations));
   }
-  json::array out{static_cast<int>(progress.phase), EncodeIncarnations(incarnations),
-                  std::move(encoded), json::value_from(progress.complete_occurrences),
-                  progress.ended_ms};
+  CompleteColumns complete = EncodeComplete(progress.complete_occurrences);
+  json::array out{static_cast<int>(progress.phase),
+                  EncodeIncarnations(incarnations),
+                  std::move(encoded),
+                  std::move(complete.numbers),
+                  progress.ended_ms,
+                  std::move(complete.ranges),
+                  progress.further_parts};
   TrimDefaults(out, kGroups + 1);
   return json::serialize(out);
 }
@@ -242,10 +257,10 @@
   JobProgress progress;
   progress.phase = columns.OneOf(kJobPhase, JobPhase::kCancelled);
   progress.ended_ms = columns.Number<std::int64_t>(kEndedMs, 0);
-  for (const json::value& occurrence : columns.List(kComplete)) {
-    progress.complete_occurrences.push_back(
-        NumberAt<std::uint32_t>(occurrence, columns.PathOf(kComplete)));
-  }
+  progress.complete_occurrences =
+      DecodeComplete(columns.List(kComplete), columns.PathOf(kComplete),
+                     columns.List(kCompleteRanges), columns.PathOf(kCompleteRanges));
+  progress.further_parts = columns.Number<std::uint32_t>(kFurtherParts, 0);
   const std::vector<Incarnation> incarnations =
       DecodeIncarnations(columns.List(kEndpoints), columns.PathOf(kEndpoints));
   const json::array& groups = ListAt(columns.At(kGroups), columns.PathOf(kGroups));
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kIdDigits = 16;
+/// The end of the year 9999 in Unix milliseconds.
+constexpr std::int64_t kMaxUnixMs = 253402300799999;
 
 constexpr std::uint16_t CapitalBit(std::size_t digit) {
   return static_cast<std::uint16_t>(1U << digit);
@@ -97,6 +99,25 @@
                      [](const Step& step) { return step.is_long_running; });
 }
 
+std::uint32_t Job::DueOccurrences(std::int64_t now_ms) const {
+  if (now_ms < this->first_due_ms) {
+    return 0;
+  }
+  if (this->interval_ms == 0) {
+    return this->repeats;
+  }
+  const std::int64_t intervals = (now_ms - this->first_due_ms) / this->interval_ms;
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(intervals, this->repeats - 1)) + 1;
+}
+
+std::uint64_t Job::TaskCount() const {
+  std::uint64_t count = 0;
+  for (const Step& step : this->steps) {
+    count += step.count;
+  }
+  return count;
+}
+
 std::string DescribeShape(const Job& job) {
   std::string text;
   for (const Step& step : job.steps) {
@@ -125,16 +146,14 @@
   if (job.steps.empty() || job.steps.size() > kMaxSteps) {
     return InvalidField("steps", "must be 1 to " + std::to_string(kMaxSteps) + " steps");
   }
-  std::uint64_t tasks = 0;
   std::uint32_t number = 0;
   for (const Step& step : job.steps) {
     if (Status status = CheckStep(step, number); !status) {
       return status;
     }
-    tasks += step.count;
     ++number;
   }
-  if (tasks > kMaxTasks) {
+  if (job.TaskCount() > kMaxTasks) {
     return InvalidField("steps", "have more than " + std::to_string(kMaxTasks) + " tasks together");
   }
   if (job.repeats > 0 && (job.interval_ms < 0 || job.first_due_ms < 0)) {
@@ -143,4 +162,20 @@
   return Done{};
 }
 
+Status CheckSubmission(const Job& job) {
+  if (Status status = CheckJob(job); !status) {
+    return status;
+  }
+  if (job.IsScheduled() && (job.first_due_ms > kMaxUnixMs || job.interval_ms > kMaxUnixMs)) {
+    return InvalidField("repeats", "first time and interval must not be after the year 9999");
+  }
+  // Occurrences with long-running tasks don't end, so that the tasks of all of them add up.
+  if (job.IsLongRunning() && job.TaskCount() * job.Occurrences() > kMaxTasks) {
+    return InvalidField("repeats", "the long-running job has more than " +
+                                       std::to_string(kMaxTasks) +
+                                       " tasks in all its occurrences together");
+  }
+  return Done{};
+}
+
 }  // namespace chervilspar::jobs
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -241,12 +241,20 @@
 }
 
 bool PlacingRound::PlaceJob(JobState& job) {
-  bool is_placed = true;
   this->wait_reason = WaitReason::kNone;
+  if (job.is_rejected) {
+    return true;
+  }
+  bool is_placed = true;
+  // A step for which there is no room has none in later occurrences either, of which there may be
+  // thousands.
+  std::vector<int> unplaced(job.job.steps.size(), 0);
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-      if (occurrence.steps[step].is_open && !this->PlaceStep(job, number, step)) {
+      const bool is_skipped = unplaced[step] >= this->state.options.max_unplaced_per_round;
+      if (occurrence.steps[step].is_open && !is_skipped && !this->PlaceStep(job, number, step)) {
         is_placed = false;
+        ++unplaced[step];
       }
     }
   }
--- a/src/jobs/progress.cc
+++ b/src/jobs/progress.cc
@@ -1,10 +1,12 @@
 #include "chervilspar/jobs/progress.h"
 
+#include <algorithm>
 #include <array>
 
 #include <boost/json.hpp>
 
 #include "jobs/compact_progress.h"
+#include "jobs/complete_columns.h"
 #include "jobs/json_columns.h"
 #include "jobs/json_values.h"
 
@@ -62,9 +64,10 @@
 std::string EncodeRows(const JobProgress& progress) {
   json::object out{{"phase", static_cast<int>(progress.phase)}};
   PutUnlessDefault(out, "ended_ms", progress.ended_ms);
-  if (!progress.complete_occurrences.empty()) {
-    out["complete"] = json::value_from(progress.complete_occurrences);
-  }
+  CompleteColumns complete = EncodeComplete(progress.complete_occurrences);
+  PutUnlessDefault(out, "complete", complete.numbers);
+  PutUnlessDefault(out, "complete_ranges", complete.ranges);
+  PutUnlessDefault(out, "further_parts", progress.further_parts);
   if (!progress.rows.empty()) {
     json::array rows;
     for (const TaskRow& row : progress.rows) {
@@ -83,11 +86,13 @@
   JobProgress progress;
   progress.phase = EnumAt(field("phase"), "phase", JobPhase::kCancelled);
   progress.ended_ms = NumberAt<std::int64_t>(field("ended_ms"), "ended_ms");
-  if (const json::value* complete = in.if_contains("complete")) {
-    for (const json::value& occurrence : ListAt(*complete, "complete")) {
-      progress.complete_occurrences.push_back(NumberAt<std::uint32_t>(occurrence, "complete"));
-    }
-  }
+  const auto list = [&in](const char* name) {
+    const json::value* value = in.if_contains(name);
+    return value == nullptr ? json::array() : ListAt(*value, name);
+  };
+  progress.complete_occurrences =
+      DecodeComplete(list("complete"), "complete", list("complete_ranges"), "complete_ranges");
+  progress.further_parts = NumberAt<std::uint32_t>(field("further_parts"), "further_parts");
   if (const json::value* stored = in.if_contains("rows")) {
     const json::array& rows = ListAt(*stored, "rows");
     for (std::size_t i = 0; i < rows.size(); ++i) {
@@ -98,6 +103,28 @@
   return progress;
 }
 
+/// Encodes the rows in `count` records of about the same number of rows.
+std::vector<std::string> EncodeInParts(const JobProgress& progress, ProgressForm form,
+                                       std::size_t count) {
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < count; ++i) {
+    JobProgress part;
+    part.phase = progress.phase;
+    if (i == 0) {
+      part.ended_ms = progress.ended_ms;
+      part.complete_occurrences = progress.complete_occurrences;
+      part.further_parts = static_cast<std::uint32_t>(count - 1);
+    }
+    const auto row_at = [&](std::size_t number) {
+      return progress.rows.begin() +
+             static_cast<std::ptrdiff_t>(progress.rows.size() * number / count);
+    };
+    part.rows.assign(row_at(i), row_at(i + 1));
+    texts.push_back(EncodeProgress(part, form));
+  }
+  return texts;
+}
+
 }  // namespace
 
 const char* ToString(JobPhase phase) { return kPhaseNames[static_cast<std::size_t>(phase)]; }
@@ -112,6 +139,20 @@
   return is_compact ? EncodeCompactProgress(progress) : EncodeRows(progress);
 }
 
+std::vector<std::string> EncodeProgressParts(const JobProgress& progress, ProgressForm form,
+                                             std::size_t max_bytes) {
+  for (std::size_t count = 1;; count *= 2) {
+    count = std::clamp<std::size_t>(count, 1, std::max<std::size_t>(progress.rows.size(), 1));
+    std::vector<std::string> texts = EncodeInParts(progress, form, count);
+    const bool fits = std::all_of(texts.begin(), texts.end(), [max_bytes](const std::string& text) {
+      return text.size() <= max_bytes;
+    });
+    if (fits || count >= progress.rows.size()) {
+      return texts;
+    }
+  }
+}
+
 bool IsCompactProgress(std::string_view text) { return text.starts_with('['); }
 
 Result<JobProgress> DecodeProgress(std::string_view text) {
@@ -127,4 +168,25 @@
   }
 }
 
+Result<JobProgress> DecodeProgressParts(const std::vector<std::string_view>& texts) {
+  Result<JobProgress> progress = DecodeProgress(texts.front());
+  if (!progress) {
+    return progress;
+  }
+  JobProgress whole = *std::move(progress);
+  for (std::size_t i = 1; i <= whole.further_parts; ++i) {
+    const std::string name = "part " + std::to_string(i);
+    if (i >= texts.size()) {
+      return Reason{ErrorCode::kMalformed, name, "is missing"};
+    }
+    const Result<JobProgress> part = DecodeProgress(texts[i]);
+    if (!part) {
+      return Reason{ErrorCode::kMalformed, name, ToString(part.LastReason())};
+    }
+    whole.rows.insert(whole.rows.end(), part->rows.begin(), part->rows.end());
+  }
+  whole.further_parts = 0;
+  return whole;
+}
+
 }  // namespace chervilspar::jobs
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -44,6 +44,7 @@
   for (const EndedRun& ended : report.ended) {
     if (ended.number > endpoint.seen_end) {
       this->ProcessEnd(endpoint, ended, now);
+      endpoint.unstored_ends.emplace(ended.number, ended.task.job);
       endpoint.seen_end = ended.number;
       this->state.has_new_ends = true;
     }
@@ -318,6 +319,7 @@
 void RunTracker::ResetIncarnation(EndpointState& endpoint) {
   FormerLeases::OnNewIncarnation(endpoint);
   endpoint.clock_ms.reset();
+  endpoint.unstored_ends.clear();
   endpoint.seen_end = 0;
   endpoint.stored_end = 0;
   endpoint.confirmed_end = 0;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -149,16 +149,17 @@
   job->ended_ms = progress.ended_ms;
   job->is_failed = progress.phase == JobPhase::kFailed;
   job->is_cancelled = job->is_cancelled || progress.phase == JobPhase::kCancelled;
-  job->complete_occurrences.insert(progress.complete_occurrences.begin(),
-                                   progress.complete_occurrences.end());
-  for (const std::uint32_t number : progress.complete_occurrences) {
-    job->occurrences.erase(number);
+  for (const auto& [begin, end] : progress.complete_occurrences.Ranges()) {
+    job->complete_occurrences.InsertRange(begin, end);
   }
   if (progress.phase == JobPhase::kComplete) {
-    for (std::uint32_t i = 0; i < job->job.Occurrences(); ++i) {
-      job->complete_occurrences.insert(i);
-    }
+    job->complete_occurrences.InsertRange(0, job->job.Occurrences());
   }
+  std::erase_if(job->occurrences, [job](const auto& occurrence) {
+    return job->complete_occurrences.Contains(occurrence.first);
+  });
+  job->next_due = static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(job->complete_occurrences.FirstGap(), job->job.Occurrences()));
   // Without an end date, runs of the job may still be active; its rows list them.
   if (progress.IsEnded() && (progress.ended_ms != 0 || job->job.steps.empty())) {
     job->ended_ms = progress.ended_ms != 0 ? progress.ended_ms : this->impl->state.wall_ms;
@@ -315,6 +316,12 @@
   return {link.budget.Allowance(LinkBudget::Precedence::kHigh, now), link.held_back};
 }
 
+/// A caller may submit a job of which a billion occurrences are due.
+bool Scheduler::Impl::HasRoomForOccurrence(const JobState& job) {
+  const std::uint64_t occurrences = job.occurrences.size();
+  return occurrences == 0 || (occurrences + 1) * job.job.TaskCount() <= kMaxTasks;
+}
+
 void Scheduler::Impl::CreateDueOccurrences(std::int64_t now_ms) {
   for (auto place = this->state.scheduled.begin(); place != this->state.scheduled.end();) {
     JobState* job = this->state.FindJob(*place);
@@ -323,9 +330,9 @@
       continue;
     }
     bool is_changed = false;
-    while (job->next_due < job->job.repeats &&
-           job->job.first_due_ms + job->next_due * job->job.interval_ms <= now_ms) {
-      if (!job->complete_occurrences.contains(job->next_due)) {
+    const std::uint32_t due = job->job.DueOccurrences(now_ms);
+    while (job->next_due < due && HasRoomForOccurrence(*job)) {
+      if (!job->complete_occurrences.Contains(job->next_due)) {
         this->state.GetOrCreateOccurrence(*job, job->next_due);
         is_changed = true;
       }
@@ -367,6 +374,7 @@
   Impl& self = *this->impl;
   self.state.wall_ms = ToUnixMs(wall);
   self.CreateDueOccurrences(self.state.wall_ms);
+  self.RetryRejected(now);
   if (now - self.last_review >= kReviewInterval) {
     self.last_review = now;
     self.tracker.ReleaseExpiredLeases(now);
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -42,7 +42,9 @@
         pacing(this->state),
         preemption(this->state) {}
 
+  /// Creates the occurrences that are due, as many as a job may have open at the same time.
   void CreateDueOccurrences(std::int64_t wall_ms);
+  static bool HasRoomForOccurrence(const JobState& job);
   void EndJobs(std::int64_t wall_ms);
   void RebuildPools();
   void StopStalledRuns(EndpointState& endpoint, TimePoint now);
@@ -51,6 +53,11 @@
   /// The task if its placement in the batch is still current, otherwise an empty reference.
   TaskRef FindRecorded(const TaskKey& key, std::uint64_t run);
   void WithdrawObsoleteStarts(TimePoint now);
+  void AddProgressRecords(JobState& job, Batch& batch);
+  /// Withdraws what depends on progress that the store has rejected, and has it stored again.
+  void OnProgressRejected(JobState& job, std::size_t max_bytes, TimePoint now);
+  void OnEndsStored(EndpointState& endpoint, std::uint64_t end, const std::set<JobId>& rejected);
+  void RetryRejected(TimePoint now);
 
   SchedulerState state;
   RunTracker tracker;
@@ -58,7 +65,13 @@
   Preemption preemption;
   /// Effects of the outstanding batch, applied once it is stored.
   std::vector<std::pair<TaskKey, std::uint64_t>> recorded_starts;
-  std::vector<std::pair<JobId, JobPhase>> recorded_phases;
+  struct RecordedProgress {
+    JobId job;
+    JobPhase phase = JobPhase::kQueued;
+    std::uint32_t further_parts = 0;
+    std::size_t max_bytes = 0;
+  };
+  std::vector<RecordedProgress> recorded_progress;
   struct RecordedEnds {
     std::string endpoint;
     std::int64_t born_ms = 0;
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "jobs/order_round.h"
 #include "jobs/scheduler_impl.h"
@@ -10,6 +11,10 @@
 
 /// A start that is stored with less time than this before it expires is withdrawn.
 constexpr Duration kMinStartTime = std::chrono::milliseconds(500);
+/// Rejected records are stored again in smaller ones down to this size.
+constexpr std::size_t kMinRecordBytes = 1024;
+/// Between two attempts to store the progress of a job whose smallest records are rejected.
+constexpr Duration kRejectedRetryDelay = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -20,14 +25,17 @@
   if (job.ended_ms != 0) {
     return progress;
   }
-  progress.complete_occurrences.assign(job.complete_occurrences.begin(),
-                                       job.complete_occurrences.end());
+  progress.complete_occurrences = job.complete_occurrences;
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
         const TaskProgress& task = occurrence.steps[step].tasks[index].progress;
-        if (task != TaskProgress{}) {
-          progress.rows.push_back({number, step, index, task});
+        if (task == TaskProgress{}) {
+          continue;
+        }
+        progress.rows.push_back({number, step, index, task});
+        if (job.omits_checkpoints) {
+          progress.rows.back().progress.checkpoint.clear();
         }
       }
     }
@@ -35,17 +43,21 @@
   return progress;
 }
 
-Status Scheduler::RestoreStored(const JobId& id, std::string_view text) {
-  const Result<JobProgress> progress = DecodeProgress(text);
+Status Scheduler::RestoreStored(const JobId& id, const std::vector<std::string_view>& parts) {
+  const Result<JobProgress> progress = DecodeProgressParts(parts);
   if (!progress) {
     return progress.LastReason();
   }
   this->RestoreProgress(id, *progress);
   SchedulerState& state = this->impl->state;
   JobState* job = state.FindJob(id);
+  if (job == nullptr) {
+    return Done{};
+  }
+  job->further_parts = static_cast<std::uint32_t>(parts.size() - 1);
+  const bool is_compact = std::any_of(parts.begin(), parts.end(), IsCompactProgress);
   // An older version that reads rows only can be deployed again once all entries have stored rows.
-  if (job != nullptr && state.options.progress_form == ProgressForm::kRows &&
-      IsCompactProgress(text)) {
+  if (state.options.progress_form == ProgressForm::kRows && is_compact) {
     state.ReportEvent({"progress_rewritten", {}, id, "", "was stored in the compact form"});
     state.MarkDirty(*job);
   }
@@ -62,6 +74,22 @@
          !self.state.long_lease_changes.empty();
 }
 
+void Scheduler::Impl::AddProgressRecords(JobState& job, Batch& batch) {
+  const std::size_t max_bytes = job.max_record_bytes.value_or(this->state.options.max_record_bytes);
+  std::vector<std::string> texts =
+      EncodeProgressParts(this->ProgressOf(job), this->state.options.progress_form, max_bytes);
+  std::size_t largest = 0;
+  std::uint32_t part = 0;
+  for (std::string& text : texts) {
+    largest = std::max(largest, text.size());
+    batch.records.push_back({job.job.id, std::move(text), part++});
+  }
+  this->recorded_progress.push_back({job.job.id, job.Phase(), part - 1, largest});
+  for (; part <= job.further_parts; ++part) {
+    batch.records.push_back({job.job.id, std::nullopt, part});
+  }
+}
+
 Batch Scheduler::TakeBatch() {
   Impl& self = *this->impl;
   CHERVILSPAR_ASSERT(!self.is_batch_outstanding);
@@ -72,6 +100,7 @@
     }
   }
   self.EndJobs(self.state.wall_ms);
+  self.state.DropCompleteOccurrences();
   Batch batch;
   for (const JobId& id : self.state.dirty) {
     JobState* job = self.state.FindJob(id);
@@ -79,9 +108,7 @@
       continue;
     }
     job->is_dirty = false;
-    batch.records.push_back(
-        {id, EncodeProgress(self.ProgressOf(*job), self.state.options.progress_form)});
-    self.recorded_phases.emplace_back(id, job->Phase());
+    self.AddProgressRecords(*job, batch);
     for (const auto& [number, occurrence] : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
@@ -151,14 +178,75 @@
   }
 }
 
-Orders Scheduler::ConfirmBatch(TimePoint now) {
+void Scheduler::Impl::OnProgressRejected(JobState& job, std::size_t max_bytes, TimePoint now) {
+  std::string next;
+  if (max_bytes > kMinRecordBytes) {
+    job.max_record_bytes = std::max(max_bytes / 2, kMinRecordBytes);
+    next = "storing it in records of at most " + std::to_string(*job.max_record_bytes) + " bytes";
+  } else if (!job.omits_checkpoints) {
+    job.omits_checkpoints = true;
+    next = "storing it without checkpoints";
+  } else {
+    job.is_rejected = true;
+    this->state.rejected[job.job.id] = now + kRejectedRetryDelay;
+    next = "nothing of the job is started until it can be stored";
+  }
+  this->state.MarkDirty(job);
+  this->state.ReportEvent({"progress_rejected", {}, job.job.id, "", std::move(next)});
+  for (const auto& [key, run] : this->recorded_starts) {
+    if (key.job != job.job.id) {
+      continue;
+    }
+    if (const TaskRef ref = this->FindRecorded(key, run)) {
+      this->state.Release(ref);
+    }
+  }
+}
+
+void Scheduler::Impl::RetryRejected(TimePoint now) {
+  std::erase_if(this->state.rejected, [&](const auto& entry) {
+    if (now < entry.second) {
+      return false;
+    }
+    if (JobState* job = this->state.FindJob(entry.first)) {
+      job->is_dirty = true;
+      this->state.dirty.push_back(entry.first);
+    }
+    return true;
+  });
+}
+
+/// An endpoint may drop all ends up to the one that is confirmed to it. So the ends of a job whose
+/// progress isn't stored hold back those after them.
+void Scheduler::Impl::OnEndsStored(EndpointState& endpoint, std::uint64_t end,
+                                   const std::set<JobId>& rejected) {
+  std::map<std::uint64_t, JobId>& unstored = endpoint.unstored_ends;
+  while (!unstored.empty() && unstored.begin()->first <= end) {
+    const JobState* job = this->state.FindJob(unstored.begin()->second);
+    if (job != nullptr && (job->is_rejected || rejected.contains(job->job.id))) {
+      endpoint.stored_end = std::max(endpoint.stored_end, unstored.begin()->first - 1);
+      return;
+    }
+    unstored.erase(unstored.begin());
+  }
+  endpoint.stored_end = end;
+}
+
+Orders Scheduler::ConfirmBatch(TimePoint now, const std::set<JobId>& rejected) {
   Impl& self = *this->impl;
   CHERVILSPAR_ASSERT(self.is_batch_outstanding);
   self.is_batch_outstanding = false;
   Orders orders;
-  for (const auto& [id, phase] : self.recorded_phases) {
-    if (JobState* job = self.state.FindJob(id)) {
+  for (const auto& [id, phase, further_parts, max_bytes] : self.recorded_progress) {
+    JobState* job = self.state.FindJob(id);
+    if (job != nullptr && rejected.contains(id)) {
+      self.OnProgressRejected(*job, max_bytes, now);
+    } else if (job != nullptr) {
       job->stored_phase = phase;
+      job->further_parts = further_parts;
+      if (std::exchange(job->is_rejected, false)) {
+        this->impl->state.MarkDirty(*job);  // It may have changed since the batch was taken.
+      }
       if (job->ended_ms != 0 && job->Phase() == phase && !job->is_dirty) {
         self.ended_stored.push_back(id);
       }
@@ -167,7 +255,7 @@
   for (const Impl::RecordedEnds& ends : self.recorded_ends) {
     EndpointState* endpoint = self.state.FindEndpoint(ends.endpoint);
     if (endpoint != nullptr && endpoint->born_ms == ends.born_ms) {
-      endpoint->stored_end = ends.end;
+      self.OnEndsStored(*endpoint, ends.end, rejected);
     }
   }
   for (const std::string& id : self.recorded_lapse_drops) {
@@ -194,7 +282,7 @@
     }
     orders.starts.push_back(round.StartOf(ref));
   }
-  self.recorded_phases.clear();
+  self.recorded_progress.clear();
   self.recorded_ends.clear();
   self.recorded_starts.clear();
   return orders;
@@ -225,6 +313,7 @@
   SchedulerState& state = this->impl->state;
   for (const JobId& id : ids) {
     state.open_jobs.erase(id);
+    state.rejected.erase(id);
     state.jobs.erase(id);
     this->impl->forgotten.push_back(id);
   }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -59,6 +59,11 @@
                      [](const StepState& step) { return step.IsDone(); });
 }
 
+bool Occurrence::HasClaims() const {
+  return std::any_of(this->steps.begin(), this->steps.end(),
+                     [](const StepState& step) { return step.claims > 0; });
+}
+
 JobPhase JobState::Phase() const {
   if (this->is_cancelled) {
     return JobPhase::kCancelled;
@@ -151,10 +156,29 @@
                     [&](std::uint32_t earlier) { return occurrence.steps[earlier].IsDone(); });
   }
   if (occurrence.IsDone()) {
-    job.complete_occurrences.insert(number);
+    job.complete_occurrences.Insert(number);
+    this->complete_occurrences.emplace(job.job.id, number);
   }
 }
 
+void SchedulerState::DropCompleteOccurrences() {
+  std::erase_if(this->complete_occurrences, [this](const auto& complete) {
+    JobState* job = this->FindJob(complete.first);
+    if (job == nullptr) {
+      return true;
+    }
+    const auto occurrence = job->occurrences.find(complete.second);
+    if (occurrence == job->occurrences.end()) {
+      return true;
+    }
+    if (occurrence->second.HasClaims()) {
+      return false;
+    }
+    job->occurrences.erase(occurrence);
+    return true;
+  });
+}
+
 template <typename Change>
 void SchedulerState::ChangeFreeCapacity(EndpointState& endpoint, const Change& change) {
   const std::int64_t former = endpoint.FreeCapacity().cpu;
@@ -435,7 +459,7 @@
 }
 
 void SchedulerState::MarkDirty(JobState& job) {
-  if (!job.is_dirty) {
+  if (!job.is_dirty && !job.is_rejected) {
     job.is_dirty = true;
     this->dirty.push_back(job.job.id);
   }
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -133,6 +133,7 @@
   std::vector<StepState> steps;
 
   bool IsDone() const;
+  bool HasClaims() const;
 };
 
 /// Why the next task of a job has no endpoint.
@@ -184,8 +185,17 @@
   /// The phase that was stored last.
   JobPhase stored_phase = JobPhase::kQueued;
   std::map<std::uint32_t, Occurrence> occurrences;
-  std::set<std::uint32_t> complete_occurrences;
+  OccurrenceSet complete_occurrences;
+  /// Occurrences below this were created.
   std::uint32_t next_due = 0;
+  /// The number of further records that its stored progress takes.
+  std::uint32_t further_parts = 0;
+  /// The size limit of its records once the store has rejected larger ones.
+  std::optional<std::size_t> max_record_bytes;
+  /// Its records would be rejected with the checkpoints of its tasks.
+  bool omits_checkpoints = false;
+  /// The store rejects its records however small they are. Nothing is placed until it accepts one.
+  bool is_rejected = false;
   /// Tasks with a claim on an endpoint.
   std::uint32_t claims = 0;
   std::optional<ReadyKey> ready;
@@ -201,7 +211,7 @@
   /// The last reason logged for a late job; each change is logged once.
   WaitReason reported_wait_reason = WaitReason::kNone;
 
-  bool IsComplete() const { return this->complete_occurrences.size() == this->job.Occurrences(); }
+  bool IsComplete() const { return this->complete_occurrences.Size() == this->job.Occurrences(); }
   JobPhase Phase() const;
   /// No task of the job will be started any more.
   bool IsOver() const { return this->is_cancelled || this->is_failed || this->IsComplete(); }
@@ -254,6 +264,8 @@
   std::uint32_t long_running_claims = 0;
   /// Runs that match no claim of this process, with the time of their last stop.
   std::map<std::pair<TaskKey, std::uint64_t>, TimePoint> orphaned_runs;
+  /// The jobs of the ends that are processed and not stored, by the numbers of the ends.
+  std::map<std::uint64_t, JobId> unstored_ends;
   /// The highest numbers of ends that were processed, stored, and confirmed to the endpoint.
   std::uint64_t seen_end = 0;
   std::uint64_t stored_end = 0;
@@ -356,6 +368,8 @@
   /// Opens the steps whose dependencies are done, and marks the occurrence complete if all are
   /// done.
   void Advance(JobState& job, std::uint32_t number);
+  /// Forgets the tasks of complete occurrences, except where a run of a task may still be active.
+  void DropCompleteOccurrences();
 
   /// Reserves capacity for a task that is being moved to `endpoint`; replaces its last reservation.
   void ReserveCapacity(const TaskRef& ref, EndpointState& endpoint, TimePoint until);
@@ -443,7 +457,11 @@
   std::map<TeamId, Resources> team_usage;
   AccountDivision division;
   LinkState link;
+  /// Complete occurrences whose tasks are still known.
+  std::set<std::pair<JobId, std::uint32_t>> complete_occurrences;
   std::vector<JobId> dirty;
+  /// Jobs of which the store rejects all records, with the times of the next attempts.
+  std::map<JobId, TimePoint> rejected;
   /// Tasks whose start or stop may have to be repeated.
   std::set<TaskKey> retry_candidates;
   std::vector<ThrottleOrder> paces;
--- a/tests/job_entry/fake_store.cc
+++ b/tests/job_entry/fake_store.cc
@@ -17,6 +17,18 @@
 
 }  // namespace
 
+bool FakeStore::Accepts(const std::vector<KeyedRecord>& records) const {
+  std::size_t total = 0;
+  for (const KeyedRecord& record : records) {
+    const std::size_t size = 1 + record.key.size() + record.value.value_or("").size();
+    if (size > this->max_record_bytes) {
+      return false;
+    }
+    total += size;
+  }
+  return total <= this->max_append_bytes;
+}
+
 asio::awaitable<void> FakeStoreLink::Wait(Duration duration) {
   asio::steady_timer timer(this->store.io, duration);
   boost::system::error_code ignored;
@@ -63,6 +75,10 @@
     co_return outcome;
   }
   ++this->appends;
+  if (this->rejects_appends) {
+    outcome.kind = AppendOutcome::Kind::kRejected;
+    co_return outcome;
+  }
   if (this->refuse_appends > 0) {
     --this->refuse_appends;
     outcome.kind = AppendOutcome::Kind::kNotStored;
@@ -104,6 +120,14 @@
     next += !is_repeat && !records.empty() ? 1 : 0;
   }
   outcome.offset = at.records.size();
+  if (!is_repeat && !this->store.Accepts(records)) {
+    if (writer) {
+      --at.next_sequence[writer->name];
+    }
+    ++this->store.rejected_appends;
+    outcome.kind = AppendOutcome::Kind::kRejected;
+    co_return outcome;
+  }
   if (!is_repeat) {
     at.records.insert(at.records.end(), records.begin(), records.end());
   }
--- a/tests/job_entry/fake_store.h
+++ b/tests/job_entry/fake_store.h
@@ -30,6 +30,7 @@
     Duration time_to_live{};
   };
 
+  bool Accepts(const std::vector<KeyedRecord>& records) const;
   Partition& At(Topic topic, std::uint32_t partition) {
     return this->partitions[{topic, partition}];
   }
@@ -45,6 +46,10 @@
   /// If set, a partition executes appends one after the other and refuses an append that would wait
   /// for longer than this.
   std::optional<Duration> max_queue_time;
+  /// Appends with a larger record, or with more bytes in all, are rejected.
+  std::size_t max_record_bytes = std::size_t{256} * 1024;
+  std::size_t max_append_bytes = std::size_t{2048} * 1024;
+  int rejected_appends = 0;
   /// The store doesn't answer or execute any call.
   bool is_down = false;
 };
@@ -81,6 +86,8 @@
   int lose_answers = 0;
   /// After a lost answer, all further appends are refused.
   bool refuses_after_loss = false;
+  /// All appends are rejected for good.
+  bool rejects_appends = false;
   int appends = 0;
   /// Reads of a topic's newest records that are in progress.
   std::map<Topic, int> reads;
--- a/tests/jobs/job_test.cc
+++ b/tests/jobs/job_test.cc
@@ -96,6 +96,52 @@
                        "steps/0/estimate"}),
     [](const auto& info) { return info.param.name; });
 
+class InvalidSubmissions : public ::testing::TestWithParam<InvalidJobCase> {};
+
+/// Guards against a job that is accepted and then needs more than an owner can hold, and against a
+/// stored one of an older version that is no longer read.
+TEST_P(InvalidSubmissions, NameTheFieldAndAreReadFromTheStore) {
+  Job job = ValidJob();
+  GetParam().modify(job);
+  const Status status = CheckSubmission(job);
+  EXPECT_EQ(status.HasValue(), GetParam().field == nullptr);
+  if (!status && GetParam().field != nullptr) {
+    EXPECT_EQ(status.LastReason().field, GetParam().field);
+  }
+  EXPECT_TRUE(DecodeJob(EncodeJob(job)));
+}
+
+INSTANTIATE_TEST_SUITE_P(Shapes, InvalidSubmissions,
+                         ::testing::Values(InvalidJobCase{"valid", [](Job&) {}, nullptr},
+                                           InvalidJobCase{
+                                               "most_repeats",
+                                               [](Job& job) { job.repeats = 0x7fffffff; }, nullptr},
+                                           InvalidJobCase{"long_running",
+                                                          [](Job& job) {
+                                                            job.steps[0].is_long_running = true;
+                                                            job.repeats = kMaxTasks;
+                                                          },
+                                                          nullptr},
+                                           InvalidJobCase{"long_running_too_often",
+                                                          [](Job& job) {
+                                                            job.steps[0].is_long_running = true;
+                                                            job.repeats = kMaxTasks + 1;
+                                                          },
+                                                          "repeats"},
+                                           InvalidJobCase{"endless_interval",
+                                                          [](Job& job) {
+                                                            job.repeats = 2;
+                                                            job.interval_ms = INT64_MAX;
+                                                          },
+                                                          "repeats"},
+                                           InvalidJobCase{"no_first_time",
+                                                          [](Job& job) {
+                                                            job.repeats = 2;
+                                                            job.first_due_ms = INT64_MAX;
+                                                          },
+                                                          "repeats"}),
+                         [](const auto& info) { return info.param.name; });
+
 rc::Gen<Step> ArbitraryStep() {
   return rc::gen::exec([] {
     Step step;
--- a/tests/jobs/progress_test.cc
+++ b/tests/jobs/progress_test.cc
@@ -170,7 +170,9 @@
     JobProgress progress;
     progress.phase = static_cast<JobPhase>(*rc::gen::inRange(0, 5));
     progress.ended_ms = *rc::gen::element<std::int64_t>(0, 1733212345678);
-    progress.complete_occurrences = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
+    for (const std::uint32_t number : *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
+      progress.complete_occurrences.Insert(number);
+    }
     const auto positions =
         *rc::gen::container<std::set<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
             rc::gen::tuple(rc::gen::element<std::uint32_t>(0, 1, 0xffffffff),
@@ -200,6 +202,20 @@
   }
 }
 
+/// Guards against a record that the store rejects for its size.
+RC_GTEST_PROP(ProgressCodec, ReadsBackPartsOfLimitedSize, ()) {
+  const JobProgress progress = *ArbitraryProgress();
+  const auto max_bytes = *rc::gen::inRange<std::size_t>(1, 4000);
+  const std::vector<std::string> texts = EncodeProgressParts(progress, *ArbitraryForm(), max_bytes);
+  const std::vector<std::string_view> parts(texts.begin(), texts.end());
+  const Result<JobProgress> read = DecodeProgressParts(parts);
+  RC_ASSERT(read.HasValue());
+  RC_ASSERT(*read == progress);
+  for (const std::string& text : texts) {
+    RC_ASSERT(text.size() <= max_bytes || DecodeProgress(text)->rows.size() <= 1);
+  }
+}
+
 RC_GTEST_PROP(ProgressCodec, RejectsBytesThatAreNoProgress, (const std::string& bytes)) {
   RC_ASSERT(!DecodeProgress(bytes).HasValue());
 }
--- a/tests/jobs/scheduler_harness.h
+++ b/tests/jobs/scheduler_harness.h
@@ -106,7 +106,13 @@
     }
     const Batch batch = this->scheduler.TakeBatch();
     for (const ProgressRecord& record : batch.records) {
-      this->stored[record.job] = record.text.value_or("");
+      if (record.part > 0 && record.text) {
+        this->further_parts[record.job][record.part] = *record.text;
+      } else if (record.part > 0) {
+        this->further_parts[record.job].erase(record.part);
+      } else {
+        this->stored[record.job] = record.text.value_or("");
+      }
     }
     for (const LapseRecord& record : batch.lapses) {
       const bool is_lapse = record.kind == LapseRecord::Kind::kLapse;
@@ -150,6 +156,7 @@
   TimePoint now = TimePoint{} + std::chrono::seconds(1);
   std::vector<EndpointRecord> endpoints;
   std::map<JobId, std::string> stored;
+  std::map<JobId, std::map<std::uint32_t, std::string>> further_parts;
   /// Lapse notices by endpoint.
   std::map<std::string, std::string> lapses;
   std::map<std::string, std::string> long_leases;
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -271,7 +271,7 @@
   Harness harness(options, 2);
   harness.scheduler.AddJob(this->job, WallTime{});
   const std::string record = EncodeProgress(this->progress, GetParam());
-  ASSERT_TRUE(harness.scheduler.RestoreStored(JobId{1}, record));
+  ASSERT_TRUE(harness.scheduler.RestoreStored(JobId{1}, {record}));
   harness.Store();
   const bool was_compact = GetParam() == ProgressForm::kCompact;
   ASSERT_EQ(harness.stored.size(), was_compact ? 1U : 0U);
@@ -287,7 +287,7 @@
   Harness harness(options, 2);
   harness.scheduler.AddJob(this->job, WallTime{});
   const std::string record = EncodeProgress(this->progress, GetParam());
-  ASSERT_TRUE(harness.scheduler.RestoreStored(JobId{1}, record));
+  ASSERT_TRUE(harness.scheduler.RestoreStored(JobId{1}, {record}));
   harness.Store();
   EXPECT_TRUE(harness.stored.empty());
 }
@@ -303,7 +303,7 @@
 TEST(StoredRecords, AreRefusedByTheFieldThatCannotBeRead) {
   Harness harness({}, 2);
   harness.scheduler.AddJob(Harness::MakeJob(1, {Harness::MakeStep(1)}), WallTime{});
-  const Status restored = harness.scheduler.RestoreStored(JobId{1}, "[1,[],[[9,0,[1]]]]");
+  const Status restored = harness.scheduler.RestoreStored(JobId{1}, {"[1,[],[[9,0,[1]]]]"});
   ASSERT_FALSE(restored);
   EXPECT_EQ(restored.LastReason().field, "groups/0/phase");
 }
--- a/tests/soak/store_server.cc
+++ b/tests/soak/store_server.cc
@@ -133,6 +133,8 @@
       co_return Answer(412, {});
     case AppendOutcome::Kind::kNotStored:
       co_return Answer(503, {});
+    case AppendOutcome::Kind::kRejected:
+      co_return Answer(413, {});
     case AppendOutcome::Kind::kUnknown:
       break;
   }
