JobEntry: Refuse submissions that are larger than a record

A job with long labels, images or lists of earlier steps can be larger than a record of the store. Its caller was told with 503 to come back, for ever, and the submissions of other callers that shared its append were refused with it.

A refusal by the store that can't pass was taken for one that does, and appends were bounded by their number of records only. The records of ended jobs were dropped in one append, however many had ended during an outage.

Change: such a job is answered 413 at once, with its size and the limit. If the store rejects an append for good, each write of it is tried alone.

Evidence: Verdicts.MatchWhatIsStored/rejects_the_record, WriterBesideARejectedRecord and WriterOfLargeRecords pass; they need the verdict kRejected, which the code before doesn't have.

--- a/src/job_entry/caller_handler.cc
+++ b/src/job_entry/caller_handler.cc
@@ -1,5 +1,7 @@
 #include "job_entry/caller_handler.h"
 
+#include "job_entry/append_plan.h"
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
@@ -110,7 +112,7 @@
   job.accepted_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                         this->context.clock.WallNow().time_since_epoch())
                         .count();
-  if (const Status status = jobs::CheckJob(job); !status) {
+  if (const Status status = jobs::CheckSubmission(job); !status) {
     this->Count("submit", 400);
     co_return http::ErrorResponse(400, "invalid_argument", ToString(status.LastReason()));
   }
@@ -131,6 +133,14 @@
     co_return RetryLaterResponse(429, refusal->code, refusal->message, refusal->return_after_s);
   }
   KeyedRecord record{SubmissionKey(job.id), jobs::EncodeJob(job)};
+  if (SizeInAppend(record) > this->context.settings.record_limit) {
+    this->Count("submit", 413);
+    co_return http::ErrorResponse(413, "too_large",
+                                  "steps: the job takes " + std::to_string(SizeInAppend(record)) +
+                                      " bytes to store, more than the " +
+                                      std::to_string(this->context.settings.record_limit) +
+                                      " that the store accepts");
+  }
   const WriteVerdict verdict = co_await this->writer.Write(std::move(record));
   const std::string id = jobs::ToString(job.id);
   switch (verdict) {
@@ -146,6 +156,11 @@
                "the store did not accept the job; not run", {{"queue", job.queue}}, id);
       co_return RetryLaterResponse(503, "unavailable", "The job was not stored and does not run.",
                                    kRetryAfterSeconds);
+    case WriteVerdict::kRejected:
+      this->Count("submit", 413);
+      LogEvent(telemetry::LogLevel::kError, "job_refused",
+               "the store will not accept the job's record; not run", {{"queue", job.queue}}, id);
+      co_return http::ErrorResponse(413, "too_large", "The store will not accept the job.");
     case WriteVerdict::kMayBeStored:
       break;
   }
--- a/src/job_entry/job_log.cc
+++ b/src/job_entry/job_log.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "job_entry/append_plan.h"
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
@@ -153,10 +155,14 @@
     records.push_back({SubmissionKey(id), std::nullopt});
     records.push_back({CancellationKey(id), std::nullopt});
   }
-  const AppendOutcome outcome = co_await this->context.links.store->Append(
-      Topic::kJobs, partition, std::move(records), std::nullopt, kDropTimeout);
-  if (outcome.kind != AppendOutcome::Kind::kStored) {
-    co_return false;
+  // After an outage of the store, more jobs may have ended than one append can hold.
+  for (const Append& append :
+       PlanAppends(std::move(records), this->context.settings.append_limit)) {
+    const AppendOutcome outcome = co_await this->context.links.store->Append(
+        Topic::kJobs, partition, RecordsOf(append), std::nullopt, kDropTimeout);
+    if (outcome.kind != AppendOutcome::Kind::kStored) {
+      co_return false;
+    }
   }
   for (const jobs::JobId& id : ids) {
     this->jobs_read[partition].erase(id);
--- a/src/job_entry/job_writer.cc
+++ b/src/job_entry/job_writer.cc
@@ -85,6 +85,10 @@
     const WriteVerdict local = gathered == WriteVerdict::kStored
                                    ? gathered
                                    : co_await this->AppendLocally(records, remaining);
+    if (local == WriteVerdict::kRejected) {
+      const bool is_certain = !may_be_stored && gathered != WriteVerdict::kMayBeStored;
+      co_return is_certain ? WriteVerdict::kRejected : WriteVerdict::kMayBeStored;
+    }
     const WriteVerdict relayed =
         local == WriteVerdict::kStored ? local : co_await this->AppendRelayed(records);
     if (relayed == WriteVerdict::kStored) {
@@ -111,6 +115,9 @@
                                                  std::nullopt, std::min(kAppendTimeout, timeout));
   const Duration taken = this->context.Now() - begin;
   this->TrackAppendTime(taken);
+  if (outcome.kind == AppendOutcome::Kind::kRejected) {
+    co_return WriteVerdict::kRejected;
+  }
   const bool is_stored = outcome.kind == AppendOutcome::Kind::kStored;
   if (!is_stored || taken > kContendedAppend) {
     this->SetGathered(true, is_stored ? "an append was queued behind those of other entries"
--- a/src/job_entry/record_queue.cc
+++ b/src/job_entry/record_queue.cc
@@ -1,17 +1,17 @@
 #include "job_entry/record_queue.h"
 
-#include <iterator>
 #include <utility>
 
 #include "chervilspar/base/scope_guard.h"
 
+#include "job_entry/append_plan.h"
+
 namespace chervilspar::job_entry {
 
 namespace asio = boost::asio;
 
 namespace {
 
-/// With payloads of 4,000 bytes, this is far below the store's limit of 2 MiB per call.
 constexpr std::size_t kMaxRecordsPerAppend = 100;
 /// Limits the delay after a missed wake-up.
 constexpr Duration kRecheckInterval = std::chrono::seconds(10);
@@ -39,20 +39,41 @@
 asio::awaitable<void> RecordQueue::Run([[maybe_unused]] std::shared_ptr<RecordQueue> self) {
   const ScopeGuard ended([this] { this->is_running = false; });
   while (!this->waiting.empty()) {
-    std::vector<std::shared_ptr<PendingWrite>> batch;
+    const std::vector<std::shared_ptr<PendingWrite>> batch = this->TakeBatch();
     std::vector<KeyedRecord> records;
-    while (!this->waiting.empty() && records.size() < kMaxRecordsPerAppend) {
-      batch.push_back(std::move(this->waiting.front()));
-      this->waiting.pop_front();
-      std::move(batch.back()->records.begin(), batch.back()->records.end(),
-                std::back_inserter(records));
+    for (const std::shared_ptr<PendingWrite>& entry : batch) {
+      records.insert(records.end(), entry->records.begin(), entry->records.end());
     }
     const WriteVerdict verdict = co_await this->append(std::move(records));
+    const bool is_divided = verdict == WriteVerdict::kRejected && batch.size() > 1;
     for (const std::shared_ptr<PendingWrite>& entry : batch) {
       entry->verdict = verdict;
+      if (is_divided) {
+        // One write that the store rejects must not take the others with it.
+        entry->verdict = co_await this->append(entry->records);
+      }
       entry->wakeup->Notify();
     }
   }
 }
 
+std::vector<std::shared_ptr<RecordQueue::PendingWrite>> RecordQueue::TakeBatch() {
+  std::vector<std::shared_ptr<PendingWrite>> batch;
+  std::size_t count = 0;
+  std::size_t bytes = 0;
+  while (!this->waiting.empty() && count < kMaxRecordsPerAppend) {
+    const std::shared_ptr<PendingWrite>& next = this->waiting.front();
+    for (const KeyedRecord& record : next->records) {
+      bytes += SizeInAppend(record);
+    }
+    if (!batch.empty() && bytes > this->context.settings.append_limit) {
+      break;
+    }
+    count += next->records.size();
+    batch.push_back(std::move(this->waiting.front()));
+    this->waiting.pop_front();
+  }
+  return batch;
+}
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/record_queue.h
+++ b/src/job_entry/record_queue.h
@@ -36,6 +36,8 @@
   };
 
   boost::asio::awaitable<void> Run(std::shared_ptr<RecordQueue> self);
+  /// Takes the writes that share the next append.
+  std::vector<std::shared_ptr<PendingWrite>> TakeBatch();
 
   const Context context;
   const Append append;
--- a/src/job_entry/record_relay.cc
+++ b/src/job_entry/record_relay.cc
@@ -92,6 +92,9 @@
   if (is_stored) {
     co_return WriteVerdict::kStored;
   }
+  if (outcome.kind == AppendOutcome::Kind::kRejected) {
+    co_return WriteVerdict::kRejected;
+  }
   co_return outcome.kind == AppendOutcome::Kind::kUnknown ? WriteVerdict::kMayBeStored
                                                           : WriteVerdict::kNotStored;
 }
@@ -125,7 +128,7 @@
   bool may_be_stored = false;
   for (const SocketAddress& peer : this->Peers()) {
     const WriteVerdict verdict = co_await this->Ask(peer, body, kAskTimeout);
-    if (verdict == WriteVerdict::kStored) {
+    if (verdict == WriteVerdict::kStored || verdict == WriteVerdict::kRejected) {
       co_return verdict;
     }
     may_be_stored = may_be_stored || verdict == WriteVerdict::kMayBeStored;
@@ -178,6 +181,8 @@
   switch (exchange.response->status) {
     case 200:
       co_return WriteVerdict::kStored;
+    case 413:
+      co_return WriteVerdict::kRejected;
     case 400:
     case 404:
     case 503:
@@ -214,6 +219,8 @@
       co_return http::Response{};
     case WriteVerdict::kNotStored:
       co_return http::ErrorResponse(503, "not_stored", "The store took nothing.");
+    case WriteVerdict::kRejected:
+      co_return http::ErrorResponse(413, "too_large", "The store will not accept the records.");
     case WriteVerdict::kMayBeStored:
       break;
   }
--- a/src/job_entry/record_relay.h
+++ b/src/job_entry/record_relay.h
@@ -21,6 +21,8 @@
   kStored,
   /// Nothing was written, and nothing will be.
   kNotStored,
+  /// The same, and no later attempt can succeed.
+  kRejected,
   /// It may be stored, now or later.
   kMayBeStored,
 };
--- a/tests/job_entry/job_writer_test.cc
+++ b/tests/job_entry/job_writer_test.cc
@@ -68,9 +68,59 @@
                       link.refuses_after_loss = true;
                     },
                     WriteVerdict::kMayBeStored, 1},
+        VerdictCase{"rejects_the_record", [](FakeStoreLink& link) { link.rejects_appends = true; },
+                    WriteVerdict::kRejected, 0},
         VerdictCase{"does_not_answer", [](FakeStoreLink& link) { link.is_disconnected = true; },
                     WriteVerdict::kMayBeStored, 0}),
     [](const auto& info) { return info.param.name; });
 
+/// Guards against callers that are refused since another caller's record, which the store rejects,
+/// shares their append.
+TEST(WriterBesideARejectedRecord, StoresTheOthers) {
+  asio::io_context io;
+  FakeFleet fleet(io);
+  FakeEntry entry(io, fleet.store, fleet.endpoints, fleet.vms, "a");
+  std::map<std::string, WriteVerdict> verdicts;
+  const std::string too_large(fleet.store.max_record_bytes, 'x');
+  for (const char* key : {"first", "too_large", "third", "fourth"}) {
+    asio::co_spawn(
+        io,
+        [&, key]() -> asio::awaitable<void> {
+          KeyedRecord record{key, key == std::string("too_large") ? too_large : "v"};
+          verdicts[key] = co_await entry.writer->Write(std::move(record));
+        },
+        asio::detached);
+  }
+  RunUntil(io, std::chrono::seconds(5), [&] { return verdicts.size() == 4; });
+  const std::map<std::string, WriteVerdict> expected = {{"first", WriteVerdict::kStored},
+                                                        {"too_large", WriteVerdict::kRejected},
+                                                        {"third", WriteVerdict::kStored},
+                                                        {"fourth", WriteVerdict::kStored}};
+  EXPECT_EQ(verdicts, expected);
+}
+
+/// Guards against appends that the store rejects as many large submissions wait for the same one.
+TEST(WriterOfLargeRecords, KeepsEachAppendWithinTheLimit) {
+  constexpr std::size_t kRecords = 30;
+  asio::io_context io;
+  FakeFleet fleet(io);
+  FakeEntry entry(io, fleet.store, fleet.endpoints, fleet.vms, "a");
+  const std::string large(fleet.store.max_record_bytes - 100, 'x');
+  std::size_t stored = 0;
+  for (std::size_t i = 0; i < kRecords; ++i) {
+    asio::co_spawn(
+        io,
+        [&, i]() -> asio::awaitable<void> {
+          KeyedRecord record{std::to_string(i), large};
+          stored +=
+              co_await entry.writer->Write(std::move(record)) == WriteVerdict::kStored ? 1 : 0;
+        },
+        asio::detached);
+  }
+  RunUntil(io, std::chrono::seconds(5), [&] { return stored == kRecords; });
+  EXPECT_EQ(stored, kRecords);
+  EXPECT_EQ(fleet.store.rejected_appends, 0);
+}
+
 }  // namespace
 }  // namespace chervilspar::job_entry
