Orders: Ask again before a start that has waited is sent

Cause: three orders at a time are sent to an endpoint, and each waits 400 ms for an answer. The others wait behind them, for 13 s if a hundred go to one that hangs. What was decided before an order was queued was not asked again when it was sent, and its stop waited in the same queue behind it.

Change: just before a start is sent, the scheduler says whether its run is still wanted and its endpoint still takes it (QueuedStart). If not, it is withdrawn: a run of which no try was sent is released at once and placed elsewhere. Stops go before all other orders, in the owner and in the entries that carry them. Moves and reboots of VMs that wait for their turn are asked for again as well.

--- a/include/chervilspar/jobs/endpoint.h
+++ b/include/chervilspar/jobs/endpoint.h
@@ -164,6 +164,9 @@
   kNotSent,
   /// Refused: the order has no payload, and the entry that forwards it doesn't have it either.
   kPayloadMissing,
+  /// Not sent by the owner, as it was no longer wanted when its turn came. Never reported by the
+  /// entry that forwards orders.
+  kWithdrawn,
 };
 
 const char* ToString(OrderOutcome outcome);
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -233,6 +233,9 @@
 
   // Decisions.
   Orders Decide(TimePoint now, WallTime wall);
+  /// Whether a start, which may have waited to be sent, is still wanted. Call just before it is
+  /// sent; if it isn't, pass `OrderOutcome::kWithdrawn` to `OnStartAnswered`.
+  bool MaySendStart(const StartOrder& order, TimePoint now);
   std::vector<AdviceRequest> TakeAdviceRequests(TimePoint now);
   /// True if there is something to store or to confirm.
   bool HasBatch() const;
--- a/src/job_entry/order_carrier.cc
+++ b/src/job_entry/order_carrier.cc
@@ -1,5 +1,6 @@
 #include "job_entry/order_carrier.h"
 
+#include <type_traits>
 #include <utility>
 
 namespace chervilspar::job_entry {
@@ -44,14 +45,20 @@
 template <typename Order, typename Execute>
 void OrderCarrier::Enqueue(const rpc::Carried<Order>& carried, const Origin& origin,
                            bool keeps_payload, Execute execute) {
-  this->QueueFor(carried.order.endpoint)
-      .Add([this, carried, origin, keeps_payload, execute]() -> asio::awaitable<void> {
-        OrderOutcome outcome = OrderOutcome::kTooLate;
-        if (this->context.Now() < origin.expires) {
-          outcome = co_await execute(carried.order, origin.timeout);
-        }
-        this->Answer(origin, {carried.number, outcome, std::nullopt, keeps_payload});
-      });
+  const WorkQueue::Work work = [this, carried, origin, keeps_payload,
+                                execute]() -> asio::awaitable<void> {
+    OrderOutcome outcome = OrderOutcome::kTooLate;
+    if (this->context.Now() < origin.expires) {
+      outcome = co_await execute(carried.order, origin.timeout);
+    }
+    this->Answer(origin, {carried.number, outcome, std::nullopt, keeps_payload});
+  };
+  WorkQueue& queue = this->QueueFor(carried.order.endpoint);
+  if constexpr (std::is_same_v<Order, jobs::StopOrder>) {
+    queue.AddUrgent(work);
+  } else {
+    queue.Add(work);
+  }
 }
 
 void OrderCarrier::OnBatch(const rpc::OrderBatch& batch) {
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -49,16 +49,15 @@
   void StartSenders() {
     const std::size_t max_senders =
         this->context.links.endpoints->MaxConcurrentOrders(this->endpoint);
-    while (this->senders < std::min(max_senders, this->queue.size())) {
+    while (this->senders < std::min(max_senders, this->stops.size() + this->queue.size())) {
       ++this->senders;
       Spawn(this->context, this->SendLoop(this->shared_from_this()));
     }
   }
 
   asio::awaitable<void> SendLoop([[maybe_unused]] std::shared_ptr<Channel> self) {
-    while (!this->is_stopped && !this->queue.empty()) {
-      const Order order = std::move(this->queue.front());
-      this->queue.pop_front();
+    while (!this->is_stopped && this->HasOrders()) {
+      const Order order = this->TakeOrder();
       co_await std::visit([this](const auto& one) { return this->Execute(one); }, order);
       if (!this->is_stopped) {
         this->on_change();
@@ -67,10 +66,27 @@
     --this->senders;
   }
 
+  bool HasOrders() const { return !this->stops.empty() || !this->queue.empty(); }
+
+  /// Stops go first: behind the starts for an endpoint that doesn't answer, they would wait for
+  /// seconds.
+  Order TakeOrder() {
+    if (!this->stops.empty()) {
+      const jobs::StopOrder stop = std::move(this->stops.front());
+      this->stops.pop_front();
+      return stop;
+    }
+    Order order = std::move(this->queue.front());
+    this->queue.pop_front();
+    return order;
+  }
+
   /// `order` must live until the coroutine ends; the sending loop keeps it.
   asio::awaitable<void> Execute(const jobs::StartOrder& order) {
     OrderOutcome outcome = OrderOutcome::kRefused;
-    if (this->may_start(order.endpoint)) {
+    if (!this->scheduler.MaySendStart(order, this->context.Now())) {
+      outcome = OrderOutcome::kWithdrawn;
+    } else if (this->may_start(order.endpoint)) {
       outcome = co_await this->context.links.endpoints->Start(order, kOrderTimeout);
     }
     this->context.metrics.Count(
@@ -183,6 +199,8 @@
   const std::string endpoint;
   const std::shared_ptr<int> renewing_count;
   std::shared_ptr<http::Wakeup> wakeup;
+  std::deque<jobs::StopOrder> stops;
+  /// All other orders.
   std::deque<Order> queue;
   std::size_t senders = 0;
   bool is_stopped = false;
@@ -222,8 +240,12 @@
 }
 
 void OrderSender::Send(jobs::Orders orders) {
-  // Stops first: they may free the capacity that the starts need.
-  this->PushAll(orders.stops);
+  // They may free the capacity that the starts need.
+  for (jobs::StopOrder& stop : orders.stops) {
+    Channel& channel = this->ChannelOf(stop.endpoint);
+    channel.stops.push_back(std::move(stop));
+    channel.StartSenders();
+  }
   this->PushAll(orders.starts);
   this->PushAll(orders.paces);
 }
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -85,6 +85,9 @@
   void RepeatUnansweredMoves();
   /// Whether the list shows the VM as up, or not at all, and its endpoint has no work.
   bool MayBeOrdered(const VmId& vm) const;
+  /// Whether an order that waited for its turn is still to be sent.
+  bool IsRebootWanted(const VmId& vm) const;
+  bool IsMoveWanted(const VmId& vm, const ServiceId& pool) const;
   boost::asio::awaitable<void> Reboot(VmId vm);
   void OnRebootAnswered(const VmId& vm, jobs::VmOrderOutcome outcome);
   boost::asio::awaitable<void> PublishWaveStatus(const jobs::Wave& wave,
--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -49,6 +49,24 @@
           this->scheduler.EvacuationOf(vm->endpoint) != jobs::EvacuationState::kRunning);
 }
 
+bool VmDriver::IsRebootWanted(const VmId& vm) const {
+  const auto reboot = this->pending_reboots.find(vm);
+  if (reboot == this->pending_reboots.end()) {
+    return false;
+  }
+  const std::map<std::uint64_t, jobs::Wave> known = this->operators.Waves();
+  const auto wave = known.find(reboot->second.wave);
+  const bool is_listed =
+      wave != known.end() &&
+      std::find(wave->second.vms.begin(), wave->second.vms.end(), vm) != wave->second.vms.end();
+  return (is_listed || reboot->second.is_unanswered) && this->MayBeOrdered(vm);
+}
+
+bool VmDriver::IsMoveWanted(const VmId& vm, const ServiceId& pool) const {
+  const auto move = this->moving.find(vm);
+  return move != this->moving.end() && move->second.pool == pool && this->MayBeOrdered(vm);
+}
+
 void VmDriver::DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known) {
   const std::map<VmId, PendingReboot> pending = this->pending_reboots;  // a copy, as it changes
   for (const auto& [vm, reboot] : pending) {
@@ -97,7 +115,7 @@
   const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->token};
   VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
   const bool is_owner = co_await this->IsStillOwner();
-  if (is_owner) {
+  if (is_owner && this->IsRebootWanted(vm)) {
     outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
   }
   LogEvent(telemetry::LogLevel::kInfo, "vm_reboot_ordered", "a wave requires the reboot",
@@ -166,7 +184,7 @@
   const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
   VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
   const bool is_owner = co_await this->IsStillOwner();
-  if (is_owner) {
+  if (is_owner && this->IsMoveWanted(vm, pool)) {
     outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
   }
   LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered",
--- a/src/jobs/endpoint.cc
+++ b/src/jobs/endpoint.cc
@@ -50,6 +50,8 @@
       return "not_sent";
     case OrderOutcome::kPayloadMissing:
       return "payload_missing";
+    case OrderOutcome::kWithdrawn:
+      return "withdrawn";
   }
   return "unknown";
 }
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -360,6 +360,10 @@
     return;
   }
   Task& task = *ref.task;
+  if (outcome == OrderOutcome::kWithdrawn) {
+    this->OnStartWithdrawn(ref, now);
+    return;
+  }
   if (task.state != RunState::kStarting && task.state != RunState::kUnconfirmed) {
     return;
   }
@@ -394,6 +398,7 @@
       ref.step->advice.answers.erase(order.endpoint);
       break;
     case OrderOutcome::kPayloadMissing:
+    case OrderOutcome::kWithdrawn:
       break;
     case OrderOutcome::kTooLate:
     case OrderOutcome::kRefused:
@@ -414,6 +419,23 @@
   this->state.StopGang(ref, now);
 }
 
+void RunTracker::OnStartWithdrawn(const TaskRef& ref, TimePoint now) {
+  Task& task = *ref.task;
+  if (task.state == RunState::kActive || task.is_adopted) {
+    return;
+  }
+  if (task.start_tries > 1) {
+    // An earlier try may be executed; a poll of the endpoint or a stop settles it.
+    if (task.state == RunState::kStarting) {
+      task.state = RunState::kUnconfirmed;
+      this->state.retry_candidates.insert(ref.key);
+    }
+    return;
+  }
+  this->state.Release(ref);
+  this->state.StopGang(ref, now);
+}
+
 void RunTracker::OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now) {
   if (outcome == OrderOutcome::kTokenTooLow) {
     this->state.is_superseded = true;
--- a/src/jobs/run_tracker.h
+++ b/src/jobs/run_tracker.h
@@ -19,6 +19,8 @@
   void OnHeld(EndpointState& endpoint, const RenewalReport& report, TimePoint sent, TimePoint now);
   void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
+  /// The task's last start order was not sent.
+  void OnStartWithdrawn(const TaskRef& ref, TimePoint now);
   /// The registry lists an incarnation of the endpoint that has not answered this process yet.
   void OnRestartRegistered(EndpointState& endpoint, std::int64_t born_ms, TimePoint now);
   /// Another endpoint answers at its address, so this one no longer exists.
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -8,6 +8,7 @@
 #include "jobs/lapse_review.h"
 #include "jobs/order_round.h"
 #include "jobs/placing_round.h"
+#include "jobs/queued_start.h"
 #include "jobs/scheduler_impl.h"
 
 namespace chervilspar::jobs {
@@ -391,6 +392,15 @@
   return orders;
 }
 
+bool Scheduler::MaySendStart(const StartOrder& order, TimePoint now) {
+  SchedulerState& state = this->impl->state;
+  const std::optional<std::string> obstacle = QueuedStart(state, order).FindObstacle(now);
+  if (obstacle) {
+    state.ReportEvent({"start_withdrawn", order.task, {}, order.endpoint, *obstacle});
+  }
+  return !obstacle;
+}
+
 PreemptionCounts Scheduler::TakePreemptionCounts() { return this->impl->preemption.TakeCounts(); }
 
 RenewalPlan Scheduler::PlanRenewal(const std::string& id, TimePoint now) {
