Jobs: Store the terms of a job's queue and team with it

Operators had removed its queue for new work, and the owner had been killed.

The first owner kept the number of attempts in memory, the next one had the default of 1.

--- a/include/chervilspar/jobs/job.h
+++ b/include/chervilspar/jobs/job.h
@@ -10,6 +10,8 @@
 
 #include "chervilspar/base/ids.h"
 #include "chervilspar/base/result.h"
+#include "chervilspar/jobs/job_terms.h"
+#include "chervilspar/jobs/resources.h"
 
 namespace chervilspar::jobs {
 
@@ -40,23 +42,6 @@
 /// Formats a key as "JOB/OCCURRENCE/STEP/INDEX" for logs.
 std::string ToString(const TaskKey& key);
 
-/// Resources that a task requires, a VM has or a team's limit allows.
-struct Resources {
-  /// In thousandths of a core.
-  std::int64_t cpu = 0;
-  std::int64_t memory_mb = 0;
-  std::int64_t gpus = 0;
-
-  Resources operator+(const Resources& other) const;
-  Resources operator-(const Resources& other) const;
-  /// Returns true if `need` fits into this in every dimension.
-  bool Fits(const Resources& need) const;
-  /// Returns how many times `need` fits into this, up to `max_count`.
-  std::size_t CountFitting(const Resources& need, std::size_t max_count) const;
-
-  friend bool operator==(const Resources&, const Resources&) = default;
-};
-
 /// A set of identical tasks of a job.
 struct Step {
   std::uint32_t count = 1;
@@ -113,6 +98,8 @@
   std::int64_t interval_ms = 0;
   /// The time at which an entry accepted the job, in Unix milliseconds.
   std::int64_t accepted_ms = 0;
+  /// The terms at that time; empty if the job was stored by an older version.
+  JobTerms terms;
 
   std::uint32_t Occurrences() const { return this->repeats == 0 ? 1 : this->repeats; }
   /// The number of occurrences of a scheduled job that are due at this time in Unix milliseconds.
--- a/include/chervilspar/jobs/policy.h
+++ b/include/chervilspar/jobs/policy.h
@@ -10,21 +10,10 @@
 #include "chervilspar/base/ids.h"
 #include "chervilspar/base/time.h"
 #include "chervilspar/jobs/job.h"
+#include "chervilspar/jobs/job_terms.h"
 
 namespace chervilspar::jobs {
 
-/// The terms of an external adviser that decides on which endpoints a queue's tasks may run.
-struct AdviceTerms {
-  /// The time that the adviser takes for a request, without the time for its endpoints.
-  Duration base_time{};
-  /// The additional time for each endpoint named in the request.
-  Duration time_per_endpoint{};
-  /// How long a response stays valid.
-  Duration validity{};
-
-  friend bool operator==(const AdviceTerms&, const AdviceTerms&) = default;
-};
-
 /// Where jobs are submitted, and which service's endpoints run them.
 struct Queue {
   std::string name;
@@ -70,6 +59,9 @@
   /// Returns the queue with the longest prefix that matches a caller's host and path, or null if
   /// there is none.
   const Queue* FindQueue(std::string_view host, std::string_view path) const;
+  /// Returns the terms of a job of this queue and team; without those of a queue or team that
+  /// doesn't exist.
+  JobTerms TermsFor(const std::string& queue, const TeamId& team) const;
 
   friend bool operator==(const Policy&, const Policy&) = default;
 };
--- a/include/chervilspar/jobs/progress.h
+++ b/include/chervilspar/jobs/progress.h
@@ -69,6 +69,8 @@
   OccurrenceSet complete_occurrences;
   /// Sorted by occurrence, step and index.
   std::vector<TaskRow> rows;
+  /// The parts of the job's terms that have changed since its submission.
+  JobTerms terms;
   /// The number of further records that contain the rest of the rows.
   std::uint32_t further_parts = 0;
 
--- a/src/job_entry/caller_handler.cc
+++ b/src/job_entry/caller_handler.cc
@@ -109,6 +109,9 @@
   job.queue = std::move(queue);
   job.service = std::move(service);
   job.team = std::move(team);
+  if (const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy()) {
+    job.terms = policy->TermsFor(job.queue, job.team);
+  }
   job.accepted_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                         this->context.clock.WallNow().time_since_epoch())
                         .count();
--- a/src/jobs/compact_progress.cc
+++ b/src/jobs/compact_progress.cc
@@ -8,6 +8,7 @@
 
 #include "jobs/complete_columns.h"
 #include "jobs/json_columns.h"
+#include "jobs/terms_codec.h"
 
 namespace chervilspar::jobs {
 
@@ -22,10 +23,13 @@
   kComplete,
   kEndedMs,
   kCompleteRanges,
-  kFurtherParts
+  kFurtherParts,
+  kQueueTerms,
+  kTeamTerms
 };
-constexpr const char* kRecordNames[] = {"phase",    "endpoints",       "groups",       "complete",
-                                        "ended_ms", "complete_ranges", "further_parts"};
+constexpr const char* kRecordNames[] = {"phase",         "endpoints",   "groups",
+                                        "complete",      "ended_ms",    "complete_ranges",
+                                        "further_parts", "queue_terms", "team_terms"};
 
 enum GroupColumn : std::size_t {
   kPhase,
@@ -247,7 +251,9 @@
                   std::move(complete.numbers),
                   progress.ended_ms,
                   std::move(complete.ranges),
-                  progress.further_parts};
+                  progress.further_parts,
+                  EncodeQueueTerms(progress.terms.queue),
+                  EncodeTeamTerms(progress.terms.team)};
   TrimDefaults(out, kGroups + 1);
   return json::serialize(out);
 }
@@ -261,6 +267,8 @@
       DecodeComplete(columns.List(kComplete), columns.PathOf(kComplete),
                      columns.List(kCompleteRanges), columns.PathOf(kCompleteRanges));
   progress.further_parts = columns.Number<std::uint32_t>(kFurtherParts, 0);
+  progress.terms.queue = DecodeQueueTerms(columns.List(kQueueTerms), columns.PathOf(kQueueTerms));
+  progress.terms.team = DecodeTeamTerms(columns.List(kTeamTerms), columns.PathOf(kTeamTerms));
   const std::vector<Incarnation> incarnations =
       DecodeIncarnations(columns.List(kEndpoints), columns.PathOf(kEndpoints));
   const json::array& groups = ListAt(columns.At(kGroups), columns.PathOf(kGroups));
--- a/src/jobs/job_codec.cc
+++ b/src/jobs/job_codec.cc
@@ -3,6 +3,7 @@
 #include "chervilspar/jobs/job.h"
 
 #include "jobs/json_values.h"
+#include "jobs/terms_codec.h"
 
 namespace chervilspar::jobs {
 
@@ -78,6 +79,8 @@
     out["first_due_ms"] = job.first_due_ms;
     out["interval_ms"] = job.interval_ms;
   }
+  PutUnlessDefault(out, "queue_terms", EncodeQueueTerms(job.terms.queue));
+  PutUnlessDefault(out, "team_terms", EncodeTeamTerms(job.terms.team));
   return json::serialize(out);
 }
 
@@ -129,6 +132,12 @@
     job.repeats = NumberOf<std::uint32_t>(in, "repeats");
     job.first_due_ms = NumberOf<std::int64_t>(in, "first_due_ms");
     job.interval_ms = NumberOf<std::int64_t>(in, "interval_ms");
+    if (const json::array* terms = ArrayOf(in, "queue_terms")) {
+      job.terms.queue = DecodeQueueTerms(*terms, "queue_terms");
+    }
+    if (const json::array* terms = ArrayOf(in, "team_terms")) {
+      job.terms.team = DecodeTeamTerms(*terms, "team_terms");
+    }
     for (const json::value& step : *steps) {
       job.steps.push_back(DecodeStep(step.as_object()));
     }
--- a/src/jobs/policy.cc
+++ b/src/jobs/policy.cc
@@ -13,4 +13,22 @@
   return best;
 }
 
+JobTerms Policy::TermsFor(const std::string& queue, const TeamId& team) const {
+  JobTerms terms;
+  if (const auto found = this->queues.find(queue); found != this->queues.end()) {
+    const Queue& rules = found->second;
+    terms.queue = QueueTerms{.version = this->version,
+                             .service = rules.service,
+                             .priority = rules.priority,
+                             .attempts = rules.attempts,
+                             .slack_factor = rules.slack_factor,
+                             .target = rules.target,
+                             .advice = rules.advice};
+  }
+  if (const auto found = this->teams.find(team); found != this->teams.end()) {
+    terms.team = TeamTerms{this->version, found->second.weight, found->second.cap};
+  }
+  return terms;
+}
+
 }  // namespace chervilspar::jobs
--- a/src/jobs/progress.cc
+++ b/src/jobs/progress.cc
@@ -9,6 +9,7 @@
 #include "jobs/complete_columns.h"
 #include "jobs/json_columns.h"
 #include "jobs/json_values.h"
+#include "jobs/terms_codec.h"
 
 namespace chervilspar::jobs {
 
@@ -68,6 +69,8 @@
   PutUnlessDefault(out, "complete", complete.numbers);
   PutUnlessDefault(out, "complete_ranges", complete.ranges);
   PutUnlessDefault(out, "further_parts", progress.further_parts);
+  PutUnlessDefault(out, "queue_terms", EncodeQueueTerms(progress.terms.queue));
+  PutUnlessDefault(out, "team_terms", EncodeTeamTerms(progress.terms.team));
   if (!progress.rows.empty()) {
     json::array rows;
     for (const TaskRow& row : progress.rows) {
@@ -93,6 +96,8 @@
   progress.complete_occurrences =
       DecodeComplete(list("complete"), "complete", list("complete_ranges"), "complete_ranges");
   progress.further_parts = NumberAt<std::uint32_t>(field("further_parts"), "further_parts");
+  progress.terms.queue = DecodeQueueTerms(list("queue_terms"), "queue_terms");
+  progress.terms.team = DecodeTeamTerms(list("team_terms"), "team_terms");
   if (const json::value* stored = in.if_contains("rows")) {
     const json::array& rows = ListAt(*stored, "rows");
     for (std::size_t i = 0; i < rows.size(); ++i) {
@@ -113,6 +118,7 @@
     if (i == 0) {
       part.ended_ms = progress.ended_ms;
       part.complete_occurrences = progress.complete_occurrences;
+      part.terms = progress.terms;
       part.further_parts = static_cast<std::uint32_t>(count - 1);
     }
     const auto row_at = [&](std::size_t number) {
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -35,7 +35,10 @@
 void Scheduler::SetPolicy(const Policy& policy) {
   SchedulerState& state = this->impl->state;
   state.policy = policy;
+  state.former_queues.clear();
+  state.former_teams.clear();
   state.division.computed.reset();
+  state.ForEachOpenJob([&state](JobState& job) { state.LearnTerms(job); });
   state.ForEachOpenJob([&state](JobState& job) {
     state.ApplyPolicyTo(job);
     state.RefreshReady(job);
@@ -110,8 +113,10 @@
   auto added = std::make_unique<JobState>();
   added->job = job;
   added->service = job.service;
+  added->terms = job.terms;
   JobState& entry = *added;
   state.jobs.emplace(job.id, std::move(added));
+  state.LearnTerms(entry);
   state.ApplyPolicyTo(entry);
   if (job.IsScheduled()) {
     state.scheduled.insert(job.id);
@@ -145,6 +150,12 @@
     job = state.jobs.emplace(id, std::make_unique<JobState>()).first->second.get();
     job->job.id = id;
   }
+  if (!progress.terms.IsEmpty()) {
+    job->stored_terms = progress.terms;
+    job->terms.Update(progress.terms);
+    state.LearnTerms(*job);
+    state.ApplyPolicyTo(*job);
+  }
   job->stored_phase = progress.phase;
   job->has_started = progress.phase == JobPhase::kRunning;
   job->ended_ms = progress.ended_ms;
--- a/src/jobs/scheduler_ready.cc
+++ b/src/jobs/scheduler_ready.cc
@@ -65,11 +65,69 @@
   job.ready = key;
 }
 
+void SchedulerState::KeepFormerQueue(const std::string& name, const QueueTerms& terms) {
+  const auto [former, is_new] = this->former_queues.try_emplace(name, terms.version);
+  if (!is_new && former->second >= terms.version) {
+    return;
+  }
+  former->second = terms.version;
+  this->policy.queues[name] = Queue{.name = name,
+                                    .service = terms.service,
+                                    .priority = terms.priority,
+                                    .attempts = terms.attempts,
+                                    .slack_factor = terms.slack_factor,
+                                    .target = terms.target,
+                                    .advice = terms.advice};
+}
+
+void SchedulerState::KeepFormerTeam(const TeamId& id, const TeamTerms& terms) {
+  const auto [former, is_new] = this->former_teams.try_emplace(id, terms.version);
+  if (!is_new && former->second >= terms.version) {
+    return;
+  }
+  former->second = terms.version;
+  this->policy.teams[id] = TeamPolicy{id, terms.weight, terms.cap};
+}
+
+void SchedulerState::LearnTerms(JobState& job) {
+  JobTerms current = this->policy.TermsFor(job.job.queue, job.job.team);
+  if (this->former_queues.contains(job.job.queue)) {
+    current.queue.reset();
+  }
+  if (this->former_teams.contains(job.job.team)) {
+    current.team.reset();
+  }
+  job.terms.Update(current);
+  if (!current.queue && job.terms.queue) {
+    this->KeepFormerQueue(job.job.queue, *job.terms.queue);
+  }
+  if (!current.team && job.terms.team) {
+    this->KeepFormerTeam(job.job.team, *job.terms.team);
+  }
+  if (this->TermsToStore(job) != job.stored_terms) {
+    this->MarkDirty(job);
+  }
+}
+
+/// The terms of a job that was submitted without them are stored only once the rules don't contain
+/// them any more: that many records are not written when an older version is replaced.
+JobTerms SchedulerState::TermsToStore(const JobState& job) const {
+  const JobTerms& submitted = job.job.terms;
+  JobTerms terms;
+  if (submitted.queue || this->former_queues.contains(job.job.queue)) {
+    terms.queue = job.terms.queue != submitted.queue ? job.terms.queue : std::nullopt;
+  }
+  if (submitted.team || this->former_teams.contains(job.job.team)) {
+    terms.team = job.terms.team != submitted.team ? job.terms.team : std::nullopt;
+  }
+  return terms;
+}
+
 void SchedulerState::ApplyPolicyTo(JobState& job) {
   const auto queue = this->policy.queues.find(job.job.queue);
   job.needs_advice = queue != this->policy.queues.end() && queue->second.advice;
   if (queue == this->policy.queues.end()) {
-    return;  // The queue was removed. Accepted jobs still run in its former pool.
+    return;  // It was removed, and the job was stored without its terms.
   }
   if (job.service != queue->second.service && job.ready) {
     this->pools[job.service].ready.erase(*job.ready);
--- a/src/jobs/scheduler_records.cc
+++ b/src/jobs/scheduler_records.cc
@@ -26,6 +26,7 @@
     return progress;
   }
   progress.complete_occurrences = job.complete_occurrences;
+  progress.terms = this->state.TermsToStore(job);
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
@@ -84,6 +85,7 @@
     largest = std::max(largest, text.size());
     batch.records.push_back({job.job.id, std::move(text), part++});
   }
+  job.stored_terms = job.ended_ms == 0 ? this->state.TermsToStore(job) : JobTerms{};
   this->recorded_progress.push_back({job.job.id, job.Phase(), part - 1, largest});
   for (; part <= job.further_parts; ++part) {
     batch.records.push_back({job.job.id, std::nullopt, part});
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -163,6 +163,10 @@
 
 struct JobState {
   Job job;
+  /// The last known terms.
+  JobTerms terms;
+  /// The terms in its stored progress.
+  JobTerms stored_terms;
   ServiceId service;
   std::uint32_t attempts = 1;
   /// The steps of its queue run only on endpoints that the adviser allows.
@@ -411,7 +415,13 @@
   /// As in `ReadyKey`.
   std::uint32_t RankOf(const JobState& job) const;
   /// Recomputes the fields of the job that are derived from the policy.
+  /// Sets what the job's terms determine.
   void ApplyPolicyTo(JobState& job);
+  /// Updates the job's terms from the operators' rules. If these no longer contain its queue or
+  /// team, keeps it in `policy` with the last known terms.
+  void LearnTerms(JobState& job);
+  /// The parts of the job's terms that its progress has to contain.
+  JobTerms TermsToStore(const JobState& job) const;
   /// Calls `visit` for each task with a claim, job by job. Costs a lookup per job, while a walk
   /// over the claims of the endpoints costs one per task.
   void VisitClaims(const std::function<void(const TaskRef&)>& visit);
@@ -425,7 +435,11 @@
   /// This owner's fencing token.
   const std::uint64_t token;
   const TimePoint term_start;
+  /// The operators' rules, with queues and teams of open jobs that were removed from them.
   Policy policy;
+  /// The queues and teams that were removed, with the versions of the rules that they are from.
+  std::map<std::string, std::uint64_t> former_queues;
+  std::map<TeamId, std::uint64_t> former_teams;
   std::set<ZoneId> cordoned_zones;
   /// The wall-clock time of the last decision, in Unix milliseconds.
   std::int64_t wall_ms = 0;
@@ -478,6 +492,8 @@
   TimePoint proof;
 
  private:
+  void KeepFormerQueue(const std::string& name, const QueueTerms& terms);
+  void KeepFormerTeam(const TeamId& id, const TeamTerms& terms);
   /// The estimated time of the longest chain of steps that remain, in milliseconds.
   std::int64_t CriticalPathMs(const JobState& job, const Occurrence& occurrence) const;
   /// Changes what is in use or reserved on the endpoint.
--- a/tests/jobs/job_test.cc
+++ b/tests/jobs/job_test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "tests/jobs/arbitrary_terms.h"
+
 namespace chervilspar::jobs {
 namespace {
 
@@ -175,6 +177,7 @@
   job.payload = *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
   job.steps = *rc::gen::nonEmpty(rc::gen::container<std::vector<Step>>(ArbitraryStep()));
   job.accepted_ms = *rc::gen::inRange<std::int64_t>(0, 1LL << 50);
+  job.terms = *ArbitraryTerms();
   for (std::uint32_t i = 1; i < job.steps.size(); ++i) {
     job.steps[i].after = {i - 1};
   }
--- a/tests/jobs/progress_test.cc
+++ b/tests/jobs/progress_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "tests/jobs/arbitrary_terms.h"
 #include "tests/jobs/scheduler_harness.h"
 
 namespace chervilspar::jobs {
@@ -173,6 +174,7 @@
     for (const std::uint32_t number : *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
       progress.complete_occurrences.Insert(number);
     }
+    progress.terms = *ArbitraryTerms();
     const auto positions =
         *rc::gen::container<std::set<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
             rc::gen::tuple(rc::gen::element<std::uint32_t>(0, 1, 0xffffffff),
