JobEntry: Don't copy batches that fit into one append

Cause: each batch was grouped by job and copied before it was written, the rows of each progress record were copied before they were encoded, and stored terms were copied before they were decoded.

Change: records are grouped only when the store's limit or a rejection requires it, and rows are divided only when a record is too large. DivideByLimit and Halve replace the groups.

Evidence: jobs_test (660) and the tests of limits, writers and fleets in job_entry_test (57) pass. What it gains isn't measured by itself.

--- a/src/job_entry/append_plan.h
+++ b/src/job_entry/append_plan.h
@@ -10,30 +10,23 @@
 
 namespace chervilspar::job_entry {
 
-/// What a record takes of the store's limit on one append, in bytes.
+/// What records take of the store's limit on one append, in bytes.
 std::size_t SizeInAppend(const KeyedRecord& record);
+std::size_t SizeInAppend(const std::vector<KeyedRecord>& records);
 
 /// The key of a part of a job's progress; part 0 has the key of the job.
 std::string ProgressKey(std::string_view job, std::uint32_t part);
 
-/// Records that have to be stored together: all parts of one job's progress, or any other record.
-struct RecordGroup {
-  /// The job's key, or that of the other record.
-  std::string key;
-  std::vector<KeyedRecord> records;
+/// The key of the group that a record belongs to: the job's key for all parts of its progress,
+/// otherwise its own. A group has to be stored together; its records are adjacent.
+std::string GroupKeyOf(const std::string& key);
 
-  std::size_t Size() const;
+/// Divides records among appends of at most `max_bytes` each, without dividing a group. A larger
+/// group gets an append of its own.
+std::vector<std::vector<KeyedRecord>> DivideByLimit(std::vector<KeyedRecord> records,
+                                                    std::size_t max_bytes);
 
-  friend bool operator==(const RecordGroup&, const RecordGroup&) = default;
-};
-
-using Append = std::vector<RecordGroup>;
-
-/// Groups adjacent records that belong together, and divides the groups among appends of at most
-/// `max_bytes` each. A larger group gets an append of its own.
-std::vector<Append> PlanAppends(std::vector<KeyedRecord> records, std::size_t max_bytes);
-
-/// All records of an append, in order.
-std::vector<KeyedRecord> RecordsOf(const Append& append);
+/// Divides records into two halves of about as many groups; a single group remains whole.
+std::vector<std::vector<KeyedRecord>> Halve(std::vector<KeyedRecord> records);
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/job_log.cc
+++ b/src/job_entry/job_log.cc
@@ -156,10 +156,11 @@
     records.push_back({CancellationKey(id), std::nullopt});
   }
   // After an outage of the store, more jobs may have ended than one append can hold.
-  for (const Append& append :
-       PlanAppends(std::move(records), this->context.settings.append_limit)) {
+  std::vector<std::vector<KeyedRecord>> appends =
+      DivideByLimit(std::move(records), this->context.settings.append_limit);
+  for (std::vector<KeyedRecord>& append : appends) {
     const AppendOutcome outcome = co_await this->context.links.store->Append(
-        Topic::kJobs, partition, RecordsOf(append), std::nullopt, kDropTimeout);
+        Topic::kJobs, partition, std::move(append), std::nullopt, kDropTimeout);
     if (outcome.kind != AppendOutcome::Kind::kStored) {
       co_return false;
     }
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -286,12 +286,24 @@
     std::vector<KeyedRecord> records) {
   this->link_meter.OnRecords(records);
   std::set<std::string> rejected;
-  for (Append& append : PlanAppends(std::move(records), this->context.settings.append_limit)) {
-    std::optional<std::set<std::string>> keys = co_await this->StoreAppend(std::move(append));
-    if (!keys) {
+  std::vector<std::vector<KeyedRecord>> remaining =
+      DivideByLimit(std::move(records), this->context.settings.append_limit);
+  while (!remaining.empty()) {
+    std::vector<KeyedRecord> next = std::move(remaining.back());
+    remaining.pop_back();
+    const FencedWrite written = co_await this->StoreAppend(next);
+    if (written == FencedWrite::kStored) {
+      continue;
+    }
+    if (written != FencedWrite::kRejected) {
       co_return std::nullopt;
     }
-    rejected.merge(*keys);
+    std::vector<std::vector<KeyedRecord>> halves = Halve(std::move(next));
+    if (halves.size() == 1) {
+      rejected.insert(this->ReportRejected(halves.front()));
+    } else {
+      std::move(halves.begin(), halves.end(), std::back_inserter(remaining));
+    }
   }
   if (this->is_stopped) {
     co_return std::nullopt;
@@ -299,38 +311,28 @@
   co_return rejected;
 }
 
-asio::awaitable<std::optional<std::set<std::string>>> OwnerTerm::StoreAppend(Append append) {
-  std::set<std::string> rejected;
-  std::vector<Append> remaining;
-  remaining.push_back(std::move(append));
-  while (!remaining.empty()) {
-    Append next = std::move(remaining.back());
-    remaining.pop_back();
-    const TimePoint begin = this->context.Now();
-    const FencedWrite written = co_await this->writer.Write(RecordsOf(next), this->is_stopped);
-    this->context.metrics.Sample(
-        {"chervilspar_progress_append_seconds", {}},
-        std::chrono::duration<double>(this->context.Now() - begin).count());
-    if (written == FencedWrite::kSuperseded) {
-      this->Stop("another owner has a higher token");
-    }
-    if (written == FencedWrite::kRejected && next.size() > 1) {
-      const auto middle = next.begin() + static_cast<std::ptrdiff_t>(next.size() / 2);
-      remaining.emplace_back(middle, next.end());
-      remaining.emplace_back(next.begin(), middle);
-    } else if (written == FencedWrite::kRejected) {
-      const RecordGroup& group = next.front();
-      this->context.metrics.Count({"chervilspar_records_rejected_total", {}});
-      LogEvent(telemetry::LogLevel::kError, "records_rejected", "the store will not accept them",
-               {{"record", group.key},
-                {"records", std::to_string(group.records.size())},
-                {"bytes", std::to_string(group.Size())}});
-      rejected.insert(group.key);
-    } else if (written != FencedWrite::kStored) {
-      co_return std::nullopt;
-    }
+asio::awaitable<FencedWrite> OwnerTerm::StoreAppend(const std::vector<KeyedRecord>& records) {
+  if (records.empty()) {
+    co_return FencedWrite::kStored;
   }
-  co_return rejected;
+  const TimePoint begin = this->context.Now();
+  const FencedWrite written = co_await this->writer.Write(records, this->is_stopped);
+  if (written == FencedWrite::kSuperseded) {
+    this->Stop("another owner has a higher token");
+  }
+  this->context.metrics.Sample({"chervilspar_progress_append_seconds", {}},
+                               std::chrono::duration<double>(this->context.Now() - begin).count());
+  co_return written;
+}
+
+std::string OwnerTerm::ReportRejected(const std::vector<KeyedRecord>& group) {
+  std::string key = GroupKeyOf(group.front().key);
+  this->context.metrics.Count({"chervilspar_records_rejected_total", {}});
+  LogEvent(telemetry::LogLevel::kError, "records_rejected", "the store will not accept them",
+           {{"record", key},
+            {"records", std::to_string(group.size())},
+            {"bytes", std::to_string(SizeInAppend(group))}});
+  return key;
 }
 
 /// Not with each batch: each append is billed, and only a successor reads what is left.
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -67,13 +67,15 @@
   boost::asio::awaitable<void> AdviceLoop(std::shared_ptr<OwnerTerm> self);
   boost::asio::awaitable<void> DropEnded();
   boost::asio::awaitable<void> DropExpired();
-  /// Returns the keys of the groups of records that the store has rejected; nothing when the term
-  /// has ended.
+  /// Stores the records in as few appends as the store's limit allows. If the store rejects an
+  /// append, divides it to find the groups that it rejects, as the others must not wait for these.
+  /// Returns the keys of the rejected groups; nothing when the term has ended.
   boost::asio::awaitable<std::optional<std::set<std::string>>> StoreRecords(
       std::vector<KeyedRecord> records);
-  /// Stores the groups. If the store rejects them together, divides them to find those that it
-  /// rejects, as the others must not wait for these.
-  boost::asio::awaitable<std::optional<std::set<std::string>>> StoreAppend(Append append);
+  /// `records` must outlive the call.
+  boost::asio::awaitable<FencedWrite> StoreAppend(const std::vector<KeyedRecord>& records);
+  /// Logs that the store will not accept the group, and returns its key.
+  std::string ReportRejected(const std::vector<KeyedRecord>& group);
   void OnRecordsStored(const std::set<std::string>& rejected, bool has_batch);
   void LoadWave(const KeyedRecord& record);
   /// Decodes the records whose keys begin with `prefix`.
--- a/src/job_entry/progress_writer.cc
+++ b/src/job_entry/progress_writer.cc
@@ -19,10 +19,11 @@
     : context(context), token(token), last_proof(context.Now()) {}
 
 asio::awaitable<FencedWrite> ProgressWriter::Announce(const bool& is_stopped) {
-  co_return co_await this->Write({}, is_stopped);
+  const std::vector<KeyedRecord> none;
+  co_return co_await this->Write(none, is_stopped);
 }
 
-asio::awaitable<FencedWrite> ProgressWriter::Write(std::vector<KeyedRecord> records,
+asio::awaitable<FencedWrite> ProgressWriter::Write(const std::vector<KeyedRecord>& records,
                                                    const bool& is_stopped) {
   Duration pause = kInitialPause;
   while (!is_stopped) {
--- a/src/job_entry/progress_writer.h
+++ b/src/job_entry/progress_writer.h
@@ -32,8 +32,8 @@
   /// Announces the token: from then on, the store refuses the writes of predecessors.
   boost::asio::awaitable<FencedWrite> Announce(const bool& is_stopped);
   /// Retries until the records are stored or rejected, the token is superseded, or `is_stopped`
-  /// becomes true.
-  boost::asio::awaitable<FencedWrite> Write(std::vector<KeyedRecord> records,
+  /// becomes true. `records` must outlive the call.
+  boost::asio::awaitable<FencedWrite> Write(const std::vector<KeyedRecord>& records,
                                             const bool& is_stopped);
   /// The latest time at which there was certainly no higher token.
   TimePoint LastProof() const { return this->last_proof; }
--- a/src/jobs/compact_progress.cc
+++ b/src/jobs/compact_progress.cc
@@ -267,8 +267,8 @@
       DecodeComplete(columns.List(kComplete), columns.PathOf(kComplete),
                      columns.List(kCompleteRanges), columns.PathOf(kCompleteRanges));
   progress.further_parts = columns.Number<std::uint32_t>(kFurtherParts, 0);
-  progress.terms.queue = DecodeQueueTerms(columns.List(kQueueTerms), columns.PathOf(kQueueTerms));
-  progress.terms.team = DecodeTeamTerms(columns.List(kTeamTerms), columns.PathOf(kTeamTerms));
+  progress.terms.queue = DecodeQueueTerms(columns.Find(kQueueTerms), columns.PathOf(kQueueTerms));
+  progress.terms.team = DecodeTeamTerms(columns.Find(kTeamTerms), columns.PathOf(kTeamTerms));
   const std::vector<Incarnation> incarnations =
       DecodeIncarnations(columns.List(kEndpoints), columns.PathOf(kEndpoints));
   const json::array& groups = ListAt(columns.At(kGroups), columns.PathOf(kGroups));
--- a/src/jobs/job_codec.cc
+++ b/src/jobs/job_codec.cc
@@ -132,12 +132,8 @@
     job.repeats = NumberOf<std::uint32_t>(in, "repeats");
     job.first_due_ms = NumberOf<std::int64_t>(in, "first_due_ms");
     job.interval_ms = NumberOf<std::int64_t>(in, "interval_ms");
-    if (const json::array* terms = ArrayOf(in, "queue_terms")) {
-      job.terms.queue = DecodeQueueTerms(*terms, "queue_terms");
-    }
-    if (const json::array* terms = ArrayOf(in, "team_terms")) {
-      job.terms.team = DecodeTeamTerms(*terms, "team_terms");
-    }
+    job.terms.queue = DecodeQueueTerms(in.if_contains("queue_terms"), "queue_terms");
+    job.terms.team = DecodeTeamTerms(in.if_contains("team_terms"), "team_terms");
     for (const json::value& step : *steps) {
       job.steps.push_back(DecodeStep(step.as_object()));
     }
--- a/src/jobs/json_columns.h
+++ b/src/jobs/json_columns.h
@@ -82,6 +82,11 @@
     return this->in[column];
   }
 
+  /// Returns null if the column is missing.
+  const boost::json::value* Find(std::size_t column) const {
+    return column < this->in.size() ? &this->in[column] : nullptr;
+  }
+
   template <typename T>
   T Number(std::size_t column) const {
     return NumberAt<T>(this->At(column), this->PathOf(column));
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -248,10 +248,12 @@
   bool is_placed = true;
   // A step for which there is no room has none in later occurrences either, of which there may be
   // thousands.
-  std::vector<int> unplaced(job.job.steps.size(), 0);
+  std::map<std::uint32_t, int> unplaced;
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-      const bool is_skipped = unplaced[step] >= this->state.options.max_unplaced_per_round;
+      const auto failures = unplaced.find(step);
+      const bool is_skipped = failures != unplaced.end() &&
+                              failures->second >= this->state.options.max_unplaced_per_round;
       if (occurrence.steps[step].is_open && !is_skipped && !this->PlaceStep(job, number, step)) {
         is_placed = false;
         ++unplaced[step];
--- a/src/jobs/progress.cc
+++ b/src/jobs/progress.cc
@@ -96,8 +96,8 @@
   progress.complete_occurrences =
       DecodeComplete(list("complete"), "complete", list("complete_ranges"), "complete_ranges");
   progress.further_parts = NumberAt<std::uint32_t>(field("further_parts"), "further_parts");
-  progress.terms.queue = DecodeQueueTerms(list("queue_terms"), "queue_terms");
-  progress.terms.team = DecodeTeamTerms(list("team_terms"), "team_terms");
+  progress.terms.queue = DecodeQueueTerms(in.if_contains("queue_terms"), "queue_terms");
+  progress.terms.team = DecodeTeamTerms(in.if_contains("team_terms"), "team_terms");
   if (const json::value* stored = in.if_contains("rows")) {
     const json::array& rows = ListAt(*stored, "rows");
     for (std::size_t i = 0; i < rows.size(); ++i) {
@@ -147,16 +147,17 @@
 
 std::vector<std::string> EncodeProgressParts(const JobProgress& progress, ProgressForm form,
                                              std::size_t max_bytes) {
-  for (std::size_t count = 1;; count *= 2) {
-    count = std::clamp<std::size_t>(count, 1, std::max<std::size_t>(progress.rows.size(), 1));
-    std::vector<std::string> texts = EncodeInParts(progress, form, count);
-    const bool fits = std::all_of(texts.begin(), texts.end(), [max_bytes](const std::string& text) {
-      return text.size() <= max_bytes;
-    });
-    if (fits || count >= progress.rows.size()) {
-      return texts;
-    }
+  std::vector<std::string> texts;
+  texts.push_back(EncodeProgress(progress, form));
+  const auto is_too_large = [max_bytes](const std::string& text) {
+    return text.size() > max_bytes;
+  };
+  std::size_t count = 1;
+  while (count < progress.rows.size() && std::any_of(texts.begin(), texts.end(), is_too_large)) {
+    count = std::min(count * 2, progress.rows.size());
+    texts = EncodeInParts(progress, form, count);
   }
+  return texts;
 }
 
 bool IsCompactProgress(std::string_view text) { return text.starts_with('['); }
--- a/src/jobs/terms_codec.cc
+++ b/src/jobs/terms_codec.cc
@@ -25,7 +25,6 @@
     "version",           "service",   "priority",       "attempts",
     "slack_factor",      "target_ms", "advice_base_ms", "advice_per_endpoint_ms",
     "advice_validity_ms"};
-constexpr std::size_t kColumnsWithoutAdvice = kAdviceBase;
 
 enum TeamColumn : std::size_t { kTeamVersion, kWeight, kCpu, kMemory, kGpus };
 constexpr const char* kTeamNames[] = {"version", "weight", "cpu", "memory", "gpus"};
@@ -61,12 +60,11 @@
   return {terms->version, terms->weight, terms->cap.cpu, terms->cap.memory_mb, terms->cap.gpus};
 }
 
-std::optional<QueueTerms> DecodeQueueTerms(const json::array& in, const std::string& path) {
-  if (in.empty()) {
+std::optional<QueueTerms> DecodeQueueTerms(const json::value* in, const std::string& path) {
+  if (in == nullptr || ListAt(*in, path).empty()) {
     return std::nullopt;
   }
-  const json::value value(in);
-  const JsonColumns columns(value, kQueueNames, path);
+  const JsonColumns columns(*in, kQueueNames, path);
   QueueTerms terms;
   terms.version = columns.Number<std::uint64_t>(kQueueVersion);
   terms.service = ServiceId{columns.Text(kService)};
@@ -74,7 +72,7 @@
   terms.attempts = columns.Number<std::uint32_t>(kAttempts);
   terms.slack_factor = columns.Number<double>(kSlackFactor);
   terms.target = DurationIn(columns, kTarget);
-  if (in.size() > kColumnsWithoutAdvice) {
+  if (columns.Find(kAdviceBase) != nullptr) {
     terms.advice =
         AdviceTerms{DurationIn(columns, kAdviceBase), DurationIn(columns, kAdvicePerEndpoint),
                     DurationIn(columns, kAdviceValidity)};
@@ -82,12 +80,11 @@
   return terms;
 }
 
-std::optional<TeamTerms> DecodeTeamTerms(const json::array& in, const std::string& path) {
-  if (in.empty()) {
+std::optional<TeamTerms> DecodeTeamTerms(const json::value* in, const std::string& path) {
+  if (in == nullptr || ListAt(*in, path).empty()) {
     return std::nullopt;
   }
-  const json::value value(in);
-  const JsonColumns columns(value, kTeamNames, path);
+  const JsonColumns columns(*in, kTeamNames, path);
   TeamTerms terms;
   terms.version = columns.Number<std::uint64_t>(kTeamVersion);
   terms.weight = columns.Number<double>(kWeight);
--- a/src/jobs/terms_codec.h
+++ b/src/jobs/terms_codec.h
@@ -13,8 +13,9 @@
 boost::json::array EncodeQueueTerms(const std::optional<QueueTerms>& terms);
 boost::json::array EncodeTeamTerms(const std::optional<TeamTerms>& terms);
 
-/// Throw `FieldFault` for invalid columns; `path` is the path of the array in its record.
-std::optional<QueueTerms> DecodeQueueTerms(const boost::json::array& in, const std::string& path);
-std::optional<TeamTerms> DecodeTeamTerms(const boost::json::array& in, const std::string& path);
+/// Return nothing if `in` is null or an empty array. Throw `FieldFault` for invalid columns; `path`
+/// is the path of the array in its record.
+std::optional<QueueTerms> DecodeQueueTerms(const boost::json::value* in, const std::string& path);
+std::optional<TeamTerms> DecodeTeamTerms(const boost::json::value* in, const std::string& path);
 
 }  // namespace chervilspar::jobs
--- a/tests/job_entry/record_limit_test.cc
+++ b/tests/job_entry/record_limit_test.cc
@@ -129,9 +129,9 @@
 /// the others.
 TEST_P(PlannedAppends, KeepTheLimitAndTheParts) {
   std::vector<std::vector<std::string>> keys;
-  for (const Append& append : PlanAppends(GetParam().records, 100)) {
+  for (const std::vector<KeyedRecord>& append : DivideByLimit(GetParam().records, 100)) {
     keys.emplace_back();
-    for (const KeyedRecord& record : RecordsOf(append)) {
+    for (const KeyedRecord& record : append) {
       keys.back().push_back(record.key);
     }
   }
@@ -140,7 +140,7 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Records, PlannedAppends,
-    ::testing::Values(PlanCase{"none", {}, {}},
+    ::testing::Values(PlanCase{"none", {}, {{}}},
                       PlanCase{"one_append", {RecordOf("a", 30), RecordOf("b", 30)}, {{"a", "b"}}},
                       PlanCase{"two_appends",
                                {RecordOf("a", 60), RecordOf("b", 60), RecordOf("c", 10)},
