Orders: Stop a run without an answer only right after a poll

The stop of a long-running run whose starts got no answer relied on a poll of any age, and was repeated without another one. A start that was carried out late was at work by then.

Change: each such stop needs a poll that is at most 100 ms old. A run that a poll shows is kept.

The first two of the new tests need the change; a stop 300 ms after the poll, and further stops of a run that is listed, are what the code before did.

--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -10,6 +10,8 @@
 /// to continue there: a poll of the endpoint comes within this time, and a stop is sent only after
 /// that.
 constexpr Duration kPollBeforeStop = std::chrono::milliseconds(1300);
+/// A run that a poll of this age does not show can't be serving yet: programs take longer to start.
+constexpr Duration kMaxPollAge = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -91,22 +93,27 @@
          task.endpoint->record.id,
          "no answer to " + std::to_string(task.start_tries) + " start orders; sending a stop"});
     this->state.BeginStop(ref, this->now);
+    task.is_given_up = true;
     this->state.StopGang(ref, this->now);
     this->GatherStop(ref, orders);
   }
 }
 
-/// A late answer may hide a task that already serves its users. A stop would then take it away
-/// while siblings may be away, too, so the endpoint has to be polled after the order first.
+/// A late answer, or an order that is executed late, may hide a task that already serves its users.
+/// A stop would then take it away while siblings may be away, too, so the endpoint has to be polled
+/// after the order, and just before the stop.
 bool OrderRound::MayBeServing(const TaskRef& ref) const {
   const Task& task = *ref.task;
-  return ref.spec->is_long_running && task.endpoint->last_answered_request <= task.last_order_sent;
+  const bool is_polled = task.endpoint->last_answered_request > task.last_order_sent &&
+                         this->now - task.endpoint->last_response <= kMaxPollAge;
+  return ref.spec->is_long_running && !is_polled;
 }
 
 void OrderRound::GatherStop(const TaskRef& ref, Orders& orders) {
   Task& task = *ref.task;
   const bool is_waiting = this->now - task.last_order_sent < this->state.options.stop_retry;
-  if (is_waiting || task.stop_answered) {
+  const bool needs_poll = task.is_given_up && !ref.job->IsOver() && this->MayBeServing(ref);
+  if (is_waiting || task.stop_answered || needs_poll) {
     return;
   }
   task.last_order_sent = this->now;
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -186,8 +186,13 @@
   }
   Task& task = *ref.task;
   task.is_reported = true;
-  if (task.state == RunState::kStarting || task.state == RunState::kUnconfirmed) {
+  // The start was executed after all. Ending a run that serves its users would be worse than the
+  // wait for it was.
+  const bool is_kept = task.state == RunState::kStopping && task.is_given_up &&
+                       !task.stop_answered && ref.spec->is_long_running && !ref.job->IsOver();
+  if (task.state == RunState::kStarting || task.state == RunState::kUnconfirmed || is_kept) {
     task.state = RunState::kActive;
+    task.is_given_up = false;
     task.since = now;
   }
   if (active.percent != task.percent) {
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -279,6 +279,7 @@
   task.is_adopted = false;
   task.is_reported = false;
   task.start_tries = 0;
+  task.is_given_up = false;
   task.stop_answered.reset();
   this->AccountUsage(ref, endpoint, true);
   this->MarkDirty(*ref.job);
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -57,6 +57,8 @@
   /// The end of the first lease on the endpoint's clock, after which it refuses the start.
   std::int64_t lease_end_ms = 0;
   int start_tries = 0;
+  /// It is being stopped only because its start got no answer.
+  bool is_given_up = false;
   /// Bytes of the owner's link that are reserved for the start until it is sent; see `LinkBudget`.
   std::int64_t reserved_bytes = 0;
   /// Placed by a predecessor.
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -103,6 +103,48 @@
   EXPECT_EQ(orders.stops[0].endpoint, this->starts[1].endpoint);
 }
 
+/// Guards against the same if the start is executed between the poll and the stop.
+TEST_F(UnansweredServing, IsStoppedOnlyRightAfterAPoll) {
+  this->Poll(0, true);
+  this->Poll(1, false);
+  this->world.AdvanceTime(milliseconds(300));
+  EXPECT_TRUE(this->world.Round().stops.empty());
+  this->Poll(1, false);
+  EXPECT_EQ(this->world.Round().stops.size(), 1U);
+}
+
+/// The stop gets no answer either, and the start is executed late. Guards against further stops,
+/// which would end the run once it serves.
+TEST_F(UnansweredServing, IsKeptIfItIsFoundActiveLater) {
+  this->Poll(0, true);
+  this->Poll(1, false);
+  const std::vector<StopOrder> sent = this->world.Round().stops;
+  ASSERT_EQ(sent.size(), 1U);
+  this->world.scheduler.OnStopAnswered(sent[0], OrderOutcome::kNoAnswer, this->world.now);
+  this->world.AdvanceTime(milliseconds(500));
+  this->Poll(1, true);
+  for (int i = 0; i < 3; ++i) {
+    const Orders orders = this->world.Round();
+    EXPECT_TRUE(orders.stops.empty());
+    EXPECT_TRUE(orders.starts.empty());
+    this->world.AdvanceTime(milliseconds(500));
+    this->Poll(1, true);
+  }
+}
+
+/// Guards against a cancelled job whose run goes on, as its start was given up before.
+TEST_F(UnansweredServing, IsStoppedIfItsJobIsCancelled) {
+  this->Poll(0, true);
+  this->Poll(1, false);
+  const std::vector<StopOrder> sent = this->world.Round().stops;
+  ASSERT_EQ(sent.size(), 1U);
+  this->world.scheduler.OnStopAnswered(sent[0], OrderOutcome::kNoAnswer, this->world.now);
+  this->world.scheduler.CancelJob(JobId{1});
+  this->world.AdvanceTime(milliseconds(500));
+  this->Poll(1, true);
+  EXPECT_EQ(this->world.Round().stops.size(), 2U);
+}
+
 /// If an end were confirmed before it is stored, the endpoint would drop it, and a crash of the
 /// owner would lose it. The successor would run a finished task again.
 TEST(RunRaces, EndsAreConfirmedAndReportedOnlyAfterTheyAreStored) {
