--- a/tests/job_entry/fake_endpoints.cc
+++ b/tests/job_entry/fake_endpoints.cc
@@ -58,9 +58,13 @@
         ++run;
         continue;
       }
-      endpoint.ended.push_back({endpoint.next_end++, run->first, run->second.number,
-                                is_done ? jobs::RunEnd::kDone : jobs::RunEnd::kLeaseLapsed, ""});
-      if (is_done) {
+      const bool is_failed =
+          is_done && this->fails_run && this->fails_run(run->first, run->second.number);
+      const jobs::RunEnd end = is_failed ? jobs::RunEnd::kFailed
+                               : is_done ? jobs::RunEnd::kDone
+                                         : jobs::RunEnd::kLeaseLapsed;
+      endpoint.ended.push_back({endpoint.next_end++, run->first, run->second.number, end, ""});
+      if (end == jobs::RunEnd::kDone) {
         this->done.insert(run->first);
       }
       endpoint.ended_at[endpoint.next_end - 1] = is_done ? run->second.ends : now;
--- a/tests/job_entry/fake_endpoints.h
+++ b/tests/job_entry/fake_endpoints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -59,6 +60,8 @@
   /// Tolerates another start of a task whose successful end was not confirmed before the leases
   /// lapsed. Tests without such faults are stricter: no task starts again after it has succeeded.
   bool may_rerun_after_unreported_end = false;
+  /// Whether this run of the task fails at its end; none does if it is empty.
+  std::function<bool(const jobs::TaskKey&, std::uint64_t)> fails_run;
   std::vector<std::string> violations;
   std::vector<TimePoint> starts;
 };
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -25,6 +25,8 @@
 constexpr int kMostDownMs = 4000;
 constexpr int kMostRestartMs = 2000;
 constexpr int kDelayMs = 80;
+constexpr int kMostHangMs = 6000;
+constexpr int kMostRemovalMs = 4000;
 
 }  // namespace
 
@@ -36,13 +38,50 @@
 }
 
 asio::awaitable<void> Faults::Pause(int least_ms, int most_ms) {
+  return this->PauseBy(this->random, least_ms, most_ms);
+}
+
+asio::awaitable<void> Faults::PauseBy(SeededRandom& choice, int least_ms, int most_ms) {
   const auto span = static_cast<std::uint64_t>(most_ms - least_ms);
   asio::steady_timer timer(this->fleet.io,
-                           milliseconds(least_ms + static_cast<int>(this->random.Below(span))));
+                           milliseconds(least_ms + static_cast<int>(choice.Below(span))));
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<void> Faults::RunChanges(TimePoint until) {
+  const SystemClock clock;
+  while (clock.Now() < until) {
+    co_await this->PauseBy(this->change_random, kLeastGapMs, kMostGapMs);
+    ++this->under_way;
+    if (this->change_random.Below(3) == 0) {
+      asio::co_spawn(this->fleet.io, this->RemoveQueue(), asio::detached);
+    } else {
+      asio::co_spawn(this->fleet.io, this->HangEndpoint(), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> Faults::HangEndpoint() {
+  const std::string name = SoakFleet::EndpointName(
+      this->change_random.Below(static_cast<std::uint64_t>(this->fleet.sizes.endpoints)));
+  this->Tell(name + " hangs");
+  this->fleet.endpoints.endpoints[name].is_unreachable = true;
+  co_await this->PauseBy(this->change_random, 300, kMostHangMs);
+  this->fleet.endpoints.endpoints[name].is_unreachable = false;
+  this->Tell(name + " answers again");
+  --this->under_way;
+}
+
+asio::awaitable<void> Faults::RemoveQueue() {
+  this->Tell("the queue is removed");
+  this->fleet.SetQueue(false);
+  co_await this->PauseBy(this->change_random, 500, kMostRemovalMs);
+  this->fleet.SetQueue(true);
+  this->Tell("the queue is back");
+  --this->under_way;
+}
+
 asio::awaitable<void> Faults::Run(TimePoint until) {
   const SystemClock clock;
   while (clock.Now() < until) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -15,10 +15,12 @@
 class Faults {
  public:
   Faults(SoakFleet& fleet, SoakCallers& callers, std::uint64_t seed)
-      : fleet(fleet), callers(callers), random(seed) {}
+      : fleet(fleet), callers(callers), random(seed), change_random(~seed) {}
 
   /// Injects until `until`; returns when the last fault has been lifted.
   boost::asio::awaitable<void> Run(TimePoint until);
+  /// Lets endpoints hang, and removes the queue for some time, until `until`.
+  boost::asio::awaitable<void> RunChanges(TimePoint until);
 
  private:
   enum class Kind {
@@ -45,16 +47,21 @@
   };
 
   boost::asio::awaitable<void> Inject(Kind kind);
+  boost::asio::awaitable<void> HangEndpoint();
+  boost::asio::awaitable<void> RemoveQueue();
   boost::asio::awaitable<void> InjectIntoProcess(Kind kind);
   boost::asio::awaitable<void> InjectIntoLink(const std::string& what, std::string group);
   boost::asio::awaitable<void> InjectIntoStore(Kind kind);
   boost::asio::awaitable<void> Signal(std::size_t entry, int signal);
   boost::asio::awaitable<void> Pause(int least_ms, int most_ms);
+  boost::asio::awaitable<void> PauseBy(SeededRandom& choice, int least_ms, int most_ms);
   void Tell(const std::string& what);
 
   SoakFleet& fleet;
   SoakCallers& callers;
   SeededRandom random;
+  /// Of its own, so that changes alter nothing in the faults of a seed.
+  SeededRandom change_random;
   int under_way = 0;
   bool is_key_withdrawn = false;
 };
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -41,6 +41,8 @@
   bool are_orders_carried = false;
   /// Endpoints have little more room than the jobs need, so that jobs wait after each fault.
   bool is_room_tight = false;
+  /// As in `SoakSizes`.
+  bool has_changes = false;
   /// Seeds that failed once, one a line, with the cause after the number.
   std::string regressions;
 };
@@ -61,6 +63,9 @@
   const TimePoint until = clock.Now() + std::chrono::seconds(seconds);
   asio::co_spawn(fleet.io, callers.Load(until), asio::detached);
   asio::co_spawn(fleet.io, callers.WatchCounts(until + kSettleTime), asio::detached);
+  if (fleet.sizes.has_changes) {
+    asio::co_spawn(fleet.io, faults.RunChanges(until), asio::detached);
+  }
   co_await faults.Run(until);
   const TimePoint deadline = clock.Now() + kSettleTime;
   bool are_settled = false;
@@ -81,6 +86,7 @@
   SoakSizes sizes;
   sizes.are_orders_carried = options.are_orders_carried;
   sizes.endpoint_cpu = options.is_room_tight ? kTightCpu : sizes.endpoint_cpu;
+  sizes.has_changes = options.has_changes;
   SoakFleet fleet(io, sizes, options.binary, log_dir);
   SoakCallers callers(fleet, seed);
   Faults faults(fleet, callers, seed ^ 0x5eedULL);
@@ -141,6 +147,9 @@
                "Other entries carry the owner's orders to the endpoints");
   app.add_flag("--tight", options.is_room_tight,
                "Endpoints have little more room than the jobs need");
+  app.add_flag("--changes", options.has_changes,
+               "Jobs repeat and runs fail, endpoints hang, the queue is removed for some time, and "
+               "the store takes small records only");
   app.add_option("--regressions", options.regressions, "A file of seeds to run first");
   CLI11_PARSE(app, argc, argv);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -29,6 +29,10 @@
 constexpr int kCancelledPercent = 10;
 constexpr int kTwicePercent = 10;
 constexpr unsigned kGone = 410;
+/// Of so many jobs, one repeats.
+constexpr int kJobsPerRepeated = 12;
+constexpr int kMostRepeats = 24;
+constexpr int kMostIntervalMs = 100;
 
 json::object StepOf(std::uint32_t count) {
   return {{"count", count}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", 150}};
@@ -49,6 +53,7 @@
     : fleet(fleet),
       random(seed),
       count_random(~seed),
+      repeat_random(seed + 1),
       client({.connections_per_address = 256}, {}) {}
 
 asio::awaitable<void> SoakCallers::Pause(Duration span) {
@@ -97,7 +102,11 @@
       counts.push_back(count);
       steps.push_back(std::move(step));
     }
-    std::string body = json::serialize(json::object{{"spec", "work"}, {"steps", steps}});
+    json::object job{{"spec", "work"}, {"steps", steps}};
+    if (this->fleet.sizes.has_changes) {
+      this->AddRepeats(job, this->all[id]);
+    }
+    std::string body = json::serialize(job);
     this->fleet.asked[id] = counts;
     this->all[id];
     const bool has_withdrawn_key = this->random.Below(10) == 0;
@@ -107,6 +116,18 @@
   }
 }
 
+void SoakCallers::AddRepeats(json::object& body, CallerJob& job) {
+  if (this->repeat_random.Below(kJobsPerRepeated) != 0) {
+    return;
+  }
+  const auto now = SystemClock().WallNow().time_since_epoch();
+  const auto interval = static_cast<std::int64_t>(this->repeat_random.Below(kMostIntervalMs));
+  job.occurrences = static_cast<std::uint32_t>(1 + this->repeat_random.Below(kMostRepeats));
+  body["repeats"] = job.occurrences;
+  body["first_ms"] = std::chrono::duration_cast<milliseconds>(now).count() - kMostIntervalMs;
+  body["interval_ms"] = interval;
+}
+
 asio::awaitable<void> SoakCallers::HandIn(jobs::JobId id, std::string body,
                                           bool has_withdrawn_key) {
   const std::string key = has_withdrawn_key ? kWithdrawnKey : kKey;
@@ -170,13 +191,8 @@
                              exchange.response->body.find("complete") != std::string::npos;
     this->all[id].is_shown_complete = is_complete;
     if (is_complete) {
-      const std::vector<std::uint32_t>& counts = this->fleet.asked.at(id);
-      for (std::uint32_t step = 0; step < counts.size(); ++step) {
-        for (std::uint32_t i = 0; i < counts[step]; ++i) {
-          if (!this->fleet.endpoints.done.contains({id, 0, step, i})) {
-            this->Violate(id, "is shown as complete, and a task of it has not ended well");
-          }
-        }
+      for (std::uint32_t occurrence = 0; occurrence < job.occurrences; ++occurrence) {
+        this->CheckDone(id, occurrence);
       }
     }
   }
@@ -187,6 +203,17 @@
   });
 }
 
+void SoakCallers::CheckDone(const jobs::JobId& id, std::uint32_t occurrence) {
+  const std::vector<std::uint32_t>& counts = this->fleet.asked.at(id);
+  for (std::uint32_t step = 0; step < counts.size(); ++step) {
+    for (std::uint32_t i = 0; i < counts[step]; ++i) {
+      if (!this->fleet.endpoints.done.contains({id, occurrence, step, i})) {
+        this->Violate(id, "is shown as complete, and a task of it has not ended well");
+      }
+    }
+  }
+}
+
 std::size_t SoakCallers::WaitingSince(TimePoint time) const {
   std::set<jobs::JobId> begun;
   for (const auto& [task, started] : this->fleet.endpoints.last_start) {
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -20,6 +20,7 @@
   bool is_cancelled = false;
   bool is_cancel_accepted = false;
   bool is_shown_complete = false;
+  std::uint32_t occurrences = 1;
   TimePoint accepted_at{};
 };
 
@@ -57,12 +58,17 @@
   /// Jobs accepted before `time` of which no endpoint has begun a task.
   std::size_t WaitingSince(TimePoint time) const;
   boost::asio::awaitable<void> Pause(Duration span);
+  /// Makes some jobs repeat, at intervals at which occurrences overlap.
+  void AddRepeats(boost::json::object& body, CallerJob& job);
+  void CheckDone(const jobs::JobId& id, std::uint32_t occurrence);
   void Violate(const jobs::JobId& id, const std::string& what);
 
   SoakFleet& fleet;
   SeededRandom random;
   /// Of its own, so that the questions change nothing in what a seed hands in.
   SeededRandom count_random;
+  /// The same for repeats.
+  SeededRandom repeat_random;
   http::Client client;
   std::map<jobs::JobId, CallerJob> all;
   std::optional<TimePoint> withdrawn;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -11,6 +11,17 @@
 namespace {
 
 constexpr std::int64_t kEndpointMemoryMb = 8000;
+/// The store's limits with `SoakSizes::has_changes`: the progress of most jobs takes several
+/// records.
+constexpr std::size_t kSmallRecordBytes = 1024;
+constexpr std::size_t kSmallAppendBytes = 16384;
+/// Of so many tasks, the first run of one fails.
+constexpr std::uint32_t kTasksPerFailure = 5;
+
+bool FailsRun(const jobs::TaskKey& task, std::uint64_t run) {
+  const std::uint64_t place = task.job.number + task.occurrence + task.step + task.index;
+  return run == 1 && place % kTasksPerFailure == 0;
+}
 
 }  // namespace
 
@@ -25,6 +36,11 @@
       log_dir(std::move(log_dir)),
       relay(io) {
   this->endpoints.may_rerun_after_unreported_end = true;
+  if (sizes.has_changes) {
+    this->endpoints.fails_run = FailsRun;
+    this->store.max_record_bytes = kSmallRecordBytes;
+    this->store.max_append_bytes = kSmallAppendBytes;
+  }
   const SocketAddress store_address = this->ports.Next();
   this->Listen(store_address, this->store_server);
   for (int i = 0; i < sizes.entries; ++i) {
@@ -78,17 +94,27 @@
   this->Register(endpoint);
 }
 
+void SoakFleet::SetQueue(bool has_queue) {
+  this->has_queue = has_queue;
+  this->Publish(this->keys);
+}
+
 void SoakFleet::Publish(const std::vector<std::string>& keys) {
+  this->keys = keys;
   json::array api_keys(keys.begin(), keys.end());
+  json::array routes;
+  if (this->has_queue) {
+    routes.push_back(json::object{{"name", "bookings"},
+                                  {"host", "127.0.0.1"},
+                                  {"path_prefix", "/bookings/"},
+                                  {"service", "desk"},
+                                  {"attempts", 3},
+                                  {"slack_factor", 3.0},
+                                  {"target_runtime_ms", 2000}});
+  }
   const json::object rules{
       {"version", ++this->version},
-      {"routes", json::array{{{"name", "bookings"},
-                              {"host", "127.0.0.1"},
-                              {"path_prefix", "/bookings/"},
-                              {"service", "desk"},
-                              {"attempts", 3},
-                              {"slack_factor", 3.0},
-                              {"target_runtime_ms", 2000}}}},
+      {"routes", std::move(routes)},
       {"tenants", json::array{{{"name", "team"}, {"weight", 1}, {"api_keys", api_keys}}}},
       {"services", json::array{{{"name", "desk"}}}}};
   this->store.At(job_entry::Topic::kOperators, 0)
@@ -123,6 +149,10 @@
     command.insert(command.end(), {"--carrier-address", ToString(place.carrier), "--decisions",
                                    "carriers.endpoints_per_core=0"});
   }
+  if (this->sizes.has_changes) {
+    command.insert(command.end(), {"--record-limit", std::to_string(kSmallRecordBytes),
+                                   "--append-limit", std::to_string(kSmallAppendBytes)});
+  }
   this->processes[entry] =
       std::make_unique<scenario::ChildProcess>(std::move(command), scenario::OutputFiles{log, log});
 }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -31,6 +31,9 @@
   bool are_orders_carried = false;
   /// Of each endpoint, in thousandths of a core; the callers' jobs need some 9,500 in all.
   std::int64_t endpoint_cpu = 8000;
+  /// Jobs repeat and runs fail, endpoints hang, the queue is removed for some time, and the store
+  /// takes small records only.
+  bool has_changes = false;
 
   friend bool operator==(const SoakSizes&, const SoakSizes&) = default;
 };
@@ -56,6 +59,8 @@
   void RestartEndpoint(std::size_t endpoint);
   /// Writes the operators' rules with these callers' keys, as the next version.
   void Publish(const std::vector<std::string>& keys);
+  /// Publishes the rules once more, with or without the queue.
+  void SetQueue(bool has_queue);
 
   boost::asio::io_context& io;
   const SoakSizes sizes;
@@ -78,6 +83,8 @@
   std::vector<std::unique_ptr<http::Server>> servers;
   std::vector<std::unique_ptr<scenario::ChildProcess>> processes;
   int version = 0;
+  std::vector<std::string> keys;
+  bool has_queue = true;
 };
 
 }  // namespace chervilspar::soak
