--- a/src/job_entry/append_plan.cc
+++ b/src/job_entry/append_plan.cc
@@ -56,7 +56,10 @@
 
 std::string GroupKeyOf(const std::string& key) {
   std::string job = key.substr(0, key.find(kPartSeparator));
-  return jobs::ParseJobId(job) ? std::move(job) : key;
+  if (jobs::ParseJobId(job)) {
+    return job;
+  }
+  return key;
 }
 
 std::vector<std::vector<KeyedRecord>> DivideByLimit(std::vector<KeyedRecord> records,
--- a/tests/jobs/repeating_job_test.cc
+++ b/tests/jobs/repeating_job_test.cc
@@ -203,6 +203,7 @@
     EXPECT_GE(starts.size(), GetParam().tasks);
     EXPECT_LE(starts.size(), kMaxTasks);
     std::vector<EndedRun> ended;
+    ended.reserve(starts.size());
     for (const StartOrder& start : starts) {
       ended.push_back(World::Ended(++last_end, start, RunEnd::kDone));
     }
