Telemetry: Tell an owner's processor time, frames and questions

The owner's parts of work add up to half of the processor time that it uses, so that no log line could tell what takes the other half.

--- a/include/chervilspar/telemetry/work_meter.h
+++ b/include/chervilspar/telemetry/work_meter.h
@@ -33,6 +33,8 @@
   kOutlook,
   /// Log lines on decisions.
   kLog,
+  /// Questions of other entries about jobs, without their HTTP exchange.
+  kQuestions,
 };
 
 const char* ToString(WorkPart part);
@@ -78,7 +80,7 @@
   std::vector<Amount> Take();
 
  private:
-  static constexpr std::size_t kParts = static_cast<std::size_t>(WorkPart::kLog) + 1;
+  static constexpr std::size_t kParts = static_cast<std::size_t>(WorkPart::kQuestions) + 1;
   static std::size_t Index(WorkPart part) { return static_cast<std::size_t>(part); }
   /// Counts the time since the last switch for the current part; returns that part.
   WorkPart Switch(WorkPart next);
--- a/src/job_entry/job_queries.cc
+++ b/src/job_entry/job_queries.cc
@@ -132,6 +132,7 @@
   if (term == nullptr) {
     co_return http::ErrorResponse(503, "not_owner", "This entry doesn't schedule jobs.");
   }
+  const auto span = this->context.Measure(telemetry::WorkPart::kQuestions);
   const std::string_view path = http::PathOf(request.target);
   if (path.starts_with(kJobsPath)) {
     const std::optional<jobs::JobId> id = jobs::ParseJobId(path.substr(kJobsPath.size()));
--- a/src/job_entry/order_exchange.cc
+++ b/src/job_entry/order_exchange.cc
@@ -43,12 +43,13 @@
   }
 }
 
-OrderExchange::Bytes OrderExchange::CarriedBytes() const {
+OrderExchange::Traffic OrderExchange::CarriedTraffic() const {
   if (this->transport == nullptr) {
     return {};
   }
   const rpc::TransportCounters counters = this->transport->Counters();
-  return {counters.bytes_sent, counters.bytes_received};
+  return {counters.frames_sent, counters.frames_received, counters.bytes_sent,
+          counters.bytes_received};
 }
 
 void OrderExchange::Close() {
--- a/src/job_entry/order_exchange.h
+++ b/src/job_entry/order_exchange.h
@@ -26,12 +26,16 @@
   /// Sets the check whether tasks may be started in this entry's zone; it is evaluated for each
   /// forwarded start.
   void SetMayStart(std::function<bool()> may_start);
-  /// Bytes of forwarded orders and their answers since the process start.
-  struct Bytes {
-    std::size_t sent = 0;
-    std::size_t received = 0;
+  /// Frames of forwarded orders and of answers to them since the process start.
+  struct Traffic {
+    std::size_t frames_sent = 0;
+    std::size_t frames_received = 0;
+    std::size_t bytes_sent = 0;
+    std::size_t bytes_received = 0;
+
+    std::size_t Frames() const { return this->frames_sent + this->frames_received; }
   };
-  Bytes CarriedBytes() const;
+  Traffic CarriedTraffic() const;
   /// Stops sending and receiving.
   void Close();
 
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -2,6 +2,8 @@
 
 #include <csignal>
 #include <cstdio>
+#include <ctime>
+#include <utility>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -30,6 +32,7 @@
 constexpr Duration kBalancerDetectionTime = std::chrono::milliseconds(2300);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kSweepInterval = std::chrono::seconds(2);
+constexpr std::clock_t kMillisecondsPerSecond = 1000;
 
 /// Answers the balancer's health checks and serves metrics.
 class HealthHandler final : public http::Handler {
@@ -180,9 +183,10 @@
     while (true) {
       co_await Pause(this->context, kSweepInterval);
       this->client.CloseStale();
-      const OrderExchange::Bytes carried = this->exchange.CarriedBytes();
-      this->traffic.OnExchange("carried", carried.sent - this->carried.sent,
-                               carried.received - this->carried.received);
+      const OrderExchange::Traffic carried = this->exchange.CarriedTraffic();
+      this->traffic.Add("carried", carried.Frames() - this->carried.Frames(),
+                        carried.bytes_sent - this->carried.bytes_sent,
+                        carried.bytes_received - this->carried.bytes_received);
       this->carried = carried;
       this->traffic.Report();
       this->ReportWork();
@@ -192,11 +196,16 @@
   /// Logged by the owner only, as the other entries do little of this work.
   void ReportWork() {
     const std::vector<telemetry::WorkMeter::Amount> amounts = this->context.work.Take();
+    const std::clock_t processor = std::clock();
+    const std::clock_t used = processor - std::exchange(this->processor, processor);
     if (this->election->Term() == nullptr) {
       return;
     }
     std::vector<telemetry::LogField> fields;
-    fields.reserve(amounts.size());
+    fields.reserve(amounts.size() + 1);
+    // More than the sum of the parts: connections, timers and memory belong to none of them.
+    fields.push_back(
+        {"processor", std::to_string(used * kMillisecondsPerSecond / CLOCKS_PER_SEC) + " ms"});
     for (const telemetry::WorkMeter::Amount& amount : amounts) {
       fields.push_back({telemetry::ToString(amount.part),
                         std::to_string(amount.calls) + " calls, " + MillisecondsText(amount.time) +
@@ -212,7 +221,9 @@
   TrafficMeter& traffic;
   OrderExchange& exchange;
   /// The forwarded orders' traffic at the last report.
-  OrderExchange::Bytes carried;
+  OrderExchange::Traffic carried;
+  /// The processor time of this process at the last report.
+  std::clock_t processor = 0;
   bool is_stopping = false;
   int exit_code = kExitOk;
   OperatorView operators;
--- a/src/job_entry/traffic_meter.cc
+++ b/src/job_entry/traffic_meter.cc
@@ -15,13 +15,14 @@
 
 }  // namespace
 
-void TrafficMeter::OnExchange(std::string_view kind, std::size_t sent, std::size_t received) {
+void TrafficMeter::Add(std::string_view kind, std::size_t calls, std::size_t sent,
+                       std::size_t received) {
   auto position = this->since_report.find(kind);
   if (position == this->since_report.end()) {
     position = this->since_report.emplace(std::string(kind), Amount{}).first;
   }
   Amount& amount = position->second;
-  ++amount.calls;
+  amount.calls += calls;
   amount.sent += sent;
   amount.received += received;
 }
--- a/src/job_entry/traffic_meter.h
+++ b/src/job_entry/traffic_meter.h
@@ -14,7 +14,11 @@
  public:
   explicit TrafficMeter(telemetry::MetricsRegistry& metrics) : metrics(metrics) {}
 
-  void OnExchange(std::string_view kind, std::size_t sent, std::size_t received) override;
+  void OnExchange(std::string_view kind, std::size_t sent, std::size_t received) override {
+    this->Add(kind, 1, sent, received);
+  }
+  /// Counts several messages at once, with their bytes.
+  void Add(std::string_view kind, std::size_t calls, std::size_t sent, std::size_t received);
   /// Adds the traffic since the last call to the metrics, and logs it by kind in descending order
   /// unless it is small.
   void Report();
--- a/src/telemetry/work_meter.cc
+++ b/src/telemetry/work_meter.cc
@@ -29,6 +29,8 @@
       return "outlook";
     case WorkPart::kLog:
       return "log";
+    case WorkPart::kQuestions:
+      return "questions";
   }
   return "unknown";
 }
