Jobs: Do less for each report and outlook

Cause: each report of an endpoint copied its claims twice, built a set of its runs and looked for stalled runs among all of them; each end of a run was described for a log level that is off; each round set metrics; an outlook added up all pools anew for each account.

Change: one pass over the claims, stalled runs are looked for only where a report shows one without progress, routine events only where they are logged, the cpu that a pool can reach once an outlook. Decisions are the same.

--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -94,6 +94,9 @@
   /// The same for the leases that the scheduler grants.
   Duration LongestLease() const { return this->TimeToLapse(this->lease); }
 
+  /// Whether events of the kind `EventImportance::kRoutine` are reported.
+  bool reports_routine_events = true;
+
   friend bool operator==(const SchedulerOptions&, const SchedulerOptions&) = default;
 };
 
--- a/src/job_entry/link_meter.cc
+++ b/src/job_entry/link_meter.cc
@@ -28,9 +28,14 @@
     traffic = this->context.links.fleet_observer->TakeTraffic();
   }
   traffic.progress = std::exchange(this->progress_bytes, 0);
-  const TimePoint now = this->context.Now();
-  this->scheduler.OnLinkTraffic(traffic, now);
-  const jobs::LinkUsage usage = this->scheduler.LinkUsageAt(now);
+  this->scheduler.OnLinkTraffic(traffic, this->context.Now());
+}
+
+void LinkMeter::UpdateMetrics() {
+  if (!this->context.settings.decisions.scheduler.budgets_link) {
+    return;
+  }
+  const jobs::LinkUsage usage = this->scheduler.LinkUsageAt(this->context.Now());
   this->context.metrics.Set({"chervilspar_start_allowance_bytes", {}},
                             static_cast<double>(usage.allowance));
   this->context.metrics.Count({"chervilspar_starts_held_back_total", {}},
--- a/src/job_entry/link_meter.h
+++ b/src/job_entry/link_meter.h
@@ -18,8 +18,9 @@
 
   /// These records are about to be sent to the store.
   void OnRecords(const std::vector<KeyedRecord>& records);
-  /// Passes on the traffic since the last call and updates the metrics. Called before each round.
+  /// Passes on the traffic since the last call. Called before each round.
   void Report();
+  void UpdateMetrics();
 
  private:
   const Context context;
--- a/src/job_entry/payload_cache.h
+++ b/src/job_entry/payload_cache.h
@@ -2,9 +2,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "chervilspar/jobs/job.h"
@@ -52,9 +54,9 @@
 
  private:
   struct Known {
-    std::map<jobs::JobId, std::uint64_t> digests;
+    std::unordered_map<jobs::JobId, std::uint64_t> digests;
     /// In the order in which they were added; may contain jobs that were removed since.
-    std::list<jobs::JobId> added;
+    std::deque<jobs::JobId> added;
   };
 
   std::map<std::string, Known> carriers;
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -1,6 +1,7 @@
 #include "jobs/run_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilspar::jobs {
 
@@ -13,6 +14,25 @@
 /// An endpoint that refuses a start for lack of capacity is skipped for this long.
 constexpr Duration kFullBackoff = std::chrono::milliseconds(250);
 
+/// The runs that a report lists as active.
+class ListedRuns {
+ public:
+  explicit ListedRuns(const RenewalReport& report) {
+    this->runs.reserve(report.active.size());
+    for (const ActiveRun& active : report.active) {
+      this->runs.emplace_back(active.task, active.run);
+    }
+    std::sort(this->runs.begin(), this->runs.end());
+  }
+
+  bool Contains(const TaskKey& task, std::uint64_t run) const {
+    return std::binary_search(this->runs.begin(), this->runs.end(), std::pair(task, run));
+  }
+
+ private:
+  std::vector<std::pair<TaskKey, std::uint64_t>> runs;
+};
+
 }  // namespace
 
 bool RunTracker::IsCurrentRun(const TaskRef& ref, const EndpointState& endpoint,
@@ -65,13 +85,16 @@
   }
   const bool is_current = this->IsCurrentRun(ref, endpoint, ended.run);
   this->state.MarkStarted(ref, endpoint, now);
-  this->state.ReportEvent(
-      {"run_ended",
-       ended.task,
-       {},
-       endpoint.record.id,
-       ToString(ended.end),
-       ended.end == RunEnd::kDone ? EventImportance::kRoutine : EventImportance::kNotable});
+  if (ended.end != RunEnd::kDone) {
+    this->state.ReportEvent({"run_ended", ended.task, {}, endpoint.record.id, ToString(ended.end)});
+  } else if (this->state.options.reports_routine_events) {
+    this->state.ReportEvent({"run_ended",
+                             ended.task,
+                             {},
+                             endpoint.record.id,
+                             ToString(ended.end),
+                             EventImportance::kRoutine});
+  }
   if (!ended.checkpoint.empty() && ref.task->progress.phase != TaskPhase::kDone) {
     ref.task->progress.checkpoint = ended.checkpoint;
   }
@@ -198,6 +221,8 @@
   if (active.percent != task.percent) {
     task.percent = active.percent;
     task.percent_since = now;
+  } else if (now - task.percent_since > this->state.options.stall_timeout) {
+    endpoint.may_have_stalled_runs = true;
   }
   if (ref.spec->is_long_running && active.percent >= kReadyPercent) {
     task.restarts = 0;
@@ -210,19 +235,15 @@
 
 void RunTracker::ReleaseUnlisted(EndpointState& endpoint, const RenewalReport& report,
                                  TimePoint sent, TimePoint now) {
-  std::set<std::pair<TaskKey, std::uint64_t>> listed;
-  for (const ActiveRun& active : report.active) {
-    listed.insert({active.task, active.run});
-  }
-  for (auto run = endpoint.orphaned_runs.begin(); run != endpoint.orphaned_runs.end();) {
-    run = listed.contains(run->first) ? std::next(run) : endpoint.orphaned_runs.erase(run);
-  }
+  const ListedRuns listed(report);
+  std::erase_if(endpoint.orphaned_runs, [&listed](const auto& run) {
+    return !listed.Contains(run.first.first, run.first.second);
+  });
   std::vector<TaskRef> lost;
-  const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
-  for (const TaskKey& key : claims) {
+  for (const TaskKey& key : endpoint.claims) {
     const TaskRef ref = this->state.Find(key);
     const Task& task = *ref.task;
-    if (listed.contains({key, task.progress.run})) {
+    if (listed.Contains(key, task.progress.run)) {
       continue;
     }
     const bool was_confirmed = task.state == RunState::kActive && task.since < sent;
@@ -234,16 +255,18 @@
     // The endpoint knows this owner's token, so that it refuses a predecessor's order from now on.
     const bool is_fenced = task.state == RunState::kUnconfirmed && task.is_adopted;
     if (was_confirmed || is_settled || is_expired || is_fenced) {
-      this->state.ReportEvent(
-          {"run_absent",
-           key,
-           {},
-           endpoint.record.id,
-           "not listed in a response to a request that was sent after its order"});
-      this->state.Release(ref);
       lost.push_back(ref);
     }
   }
+  for (const TaskRef& ref : lost) {
+    this->state.ReportEvent(
+        {"run_absent",
+         ref.key,
+         {},
+         endpoint.record.id,
+         "not listed in a response to a request that was sent after its order"});
+    this->state.Release(ref);
+  }
   this->StopGangsOf(lost, now);
 }
 
@@ -285,10 +308,7 @@
 }
 
 void RunTracker::OnRestart(EndpointState& endpoint, const RenewalReport& report, TimePoint now) {
-  std::set<std::pair<TaskKey, std::uint64_t>> listed;
-  for (const ActiveRun& active : report.active) {
-    listed.insert({active.task, active.run});
-  }
+  const ListedRuns listed(report);
   std::vector<TaskRef> lost;
   const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
   for (const TaskKey& key : claims) {
@@ -297,7 +317,7 @@
     if (task.progress.endpoint_born_ms == report.born_ms) {
       continue;
     }
-    if (listed.contains({key, task.progress.run})) {
+    if (listed.Contains(key, task.progress.run)) {
       task.progress.endpoint_born_ms = report.born_ms;
       this->state.MarkDirty(*ref.job);
       continue;
--- a/src/jobs/scheduler_outlook.cc
+++ b/src/jobs/scheduler_outlook.cc
@@ -114,8 +114,9 @@
     this->LimitByLink();
     const AccountShares shares = this->Divide();
     outlook.is_full = shares.IsFull();
+    this->FindReachableCpu(shares);
     for (const auto& [pool, cpu] : this->pool_cpu) {
-      outlook.pools.push_back({pool, cpu, this->ReachableCpu(pool, shares)});
+      outlook.pools.push_back({pool, cpu, this->reachable_cpu.at(pool)});
     }
     for (const auto& [key, backlog] : this->backlogs) {
       AccountOutlook account{key.first, key.second};
@@ -231,31 +232,40 @@
     return share == nullptr ? cpu : share->due * cpu;
   }
 
-  /// VMs that hold no on-time work within shares can move to the pool.
-  double ReachableCpu(const ServiceId& pool, const AccountShares& shares) const {
+  /// VMs that hold no on-time work within shares can move to another pool.
+  void FindReachableCpu(const AccountShares& shares) {
     double serving = 0;
-    double kept_by_others = 0;
-    for (const auto& [other, cpu] : this->pool_cpu) {
+    double kept = 0;
+    std::map<ServiceId, double> kept_in;
+    for (const auto& [pool, cpu] : this->pool_cpu) {
       serving += cpu;
-      const auto requests = this->requested_cpu.find(other);
-      if (other == pool || requests == this->requested_cpu.end()) {
-        continue;
-      }
-      double kept = 0;
-      for (const auto& [team, requested] : requests->second) {
-        kept += std::min(requested, this->DueCpu(shares, team));
+      const auto requests = this->requested_cpu.find(pool);
+      double& kept_here = kept_in[pool];
+      if (requests != this->requested_cpu.end()) {
+        for (const auto& [team, requested] : requests->second) {
+          kept_here += std::min(requested, this->DueCpu(shares, team));
+        }
       }
-      kept_by_others += std::min(kept, cpu);
+      kept_here = std::min(kept_here, cpu);
+      kept += kept_here;
     }
-    return std::max(std::max(PositiveCpu(this->capacity), serving) - kept_by_others, 0.0);
+    const double all = std::max(PositiveCpu(this->capacity), serving);
+    for (const auto& [pool, kept_here] : kept_in) {
+      this->reachable_cpu[pool] = std::max(all - (kept - kept_here), 0.0);
+    }
+  }
+
+  /// For a pool without endpoints as well.
+  double ReachableCpu(const ServiceId& pool) const {
+    const auto found = this->reachable_cpu.find(pool);
+    return found == this->reachable_cpu.end() ? 0.0 : found->second;
   }
 
   void SetShare(const AccountShares& shares, const ServiceId& pool, AccountOutlook& account) const {
     const AccountShare* const share = shares.Find(account.team);
     account.is_beyond_share = shares.IsFull() && share != nullptr &&
                               share->requested > share->due * (1 + kShareTolerance);
-    account.due_cpu =
-        std::min(this->DueCpu(shares, account.team), this->ReachableCpu(pool, shares));
+    account.due_cpu = std::min(this->DueCpu(shares, account.team), this->ReachableCpu(pool));
     const std::int64_t cap = this->CapOf(account.team).cpu;
     if (cap > 0) {
       account.due_cpu = std::min(account.due_cpu, static_cast<double>(cap));
@@ -296,6 +306,8 @@
   Resources capacity;
   /// Of the endpoints that take work now.
   std::map<ServiceId, double> pool_cpu;
+  /// The cpu that each pool could have.
+  std::map<ServiceId, double> reachable_cpu;
   std::map<QueueKey, Backlog> backlogs;
   std::map<TeamId, AccountDemand> demands;
   std::map<ServiceId, std::map<TeamId, double>> requested_cpu;
