Jobs: Take over only registrations that have changed

What callers saw: avail-check late at an owner whose processor is full.

Change: a registration that differs from the known one in nothing but its heartbeat number is not decoded; the scheduler, the choice of carriers and the order sender get changes only, and pools are rebuilt where one of them is listed. The order of the carriers of an endpoint is computed once.

--- a/include/chervilspar/jobs/carrier_choice.h
+++ b/include/chervilspar/jobs/carrier_choice.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "chervilspar/base/ids.h"
@@ -49,6 +50,7 @@
 
   void SetCarriers(const std::vector<Carrier>& carriers);
   void SetEndpoints(const std::vector<EndpointRecord>& endpoints);
+  void UpdateEndpoints(const EndpointChanges& changes);
   /// Returns the address of the entry that forwards orders to `endpoint` at `now`, or nothing if
   /// the owner sends them itself.
   std::optional<std::string> Choose(const std::string& endpoint, TimePoint now) const;
@@ -68,12 +70,22 @@
     TimePoint avoided_until{};
   };
 
+  struct KnownEndpoint {
+    ZoneId zone;
+    /// The carriers of its zone, the preferred one first. Computed when first needed after a change
+    /// of the carriers, as an owner chooses thousands of times a second.
+    std::vector<const std::string*> order;
+    std::uint64_t carriers_version = 0;
+  };
+
   bool AreMostAvoided(TimePoint now) const;
+  void Order(const std::string& id, KnownEndpoint& endpoint) const;
 
   const CarrierOptions options;
   const double cores;
   std::map<ZoneId, std::vector<std::string>> carriers_of_zone;
-  std::map<std::string, ZoneId> zone_of_endpoint;
+  std::uint64_t carriers_version = 1;
+  mutable std::unordered_map<std::string, KnownEndpoint> endpoints;
   std::map<std::string, Health> health;
 };
 
--- a/include/chervilspar/jobs/endpoint.h
+++ b/include/chervilspar/jobs/endpoint.h
@@ -31,6 +31,17 @@
   friend bool operator==(const EndpointRecord&, const EndpointRecord&) = default;
 };
 
+/// Changes of the registered endpoints.
+struct EndpointChanges {
+  /// Endpoints that are new or whose registration has changed.
+  std::vector<EndpointRecord> registered;
+  /// Endpoints that are no longer registered.
+  std::vector<std::string> removed;
+
+  bool IsEmpty() const { return this->registered.empty() && this->removed.empty(); }
+  friend bool operator==(const EndpointChanges&, const EndpointChanges&) = default;
+};
+
 /// A run that an endpoint reports as active.
 struct ActiveRun {
   TaskKey task;
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -188,6 +188,9 @@
   /// Sets the endpoints that are registered now. All others have left or are unreachable for the
   /// registry.
   void SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint now);
+  /// Changes the endpoints that are registered. Returns those that are unknown from now on, as they
+  /// aren't registered and have no claims; these may include some that were removed earlier.
+  std::vector<std::string> UpdateEndpoints(const EndpointChanges& changes, TimePoint now);
   /// Adds a job. An id that is already known is ignored.
   void AddJob(const Job& job, WallTime wall);
   /// Restores the stored progress of a job. May only be called while the scheduler is loaded, after
@@ -295,6 +298,9 @@
   /// Endpoints that were examined for the placing of tasks since this scheduler began; a measure of
   /// the cost of its rounds.
   std::uint64_t EndpointsExamined() const;
+  /// Registrations that were taken over since this scheduler began; a measure of the cost of their
+  /// changes.
+  std::uint64_t EndpointsUpdated() const;
   /// The number of jobs that passes over all open jobs, such as `PoolLoads` and `Outlook`, have
   /// examined. Never decreases; a measure of their cost.
   std::uint64_t JobsVisited() const;
--- a/src/job_entry/endpoint_registry.cc
+++ b/src/job_entry/endpoint_registry.cc
@@ -34,6 +34,7 @@
   for (const KeyedRecord& record : newest->records) {
     this->Apply(record);
   }
+  this->changed.clear();
   co_return true;
 }
 
@@ -54,11 +55,24 @@
   std::vector<jobs::EndpointRecord> all;
   all.reserve(this->endpoints.size());
   for (const auto& [id, endpoint] : this->endpoints) {
-    all.push_back(endpoint);
+    all.push_back(endpoint.record);
   }
   return all;
 }
 
+jobs::EndpointChanges EndpointRegistry::TakeChanges() {
+  jobs::EndpointChanges changes;
+  for (const std::string& id : std::exchange(this->changed, {})) {
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end()) {
+      changes.removed.push_back(id);
+    } else {
+      changes.registered.push_back(found->second.record);
+    }
+  }
+  return changes;
+}
+
 void EndpointRegistry::OnRecords(const std::vector<KeyedRecord>& records) {
   const auto span = this->context.Measure(telemetry::WorkPart::kReadEndpoints);
   bool is_changed = false;
@@ -103,16 +117,24 @@
 }
 
 bool EndpointRegistry::Apply(const KeyedRecord& record) {
+  const auto known = this->endpoints.find(record.key);
+  if (known != this->endpoints.end() && record.value &&
+      this->context.links.records->IsSameEndpoint(known->second.text, *record.value)) {
+    this->lapsed.erase(record.key);
+    return false;
+  }
   std::optional<jobs::EndpointRecord> read = this->Read(record);
   if (!read) {
     return this->Remove(record.key);
   }
-  this->lapsed.erase(read->id);
-  jobs::EndpointRecord& known = this->endpoints[read->id];
-  if (known == *read) {
+  this->lapsed.erase(record.key);
+  Registration& registration = this->endpoints[record.key];
+  registration.text = *record.value;
+  if (registration.record == *read) {
     return false;
   }
-  known = *std::move(read);
+  registration.record = *std::move(read);
+  this->changed.insert(record.key);
   return true;
 }
 
@@ -132,18 +154,22 @@
     this->lapsed.insert(id);
     return false;
   }
-  this->endpoints.erase(found);
+  this->Erase(id);
   return true;
 }
 
+void EndpointRegistry::Erase(const std::string& id) {
+  this->endpoints.erase(id);
+  this->changed.insert(id);
+}
+
 void EndpointRegistry::DropLapsed() {
   if (this->lapsed.empty() || this->IsInRecoveryPeriod()) {
     return;
   }
-  for (const std::string& id : this->lapsed) {
-    this->endpoints.erase(id);
+  for (const std::string& id : std::exchange(this->lapsed, {})) {
+    this->Erase(id);
   }
-  this->lapsed.clear();
   this->on_change();
 }
 
--- a/src/job_entry/endpoint_registry.h
+++ b/src/job_entry/endpoint_registry.h
@@ -32,6 +32,8 @@
   /// Drops the registrations that lapsed in an outage of the store and weren't renewed in time.
   void DropLapsed();
   std::vector<jobs::EndpointRecord> Endpoints() const;
+  /// The changes since the last call of this function or of `Load`.
+  jobs::EndpointChanges TakeChanges();
   std::size_t Count() const { return this->endpoints.size(); }
 
   void OnRecords(const std::vector<KeyedRecord>& records) override;
@@ -45,9 +47,20 @@
   bool Remove(const std::string& id);
   bool IsInRecoveryPeriod() const;
 
+  /// Removes the endpoint at once.
+  void Erase(const std::string& id);
+
+  struct Registration {
+    jobs::EndpointRecord record;
+    /// The record in the store that it was decoded from.
+    std::string text;
+  };
+
   const Context context;
   const std::function<void()> on_change;
-  std::map<std::string, jobs::EndpointRecord> endpoints;
+  std::map<std::string, Registration> endpoints;
+  /// Endpoints that were registered, changed or removed since the changes were last taken.
+  std::set<std::string> changed;
   /// Lapsed during an outage of the store; kept until their endpoints have had time to register
   /// again.
   std::set<std::string> lapsed;
--- a/src/jobs/carrier_choice.cc
+++ b/src/jobs/carrier_choice.cc
@@ -19,38 +19,59 @@
     }
   }
   this->health = std::move(kept);
+  ++this->carriers_version;
 }
 
 void CarrierChoice::SetEndpoints(const std::vector<EndpointRecord>& endpoints) {
-  this->zone_of_endpoint.clear();
-  for (const EndpointRecord& endpoint : endpoints) {
-    this->zone_of_endpoint.emplace(endpoint.id, endpoint.zone);
+  this->endpoints.clear();
+  this->UpdateEndpoints({endpoints, {}});
+}
+
+void CarrierChoice::UpdateEndpoints(const EndpointChanges& changes) {
+  for (const std::string& id : changes.removed) {
+    this->endpoints.erase(id);
+  }
+  for (const EndpointRecord& endpoint : changes.registered) {
+    this->endpoints[endpoint.id] = {endpoint.zone, {}, 0};
+  }
+}
+
+/// By rendezvous hashing: the loss of a carrier moves its endpoints only.
+void CarrierChoice::Order(const std::string& id, KnownEndpoint& endpoint) const {
+  endpoint.carriers_version = this->carriers_version;
+  endpoint.order.clear();
+  const auto carriers = this->carriers_of_zone.find(endpoint.zone);
+  if (carriers == this->carriers_of_zone.end()) {
+    return;
+  }
+  const std::uint64_t seed = StableHash(id);
+  std::vector<std::pair<std::uint64_t, const std::string*>> weighted;
+  for (const std::string& address : carriers->second) {
+    weighted.emplace_back(StableHash(address, seed), &address);
+  }
+  std::stable_sort(weighted.begin(), weighted.end(),
+                   [](const auto& one, const auto& other) { return one.first > other.first; });
+  for (const auto& [weight, address] : weighted) {
+    endpoint.order.push_back(address);
   }
 }
 
 std::optional<std::string> CarrierChoice::Choose(const std::string& endpoint, TimePoint now) const {
   const auto direct_limit = this->options.endpoints_per_core * this->cores;
-  const auto zone = this->zone_of_endpoint.find(endpoint);
-  if (static_cast<double>(this->zone_of_endpoint.size()) <= direct_limit ||
-      zone == this->zone_of_endpoint.end()) {
+  const auto known = this->endpoints.find(endpoint);
+  if (static_cast<double>(this->endpoints.size()) <= direct_limit ||
+      known == this->endpoints.end()) {
     return std::nullopt;
   }
-  const auto carriers = this->carriers_of_zone.find(zone->second);
-  if (carriers == this->carriers_of_zone.end()) {
-    return std::nullopt;
+  if (known->second.carriers_version != this->carriers_version) {
+    this->Order(endpoint, known->second);
   }
-  const std::string* best = nullptr;
-  std::uint64_t best_weight = 0;
-  const std::uint64_t seed = StableHash(endpoint);
-  for (const std::string& address : carriers->second) {
-    const std::uint64_t weight = StableHash(address, seed);
-    const bool is_avoided = now < this->health.at(address).avoided_until;
-    if (!is_avoided && (best == nullptr || weight > best_weight)) {
-      best = &address;
-      best_weight = weight;
+  for (const std::string* address : known->second.order) {
+    if (now >= this->health.at(*address).avoided_until) {
+      return *address;
     }
   }
-  return best == nullptr ? std::nullopt : std::optional(*best);
+  return std::nullopt;
 }
 
 void CarrierChoice::OnAnswered(const std::string& address) {
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "jobs/evacuation.h"
 #include "jobs/former_leases.h"
@@ -45,20 +46,18 @@
   });
 }
 
-void Scheduler::Impl::RebuildPools() {
-  for (auto& [service, pool] : this->state.pools) {
-    pool.endpoints.clear();
+void Scheduler::Impl::RebuildPools(const std::set<PoolState*>& pools) {
+  for (PoolState* pool : pools) {
+    pool->endpoints.clear();
   }
   for (const auto& [id, endpoint] : this->state.endpoints) {
-    if (endpoint->is_registered) {
-      PoolState& pool = this->state.pools[endpoint->record.service];
-      endpoint->pool = &pool;
-      endpoint->position = pool.endpoints.size();
-      pool.endpoints.push_back(endpoint.get());
+    if (endpoint->is_registered && pools.contains(endpoint->pool)) {
+      endpoint->position = endpoint->pool->endpoints.size();
+      endpoint->pool->endpoints.push_back(endpoint.get());
     }
   }
-  for (auto& [service, pool] : this->state.pools) {
-    pool.by_free_cpu.Rebuild(pool.endpoints);
+  for (PoolState* pool : pools) {
+    pool->by_free_cpu.Rebuild(pool->endpoints);
   }
 }
 
@@ -74,34 +73,57 @@
 }
 
 void Scheduler::SetEndpoints(const std::vector<EndpointRecord>& endpoints, TimePoint now) {
+  std::set<std::string_view> listed;
+  for (const EndpointRecord& record : endpoints) {
+    listed.insert(record.id);
+  }
+  EndpointChanges changes{endpoints, {}};
+  for (const auto& [id, endpoint] : this->impl->state.endpoints) {
+    if (endpoint->is_registered && !listed.contains(id)) {
+      changes.removed.push_back(id);
+    }
+  }
+  this->UpdateEndpoints(changes, now);
+}
+
+std::vector<std::string> Scheduler::UpdateEndpoints(const EndpointChanges& changes, TimePoint now) {
   SchedulerState& state = this->impl->state;
-  for (const auto& [id, endpoint] : state.endpoints) {
-    endpoint->is_registered = false;
-    endpoint->pool = nullptr;  // Until the pools are rebuilt below.
+  std::set<PoolState*> affected;
+  // An endpoint is in no pool until the pools are rebuilt below.
+  const auto leave_pool = [&affected](EndpointState& endpoint) {
+    if (PoolState* pool = std::exchange(endpoint.pool, nullptr)) {
+      affected.insert(pool);
+    }
+  };
+  for (const std::string& id : changes.removed) {
+    if (EndpointState* endpoint = state.FindEndpoint(id)) {
+      endpoint->is_registered = false;
+      leave_pool(*endpoint);
+    }
   }
-  for (const EndpointRecord& record : endpoints) {
+  for (const EndpointRecord& record : changes.registered) {
+    ++state.endpoints_updated;
     EndpointState& endpoint = state.GetOrCreateEndpoint(record.id);
+    leave_pool(endpoint);
     endpoint.is_registered = true;
     endpoint.record = record;
     endpoint.is_cordoned = state.cordoned_zones.contains(record.zone);
     state.RefreshLeaving(endpoint);
+  }
+  for (const EndpointRecord& record : changes.registered) {
+    EndpointState& endpoint = *state.FindEndpoint(record.id);
     if (record.born_ms > endpoint.born_ms) {
       this->impl->tracker.OnRestartRegistered(endpoint, record.born_ms, now);
     }
   }
-  std::erase_if(state.endpoints, [&state](const auto& entry) {
-    const EndpointState& endpoint = *entry.second;
-    const bool is_gone = !endpoint.is_registered && endpoint.claims.empty() &&
-                         !endpoint.has_lapse_notice && !endpoint.has_long_lease_notice;
-    if (is_gone) {
-      state.endpoint_index.erase(entry.first);
-      state.leaving.erase(entry.first);
-      std::erase_if(state.reservations,
-                    [&entry](const auto& kept) { return kept.second.endpoint == entry.first; });
-    }
-    return is_gone;
-  });
-  this->impl->RebuildPools();
+  for (const EndpointRecord& record : changes.registered) {
+    EndpointState& endpoint = *state.FindEndpoint(record.id);
+    endpoint.pool = &state.pools[record.service];
+    affected.insert(endpoint.pool);
+  }
+  std::vector<std::string> forgotten = state.ForgetUnregisteredEndpoints();
+  this->impl->RebuildPools(affected);
+  return forgotten;
 }
 
 void Scheduler::AddJob(const Job& job, WallTime wall) {
@@ -269,6 +291,9 @@
 }
 
 void Scheduler::Impl::StopStalledRuns(EndpointState& endpoint, TimePoint now) {
+  if (!std::exchange(endpoint.may_have_stalled_runs, false)) {
+    return;
+  }
   const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
   for (const TaskKey& key : claims) {
     const TaskRef ref = this->state.Find(key);
--- a/src/jobs/scheduler_impl.h
+++ b/src/jobs/scheduler_impl.h
@@ -46,7 +46,8 @@
   void CreateDueOccurrences(std::int64_t wall_ms);
   static bool HasRoomForOccurrence(const JobState& job);
   void EndJobs(std::int64_t wall_ms);
-  void RebuildPools();
+  /// Lists the endpoints of these pools anew, in the order of their ids.
+  void RebuildPools(const std::set<PoolState*>& pools);
   void StopStalledRuns(EndpointState& endpoint, TimePoint now);
   JobProgress ProgressOf(const JobState& job) const;
   PendingCount CountPending();
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -128,6 +128,24 @@
   return *slot;
 }
 
+std::vector<std::string> SchedulerState::ForgetUnregisteredEndpoints() {
+  std::vector<std::string> forgotten;
+  std::erase_if(this->endpoints, [&](const auto& entry) {
+    const EndpointState& endpoint = *entry.second;
+    const bool is_gone = !endpoint.is_registered && endpoint.claims.empty() &&
+                         !endpoint.has_lapse_notice && !endpoint.has_long_lease_notice;
+    if (is_gone) {
+      this->endpoint_index.erase(entry.first);
+      this->leaving.erase(entry.first);
+      std::erase_if(this->reservations,
+                    [&entry](const auto& kept) { return kept.second.endpoint == entry.first; });
+      forgotten.push_back(entry.first);
+    }
+    return is_gone;
+  });
+  return forgotten;
+}
+
 void SchedulerState::RefreshLeaving(EndpointState& endpoint) {
   if (endpoint.IsLeaving()) {
     this->leaving.emplace(endpoint.record.id, &endpoint);
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -266,6 +266,8 @@
   /// Reserved for tasks that are moving here from an endpoint that is being evacuated.
   Resources reserved_capacity;
   std::set<TaskKey> claims;
+  /// The last report lists a run without progress for longer than `SchedulerOptions::stall_timeout`.
+  bool may_have_stalled_runs = false;
   /// The number of `claims` by long-running tasks.
   std::uint32_t long_running_claims = 0;
   /// Runs that match no claim of this process, with the time of their last stop.
@@ -366,6 +368,9 @@
   JobState* FindJob(const JobId& id);
   EndpointState* FindEndpoint(const std::string& id);
   EndpointState& GetOrCreateEndpoint(const std::string& id);
+  /// Forgets the endpoints that aren't registered and have neither claims nor notices, and returns
+  /// their ids.
+  std::vector<std::string> ForgetUnregisteredEndpoints();
   /// Call after a change of what `EndpointState::IsLeaving` depends on.
   void RefreshLeaving(EndpointState& endpoint);
 
@@ -486,6 +491,7 @@
   bool is_superseded = false;
   /// As in `Scheduler::EndpointsExamined`.
   std::uint64_t endpoints_examined = 0;
+  std::uint64_t endpoints_updated = 0;
   /// An endpoint may have orphaned runs.
   bool has_orphaned_runs = false;
   /// An endpoint may have reported ends that are not in a batch yet.
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -297,6 +297,8 @@
 
 std::uint64_t Scheduler::EndpointsExamined() const { return this->impl->state.endpoints_examined; }
 
+std::uint64_t Scheduler::EndpointsUpdated() const { return this->impl->state.endpoints_updated; }
+
 ZoneId Scheduler::ZoneOf(const std::string& id) const {
   const EndpointState* endpoint = this->impl->state.FindEndpoint(id);
   return endpoint == nullptr ? ZoneId{} : endpoint->record.zone;
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -182,6 +182,39 @@
         EndpointCase{"no_json", "\x01\x02", false}),
     [](const auto& info) { return info.param.name; });
 
+struct HeartbeatCase {
+  const char* name;
+  std::string one;
+  std::string other;
+  bool is_same;
+};
+
+class HeartbeatTest : public ::testing::TestWithParam<HeartbeatCase> {};
+
+/// Guards against a heartbeat that is decoded although it says nothing new, and against a change
+/// that is taken for a heartbeat: an endpoint that drains would get new work.
+TEST_P(HeartbeatTest, DiffersInItsNumberOnly) {
+  const PlatformRecordReader reader;
+  EXPECT_EQ(reader.IsSameEndpoint(GetParam().one, GetParam().other), GetParam().is_same);
+  EXPECT_EQ(reader.IsSameEndpoint(GetParam().other, GetParam().one), GetParam().is_same);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Records, HeartbeatTest,
+    ::testing::Values(
+        HeartbeatCase{"Number", R"({"phase":"ready","seq":9,"born":1})",
+                      R"({"phase":"ready","seq":10,"born":1})", true},
+        HeartbeatCase{"NumberFirst", R"({"seq":9,"born":1})", R"({"seq":123,"born":1})", true},
+        HeartbeatCase{"NumberLast", R"({"born":1,"seq":9})", R"({"born":1,"seq":10})", true},
+        HeartbeatCase{"PhaseAsWell", R"({"phase":"ready","seq":9})",
+                      R"({"phase":"draining","seq":10})", false},
+        HeartbeatCase{"Restarted", R"({"seq":9,"born":1})", R"({"seq":1,"born":2})", false},
+        HeartbeatCase{"NoNumber", R"({"born":1})", R"({"born":12})", false},
+        HeartbeatCase{"NumberInAText", R"({"labels":["a,\"seq\":1"],"born":1})",
+                      R"({"labels":["a,\"seq\":2"],"born":1})", false},
+        HeartbeatCase{"NotANumber", R"({"seq":x,"born":1})", R"({"seq":y,"born":1})", false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(PolicyTest, TranslatesFields) {
   const Result<jobs::Policy> policy = PlatformRecordReader().ReadPolicy(R"({"version":7,
       "routes":[{"name":"r","host":"h","path_prefix":"/p/","target_runtime_ms":600,"prio":1,
