JobEntry: Exchange orders, answers and questions in few frames

Evidence: half of the owner's processor time went to what no part of owner_work counts: connections, timers, coroutines. A frame held two to three messages.

Change: renewals and answers are collected for as long as keeps an owner's frames constant for its cores, starts take them along; questions of a zone are collected by one of its members and reach the owner in frames; a forwarded start takes neither coroutine nor timer; the only thread takes no locks.

--- a/include/chervilspar/job_entry/links.h
+++ b/include/chervilspar/job_entry/links.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,6 +47,15 @@
   /// Sets the share of its full speed at which a run works.
   virtual boost::asio::awaitable<jobs::OrderOutcome> Throttle(jobs::ThrottleOrder order,
                                                               Duration timeout) = 0;
+  /// Called with the outcome of a start that was forwarded.
+  using StartCallback = std::function<void(jobs::OrderOutcome)>;
+  /// Sends the order like `Start`, unless that takes a coroutine: then returns false and leaves the
+  /// order as it was. A peak has thousands of starts a second, for which the coroutines and timers
+  /// of `Start` cost more than the orders themselves.
+  virtual bool ForwardStart(jobs::StartOrder& /*order*/, Duration /*timeout*/,
+                            StartCallback /*on_outcome*/) {
+    return false;
+  }
   /// Maximum number of orders in flight to this endpoint, not counting lease renewals.
   virtual std::size_t MaxConcurrentOrders(const std::string&) const {
     return kMaxOrdersPerEndpoint;
@@ -61,10 +71,26 @@
   /// Replaces the names of the members that the group currently has.
   virtual void SetMembers(const std::vector<std::string>& members) = 0;
   virtual void SetEndpoints(const std::vector<jobs::EndpointRecord>& endpoints) = 0;
+  /// Applies changes since the last call of this or of `SetEndpoints`.
+  virtual void UpdateEndpoints(const jobs::EndpointChanges& changes) = 0;
   /// The bytes of forwarded orders that were handed to the link since the last call.
   virtual jobs::LinkTraffic TakeTraffic() = 0;
 };
 
+/// Asks the owner, together with other entries' questions.
+class OwnerQuestions {
+ public:
+  virtual ~OwnerQuestions() = default;
+
+  /// Replaces the names of the members that the group currently has.
+  virtual void SetMembers(const std::vector<std::string>& members) = 0;
+  /// `owner_member`: the name in the owner's claim. Nothing if there is no reply within `timeout`,
+  /// or no way to ask; the request may then be sent to the owner itself.
+  virtual boost::asio::awaitable<std::optional<http::Response>> Ask(std::string owner_member,
+                                                                    http::Request request,
+                                                                    Duration timeout) = 0;
+};
+
 /// The platform's VM service.
 class VmService {
  public:
@@ -97,6 +123,11 @@
   virtual Result<jobs::Policy> ReadPolicy(std::string_view value) const = 0;
   virtual Result<jobs::EndpointRecord> ReadEndpoint(std::string_view key,
                                                     std::string_view value) const = 0;
+  /// Whether two registrations of an endpoint certainly say the same, so that only one of them has
+  /// to be decoded. Endpoints repeat theirs as heartbeats, with nothing but a number changed.
+  virtual bool IsSameEndpoint(std::string_view value, std::string_view other) const {
+    return value == other;
+  }
   virtual bool IsCordonKey(std::string_view key) const = 0;
   /// The zone that a cordon record names; a record without a value removes the cordon.
   virtual Result<ZoneId> ReadCordon(std::string_view key,
@@ -150,6 +181,8 @@
   std::unique_ptr<CallerFormat> callers;
   /// Null if the owner sends all orders directly.
   FleetObserver* fleet_observer = nullptr;
+  /// Null if each question to the owner is a request of its own.
+  OwnerQuestions* owner_questions = nullptr;
 };
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/address_batches.h
+++ b/src/job_entry/address_batches.h
@@ -1,51 +1,82 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "job_entry/context.h"
 
 namespace chervilspar::job_entry {
 
-/// Collects messages to the same address for a few milliseconds and sends them as one batch, so
-/// that a burst of some fifty messages takes one frame.
+/// Collects messages to the same address and sends them as one batch, as a frame costs as much as
+/// several messages. Each message says how long it may wait; the first that can't wait any longer
+/// takes along all others to its address.
 template <typename Batch>
 class AddressBatcher : public std::enable_shared_from_this<AddressBatcher<Batch>> {
  public:
   using Sink = std::function<void(const std::string& address, Batch batch)>;
 
-  /// `delay`: how long a batch is collected before `sink` receives it.
-  AddressBatcher(const Context& context, Duration delay, Sink sink)
-      : context(context), delay(delay), sink(std::move(sink)) {}
+  AddressBatcher(const Context& context, Sink sink)
+      : context(context), sink(std::move(sink)), timer(context.io) {}
 
-  /// The batch for `address` that is being collected.
-  Batch& At(const std::string& address) {
-    if (!this->is_flush_pending) {
-      this->is_flush_pending = true;
-      Spawn(this->context, this->FlushAfterDelay(this->shared_from_this()));
+  /// The batch for `address` that is being collected; it is sent after `delay` at the latest.
+  Batch& At(const std::string& address, Duration delay) {
+    const TimePoint due = this->context.Now() + delay;
+    const auto [place, is_new] = this->collected.try_emplace(address, Collected{{}, due});
+    place->second.due = std::min(place->second.due, due);
+    if (due < this->next_flush) {
+      this->FlushAt(due);
     }
-    return this->batches[address];
+    return place->second.batch;
   }
 
  private:
-  boost::asio::awaitable<void> FlushAfterDelay(
-      [[maybe_unused]] std::shared_ptr<AddressBatcher<Batch>> self) {
-    co_await Pause(this->context, this->delay);
-    this->is_flush_pending = false;
-    std::map<std::string, Batch> collected = std::move(this->batches);
-    this->batches.clear();
-    for (auto& [address, batch] : collected) {
+  struct Collected {
+    Batch batch;
+    TimePoint due{};
+  };
+
+  void FlushAt(TimePoint due) {
+    this->next_flush = due;
+    this->timer.expires_after(std::max<Duration>(due - this->context.Now(), Duration::zero()));
+    this->timer.async_wait(
+        [self = this->shared_from_this()](const boost::system::error_code& error) {
+          if (!error) {
+            self->Flush();
+          }
+        });
+  }
+
+  void Flush() {
+    const TimePoint now = this->context.Now();
+    std::map<std::string, Batch> due;
+    TimePoint next = TimePoint::max();
+    for (auto place = this->collected.begin(); place != this->collected.end();) {
+      if (place->second.due > now) {
+        next = std::min(next, place->second.due);
+        ++place;
+        continue;
+      }
+      due.emplace(place->first, std::move(place->second.batch));
+      place = this->collected.erase(place);
+    }
+    this->next_flush = TimePoint::max();
+    if (next < TimePoint::max()) {
+      this->FlushAt(next);
+    }
+    for (auto& [address, batch] : due) {
       this->sink(address, std::move(batch));
     }
   }
 
   const Context context;
-  const Duration delay;
   const Sink sink;
-  bool is_flush_pending = false;
-  std::map<std::string, Batch> batches;
+  boost::asio::steady_timer timer;
+  TimePoint next_flush = TimePoint::max();
+  std::map<std::string, Collected> collected;
 };
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/admission_view.cc
+++ b/src/job_entry/admission_view.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "job_entry/admission_message.h"
+#include "job_entry/ask_owner.h"
 
 namespace chervilspar::job_entry {
 
@@ -135,15 +136,13 @@
     request.target = std::string(kAdmissionPath);
     request.kind = "admission";
     request.body = EncodeAdmissionQuestion(question);
-    const http::Exchange exchange =
-        co_await this->client.Send(owner->address, std::move(request), kAskTimeout, nullptr);
-    if (!exchange.response) {
-      this->client.CloseIdle(owner->address);
-      this->context.metrics.Count({"chervilspar_owner_questions_failed_total", {}});
+    const std::optional<http::Response> response =
+        co_await AskOwner(this->context, this->client, *owner, std::move(request), kAskTimeout);
+    if (!response) {
       co_return kMinAskInterval;
     }
-    if (exchange.response->status == 200) {
-      outlook = DecodeAdmissionOutlook(exchange.response->body);
+    if (response->status == 200) {
+      outlook = DecodeAdmissionOutlook(response->body);
     }
   }
   if (!outlook) {
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "job_entry/frame_interval.h"
 #include "job_entry/member_name.h"
 
 namespace chervilspar::job_entry {
@@ -13,13 +14,17 @@
 namespace {
 
 /// Orders of one scheduling decision go to their carrier in one batch.
-constexpr Duration kBatchDelay = std::chrono::milliseconds(3);
+constexpr Duration kOrderDelay = std::chrono::milliseconds(3);
 /// Added to the timeout at the endpoint: covers both network hops to the carrier and the queueing
 /// there.
 constexpr Duration kForwardingMargin = std::chrono::milliseconds(250);
 /// Concurrent orders to one endpoint through a carrier. The carrier limits the concurrency at the
 /// endpoint; here a large number only lets orders share a batch.
 constexpr std::size_t kMaxForwardedOrders = 24;
+/// Longer than a start takes, including its repetition with its payload.
+constexpr Duration kLongestStart = std::chrono::seconds(5);
+/// Between two checks for starts that weren't answered in time.
+constexpr Duration kStartReviewInterval = std::chrono::milliseconds(50);
 /// Unanswered orders whose carriers are remembered, in case an answer comes late.
 constexpr std::size_t kMaxAbandonedOrders = 1024;
 
@@ -43,14 +48,14 @@
     : context(context),
       direct(std::move(direct)),
       choice(context.settings.decisions.carriers, context.settings.cores),
-      next_number(RandomFirstNumber()) {}
+      next_number(RandomFirstNumber()),
+      start_review(context.io) {}
 
 void CarriedEndpoints::Open(rpc::PeerTransport& transport, std::string own_address) {
   this->transport = &transport;
   this->own_address = std::move(own_address);
   this->batches = std::make_shared<AddressBatcher<rpc::OrderBatch>>(
-      this->context, kBatchDelay,
-      [this, &transport](const std::string& address, rpc::OrderBatch batch) {
+      this->context, [this, &transport](const std::string& address, rpc::OrderBatch batch) {
         const auto span = this->context.Measure(telemetry::WorkPart::kCarry);
         const rpc::CarrierMessage message(std::move(batch));
         std::string frame = rpc::Encode(message);
@@ -70,12 +75,14 @@
     }
   }
   this->choice.SetCarriers(carriers);
+  this->frame_interval = FrameInterval(carriers.size(), this->context.settings.cores);
   // Carriers that have left the group won't answer.
   for (const auto& [number, entry] : this->pending) {
     if (!this->choice.IsCarrier(entry->carrier)) {
       entry->wakeup->Notify();
     }
   }
+  this->ReviewStarts();
 }
 
 void CarriedEndpoints::SetEndpoints(const std::vector<jobs::EndpointRecord>& endpoints) {
@@ -91,8 +98,10 @@
   return this->CarrierFor(endpoint) ? kMaxForwardedOrders : kMaxOrdersPerEndpoint;
 }
 
-rpc::OrderBatch& CarriedEndpoints::BatchFor(const std::string& carrier, Duration timeout) {
-  rpc::OrderBatch& batch = this->batches->At(carrier);
+rpc::OrderBatch& CarriedEndpoints::BatchFor(const std::string& carrier, Duration timeout,
+                                            Duration delay) {
+  rpc::OrderBatch& batch = this->batches->At(carrier, delay);
+  batch.answer_delay = this->frame_interval;
   batch.reply_address = this->own_address;
   batch.timeout = std::max(batch.timeout, timeout);
   return batch;
@@ -100,22 +109,34 @@
 
 void CarriedEndpoints::OnAnswers(rpc::CarriedAnswers answers) {
   for (rpc::CarriedAnswer& answer : answers) {
+    if (const auto start = this->forwarded_starts.find(answer.number);
+        start != this->forwarded_starts.end()) {
+      ForwardedStart answered = std::move(start->second);
+      this->forwarded_starts.erase(start);
+      this->RecordAnswer(answered.carrier, answer.outcome);
+      this->OnStartAnswer(std::move(answered), answer);
+      continue;
+    }
     const auto found = this->pending.find(answer.number);
     if (found == this->pending.end()) {
       this->OnLateAnswer(answer);
       continue;
     }
-    if (answer.outcome == OrderOutcome::kNoAnswer) {
-      // The carrier may be disconnected from the endpoint while another carrier isn't.
-      this->choice.OnUnanswered(found->second->carrier, this->context.Now());
-    } else {
-      this->choice.OnAnswered(found->second->carrier);
-    }
+    this->RecordAnswer(found->second->carrier, answer.outcome);
     found->second->answer = std::move(answer);
     found->second->wakeup->Notify();
   }
 }
 
+void CarriedEndpoints::RecordAnswer(const std::string& carrier, OrderOutcome outcome) {
+  if (outcome == OrderOutcome::kNoAnswer) {
+    // The carrier may be disconnected from the endpoint while another carrier isn't.
+    this->choice.OnUnanswered(carrier, this->context.Now());
+  } else {
+    this->choice.OnAnswered(carrier);
+  }
+}
+
 void CarriedEndpoints::Abandon(std::uint64_t number, const std::string& carrier) {
   this->choice.OnUnanswered(carrier, this->context.Now());
   this->known_payloads.RemoveAll(carrier);
@@ -164,7 +185,7 @@
     return this->direct->RenewLease(std::move(order), timeout);
   }
   const std::uint64_t number = this->next_number++;
-  rpc::OrderBatch& batch = this->BatchFor(*carrier, timeout - order.wait);
+  rpc::OrderBatch& batch = this->BatchFor(*carrier, timeout - order.wait, this->frame_interval);
   batch.holds.push_back({number, std::move(order)});
   return this->AwaitReport(*std::move(carrier), number, timeout);
 }
@@ -191,7 +212,7 @@
     return (this->direct.get()->*direct_call)(std::move(order), timeout);
   }
   const std::uint64_t number = this->next_number++;
-  (this->BatchFor(*carrier, timeout).*list).push_back({number, std::move(order)});
+  (this->BatchFor(*carrier, timeout, kOrderDelay).*list).push_back({number, std::move(order)});
   return this->AwaitOutcome(*std::move(carrier), number, timeout);
 }
 
@@ -203,46 +224,116 @@
 }
 
 asio::awaitable<OrderOutcome> CarriedEndpoints::Start(jobs::StartOrder order, Duration timeout) {
+  const auto outcome = std::make_shared<OrderOutcome>(OrderOutcome::kNoAnswer);
+  const auto wakeup = std::make_shared<http::Wakeup>(this->context.io.get_executor());
+  const bool is_forwarded =
+      this->ForwardStart(order, timeout, [outcome, wakeup](OrderOutcome answered) {
+        *outcome = answered;
+        wakeup->Notify();
+      });
+  if (!is_forwarded) {
+    co_return co_await this->direct->Start(std::move(order), timeout);
+  }
+  // Without an answer, the review of the starts calls back.
+  co_await wakeup->WaitFor(kLongestStart);
+  co_return *outcome;
+}
+
+bool CarriedEndpoints::ForwardStart(jobs::StartOrder& order, Duration timeout,
+                                    StartCallback on_outcome) {
   std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
-  if (carrier && this->context.settings.decisions.scheduler.budgets_link) {
-    return this->ForwardStart(*std::move(carrier), std::move(order), timeout);
+  if (!carrier) {
+    return false;
+  }
+  ForwardedStart start;
+  start.payload_digest = rpc::PayloadDigest(order.payload);
+  start.order = std::move(order);
+  start.timeout = timeout;
+  start.carrier = *std::move(carrier);
+  start.on_outcome = std::move(on_outcome);
+  if (this->KeepsPayloads()) {
+    this->traffic.OnQueued(
+        start.carrier,
+        jobs::LinkBudget::StartBytes(start.order.payload.size(), start.order.checkpoint.size()));
   }
-  return this->SendOrder(std::move(order), timeout, &rpc::OrderBatch::starts, &EndpointLink::Start);
+  this->QueueStart(std::move(start), this->KeepsPayloads());
+  return true;
 }
 
-asio::awaitable<rpc::CarriedAnswer> CarriedEndpoints::QueueStart(
-    const std::string& carrier, rpc::Carried<jobs::StartOrder> start, Duration timeout) {
-  const std::uint64_t number = this->next_number++;
-  start.number = number;
-  this->BatchFor(carrier, timeout).starts.push_back(std::move(start));
-  return this->AwaitAnswer(carrier, number, timeout);
+bool CarriedEndpoints::KeepsPayloads() const {
+  return this->context.settings.decisions.scheduler.budgets_link;
 }
 
-asio::awaitable<OrderOutcome> CarriedEndpoints::ForwardStart(std::string carrier,
-                                                             jobs::StartOrder order,
-                                                             Duration timeout) {
-  const jobs::JobId job = order.task.job;
-  const std::uint64_t digest = rpc::PayloadDigest(order.payload);
-  this->traffic.OnQueued(
-      carrier, jobs::LinkBudget::StartBytes(order.payload.size(), order.checkpoint.size()));
-  rpc::Carried<jobs::StartOrder> start{0, order, std::nullopt};
-  if (!order.payload.empty() && this->known_payloads.Has(carrier, job, digest)) {
-    start.order.payload.clear();
-    start.kept_payload = digest;
+void CarriedEndpoints::QueueStart(ForwardedStart start, bool may_omit_payload) {
+  const std::uint64_t number = this->next_number++;
+  const jobs::StartOrder& order = start.order;
+  rpc::OrderBatch& batch = this->BatchFor(start.carrier, start.timeout, kOrderDelay);
+  rpc::Carried<jobs::StartOrder>& carried = batch.starts.emplace_back();
+  carried.number = number;
+  carried.order = {order.endpoint,   order.address, order.task,  order.run,         {},
+                   order.checkpoint, order.ticket,  order.token, order.lease_end_ms};
+  if (may_omit_payload && !order.payload.empty() &&
+      this->known_payloads.Has(start.carrier, order.task.job, start.payload_digest)) {
+    carried.kept_payload = start.payload_digest;
+  } else {
+    carried.order.payload = order.payload;
   }
-  rpc::CarriedAnswer answer = co_await this->QueueStart(carrier, std::move(start), timeout);
-  if (answer.outcome == OrderOutcome::kPayloadMissing) {
+  start.expires = this->context.Now() + start.timeout + kForwardingMargin;
+  this->forwarded_starts.emplace(number, std::move(start));
+  this->ReviewStartsLater();
+}
+
+void CarriedEndpoints::OnStartAnswer(ForwardedStart start, const rpc::CarriedAnswer& answer) {
+  if (answer.outcome == OrderOutcome::kPayloadMissing && !start.is_repeated) {
     // The carrier has restarted or dropped the payload. Nothing has run.
-    this->known_payloads.Remove(carrier, job);
+    this->known_payloads.Remove(start.carrier, start.order.task.job);
     this->context.metrics.Count({"chervilspar_payloads_sent_again_total", {}});
-    // A variable, as GCC 12 destroys some temporaries of an awaited expression twice.
-    rpc::Carried<jobs::StartOrder> complete{0, std::move(order), std::nullopt};
-    answer = co_await this->QueueStart(carrier, std::move(complete), timeout);
+    start.is_repeated = true;
+    this->QueueStart(std::move(start), false);
+    return;
   }
   if (answer.keeps_payload) {
-    this->known_payloads.Add(carrier, job, digest);
+    this->known_payloads.Add(start.carrier, start.order.task.job, start.payload_digest);
+  }
+  start.on_outcome(answer.outcome);
+}
+
+void CarriedEndpoints::ReviewStartsLater() {
+  if (this->is_start_review_due) {
+    return;
+  }
+  this->is_start_review_due = true;
+  this->start_review.expires_after(kStartReviewInterval);
+  this->start_review.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      this->is_start_review_due = false;
+      this->ReviewStarts();
+    }
+  });
+}
+
+void CarriedEndpoints::ReviewStarts() {
+  const TimePoint now = this->context.Now();
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [number, start] : this->forwarded_starts) {
+    if (now >= start.expires || !this->choice.IsCarrier(start.carrier)) {
+      overdue.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : overdue) {
+    const auto found = this->forwarded_starts.find(number);
+    if (found == this->forwarded_starts.end()) {
+      continue;
+    }
+    const ForwardedStart start = std::move(found->second);
+    this->forwarded_starts.erase(found);
+    this->Abandon(number, start.carrier);
+    this->context.metrics.Count({"chervilspar_carried_unanswered_total", {}});
+    start.on_outcome(OrderOutcome::kNoAnswer);
+  }
+  if (!this->forwarded_starts.empty()) {
+    this->ReviewStartsLater();
   }
-  co_return answer.outcome;
 }
 
 asio::awaitable<OrderOutcome> CarriedEndpoints::Stop(jobs::StopOrder order, Duration timeout) {
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "chervilspar/http/wakeup.h"
@@ -32,6 +33,9 @@
 
   void SetMembers(const std::vector<std::string>& members) override;
   void SetEndpoints(const std::vector<jobs::EndpointRecord>& endpoints) override;
+  void UpdateEndpoints(const jobs::EndpointChanges& changes) override {
+    this->choice.UpdateEndpoints(changes);
+  }
   jobs::LinkTraffic TakeTraffic() override { return this->traffic.Take(); }
 
   boost::asio::awaitable<RenewalOutcome> RenewLease(jobs::RenewalOrder order,
@@ -41,9 +45,22 @@
   boost::asio::awaitable<jobs::OrderOutcome> Stop(jobs::StopOrder order, Duration timeout) override;
   boost::asio::awaitable<jobs::OrderOutcome> Throttle(jobs::ThrottleOrder order,
                                                       Duration timeout) override;
+  bool ForwardStart(jobs::StartOrder& order, Duration timeout, StartCallback on_outcome) override;
   std::size_t MaxConcurrentOrders(const std::string& endpoint) const override;
 
  private:
+  /// A start whose answer is awaited. Its payload is kept in case that the carrier lacks it.
+  struct ForwardedStart {
+    jobs::StartOrder order;
+    std::uint64_t payload_digest = 0;
+    Duration timeout{};
+    std::string carrier;
+    TimePoint expires{};
+    /// It was sent once more with its payload.
+    bool is_repeated = false;
+    StartCallback on_outcome;
+  };
+
   /// An order whose answer is awaited.
   struct PendingOrder {
     std::string carrier;
@@ -62,12 +79,12 @@
   boost::asio::awaitable<jobs::OrderOutcome> SendOrder(Order order, Duration timeout,
                                                        BatchList<Order> list,
                                                        DirectCall<Order> direct_call);
-  /// Forwards a start, without its payload if the carrier is known to have it.
-  boost::asio::awaitable<jobs::OrderOutcome> ForwardStart(std::string carrier,
-                                                          jobs::StartOrder order, Duration timeout);
-  boost::asio::awaitable<rpc::CarriedAnswer> QueueStart(const std::string& carrier,
-                                                        rpc::Carried<jobs::StartOrder> start,
-                                                        Duration timeout);
+  /// Sends the start in the next frame, without its payload if the carrier is known to have it.
+  void QueueStart(ForwardedStart start, bool may_omit_payload);
+  void OnStartAnswer(ForwardedStart start, const rpc::CarriedAnswer& answer);
+  /// Gives up the starts whose time is over or whose carrier has left.
+  void ReviewStarts();
+  void ReviewStartsLater();
   std::optional<std::string> CarrierFor(const std::string& endpoint) const;
   /// Waits for the answer to the order with this number. The outcome is `kNoAnswer` when none comes
   /// in time; the order may have been executed all the same.
@@ -77,7 +94,12 @@
                                                      Duration timeout);
   boost::asio::awaitable<jobs::OrderOutcome> AwaitOutcome(std::string carrier, std::uint64_t number,
                                                           Duration timeout);
-  rpc::OrderBatch& BatchFor(const std::string& carrier, Duration timeout);
+  /// The batch to which an order is added that may wait for `delay`.
+  rpc::OrderBatch& BatchFor(const std::string& carrier, Duration timeout, Duration delay);
+  /// Whether carriers are asked to keep payloads.
+  bool KeepsPayloads() const;
+  /// Updates what is known of the carrier that has answered.
+  void RecordAnswer(const std::string& carrier, jobs::OrderOutcome outcome);
   void Abandon(std::uint64_t number, const std::string& carrier);
   void OnLateAnswer(const rpc::CarriedAnswer& answer);
 
@@ -88,10 +110,14 @@
   jobs::CarrierChoice choice;
   /// Starts at a random number and counts up.
   std::uint64_t next_number;
-  std::map<std::uint64_t, std::shared_ptr<PendingOrder>> pending;
+  std::unordered_map<std::uint64_t, std::shared_ptr<PendingOrder>> pending;
+  std::unordered_map<std::uint64_t, ForwardedStart> forwarded_starts;
+  boost::asio::steady_timer start_review;
+  bool is_start_review_due = false;
   /// The carriers of abandoned orders by order number, limited to the newest.
   std::map<std::uint64_t, std::string> abandoned;
   std::shared_ptr<AddressBatcher<rpc::OrderBatch>> batches;
+  Duration frame_interval{};
   ForwardedTraffic traffic;
   KnownPayloads known_payloads;
 };
--- a/src/job_entry/election.cc
+++ b/src/job_entry/election.cc
@@ -99,6 +99,12 @@
   if (this->is_resigned) {
     co_return;
   }
+  if (members && this->context.links.owner_questions != nullptr) {
+    // A candidate collects the questions of others.
+    const bool is_collected = !this->candidacy.ShouldRun(*members);
+    this->context.links.owner_questions->SetMembers(is_collected ? *members
+                                                                 : std::vector<std::string>{});
+  }
   const bool is_first = this->next_review == TimePoint{};
   if (!members) {
     // The members are unknown. A candidate remains one, since a member is owner only if the store
--- a/src/job_entry/job_queries.cc
+++ b/src/job_entry/job_queries.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include "job_entry/admission_message.h"
+#include "job_entry/ask_owner.h"
 
 namespace chervilspar::job_entry {
 
@@ -60,13 +61,7 @@
   }
   http::Request request;
   request.target = std::move(target);
-  const http::Exchange exchange =
-      co_await this->client.Send(owner->address, std::move(request), timeout, nullptr);
-  if (!exchange.response) {
-    this->client.CloseIdle(owner->address);
-    this->context.metrics.Count({"chervilspar_owner_questions_failed_total", {}});
-  }
-  co_return exchange.response;
+  co_return co_await AskOwner(this->context, this->client, *owner, std::move(request), timeout);
 }
 
 asio::awaitable<OwnerTerm::Answer> JobQueries::Find(jobs::JobId id, Duration timeout) {
@@ -128,41 +123,44 @@
   if (RelayHandler::IsRelayRequest(request)) {
     co_return co_await this->relay.Handle(std::move(request));
   }
+  co_return this->AnswerQuestion(request);
+}
+
+http::Response PeerHandler::AnswerQuestion(const http::Request& request) {
   const std::shared_ptr<OwnerTerm> term = this->election.Term();
   if (term == nullptr) {
-    co_return http::ErrorResponse(503, "not_owner", "This entry doesn't schedule jobs.");
+    return http::ErrorResponse(503, "not_owner", "This entry doesn't schedule jobs.");
   }
   const auto span = this->context.Measure(telemetry::WorkPart::kQuestions);
   const std::string_view path = http::PathOf(request.target);
   if (path.starts_with(kJobsPath)) {
     const std::optional<jobs::JobId> id = jobs::ParseJobId(path.substr(kJobsPath.size()));
     if (!id) {
-      co_return http::ErrorResponse(400, "invalid_argument", "A job's id has 16 hex digits.");
+      return http::ErrorResponse(400, "invalid_argument", "A job's id has 16 hex digits.");
     }
     const OwnerTerm::Answer answer = term->Find(*id);
     switch (answer.knowledge) {
       case OwnerTerm::Knowledge::kKnown:
-        co_return JsonBody({{"phase", jobs::ToString(answer.phase)}});
+        return JsonBody({{"phase", jobs::ToString(answer.phase)}});
       case OwnerTerm::Knowledge::kNoSuchJob:
-        co_return http::ErrorResponse(404, "not_found", "There is no such job.");
+        return http::ErrorResponse(404, "not_found", "There is no such job.");
       case OwnerTerm::Knowledge::kUnsure:
-        co_return http::ErrorResponse(503, "unavailable",
-                                      "The store has not been read to its end.");
+        return http::ErrorResponse(503, "unavailable", "The store has not been read to its end.");
     }
   }
   const bool is_admission = path == kAdmissionPath && request.method == "POST";
   if (is_admission && this->context.settings.decisions.admits_by_outlook) {
-    co_return AnswerAdmission(*term, request);
+    return AnswerAdmission(*term, request);
   }
   const std::optional<std::string_view> queue = http::QueryParameter(request.target, "queue");
   if (path == kPendingPath && queue) {
     const std::optional<std::uint64_t> pending = term->PendingIn(std::string(*queue));
     if (!pending) {
-      co_return http::ErrorResponse(503, "unavailable", "The store has not been read to its end.");
+      return http::ErrorResponse(503, "unavailable", "The store has not been read to its end.");
     }
-    co_return JsonBody({{"pending", *pending}});
+    return JsonBody({{"pending", *pending}});
   }
-  co_return http::ErrorResponse(404, "not_found", "There is no such page.");
+  return http::ErrorResponse(404, "not_found", "There is no such page.");
 }
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/job_queries.h
+++ b/src/job_entry/job_queries.h
@@ -55,6 +55,8 @@
 
   boost::asio::awaitable<http::Response> Handle(http::Request request,
                                                 std::shared_ptr<http::CancelToken> caller) override;
+  /// Answers one of the questions above, without the relay.
+  http::Response AnswerQuestion(const http::Request& request);
 
  private:
   const Context context;
--- a/src/job_entry/order_carrier.cc
+++ b/src/job_entry/order_carrier.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Answers within this time go back in one batch.
-constexpr Duration kBatchDelay = std::chrono::milliseconds(8);
+/// Answers within this time go back in one batch, if the owner asks for no other time.
+constexpr Duration kDefaultAnswerDelay = std::chrono::milliseconds(8);
 /// The queues kept per endpoint. All are dropped when there are more, since endpoints come and go
 /// under new names.
 constexpr std::size_t kMaxQueues = 4096;
@@ -25,7 +25,7 @@
     : context(context),
       link(link),
       answers(std::make_shared<AddressBatcher<rpc::CarriedAnswers>>(
-          context, kBatchDelay,
+          context,
           [&transport](const std::string& address, rpc::CarriedAnswers batch) {
             transport.Send(address, rpc::Encode(std::move(batch)));
           })),
@@ -62,7 +62,8 @@
 }
 
 void OrderCarrier::OnBatch(const rpc::OrderBatch& batch) {
-  const Origin origin{batch.reply_address, batch.timeout, this->context.Now() + batch.timeout};
+  const Origin origin{batch.reply_address, batch.timeout, this->context.Now() + batch.timeout,
+                      batch.answer_delay.value_or(kDefaultAnswerDelay)};
   for (const auto& stop : batch.stops) {
     this->Enqueue(stop, origin, false, [this](const jobs::StopOrder& order, Duration timeout) {
       return this->link.Stop(order, timeout);
@@ -116,7 +117,7 @@
 }
 
 void OrderCarrier::Answer(const Origin& origin, rpc::CarriedAnswer answer) {
-  this->answers->At(origin.reply_address).push_back(std::move(answer));
+  this->answers->At(origin.reply_address, origin.answer_delay).push_back(std::move(answer));
 }
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/order_carrier.h
+++ b/src/job_entry/order_carrier.h
@@ -37,6 +37,8 @@
     std::string reply_address;
     Duration timeout{};
     TimePoint expires{};
+    /// How long answers may be collected.
+    Duration answer_delay{};
   };
 
   void EnqueueStart(rpc::Carried<jobs::StartOrder> start, const Origin& origin);
--- a/src/job_entry/order_exchange.cc
+++ b/src/job_entry/order_exchange.cc
@@ -33,7 +33,9 @@
   this->transport = std::move(opened).Value();
   this->carrier.emplace(this->context, this->endpoints.Direct(), *this->transport);
   this->endpoints.Open(*this->transport, address);
+  this->questions.emplace(this->context, *this->transport, address);
   links.fleet_observer = &this->endpoints;
+  links.owner_questions = &*this->questions;
   return Done{};
 }
 
@@ -43,6 +45,12 @@
   }
 }
 
+void OrderExchange::SetAnswerer(QuestionExchange::Answerer answerer) {
+  if (this->questions) {
+    this->questions->SetAnswerer(std::move(answerer));
+  }
+}
+
 OrderExchange::Traffic OrderExchange::CarriedTraffic() const {
   if (this->transport == nullptr) {
     return {};
@@ -64,17 +72,22 @@
     return;
   }
   const auto span = this->context.Measure(telemetry::WorkPart::kCarry);
-  Result<rpc::CarrierMessage> message = rpc::DecodeCarrierMessage(frame);
-  if (!message) {
+  Result<rpc::CarrierMessage> decoded = rpc::DecodeCarrierMessage(frame);
+  if (!decoded) {
     this->context.metrics.Count({"chervilspar_carrier_messages_unreadable_total", {}});
     LogEvent(telemetry::LogLevel::kWarning, "carrier_message_unreadable",
-             ToString(message.LastReason()), {{"bytes", std::to_string(frame.size())}});
+             ToString(decoded.LastReason()), {{"bytes", std::to_string(frame.size())}});
     return;
   }
-  if (const rpc::OrderBatch* batch = std::get_if<rpc::OrderBatch>(&*message)) {
+  rpc::CarrierMessage message = *std::move(decoded);
+  if (const auto* batch = std::get_if<rpc::OrderBatch>(&message)) {
     this->carrier->OnBatch(*batch);
-  } else {
-    this->endpoints.OnAnswers(std::get<rpc::CarriedAnswers>(*std::move(message)));
+  } else if (auto* answers = std::get_if<rpc::CarriedAnswers>(&message)) {
+    this->endpoints.OnAnswers(std::move(*answers));
+  } else if (const auto* questions = std::get_if<rpc::QuestionBatch>(&message)) {
+    this->questions->OnQuestions(*questions);
+  } else if (auto* replies = std::get_if<rpc::Replies>(&message)) {
+    this->questions->OnReplies(std::move(*replies));
   }
 }
 
--- a/src/job_entry/order_exchange.h
+++ b/src/job_entry/order_exchange.h
@@ -9,6 +9,7 @@
 
 #include "job_entry/carried_endpoints.h"
 #include "job_entry/order_carrier.h"
+#include "job_entry/question_exchange.h"
 
 namespace chervilspar::job_entry {
 
@@ -26,6 +27,8 @@
   /// Sets the check whether tasks may be started in this entry's zone; it is evaluated for each
   /// forwarded start.
   void SetMayStart(std::function<bool()> may_start);
+  /// Sets what answers questions of other entries while this entry is the owner.
+  void SetAnswerer(QuestionExchange::Answerer answerer);
   /// Frames of forwarded orders and of answers to them since the process start.
   struct Traffic {
     std::size_t frames_sent = 0;
@@ -47,6 +50,7 @@
   bool is_closed = false;
   std::unique_ptr<rpc::PeerTransport> transport;
   std::optional<OrderCarrier> carrier;
+  std::optional<QuestionExchange> questions;
 };
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -1,6 +1,7 @@
 #include "job_entry/order_sender.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace chervilspar::job_entry {
@@ -44,6 +45,7 @@
         may_start(sender.may_start),
         endpoint(std::move(endpoint)),
         renewing_count(sender.renewing_count),
+        awaiting(sender.awaiting),
         wakeup(std::make_shared<http::Wakeup>(sender.context.io.get_executor())) {}
 
   void StartSenders() {
@@ -81,14 +83,60 @@
     return order;
   }
 
+  /// Settles the start without a coroutine: forwards it, or withdraws it if it may not be sent.
+  /// False if it has to wait for its turn or to be sent directly.
+  bool SendAtOnce(jobs::StartOrder& order) {
+    const EndpointLink& link = *this->context.links.endpoints;
+    const bool is_busy =
+        this->HasOrders() ||
+        (this->senders > 0 && this->senders >= link.MaxConcurrentOrders(this->endpoint));
+    if (this->is_stopped || is_busy) {
+      return false;
+    }
+    jobs::StartOrder run;
+    run.endpoint = order.endpoint;
+    run.task = order.task;
+    run.run = order.run;
+    if (const std::optional<OrderOutcome> obstacle = this->ObstacleTo(order)) {
+      this->OnStartOutcome(run, *obstacle);
+      return true;
+    }
+    const bool is_forwarded = this->context.links.endpoints->ForwardStart(
+        order, kOrderTimeout,
+        [self = this->shared_from_this(), run = std::move(run)](OrderOutcome outcome) {
+          --self->senders;
+          self->OnStartOutcome(run, outcome);
+          if (!self->is_stopped) {
+            self->on_change();
+            self->StartSenders();
+          }
+        });
+    this->senders += is_forwarded ? 1 : 0;
+    return is_forwarded;
+  }
+
+  /// The outcome of a start that may not be sent, as it is no longer wanted or allowed.
+  std::optional<OrderOutcome> ObstacleTo(const jobs::StartOrder& order) {
+    if (!this->scheduler.MaySendStart(order, this->context.Now())) {
+      return OrderOutcome::kWithdrawn;
+    }
+    if (!this->may_start(order.endpoint)) {
+      return OrderOutcome::kRefused;
+    }
+    return std::nullopt;
+  }
+
   /// `order` must live until the coroutine ends; the sending loop keeps it.
   asio::awaitable<void> Execute(const jobs::StartOrder& order) {
-    OrderOutcome outcome = OrderOutcome::kRefused;
-    if (!this->scheduler.MaySendStart(order, this->context.Now())) {
-      outcome = OrderOutcome::kWithdrawn;
-    } else if (this->may_start(order.endpoint)) {
+    std::optional<OrderOutcome> outcome = this->ObstacleTo(order);
+    if (!outcome) {
       outcome = co_await this->context.links.endpoints->Start(order, kOrderTimeout);
     }
+    this->OnStartOutcome(order, *outcome);
+  }
+
+  /// Only what names the run in `order` has to be set.
+  void OnStartOutcome(const jobs::StartOrder& order, OrderOutcome outcome) {
     this->context.metrics.Count(
         {"chervilspar_starts_total", {{"outcome", jobs::ToString(outcome)}}});
     if (!this->is_stopped) {
@@ -134,6 +182,7 @@
       const bool has_waited = plan.order.wait > Duration::zero();
       const bool is_renewal_due = is_renewed && plan.is_probe;
       if (this->awaits_stored_ends) {
+        this->awaiting->push_back(this->weak_from_this());
         co_await this->wakeup->WaitFor(kMaxStoreWait);
         this->awaits_stored_ends = false;
       } else if (!is_renewed || (!has_waited && !is_renewal_due)) {
@@ -198,6 +247,7 @@
   const std::function<bool(const std::string&)> may_start;
   const std::string endpoint;
   const std::shared_ptr<int> renewing_count;
+  const std::shared_ptr<AwaitingChannels> awaiting;
   std::shared_ptr<http::Wakeup> wakeup;
   std::deque<jobs::StopOrder> stops;
   /// All other orders.
@@ -230,6 +280,16 @@
   return *channel;
 }
 
+void OrderSender::PushStarts(std::vector<jobs::StartOrder>& orders) {
+  for (jobs::StartOrder& order : orders) {
+    Channel& channel = this->ChannelOf(order.endpoint);
+    if (!channel.SendAtOnce(order)) {
+      channel.queue.emplace_back(std::move(order));
+      channel.StartSenders();
+    }
+  }
+}
+
 template <typename T>
 void OrderSender::PushAll(std::vector<T>& orders) {
   for (T& order : orders) {
@@ -246,41 +306,43 @@
     channel.stops.push_back(std::move(stop));
     channel.StartSenders();
   }
-  this->PushAll(orders.starts);
+  this->PushStarts(orders.starts);
   this->PushAll(orders.paces);
 }
 
-void OrderSender::UpdateEndpoints(const std::vector<std::string>& endpoints) {
-  this->DropExcept(endpoints);
-  for (const std::string& id : endpoints) {
-    Channel& channel = this->ChannelOf(id);
-    if (!channel.has_renewal_loop) {
-      channel.has_renewal_loop = true;
-      Spawn(this->context, channel.RenewalLoop(channel.shared_from_this()));
-    }
+void OrderSender::AddEndpoint(const std::string& endpoint) {
+  this->dropped.erase(endpoint);
+  Channel& channel = this->ChannelOf(endpoint);
+  if (!channel.has_renewal_loop) {
+    channel.has_renewal_loop = true;
+    Spawn(this->context, channel.RenewalLoop(channel.shared_from_this()));
   }
 }
 
 /// Each VM that moves registers a new endpoint. Without this, the channels of thousands of former
 /// endpoints would wake up every second.
-void OrderSender::DropExcept(const std::vector<std::string>& endpoints) {
-  auto known = endpoints.begin();
-  std::erase_if(this->channels, [&](const auto& entry) {
-    known = std::lower_bound(known, endpoints.end(), entry.first);
-    const bool is_known = known != endpoints.end() && *known == entry.first;
-    Channel& channel = *entry.second;
-    if (is_known || channel.senders > 0) {
+void OrderSender::DropEndpoints(const std::vector<std::string>& endpoints) {
+  this->dropped.insert(endpoints.begin(), endpoints.end());
+  std::erase_if(this->dropped, [this](const std::string& endpoint) {
+    const auto found = this->channels.find(endpoint);
+    if (found == this->channels.end()) {
+      return true;
+    }
+    Channel& channel = *found->second;
+    if (channel.senders > 0) {
       return false;
     }
     channel.is_stopped = true;
     channel.wakeup->Notify();
+    this->channels.erase(found);
     return true;
   });
 }
 
 void OrderSender::OnStored() {
-  for (const auto& [id, channel] : this->channels) {
-    if (channel->awaits_stored_ends) {
+  for (const std::weak_ptr<Channel>& awaiting : std::exchange(*this->awaiting, {})) {
+    const std::shared_ptr<Channel> channel = awaiting.lock();
+    if (channel != nullptr && channel->awaits_stored_ends) {
       channel->wakeup->Notify();
     }
   }
--- a/src/job_entry/order_sender.h
+++ b/src/job_entry/order_sender.h
@@ -2,10 +2,12 @@
 
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <variant>
+#include <vector>
 
 #include "chervilspar/http/wakeup.h"
 #include "chervilspar/jobs/scheduler.h"
@@ -26,9 +28,11 @@
   ~OrderSender();
 
   void Send(jobs::Orders orders);
-  /// Starts renewing leases at endpoints that are new and drops those that are not in the list.
-  /// `endpoints` in ascending order.
-  void UpdateEndpoints(const std::vector<std::string>& endpoints);
+  /// Starts renewing leases at the endpoint, if it is new.
+  void AddEndpoint(const std::string& endpoint);
+  /// The scheduler has forgotten these endpoints: stops renewing leases there, once their orders
+  /// have been sent.
+  void DropEndpoints(const std::vector<std::string>& endpoints);
   /// Records were stored: renewals that confirm ends may continue.
   void OnStored();
   void Stop();
@@ -36,12 +40,11 @@
  private:
   /// The orders and renewals of one endpoint; lives as long as any of its coroutines.
   struct Channel;
+  using AwaitingChannels = std::vector<std::weak_ptr<Channel>>;
   using Order = std::variant<jobs::StartOrder, jobs::StopOrder, jobs::ThrottleOrder>;
 
   Channel& ChannelOf(const std::string& endpoint);
-  /// Ends the channels of all other endpoints that have no orders left. `endpoints` in ascending
-  /// order.
-  void DropExcept(const std::vector<std::string>& endpoints);
+  void PushStarts(std::vector<jobs::StartOrder>& orders);
   template <typename T>
   void PushAll(std::vector<T>& orders);
 
@@ -49,7 +52,11 @@
   jobs::Scheduler& scheduler;
   const std::function<void()> on_change;
   const std::function<bool(const std::string&)> may_start;
-  std::map<std::string, std::shared_ptr<Channel>> channels;
+  std::unordered_map<std::string, std::shared_ptr<Channel>> channels;
+  /// Forgotten endpoints that still have orders.
+  std::set<std::string> dropped;
+  /// The channels whose endpoints have reported ends that aren't stored yet.
+  const std::shared_ptr<AwaitingChannels> awaiting = std::make_shared<AwaitingChannels>();
   /// The number of endpoints whose leases are being renewed.
   const std::shared_ptr<int> renewing_count = std::make_shared<int>(0);
 };
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -35,6 +35,7 @@
   options.lease = std::min(options.lease, context.settings.lease_limit);
   options.lease_limit = context.settings.lease_limit;
   options.progress_form = context.settings.progress_form;
+  options.reports_routine_events = context.settings.log_level <= telemetry::LogLevel::kDebug;
   options.max_record_bytes = context.settings.record_limit - kMaxProgressKeyBytes;
   return options;
 }
@@ -123,7 +124,9 @@
   Spawn(this->context, this->DecideLoop(self));
   Spawn(this->context, this->StoreLoop(self));
   Spawn(this->context, this->AdviceLoop(self));
-  this->sender.UpdateEndpoints(this->scheduler.EndpointIds());
+  for (const std::string& endpoint : this->scheduler.EndpointIds()) {
+    this->sender.AddEndpoint(endpoint);
+  }
   this->registry.Follow();
   Spawn(this->context, [](std::shared_ptr<OwnerTerm> term) -> asio::awaitable<void> {
     co_await term->vms.Run(term->began, term);
@@ -133,6 +136,7 @@
     if (!this->is_stopped) {
       this->registry.DropLapsed();
       this->UpdateShareMetrics();
+      this->link_meter.UpdateMetrics();
       co_await this->DropEnded();
     }
   }
@@ -142,8 +146,17 @@
   if (!this->is_loaded || this->is_stopped) {
     return;
   }
-  this->SetEndpoints();
-  this->sender.UpdateEndpoints(this->scheduler.EndpointIds());
+  const auto span = this->context.Measure(telemetry::WorkPart::kReadEndpoints);
+  const jobs::EndpointChanges changes = this->registry.TakeChanges();
+  const std::vector<std::string> forgotten =
+      this->scheduler.UpdateEndpoints(changes, this->context.Now());
+  if (this->context.links.fleet_observer != nullptr) {
+    this->context.links.fleet_observer->UpdateEndpoints(changes);
+  }
+  for (const jobs::EndpointRecord& record : changes.registered) {
+    this->sender.AddEndpoint(record.id);
+  }
+  this->sender.DropEndpoints(forgotten);
   this->RequestRound();
 }
 
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -95,6 +95,8 @@
         signals(context.io, SIGTERM, SIGINT, SIGHUP) {
     exchange.SetMayStart(
         [this] { return this->operators.MayStartIn(this->context.settings.zone); });
+    exchange.SetAnswerer(
+        [this](const http::Request& request) { return this->peers.AnswerQuestion(request); });
   }
 
   Status Start() {
@@ -258,7 +260,8 @@
   }
   const SystemClock clock;
   telemetry::MetricsRegistry metrics;
-  asio::io_context io(1);
+  // Nothing but this thread uses it, so that it needs no locks.
+  asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
   http::ClientLimits limits;
   limits.connections_per_address = kConnectionsPerAddress;
   TrafficMeter traffic(metrics);
--- a/tests/job_entry/carrier_entry.h
+++ b/tests/job_entry/carrier_entry.h
@@ -53,6 +53,20 @@
     store.members[member] = {this->clock.Now(), std::chrono::hours(1)};
     return this->exchange.Open(this->links);
   }
+  /// Begins to listen as an entry that isn't a member, and whose questions a member collects.
+  Status OpenAsCaller(const FakeStore& store) {
+    const Status opened = this->exchange.Open(this->links);
+    if (opened) {
+      std::vector<std::string> members;
+      for (const auto& [name, member] : store.members) {
+        members.push_back(name);
+      }
+      this->links.owner_questions->SetMembers(members);
+    }
+    return opened;
+  }
+  OwnerQuestions& Questions() { return *this->links.owner_questions; }
+  OrderExchange& Exchange() { return this->exchange; }
 
  private:
   static JobEntrySettings SettingsFor(const SocketAddress& address, const ZoneId& zone) {
--- a/tests/job_entry/owner_work_test.cc
+++ b/tests/job_entry/owner_work_test.cc
@@ -14,8 +14,8 @@
 constexpr std::uint32_t kTasksPerJob = 8;
 constexpr Duration kRunTime = milliseconds(600);
 constexpr Duration kLoadTime = milliseconds(2500);
-/// A job each so often: 800 tasks a second.
-constexpr Duration kJobPause = milliseconds(10);
+/// A job each so often: 2,000 tasks a second.
+constexpr Duration kJobPause = milliseconds(4);
 /// At its peak, an owner exchanges about 6,000 orders and answers a second with the entries that
 /// forward them, and a frame costs as much as several of these.
 constexpr double kMinMessagesPerFrame = 5;
@@ -58,7 +58,7 @@
   OwnerWork()
       : store(this->io),
         unused_endpoints(this->io),
-        owner(this->io, this->store, this->unused_endpoints, this->vms, "a", 4.0),
+        owner(this->io, this->store, this->unused_endpoints, this->vms, "a", 0.5),
         table(this->io, this->run_times) {
     this->store.At(Topic::kOperators, 0).records.push_back({"rules", "1"});
     for (int i = 0; i < GetParam(); ++i) {
--- a/tests/owner_load/main.cc
+++ b/tests/owner_load/main.cc
@@ -37,6 +37,8 @@
 constexpr std::int64_t kEndpointCpu = 64000;
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr Duration kHeartbeat = std::chrono::milliseconds(1500);
+/// Between two questions for the outlook.
+constexpr Duration kAskPause = std::chrono::seconds(1);
 constexpr Duration kWarmUp = std::chrono::seconds(6);
 /// Each pool has its turn for so long, in which it gets `kTurnFactor` times its mean.
 constexpr Duration kTurn = std::chrono::seconds(4);
@@ -49,6 +51,10 @@
   int endpoints = 1000;
   int carriers = 14;
   int askers = 100;
+  /// Questions for the state of a job, each second and asking entry.
+  int finds_per_outlook = 4;
+  /// Each question is a request of its own, as an owner of an earlier version expects it.
+  bool asks_by_http = false;
   double jobs_per_second = 170;
   int long_running_jobs = 40;
   int seconds = 20;
@@ -155,9 +161,10 @@
       }
     }
     const std::chrono::duration<double> all = this->owner->CpuTime();
-    std::printf("whole: owner %.2f s of processor, %zu MB, %llu starts\n", all.count(),
-                this->owner->ResidentBytes() / 1000000,
-                static_cast<unsigned long long>(this->table.counts.starts));
+    std::printf("whole: owner %.2f s of processor, %zu MB, %llu starts, %llu replies\n",
+                all.count(), this->owner->ResidentBytes() / 1000000,
+                static_cast<unsigned long long>(this->table.counts.starts),
+                static_cast<unsigned long long>(this->replies));
     this->owner.reset();
     std::fflush(stdout);
     std::_Exit(0);
@@ -342,21 +349,38 @@
 
   /// Questions of other entries: one outlook a second, and a job's state.
   asio::awaitable<void> AskRepeatedly(int number) {
+    job_entry::CarrierEntry entry(this->io, this->ports.Next(),
+                                  ZoneId{"zone-" + std::to_string(number % kZones)}, this->table);
     http::Client client({.connections_per_address = 4}, {});
+    if (!this->options.asks_by_http && !entry.OpenAsCaller(this->store)) {
+      co_return;
+    }
     co_await this->Wait(std::chrono::milliseconds(10 * number));
     while (true) {
       http::Request outlook;
       outlook.method = "POST";
       outlook.target = "/v1/admission";
       outlook.body = R"({"entry":"e)" + std::to_string(number) + R"(","refused":[]})";
-      co_await client.Send(this->peer_address, std::move(outlook), std::chrono::seconds(1),
-                           nullptr);
-      co_await this->Wait(std::chrono::milliseconds(500));
-      http::Request find;
-      find.target = "/v1/jobs/" + jobs::ToString(this->recent);
-      co_await client.Send(this->peer_address, std::move(find), std::chrono::seconds(1), nullptr);
-      co_await this->Wait(std::chrono::milliseconds(500));
+      co_await this->Ask(entry, client, std::move(outlook));
+      for (int i = 0; i < this->options.finds_per_outlook; ++i) {
+        co_await this->Wait(kAskPause / this->options.finds_per_outlook);
+        http::Request find;
+        find.target = "/v1/jobs/" + jobs::ToString(this->recent);
+        co_await this->Ask(entry, client, std::move(find));
+      }
+    }
+  }
+
+  asio::awaitable<void> Ask(job_entry::CarrierEntry& entry, http::Client& client,
+                            http::Request request) {
+    if (this->options.asks_by_http) {
+      co_await client.Send(this->peer_address, std::move(request), kAskPause, nullptr);
+      co_return;
     }
+    const std::string owner = this->store.members.begin()->first;
+    const std::optional<http::Response> reply =
+        co_await entry.Questions().Ask(owner, std::move(request), kAskPause);
+    this->replies += reply ? 1 : 0;
   }
 
   asio::awaitable<void> Wait(Duration duration) {
@@ -383,6 +407,7 @@
   std::uint64_t submitted = 0;
   std::uint64_t heartbeats = 0;
   jobs::JobId recent;
+  std::uint64_t replies = 0;
 };
 
 int Main(int argc, char** argv) {
@@ -393,6 +418,9 @@
   app.add_option("--endpoints", options.endpoints, "[1000]");
   app.add_option("--carriers", options.carriers, "Entries that forward orders [14]");
   app.add_option("--askers", options.askers, "Entries that ask for the outlook [100]");
+  app.add_option("--finds", options.finds_per_outlook,
+                 "Questions for a job a second and entry [4]");
+  app.add_flag("--asks-by-http", options.asks_by_http, "Each question is an HTTP request");
   app.add_option("--jobs-per-second", options.jobs_per_second, "[170]");
   app.add_option("--long-running-jobs", options.long_running_jobs, "[40]");
   app.add_option("--owner-flags", options.owner_flags,
