--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -110,10 +110,11 @@
     endpoint.is_cordoned = state.cordoned_zones.contains(record.zone);
     state.RefreshLeaving(endpoint);
   }
-  for (const EndpointRecord& record : changes.registered) {
-    EndpointState& endpoint = *state.FindEndpoint(record.id);
-    if (record.born_ms > endpoint.born_ms) {
-      this->impl->tracker.OnRestartRegistered(endpoint, record.born_ms, now);
+  // Of all endpoints: a delayed answer of a former incarnation may hide a restart that is known.
+  for (const auto& [id, endpoint] : state.endpoints) {
+    const std::int64_t registered_ms = endpoint->record.born_ms;
+    if (endpoint->is_registered && registered_ms > endpoint->born_ms) {
+      this->impl->tracker.OnRestartRegistered(*endpoint, registered_ms, now);
     }
   }
   for (const EndpointRecord& record : changes.registered) {
--- a/tests/jobs/endpoint_changes_test.cc
+++ b/tests/jobs/endpoint_changes_test.cc
@@ -56,6 +56,22 @@
   EXPECT_TRUE(world.scheduler.UsageOf("a"));
 }
 
+/// Guards against leases by the clock of a former incarnation: its answer may arrive after the new
+/// one has registered.
+TEST(EndpointChanges, RememberARestartThatALateAnswerHides) {
+  World world;
+  world.Register({World::Endpoint("a", 4)});
+  world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1, 1000)}), WallTime{});
+  ASSERT_EQ(world.StartAll().size(), 1U);
+  EndpointRecord restarted = World::Endpoint("a", 4);
+  restarted.born_ms = 2;
+  world.scheduler.UpdateEndpoints({{restarted}, {}}, world.now);
+  EXPECT_TRUE(world.scheduler.UsageOf("a")->is_silent);
+  world.AnswerRenewal("a", {}, {}, 1);
+  world.scheduler.UpdateEndpoints({{World::Endpoint("b", 4)}, {}}, world.now);
+  EXPECT_TRUE(world.scheduler.UsageOf("a")->is_silent);
+}
+
 /// What an endpoint without claims leaves behind is dropped with it.
 TEST(EndpointChanges, ForgetAnEndpointWithoutClaims) {
   World world;
