--- a/tests/jobs/endpoint_changes_test.cc
+++ b/tests/jobs/endpoint_changes_test.cc
@@ -62,12 +62,14 @@
   World world;
   world.Register({World::Endpoint("a", 4)});
   world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(1, 1000)}), WallTime{});
-  ASSERT_EQ(world.StartAll().size(), 1U);
+  const std::vector<StartOrder> starts = world.StartAll();
+  ASSERT_EQ(starts.size(), 1U);
   EndpointRecord restarted = World::Endpoint("a", 4);
   restarted.born_ms = 2;
   world.scheduler.UpdateEndpoints({{restarted}, {}}, world.now);
   EXPECT_TRUE(world.scheduler.UsageOf("a")->is_silent);
-  world.AnswerRenewal("a", {}, {}, 1);
+  world.AnswerRenewal("a", {{starts[0].task, starts[0].run, "", 10, 0}}, {}, 1);
+  ASSERT_FALSE(world.scheduler.UsageOf("a")->is_silent);
   world.scheduler.UpdateEndpoints({{World::Endpoint("b", 4)}, {}}, world.now);
   EXPECT_TRUE(world.scheduler.UsageOf("a")->is_silent);
 }
