OrderSender: Don't let stops wait for forwarded starts

A start that is forwarded without a coroutine counted as one that takes orders from the queue, so that a stop for the same endpoint waited for its answer. Found on reading.

--- a/include/chervilspar/job_entry/links.h
+++ b/include/chervilspar/job_entry/links.h
@@ -56,6 +56,12 @@
                             StartCallback /*on_outcome*/) {
     return false;
   }
+  /// The same for a renewal and `RenewLease`.
+  using RenewalCallback = std::function<void(RenewalOutcome)>;
+  virtual bool ForwardRenewal(jobs::RenewalOrder& /*order*/, Duration /*timeout*/,
+                              RenewalCallback /*on_outcome*/) {
+    return false;
+  }
   /// Maximum number of orders in flight to this endpoint, not counting lease renewals.
   virtual std::size_t MaxConcurrentOrders(const std::string&) const {
     return kMaxOrdersPerEndpoint;
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -21,10 +21,10 @@
 /// Concurrent orders to one endpoint through a carrier. The carrier limits the concurrency at the
 /// endpoint; here a large number only lets orders share a batch.
 constexpr std::size_t kMaxForwardedOrders = 24;
-/// Longer than a start takes, including its repetition with its payload.
-constexpr Duration kLongestStart = std::chrono::seconds(5);
-/// Between two checks for starts that weren't answered in time.
-constexpr Duration kStartReviewInterval = std::chrono::milliseconds(50);
+/// Longer than an order with a callback takes, including the repetition of a start.
+constexpr Duration kLongestOrder = std::chrono::seconds(5);
+/// Between two checks for orders with callbacks that weren't answered in time.
+constexpr Duration kReviewInterval = std::chrono::milliseconds(50);
 /// Unanswered orders whose carriers are remembered, in case an answer comes late.
 constexpr std::size_t kMaxAbandonedOrders = 1024;
 
@@ -49,7 +49,7 @@
       direct(std::move(direct)),
       choice(context.settings.decisions.carriers, context.settings.cores),
       next_number(RandomFirstNumber()),
-      start_review(context.io) {}
+      review(context.io) {}
 
 void CarriedEndpoints::Open(rpc::PeerTransport& transport, std::string own_address) {
   this->transport = &transport;
@@ -82,7 +82,7 @@
       entry->wakeup->Notify();
     }
   }
-  this->ReviewStarts();
+  this->ReviewForwarded();
 }
 
 void CarriedEndpoints::SetEndpoints(const std::vector<jobs::EndpointRecord>& endpoints) {
@@ -109,12 +109,7 @@
 
 void CarriedEndpoints::OnAnswers(rpc::CarriedAnswers answers) {
   for (rpc::CarriedAnswer& answer : answers) {
-    if (const auto start = this->forwarded_starts.find(answer.number);
-        start != this->forwarded_starts.end()) {
-      ForwardedStart answered = std::move(start->second);
-      this->forwarded_starts.erase(start);
-      this->RecordAnswer(answered.carrier, answer.outcome);
-      this->OnStartAnswer(std::move(answered), answer);
+    if (this->CallBack(answer)) {
       continue;
     }
     const auto found = this->pending.find(answer.number);
@@ -180,27 +175,60 @@
 
 asio::awaitable<RenewalOutcome> CarriedEndpoints::RenewLease(jobs::RenewalOrder order,
                                                              Duration timeout) {
+  const auto held = std::make_shared<RenewalOutcome>();
+  const auto wakeup = std::make_shared<http::Wakeup>(this->context.io.get_executor());
+  const bool is_forwarded =
+      this->ForwardRenewal(order, timeout, [held, wakeup](RenewalOutcome outcome) {
+        *held = std::move(outcome);
+        wakeup->Notify();
+      });
+  if (!is_forwarded) {
+    co_return co_await this->direct->RenewLease(std::move(order), timeout);
+  }
+  // Without an answer, the review calls back.
+  co_await wakeup->WaitFor(timeout + kLongestOrder);
+  co_return std::move(*held);
+}
+
+bool CarriedEndpoints::ForwardRenewal(jobs::RenewalOrder& order, Duration timeout,
+                                      RenewalCallback on_outcome) {
   std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
   if (!carrier) {
-    return this->direct->RenewLease(std::move(order), timeout);
+    return false;
   }
   const std::uint64_t number = this->next_number++;
   rpc::OrderBatch& batch = this->BatchFor(*carrier, timeout - order.wait, this->frame_interval);
-  batch.holds.push_back({number, std::move(order)});
-  return this->AwaitReport(*std::move(carrier), number, timeout);
+  batch.holds.push_back({number, std::move(order), std::nullopt});
+  this->forwarded_renewals.emplace(
+      number,
+      ForwardedRenewal{*std::move(carrier), this->context.Now() + timeout + kForwardingMargin,
+                       std::move(on_outcome)});
+  this->ReviewForwardedLater();
+  return true;
 }
 
-asio::awaitable<RenewalOutcome> CarriedEndpoints::AwaitReport(std::string carrier,
-                                                              std::uint64_t number,
-                                                              Duration timeout) {
-  rpc::CarriedAnswer answer = co_await this->AwaitAnswer(std::move(carrier), number, timeout);
-  RenewalOutcome held;
-  held.outcome = answer.outcome;
-  held.report = std::move(answer.report);
-  if (held.outcome == OrderOutcome::kDone && !held.report) {
-    held.outcome = OrderOutcome::kNoAnswer;
+bool CarriedEndpoints::CallBack(rpc::CarriedAnswer& answer) {
+  if (const auto found = this->forwarded_renewals.find(answer.number);
+      found != this->forwarded_renewals.end()) {
+    const ForwardedRenewal renewal = std::move(found->second);
+    this->forwarded_renewals.erase(found);
+    this->RecordAnswer(renewal.carrier, answer.outcome);
+    RenewalOutcome held{answer.outcome, std::move(answer.report)};
+    if (held.outcome == OrderOutcome::kDone && !held.report) {
+      held.outcome = OrderOutcome::kNoAnswer;
+    }
+    renewal.on_outcome(std::move(held));
+    return true;
   }
-  co_return held;
+  if (const auto found = this->forwarded_starts.find(answer.number);
+      found != this->forwarded_starts.end()) {
+    ForwardedStart start = std::move(found->second);
+    this->forwarded_starts.erase(found);
+    this->RecordAnswer(start.carrier, answer.outcome);
+    this->OnStartAnswer(std::move(start), answer);
+    return true;
+  }
+  return false;
 }
 
 template <typename Order>
@@ -234,8 +262,8 @@
   if (!is_forwarded) {
     co_return co_await this->direct->Start(std::move(order), timeout);
   }
-  // Without an answer, the review of the starts calls back.
-  co_await wakeup->WaitFor(kLongestStart);
+  // Without an answer, the review calls back.
+  co_await wakeup->WaitFor(kLongestOrder);
   co_return *outcome;
 }
 
@@ -280,7 +308,7 @@
   }
   start.expires = this->context.Now() + start.timeout + kForwardingMargin;
   this->forwarded_starts.emplace(number, std::move(start));
-  this->ReviewStartsLater();
+  this->ReviewForwardedLater();
 }
 
 void CarriedEndpoints::OnStartAnswer(ForwardedStart start, const rpc::CarriedAnswer& answer) {
@@ -298,41 +326,43 @@
   start.on_outcome(answer.outcome);
 }
 
-void CarriedEndpoints::ReviewStartsLater() {
-  if (this->is_start_review_due) {
+void CarriedEndpoints::ReviewForwardedLater() {
+  if (this->is_review_due) {
     return;
   }
-  this->is_start_review_due = true;
-  this->start_review.expires_after(kStartReviewInterval);
-  this->start_review.async_wait([this](const boost::system::error_code& error) {
+  this->is_review_due = true;
+  this->review.expires_after(kReviewInterval);
+  this->review.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      this->is_start_review_due = false;
-      this->ReviewStarts();
+      this->is_review_due = false;
+      this->ReviewForwarded();
     }
   });
 }
 
-void CarriedEndpoints::ReviewStarts() {
+void CarriedEndpoints::ReviewForwarded() {
   const TimePoint now = this->context.Now();
-  std::vector<std::uint64_t> overdue;
-  for (const auto& [number, start] : this->forwarded_starts) {
-    if (now >= start.expires || !this->choice.IsCarrier(start.carrier)) {
-      overdue.push_back(number);
+  std::vector<std::pair<std::uint64_t, std::string>> overdue;
+  const auto collect = [&](const auto& forwarded) {
+    for (const auto& [number, order] : forwarded) {
+      if (now >= order.expires || !this->choice.IsCarrier(order.carrier)) {
+        overdue.emplace_back(number, order.carrier);
+      }
     }
-  }
-  for (const std::uint64_t number : overdue) {
-    const auto found = this->forwarded_starts.find(number);
-    if (found == this->forwarded_starts.end()) {
-      continue;
-    }
-    const ForwardedStart start = std::move(found->second);
-    this->forwarded_starts.erase(found);
-    this->Abandon(number, start.carrier);
+  };
+  collect(this->forwarded_renewals);
+  collect(this->forwarded_starts);
+  for (const auto& [number, carrier] : overdue) {
+    this->Abandon(number, carrier);
     this->context.metrics.Count({"chervilspar_carried_unanswered_total", {}});
-    start.on_outcome(OrderOutcome::kNoAnswer);
+    if (auto renewal = this->forwarded_renewals.extract(number)) {
+      renewal.mapped().on_outcome({});
+    } else if (auto start = this->forwarded_starts.extract(number)) {
+      start.mapped().on_outcome(OrderOutcome::kNoAnswer);
+    }
   }
-  if (!this->forwarded_starts.empty()) {
-    this->ReviewStartsLater();
+  if (!this->forwarded_starts.empty() || !this->forwarded_renewals.empty()) {
+    this->ReviewForwardedLater();
   }
 }
 
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -46,6 +46,8 @@
   boost::asio::awaitable<jobs::OrderOutcome> Throttle(jobs::ThrottleOrder order,
                                                       Duration timeout) override;
   bool ForwardStart(jobs::StartOrder& order, Duration timeout, StartCallback on_outcome) override;
+  bool ForwardRenewal(jobs::RenewalOrder& order, Duration timeout,
+                      RenewalCallback on_outcome) override;
   std::size_t MaxConcurrentOrders(const std::string& endpoint) const override;
 
  private:
@@ -68,6 +70,12 @@
     std::optional<rpc::CarriedAnswer> answer;
   };
 
+  struct ForwardedRenewal {
+    std::string carrier;
+    TimePoint expires{};
+    RenewalCallback on_outcome;
+  };
+
   /// The list of a batch that holds orders of one kind, and the call that sends such an order
   /// directly.
   template <typename Order>
@@ -82,16 +90,16 @@
   /// Sends the start in the next frame, without its payload if the carrier is known to have it.
   void QueueStart(ForwardedStart start, bool may_omit_payload);
   void OnStartAnswer(ForwardedStart start, const rpc::CarriedAnswer& answer);
-  /// Gives up the starts whose time is over or whose carrier has left.
-  void ReviewStarts();
-  void ReviewStartsLater();
+  /// True if an order that was forwarded with a callback has this number.
+  bool CallBack(rpc::CarriedAnswer& answer);
+  /// Gives up the orders with callbacks whose time is over or whose carrier has left.
+  void ReviewForwarded();
+  void ReviewForwardedLater();
   std::optional<std::string> CarrierFor(const std::string& endpoint) const;
   /// Waits for the answer to the order with this number. The outcome is `kNoAnswer` when none comes
   /// in time; the order may have been executed all the same.
   boost::asio::awaitable<rpc::CarriedAnswer> AwaitAnswer(std::string carrier, std::uint64_t number,
                                                          Duration timeout);
-  boost::asio::awaitable<RenewalOutcome> AwaitReport(std::string carrier, std::uint64_t number,
-                                                     Duration timeout);
   boost::asio::awaitable<jobs::OrderOutcome> AwaitOutcome(std::string carrier, std::uint64_t number,
                                                           Duration timeout);
   /// The batch to which an order is added that may wait for `delay`.
@@ -112,8 +120,9 @@
   std::uint64_t next_number;
   std::unordered_map<std::uint64_t, std::shared_ptr<PendingOrder>> pending;
   std::unordered_map<std::uint64_t, ForwardedStart> forwarded_starts;
-  boost::asio::steady_timer start_review;
-  bool is_start_review_due = false;
+  std::unordered_map<std::uint64_t, ForwardedRenewal> forwarded_renewals;
+  boost::asio::steady_timer review;
+  bool is_review_due = false;
   /// The carriers of abandoned orders by order number, limited to the newest.
   std::map<std::uint64_t, std::string> abandoned;
   std::shared_ptr<AddressBatcher<rpc::OrderBatch>> batches;
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -46,17 +46,24 @@
         endpoint(std::move(endpoint)),
         renewing_count(sender.renewing_count),
         awaiting(sender.awaiting),
-        wakeup(std::make_shared<http::Wakeup>(sender.context.io.get_executor())) {}
+        wakeup(std::make_shared<http::Wakeup>(sender.context.io.get_executor())),
+        answer(std::make_shared<http::Wakeup>(sender.context.io.get_executor())) {}
 
   void StartSenders() {
-    const std::size_t max_senders =
+    const std::size_t max_orders =
         this->context.links.endpoints->MaxConcurrentOrders(this->endpoint);
+    // Stops don't wait for the answers to starts.
+    const std::size_t min_senders = this->stops.empty() ? 0 : 1;
+    const std::size_t max_senders =
+        std::max(max_orders - std::min(max_orders, this->forwarded), min_senders);
     while (this->senders < std::min(max_senders, this->stops.size() + this->queue.size())) {
       ++this->senders;
       Spawn(this->context, this->SendLoop(this->shared_from_this()));
     }
   }
 
+  bool HasOrdersInFlight() const { return this->senders > 0 || this->forwarded > 0; }
+
   asio::awaitable<void> SendLoop([[maybe_unused]] std::shared_ptr<Channel> self) {
     while (!this->is_stopped && this->HasOrders()) {
       const Order order = this->TakeOrder();
@@ -87,9 +94,9 @@
   /// False if it has to wait for its turn or to be sent directly.
   bool SendAtOnce(jobs::StartOrder& order) {
     const EndpointLink& link = *this->context.links.endpoints;
-    const bool is_busy =
-        this->HasOrders() ||
-        (this->senders > 0 && this->senders >= link.MaxConcurrentOrders(this->endpoint));
+    const bool is_busy = this->HasOrders() || (this->HasOrdersInFlight() &&
+                                               this->senders + this->forwarded >=
+                                                   link.MaxConcurrentOrders(this->endpoint));
     if (this->is_stopped || is_busy) {
       return false;
     }
@@ -104,14 +111,14 @@
     const bool is_forwarded = this->context.links.endpoints->ForwardStart(
         order, kOrderTimeout,
         [self = this->shared_from_this(), run = std::move(run)](OrderOutcome outcome) {
-          --self->senders;
+          --self->forwarded;
           self->OnStartOutcome(run, outcome);
           if (!self->is_stopped) {
             self->on_change();
             self->StartSenders();
           }
         });
-    this->senders += is_forwarded ? 1 : 0;
+    this->forwarded += is_forwarded ? 1 : 0;
     return is_forwarded;
   }
 
@@ -221,11 +228,26 @@
     this->is_renewing = is_needed;
   }
 
+  bool ForwardRenewal(jobs::RenewalOrder order, Duration timeout) {
+    return this->context.links.endpoints->ForwardRenewal(
+        order, timeout, [self = this->shared_from_this()](RenewalOutcome held) {
+          self->renewed = std::move(held);
+          self->answer->Notify();
+        });
+  }
+
   /// Renews the leases at the endpoint; false when this failed.
   asio::awaitable<bool> Renew(const jobs::RenewalOrder& order) {
     const TimePoint sent = this->context.Now();
-    const RenewalOutcome held =
-        co_await this->context.links.endpoints->RenewLease(order, order.wait + kRenewalMargin);
+    const Duration timeout = order.wait + kRenewalMargin;
+    if (this->ForwardRenewal(order, timeout)) {
+      while (!this->renewed) {
+        co_await this->answer->WaitFor(kIdleRecheckInterval);
+      }
+    } else {
+      this->renewed = co_await this->context.links.endpoints->RenewLease(order, timeout);
+    }
+    const RenewalOutcome held = *std::exchange(this->renewed, std::nullopt);
     if (this->is_stopped) {
       co_return false;
     }
@@ -249,10 +271,16 @@
   const std::shared_ptr<int> renewing_count;
   const std::shared_ptr<AwaitingChannels> awaiting;
   std::shared_ptr<http::Wakeup> wakeup;
+  /// Notified when a forwarded renewal has ended, with what came of it.
+  const std::shared_ptr<http::Wakeup> answer;
+  std::optional<RenewalOutcome> renewed;
   std::deque<jobs::StopOrder> stops;
   /// All other orders.
   std::deque<Order> queue;
+  /// Coroutines that send orders.
   std::size_t senders = 0;
+  /// Starts that were forwarded without one and aren't answered yet.
+  std::size_t forwarded = 0;
   bool is_stopped = false;
   bool has_renewal_loop = false;
   /// This endpoint is included in `renewing_count`.
@@ -329,7 +357,7 @@
       return true;
     }
     Channel& channel = *found->second;
-    if (channel.senders > 0) {
+    if (channel.HasOrdersInFlight()) {
       return false;
     }
     channel.is_stopped = true;
--- a/tests/job_entry/endpoint_table.cc
+++ b/tests/job_entry/endpoint_table.cc
@@ -97,11 +97,15 @@
   const TimePoint ends = time == this->run_times.end() ? TimePoint::max() : now + time->second;
   this->endpoints[order.endpoint].active[order.task] = {order.run, now, ends};
   ++this->counts.starts;
+  if (this->start_answer_time > Duration::zero()) {
+    co_await this->Wait(this->start_answer_time);
+  }
   co_return OrderOutcome::kDone;
 }
 
 asio::awaitable<OrderOutcome> EndpointTable::Stop(jobs::StopOrder order, Duration) {
   co_await this->Wait(kAnswerTime);
+  ++this->counts.stops;
   Endpoint& endpoint = this->endpoints[order.endpoint];
   if (endpoint.active.erase(order.task) > 0) {
     endpoint.ended_at[endpoint.next_end] = this->clock.Now();
--- a/tests/job_entry/endpoint_table.h
+++ b/tests/job_entry/endpoint_table.h
@@ -15,6 +15,7 @@
 /// What the endpoints have seen.
 struct EndpointCounts {
   std::uint64_t starts = 0;
+  std::uint64_t stops = 0;
   std::uint64_t ends = 0;
   std::uint64_t renewals = 0;
   /// The sum of the times from an end until the owner confirmed it.
@@ -42,6 +43,8 @@
                                                       Duration timeout) override;
 
   EndpointCounts counts;
+  /// Until the answer to a start that was executed.
+  Duration start_answer_time{};
 
  private:
   struct Run {
--- a/tests/job_entry/owner_work_test.cc
+++ b/tests/job_entry/owner_work_test.cc
@@ -141,6 +141,19 @@
   EXPECT_EQ(this->decoded, 0U);
 }
 
+/// Guards against a stop that waits for the answer to a start: the endpoint hangs, and a cancelled
+/// task would run on.
+TEST_P(OwnerWork, AStopDoesNotWaitForAStart) {
+  this->table.start_answer_time = milliseconds(350);
+  const jobs::Job job = FakeFleet::MakeJob(1, 1);
+  this->Submit(1);
+  RunUntil(this->io, std::chrono::seconds(3), [this] { return this->table.counts.starts > 0; });
+  ASSERT_GE(this->table.counts.starts, 1U);
+  this->store.At(Topic::kJobs, 0).records.push_back({CancellationKey(job.id), "x"});
+  RunUntil(this->io, milliseconds(250), [this] { return this->table.counts.stops > 0; });
+  EXPECT_GE(this->table.counts.stops, 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Endpoints, OwnerWork, ::testing::Values(100, 1000),
                          [](const auto& info) { return std::to_string(info.param); });
 
