--- a/tests/job_entry/owner_work_test.cc
+++ b/tests/job_entry/owner_work_test.cc
@@ -86,11 +86,12 @@
         .records.push_back({"i" + std::to_string(endpoint), "zone:" + zone});
   }
 
-  void Submit(std::uint64_t number) {
-    const jobs::Job job = FakeFleet::MakeJob(number, kTasksPerJob);
+  jobs::JobId Submit(std::uint64_t number, std::uint32_t tasks = kTasksPerJob) {
+    const jobs::Job job = FakeFleet::MakeJob(number, tasks);
     this->run_times[number] = kRunTime;
     this->store.At(Topic::kJobs, 0)
         .records.push_back({SubmissionKey(job.id), jobs::EncodeJob(job)});
+    return job.id;
   }
 
   /// Submits jobs for `kLoadTime` and waits until all of their tasks have ended.
@@ -145,11 +146,10 @@
 /// task would run on.
 TEST_P(OwnerWork, AStopDoesNotWaitForAStart) {
   this->table.start_answer_time = milliseconds(350);
-  const jobs::Job job = FakeFleet::MakeJob(1, 1);
-  this->Submit(1);
+  const jobs::JobId id = this->Submit(1, 1);
   RunUntil(this->io, std::chrono::seconds(3), [this] { return this->table.counts.starts > 0; });
   ASSERT_GE(this->table.counts.starts, 1U);
-  this->store.At(Topic::kJobs, 0).records.push_back({CancellationKey(job.id), "x"});
+  this->store.At(Topic::kJobs, 0).records.push_back({CancellationKey(id), "x"});
   RunUntil(this->io, milliseconds(250), [this] { return this->table.counts.stops > 0; });
   EXPECT_GE(this->table.counts.stops, 1U);
 }
