--- a/include/chervilspar/job_entry/links.h
+++ b/include/chervilspar/job_entry/links.h
@@ -53,13 +53,13 @@
   /// order as it was. A peak has thousands of starts a second, for which the coroutines and timers
   /// of `Start` cost more than the orders themselves.
   virtual bool ForwardStart(jobs::StartOrder& /*order*/, Duration /*timeout*/,
-                            StartCallback /*on_outcome*/) {
+                            StartCallback&& /*on_outcome*/) {
     return false;
   }
   /// The same for a renewal and `RenewLease`.
   using RenewalCallback = std::function<void(RenewalOutcome)>;
   virtual bool ForwardRenewal(jobs::RenewalOrder& /*order*/, Duration /*timeout*/,
-                              RenewalCallback /*on_outcome*/) {
+                              RenewalCallback&& /*on_outcome*/) {
     return false;
   }
   /// Maximum number of orders in flight to this endpoint, not counting lease renewals.
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -191,7 +191,7 @@
 }
 
 bool CarriedEndpoints::ForwardRenewal(jobs::RenewalOrder& order, Duration timeout,
-                                      RenewalCallback on_outcome) {
+                                      RenewalCallback&& on_outcome) {
   std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
   if (!carrier) {
     return false;
@@ -268,7 +268,7 @@
 }
 
 bool CarriedEndpoints::ForwardStart(jobs::StartOrder& order, Duration timeout,
-                                    StartCallback on_outcome) {
+                                    StartCallback&& on_outcome) {
   std::optional<std::string> carrier = this->CarrierFor(order.endpoint);
   if (!carrier) {
     return false;
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -45,9 +45,9 @@
   boost::asio::awaitable<jobs::OrderOutcome> Stop(jobs::StopOrder order, Duration timeout) override;
   boost::asio::awaitable<jobs::OrderOutcome> Throttle(jobs::ThrottleOrder order,
                                                       Duration timeout) override;
-  bool ForwardStart(jobs::StartOrder& order, Duration timeout, StartCallback on_outcome) override;
+  bool ForwardStart(jobs::StartOrder& order, Duration timeout, StartCallback&& on_outcome) override;
   bool ForwardRenewal(jobs::RenewalOrder& order, Duration timeout,
-                      RenewalCallback on_outcome) override;
+                      RenewalCallback&& on_outcome) override;
   std::size_t MaxConcurrentOrders(const std::string& endpoint) const override;
 
  private:
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -266,7 +266,8 @@
   /// Reserved for tasks that are moving here from an endpoint that is being evacuated.
   Resources reserved_capacity;
   std::set<TaskKey> claims;
-  /// The last report lists a run without progress for longer than `SchedulerOptions::stall_timeout`.
+  /// The last report lists a run without progress for longer than
+  /// `SchedulerOptions::stall_timeout`.
   bool may_have_stalled_runs = false;
   /// The number of `claims` by long-running tasks.
   std::uint32_t long_running_claims = 0;
--- a/src/rpc/gen/carrier_types.cpp
+++ b/src/rpc/gen/carrier_types.cpp
@@ -200,7 +200,7 @@
   job_capitals = other0.job_capitals;
   __isset = other0.__isset;
 }
-WireRun& WireRun::operator=(const WireRun& other1) noexcept {
+WireRun::WireRun(WireRun&& other1) noexcept {
   job = other1.job;
   occurrence = other1.occurrence;
   step = other1.step;
@@ -208,6 +208,25 @@
   run = other1.run;
   job_capitals = other1.job_capitals;
   __isset = other1.__isset;
+}
+WireRun& WireRun::operator=(const WireRun& other2) noexcept {
+  job = other2.job;
+  occurrence = other2.occurrence;
+  step = other2.step;
+  index = other2.index;
+  run = other2.run;
+  job_capitals = other2.job_capitals;
+  __isset = other2.__isset;
+  return *this;
+}
+WireRun& WireRun::operator=(WireRun&& other3) noexcept {
+  job = other3.job;
+  occurrence = other3.occurrence;
+  step = other3.step;
+  index = other3.index;
+  run = other3.run;
+  job_capitals = other3.job_capitals;
+  __isset = other3.__isset;
   return *this;
 }
 void WireRun::printTo(std::ostream& out) const {
@@ -340,15 +359,26 @@
   swap(a.port, b.port);
 }
 
-WireTarget::WireTarget(const WireTarget& other2) {
-  endpoint = other2.endpoint;
-  ip = other2.ip;
-  port = other2.port;
+WireTarget::WireTarget(const WireTarget& other4) {
+  endpoint = other4.endpoint;
+  ip = other4.ip;
+  port = other4.port;
+}
+WireTarget::WireTarget(WireTarget&& other5) noexcept {
+  endpoint = std::move(other5.endpoint);
+  ip = std::move(other5.ip);
+  port = other5.port;
+}
+WireTarget& WireTarget::operator=(const WireTarget& other6) {
+  endpoint = other6.endpoint;
+  ip = other6.ip;
+  port = other6.port;
+  return *this;
 }
-WireTarget& WireTarget::operator=(const WireTarget& other3) {
-  endpoint = other3.endpoint;
-  ip = other3.ip;
-  port = other3.port;
+WireTarget& WireTarget::operator=(WireTarget&& other7) noexcept {
+  endpoint = std::move(other7.endpoint);
+  ip = std::move(other7.ip);
+  port = other7.port;
   return *this;
 }
 void WireTarget::printTo(std::ostream& out) const {
@@ -596,29 +626,54 @@
   swap(a.__isset, b.__isset);
 }
 
-WireStart::WireStart(const WireStart& other4) {
-  number = other4.number;
-  target = other4.target;
-  token = other4.token;
-  run = other4.run;
-  payload = other4.payload;
-  lease_end = other4.lease_end;
-  checkpoint = other4.checkpoint;
-  ticket = other4.ticket;
-  kept_payload = other4.kept_payload;
-  __isset = other4.__isset;
-}
-WireStart& WireStart::operator=(const WireStart& other5) {
-  number = other5.number;
-  target = other5.target;
-  token = other5.token;
-  run = other5.run;
-  payload = other5.payload;
-  lease_end = other5.lease_end;
-  checkpoint = other5.checkpoint;
-  ticket = other5.ticket;
-  kept_payload = other5.kept_payload;
-  __isset = other5.__isset;
+WireStart::WireStart(const WireStart& other8) {
+  number = other8.number;
+  target = other8.target;
+  token = other8.token;
+  run = other8.run;
+  payload = other8.payload;
+  lease_end = other8.lease_end;
+  checkpoint = other8.checkpoint;
+  ticket = other8.ticket;
+  kept_payload = other8.kept_payload;
+  __isset = other8.__isset;
+}
+WireStart::WireStart(WireStart&& other9) noexcept {
+  number = other9.number;
+  target = other9.target;
+  token = other9.token;
+  run = std::move(other9.run);
+  payload = other9.payload;
+  lease_end = other9.lease_end;
+  checkpoint = std::move(other9.checkpoint);
+  ticket = std::move(other9.ticket);
+  kept_payload = other9.kept_payload;
+  __isset = other9.__isset;
+}
+WireStart& WireStart::operator=(const WireStart& other10) {
+  number = other10.number;
+  target = other10.target;
+  token = other10.token;
+  run = other10.run;
+  payload = other10.payload;
+  lease_end = other10.lease_end;
+  checkpoint = other10.checkpoint;
+  ticket = other10.ticket;
+  kept_payload = other10.kept_payload;
+  __isset = other10.__isset;
+  return *this;
+}
+WireStart& WireStart::operator=(WireStart&& other11) noexcept {
+  number = other11.number;
+  target = other11.target;
+  token = other11.token;
+  run = std::move(other11.run);
+  payload = other11.payload;
+  lease_end = other11.lease_end;
+  checkpoint = std::move(other11.checkpoint);
+  ticket = std::move(other11.ticket);
+  kept_payload = other11.kept_payload;
+  __isset = other11.__isset;
   return *this;
 }
 void WireStart::printTo(std::ostream& out) const {
@@ -774,17 +829,30 @@
   swap(a.run, b.run);
 }
 
-WireStop::WireStop(const WireStop& other6) noexcept {
-  number = other6.number;
-  target = other6.target;
-  token = other6.token;
-  run = other6.run;
+WireStop::WireStop(const WireStop& other12) noexcept {
+  number = other12.number;
+  target = other12.target;
+  token = other12.token;
+  run = other12.run;
+}
+WireStop::WireStop(WireStop&& other13) noexcept {
+  number = other13.number;
+  target = other13.target;
+  token = other13.token;
+  run = std::move(other13.run);
 }
-WireStop& WireStop::operator=(const WireStop& other7) noexcept {
-  number = other7.number;
-  target = other7.target;
-  token = other7.token;
-  run = other7.run;
+WireStop& WireStop::operator=(const WireStop& other14) noexcept {
+  number = other14.number;
+  target = other14.target;
+  token = other14.token;
+  run = other14.run;
+  return *this;
+}
+WireStop& WireStop::operator=(WireStop&& other15) noexcept {
+  number = other15.number;
+  target = other15.target;
+  token = other15.token;
+  run = std::move(other15.run);
   return *this;
 }
 void WireStop::printTo(std::ostream& out) const {
@@ -955,19 +1023,34 @@
   swap(a.percent, b.percent);
 }
 
-WirePace::WirePace(const WirePace& other8) noexcept {
-  number = other8.number;
-  target = other8.target;
-  token = other8.token;
-  run = other8.run;
-  percent = other8.percent;
+WirePace::WirePace(const WirePace& other16) noexcept {
+  number = other16.number;
+  target = other16.target;
+  token = other16.token;
+  run = other16.run;
+  percent = other16.percent;
+}
+WirePace::WirePace(WirePace&& other17) noexcept {
+  number = other17.number;
+  target = other17.target;
+  token = other17.token;
+  run = std::move(other17.run);
+  percent = other17.percent;
+}
+WirePace& WirePace::operator=(const WirePace& other18) noexcept {
+  number = other18.number;
+  target = other18.target;
+  token = other18.token;
+  run = other18.run;
+  percent = other18.percent;
+  return *this;
 }
-WirePace& WirePace::operator=(const WirePace& other9) noexcept {
-  number = other9.number;
-  target = other9.target;
-  token = other9.token;
-  run = other9.run;
-  percent = other9.percent;
+WirePace& WirePace::operator=(WirePace&& other19) noexcept {
+  number = other19.number;
+  target = other19.target;
+  token = other19.token;
+  run = std::move(other19.run);
+  percent = other19.percent;
   return *this;
 }
 void WirePace::printTo(std::ostream& out) const {
@@ -1159,23 +1242,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WireHold::WireHold(const WireHold& other10) noexcept {
-  number = other10.number;
-  target = other10.target;
-  token = other10.token;
-  confirmed_end = other10.confirmed_end;
-  wait = other10.wait;
-  lease_end = other10.lease_end;
-  __isset = other10.__isset;
+WireHold::WireHold(const WireHold& other20) noexcept {
+  number = other20.number;
+  target = other20.target;
+  token = other20.token;
+  confirmed_end = other20.confirmed_end;
+  wait = other20.wait;
+  lease_end = other20.lease_end;
+  __isset = other20.__isset;
+}
+WireHold::WireHold(WireHold&& other21) noexcept {
+  number = other21.number;
+  target = other21.target;
+  token = other21.token;
+  confirmed_end = other21.confirmed_end;
+  wait = other21.wait;
+  lease_end = other21.lease_end;
+  __isset = other21.__isset;
+}
+WireHold& WireHold::operator=(const WireHold& other22) noexcept {
+  number = other22.number;
+  target = other22.target;
+  token = other22.token;
+  confirmed_end = other22.confirmed_end;
+  wait = other22.wait;
+  lease_end = other22.lease_end;
+  __isset = other22.__isset;
+  return *this;
 }
-WireHold& WireHold::operator=(const WireHold& other11) noexcept {
-  number = other11.number;
-  target = other11.target;
-  token = other11.token;
-  confirmed_end = other11.confirmed_end;
-  wait = other11.wait;
-  lease_end = other11.lease_end;
-  __isset = other11.__isset;
+WireHold& WireHold::operator=(WireHold&& other23) noexcept {
+  number = other23.number;
+  target = other23.target;
+  token = other23.token;
+  confirmed_end = other23.confirmed_end;
+  wait = other23.wait;
+  lease_end = other23.lease_end;
+  __isset = other23.__isset;
   return *this;
 }
 void WireHold::printTo(std::ostream& out) const {
@@ -1287,14 +1389,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->targets.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->targets.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->targets[_i16].read(iprot);
+              xfer += this->targets[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1307,14 +1409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->payloads.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->payloads.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->payloads.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += iprot->readString(this->payloads[_i21]);
+              xfer += iprot->readString(this->payloads[_i33]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1327,14 +1429,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->starts.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->starts.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->starts[_i26].read(iprot);
+              xfer += this->starts[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1347,14 +1449,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->stops.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->stops.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->stops[_i31].read(iprot);
+              xfer += this->stops[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1367,14 +1469,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->paces.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->paces.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->paces.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->paces[_i36].read(iprot);
+              xfer += this->paces[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1387,14 +1489,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holds.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->holds.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->holds.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += this->holds[_i41].read(iprot);
+              xfer += this->holds[_i53].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1455,10 +1557,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<WireTarget> ::const_iterator _iter42;
-    for (_iter42 = this->targets.begin(); _iter42 != this->targets.end(); ++_iter42)
+    std::vector<WireTarget> ::const_iterator _iter54;
+    for (_iter54 = this->targets.begin(); _iter54 != this->targets.end(); ++_iter54)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1467,10 +1569,10 @@
   xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
-    std::vector<std::string> ::const_iterator _iter43;
-    for (_iter43 = this->payloads.begin(); _iter43 != this->payloads.end(); ++_iter43)
+    std::vector<std::string> ::const_iterator _iter55;
+    for (_iter55 = this->payloads.begin(); _iter55 != this->payloads.end(); ++_iter55)
     {
-      xfer += oprot->writeString((*_iter43));
+      xfer += oprot->writeString((*_iter55));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1479,10 +1581,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<WireStart> ::const_iterator _iter44;
-    for (_iter44 = this->starts.begin(); _iter44 != this->starts.end(); ++_iter44)
+    std::vector<WireStart> ::const_iterator _iter56;
+    for (_iter56 = this->starts.begin(); _iter56 != this->starts.end(); ++_iter56)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1491,10 +1593,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stops.size()));
-    std::vector<WireStop> ::const_iterator _iter45;
-    for (_iter45 = this->stops.begin(); _iter45 != this->stops.end(); ++_iter45)
+    std::vector<WireStop> ::const_iterator _iter57;
+    for (_iter57 = this->stops.begin(); _iter57 != this->stops.end(); ++_iter57)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1503,10 +1605,10 @@
   xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
-    std::vector<WirePace> ::const_iterator _iter46;
-    for (_iter46 = this->paces.begin(); _iter46 != this->paces.end(); ++_iter46)
+    std::vector<WirePace> ::const_iterator _iter58;
+    for (_iter58 = this->paces.begin(); _iter58 != this->paces.end(); ++_iter58)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1515,10 +1617,10 @@
   xfer += oprot->writeFieldBegin("holds", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holds.size()));
-    std::vector<WireHold> ::const_iterator _iter47;
-    for (_iter47 = this->holds.begin(); _iter47 != this->holds.end(); ++_iter47)
+    std::vector<WireHold> ::const_iterator _iter59;
+    for (_iter59 = this->holds.begin(); _iter59 != this->holds.end(); ++_iter59)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1548,29 +1650,54 @@
   swap(a.__isset, b.__isset);
 }
 
-WireOrderBatch::WireOrderBatch(const WireOrderBatch& other48) {
-  reply_address = other48.reply_address;
-  timeout = other48.timeout;
-  targets = other48.targets;
-  payloads = other48.payloads;
-  starts = other48.starts;
-  stops = other48.stops;
-  paces = other48.paces;
-  holds = other48.holds;
-  answer_delay = other48.answer_delay;
-  __isset = other48.__isset;
-}
-WireOrderBatch& WireOrderBatch::operator=(const WireOrderBatch& other49) {
-  reply_address = other49.reply_address;
-  timeout = other49.timeout;
-  targets = other49.targets;
-  payloads = other49.payloads;
-  starts = other49.starts;
-  stops = other49.stops;
-  paces = other49.paces;
-  holds = other49.holds;
-  answer_delay = other49.answer_delay;
-  __isset = other49.__isset;
+WireOrderBatch::WireOrderBatch(const WireOrderBatch& other60) {
+  reply_address = other60.reply_address;
+  timeout = other60.timeout;
+  targets = other60.targets;
+  payloads = other60.payloads;
+  starts = other60.starts;
+  stops = other60.stops;
+  paces = other60.paces;
+  holds = other60.holds;
+  answer_delay = other60.answer_delay;
+  __isset = other60.__isset;
+}
+WireOrderBatch::WireOrderBatch(WireOrderBatch&& other61) noexcept {
+  reply_address = std::move(other61.reply_address);
+  timeout = other61.timeout;
+  targets = std::move(other61.targets);
+  payloads = std::move(other61.payloads);
+  starts = std::move(other61.starts);
+  stops = std::move(other61.stops);
+  paces = std::move(other61.paces);
+  holds = std::move(other61.holds);
+  answer_delay = other61.answer_delay;
+  __isset = other61.__isset;
+}
+WireOrderBatch& WireOrderBatch::operator=(const WireOrderBatch& other62) {
+  reply_address = other62.reply_address;
+  timeout = other62.timeout;
+  targets = other62.targets;
+  payloads = other62.payloads;
+  starts = other62.starts;
+  stops = other62.stops;
+  paces = other62.paces;
+  holds = other62.holds;
+  answer_delay = other62.answer_delay;
+  __isset = other62.__isset;
+  return *this;
+}
+WireOrderBatch& WireOrderBatch::operator=(WireOrderBatch&& other63) noexcept {
+  reply_address = std::move(other63.reply_address);
+  timeout = other63.timeout;
+  targets = std::move(other63.targets);
+  payloads = std::move(other63.payloads);
+  starts = std::move(other63.starts);
+  stops = std::move(other63.stops);
+  paces = std::move(other63.paces);
+  holds = std::move(other63.holds);
+  answer_delay = other63.answer_delay;
+  __isset = other63.__isset;
   return *this;
 }
 void WireOrderBatch::printTo(std::ostream& out) const {
@@ -1726,19 +1853,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WireActive::WireActive(const WireActive& other50) {
-  run = other50.run;
-  percent = other50.percent;
-  gauge = other50.gauge;
-  checkpoint = other50.checkpoint;
-  __isset = other50.__isset;
+WireActive::WireActive(const WireActive& other64) {
+  run = other64.run;
+  percent = other64.percent;
+  gauge = other64.gauge;
+  checkpoint = other64.checkpoint;
+  __isset = other64.__isset;
+}
+WireActive::WireActive(WireActive&& other65) noexcept {
+  run = std::move(other65.run);
+  percent = other65.percent;
+  gauge = other65.gauge;
+  checkpoint = std::move(other65.checkpoint);
+  __isset = other65.__isset;
+}
+WireActive& WireActive::operator=(const WireActive& other66) {
+  run = other66.run;
+  percent = other66.percent;
+  gauge = other66.gauge;
+  checkpoint = other66.checkpoint;
+  __isset = other66.__isset;
+  return *this;
 }
-WireActive& WireActive::operator=(const WireActive& other51) {
-  run = other51.run;
-  percent = other51.percent;
-  gauge = other51.gauge;
-  checkpoint = other51.checkpoint;
-  __isset = other51.__isset;
+WireActive& WireActive::operator=(WireActive&& other67) noexcept {
+  run = std::move(other67.run);
+  percent = other67.percent;
+  gauge = other67.gauge;
+  checkpoint = std::move(other67.checkpoint);
+  __isset = other67.__isset;
   return *this;
 }
 void WireActive::printTo(std::ostream& out) const {
@@ -1889,19 +2031,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WireEnded::WireEnded(const WireEnded& other52) {
-  number = other52.number;
-  run = other52.run;
-  ending = other52.ending;
-  checkpoint = other52.checkpoint;
-  __isset = other52.__isset;
+WireEnded::WireEnded(const WireEnded& other68) {
+  number = other68.number;
+  run = other68.run;
+  ending = other68.ending;
+  checkpoint = other68.checkpoint;
+  __isset = other68.__isset;
+}
+WireEnded::WireEnded(WireEnded&& other69) noexcept {
+  number = other69.number;
+  run = std::move(other69.run);
+  ending = other69.ending;
+  checkpoint = std::move(other69.checkpoint);
+  __isset = other69.__isset;
+}
+WireEnded& WireEnded::operator=(const WireEnded& other70) {
+  number = other70.number;
+  run = other70.run;
+  ending = other70.ending;
+  checkpoint = other70.checkpoint;
+  __isset = other70.__isset;
+  return *this;
 }
-WireEnded& WireEnded::operator=(const WireEnded& other53) {
-  number = other53.number;
-  run = other53.run;
-  ending = other53.ending;
-  checkpoint = other53.checkpoint;
-  __isset = other53.__isset;
+WireEnded& WireEnded::operator=(WireEnded&& other71) noexcept {
+  number = other71.number;
+  run = std::move(other71.run);
+  ending = other71.ending;
+  checkpoint = std::move(other71.checkpoint);
+  __isset = other71.__isset;
   return *this;
 }
 void WireEnded::printTo(std::ostream& out) const {
@@ -1986,14 +2143,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->active.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->active.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->active.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->active[_i58].read(iprot);
+              xfer += this->active[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2006,14 +2163,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->ended.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->ended.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->ended[_i63].read(iprot);
+              xfer += this->ended[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2058,10 +2215,10 @@
   xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->active.size()));
-    std::vector<WireActive> ::const_iterator _iter64;
-    for (_iter64 = this->active.begin(); _iter64 != this->active.end(); ++_iter64)
+    std::vector<WireActive> ::const_iterator _iter82;
+    for (_iter82 = this->active.begin(); _iter82 != this->active.end(); ++_iter82)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2070,10 +2227,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<WireEnded> ::const_iterator _iter65;
-    for (_iter65 = this->ended.begin(); _iter65 != this->ended.end(); ++_iter65)
+    std::vector<WireEnded> ::const_iterator _iter83;
+    for (_iter83 = this->ended.begin(); _iter83 != this->ended.end(); ++_iter83)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2092,17 +2249,30 @@
   swap(a.ended, b.ended);
 }
 
-WireReport::WireReport(const WireReport& other66) {
-  clock = other66.clock;
-  born = other66.born;
-  active = other66.active;
-  ended = other66.ended;
+WireReport::WireReport(const WireReport& other84) {
+  clock = other84.clock;
+  born = other84.born;
+  active = other84.active;
+  ended = other84.ended;
+}
+WireReport::WireReport(WireReport&& other85) noexcept {
+  clock = other85.clock;
+  born = other85.born;
+  active = std::move(other85.active);
+  ended = std::move(other85.ended);
+}
+WireReport& WireReport::operator=(const WireReport& other86) {
+  clock = other86.clock;
+  born = other86.born;
+  active = other86.active;
+  ended = other86.ended;
+  return *this;
 }
-WireReport& WireReport::operator=(const WireReport& other67) {
-  clock = other67.clock;
-  born = other67.born;
-  active = other67.active;
-  ended = other67.ended;
+WireReport& WireReport::operator=(WireReport&& other87) noexcept {
+  clock = other87.clock;
+  born = other87.born;
+  active = std::move(other87.active);
+  ended = std::move(other87.ended);
   return *this;
 }
 void WireReport::printTo(std::ostream& out) const {
@@ -2252,19 +2422,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WireAnswer::WireAnswer(const WireAnswer& other68) {
-  number = other68.number;
-  outcome = other68.outcome;
-  report = other68.report;
-  keeps_payload = other68.keeps_payload;
-  __isset = other68.__isset;
+WireAnswer::WireAnswer(const WireAnswer& other88) {
+  number = other88.number;
+  outcome = other88.outcome;
+  report = other88.report;
+  keeps_payload = other88.keeps_payload;
+  __isset = other88.__isset;
+}
+WireAnswer::WireAnswer(WireAnswer&& other89) noexcept {
+  number = other89.number;
+  outcome = other89.outcome;
+  report = std::move(other89.report);
+  keeps_payload = other89.keeps_payload;
+  __isset = other89.__isset;
+}
+WireAnswer& WireAnswer::operator=(const WireAnswer& other90) {
+  number = other90.number;
+  outcome = other90.outcome;
+  report = other90.report;
+  keeps_payload = other90.keeps_payload;
+  __isset = other90.__isset;
+  return *this;
 }
-WireAnswer& WireAnswer::operator=(const WireAnswer& other69) {
-  number = other69.number;
-  outcome = other69.outcome;
-  report = other69.report;
-  keeps_payload = other69.keeps_payload;
-  __isset = other69.__isset;
+WireAnswer& WireAnswer::operator=(WireAnswer&& other91) noexcept {
+  number = other91.number;
+  outcome = other91.outcome;
+  report = std::move(other91.report);
+  keeps_payload = other91.keeps_payload;
+  __isset = other91.__isset;
   return *this;
 }
 void WireAnswer::printTo(std::ostream& out) const {
@@ -2395,15 +2580,26 @@
   swap(a.body, b.body);
 }
 
-WireQuestion::WireQuestion(const WireQuestion& other70) {
-  number = other70.number;
-  target = other70.target;
-  body = other70.body;
+WireQuestion::WireQuestion(const WireQuestion& other92) {
+  number = other92.number;
+  target = other92.target;
+  body = other92.body;
 }
-WireQuestion& WireQuestion::operator=(const WireQuestion& other71) {
-  number = other71.number;
-  target = other71.target;
-  body = other71.body;
+WireQuestion::WireQuestion(WireQuestion&& other93) noexcept {
+  number = other93.number;
+  target = std::move(other93.target);
+  body = std::move(other93.body);
+}
+WireQuestion& WireQuestion::operator=(const WireQuestion& other94) {
+  number = other94.number;
+  target = other94.target;
+  body = other94.body;
+  return *this;
+}
+WireQuestion& WireQuestion::operator=(WireQuestion&& other95) noexcept {
+  number = other95.number;
+  target = std::move(other95.target);
+  body = std::move(other95.body);
   return *this;
 }
 void WireQuestion::printTo(std::ostream& out) const {
@@ -2482,14 +2678,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->questions.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->questions.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->questions.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->questions[_i76].read(iprot);
+              xfer += this->questions[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2532,10 +2728,10 @@
   xfer += oprot->writeFieldBegin("questions", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->questions.size()));
-    std::vector<WireQuestion> ::const_iterator _iter77;
-    for (_iter77 = this->questions.begin(); _iter77 != this->questions.end(); ++_iter77)
+    std::vector<WireQuestion> ::const_iterator _iter101;
+    for (_iter101 = this->questions.begin(); _iter101 != this->questions.end(); ++_iter101)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2553,15 +2749,26 @@
   swap(a.questions, b.questions);
 }
 
-WireQuestionBatch::WireQuestionBatch(const WireQuestionBatch& other78) {
-  reply_address = other78.reply_address;
-  owner_address = other78.owner_address;
-  questions = other78.questions;
+WireQuestionBatch::WireQuestionBatch(const WireQuestionBatch& other102) {
+  reply_address = other102.reply_address;
+  owner_address = other102.owner_address;
+  questions = other102.questions;
+}
+WireQuestionBatch::WireQuestionBatch(WireQuestionBatch&& other103) noexcept {
+  reply_address = std::move(other103.reply_address);
+  owner_address = std::move(other103.owner_address);
+  questions = std::move(other103.questions);
 }
-WireQuestionBatch& WireQuestionBatch::operator=(const WireQuestionBatch& other79) {
-  reply_address = other79.reply_address;
-  owner_address = other79.owner_address;
-  questions = other79.questions;
+WireQuestionBatch& WireQuestionBatch::operator=(const WireQuestionBatch& other104) {
+  reply_address = other104.reply_address;
+  owner_address = other104.owner_address;
+  questions = other104.questions;
+  return *this;
+}
+WireQuestionBatch& WireQuestionBatch::operator=(WireQuestionBatch&& other105) noexcept {
+  reply_address = std::move(other105.reply_address);
+  owner_address = std::move(other105.owner_address);
+  questions = std::move(other105.questions);
   return *this;
 }
 void WireQuestionBatch::printTo(std::ostream& out) const {
@@ -2691,15 +2898,26 @@
   swap(a.body, b.body);
 }
 
-WireReply::WireReply(const WireReply& other80) {
-  number = other80.number;
-  status = other80.status;
-  body = other80.body;
+WireReply::WireReply(const WireReply& other106) {
+  number = other106.number;
+  status = other106.status;
+  body = other106.body;
+}
+WireReply::WireReply(WireReply&& other107) noexcept {
+  number = other107.number;
+  status = other107.status;
+  body = std::move(other107.body);
 }
-WireReply& WireReply::operator=(const WireReply& other81) {
-  number = other81.number;
-  status = other81.status;
-  body = other81.body;
+WireReply& WireReply::operator=(const WireReply& other108) {
+  number = other108.number;
+  status = other108.status;
+  body = other108.body;
+  return *this;
+}
+WireReply& WireReply::operator=(WireReply&& other109) noexcept {
+  number = other109.number;
+  status = other109.status;
+  body = std::move(other109.body);
   return *this;
 }
 void WireReply::printTo(std::ostream& out) const {
@@ -2775,14 +2993,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->answers.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->answers.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->answers[_i86].read(iprot);
+              xfer += this->answers[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2803,14 +3021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->replies.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->replies.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->replies[_i91].read(iprot);
+              xfer += this->replies[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2845,10 +3063,10 @@
     xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-      std::vector<WireAnswer> ::const_iterator _iter92;
-      for (_iter92 = this->answers.begin(); _iter92 != this->answers.end(); ++_iter92)
+      std::vector<WireAnswer> ::const_iterator _iter120;
+      for (_iter120 = this->answers.begin(); _iter120 != this->answers.end(); ++_iter120)
       {
-        xfer += (*_iter92).write(oprot);
+        xfer += (*_iter120).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2863,10 +3081,10 @@
     xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-      std::vector<WireReply> ::const_iterator _iter93;
-      for (_iter93 = this->replies.begin(); _iter93 != this->replies.end(); ++_iter93)
+      std::vector<WireReply> ::const_iterator _iter121;
+      for (_iter121 = this->replies.begin(); _iter121 != this->replies.end(); ++_iter121)
       {
-        xfer += (*_iter93).write(oprot);
+        xfer += (*_iter121).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2886,19 +3104,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WireCarrierMessage::WireCarrierMessage(const WireCarrierMessage& other94) {
-  batch = other94.batch;
-  answers = other94.answers;
-  questions = other94.questions;
-  replies = other94.replies;
-  __isset = other94.__isset;
+WireCarrierMessage::WireCarrierMessage(const WireCarrierMessage& other122) {
+  batch = other122.batch;
+  answers = other122.answers;
+  questions = other122.questions;
+  replies = other122.replies;
+  __isset = other122.__isset;
+}
+WireCarrierMessage::WireCarrierMessage(WireCarrierMessage&& other123) noexcept {
+  batch = std::move(other123.batch);
+  answers = std::move(other123.answers);
+  questions = std::move(other123.questions);
+  replies = std::move(other123.replies);
+  __isset = other123.__isset;
+}
+WireCarrierMessage& WireCarrierMessage::operator=(const WireCarrierMessage& other124) {
+  batch = other124.batch;
+  answers = other124.answers;
+  questions = other124.questions;
+  replies = other124.replies;
+  __isset = other124.__isset;
+  return *this;
 }
-WireCarrierMessage& WireCarrierMessage::operator=(const WireCarrierMessage& other95) {
-  batch = other95.batch;
-  answers = other95.answers;
-  questions = other95.questions;
-  replies = other95.replies;
-  __isset = other95.__isset;
+WireCarrierMessage& WireCarrierMessage::operator=(WireCarrierMessage&& other125) noexcept {
+  batch = std::move(other125.batch);
+  answers = std::move(other125.answers);
+  questions = std::move(other125.questions);
+  replies = std::move(other125.replies);
+  __isset = other125.__isset;
   return *this;
 }
 void WireCarrierMessage::printTo(std::ostream& out) const {
--- a/src/rpc/gen/carrier_types.h
+++ b/src/rpc/gen/carrier_types.h
@@ -60,7 +60,9 @@
  public:
 
   WireRun(const WireRun&) noexcept;
+  WireRun(WireRun&&) noexcept;
   WireRun& operator=(const WireRun&) noexcept;
+  WireRun& operator=(WireRun&&) noexcept;
   WireRun() noexcept
           : job(0),
             occurrence(0),
@@ -131,7 +133,9 @@
  public:
 
   WireTarget(const WireTarget&);
+  WireTarget(WireTarget&&) noexcept;
   WireTarget& operator=(const WireTarget&);
+  WireTarget& operator=(WireTarget&&) noexcept;
   WireTarget() noexcept
              : endpoint(),
                ip(),
@@ -186,7 +190,9 @@
  public:
 
   WireStart(const WireStart&);
+  WireStart(WireStart&&) noexcept;
   WireStart& operator=(const WireStart&);
+  WireStart& operator=(WireStart&&) noexcept;
   WireStart() noexcept
             : number(0),
               target(0),
@@ -278,7 +284,9 @@
  public:
 
   WireStop(const WireStop&) noexcept;
+  WireStop(WireStop&&) noexcept;
   WireStop& operator=(const WireStop&) noexcept;
+  WireStop& operator=(WireStop&&) noexcept;
   WireStop() noexcept
            : number(0),
              target(0),
@@ -332,7 +340,9 @@
  public:
 
   WirePace(const WirePace&) noexcept;
+  WirePace(WirePace&&) noexcept;
   WirePace& operator=(const WirePace&) noexcept;
+  WirePace& operator=(WirePace&&) noexcept;
   WirePace() noexcept
            : number(0),
              target(0),
@@ -396,7 +406,9 @@
  public:
 
   WireHold(const WireHold&) noexcept;
+  WireHold(WireHold&&) noexcept;
   WireHold& operator=(const WireHold&) noexcept;
+  WireHold& operator=(WireHold&&) noexcept;
   WireHold() noexcept
            : number(0),
              target(0),
@@ -471,7 +483,9 @@
  public:
 
   WireOrderBatch(const WireOrderBatch&);
+  WireOrderBatch(WireOrderBatch&&) noexcept;
   WireOrderBatch& operator=(const WireOrderBatch&);
+  WireOrderBatch& operator=(WireOrderBatch&&) noexcept;
   WireOrderBatch() noexcept
                  : reply_address(),
                    timeout(0),
@@ -558,7 +572,9 @@
  public:
 
   WireActive(const WireActive&);
+  WireActive(WireActive&&) noexcept;
   WireActive& operator=(const WireActive&);
+  WireActive& operator=(WireActive&&) noexcept;
   WireActive() noexcept
              : percent(0),
                gauge(0),
@@ -620,7 +636,9 @@
  public:
 
   WireEnded(const WireEnded&);
+  WireEnded(WireEnded&&) noexcept;
   WireEnded& operator=(const WireEnded&);
+  WireEnded& operator=(WireEnded&&) noexcept;
   WireEnded() noexcept
             : number(0),
               ending(0),
@@ -678,7 +696,9 @@
  public:
 
   WireReport(const WireReport&);
+  WireReport(WireReport&&) noexcept;
   WireReport& operator=(const WireReport&);
+  WireReport& operator=(WireReport&&) noexcept;
   WireReport() noexcept
              : clock(0),
                born(0) {
@@ -736,7 +756,9 @@
  public:
 
   WireAnswer(const WireAnswer&);
+  WireAnswer(WireAnswer&&) noexcept;
   WireAnswer& operator=(const WireAnswer&);
+  WireAnswer& operator=(WireAnswer&&) noexcept;
   WireAnswer() noexcept
              : number(0),
                outcome(0),
@@ -796,7 +818,9 @@
  public:
 
   WireQuestion(const WireQuestion&);
+  WireQuestion(WireQuestion&&) noexcept;
   WireQuestion& operator=(const WireQuestion&);
+  WireQuestion& operator=(WireQuestion&&) noexcept;
   WireQuestion() noexcept
                : number(0),
                  target(),
@@ -845,7 +869,9 @@
  public:
 
   WireQuestionBatch(const WireQuestionBatch&);
+  WireQuestionBatch(WireQuestionBatch&&) noexcept;
   WireQuestionBatch& operator=(const WireQuestionBatch&);
+  WireQuestionBatch& operator=(WireQuestionBatch&&) noexcept;
   WireQuestionBatch() noexcept
                     : reply_address(),
                       owner_address() {
@@ -893,7 +919,9 @@
  public:
 
   WireReply(const WireReply&);
+  WireReply(WireReply&&) noexcept;
   WireReply& operator=(const WireReply&);
+  WireReply& operator=(WireReply&&) noexcept;
   WireReply() noexcept
             : number(0),
               status(0),
@@ -949,7 +977,9 @@
  public:
 
   WireCarrierMessage(const WireCarrierMessage&);
+  WireCarrierMessage(WireCarrierMessage&&) noexcept;
   WireCarrierMessage& operator=(const WireCarrierMessage&);
+  WireCarrierMessage& operator=(WireCarrierMessage&&) noexcept;
   WireCarrierMessage() noexcept {
   }
 
--- a/src/rpc/gen/peer_types.cpp
+++ b/src/rpc/gen/peer_types.cpp
@@ -115,9 +115,18 @@
   started = other0.started;
   nonce = other0.nonce;
 }
-WireIncarnation& WireIncarnation::operator=(const WireIncarnation& other1) noexcept {
+WireIncarnation::WireIncarnation(WireIncarnation&& other1) noexcept {
   started = other1.started;
   nonce = other1.nonce;
+}
+WireIncarnation& WireIncarnation::operator=(const WireIncarnation& other2) noexcept {
+  started = other2.started;
+  nonce = other2.nonce;
+  return *this;
+}
+WireIncarnation& WireIncarnation::operator=(WireIncarnation&& other3) noexcept {
+  started = other3.started;
+  nonce = other3.nonce;
   return *this;
 }
 void WireIncarnation::printTo(std::ostream& out) const {
@@ -386,29 +395,54 @@
   swap(a.sent_logical, b.sent_logical);
 }
 
-WireHeartbeat::WireHeartbeat(const WireHeartbeat& other2) {
-  incarnation = other2.incarnation;
-  zone = other2.zone;
-  next_offset = other2.next_offset;
-  read_to_end = other2.read_to_end;
-  applied_version = other2.applied_version;
-  settled_version = other2.settled_version;
-  applied_by_all = other2.applied_by_all;
-  settled_by_all = other2.settled_by_all;
-  sent_wall = other2.sent_wall;
-  sent_logical = other2.sent_logical;
-}
-WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other3) {
-  incarnation = other3.incarnation;
-  zone = other3.zone;
-  next_offset = other3.next_offset;
-  read_to_end = other3.read_to_end;
-  applied_version = other3.applied_version;
-  settled_version = other3.settled_version;
-  applied_by_all = other3.applied_by_all;
-  settled_by_all = other3.settled_by_all;
-  sent_wall = other3.sent_wall;
-  sent_logical = other3.sent_logical;
+WireHeartbeat::WireHeartbeat(const WireHeartbeat& other4) {
+  incarnation = other4.incarnation;
+  zone = other4.zone;
+  next_offset = other4.next_offset;
+  read_to_end = other4.read_to_end;
+  applied_version = other4.applied_version;
+  settled_version = other4.settled_version;
+  applied_by_all = other4.applied_by_all;
+  settled_by_all = other4.settled_by_all;
+  sent_wall = other4.sent_wall;
+  sent_logical = other4.sent_logical;
+}
+WireHeartbeat::WireHeartbeat(WireHeartbeat&& other5) noexcept {
+  incarnation = std::move(other5.incarnation);
+  zone = std::move(other5.zone);
+  next_offset = other5.next_offset;
+  read_to_end = other5.read_to_end;
+  applied_version = other5.applied_version;
+  settled_version = other5.settled_version;
+  applied_by_all = other5.applied_by_all;
+  settled_by_all = other5.settled_by_all;
+  sent_wall = other5.sent_wall;
+  sent_logical = other5.sent_logical;
+}
+WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other6) {
+  incarnation = other6.incarnation;
+  zone = other6.zone;
+  next_offset = other6.next_offset;
+  read_to_end = other6.read_to_end;
+  applied_version = other6.applied_version;
+  settled_version = other6.settled_version;
+  applied_by_all = other6.applied_by_all;
+  settled_by_all = other6.settled_by_all;
+  sent_wall = other6.sent_wall;
+  sent_logical = other6.sent_logical;
+  return *this;
+}
+WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other7) noexcept {
+  incarnation = std::move(other7.incarnation);
+  zone = std::move(other7.zone);
+  next_offset = other7.next_offset;
+  read_to_end = other7.read_to_end;
+  applied_version = other7.applied_version;
+  settled_version = other7.settled_version;
+  applied_by_all = other7.applied_by_all;
+  settled_by_all = other7.settled_by_all;
+  sent_wall = other7.sent_wall;
+  sent_logical = other7.sent_logical;
   return *this;
 }
 void WireHeartbeat::printTo(std::ostream& out) const {
@@ -545,15 +579,26 @@
   swap(a.number, b.number);
 }
 
-WireLoanKey::WireLoanKey(const WireLoanKey& other4) {
-  lender = other4.lender;
-  lender_incarnation = other4.lender_incarnation;
-  number = other4.number;
+WireLoanKey::WireLoanKey(const WireLoanKey& other8) {
+  lender = other8.lender;
+  lender_incarnation = other8.lender_incarnation;
+  number = other8.number;
+}
+WireLoanKey::WireLoanKey(WireLoanKey&& other9) noexcept {
+  lender = std::move(other9.lender);
+  lender_incarnation = std::move(other9.lender_incarnation);
+  number = other9.number;
+}
+WireLoanKey& WireLoanKey::operator=(const WireLoanKey& other10) {
+  lender = other10.lender;
+  lender_incarnation = other10.lender_incarnation;
+  number = other10.number;
+  return *this;
 }
-WireLoanKey& WireLoanKey::operator=(const WireLoanKey& other5) {
-  lender = other5.lender;
-  lender_incarnation = other5.lender_incarnation;
-  number = other5.number;
+WireLoanKey& WireLoanKey::operator=(WireLoanKey&& other11) noexcept {
+  lender = std::move(other11.lender);
+  lender_incarnation = std::move(other11.lender_incarnation);
+  number = other11.number;
   return *this;
 }
 void WireLoanKey::printTo(std::ostream& out) const {
@@ -683,15 +728,26 @@
   swap(a.units, b.units);
 }
 
-WireLoanRequest::WireLoanRequest(const WireLoanRequest& other6) {
-  number = other6.number;
-  team = other6.team;
-  units = other6.units;
+WireLoanRequest::WireLoanRequest(const WireLoanRequest& other12) {
+  number = other12.number;
+  team = other12.team;
+  units = other12.units;
 }
-WireLoanRequest& WireLoanRequest::operator=(const WireLoanRequest& other7) {
-  number = other7.number;
-  team = other7.team;
-  units = other7.units;
+WireLoanRequest::WireLoanRequest(WireLoanRequest&& other13) noexcept {
+  number = other13.number;
+  team = std::move(other13.team);
+  units = other13.units;
+}
+WireLoanRequest& WireLoanRequest::operator=(const WireLoanRequest& other14) {
+  number = other14.number;
+  team = other14.team;
+  units = other14.units;
+  return *this;
+}
+WireLoanRequest& WireLoanRequest::operator=(WireLoanRequest&& other15) noexcept {
+  number = other15.number;
+  team = std::move(other15.team);
+  units = other15.units;
   return *this;
 }
 void WireLoanRequest::printTo(std::ostream& out) const {
@@ -901,23 +957,42 @@
   swap(a.task_lease, b.task_lease);
 }
 
-WireLoanGrant::WireLoanGrant(const WireLoanGrant& other8) {
-  request_number = other8.request_number;
-  borrower_incarnation = other8.borrower_incarnation;
-  loan = other8.loan;
-  team = other8.team;
-  units = other8.units;
-  lease = other8.lease;
-  task_lease = other8.task_lease;
-}
-WireLoanGrant& WireLoanGrant::operator=(const WireLoanGrant& other9) {
-  request_number = other9.request_number;
-  borrower_incarnation = other9.borrower_incarnation;
-  loan = other9.loan;
-  team = other9.team;
-  units = other9.units;
-  lease = other9.lease;
-  task_lease = other9.task_lease;
+WireLoanGrant::WireLoanGrant(const WireLoanGrant& other16) {
+  request_number = other16.request_number;
+  borrower_incarnation = other16.borrower_incarnation;
+  loan = other16.loan;
+  team = other16.team;
+  units = other16.units;
+  lease = other16.lease;
+  task_lease = other16.task_lease;
+}
+WireLoanGrant::WireLoanGrant(WireLoanGrant&& other17) noexcept {
+  request_number = other17.request_number;
+  borrower_incarnation = std::move(other17.borrower_incarnation);
+  loan = std::move(other17.loan);
+  team = std::move(other17.team);
+  units = other17.units;
+  lease = other17.lease;
+  task_lease = other17.task_lease;
+}
+WireLoanGrant& WireLoanGrant::operator=(const WireLoanGrant& other18) {
+  request_number = other18.request_number;
+  borrower_incarnation = other18.borrower_incarnation;
+  loan = other18.loan;
+  team = other18.team;
+  units = other18.units;
+  lease = other18.lease;
+  task_lease = other18.task_lease;
+  return *this;
+}
+WireLoanGrant& WireLoanGrant::operator=(WireLoanGrant&& other19) noexcept {
+  request_number = other19.request_number;
+  borrower_incarnation = std::move(other19.borrower_incarnation);
+  loan = std::move(other19.loan);
+  team = std::move(other19.team);
+  units = other19.units;
+  lease = other19.lease;
+  task_lease = other19.task_lease;
   return *this;
 }
 void WireLoanGrant::printTo(std::ostream& out) const {
@@ -1031,13 +1106,22 @@
   swap(a.still_held, b.still_held);
 }
 
-WireLoanReturn::WireLoanReturn(const WireLoanReturn& other10) {
-  loan = other10.loan;
-  still_held = other10.still_held;
+WireLoanReturn::WireLoanReturn(const WireLoanReturn& other20) {
+  loan = other20.loan;
+  still_held = other20.still_held;
+}
+WireLoanReturn::WireLoanReturn(WireLoanReturn&& other21) noexcept {
+  loan = std::move(other21.loan);
+  still_held = other21.still_held;
 }
-WireLoanReturn& WireLoanReturn::operator=(const WireLoanReturn& other11) {
-  loan = other11.loan;
-  still_held = other11.still_held;
+WireLoanReturn& WireLoanReturn::operator=(const WireLoanReturn& other22) {
+  loan = other22.loan;
+  still_held = other22.still_held;
+  return *this;
+}
+WireLoanReturn& WireLoanReturn::operator=(WireLoanReturn&& other23) noexcept {
+  loan = std::move(other23.loan);
+  still_held = other23.still_held;
   return *this;
 }
 void WireLoanReturn::printTo(std::ostream& out) const {
@@ -1130,14 +1214,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->requests.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->requests.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->requests[_i16].read(iprot);
+              xfer += this->requests[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1150,14 +1234,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->grants.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->grants.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->grants[_i21].read(iprot);
+              xfer += this->grants[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1170,14 +1254,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->returns.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->returns.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->returns.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->returns[_i26].read(iprot);
+              xfer += this->returns[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1190,14 +1274,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->returns_seen.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->returns_seen.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->returns_seen.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->returns_seen[_i31].read(iprot);
+              xfer += this->returns_seen[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1239,10 +1323,10 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-      std::vector<WireLoanRequest> ::const_iterator _iter32;
-      for (_iter32 = this->requests.begin(); _iter32 != this->requests.end(); ++_iter32)
+      std::vector<WireLoanRequest> ::const_iterator _iter44;
+      for (_iter44 = this->requests.begin(); _iter44 != this->requests.end(); ++_iter44)
       {
-        xfer += (*_iter32).write(oprot);
+        xfer += (*_iter44).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1252,10 +1336,10 @@
     xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-      std::vector<WireLoanGrant> ::const_iterator _iter33;
-      for (_iter33 = this->grants.begin(); _iter33 != this->grants.end(); ++_iter33)
+      std::vector<WireLoanGrant> ::const_iterator _iter45;
+      for (_iter45 = this->grants.begin(); _iter45 != this->grants.end(); ++_iter45)
       {
-        xfer += (*_iter33).write(oprot);
+        xfer += (*_iter45).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1265,10 +1349,10 @@
     xfer += oprot->writeFieldBegin("returns", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->returns.size()));
-      std::vector<WireLoanReturn> ::const_iterator _iter34;
-      for (_iter34 = this->returns.begin(); _iter34 != this->returns.end(); ++_iter34)
+      std::vector<WireLoanReturn> ::const_iterator _iter46;
+      for (_iter46 = this->returns.begin(); _iter46 != this->returns.end(); ++_iter46)
       {
-        xfer += (*_iter34).write(oprot);
+        xfer += (*_iter46).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1278,10 +1362,10 @@
     xfer += oprot->writeFieldBegin("returns_seen", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->returns_seen.size()));
-      std::vector<WireLoanReturn> ::const_iterator _iter35;
-      for (_iter35 = this->returns_seen.begin(); _iter35 != this->returns_seen.end(); ++_iter35)
+      std::vector<WireLoanReturn> ::const_iterator _iter47;
+      for (_iter47 = this->returns_seen.begin(); _iter47 != this->returns_seen.end(); ++_iter47)
       {
-        xfer += (*_iter35).write(oprot);
+        xfer += (*_iter47).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1303,23 +1387,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WireLending::WireLending(const WireLending& other36) {
-  incarnation = other36.incarnation;
-  to = other36.to;
-  requests = other36.requests;
-  grants = other36.grants;
-  returns = other36.returns;
-  returns_seen = other36.returns_seen;
-  __isset = other36.__isset;
-}
-WireLending& WireLending::operator=(const WireLending& other37) {
-  incarnation = other37.incarnation;
-  to = other37.to;
-  requests = other37.requests;
-  grants = other37.grants;
-  returns = other37.returns;
-  returns_seen = other37.returns_seen;
-  __isset = other37.__isset;
+WireLending::WireLending(const WireLending& other48) {
+  incarnation = other48.incarnation;
+  to = other48.to;
+  requests = other48.requests;
+  grants = other48.grants;
+  returns = other48.returns;
+  returns_seen = other48.returns_seen;
+  __isset = other48.__isset;
+}
+WireLending::WireLending(WireLending&& other49) noexcept {
+  incarnation = std::move(other49.incarnation);
+  to = std::move(other49.to);
+  requests = std::move(other49.requests);
+  grants = std::move(other49.grants);
+  returns = std::move(other49.returns);
+  returns_seen = std::move(other49.returns_seen);
+  __isset = other49.__isset;
+}
+WireLending& WireLending::operator=(const WireLending& other50) {
+  incarnation = other50.incarnation;
+  to = other50.to;
+  requests = other50.requests;
+  grants = other50.grants;
+  returns = other50.returns;
+  returns_seen = other50.returns_seen;
+  __isset = other50.__isset;
+  return *this;
+}
+WireLending& WireLending::operator=(WireLending&& other51) noexcept {
+  incarnation = std::move(other51.incarnation);
+  to = std::move(other51.to);
+  requests = std::move(other51.requests);
+  grants = std::move(other51.grants);
+  returns = std::move(other51.returns);
+  returns_seen = std::move(other51.returns_seen);
+  __isset = other51.__isset;
   return *this;
 }
 void WireLending::printTo(std::ostream& out) const {
@@ -1452,15 +1555,26 @@
   swap(a.number, b.number);
 }
 
-WireAttempt::WireAttempt(const WireAttempt& other38) {
-  entry = other38.entry;
-  incarnation = other38.incarnation;
-  number = other38.number;
+WireAttempt::WireAttempt(const WireAttempt& other52) {
+  entry = other52.entry;
+  incarnation = other52.incarnation;
+  number = other52.number;
+}
+WireAttempt::WireAttempt(WireAttempt&& other53) noexcept {
+  entry = std::move(other53.entry);
+  incarnation = std::move(other53.incarnation);
+  number = other53.number;
 }
-WireAttempt& WireAttempt::operator=(const WireAttempt& other39) {
-  entry = other39.entry;
-  incarnation = other39.incarnation;
-  number = other39.number;
+WireAttempt& WireAttempt::operator=(const WireAttempt& other54) {
+  entry = other54.entry;
+  incarnation = other54.incarnation;
+  number = other54.number;
+  return *this;
+}
+WireAttempt& WireAttempt::operator=(WireAttempt&& other55) noexcept {
+  entry = std::move(other55.entry);
+  incarnation = std::move(other55.incarnation);
+  number = other55.number;
   return *this;
 }
 void WireAttempt::printTo(std::ostream& out) const {
@@ -1570,13 +1684,22 @@
   swap(a.attempt, b.attempt);
 }
 
-WireRegister::WireRegister(const WireRegister& other40) {
-  id = other40.id;
-  attempt = other40.attempt;
+WireRegister::WireRegister(const WireRegister& other56) {
+  id = other56.id;
+  attempt = other56.attempt;
+}
+WireRegister::WireRegister(WireRegister&& other57) noexcept {
+  id = std::move(other57.id);
+  attempt = std::move(other57.attempt);
 }
-WireRegister& WireRegister::operator=(const WireRegister& other41) {
-  id = other41.id;
-  attempt = other41.attempt;
+WireRegister& WireRegister::operator=(const WireRegister& other58) {
+  id = other58.id;
+  attempt = other58.attempt;
+  return *this;
+}
+WireRegister& WireRegister::operator=(WireRegister&& other59) noexcept {
+  id = std::move(other59.id);
+  attempt = std::move(other59.attempt);
   return *this;
 }
 void WireRegister::printTo(std::ostream& out) const {
@@ -1705,15 +1828,26 @@
   swap(a.registration, b.registration);
 }
 
-WireRegisterReply::WireRegisterReply(const WireRegisterReply& other42) {
-  id = other42.id;
-  attempt = other42.attempt;
-  registration = other42.registration;
+WireRegisterReply::WireRegisterReply(const WireRegisterReply& other60) {
+  id = other60.id;
+  attempt = other60.attempt;
+  registration = other60.registration;
 }
-WireRegisterReply& WireRegisterReply::operator=(const WireRegisterReply& other43) {
-  id = other43.id;
-  attempt = other43.attempt;
-  registration = other43.registration;
+WireRegisterReply::WireRegisterReply(WireRegisterReply&& other61) noexcept {
+  id = std::move(other61.id);
+  attempt = std::move(other61.attempt);
+  registration = other61.registration;
+}
+WireRegisterReply& WireRegisterReply::operator=(const WireRegisterReply& other62) {
+  id = other62.id;
+  attempt = other62.attempt;
+  registration = other62.registration;
+  return *this;
+}
+WireRegisterReply& WireRegisterReply::operator=(WireRegisterReply&& other63) noexcept {
+  id = std::move(other63.id);
+  attempt = std::move(other63.attempt);
+  registration = other63.registration;
   return *this;
 }
 void WireRegisterReply::printTo(std::ostream& out) const {
@@ -1843,15 +1977,26 @@
   swap(a.verdict, b.verdict);
 }
 
-WireOutcome::WireOutcome(const WireOutcome& other44) {
-  id = other44.id;
-  attempt = other44.attempt;
-  verdict = other44.verdict;
+WireOutcome::WireOutcome(const WireOutcome& other64) {
+  id = other64.id;
+  attempt = other64.attempt;
+  verdict = other64.verdict;
+}
+WireOutcome::WireOutcome(WireOutcome&& other65) noexcept {
+  id = std::move(other65.id);
+  attempt = std::move(other65.attempt);
+  verdict = other65.verdict;
+}
+WireOutcome& WireOutcome::operator=(const WireOutcome& other66) {
+  id = other66.id;
+  attempt = other66.attempt;
+  verdict = other66.verdict;
+  return *this;
 }
-WireOutcome& WireOutcome::operator=(const WireOutcome& other45) {
-  id = other45.id;
-  attempt = other45.attempt;
-  verdict = other45.verdict;
+WireOutcome& WireOutcome::operator=(WireOutcome&& other67) noexcept {
+  id = std::move(other67.id);
+  attempt = std::move(other67.attempt);
+  verdict = other67.verdict;
   return *this;
 }
 void WireOutcome::printTo(std::ostream& out) const {
@@ -1981,15 +2126,26 @@
   swap(a.running, b.running);
 }
 
-WireTeamLoad::WireTeamLoad(const WireTeamLoad& other46) {
-  team = other46.team;
-  demand = other46.demand;
-  running = other46.running;
+WireTeamLoad::WireTeamLoad(const WireTeamLoad& other68) {
+  team = other68.team;
+  demand = other68.demand;
+  running = other68.running;
+}
+WireTeamLoad::WireTeamLoad(WireTeamLoad&& other69) noexcept {
+  team = std::move(other69.team);
+  demand = other69.demand;
+  running = other69.running;
+}
+WireTeamLoad& WireTeamLoad::operator=(const WireTeamLoad& other70) {
+  team = other70.team;
+  demand = other70.demand;
+  running = other70.running;
+  return *this;
 }
-WireTeamLoad& WireTeamLoad::operator=(const WireTeamLoad& other47) {
-  team = other47.team;
-  demand = other47.demand;
-  running = other47.running;
+WireTeamLoad& WireTeamLoad::operator=(WireTeamLoad&& other71) noexcept {
+  team = std::move(other71.team);
+  demand = other71.demand;
+  running = other71.running;
   return *this;
 }
 void WireTeamLoad::printTo(std::ostream& out) const {
@@ -2099,13 +2255,22 @@
   swap(a.in_flight, b.in_flight);
 }
 
-WireEndpointLoad::WireEndpointLoad(const WireEndpointLoad& other48) {
-  endpoint = other48.endpoint;
-  in_flight = other48.in_flight;
+WireEndpointLoad::WireEndpointLoad(const WireEndpointLoad& other72) {
+  endpoint = other72.endpoint;
+  in_flight = other72.in_flight;
 }
-WireEndpointLoad& WireEndpointLoad::operator=(const WireEndpointLoad& other49) {
-  endpoint = other49.endpoint;
-  in_flight = other49.in_flight;
+WireEndpointLoad::WireEndpointLoad(WireEndpointLoad&& other73) noexcept {
+  endpoint = std::move(other73.endpoint);
+  in_flight = other73.in_flight;
+}
+WireEndpointLoad& WireEndpointLoad::operator=(const WireEndpointLoad& other74) {
+  endpoint = other74.endpoint;
+  in_flight = other74.in_flight;
+  return *this;
+}
+WireEndpointLoad& WireEndpointLoad::operator=(WireEndpointLoad&& other75) noexcept {
+  endpoint = std::move(other75.endpoint);
+  in_flight = other75.in_flight;
   return *this;
 }
 void WireEndpointLoad::printTo(std::ostream& out) const {
@@ -2195,14 +2360,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->teams.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->teams.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->teams.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->teams[_i54].read(iprot);
+              xfer += this->teams[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2215,14 +2380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->endpoints.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->endpoints.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->endpoints[_i59].read(iprot);
+              xfer += this->endpoints[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2235,14 +2400,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ejected.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->ejected.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->ejected.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += iprot->readString(this->ejected[_i64]);
+              xfer += iprot->readString(this->ejected[_i90]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2308,10 +2473,10 @@
     xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->teams.size()));
-      std::vector<WireTeamLoad> ::const_iterator _iter65;
-      for (_iter65 = this->teams.begin(); _iter65 != this->teams.end(); ++_iter65)
+      std::vector<WireTeamLoad> ::const_iterator _iter91;
+      for (_iter91 = this->teams.begin(); _iter91 != this->teams.end(); ++_iter91)
       {
-        xfer += (*_iter65).write(oprot);
+        xfer += (*_iter91).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2321,10 +2486,10 @@
     xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-      std::vector<WireEndpointLoad> ::const_iterator _iter66;
-      for (_iter66 = this->endpoints.begin(); _iter66 != this->endpoints.end(); ++_iter66)
+      std::vector<WireEndpointLoad> ::const_iterator _iter92;
+      for (_iter92 = this->endpoints.begin(); _iter92 != this->endpoints.end(); ++_iter92)
       {
-        xfer += (*_iter66).write(oprot);
+        xfer += (*_iter92).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2334,10 +2499,10 @@
     xfer += oprot->writeFieldBegin("ejected", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->ejected.size()));
-      std::vector<std::string> ::const_iterator _iter67;
-      for (_iter67 = this->ejected.begin(); _iter67 != this->ejected.end(); ++_iter67)
+      std::vector<std::string> ::const_iterator _iter93;
+      for (_iter93 = this->ejected.begin(); _iter93 != this->ejected.end(); ++_iter93)
       {
-        xfer += oprot->writeString((*_iter67));
+        xfer += oprot->writeString((*_iter93));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2372,25 +2537,46 @@
   swap(a.__isset, b.__isset);
 }
 
-WireShardReport::WireShardReport(const WireShardReport& other68) {
-  service_id = other68.service_id;
-  teams = other68.teams;
-  endpoints = other68.endpoints;
-  ejected = other68.ejected;
-  urgent_running = other68.urgent_running;
-  urgent_waiting = other68.urgent_waiting;
-  urgent_age = other68.urgent_age;
-  __isset = other68.__isset;
-}
-WireShardReport& WireShardReport::operator=(const WireShardReport& other69) {
-  service_id = other69.service_id;
-  teams = other69.teams;
-  endpoints = other69.endpoints;
-  ejected = other69.ejected;
-  urgent_running = other69.urgent_running;
-  urgent_waiting = other69.urgent_waiting;
-  urgent_age = other69.urgent_age;
-  __isset = other69.__isset;
+WireShardReport::WireShardReport(const WireShardReport& other94) {
+  service_id = other94.service_id;
+  teams = other94.teams;
+  endpoints = other94.endpoints;
+  ejected = other94.ejected;
+  urgent_running = other94.urgent_running;
+  urgent_waiting = other94.urgent_waiting;
+  urgent_age = other94.urgent_age;
+  __isset = other94.__isset;
+}
+WireShardReport::WireShardReport(WireShardReport&& other95) noexcept {
+  service_id = std::move(other95.service_id);
+  teams = std::move(other95.teams);
+  endpoints = std::move(other95.endpoints);
+  ejected = std::move(other95.ejected);
+  urgent_running = other95.urgent_running;
+  urgent_waiting = other95.urgent_waiting;
+  urgent_age = other95.urgent_age;
+  __isset = other95.__isset;
+}
+WireShardReport& WireShardReport::operator=(const WireShardReport& other96) {
+  service_id = other96.service_id;
+  teams = other96.teams;
+  endpoints = other96.endpoints;
+  ejected = other96.ejected;
+  urgent_running = other96.urgent_running;
+  urgent_waiting = other96.urgent_waiting;
+  urgent_age = other96.urgent_age;
+  __isset = other96.__isset;
+  return *this;
+}
+WireShardReport& WireShardReport::operator=(WireShardReport&& other97) noexcept {
+  service_id = std::move(other97.service_id);
+  teams = std::move(other97.teams);
+  endpoints = std::move(other97.endpoints);
+  ejected = std::move(other97.ejected);
+  urgent_running = other97.urgent_running;
+  urgent_waiting = other97.urgent_waiting;
+  urgent_age = other97.urgent_age;
+  __isset = other97.__isset;
   return *this;
 }
 void WireShardReport::printTo(std::ostream& out) const {
@@ -2460,14 +2646,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->reports.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->reports.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->reports[_i74].read(iprot);
+              xfer += this->reports[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2504,10 +2690,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<WireShardReport> ::const_iterator _iter75;
-    for (_iter75 = this->reports.begin(); _iter75 != this->reports.end(); ++_iter75)
+    std::vector<WireShardReport> ::const_iterator _iter103;
+    for (_iter103 = this->reports.begin(); _iter103 != this->reports.end(); ++_iter103)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2524,13 +2710,22 @@
   swap(a.reports, b.reports);
 }
 
-WireShardReports::WireShardReports(const WireShardReports& other76) {
-  zone = other76.zone;
-  reports = other76.reports;
+WireShardReports::WireShardReports(const WireShardReports& other104) {
+  zone = other104.zone;
+  reports = other104.reports;
+}
+WireShardReports::WireShardReports(WireShardReports&& other105) noexcept {
+  zone = std::move(other105.zone);
+  reports = std::move(other105.reports);
+}
+WireShardReports& WireShardReports::operator=(const WireShardReports& other106) {
+  zone = other106.zone;
+  reports = other106.reports;
+  return *this;
 }
-WireShardReports& WireShardReports::operator=(const WireShardReports& other77) {
-  zone = other77.zone;
-  reports = other77.reports;
+WireShardReports& WireShardReports::operator=(WireShardReports&& other107) noexcept {
+  zone = std::move(other107.zone);
+  reports = std::move(other107.reports);
   return *this;
 }
 void WireShardReports::printTo(std::ostream& out) const {
@@ -2582,14 +2777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->digests.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->digests.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->digests.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += iprot->readString(this->digests[_i82]);
+              xfer += iprot->readString(this->digests[_i112]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2620,10 +2815,10 @@
   xfer += oprot->writeFieldBegin("digests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->digests.size()));
-    std::vector<std::string> ::const_iterator _iter83;
-    for (_iter83 = this->digests.begin(); _iter83 != this->digests.end(); ++_iter83)
+    std::vector<std::string> ::const_iterator _iter113;
+    for (_iter113 = this->digests.begin(); _iter113 != this->digests.end(); ++_iter113)
     {
-      xfer += oprot->writeString((*_iter83));
+      xfer += oprot->writeString((*_iter113));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2639,11 +2834,18 @@
   swap(a.digests, b.digests);
 }
 
-WireWithdrawals::WireWithdrawals(const WireWithdrawals& other84) {
-  digests = other84.digests;
+WireWithdrawals::WireWithdrawals(const WireWithdrawals& other114) {
+  digests = other114.digests;
+}
+WireWithdrawals::WireWithdrawals(WireWithdrawals&& other115) noexcept {
+  digests = std::move(other115.digests);
+}
+WireWithdrawals& WireWithdrawals::operator=(const WireWithdrawals& other116) {
+  digests = other116.digests;
+  return *this;
 }
-WireWithdrawals& WireWithdrawals::operator=(const WireWithdrawals& other85) {
-  digests = other85.digests;
+WireWithdrawals& WireWithdrawals::operator=(WireWithdrawals&& other117) noexcept {
+  digests = std::move(other117.digests);
   return *this;
 }
 void WireWithdrawals::printTo(std::ostream& out) const {
@@ -2751,13 +2953,22 @@
   swap(a.reply_address, b.reply_address);
 }
 
-WireCatchUpRequest::WireCatchUpRequest(const WireCatchUpRequest& other86) {
-  from_offset = other86.from_offset;
-  reply_address = other86.reply_address;
+WireCatchUpRequest::WireCatchUpRequest(const WireCatchUpRequest& other118) {
+  from_offset = other118.from_offset;
+  reply_address = other118.reply_address;
 }
-WireCatchUpRequest& WireCatchUpRequest::operator=(const WireCatchUpRequest& other87) {
-  from_offset = other87.from_offset;
-  reply_address = other87.reply_address;
+WireCatchUpRequest::WireCatchUpRequest(WireCatchUpRequest&& other119) noexcept {
+  from_offset = other119.from_offset;
+  reply_address = std::move(other119.reply_address);
+}
+WireCatchUpRequest& WireCatchUpRequest::operator=(const WireCatchUpRequest& other120) {
+  from_offset = other120.from_offset;
+  reply_address = other120.reply_address;
+  return *this;
+}
+WireCatchUpRequest& WireCatchUpRequest::operator=(WireCatchUpRequest&& other121) noexcept {
+  from_offset = other121.from_offset;
+  reply_address = std::move(other121.reply_address);
   return *this;
 }
 void WireCatchUpRequest::printTo(std::ostream& out) const {
@@ -2866,13 +3077,22 @@
   swap(a.data, b.data);
 }
 
-WireLogRecord::WireLogRecord(const WireLogRecord& other88) {
-  offset = other88.offset;
-  data = other88.data;
+WireLogRecord::WireLogRecord(const WireLogRecord& other122) {
+  offset = other122.offset;
+  data = other122.data;
+}
+WireLogRecord::WireLogRecord(WireLogRecord&& other123) noexcept {
+  offset = other123.offset;
+  data = std::move(other123.data);
 }
-WireLogRecord& WireLogRecord::operator=(const WireLogRecord& other89) {
-  offset = other89.offset;
-  data = other89.data;
+WireLogRecord& WireLogRecord::operator=(const WireLogRecord& other124) {
+  offset = other124.offset;
+  data = other124.data;
+  return *this;
+}
+WireLogRecord& WireLogRecord::operator=(WireLogRecord&& other125) noexcept {
+  offset = other125.offset;
+  data = std::move(other125.data);
   return *this;
 }
 void WireLogRecord::printTo(std::ostream& out) const {
@@ -2924,14 +3144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->records.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->records.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->records[_i94].read(iprot);
+              xfer += this->records[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2962,10 +3182,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<WireLogRecord> ::const_iterator _iter95;
-    for (_iter95 = this->records.begin(); _iter95 != this->records.end(); ++_iter95)
+    std::vector<WireLogRecord> ::const_iterator _iter131;
+    for (_iter131 = this->records.begin(); _iter131 != this->records.end(); ++_iter131)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2981,11 +3201,18 @@
   swap(a.records, b.records);
 }
 
-WireCatchUpRecords::WireCatchUpRecords(const WireCatchUpRecords& other96) {
-  records = other96.records;
+WireCatchUpRecords::WireCatchUpRecords(const WireCatchUpRecords& other132) {
+  records = other132.records;
+}
+WireCatchUpRecords::WireCatchUpRecords(WireCatchUpRecords&& other133) noexcept {
+  records = std::move(other133.records);
 }
-WireCatchUpRecords& WireCatchUpRecords::operator=(const WireCatchUpRecords& other97) {
-  records = other97.records;
+WireCatchUpRecords& WireCatchUpRecords::operator=(const WireCatchUpRecords& other134) {
+  records = other134.records;
+  return *this;
+}
+WireCatchUpRecords& WireCatchUpRecords::operator=(WireCatchUpRecords&& other135) noexcept {
+  records = std::move(other135.records);
   return *this;
 }
 void WireCatchUpRecords::printTo(std::ostream& out) const {
@@ -3073,11 +3300,18 @@
   swap(a.state, b.state);
 }
 
-WireCatchUpState::WireCatchUpState(const WireCatchUpState& other98) {
-  state = other98.state;
+WireCatchUpState::WireCatchUpState(const WireCatchUpState& other136) {
+  state = other136.state;
 }
-WireCatchUpState& WireCatchUpState::operator=(const WireCatchUpState& other99) {
-  state = other99.state;
+WireCatchUpState::WireCatchUpState(WireCatchUpState&& other137) noexcept {
+  state = std::move(other137.state);
+}
+WireCatchUpState& WireCatchUpState::operator=(const WireCatchUpState& other138) {
+  state = other138.state;
+  return *this;
+}
+WireCatchUpState& WireCatchUpState::operator=(WireCatchUpState&& other139) noexcept {
+  state = std::move(other139.state);
   return *this;
 }
 void WireCatchUpState::printTo(std::ostream& out) const {
@@ -3375,35 +3609,66 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMessage::WireMessage(const WireMessage& other100) {
-  sender = other100.sender;
-  heartbeat = other100.heartbeat;
-  lending = other100.lending;
-  register_request = other100.register_request;
-  register_reply = other100.register_reply;
-  outcome = other100.outcome;
-  outcome_seen = other100.outcome_seen;
-  shard_reports = other100.shard_reports;
-  withdrawals = other100.withdrawals;
-  catch_up_request = other100.catch_up_request;
-  catch_up_records = other100.catch_up_records;
-  catch_up_state = other100.catch_up_state;
-  __isset = other100.__isset;
-}
-WireMessage& WireMessage::operator=(const WireMessage& other101) {
-  sender = other101.sender;
-  heartbeat = other101.heartbeat;
-  lending = other101.lending;
-  register_request = other101.register_request;
-  register_reply = other101.register_reply;
-  outcome = other101.outcome;
-  outcome_seen = other101.outcome_seen;
-  shard_reports = other101.shard_reports;
-  withdrawals = other101.withdrawals;
-  catch_up_request = other101.catch_up_request;
-  catch_up_records = other101.catch_up_records;
-  catch_up_state = other101.catch_up_state;
-  __isset = other101.__isset;
+WireMessage::WireMessage(const WireMessage& other140) {
+  sender = other140.sender;
+  heartbeat = other140.heartbeat;
+  lending = other140.lending;
+  register_request = other140.register_request;
+  register_reply = other140.register_reply;
+  outcome = other140.outcome;
+  outcome_seen = other140.outcome_seen;
+  shard_reports = other140.shard_reports;
+  withdrawals = other140.withdrawals;
+  catch_up_request = other140.catch_up_request;
+  catch_up_records = other140.catch_up_records;
+  catch_up_state = other140.catch_up_state;
+  __isset = other140.__isset;
+}
+WireMessage::WireMessage(WireMessage&& other141) noexcept {
+  sender = std::move(other141.sender);
+  heartbeat = std::move(other141.heartbeat);
+  lending = std::move(other141.lending);
+  register_request = std::move(other141.register_request);
+  register_reply = std::move(other141.register_reply);
+  outcome = std::move(other141.outcome);
+  outcome_seen = std::move(other141.outcome_seen);
+  shard_reports = std::move(other141.shard_reports);
+  withdrawals = std::move(other141.withdrawals);
+  catch_up_request = std::move(other141.catch_up_request);
+  catch_up_records = std::move(other141.catch_up_records);
+  catch_up_state = std::move(other141.catch_up_state);
+  __isset = other141.__isset;
+}
+WireMessage& WireMessage::operator=(const WireMessage& other142) {
+  sender = other142.sender;
+  heartbeat = other142.heartbeat;
+  lending = other142.lending;
+  register_request = other142.register_request;
+  register_reply = other142.register_reply;
+  outcome = other142.outcome;
+  outcome_seen = other142.outcome_seen;
+  shard_reports = other142.shard_reports;
+  withdrawals = other142.withdrawals;
+  catch_up_request = other142.catch_up_request;
+  catch_up_records = other142.catch_up_records;
+  catch_up_state = other142.catch_up_state;
+  __isset = other142.__isset;
+  return *this;
+}
+WireMessage& WireMessage::operator=(WireMessage&& other143) noexcept {
+  sender = std::move(other143.sender);
+  heartbeat = std::move(other143.heartbeat);
+  lending = std::move(other143.lending);
+  register_request = std::move(other143.register_request);
+  register_reply = std::move(other143.register_reply);
+  outcome = std::move(other143.outcome);
+  outcome_seen = std::move(other143.outcome_seen);
+  shard_reports = std::move(other143.shard_reports);
+  withdrawals = std::move(other143.withdrawals);
+  catch_up_request = std::move(other143.catch_up_request);
+  catch_up_records = std::move(other143.catch_up_records);
+  catch_up_state = std::move(other143.catch_up_state);
+  __isset = other143.__isset;
   return *this;
 }
 void WireMessage::printTo(std::ostream& out) const {
--- a/src/rpc/gen/peer_types.h
+++ b/src/rpc/gen/peer_types.h
@@ -68,7 +68,9 @@
  public:
 
   WireIncarnation(const WireIncarnation&) noexcept;
+  WireIncarnation(WireIncarnation&&) noexcept;
   WireIncarnation& operator=(const WireIncarnation&) noexcept;
+  WireIncarnation& operator=(WireIncarnation&&) noexcept;
   WireIncarnation() noexcept
                   : started(0),
                     nonce(0) {
@@ -111,7 +113,9 @@
  public:
 
   WireHeartbeat(const WireHeartbeat&);
+  WireHeartbeat(WireHeartbeat&&) noexcept;
   WireHeartbeat& operator=(const WireHeartbeat&);
+  WireHeartbeat& operator=(WireHeartbeat&&) noexcept;
   WireHeartbeat() noexcept
                 : zone(),
                   next_offset(0),
@@ -201,7 +205,9 @@
  public:
 
   WireLoanKey(const WireLoanKey&);
+  WireLoanKey(WireLoanKey&&) noexcept;
   WireLoanKey& operator=(const WireLoanKey&);
+  WireLoanKey& operator=(WireLoanKey&&) noexcept;
   WireLoanKey() noexcept
               : lender(),
                 number(0) {
@@ -249,7 +255,9 @@
  public:
 
   WireLoanRequest(const WireLoanRequest&);
+  WireLoanRequest(WireLoanRequest&&) noexcept;
   WireLoanRequest& operator=(const WireLoanRequest&);
+  WireLoanRequest& operator=(WireLoanRequest&&) noexcept;
   WireLoanRequest() noexcept
                   : number(0),
                     team(),
@@ -298,7 +306,9 @@
  public:
 
   WireLoanGrant(const WireLoanGrant&);
+  WireLoanGrant(WireLoanGrant&&) noexcept;
   WireLoanGrant& operator=(const WireLoanGrant&);
+  WireLoanGrant& operator=(WireLoanGrant&&) noexcept;
   WireLoanGrant() noexcept
                 : request_number(0),
                   team(),
@@ -369,7 +379,9 @@
  public:
 
   WireLoanReturn(const WireLoanReturn&);
+  WireLoanReturn(WireLoanReturn&&) noexcept;
   WireLoanReturn& operator=(const WireLoanReturn&);
+  WireLoanReturn& operator=(WireLoanReturn&&) noexcept;
   WireLoanReturn() noexcept
                  : still_held(0) {
   }
@@ -418,7 +430,9 @@
  public:
 
   WireLending(const WireLending&);
+  WireLending(WireLending&&) noexcept;
   WireLending& operator=(const WireLending&);
+  WireLending& operator=(WireLending&&) noexcept;
   WireLending() noexcept
               : to() {
   }
@@ -490,7 +504,9 @@
  public:
 
   WireAttempt(const WireAttempt&);
+  WireAttempt(WireAttempt&&) noexcept;
   WireAttempt& operator=(const WireAttempt&);
+  WireAttempt& operator=(WireAttempt&&) noexcept;
   WireAttempt() noexcept
               : entry(),
                 number(0) {
@@ -538,7 +554,9 @@
  public:
 
   WireRegister(const WireRegister&);
+  WireRegister(WireRegister&&) noexcept;
   WireRegister& operator=(const WireRegister&);
+  WireRegister& operator=(WireRegister&&) noexcept;
   WireRegister() noexcept
                : id() {
   }
@@ -580,7 +598,9 @@
  public:
 
   WireRegisterReply(const WireRegisterReply&);
+  WireRegisterReply(WireRegisterReply&&) noexcept;
   WireRegisterReply& operator=(const WireRegisterReply&);
+  WireRegisterReply& operator=(WireRegisterReply&&) noexcept;
   WireRegisterReply() noexcept
                     : id(),
                       registration(0) {
@@ -628,7 +648,9 @@
  public:
 
   WireOutcome(const WireOutcome&);
+  WireOutcome(WireOutcome&&) noexcept;
   WireOutcome& operator=(const WireOutcome&);
+  WireOutcome& operator=(WireOutcome&&) noexcept;
   WireOutcome() noexcept
               : id(),
                 verdict(0) {
@@ -676,7 +698,9 @@
  public:
 
   WireTeamLoad(const WireTeamLoad&);
+  WireTeamLoad(WireTeamLoad&&) noexcept;
   WireTeamLoad& operator=(const WireTeamLoad&);
+  WireTeamLoad& operator=(WireTeamLoad&&) noexcept;
   WireTeamLoad() noexcept
                : team(),
                  demand(0),
@@ -725,7 +749,9 @@
  public:
 
   WireEndpointLoad(const WireEndpointLoad&);
+  WireEndpointLoad(WireEndpointLoad&&) noexcept;
   WireEndpointLoad& operator=(const WireEndpointLoad&);
+  WireEndpointLoad& operator=(WireEndpointLoad&&) noexcept;
   WireEndpointLoad() noexcept
                    : endpoint(),
                      in_flight(0) {
@@ -774,7 +800,9 @@
  public:
 
   WireShardReport(const WireShardReport&);
+  WireShardReport(WireShardReport&&) noexcept;
   WireShardReport& operator=(const WireShardReport&);
+  WireShardReport& operator=(WireShardReport&&) noexcept;
   WireShardReport() noexcept
                   : service_id(),
                     urgent_running(0),
@@ -852,7 +880,9 @@
  public:
 
   WireShardReports(const WireShardReports&);
+  WireShardReports(WireShardReports&&) noexcept;
   WireShardReports& operator=(const WireShardReports&);
+  WireShardReports& operator=(WireShardReports&&) noexcept;
   WireShardReports() noexcept
                    : zone() {
   }
@@ -894,7 +924,9 @@
  public:
 
   WireWithdrawals(const WireWithdrawals&);
+  WireWithdrawals(WireWithdrawals&&) noexcept;
   WireWithdrawals& operator=(const WireWithdrawals&);
+  WireWithdrawals& operator=(WireWithdrawals&&) noexcept;
   WireWithdrawals() noexcept {
   }
 
@@ -930,7 +962,9 @@
  public:
 
   WireCatchUpRequest(const WireCatchUpRequest&);
+  WireCatchUpRequest(WireCatchUpRequest&&) noexcept;
   WireCatchUpRequest& operator=(const WireCatchUpRequest&);
+  WireCatchUpRequest& operator=(WireCatchUpRequest&&) noexcept;
   WireCatchUpRequest() noexcept
                      : from_offset(0),
                        reply_address() {
@@ -973,7 +1007,9 @@
  public:
 
   WireLogRecord(const WireLogRecord&);
+  WireLogRecord(WireLogRecord&&) noexcept;
   WireLogRecord& operator=(const WireLogRecord&);
+  WireLogRecord& operator=(WireLogRecord&&) noexcept;
   WireLogRecord() noexcept
                 : offset(0),
                   data() {
@@ -1016,7 +1052,9 @@
  public:
 
   WireCatchUpRecords(const WireCatchUpRecords&);
+  WireCatchUpRecords(WireCatchUpRecords&&) noexcept;
   WireCatchUpRecords& operator=(const WireCatchUpRecords&);
+  WireCatchUpRecords& operator=(WireCatchUpRecords&&) noexcept;
   WireCatchUpRecords() noexcept {
   }
 
@@ -1052,7 +1090,9 @@
  public:
 
   WireCatchUpState(const WireCatchUpState&);
+  WireCatchUpState(WireCatchUpState&&) noexcept;
   WireCatchUpState& operator=(const WireCatchUpState&);
+  WireCatchUpState& operator=(WireCatchUpState&&) noexcept;
   WireCatchUpState() noexcept
                    : state() {
   }
@@ -1103,7 +1143,9 @@
  public:
 
   WireMessage(const WireMessage&);
+  WireMessage(WireMessage&&) noexcept;
   WireMessage& operator=(const WireMessage&);
+  WireMessage& operator=(WireMessage&&) noexcept;
   WireMessage() noexcept
               : sender() {
   }
--- a/tests/job_entry/carrier_entry.h
+++ b/tests/job_entry/carrier_entry.h
@@ -55,7 +55,7 @@
   }
   /// Begins to listen as an entry that isn't a member, and whose questions a member collects.
   Status OpenAsCaller(const FakeStore& store) {
-    const Status opened = this->exchange.Open(this->links);
+    Status opened = this->exchange.Open(this->links);
     if (opened) {
       std::vector<std::string> members;
       for (const auto& [name, member] : store.members) {
--- a/tests/jobs/endpoint_changes_test.cc
+++ b/tests/jobs/endpoint_changes_test.cc
@@ -12,6 +12,7 @@
 
 std::vector<EndpointRecord> MakeEndpoints(int count) {
   std::vector<EndpointRecord> records;
+  records.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     records.push_back(World::Endpoint("e" + std::to_string(10000 + i)));
   }
--- a/tests/owner_load/main.cc
+++ b/tests/owner_load/main.cc
@@ -190,7 +190,7 @@
   }
 
   SocketAddress Listen(http::Handler& handler) {
-    const SocketAddress address = this->ports.Next();
+    SocketAddress address = this->ports.Next();
     auto server = http::Server::Listen({&this->io}, address, {}, handler);
     if (!server) {
       throw std::runtime_error(ToString(server.LastReason()));
