--- a/tests/job_entry/carrier_entry.h
+++ b/tests/job_entry/carrier_entry.h
@@ -67,6 +67,7 @@
   }
   OwnerQuestions& Questions() { return *this->links.owner_questions; }
   OrderExchange& Exchange() { return this->exchange; }
+  const Context& GetContext() const { return this->context; }
 
  private:
   static JobEntrySettings SettingsFor(const SocketAddress& address, const ZoneId& zone) {
