JobEntry: Repeat passes over all jobs less often as they take longer

An outlook is computed each 100 ms and pools are resized each 150 ms, and each is a pass over all open jobs and VMs: 6 and 9 ms in the peak, 230 to 260 of two seconds.

Change: such a pass is repeated when it has taken a fortieth of the time at most, half a second later at the latest.

--- a/src/job_entry/admission_service.cc
+++ b/src/job_entry/admission_service.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 
+#include "job_entry/round_pause.h"
+
 namespace chervilspar::job_entry {
 
 namespace {
 
-/// How long an outlook is reused. Computing it takes a pass over all jobs, and some 40 entries ask
-/// four times a second.
+/// How long an outlook is reused at least. Computing it takes a pass over all jobs, and some 40
+/// entries ask four times a second.
 constexpr Duration kReuseTime = std::chrono::milliseconds(100);
 /// Entries that asked within this time decide on the same outlook.
 constexpr Duration kAskingTime = std::chrono::milliseconds(1000);
@@ -57,9 +59,11 @@
                                                 const jobs::Resources& listed) {
   const auto span = this->context.Measure(telemetry::WorkPart::kOutlook);
   const TimePoint now = this->context.Now();
-  if (!this->outlook || now - this->computed_at > kReuseTime) {
+  if (!this->outlook || now >= this->next_outlook) {
     this->outlook = this->scheduler.Outlook(listed, now);
     this->computed_at = now;
+    const Duration taken = this->context.Now() - now;
+    this->next_outlook = now + std::max(kReuseTime, PauseAfterPass(taken));
   }
   this->room.Add(question.refused, now);
   this->room.Review(now,
--- a/src/job_entry/admission_service.h
+++ b/src/job_entry/admission_service.h
@@ -36,6 +36,7 @@
   std::map<std::string, TimePoint> asked;
   std::optional<jobs::AdmissionOutlook> outlook;
   TimePoint computed_at{};
+  TimePoint next_outlook{};
 };
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/round_pause.cc
+++ b/src/job_entry/round_pause.cc
@@ -13,6 +13,10 @@
 constexpr int kOtherWorkPerRound = 4;
 /// Bounds how long leases, occurrences and cancellations wait for the next round.
 constexpr Duration kMaxPause = std::chrono::milliseconds(200);
+/// The least ratio of the time left for other work to the time that one kind of pass takes.
+constexpr int kOtherWorkPerPass = 40;
+/// An outlook is used for up to a second; pools are resized well within the time a VM moves.
+constexpr Duration kMaxPauseAfterPass = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -20,4 +24,8 @@
   return std::clamp(taken * kOtherWorkPerRound, kBatchingDelay, kMaxPause);
 }
 
+Duration PauseAfterPass(Duration taken) {
+  return std::min(taken * kOtherWorkPerPass, kMaxPauseAfterPass);
+}
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/round_pause.h
+++ b/src/job_entry/round_pause.h
@@ -11,4 +11,9 @@
 /// would wait. So rounds become rarer as they become longer, and each decides on more facts.
 Duration PauseAfterRound(Duration taken);
 
+/// The least time until a pass over all open jobs or all VMs that took `taken` is repeated. Such
+/// passes cost more the more waits, and serve decisions that change slowly: how many VMs each pool
+/// gets, and which submissions are refused.
+Duration PauseAfterPass(Duration taken);
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -5,6 +5,7 @@
 
 #include "chervilspar/base/scope_guard.h"
 
+#include "job_entry/round_pause.h"
 #include "job_entry/vm_list_interval.h"
 
 namespace chervilspar::job_entry {
@@ -132,8 +133,10 @@
     }
   }
   this->scheduler.SetUpcomingReboots(due);
-  if (!this->is_stopped) {
+  const TimePoint now = this->context.Now();
+  if (!this->is_stopped && now >= this->next_resize) {
     this->ResizePools();
+    this->next_resize = this->context.Now() + PauseAfterPass(this->context.Now() - now);
   }
 }
 
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -126,6 +126,7 @@
   std::vector<jobs::VmRecord> vms;
   /// When the list was requested.
   TimePoint listed_at{};
+  TimePoint next_resize{};
   /// A list has been requested and hasn't arrived.
   bool is_listing = false;
   /// The last read succeeded. While the service doesn't answer, it may be executing orders of which
--- a/tests/job_entry/round_pause_test.cc
+++ b/tests/job_entry/round_pause_test.cc
@@ -30,5 +30,22 @@
                                 std::chrono::milliseconds(200)}),
     [](const auto& info) { return std::string(info.param.name); });
 
+class PauseBetweenPasses : public ::testing::TestWithParam<PauseCase> {};
+
+/// Guards against passes over all jobs or VMs that take the more of the thread the more jobs wait.
+TEST_P(PauseBetweenPasses, LeavesTimeForOtherWork) {
+  EXPECT_EQ(PauseAfterPass(GetParam().taken), GetParam().pause);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Passes, PauseBetweenPasses,
+    ::testing::Values(PauseCase{"ShortPassesAreRepeatedSoon", std::chrono::microseconds(500),
+                                std::chrono::milliseconds(20)},
+                      PauseCase{"LongPassesTakeAFortieth", std::chrono::milliseconds(9),
+                                std::chrono::milliseconds(360)},
+                      PauseCase{"ThePauseIsBounded", std::chrono::seconds(1),
+                                std::chrono::milliseconds(500)}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace chervilspar::job_entry
