--- a/include/chervilspar/base/verdict.h
+++ b/include/chervilspar/base/verdict.h
@@ -20,10 +20,10 @@
 /// Follows one attempt on the wire and gives its verdict, which can only become less certain until
 /// an answer settles it.
 ///
-/// What can go wrong: a write fails after part of the request has left, the failure looks like
-/// "never sent", and a deposit is charged twice by the retry. So the tracker is told *before* the
-/// first byte is handed to the socket, and only a whole answer of the endpoint can settle the
-/// matter afterwards.
+/// A write can fail after part of the request has left, so a failed write doesn't mean that nothing
+/// was sent, and a retry could run the request twice. So the tracker is told before the first byte
+/// is handed to the socket, and only a whole answer of the endpoint can settle the verdict
+/// afterwards.
 class VerdictTracker {
  public:
   /// Call before the first byte is given to the socket.
--- a/include/chervilspar/config_log/key_overlay.h
+++ b/include/chervilspar/config_log/key_overlay.h
@@ -11,9 +11,9 @@
 
 /// Withdrawals that came from a peer or an operator ahead of the log, in force at once.
 ///
-/// What can go wrong: the log is down for an hour and a withdrawn key goes on working. A withdrawal
-/// only ever grows the set of withdrawn keys, so it may be applied in any order and before it is in
-/// the log; it is appended when the log is back.
+/// Keys can be withdrawn while the log is down. A withdrawal only ever grows the set of withdrawn
+/// keys, so it may be applied in any order and before it is in the log; it is appended when the log
+/// is back.
 class KeyOverlay {
  public:
   /// Most withdrawals held; more than an operator hands over in any outage.
--- a/include/chervilspar/http/client.h
+++ b/include/chervilspar/http/client.h
@@ -45,10 +45,10 @@
 
 /// Sends requests over pooled connections, one request at a time on each.
 ///
-/// What can go wrong: an answer that comes after its request was given up would be taken for the
-/// answer to the next request on the same connection, and a clerk gets someone else's booking. So
-/// a connection is closed after a timeout, a cancellation, a short or oversized answer, and when
-/// any byte follows an answer; and an idle one on which something arrived is not used again.
+/// An answer that arrives after its request was given up must not be taken for the answer to the
+/// next request on the same connection. So a connection is closed after a timeout, a cancellation,
+/// a short or oversized answer, and when any byte follows an answer; and an idle one on which
+/// something has arrived is not used again.
 ///
 /// Safe to use from several threads; a coroutine runs on its own executor throughout. Must be
 /// destroyed before the io_contexts on which its coroutines ran, as idle connections belong to
--- a/include/chervilspar/telemetry/hybrid_clock.h
+++ b/include/chervilspar/telemetry/hybrid_clock.h
@@ -9,9 +9,9 @@
 
 /// Hybrid logical clock (Kulkarni et al., "Logical Physical Clocks", 2014).
 ///
-/// What can go wrong: one VM's wall clock is an hour ahead, and every process that hears from it
-/// stamps its events an hour ahead, too, for good. So a peer's stamp pushes this clock no further
-/// than `max_ahead` beyond the own wall clock; such stamps are counted.
+/// If one VM's wall clock is an hour ahead, every process that hears from it would stamp its events
+/// an hour ahead as well, for good. So a peer's stamp moves this clock no further than `max_ahead`
+/// beyond the own wall clock; such stamps are counted.
 class HybridClock {
  public:
   explicit HybridClock(Duration max_ahead) : max_ahead(max_ahead) {}
--- a/src/entry/drain_watch.h
+++ b/src/entry/drain_watch.h
@@ -9,9 +9,9 @@
 
 /// Endpoints that refused a task as draining and have not taken one since. Thread-safe.
 ///
-/// What can go wrong: the executor of a step dies between draining an endpoint and recording it,
-/// the step is withdrawn by another, and the endpoint refuses work for good. The planner undrains
-/// what is in here while no step holds it.
+/// If the executor of a step dies between draining an endpoint and recording it, and another
+/// withdraws the step, the endpoint would refuse work for good. The planner undrains the endpoints
+/// in here that no step holds.
 class DrainWatch {
  public:
   void OnDraining(const VmId& vm) {
--- a/src/entry/endpoint_view.h
+++ b/src/entry/endpoint_view.h
@@ -31,10 +31,10 @@
 
 /// Whether new work may go to the VM.
 ///
-/// What can go wrong: a cut-off entry goes on sending to a VM of another zone that is leaving, and
-/// callers' requests are cut when it goes. So work leaves the own zone only while the log, or an
-/// entry of the VM's zone that knows no more than this one, has been heard lately. In the own zone
-/// a step's executor must reach the endpoint to drain it, and a drained endpoint refuses work.
+/// An entry that is cut off doesn't learn that a VM of another zone is leaving, and requests that
+/// it sends there would be cut. So work leaves the own zone only while the log, or an entry of the
+/// VM's zone that knows no more than this one, has been heard lately. In the own zone a step's
+/// executor must reach the endpoint to drain it, and a drained endpoint refuses work.
 bool MayGetWork(const config_log::FleetState& state, const inventory::Vm& vm,
                 const ViewFreshness& freshness);
 
--- a/src/entry/limit_keeper.h
+++ b/src/entry/limit_keeper.h
@@ -27,9 +27,9 @@
  public:
   /// The limits as the scheduler sees them while it picks one request. Holds the keeper's lock.
   ///
-  /// What can go wrong: two shards both see the team's last unit free and both start a task, and
-  /// the team is above its limit. So the unit is taken when the scheduler asks, and a unit that was
-  /// taken and then not used (no slot fits) goes back when the session ends.
+  /// If two shards both saw the team's last unit free, both would start a task, and the team would
+  /// be above its limit. So a unit is taken when the scheduler asks, and one that wasn't used after
+  /// all (no slot fits) is returned when the session ends.
   class Session final : public scheduling::QuotaGate {
    public:
     explicit Session(LimitKeeper& keeper);
--- a/src/http/attempt.cc
+++ b/src/http/attempt.cc
@@ -88,9 +88,9 @@
   });
 }
 
-/// What can go wrong: the path to the other side is cut, the request waits in this VM's send
-/// buffer, and after a plain close the system still delivers it when the path is back, seconds
-/// after the caller has acted on its failure. A reset drops what was not delivered.
+/// If the path to the peer is cut, the request waits in the send buffer, and after a plain close
+/// the kernel would still deliver it when the path is back, seconds after the caller has acted on
+/// its failure. A reset drops what was not delivered.
 void Attempt::End(Ending why) {
   if (this->ending == Ending::kNone) {
     this->ending = why;
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -14,9 +14,9 @@
 
 /// Whether an idle connection is open and nothing has arrived on it.
 ///
-/// What can go wrong: the endpoint closed the connection while it was idle, the request is written
-/// into nothing, and "may have run" is all that can be said of it. A look at the socket first
-/// finds almost all of these.
+/// A request that is written to a connection which the endpoint has closed meanwhile may have run,
+/// as far as this side can tell. A look at the socket beforehand finds almost all such
+/// connections.
 bool IsQuiet(ConnectionPool::Socket& socket) {
   std::array<char, 1> byte{};
   boost::system::error_code error;
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -18,9 +18,9 @@
 /// Turns the bytes of a connection into one request, or names what is wrong with them. Knows
 /// nothing of sockets.
 ///
-/// What can go wrong: two servers in a chain that disagree on where a request ends let one caller
-/// put words into another's mouth (request smuggling). So a transfer encoding, a repeated
-/// Content-Length or Host, and a repeated Authorization are refused, not interpreted.
+/// Two servers in a chain that disagree on where a request ends allow request smuggling. So a
+/// transfer encoding, a repeated Content-Length or Host, and a repeated Authorization are refused,
+/// not interpreted.
 class RequestReader {
  public:
   explicit RequestReader(const ServerLimits& limits);
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -13,9 +13,9 @@
 /// Turns the bytes of a connection into one whole answer, or says why that is not possible. Knows
 /// nothing of sockets.
 ///
-/// What can go wrong: an endpoint dies in the middle of its answer and the caller takes the first
-/// half for all of it. So an answer must say its length, and one that ends early, or whose end is
-/// only the end of the connection, is an error.
+/// The first half of an answer whose endpoint has died must not be taken for the whole. So an
+/// answer must say its length, and one that ends early, or whose end is only the end of the
+/// connection, is an error.
 class ResponseReader {
  public:
   enum class State { kNeedMore, kWhole, kFault };
