QuestionExchange: Don't hold up single questions

What callers saw: each poll of a job's state waited 40 ms at the entry that collects questions, also where there are few. Change: that entry sends a frame at once after a pause, and one each 40 ms otherwise; the owner gets as many frames as before at most. Questions.EachGetsItsOwnReply takes 24 ms (63 before), OfAZoneReachTheOwnerInFewFrames holds.

--- a/src/job_entry/frame_interval.cc
+++ b/src/job_entry/frame_interval.cc
@@ -21,4 +21,11 @@
   return std::clamp(std::chrono::duration_cast<Duration>(interval), kMinInterval, kMaxInterval);
 }
 
+TimePoint FramePace::DueAt(TimePoint now) {
+  if (now >= this->last_due) {
+    this->last_due = std::max(now + this->min_delay, this->last_due + this->interval);
+  }
+  return this->last_due;
+}
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/frame_interval.h
+++ b/src/job_entry/frame_interval.h
@@ -13,4 +13,21 @@
 /// when the load is highest. With it, the frames of a second depend on the owner's cores only.
 Duration FrameInterval(std::size_t carriers, double cores);
 
+/// Decides when frames leave: soon after a pause, so that a single message isn't held up, otherwise
+/// one each `interval`.
+class FramePace {
+ public:
+  /// `min_delay`: for how long the messages of the first frame after a pause are collected.
+  FramePace(Duration min_delay, Duration interval) : min_delay(min_delay), interval(interval) {}
+
+  /// When the frame leaves that takes a message which arrives at `now`.
+  TimePoint DueAt(TimePoint now);
+
+ private:
+  const Duration min_delay;
+  const Duration interval;
+  /// When the last frame has left or leaves.
+  TimePoint last_due{};
+};
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/question_exchange.cc
+++ b/src/job_entry/question_exchange.cc
@@ -16,11 +16,11 @@
 
 /// Questions of one entry that arrive together share a frame.
 constexpr Duration kOwnDelay = std::chrono::milliseconds(3);
-/// How long an entry collects the questions of others: the owner gets at most 25 frames a second
-/// from each. Callers' polls wait for this long.
-constexpr Duration kCollectingDelay = std::chrono::milliseconds(40);
+/// Between two frames with the questions of others: the owner gets at most 25 a second from each
+/// entry that collects them.
+constexpr Duration kCollectingInterval = std::chrono::milliseconds(40);
 constexpr Duration kReplyDelay = std::chrono::milliseconds(3);
-/// A reply takes about 60 ms, most of it until the frame is sent.
+/// A reply takes 10 to 60 ms, most of it until the frame is sent.
 constexpr Duration kReplyTime = std::chrono::milliseconds(350);
 /// Longer than any entry waits for a reply.
 constexpr Duration kMaxReplyTime = std::chrono::seconds(2);
@@ -46,6 +46,7 @@
                                    std::string own_address)
     : context(context),
       own_address(std::move(own_address)),
+      passing_pace(kOwnDelay, kCollectingInterval),
       next_number(RandomFirstNumber()),
       questions(std::make_shared<AddressBatcher<rpc::QuestionBatch>>(
           context,
@@ -189,15 +190,17 @@
 }
 
 void QuestionExchange::PassOn(const rpc::QuestionBatch& batch) {
-  DropExpired(this->relayed, this->context.Now());
-  const TimePoint expires = this->context.Now() + kMaxReplyTime;
+  const TimePoint now = this->context.Now();
+  DropExpired(this->relayed, now);
+  const Duration delay = this->passing_pace.DueAt(now) - now;
+  const TimePoint expires = now + kMaxReplyTime;
   // Without any replies, the frame says that this entry lives.
   this->replies->At(batch.reply_address, kReplyDelay);
   for (const rpc::Question& question : batch.questions) {
     const std::uint64_t number = this->next_number++;
     this->relayed.emplace(number, Relayed{batch.reply_address, question.number, expires});
     this->AddQuestion(batch.owner_address, batch.owner_address,
-                      {number, question.target, question.body}, kCollectingDelay);
+                      {number, question.target, question.body}, delay);
   }
 }
 
--- a/src/job_entry/question_exchange.h
+++ b/src/job_entry/question_exchange.h
@@ -15,6 +15,7 @@
 
 #include "job_entry/address_batches.h"
 #include "job_entry/context.h"
+#include "job_entry/frame_interval.h"
 
 namespace chervilspar::job_entry {
 
@@ -95,6 +96,8 @@
   TimePoint last_reply{};
   /// When the last frame with replies arrived, also one without any.
   TimePoint last_sign{};
+  /// Of the frames with questions that this entry passes on.
+  FramePace passing_pace;
   std::uint64_t next_number;
   std::map<std::uint64_t, std::shared_ptr<PendingQuestion>> pending;
   std::map<std::uint64_t, GivenUp> given_up;
--- a/src/jobs/compact_progress.cc
+++ b/src/jobs/compact_progress.cc
@@ -213,7 +213,7 @@
         case kCheckpoints:
           return this->AddItems(
               task.checkpoint.empty() ? Group{} : group,
-              [](const TaskRow& row) { return std::string_view(row.progress.checkpoint); },
+              [](const TaskRow& row) -> std::string_view { return row.progress.checkpoint; },
               [this](std::string_view checkpoint) { this->AddText(checkpoint); });
         case kEndedRun:
           return this->Add(task.ended_run);
