VmDriver: Tell in the log what an order for a VM rests on

The lines of an order named the VM and the outcome, so that the four hypotheses of the incident could not be told apart. They now name the owner's token, the endpoint, its claims and the runs that it listed without a claim, the age of its last answer to this owner and that of the last proof of ownership; and, if work was placed there while the order was under way, the claims at the answer. Runs that are ended this way are counted (chervilspar_runs_ended_by_vm_orders_total).

No change of behaviour.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -135,6 +135,11 @@
 struct EndpointUsage {
   Resources used;
   bool has_claims = false;
+  std::size_t claims = 0;
+  /// The runs that it has listed and that match no claim.
+  std::size_t unclaimed_runs = 0;
+  /// When the last request that it has answered to this owner was sent.
+  std::optional<TimePoint> last_answered_request;
   /// It has neither claims nor runs that match no claim.
   bool is_empty = false;
   bool has_long_running = false;
--- a/src/job_entry/owner_proof.h
+++ b/src/job_entry/owner_proof.h
@@ -24,6 +24,7 @@
 
   /// Records a proof from another source that there was no later claim at this time.
   void Record(TimePoint proof) { this->proof = std::max(this->proof, proof); }
+  TimePoint Latest() const { return this->proof; }
   /// True when the proof is younger than `limit`; queries the store if necessary.
   boost::asio::awaitable<bool> IsYoungerThan(Duration limit);
 
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -83,6 +83,13 @@
   void ForgetReboot(const VmId& vm);
   void OrderPendingReboots();
   void RepeatUnansweredMoves();
+  /// Null if the list doesn't show it.
+  const jobs::VmRecord* FindVm(const VmId& id) const;
+  /// What an order for the VM rests on at this time, for the log.
+  std::vector<telemetry::LogField> EvidenceFor(const VmId& id) const;
+  /// Tells the claims on a VM when an order for it is answered, and counts those that it ended.
+  void CountClaimsUnder(const VmId& id, jobs::VmOrderOutcome outcome,
+                        std::vector<telemetry::LogField>& fields) const;
   /// Whether the list shows the VM as up, or not at all, and its endpoint has no work.
   bool MayBeOrdered(const VmId& vm) const;
   /// Whether an order that waited for its turn is still to be sent.
--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -42,13 +42,54 @@
 }
 
 bool VmDriver::MayBeOrdered(const VmId& id) const {
-  const auto vm = std::find_if(this->vms.begin(), this->vms.end(),
-                               [&](const jobs::VmRecord& listed) { return listed.id == id; });
-  return vm == this->vms.end() ||
+  const jobs::VmRecord* vm = this->FindVm(id);
+  return vm == nullptr ||
          (vm->phase == jobs::VmPhase::kUp &&
           this->scheduler.EvacuationOf(vm->endpoint) != jobs::EvacuationState::kRunning);
 }
 
+std::vector<telemetry::LogField> VmDriver::EvidenceFor(const VmId& id) const {
+  const TimePoint now = this->context.Now();
+  const TimePoint proof = std::max(this->scheduler.Proof(), this->proof.Latest());
+  std::vector<telemetry::LogField> fields{{"vm", id.text},
+                                          {"token", std::to_string(this->token)},
+                                          {"proof_age_ms", MillisecondsText(now - proof)}};
+  const jobs::VmRecord* vm = this->FindVm(id);
+  const std::optional<jobs::EndpointUsage> use =
+      vm == nullptr ? std::nullopt : this->scheduler.UsageOf(vm->endpoint);
+  if (vm != nullptr) {
+    fields.push_back({"endpoint", vm->endpoint});
+  }
+  if (use) {
+    const std::optional<TimePoint> answered = use->last_answered_request;
+    fields.push_back({"claims", std::to_string(use->claims)});
+    fields.push_back({"unclaimed_runs", std::to_string(use->unclaimed_runs)});
+    fields.push_back({"answer_age_ms", answered ? MillisecondsText(now - *answered) : "none"});
+  }
+  return fields;
+}
+
+void VmDriver::CountClaimsUnder(const VmId& id, VmOrderOutcome outcome,
+                                std::vector<telemetry::LogField>& fields) const {
+  const jobs::VmRecord* vm = this->FindVm(id);
+  const std::optional<jobs::EndpointUsage> use =
+      vm == nullptr ? std::nullopt : this->scheduler.UsageOf(vm->endpoint);
+  if (!use || use->claims == 0) {
+    return;
+  }
+  fields.push_back({"claims_at_answer", std::to_string(use->claims)});
+  if (outcome == VmOrderOutcome::kDone) {
+    this->context.metrics.Count({"chervilspar_runs_ended_by_vm_orders_total", {}},
+                                static_cast<double>(use->claims));
+  }
+}
+
+const jobs::VmRecord* VmDriver::FindVm(const VmId& id) const {
+  const auto vm = std::find_if(this->vms.begin(), this->vms.end(),
+                               [&](const jobs::VmRecord& listed) { return listed.id == id; });
+  return vm == this->vms.end() ? nullptr : &*vm;
+}
+
 bool VmDriver::IsRebootWanted(const VmId& vm) const {
   const auto reboot = this->pending_reboots.find(vm);
   if (reboot == this->pending_reboots.end()) {
@@ -115,11 +156,15 @@
   const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->token};
   VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
   const bool is_owner = co_await this->IsStillOwner();
+  std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
   if (is_owner && this->IsRebootWanted(vm)) {
     outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
   }
+  fields.push_back({"wave", std::to_string(wave)});
+  this->CountClaimsUnder(vm, outcome, fields);
+  fields.push_back({"outcome", jobs::ToString(outcome)});
   LogEvent(telemetry::LogLevel::kInfo, "vm_reboot_ordered", "a wave requires the reboot",
-           {{"vm", vm.text}, {"outcome", jobs::ToString(outcome)}});
+           std::move(fields));
   this->OnRebootAnswered(vm, outcome);
 }
 
@@ -184,12 +229,15 @@
   const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
   VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
   const bool is_owner = co_await this->IsStillOwner();
+  std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
   if (is_owner && this->IsMoveWanted(vm, pool)) {
     outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
   }
+  fields.push_back({"pool", pool.text});
+  this->CountClaimsUnder(vm, outcome, fields);
+  fields.push_back({"outcome", jobs::ToString(outcome)});
   LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered",
-           "the demand of the queues requires the move",
-           {{"vm", vm.text}, {"pool", pool.text}, {"outcome", jobs::ToString(outcome)}});
+           "the demand of the queues requires the move", std::move(fields));
   this->OnMoveAnswered(vm, pool, outcome);
 }
 
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -193,6 +193,11 @@
   EndpointUsage use;
   use.used = endpoint->used;
   use.has_claims = !endpoint->claims.empty();
+  use.claims = endpoint->claims.size();
+  use.unclaimed_runs = endpoint->orphaned_runs.size();
+  if (endpoint->last_answered_request != TimePoint{}) {
+    use.last_answered_request = endpoint->last_answered_request;
+  }
   use.is_empty = !use.has_claims && endpoint->orphaned_runs.empty();
   use.is_silent = endpoint->is_silent;
   use.is_serving = endpoint->is_registered && !endpoint->record.is_draining && !endpoint->is_silent;
