--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -40,6 +40,9 @@
   queue.attempts = 3;
   queue.is_public = true;
   policy.queues["bookings"] = queue;
+  if (value.ends_with(":standby")) {
+    policy.standby = {ServiceId{"off"}};
+  }
   return policy;
 }
 
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -42,6 +42,14 @@
   Duration reboot_time{};
   /// The highest number of VMs that were rebooting at once.
   std::size_t max_rebooting = 0;
+  /// Otherwise, moves are answered with `kNotAllowed`.
+  bool accepts_moves = false;
+  /// How long the service takes to execute and answer a move.
+  Duration move_delay{};
+  /// The moves that were ordered, in order of arrival.
+  std::vector<jobs::MoveOrder> moves;
+  /// Called when an order for a VM is executed, which ends what runs there.
+  std::function<void(const jobs::VmRecord&)> on_executed;
 
   jobs::VmRecord& At(const VmId& id) {
     return *std::find_if(this->vms.begin(), this->vms.end(),
@@ -81,8 +89,19 @@
     this->Begin(co_await boost::asio::this_coro::executor, order.vm);
     co_return jobs::VmOrderOutcome::kDone;
   }
-  boost::asio::awaitable<jobs::VmOrderOutcome> Move(jobs::MoveOrder, Duration) override {
-    co_return jobs::VmOrderOutcome::kNotAllowed;
+  boost::asio::awaitable<jobs::VmOrderOutcome> Move(jobs::MoveOrder order, Duration) override {
+    if (!this->all.accepts_moves) {
+      co_return jobs::VmOrderOutcome::kNotAllowed;
+    }
+    this->all.moves.push_back(order);
+    const boost::asio::any_io_executor executor = co_await boost::asio::this_coro::executor;
+    if (this->all.unanswered[order.vm] > 0) {
+      --this->all.unanswered[order.vm];
+      Spawn(executor, this->MoveLater(order, this->all.late_delay));
+      co_return jobs::VmOrderOutcome::kNoAnswer;
+    }
+    co_await this->MoveLater(order, this->all.move_delay);
+    co_return jobs::VmOrderOutcome::kDone;
   }
 
  private:
@@ -91,6 +110,23 @@
     boost::asio::co_spawn(executor, std::move(work), boost::asio::detached);
   }
 
+  boost::asio::awaitable<void> MoveLater(jobs::MoveOrder order, Duration delay) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, delay);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    jobs::VmRecord& vm = this->all.At(order.vm);
+    if (vm.pool != order.pool) {
+      this->ReportExecuted(vm);
+      vm.pool = order.pool;
+      vm.endpoint += "'";
+    }
+  }
+
+  void ReportExecuted(const jobs::VmRecord& vm) {
+    if (this->all.on_executed) {
+      this->all.on_executed(vm);
+    }
+  }
+
   boost::asio::awaitable<void> RebootLate(VmId vm) {
     const boost::asio::any_io_executor executor = co_await boost::asio::this_coro::executor;
     boost::asio::steady_timer timer(executor, this->all.late_delay);
@@ -104,6 +140,7 @@
       return;
     }
     ++this->all.reboots[id];
+    this->ReportExecuted(this->all.At(id));
     if (this->all.reboot_time > Duration::zero()) {
       this->all.At(id).phase = jobs::VmPhase::kRebooting;
       const auto rebooting = static_cast<std::size_t>(std::count_if(
@@ -126,7 +163,8 @@
   std::set<VmId> late;
 };
 
-/// Reads the records that the tests write: rules, whose value is the version; endpoints, in zone
+/// Reads the records that the tests write: rules, whose value is the version, with ":standby" if
+/// there is a pool "off" of VMs that are switched off; endpoints, in zone
 /// "z" unless their value is "zone:" and the name of another one; waves and cordons.
 class FakeRecords final : public RecordFormat {
  public:
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -1,113 +1,14 @@
-#include "job_entry/vm_driver.h"
-
 #include <functional>
 
 #include <gtest/gtest.h>
 
-#include "tests/job_entry/fake_fleet.h"
-#include "tests/jobs/scheduler_harness.h"
+#include "tests/job_entry/driver_world.h"
 
 namespace chervilspar::job_entry {
 namespace {
 
-namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-/// A driver with its own scheduler, to which the test reports the endpoints. A wave names all VMs.
-class DriverWorld {
- public:
-  explicit DriverWorld(int count) : fleet(this->io, 0) {
-    std::string names;
-    for (int i = 0; i < count; ++i) {
-      const std::string number = std::to_string(i);
-      jobs::VmRecord vm;
-      vm.id = VmId{"m" + number};
-      vm.pool = ServiceId{"desk"};
-      vm.phase = jobs::VmPhase::kUp;
-      vm.endpoint = "i" + number;
-      vm.capacity = {8000, 8000, 0};
-      this->fleet.vms.vms.push_back(vm);
-      names += (names.empty() ? "" : ",") + vm.id.text;
-    }
-    this->fleet.store.At(Topic::kOperators, 0).records.push_back({"wave", names});
-    this->fleet.store.At(Topic::kOwners, 0)
-        .records.push_back({kOwnerKey, EncodeClaim({"a", "a", {"127.0.0.1", 1}})});
-    this->Register();
-  }
-  ~DriverWorld() {
-    this->driver.Stop();
-    this->is_over = true;
-    this->io.run_for(milliseconds(200));
-  }
-  DriverWorld(const DriverWorld&) = delete;
-  DriverWorld& operator=(const DriverWorld&) = delete;
-
-  /// Registers exactly the endpoints that the list of VMs names.
-  void Register() {
-    std::vector<jobs::EndpointRecord> records;
-    for (const jobs::VmRecord& vm : this->fleet.vms.vms) {
-      records.push_back(jobs::SchedulerHarness::Endpoint(vm.endpoint));
-      records.back().service = vm.pool;
-    }
-    this->world.Register(records);
-  }
-
-  void Start() {
-    this->entry.operators.Start();
-    this->entry.directory.Start();
-    this->RunUntil(std::chrono::seconds(2),
-                   [this] { return this->entry.operators.Policy() != nullptr; });
-    Spawn(this->entry.context, [](DriverWorld& self) -> asio::awaitable<void> {
-      co_await self.driver.Run(self.entry.context.Now(), self.owner);
-    }(*this));
-    Spawn(this->entry.context, [](DriverWorld& self) -> asio::awaitable<void> {
-      while (!self.is_over) {
-        if (self.stores_records) {
-          self.Store();
-        }
-        co_await Pause(self.entry.context, milliseconds(10));
-      }
-    }(*this));
-  }
-
-  /// Stores the driver's records as the owner does.
-  void Store() {
-    for (const KeyedRecord& record : this->driver.TakeRecords()) {
-      this->stored = *jobs::DecodeWaveProgress(*record.value);
-    }
-    this->driver.OnRecordsStored();
-  }
-
-  void RunUntil(Duration timeout, const std::function<bool()>& is_done) {
-    const TimePoint end = this->entry.context.Now() + timeout;
-    while (this->entry.context.Now() < end && !is_done()) {
-      this->io.run_for(milliseconds(10));
-    }
-  }
-
-  /// The status of the wave that operators read; empty before it is published.
-  std::string WaveStatus() {
-    const std::vector<KeyedRecord>& statuses = this->fleet.store.At(Topic::kStatus, 0).records;
-    return statuses.empty() ? "" : statuses.back().value.value_or("");
-  }
-
-  asio::io_context io;
-  FakeFleet fleet;
-  FakeEntry entry{this->io, this->fleet.store, this->fleet.endpoints, this->fleet.vms, "a"};
-  jobs::SchedulerHarness world;
-  std::shared_ptr<int> owner = std::make_shared<int>(0);
-  bool is_over = false;
-  bool stores_records = true;
-  /// The stored progress of the wave.
-  jobs::WaveProgress stored;
-  VmDriver driver{this->entry.context,
-                  this->entry.operators,
-                  this->entry.directory,
-                  this->world.scheduler,
-                  "a",
-                  1};
-};
-
 /// Guards against a wave that operators read as complete although the reboot of a VM was refused.
 TEST(VmDriver, ARefusedRebootDoesNotCount) {
   DriverWorld world(2);
@@ -186,7 +87,7 @@
     jobs::WaveProgress progress;
     progress.number = 1;
     progress.is_reported = is_published;
-    world.driver.Restore(progress);
+    world.driver->Restore(progress);
     world.Start();
     world.RunUntil(std::chrono::seconds(3), [&] { return !world.fleet.vms.tokens.empty(); });
     EXPECT_EQ(world.WaveStatus(), is_published ? "" : "running");
@@ -272,7 +173,7 @@
     jobs::WaveProgress progress;
     progress.number = 1;
     progress.ordered = {VmId{"m0"}};
-    world.driver.Restore(progress);
+    world.driver->Restore(progress);
   }
   world.Start();
   world.RunUntil(std::chrono::seconds(3), [&] { return !vms.tokens.empty(); });
--- /dev/null
+++ b/tests/job_entry/vm_order_runs_test.cc
@@ -0,0 +1,157 @@
+#include <functional>
+
+#include <gtest/gtest.h>
+
+#include "tests/job_entry/driver_world.h"
+
+namespace chervilspar::job_entry {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+jobs::Step LongRunningStep(std::uint32_t count) {
+  jobs::Step step = jobs::SchedulerHarness::MakeStep(count);
+  step.is_long_running = true;
+  step.max_per_endpoint = 1;
+  return step;
+}
+
+/// Guards against orders of a former owner that has not noticed its successor. The VM service
+/// refuses its token only for VMs that the successor has ordered.
+TEST(VmOrders, AFormerOwnerOrdersNothingWhereTokensAreCompared) {
+  DriverWorld world(2);
+  world.entry.settings.vm_service_compares_tokens = true;
+  world.fleet.store.At(Topic::kOwners, 0)
+      .records.push_back({kOwnerKey, EncodeClaim({"b", "b", {"127.0.0.1", 2}})});
+  world.Start();
+  world.io.run_for(milliseconds(1500));
+  EXPECT_TRUE(world.fleet.vms.tokens.empty());
+}
+
+/// What an owner knows of the endpoint of a VM that a wave names.
+struct KnowledgeCase {
+  const char* name;
+  std::function<void(DriverWorld&)> prepare;
+  /// After the reboot is planned and before it is stored.
+  std::function<void(DriverWorld&)> change;
+};
+
+/// Guards against an order that ends runs of which the owner doesn't know: no knowledge of a run
+/// isn't knowledge that there is none.
+class VmOfUnknownUse : public ::testing::TestWithParam<KnowledgeCase> {};
+
+TEST_P(VmOfUnknownUse, IsNotRebooted) {
+  DriverWorld world(1);
+  world.stores_records = false;
+  GetParam().prepare(world);
+  world.Start();
+  world.io.run_for(milliseconds(800));
+  GetParam().change(world);
+  world.stores_records = true;
+  world.io.run_for(milliseconds(1000));
+  EXPECT_TRUE(world.fleet.vms.tokens.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Knowledge, VmOfUnknownUse,
+    ::testing::Values(KnowledgeCase{"never_answered",
+                                    [](DriverWorld& world) {
+                                      world.silent.insert("i0");
+                                      world.world.scheduler.SetEndpoints({}, world.world.now);
+                                      world.world.scheduler.SetEndpoints(
+                                          {jobs::SchedulerHarness::Endpoint("i0")},
+                                          world.world.now);
+                                    },
+                                    [](DriverWorld&) {}},
+                      KnowledgeCase{"lists_a_run_without_claim", [](DriverWorld&) {},
+                                    [](DriverWorld& world) {
+                                      const jobs::TaskKey task{jobs::JobId{7}, 0, 0, 0};
+                                      world.runs["i0"] = {{task, 1, "", 100, 0}};
+                                      world.world.AnswerRenewal("i0", world.runs["i0"], {});
+                                    }},
+                      KnowledgeCase{"unknown_after_a_restart", [](DriverWorld&) {},
+                                    [](DriverWorld& world) {
+                                      world.fleet.vms.vms[0].endpoint = "j0";
+                                      world.io.run_for(milliseconds(400));
+                                    }}),
+    [](const auto& info) { return info.param.name; });
+
+/// Guards against work for a VM whose move is under way: the service may execute it late.
+TEST(VmOrders, AVmThatIsLentGetsNoWorkWhileItsMoveIsUnderWay) {
+  DriverWorld world(8, true);
+  world.fleet.store.At(Topic::kOperators, 0).records = {{"rules", "1"}};
+  FakeVms& vms = world.fleet.vms;
+  vms.accepts_moves = true;
+  vms.move_delay = milliseconds(700);
+  for (std::size_t i = 5; i < 8; ++i) {
+    vms.vms[i].pool = ServiceId{"shop"};
+  }
+  world.Register();
+  world.AddPool("shop");
+  std::size_t ended = 0;
+  vms.on_executed = [&](const jobs::VmRecord& vm) {
+    ended += world.world.scheduler.UsageOf(vm.endpoint)->claims;
+  };
+  jobs::Job busy = jobs::SchedulerHarness::MakeJob(1, {jobs::SchedulerHarness::MakeStep(6, 8000)});
+  busy.queue = "shop";
+  busy.service = ServiceId{"shop"};
+  busy.steps[0].estimate_ms = 60000;
+  world.world.scheduler.AddJob(busy, WallTime{});
+  world.Start();
+  world.RunUntil(std::chrono::seconds(4), [&] { return !vms.moves.empty(); });
+  ASSERT_FALSE(vms.moves.empty());
+  world.world.scheduler.AddJob(jobs::SchedulerHarness::MakeJob(2, {LongRunningStep(5)}),
+                               WallTime{});
+  EXPECT_FALSE(world.world.Round().starts.empty());
+  world.io.run_for(milliseconds(1000));
+  EXPECT_EQ(ended, 0U);
+}
+
+/// Guards against work that a successor gives to a VM whose move its predecessor has ordered and
+/// that is executed late.
+TEST(VmOrders, ASuccessorGivesNoWorkToAVmWithAMoveUnderWay) {
+  asio::io_context io;
+  FakeFleet fleet(io, 4);
+  fleet.store.At(Topic::kOperators, 0).records = {{"rules", "1:standby"}};
+  fleet.endpoints.task_time = std::chrono::seconds(30);
+  FakeVms& vms = fleet.vms;
+  vms.accepts_moves = true;
+  vms.late_delay = std::chrono::seconds(5);
+  for (int i = 0; i < 4; ++i) {
+    jobs::VmRecord vm;
+    vm.id = VmId{"m" + std::to_string(i)};
+    vm.pool = ServiceId{"desk"};
+    vm.phase = jobs::VmPhase::kUp;
+    vm.endpoint = "i" + std::to_string(i);
+    vm.capacity = {8000, 8000, 0};
+    vms.vms.push_back(vm);
+    vms.unanswered[vm.id] = 1;
+  }
+  std::size_t ended = 0;
+  vms.on_executed = [&](const jobs::VmRecord& vm) {
+    ended += fleet.endpoints.endpoints[vm.endpoint].active.size();
+    fleet.endpoints.endpoints[vm.endpoint].is_unreachable = true;
+  };
+  FakeEntry& first = fleet.AddEntry("a");
+  first.settings.decisions.sizer.move_cost = milliseconds(1);
+  first.settings.decisions.sizer.move_time = milliseconds(1);
+  RunUntil(io, std::chrono::seconds(5), [&] { return !vms.moves.empty(); });
+  ASSERT_EQ(vms.moves.size(), 1U);
+  first.Disconnect();
+  vms.unanswered.clear();
+  FakeEntry& second = fleet.AddEntry("b");
+  RunUntil(io, std::chrono::seconds(6), [&] { return IsServing(second); });
+  ASSERT_TRUE(IsServing(second));
+  jobs::Job job = FakeFleet::MakeJob(1, 4);
+  job.steps[0].max_per_endpoint = 1;
+  job.steps[0].is_long_running = true;
+  asio::co_spawn(io, second.writer->Write({SubmissionKey(job.id), jobs::EncodeJob(job)}),
+                 asio::detached);
+  io.run_for(std::chrono::seconds(6));
+  EXPECT_GE(fleet.endpoints.starts.size(), 3U);
+  EXPECT_EQ(ended, 0U);
+}
+
+}  // namespace
+}  // namespace chervilspar::job_entry
--- a/tests/jobs/scheduler_harness.h
+++ b/tests/jobs/scheduler_harness.h
@@ -13,7 +13,10 @@
 class SchedulerHarness {
  public:
   explicit SchedulerHarness(SchedulerOptions options = {}, std::uint64_t token = 1)
-      : options(options), scheduler(options, token, TimePoint{}) {
+      : SchedulerHarness(options, token, TimePoint{}, TimePoint{} + std::chrono::seconds(1)) {}
+  SchedulerHarness(SchedulerOptions options, std::uint64_t token, TimePoint term_start,
+                   TimePoint now)
+      : options(options), scheduler(options, token, term_start), now(now) {
     Policy policy;
     policy.version = 1;
     Queue queue;
@@ -153,7 +156,7 @@
   SchedulerOptions options;
   Policy policy;
   Scheduler scheduler;
-  TimePoint now = TimePoint{} + std::chrono::seconds(1);
+  TimePoint now;
   std::vector<EndpointRecord> endpoints;
   std::map<JobId, std::string> stored;
   std::map<JobId, std::map<std::uint32_t, std::string>> further_parts;
