VmDriver: Require proof of ownership for every order

Callers saw tasks ended by moves of their VMs. One way: an owner that was paused, or cut off from the store alone, sends the moves and reboots that it had queued while its successor already places work on these VMs.

Cause: where the VM service compares tokens, orders needed no proof. But the service compares them for each VM separately. A successor that has placed tasks on a VM has told its token to the endpoint, not to the service, which then accepts the older one.

Change: every order needs proof that is younger than 300 ms, whatever its receiver compares.

What it costs: moves and reboots wait while the store is away or answers later than 300 ms.

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -36,7 +36,6 @@
   std::string vm_order_pause;
   std::string vm_order_rate;
   std::string vm_move_cost;
-  std::string vm_service_compares_tokens;
   std::string drain_time;
   std::string cores;
   std::string link_rate;
@@ -98,8 +97,6 @@
   Duration vm_order_pause = std::chrono::seconds(3);
   /// VM orders per second that the platform accepts from all entries together.
   double vm_order_rate = 64;
-  /// Whether the VM service rejects an order whose token is lower than one that it has seen.
-  bool vm_service_compares_tokens = false;
   /// Maximum time that a shutdown waits for requests in flight.
   Duration drain_time = std::chrono::milliseconds(4500);
   /// Processor cores, possibly a fraction of one, that this VM provides. Entries with more are
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -66,8 +66,6 @@
           "The largest record that the store accepts, in bytes [262144]");
   AddFlag(app, "--append-limit", raw.append_limit,
           "The largest sum of the records that the store accepts at once, in bytes [2097152]");
-  AddFlag(app, "--vm-service-compares-tokens", raw.vm_service_compares_tokens,
-          "true where the service for VMs refuses orders with an old token [false]");
   AddFlag(app, "--drain-time", raw.drain_time,
           "Longest that a shutdown waits for requests in flight [4500ms]");
   AddFlag(app, "--cores", raw.cores,
--- a/src/job_entry/owner_proof.h
+++ b/src/job_entry/owner_proof.h
@@ -12,8 +12,7 @@
 
 namespace chervilspar::job_entry {
 
-/// Proof that no entry has claimed after this owner. Orders need it where their receivers don't
-/// compare tokens.
+/// Proof that no entry has claimed after this owner, which orders for VMs need.
 ///
 /// All pending orders share one query. With one query each, a slow store would have all connections
 /// to it in use, the joins of this owner would get none, and the group would drop it.
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -220,9 +220,6 @@
   settings.vm_order_rate =
       check.Number("--vm-order-rate", raw.vm_order_rate, settings.vm_order_rate, kMinRate, kMaxRate,
                    "a number of orders per second from 0.1 to 100000");
-  settings.vm_service_compares_tokens =
-      check.Boolean("--vm-service-compares-tokens", raw.vm_service_compares_tokens,
-                    settings.vm_service_compares_tokens);
   settings.cores = check.Number("--cores", raw.cores, settings.cores, kMinCores, kMaxCores,
                                 "a number of cores from 0.01 to 1024");
   settings.link_rate = check.Number("--link-rate", raw.link_rate, settings.link_rate, kMinRate,
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -71,10 +71,10 @@
 
   boost::asio::awaitable<void> Round(TimePoint began);
   /// True while an order may be sent. A process that was paused for seconds, or is cut off from the
-  /// store alone, would send orders concurrently with its successor; where the service doesn't
-  /// compare tokens, these could reboot a VM to which the successor has just assigned work. So an
-  /// order needs recent proof that there is no successor, and a successor sends no order in its
-  /// first moment.
+  /// store alone, would send orders concurrently with its successor. The service can't be relied on
+  /// to refuse them: it compares tokens for each VM separately, and the successor may not have sent
+  /// an order for that VM. So an order needs recent proof that there is no successor, and a
+  /// successor sends no order in its first moment.
   boost::asio::awaitable<bool> IsStillOwner();
   /// Adds the endpoints that the wave has yet to reboot to `due`.
   boost::asio::awaitable<void> DriveWave(const jobs::Wave& wave, std::set<std::string>& due);
--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -26,9 +26,6 @@
 }  // namespace
 
 asio::awaitable<bool> VmDriver::IsStillOwner() {
-  if (this->context.settings.vm_service_compares_tokens) {
-    co_return !this->is_stopped;
-  }
   this->proof.Record(this->scheduler.Proof());
   const bool is_proven = co_await this->proof.IsYoungerThan(kMaxOrderProofAge);
   if (!is_proven) {
--- a/tests/job_entry/settings_test.cc
+++ b/tests/job_entry/settings_test.cc
@@ -58,9 +58,9 @@
         SettingsCase{"zero_rate_and_not_a_boolean",
                      [](RawJobEntrySettings& raw) {
                        raw.vm_order_rate = "0";
-                       raw.vm_service_compares_tokens = "yes";
+                       raw.link_budget = "yes";
                      },
-                     {"--vm-order-rate", "--vm-service-compares-tokens"}},
+                     {"--vm-order-rate", "--link-budget"}},
         SettingsCase{"decisions_on_request",
                      [](RawJobEntrySettings& raw) {
                        raw.account_shares = "true";
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -98,7 +98,6 @@
 /// store with one query each.
 TEST(VmDriver, WaitingOrdersShareOneQueryForASuccessor) {
   DriverWorld world(16);
-  world.entry.settings.vm_service_compares_tokens = false;
   world.fleet.vms.is_busy = true;
   world.fleet.store.answer_time = milliseconds(240);
   world.Start();
--- a/tests/job_entry/vm_order_runs_test.cc
+++ b/tests/job_entry/vm_order_runs_test.cc
@@ -21,7 +21,7 @@
 /// refuses its token only for VMs that the successor has ordered.
 TEST(VmOrders, AFormerOwnerOrdersNothingWhereTokensAreCompared) {
   DriverWorld world(2);
-  world.entry.settings.vm_service_compares_tokens = true;
+  world.io.run_for(milliseconds(400));  // The proof that its term began with is old.
   world.fleet.store.At(Topic::kOwners, 0)
       .records.push_back({kOwnerKey, EncodeClaim({"b", "b", {"127.0.0.1", 2}})});
   world.Start();
