VmDriver: Order a VM only when its endpoint has reported that it runs nothing

Callers saw tasks of a lasting service ended by moves and so away at the same time as others of their step.

Cause: an order for a VM, which ends whatever runs there, rested on the absence of knowledge. "Empty" meant that this owner has no claim on the endpoint: true of an endpoint that has never answered this owner, that lists a run without a claim, or whose id the owner doesn't know. And the look came before the order, while idle VMs that a pool lends (sizing by demand) went on taking work until the move was carried out: the owner itself started tasks there.

Change: `Scheduler::OccupancyOf` takes the place of `EvacuationOf`. An endpoint is empty only if it is closed to new work and has since then reported, in this term, that it runs nothing, or if it can't be reached and all leases on it have certainly lapsed. Orders that lack the report ask for it (`RequestReport`), and go as soon as it arrives; a VM is closed when its move is decided, and takes work again if the move isn't ordered within a second. A VM that the list doesn't show is ordered only again, after an order without an answer. Moves get a source of their own.

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -128,8 +128,18 @@
   bool is_probe = false;
 };
 
-/// Whether an endpoint that is being evacuated still has claims.
-enum class EvacuationState { kUnknownEndpoint, kRunning, kEmpty };
+/// What is known of the runs on an endpoint that is being evacuated. Orders that end whatever runs
+/// there need `kEmpty`: that no run is known doesn't show that there is none.
+enum class Occupancy {
+  /// It has claims, or lists runs that match no claim.
+  kOccupied,
+  /// No run is known, and no report that was requested since the evacuation began shows it.
+  kUnconfirmed,
+  /// It has reported that it runs nothing, or all leases on it have certainly lapsed.
+  kEmpty,
+};
+
+const char* ToString(Occupancy occupancy);
 
 /// How an endpoint is used; input to the selection of VMs.
 struct EndpointUsage {
@@ -275,12 +285,16 @@
   bool IsSuperseded() const;
 
   // Evacuation, before a VM is rebooted or moved.
-  void BeginEvacuation(const std::string& endpoint);
+  void BeginEvacuation(const std::string& endpoint, TimePoint now);
   void EndEvacuation(const std::string& endpoint);
   /// Sets the endpoints whose VMs will be rebooted soon. Long-running tasks are placed on others if
   /// possible.
   void SetUpcomingReboots(const std::set<std::string>& endpoints);
-  EvacuationState EvacuationOf(const std::string& endpoint) const;
+  Occupancy OccupancyOf(const std::string& endpoint, TimePoint now) const;
+  /// `PlanRenewal` of the endpoint requests a report, even if there is nothing to renew, until a
+  /// report has arrived or the evacuation ends. False if that is so already, or if the endpoint is
+  /// unknown.
+  bool RequestReport(const std::string& endpoint);
   /// `nullopt` for an unknown endpoint.
   std::optional<EndpointUsage> UsageOf(const std::string& endpoint) const;
   std::map<ServiceId, PoolLoad> PoolLoads() const;
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -347,6 +347,13 @@
   }
 }
 
+void OrderSender::WakeEndpoint(const std::string& endpoint) {
+  const auto channel = this->channels.find(endpoint);
+  if (channel != this->channels.end()) {
+    channel->second->wakeup->Notify();
+  }
+}
+
 /// Each VM that moves registers a new endpoint. Without this, the channels of thousands of former
 /// endpoints would wake up every second.
 void OrderSender::DropEndpoints(const std::vector<std::string>& endpoints) {
--- a/src/job_entry/order_sender.h
+++ b/src/job_entry/order_sender.h
@@ -30,6 +30,8 @@
   void Send(jobs::Orders orders);
   /// Starts renewing leases at the endpoint, if it is new.
   void AddEndpoint(const std::string& endpoint);
+  /// Plans a renewal of the endpoint now if none is in progress.
+  void WakeEndpoint(const std::string& endpoint);
   /// The scheduler has forgotten these endpoints: stops renewing leases there, once their orders
   /// have been sent.
   void DropEndpoints(const std::vector<std::string>& endpoints);
--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -75,7 +75,7 @@
       keeper(std::make_shared<LeaseKeeper>(
           context, OptionsFor(context), token, [this] { return this->LastProof(); },
           [this] { this->Stop("an endpoint has seen a higher token"); })),
-      vms(context, operators, directory, this->scheduler, this->member, token),
+      vms(context, operators, directory, this->scheduler, *this, this->member, token),
       share_metrics(context.metrics),
       admission(context, this->scheduler),
       decide(std::make_shared<http::Wakeup>(context.io.get_executor())),
@@ -104,6 +104,8 @@
 
 void OwnerTerm::RequestRound() { this->decide->Notify(); }
 
+void OwnerTerm::WakeEndpoint(const std::string& endpoint) { this->sender.WakeEndpoint(endpoint); }
+
 asio::awaitable<void> OwnerTerm::Run(std::shared_ptr<OwnerTerm> self) {
   while (!this->is_stopped && !this->is_loaded) {
     this->is_loaded = co_await this->Load();
@@ -231,6 +233,7 @@
     if (this->scheduler.HasBatch()) {
       this->store->Notify();
     }
+    this->vms.OnReports();
     this->advise->Notify();
     this->LogNotes();
     this->CountPreemptions();
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -36,7 +36,7 @@
 ///
 /// Reads the state under a new token, drives a `jobs::Scheduler` with facts, and executes its
 /// decisions. Ends as soon as the store, an endpoint or a claim shows a higher token.
-class OwnerTerm : public std::enable_shared_from_this<OwnerTerm> {
+class OwnerTerm : public std::enable_shared_from_this<OwnerTerm>, private VmDriverHost {
  public:
   /// `member`: the name of this entry in its claim. `writer`: has announced the token.
   OwnerTerm(const Context& context, OperatorView& operators, OwnerDirectory& directory,
@@ -77,6 +77,7 @@
   /// Logs that the store will not accept the group, and returns its key.
   std::string ReportRejected(const std::vector<KeyedRecord>& group);
   void OnRecordsStored(const std::set<std::string>& rejected, bool has_batch);
+  void WakeEndpoint(const std::string& endpoint) override;
   void LoadWave(const KeyedRecord& record);
   /// Decodes the records whose keys begin with `prefix`.
   static std::vector<jobs::LapseNotice> ReadNotices(const std::vector<KeyedRecord>& records,
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -31,10 +31,12 @@
 }  // namespace
 
 VmDriver::VmDriver(const Context& context, OperatorView& operators, const OwnerDirectory& directory,
-                   jobs::Scheduler& scheduler, std::string member, std::uint64_t token)
+                   jobs::Scheduler& scheduler, VmDriverHost& host, std::string member,
+                   std::uint64_t token)
     : context(context),
       operators(operators),
       scheduler(scheduler),
+      host(host),
       token(token),
       proof(context, directory, std::move(member)),
       sizer(context.settings.decisions.sizer),
@@ -77,6 +79,13 @@
   this->OrderPendingReboots();
 }
 
+void VmDriver::OnReports() {
+  if (std::exchange(this->awaits_report, false)) {
+    this->OrderPendingReboots();
+    this->OrderPendingMoves();
+  }
+}
+
 asio::awaitable<void> VmDriver::Run(TimePoint began, std::weak_ptr<void> owner) {
   this->owner = std::move(owner);
   while (!this->is_stopped && this->context.links.vms != nullptr) {
@@ -110,6 +119,10 @@
   }
   this->vms = *std::move(list);
   this->listed_at = requested_at;
+  this->vm_index.clear();
+  for (std::size_t i = 0; i < this->vms.size(); ++i) {
+    this->vm_index.emplace(this->vms[i].id.text, i);
+  }
   this->UpdateReturnedVms();
 }
 
@@ -125,7 +138,7 @@
   this->RenewEvacuations(this->VmsToReboot(known));
   this->DropUnwantedReboots(known);
   this->OrderPendingReboots();
-  this->RepeatUnansweredMoves();
+  this->OrderPendingMoves();
   std::set<std::string> due;
   for (const auto& [number, wave] : known) {
     if (!this->is_stopped && !this->waves[number].is_complete) {
@@ -187,7 +200,7 @@
 }
 
 void VmDriver::Evacuate(const jobs::VmRecord& vm, const char* reason) {
-  this->scheduler.BeginEvacuation(vm.endpoint);
+  this->scheduler.BeginEvacuation(vm.endpoint, this->context.Now());
   LogEvent(telemetry::LogLevel::kInfo, "vm_evacuating", reason,
            {{"vm", vm.id.text}, {"endpoint", vm.endpoint}});
 }
@@ -210,7 +223,7 @@
 /// the VM would never become empty. A VM that is removed from the wave, in turn, must not stay
 /// empty.
 void VmDriver::RenewEvacuations(const std::set<VmId>& wanted) {
-  if (this->evacuating.empty() && this->released.empty()) {
+  if (this->evacuating.empty() && this->released.empty() && this->moving.empty()) {
     return;
   }
   for (const jobs::VmRecord& vm : this->vms) {
@@ -218,8 +231,9 @@
     if (!is_wanted && this->evacuating.erase(vm.id) > 0) {
       this->scheduler.EndEvacuation(vm.endpoint);
     }
-    if (this->evacuating.contains(vm.id) || this->released.contains(vm.id)) {
-      this->scheduler.BeginEvacuation(vm.endpoint);
+    if (this->evacuating.contains(vm.id) || this->released.contains(vm.id) ||
+        this->moving.contains(vm.id)) {
+      this->scheduler.BeginEvacuation(vm.endpoint, this->context.Now());
     }
   }
 }
@@ -278,7 +292,7 @@
       const auto used = static_cast<double>(this->scheduler.UsedIn(vm.pool).cpu);
       use_of->second = all > 0 ? used / all : 0;
     }
-    loads[vm.endpoint] = {!use->has_claims, use->has_long_running,
+    loads[vm.endpoint] = {use->is_empty, use->has_long_running,
                           this->operators.CordonedZones().contains(vm.zone), use_of->second};
   }
   return loads;
@@ -345,7 +359,7 @@
   for (const jobs::VmRecord& vm : this->vms) {
     const bool is_wanted = wanted.contains(vm.id);
     if (is_wanted && this->released.insert(vm.id).second) {
-      this->scheduler.BeginEvacuation(vm.endpoint);
+      this->scheduler.BeginEvacuation(vm.endpoint, this->context.Now());
     } else if (!is_wanted && !this->moving.contains(vm.id) && this->released.erase(vm.id) > 0) {
       this->scheduler.EndEvacuation(vm.endpoint);
     }
@@ -367,8 +381,7 @@
   for (const jobs::SizerPlan::Move& move : step.moves) {
     const bool may_move = !this->is_stopped && !this->refused_moves.contains({move.vm, move.to});
     if (may_move && this->budget.TryAcquire(this->context.Now())) {
-      this->moving[move.vm] = {move.to, this->context.Now()};
-      this->EnqueueOrder([this, move] { return this->Move(move.vm, move.to); });
+      this->BeginMove(move.vm, move.to);
     }
   }
 }
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "chervilspar/jobs/pool_sizer.h"
@@ -21,13 +22,25 @@
 
 namespace chervilspar::job_entry {
 
+/// What a VM driver needs of the term that it belongs to.
+class VmDriverHost {
+ public:
+  virtual ~VmDriverHost() = default;
+  /// Plans a renewal of the endpoint at once; see `jobs::Scheduler::RequestReport`.
+  virtual void WakeEndpoint(const std::string& endpoint) = 0;
+};
+
 /// Sends all orders for VMs: completes the operators' waves, and moves VMs between pools according
 /// to the demand of the queues.
+///
+/// An order ends whatever runs on its VM, and may be executed seconds after it was sent. Therefore
+/// the endpoint on the VM first gets no more work, and the order waits until the endpoint has
+/// reported since then that it runs nothing.
 class VmDriver {
  public:
   /// `member`: the name of this entry in its claim.
   VmDriver(const Context& context, OperatorView& operators, const OwnerDirectory& directory,
-           jobs::Scheduler& scheduler, std::string member, std::uint64_t token);
+           jobs::Scheduler& scheduler, VmDriverHost& host, std::string member, std::uint64_t token);
 
   /// Runs until stopped. `began`: when this entry took over. `owner`: keeps this object alive.
   boost::asio::awaitable<void> Run(TimePoint began, std::weak_ptr<void> owner);
@@ -40,6 +53,8 @@
   std::vector<KeyedRecord> TakeRecords();
   /// The records that were taken last are stored.
   void OnRecordsStored();
+  /// Endpoints may have reported: sends the orders that have waited for it.
+  void OnReports();
   /// The key of a wave's progress, and whether a key is one.
   static std::string WaveKey(std::uint64_t wave);
   static bool IsWaveKey(std::string_view key);
@@ -48,13 +63,17 @@
   std::optional<jobs::Resources> ListedCapacity() const;
 
  private:
-  /// The move of a VM to a pool that was ordered.
+  /// The move of a VM to a pool, from the decision until the VM is seen up in the pool.
   struct PendingMove {
     ServiceId pool;
+    /// The endpoint that gets no work.
+    std::string endpoint;
+    /// When it was decided, or answered.
     TimePoint since{};
     /// An order got no answer and may be executed later, so it is repeated until one does.
     bool is_unanswered = false;
-    bool is_in_flight = true;
+    bool is_in_flight = false;
+    bool is_done = false;
     TimePoint next_try{};
   };
   /// A reboot that is ordered until an answer tells its outcome. Its VM counts as down meanwhile,
@@ -82,7 +101,13 @@
   void DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known);
   void ForgetReboot(const VmId& vm);
   void OrderPendingReboots();
-  void RepeatUnansweredMoves();
+  /// Closes the VM's endpoint to work; the order follows when it is confirmed to run nothing.
+  void BeginMove(const VmId& vm, const ServiceId& pool);
+  void OrderPendingMoves();
+  /// The VM gets work again, unless it is to be empty for another reason.
+  void ForgetMove(const VmId& vm);
+  /// Whether the move is not to be ordered, although no order for it is under way.
+  bool IsMoveOutdated(const VmId& vm, const PendingMove& move) const;
   /// Null if the list doesn't show it.
   const jobs::VmRecord* FindVm(const VmId& id) const;
   /// What an order for the VM rests on at this time, for the log.
@@ -90,8 +115,12 @@
   /// Tells the claims on a VM when an order for it is answered, and counts those that it ended.
   void CountClaimsUnder(const VmId& id, jobs::VmOrderOutcome outcome,
                         std::vector<telemetry::LogField>& fields) const;
-  /// Whether the list shows the VM as up, or not at all, and its endpoint has no work.
-  bool MayBeOrdered(const VmId& vm) const;
+  jobs::Occupancy OccupancyOf(const jobs::VmRecord& vm) const;
+  /// Whether the list shows the VM as up, and nothing runs on it. A VM that isn't listed may only
+  /// be ordered again.
+  bool MayBeOrdered(const VmId& vm, bool is_unanswered) const;
+  /// The same; requests a report of the endpoint if that is what an order lacks.
+  bool CheckVm(const VmId& vm, bool is_unanswered);
   /// Whether an order that waited for its turn is still to be sent.
   bool IsRebootWanted(const VmId& vm) const;
   bool IsMoveWanted(const VmId& vm, const ServiceId& pool) const;
@@ -126,11 +155,14 @@
   const Context context;
   OperatorView& operators;
   jobs::Scheduler& scheduler;
+  VmDriverHost& host;
   const std::uint64_t token;
   OwnerProof proof;
   std::weak_ptr<void> owner;
   bool is_stopped = false;
   std::vector<jobs::VmRecord> vms;
+  /// The positions in `vms` by VM.
+  std::unordered_map<std::string, std::size_t> vm_index;
   /// When the list was requested.
   TimePoint listed_at{};
   TimePoint next_resize{};
@@ -145,6 +177,8 @@
   std::map<std::uint64_t, jobs::WaveProgress> waves;
   /// Waves whose progress has yet to be stored.
   std::set<std::uint64_t> changed_waves;
+  /// An order waits for a report of an endpoint.
+  bool awaits_report = false;
   /// Evacuated for a wave.
   std::set<VmId> evacuating;
   /// VMs whose reboot is pending or was executed, and that haven't been seen up since. A VM counts
@@ -157,7 +191,7 @@
   std::map<VmId, TimePoint> refused_reboots;
   /// Evacuated so that they can be moved.
   std::set<VmId> released;
-  /// VMs that were ordered to move and haven't been seen up in the new pool since.
+  /// VMs that are to move and haven't been seen up in the new pool since.
   std::map<VmId, PendingMove> moving;
   /// VMs that are up again after a move or a reboot, and the time by which their endpoints should
   /// have registered.
--- /dev/null
+++ b/src/job_entry/vm_driver_moves.cc
@@ -0,0 +1,144 @@
+#include <algorithm>
+
+#include "job_entry/vm_driver.h"
+
+namespace chervilspar::job_entry {
+
+namespace asio = boost::asio;
+using jobs::VmOrderOutcome;
+
+namespace {
+
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
+/// Before an order without a response is repeated. The service answers a repeat as if it were the
+/// first, so that the response tells the outcome.
+constexpr Duration kUnansweredOrderRetryDelay = std::chrono::seconds(1);
+/// Before the retry of an order that was not sent or was refused by a rate limit.
+constexpr Duration kUnsentOrderRetryDelay = std::chrono::milliseconds(100);
+/// A decision that can't be ordered for this long is dropped, and the VM gets work again.
+constexpr Duration kMaxDecisionAge = std::chrono::seconds(1);
+
+}  // namespace
+
+void VmDriver::BeginMove(const VmId& id, const ServiceId& pool) {
+  const jobs::VmRecord* vm = this->FindVm(id);
+  if (vm == nullptr) {
+    return;
+  }
+  const TimePoint now = this->context.Now();
+  this->scheduler.BeginEvacuation(vm->endpoint, now);
+  this->moving[id] = {.pool = pool, .endpoint = vm->endpoint, .since = now};
+  this->OrderPendingMoves();
+}
+
+void VmDriver::OrderPendingMoves() {
+  if (!this->may_order || !this->is_list_current || this->is_stopped) {
+    return;
+  }
+  const TimePoint now = this->context.Now();
+  std::vector<VmId> dropped;
+  for (auto& [vm, move] : this->moving) {
+    if (move.is_done || move.is_in_flight) {
+      continue;
+    }
+    if (this->IsMoveOutdated(vm, move)) {
+      dropped.push_back(vm);
+      continue;
+    }
+    if (now < move.next_try || !this->CheckVm(vm, move.is_unanswered)) {
+      continue;
+    }
+    // The first order was counted when it was decided.
+    if (move.is_unanswered && !this->budget.TryAcquire(now)) {
+      continue;
+    }
+    move.is_in_flight = true;
+    this->EnqueueOrder([this, vm = vm, pool = move.pool] { return this->Move(vm, pool); });
+  }
+  for (const VmId& vm : dropped) {
+    this->ForgetMove(vm);
+  }
+}
+
+bool VmDriver::IsMoveOutdated(const VmId& id, const PendingMove& move) const {
+  if (move.is_unanswered) {
+    return false;
+  }
+  const jobs::VmRecord* vm = this->FindVm(id);
+  const bool is_occupied = vm != nullptr && this->OccupancyOf(*vm) == jobs::Occupancy::kOccupied;
+  return is_occupied || this->context.Now() - move.since > kMaxDecisionAge;
+}
+
+void VmDriver::ForgetMove(const VmId& vm) {
+  const auto move = this->moving.find(vm);
+  const bool is_kept_empty =
+      this->released.contains(vm) || this->evacuating.contains(vm) || this->down.contains(vm);
+  if (!is_kept_empty) {
+    this->scheduler.EndEvacuation(move->second.endpoint);
+  }
+  this->moving.erase(move);
+}
+
+bool VmDriver::IsMoveWanted(const VmId& vm, const ServiceId& pool) const {
+  const auto move = this->moving.find(vm);
+  return move != this->moving.end() && move->second.pool == pool &&
+         this->MayBeOrdered(vm, move->second.is_unanswered);
+}
+
+asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool) {
+  VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
+  const bool is_owner = co_await this->IsStillOwner();
+  std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
+  if (is_owner && this->IsMoveWanted(vm, pool)) {
+    const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
+    outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
+  }
+  fields.push_back({"pool", pool.text});
+  this->CountClaimsUnder(vm, outcome, fields);
+  fields.push_back({"outcome", jobs::ToString(outcome)});
+  LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered",
+           "the demand of the queues requires the move", std::move(fields));
+  this->OnMoveAnswered(vm, pool, outcome);
+}
+
+void VmDriver::OnMoveAnswered(const VmId& vm, const ServiceId& pool, VmOrderOutcome outcome) {
+  const auto found = this->moving.find(vm);
+  if (found == this->moving.end()) {
+    return;  // The list has shown it in its new pool before the answer.
+  }
+  PendingMove& move = found->second;
+  const TimePoint now = this->context.Now();
+  move.is_in_flight = false;
+  move.next_try = now + kUnansweredOrderRetryDelay;
+  switch (outcome) {
+    case VmOrderOutcome::kDone:
+      move.is_unanswered = false;
+      move.is_done = true;
+      move.since = now;
+      return;
+    case VmOrderOutcome::kNoAnswer:
+      move.is_unanswered = true;
+      return;
+    case VmOrderOutcome::kNotAllowed:
+      this->refused_moves.insert({vm, pool});
+      this->ForgetMove(vm);
+      return;
+    case VmOrderOutcome::kTokenTooLow:
+      this->is_stopped = true;
+      return;
+    case VmOrderOutcome::kRateLimited:
+      this->budget.OnRefused(now);
+      move.next_try = now + kUnsentOrderRetryDelay;
+      return;
+    case VmOrderOutcome::kNotSent:
+      move.next_try = now + kUnsentOrderRetryDelay;
+      return;
+    case VmOrderOutcome::kBusy:
+      if (!move.is_unanswered) {
+        this->ForgetMove(vm);
+      }
+      return;
+  }
+}
+
+}  // namespace chervilspar::job_entry
--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -38,11 +38,33 @@
   this->orders->Add([owner = this->owner.lock(), order = std::move(order)] { return order(); });
 }
 
-bool VmDriver::MayBeOrdered(const VmId& id) const {
+jobs::Occupancy VmDriver::OccupancyOf(const jobs::VmRecord& vm) const {
+  const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
+  const bool is_off = policy != nullptr && policy->standby.contains(vm.pool) &&
+                      !this->scheduler.UsageOf(vm.endpoint);
+  if (vm.endpoint.empty() || is_off) {
+    return jobs::Occupancy::kEmpty;
+  }
+  return this->scheduler.OccupancyOf(vm.endpoint, this->context.Now());
+}
+
+bool VmDriver::MayBeOrdered(const VmId& id, bool is_unanswered) const {
+  const jobs::VmRecord* vm = this->FindVm(id);
+  if (vm == nullptr) {
+    return is_unanswered;
+  }
+  return vm->phase == jobs::VmPhase::kUp && this->OccupancyOf(*vm) == jobs::Occupancy::kEmpty;
+}
+
+bool VmDriver::CheckVm(const VmId& id, bool is_unanswered) {
   const jobs::VmRecord* vm = this->FindVm(id);
-  return vm == nullptr ||
-         (vm->phase == jobs::VmPhase::kUp &&
-          this->scheduler.EvacuationOf(vm->endpoint) != jobs::EvacuationState::kRunning);
+  if (vm != nullptr && this->OccupancyOf(*vm) == jobs::Occupancy::kUnconfirmed) {
+    this->awaits_report = true;
+    if (this->scheduler.RequestReport(vm->endpoint)) {
+      this->host.WakeEndpoint(vm->endpoint);
+    }
+  }
+  return this->MayBeOrdered(id, is_unanswered);
 }
 
 std::vector<telemetry::LogField> VmDriver::EvidenceFor(const VmId& id) const {
@@ -82,9 +104,8 @@
 }
 
 const jobs::VmRecord* VmDriver::FindVm(const VmId& id) const {
-  const auto vm = std::find_if(this->vms.begin(), this->vms.end(),
-                               [&](const jobs::VmRecord& listed) { return listed.id == id; });
-  return vm == this->vms.end() ? nullptr : &*vm;
+  const auto place = this->vm_index.find(id.text);
+  return place == this->vm_index.end() ? nullptr : &this->vms[place->second];
 }
 
 bool VmDriver::IsRebootWanted(const VmId& vm) const {
@@ -97,12 +118,8 @@
   const bool is_listed =
       wave != known.end() &&
       std::find(wave->second.vms.begin(), wave->second.vms.end(), vm) != wave->second.vms.end();
-  return (is_listed || reboot->second.is_unanswered) && this->MayBeOrdered(vm);
-}
-
-bool VmDriver::IsMoveWanted(const VmId& vm, const ServiceId& pool) const {
-  const auto move = this->moving.find(vm);
-  return move != this->moving.end() && move->second.pool == pool && this->MayBeOrdered(vm);
+  return (is_listed || reboot->second.is_unanswered) &&
+         this->MayBeOrdered(vm, reboot->second.is_unanswered);
 }
 
 void VmDriver::DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known) {
@@ -112,7 +129,9 @@
     const bool is_wanted =
         wave != known.end() &&
         std::find(wave->second.vms.begin(), wave->second.vms.end(), vm) != wave->second.vms.end();
-    if (!is_wanted && !reboot.is_unanswered && !reboot.is_in_flight) {
+    // A VM that isn't listed any more would keep its place in the wave for ever.
+    const bool is_gone = this->FindVm(vm) == nullptr;
+    if ((!is_wanted || is_gone) && !reboot.is_unanswered && !reboot.is_in_flight) {
       this->ForgetReboot(vm);
     }
   }
@@ -135,7 +154,7 @@
   std::vector<VmId> due;
   for (const auto& [vm, reboot] : this->pending_reboots) {
     const bool is_due = reboot.is_stored && !reboot.is_in_flight && now >= reboot.next_try;
-    if (is_due && this->MayBeOrdered(vm)) {
+    if (is_due && this->CheckVm(vm, reboot.is_unanswered)) {
       due.push_back(vm);
     }
   }
@@ -150,11 +169,11 @@
 
 asio::awaitable<void> VmDriver::Reboot(VmId vm) {
   const std::uint64_t wave = this->pending_reboots.at(vm).wave;
-  const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->token};
   VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
   const bool is_owner = co_await this->IsStillOwner();
   std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
   if (is_owner && this->IsRebootWanted(vm)) {
+    const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->token};
     outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
   }
   fields.push_back({"wave", std::to_string(wave)});
@@ -201,76 +220,4 @@
   }
 }
 
-void VmDriver::RepeatUnansweredMoves() {
-  if (!this->may_order || this->is_stopped) {
-    return;
-  }
-  const TimePoint now = this->context.Now();
-  std::vector<std::pair<VmId, ServiceId>> due;
-  for (const auto& [vm, move] : this->moving) {
-    const bool is_due = move.is_unanswered && !move.is_in_flight && now >= move.next_try;
-    if (is_due && this->MayBeOrdered(vm)) {
-      due.emplace_back(vm, move.pool);
-    }
-  }
-  for (const auto& [vm, pool] : due) {
-    if (!this->budget.TryAcquire(now)) {
-      break;
-    }
-    this->moving.at(vm).is_in_flight = true;
-    this->EnqueueOrder([this, vm = vm, pool = pool] { return this->Move(vm, pool); });
-  }
-}
-
-asio::awaitable<void> VmDriver::Move(VmId vm, ServiceId pool) {
-  const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
-  VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
-  const bool is_owner = co_await this->IsStillOwner();
-  std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
-  if (is_owner && this->IsMoveWanted(vm, pool)) {
-    outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
-  }
-  fields.push_back({"pool", pool.text});
-  this->CountClaimsUnder(vm, outcome, fields);
-  fields.push_back({"outcome", jobs::ToString(outcome)});
-  LogEvent(telemetry::LogLevel::kInfo, "vm_move_ordered",
-           "the demand of the queues requires the move", std::move(fields));
-  this->OnMoveAnswered(vm, pool, outcome);
-}
-
-void VmDriver::OnMoveAnswered(const VmId& vm, const ServiceId& pool, VmOrderOutcome outcome) {
-  const auto move = this->moving.find(vm);
-  if (move == this->moving.end()) {
-    return;  // The list has shown it in its new pool before the answer.
-  }
-  const TimePoint now = this->context.Now();
-  move->second.is_in_flight = false;
-  move->second.next_try = now + kUnansweredOrderRetryDelay;
-  switch (outcome) {
-    case VmOrderOutcome::kDone:
-      move->second.is_unanswered = false;
-      move->second.since = now;
-      return;
-    case VmOrderOutcome::kNoAnswer:
-      move->second.is_unanswered = true;
-      return;
-    case VmOrderOutcome::kNotAllowed:
-      this->refused_moves.insert({vm, pool});
-      this->moving.erase(move);
-      return;
-    case VmOrderOutcome::kTokenTooLow:
-      this->is_stopped = true;
-      return;
-    case VmOrderOutcome::kRateLimited:
-      this->budget.OnRefused(now);
-      break;
-    case VmOrderOutcome::kNotSent:
-    case VmOrderOutcome::kBusy:
-      break;
-  }
-  if (!move->second.is_unanswered) {
-    this->moving.erase(move);
-  }
-}
-
 }  // namespace chervilspar::job_entry
--- a/src/jobs/former_leases.cc
+++ b/src/jobs/former_leases.cc
@@ -37,6 +37,7 @@
 void FormerLeases::OnStartSettled(EndpointState& endpoint, TimePoint now) {
   endpoint.pending_starts = std::max(endpoint.pending_starts - 1, 0);
   endpoint.last_order_settled = now;
+  endpoint.last_start_settled = now;
 }
 
 void FormerLeases::OnGrantedBefore(EndpointState& endpoint, TimePoint lease_end,
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -58,6 +58,9 @@
   endpoint.last_response = now;
   endpoint.last_answered_request = std::max(endpoint.last_answered_request, sent);
   endpoint.is_silent = false;
+  if (sent > endpoint.evacuating_since) {
+    endpoint.is_report_requested = false;
+  }
   if (is_first) {
     this->former_leases.OnFirstAnswer(endpoint, report, sent, now);
   }
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -122,7 +122,7 @@
     endpoint.pool = &state.pools[record.service];
     affected.insert(endpoint.pool);
   }
-  std::vector<std::string> forgotten = state.ForgetUnregisteredEndpoints();
+  std::vector<std::string> forgotten = state.ForgetUnregisteredEndpoints(now);
   this->impl->RebuildPools(affected);
   return forgotten;
 }
@@ -459,7 +459,7 @@
   const bool is_known = endpoint->clock_ms.has_value();
   const bool is_clock_old = is_known && now - endpoint->clock_at > kMaxClockAge;
   plan.is_needed =
-      has_claims || !endpoint->orphaned_runs.empty() ||
+      has_claims || !endpoint->orphaned_runs.empty() || endpoint->is_report_requested ||
       (endpoint->is_registered && (!is_known || is_clock_old || endpoint->is_silent)) ||
       endpoint->confirmed_end < endpoint->seen_end;
   const bool may_renew =
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -128,13 +128,17 @@
   return *slot;
 }
 
-std::vector<std::string> SchedulerState::ForgetUnregisteredEndpoints() {
+std::vector<std::string> SchedulerState::ForgetUnregisteredEndpoints(TimePoint now) {
   std::vector<std::string> forgotten;
+  std::erase_if(this->forgotten_leases, [now](const auto& lease) { return lease.second < now; });
   std::erase_if(this->endpoints, [&](const auto& entry) {
     const EndpointState& endpoint = *entry.second;
     const bool is_gone = !endpoint.is_registered && endpoint.claims.empty() &&
                          !endpoint.has_lapse_notice && !endpoint.has_long_lease_notice;
     if (is_gone) {
+      if (endpoint.lease_end >= now) {
+        this->forgotten_leases[entry.first] = endpoint.lease_end;
+      }
       this->endpoint_index.erase(entry.first);
       this->leaving.erase(entry.first);
       std::erase_if(this->reservations,
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -229,6 +229,9 @@
   EndpointRecord record;
   bool is_registered = false;
   bool is_evacuating = false;
+  TimePoint evacuating_since{};
+  /// A report is to show whether it is empty.
+  bool is_report_requested = false;
   /// Its zone is cordoned; see `ZoneCordon`.
   bool is_cordoned = false;
   /// Its VM is to be rebooted soon.
@@ -254,6 +257,7 @@
   bool is_renewal_pending = false;
   int pending_starts = 0;
   TimePoint last_order_settled{};
+  TimePoint last_start_settled{};
   /// An earlier owner may have asked for leases on the clock of a former incarnation.
   bool has_former_orders_of_predecessor = false;
   /// Leases that its current incarnation took from orders for a former one may last until then.
@@ -371,7 +375,7 @@
   EndpointState& GetOrCreateEndpoint(const std::string& id);
   /// Forgets the endpoints that aren't registered and have neither claims nor notices, and returns
   /// their ids.
-  std::vector<std::string> ForgetUnregisteredEndpoints();
+  std::vector<std::string> ForgetUnregisteredEndpoints(TimePoint now);
   /// Call after a change of what `EndpointState::IsLeaving` depends on.
   void RefreshLeaving(EndpointState& endpoint);
 
@@ -468,6 +472,8 @@
   std::map<std::string, std::unique_ptr<EndpointState>> endpoints;
   /// A hash index of `endpoints`, for the thousands of lookups in a round.
   std::unordered_map<std::string, EndpointState*> endpoint_index;
+  /// When the leases on endpoints that were forgotten have certainly lapsed.
+  std::map<std::string, TimePoint> forgotten_leases;
   /// The endpoints that are leaving, by id.
   std::map<std::string, EndpointState*> leaving;
   std::map<ServiceId, PoolState> pools;
--- a/src/jobs/scheduler_views.cc
+++ b/src/jobs/scheduler_views.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <utility>
 
+#include "jobs/occupancy.h"
 #include "jobs/scheduler_impl.h"
 
 namespace chervilspar::jobs {
@@ -157,9 +159,11 @@
 
 }  // namespace
 
-void Scheduler::BeginEvacuation(const std::string& id) {
-  if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
+void Scheduler::BeginEvacuation(const std::string& id, TimePoint now) {
+  EndpointState* endpoint = this->impl->state.FindEndpoint(id);
+  if (endpoint != nullptr && !endpoint->is_evacuating) {
     endpoint->is_evacuating = true;
+    endpoint->evacuating_since = now;
     this->impl->state.RefreshLeaving(*endpoint);
   }
 }
@@ -167,6 +171,7 @@
 void Scheduler::EndEvacuation(const std::string& id) {
   if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
     endpoint->is_evacuating = false;
+    endpoint->is_report_requested = false;
     this->impl->state.RefreshLeaving(*endpoint);
   }
 }
@@ -177,12 +182,13 @@
   }
 }
 
-EvacuationState Scheduler::EvacuationOf(const std::string& id) const {
-  const EndpointState* endpoint = this->impl->state.FindEndpoint(id);
-  if (endpoint == nullptr) {
-    return EvacuationState::kUnknownEndpoint;
-  }
-  return endpoint->claims.empty() ? EvacuationState::kEmpty : EvacuationState::kRunning;
+Occupancy Scheduler::OccupancyOf(const std::string& id, TimePoint now) const {
+  return jobs::OccupancyOf(this->impl->state, id, now);
+}
+
+bool Scheduler::RequestReport(const std::string& id) {
+  EndpointState* endpoint = this->impl->state.FindEndpoint(id);
+  return endpoint != nullptr && !std::exchange(endpoint->is_report_requested, true);
 }
 
 std::optional<EndpointUsage> Scheduler::UsageOf(const std::string& id) const {
--- a/tests/job_entry/driver_world.h
+++ b/tests/job_entry/driver_world.h
@@ -13,13 +13,15 @@
 
 namespace chervilspar::job_entry {
 
-/// A driver with its own scheduler, to which the test reports the endpoints. A wave names all VMs.
-class DriverWorld {
+/// A driver with its own scheduler, to which the test registers the endpoints; these answer at once
+/// when the driver asks. A wave names all VMs.
+class DriverWorld : public VmDriverHost {
  public:
   explicit DriverWorld(int count, bool sizes_by_demand = false) : fleet(this->io, 0) {
     this->entry.settings.decisions.sizer.sizes_by_demand = sizes_by_demand;
-    this->driver = std::make_unique<VmDriver>(this->entry.context, this->entry.operators,
-                                              this->entry.directory, this->world.scheduler, "a", 1);
+    this->driver =
+        std::make_unique<VmDriver>(this->entry.context, this->entry.operators,
+                                   this->entry.directory, this->world.scheduler, *this, "a", 1);
     std::string names;
     for (int i = 0; i < count; ++i) {
       const std::string number = std::to_string(i);
@@ -37,7 +39,7 @@
         .records.push_back({kOwnerKey, EncodeClaim({"a", "a", {"127.0.0.1", 1}})});
     this->Register();
   }
-  ~DriverWorld() {
+  ~DriverWorld() override {
     this->driver->Stop();
     this->is_over = true;
     this->io.run_for(std::chrono::milliseconds(200));
@@ -120,6 +122,19 @@
   /// The stored progress of the wave.
   jobs::WaveProgress stored;
   std::unique_ptr<VmDriver> driver;
+
+ private:
+  void WakeEndpoint(const std::string& endpoint) override {
+    if (this->silent.contains(endpoint)) {
+      return;
+    }
+    const TimePoint now = this->entry.context.Now();
+    const jobs::RenewalPlan plan = this->world.scheduler.PlanRenewal(endpoint, now);
+    jobs::RenewalReport report;
+    report.born_ms = 1;
+    report.active = this->runs[endpoint];
+    this->world.scheduler.OnRenewalAnswered(plan.order, report, now, now);
+  }
 };
 
 }  // namespace chervilspar::job_entry
--- a/tests/jobs/evacuation_test.cc
+++ b/tests/jobs/evacuation_test.cc
@@ -58,7 +58,7 @@
   /// Evacuates all endpoints that run a task.
   void EvacuateAll() {
     for (const auto& [endpoint, starts] : this->runs) {
-      this->harness.scheduler.BeginEvacuation(endpoint);
+      this->harness.scheduler.BeginEvacuation(endpoint, this->harness.now);
     }
   }
 
--- a/tests/jobs/gang_test.cc
+++ b/tests/jobs/gang_test.cc
@@ -159,32 +159,35 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Changes, GangBeingStored,
-    ::testing::Values(
-        WithdrawalCase{
-            "evacuating",
-            [](Harness& harness, const std::string& id) { harness.scheduler.BeginEvacuation(id); }},
-        WithdrawalCase{"draining",
-                       [](Harness& harness, const std::string& id) {
-                         for (EndpointRecord& record : harness.endpoints) {
-                           record.is_draining = record.id == id;
-                         }
-                         harness.scheduler.SetEndpoints(harness.endpoints, harness.now);
-                       }},
-        WithdrawalCase{"unregistered",
-                       [](Harness& harness, const std::string& id) {
-                         std::erase_if(harness.endpoints, [&](const EndpointRecord& record) {
-                           return record.id == id;
-                         });
-                         harness.scheduler.SetEndpoints(harness.endpoints, harness.now);
-                       }},
-        WithdrawalCase{"another_endpoint_at_its_address",
-                       [](Harness& harness, const std::string& id) {
-                         harness.scheduler.OnRenewalFailed(id, OrderOutcome::kOtherIncarnation,
-                                                           harness.now);
-                       }},
-        WithdrawalCase{
-            "restarted",
-            [](Harness& harness, const std::string& id) { harness.AnswerRenewal(id, {}, {}, 2); }}),
+    ::testing::Values(WithdrawalCase{"evacuating",
+                                     [](Harness& harness, const std::string& id) {
+                                       harness.scheduler.BeginEvacuation(id, harness.now);
+                                     }},
+                      WithdrawalCase{"draining",
+                                     [](Harness& harness, const std::string& id) {
+                                       for (EndpointRecord& record : harness.endpoints) {
+                                         record.is_draining = record.id == id;
+                                       }
+                                       harness.scheduler.SetEndpoints(harness.endpoints,
+                                                                      harness.now);
+                                     }},
+                      WithdrawalCase{
+                          "unregistered",
+                          [](Harness& harness, const std::string& id) {
+                            std::erase_if(harness.endpoints, [&](const EndpointRecord& record) {
+                              return record.id == id;
+                            });
+                            harness.scheduler.SetEndpoints(harness.endpoints, harness.now);
+                          }},
+                      WithdrawalCase{"another_endpoint_at_its_address",
+                                     [](Harness& harness, const std::string& id) {
+                                       harness.scheduler.OnRenewalFailed(
+                                           id, OrderOutcome::kOtherIncarnation, harness.now);
+                                     }},
+                      WithdrawalCase{"restarted",
+                                     [](Harness& harness, const std::string& id) {
+                                       harness.AnswerRenewal(id, {}, {}, 2);
+                                     }}),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
--- a/tests/jobs/placing_cost_test.cc
+++ b/tests/jobs/placing_cost_test.cc
@@ -40,7 +40,7 @@
     records.push_back(World::Endpoint("e" + std::to_string(10000 + i)));
   }
   world.Register(records);
-  world.scheduler.BeginEvacuation(records.front().id);
+  world.scheduler.BeginEvacuation(records.front().id, world.now);
   if (param.is_full) {
     const auto count = static_cast<std::uint32_t>(endpoints);
     world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(count, 8000)}), WallTime{});
--- a/tests/jobs/queued_starts_test.cc
+++ b/tests/jobs/queued_starts_test.cc
@@ -84,9 +84,10 @@
                            [](EndpointRecord& record) { record.is_draining = true; });
                      },
                      false},
-        ObsoleteCase{"endpoint_evacuated",
-                     [](QueuedStart& world) { world.scheduler.BeginEvacuation(world.Where()); },
-                     false},
+        ObsoleteCase{
+            "endpoint_evacuated",
+            [](QueuedStart& world) { world.scheduler.BeginEvacuation(world.Where(), world.now); },
+            false},
         ObsoleteCase{"endpoint_gone", [](QueuedStart& world) { world.RemoveEndpoint(); }, false},
         ObsoleteCase{"endpoint_restarted",
                      [](QueuedStart& world) {
--- a/tests/jobs/run_races_test.cc
+++ b/tests/jobs/run_races_test.cc
@@ -267,7 +267,7 @@
                                   0},
                       LeavingCase{"Evacuated",
                                   [](World& world, const EndpointRecord& record) {
-                                    world.scheduler.BeginEvacuation(record.id);
+                                    world.scheduler.BeginEvacuation(record.id, world.now);
                                   },
                                   0},
                       LeavingCase{"Gone",
--- a/tests/jobs/scheduler_test.cc
+++ b/tests/jobs/scheduler_test.cc
@@ -269,21 +269,21 @@
 };
 
 TEST_F(EvacuationTest, EndsOneTaskAtATime) {
-  this->harness.scheduler.BeginEvacuation("a");
-  this->harness.scheduler.BeginEvacuation("b");
+  this->harness.scheduler.BeginEvacuation("a", this->harness.now);
+  this->harness.scheduler.BeginEvacuation("b", this->harness.now);
   EXPECT_EQ(this->harness.Round().stops.size(), 1U);
 }
 
 TEST_F(EvacuationTest, EndsNoneWhileASiblingsEndpointIsUnresponsive) {
   this->harness.scheduler.OnRenewalFailed("c", OrderOutcome::kNoAnswer, this->harness.now);
-  this->harness.scheduler.BeginEvacuation("a");
+  this->harness.scheduler.BeginEvacuation("a", this->harness.now);
   EXPECT_TRUE(this->harness.Round().stops.empty());
 }
 
 /// Without recent answers from an endpoint that is being evacuated, its task may still be serving.
 TEST_F(EvacuationTest, AssumesATaskWithoutRecentReportsToBeServing) {
-  this->harness.scheduler.BeginEvacuation("a");
-  this->harness.scheduler.BeginEvacuation("b");
+  this->harness.scheduler.BeginEvacuation("a", this->harness.now);
+  this->harness.scheduler.BeginEvacuation("b", this->harness.now);
   this->harness.AdvanceTime(std::chrono::seconds(2));
   EXPECT_TRUE(this->harness.Round().stops.empty());
 }
@@ -291,7 +291,7 @@
 TEST_F(EvacuationTest, EndsNoneWhileASiblingIsStarting) {
   this->AnswerAllRenewals(100);
   this->harness.AnswerRenewal("c", {Harness::Active(this->running["c"], 20)}, {});
-  this->harness.scheduler.BeginEvacuation("a");
+  this->harness.scheduler.BeginEvacuation("a", this->harness.now);
   EXPECT_TRUE(this->harness.Round().stops.empty());
 }
 
@@ -312,16 +312,16 @@
 TEST_F(EvacuationTest, EndsNoneThatMayBeServingSinceTheLastReport) {
   this->harness.AnswerRenewal("a", {Harness::Active(this->running["a"], 20)}, {});
   this->harness.AnswerRenewal("b", {Harness::Active(this->running["b"], 20)}, {});
-  this->harness.scheduler.BeginEvacuation("a");
+  this->harness.scheduler.BeginEvacuation("a", this->harness.now);
   EXPECT_TRUE(this->harness.Round().stops.empty());
 }
 
 /// Guards against a wave that orders a VM for each task only after the previous task has moved. Of
 /// three tasks that leave, one moves to the only free endpoint, and two need another VM.
 TEST_F(EvacuationTest, RequestsAllMissingEndpointsAtOnce) {
-  this->harness.scheduler.BeginEvacuation("a");
-  this->harness.scheduler.BeginEvacuation("b");
-  this->harness.scheduler.BeginEvacuation("c");
+  this->harness.scheduler.BeginEvacuation("a", this->harness.now);
+  this->harness.scheduler.BeginEvacuation("b", this->harness.now);
+  this->harness.scheduler.BeginEvacuation("c", this->harness.now);
   EXPECT_EQ(this->harness.Round().stops.size(), 1U);
   EXPECT_EQ(this->harness.scheduler.PoolLoads().at(ServiceId{"desk"}).waiting_long_running, 2);
 }
@@ -335,7 +335,7 @@
   step.is_long_running = true;
   harness.scheduler.AddJob(Harness::MakeJob(1, {step}), WallTime{});
   const StartOrder start = harness.StartAll().at(0);
-  harness.scheduler.BeginEvacuation(start.endpoint);
+  harness.scheduler.BeginEvacuation(start.endpoint, harness.now);
   harness.AnswerRenewal(start.endpoint, {Harness::Active(start, 100)}, {});
   EXPECT_TRUE(harness.Round().stops.empty());
   harness.AdvanceTime(std::chrono::seconds(3));
@@ -377,7 +377,7 @@
     harness.AnswerRenewal("b", {}, {});
   }
   harness.AnswerRenewal("a", {Harness::Active(start, 100)}, {});
-  harness.scheduler.BeginEvacuation("a");
+  harness.scheduler.BeginEvacuation("a", harness.now);
   EXPECT_EQ(harness.Round().stops.size(), GetParam().stops);
   EXPECT_EQ(harness.scheduler.PoolLoads().at(ServiceId{"desk"}).waiting_long_running,
             GetParam().waiting);
@@ -402,7 +402,7 @@
   harness.scheduler.SetEndpoints({Harness::Endpoint("a"), Harness::Endpoint("b")}, harness.now);
   harness.AnswerRenewal("b", {}, {});
   harness.AnswerRenewal("a", {Harness::Active(start, 100)}, {});
-  harness.scheduler.BeginEvacuation("a");
+  harness.scheduler.BeginEvacuation("a", harness.now);
   ASSERT_EQ(harness.Round().stops.size(), 1U);
   harness.scheduler.AddJob(Harness::MakeJob(2, {Harness::MakeStep(1, 6000)}), Wall(harness));
   EXPECT_TRUE(harness.Round().starts.empty());
--- a/tests/jobs/zone_cordon_test.cc
+++ b/tests/jobs/zone_cordon_test.cc
@@ -152,7 +152,7 @@
 /// Sends a start to the eastern endpoint, which answers with `outcome`.
 StartOrder StartInTheEast(TwoZones& zones, Step step, OrderOutcome outcome) {
   zones.Add(1, std::move(step));
-  zones.world.scheduler.BeginEvacuation("w");
+  zones.world.scheduler.BeginEvacuation("w", zones.world.now);
   StartOrder start = zones.world.Round().starts.at(0);
   zones.world.scheduler.EndEvacuation("w");
   zones.world.scheduler.OnStartAnswered(start, outcome, zones.world.now);
@@ -171,7 +171,7 @@
   zones.Add(1, MakeLongRunning(1, 1000));
   zones.RunFor(seconds(3));
   zones.starts.clear();
-  zones.world.scheduler.BeginEvacuation("w");
+  zones.world.scheduler.BeginEvacuation("w", zones.world.now);
 }
 
 void StartGangAcross(TwoZones& zones) {
@@ -301,7 +301,7 @@
   zones.RunFor(seconds(3));
   zones.Cordon();
   EXPECT_EQ(zones.world.scheduler.PoolLoads().at(ServiceId{"desk"}).waiting_long_running, 0);
-  zones.world.scheduler.BeginEvacuation("e");
+  zones.world.scheduler.BeginEvacuation("e", zones.world.now);
   zones.RunFor(milliseconds(300));
   const PoolLoad load = zones.world.scheduler.PoolLoads().at(ServiceId{"desk"});
   EXPECT_EQ(load.waiting_long_running, 1);
