VmDriver: Store moves of VMs before they are ordered

Callers saw tasks of a lasting service ended by moves: also by one that a former owner had ordered and that was carried out under its successor.

Cause: a move without an answer may be executed seconds later, and only the owner that sent it knew. Its successor gave the VM work. Reboots were stored before they were ordered, but without the endpoint, so that a successor closed it only when it had read the list of VMs.

Change: a move is stored (`move/` + VM: pool and endpoint), with the owner's other records and under its token, before it is ordered; the record goes when the outcome is known. The progress of a wave names the closed endpoints. A successor closes them before its first decision and repeats the order until its outcome is known. As a former owner can't store under its token, whatever it may still send concerns VMs that its successor keeps empty. Moves whose records the store rejects are not ordered.

The log of a move tells how long it waited (waited_ms).

--- a/src/job_entry/owner_term.cc
+++ b/src/job_entry/owner_term.cc
@@ -106,6 +106,8 @@
 
 void OwnerTerm::WakeEndpoint(const std::string& endpoint) { this->sender.WakeEndpoint(endpoint); }
 
+void OwnerTerm::OnVmRecords() { this->store->Notify(); }
+
 asio::awaitable<void> OwnerTerm::Run(std::shared_ptr<OwnerTerm> self) {
   while (!this->is_stopped && !this->is_loaded) {
     this->is_loaded = co_await this->Load();
@@ -285,8 +287,11 @@
       jobs.insert(*id);
     }
   }
-  // A reboot whose record is rejected isn't ordered.
-  if (std::none_of(rejected.begin(), rejected.end(), VmDriver::IsWaveKey)) {
+  // A VM order whose record is rejected isn't sent.
+  const auto is_of_vms = [](const std::string& key) {
+    return VmDriver::IsWaveKey(key) || VmDriver::IsMoveKey(key);
+  };
+  if (std::none_of(rejected.begin(), rejected.end(), is_of_vms)) {
     this->vms.OnRecordsStored();
   }
   if (has_batch) {
--- a/src/job_entry/owner_term.h
+++ b/src/job_entry/owner_term.h
@@ -78,7 +78,9 @@
   std::string ReportRejected(const std::vector<KeyedRecord>& group);
   void OnRecordsStored(const std::set<std::string>& rejected, bool has_batch);
   void WakeEndpoint(const std::string& endpoint) override;
+  void OnVmRecords() override;
   void LoadWave(const KeyedRecord& record);
+  void LoadMove(const KeyedRecord& record);
   /// Decodes the records whose keys begin with `prefix`.
   static std::vector<jobs::LapseNotice> ReadNotices(const std::vector<KeyedRecord>& records,
                                                     std::string_view prefix);
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -93,6 +93,10 @@
       this->LoadWave(record);
       continue;
     }
+    if (record.value && VmDriver::IsMoveKey(record.key)) {
+      this->LoadMove(record);
+      continue;
+    }
     const std::optional<jobs::JobId> id = jobs::ParseJobId(record.key);
     if (!id || !record.value) {
       continue;
@@ -143,4 +147,14 @@
   this->vms.Restore(*progress);
 }
 
+void OwnerTerm::LoadMove(const KeyedRecord& record) {
+  const Result<jobs::MoveRecord> move = jobs::DecodeMoveRecord(*record.value);
+  if (!move) {
+    LogEvent(telemetry::LogLevel::kError, "progress_unreadable", ToString(move.LastReason()),
+             {{"key", record.key}});
+    return;
+  }
+  this->vms.Restore(*move);
+}
+
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -19,6 +19,7 @@
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
 const std::string kWavePrefix = "wave/";
+const std::string kMovePrefix = "move/";
 /// A move that isn't visible after this has not happened.
 constexpr Duration kLostMoveTimeout = std::chrono::seconds(6);
 /// An endpoint registers about 1 s after its VM is up.
@@ -48,7 +49,14 @@
 
 bool VmDriver::IsWaveKey(std::string_view key) { return key.starts_with(kWavePrefix); }
 
+std::string VmDriver::MoveKey(const VmId& vm) { return kMovePrefix + vm.text; }
+
+bool VmDriver::IsMoveKey(std::string_view key) { return key.starts_with(kMovePrefix); }
+
 void VmDriver::Restore(const jobs::WaveProgress& progress) {
+  for (const std::string& endpoint : progress.closed) {
+    this->scheduler.BeginEvacuation(endpoint, this->context.Now());
+  }
   this->waves[progress.number] = progress;
   for (const VmId& vm : progress.ordered) {
     this->pending_reboots[vm] = {.wave = progress.number, .is_stored = true, .is_unanswered = true};
@@ -66,6 +74,16 @@
   for (const auto& [vm, reboot] : this->pending_reboots) {
     this->recording_reboots.insert(vm);
   }
+  for (const VmId& vm : this->changed_moves) {
+    const auto move = this->moving.find(vm);
+    const bool is_settled = move == this->moving.end() || move->second.is_done;
+    std::optional<std::string> text;
+    if (!is_settled) {
+      text = jobs::EncodeMoveRecord({vm, move->second.pool, move->second.endpoint});
+    }
+    records.push_back({MoveKey(vm), std::move(text)});
+  }
+  this->recording_moves = std::exchange(this->changed_moves, {});
   return records;
 }
 
@@ -76,7 +94,15 @@
       reboot->second.is_stored = true;
     }
   }
+  for (const VmId& vm : std::exchange(this->recording_moves, {})) {
+    const auto move = this->moving.find(vm);
+    // A move of the VM that was decided meanwhile has yet to be stored.
+    if (move != this->moving.end() && !this->changed_moves.contains(vm)) {
+      move->second.is_stored = true;
+    }
+  }
   this->OrderPendingReboots();
+  this->OrderPendingMoves();
 }
 
 void VmDriver::OnReports() {
@@ -175,6 +201,9 @@
     const bool is_lost =
         !move->second.is_unanswered && this->listed_at - move->second.since > kLostMoveTimeout;
     if (vm.pool == move->second.pool || is_lost) {
+      if (!move->second.is_done) {
+        this->DropMoveRecord(vm.id, move->second);
+      }
       this->moving.erase(move);
       this->ExpectRegistration(vm);
       this->released.erase(vm.id);
@@ -271,9 +300,15 @@
   for (const VmId& vm : step.reboot) {
     // Counts as down before the order is sent.
     this->down[vm] = TimePoint::max();
-    this->pending_reboots[vm] = {.wave = wave.number};
+    const jobs::VmRecord* listed = this->FindVm(vm);
+    const std::string endpoint = listed == nullptr ? "" : listed->endpoint;
+    this->pending_reboots[vm] = {.wave = wave.number, .endpoint = endpoint};
     progress.ordered.insert(vm);
+    if (!endpoint.empty()) {
+      progress.closed.insert(endpoint);
+    }
     this->changed_waves.insert(wave.number);
+    this->host.OnVmRecords();
   }
 }
 
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "chervilspar/jobs/move_record.h"
 #include "chervilspar/jobs/pool_sizer.h"
 #include "chervilspar/jobs/scheduler.h"
 #include "chervilspar/jobs/upkeep.h"
@@ -28,14 +29,18 @@
   virtual ~VmDriverHost() = default;
   /// Plans a renewal of the endpoint at once; see `jobs::Scheduler::RequestReport`.
   virtual void WakeEndpoint(const std::string& endpoint) = 0;
+  /// There are records to store.
+  virtual void OnVmRecords() = 0;
 };
 
 /// Sends all orders for VMs: completes the operators' waves, and moves VMs between pools according
 /// to the demand of the queues.
 ///
-/// An order ends whatever runs on its VM, and may be executed seconds after it was sent. Therefore
-/// the endpoint on the VM first gets no more work, and the order waits until the endpoint has
-/// reported since then that it runs nothing.
+/// An order ends whatever runs on its VM, and may be executed seconds after it was sent, also when
+/// another entry has become the owner. Therefore the endpoint on the VM first gets no more work; an
+/// order waits until the endpoint has reported since then that it runs nothing, and until it is
+/// stored. A successor gives the VM no work either, and repeats the order until its outcome is
+/// known.
 class VmDriver {
  public:
   /// `member`: the name of this entry in its claim.
@@ -47,17 +52,22 @@
   void Stop() { this->is_stopped = true; }
   /// Restores the progress of a wave from a predecessor; call before `Run`.
   void Restore(const jobs::WaveProgress& progress);
-  bool HasRecords() const { return !this->changed_waves.empty(); }
-  /// The progress of waves that has changed and is to be stored. Without it, a successor would
-  /// evacuate and reboot all VMs of a wave again.
+  /// The same for a move that a predecessor has or would have ordered.
+  void Restore(const jobs::MoveRecord& move);
+  bool HasRecords() const { return !this->changed_waves.empty() || !this->changed_moves.empty(); }
+  /// The progress of waves and the moves that have changed and are to be stored. Without them, a
+  /// successor would evacuate and reboot all VMs of a wave again, and give work to VMs with orders
+  /// under way.
   std::vector<KeyedRecord> TakeRecords();
   /// The records that were taken last are stored.
   void OnRecordsStored();
   /// Endpoints may have reported: sends the orders that have waited for it.
   void OnReports();
-  /// The key of a wave's progress, and whether a key is one.
+  /// The keys of a wave's progress and of a move, and whether a key is one.
   static std::string WaveKey(std::uint64_t wave);
   static bool IsWaveKey(std::string_view key);
+  static std::string MoveKey(const VmId& vm);
+  static bool IsMoveKey(std::string_view key);
   /// The capacity of all VMs outside cordoned zones, including those that are off. 0 if there is no
   /// VM service; nothing before the first list has been read.
   std::optional<jobs::Resources> ListedCapacity() const;
@@ -70,6 +80,8 @@
     std::string endpoint;
     /// When it was decided, or answered.
     TimePoint since{};
+    /// A successor knows of it.
+    bool is_stored = false;
     /// An order got no answer and may be executed later, so it is repeated until one does.
     bool is_unanswered = false;
     bool is_in_flight = false;
@@ -80,6 +92,8 @@
   /// as an order without an answer may be executed seconds later.
   struct PendingReboot {
     std::uint64_t wave = 0;
+    /// The endpoint that gets no work; empty if there was none.
+    std::string endpoint;
     /// A successor knows of it.
     bool is_stored = false;
     /// An order got no answer, possibly one of a predecessor.
@@ -101,13 +115,15 @@
   void DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known);
   void ForgetReboot(const VmId& vm);
   void OrderPendingReboots();
-  /// Closes the VM's endpoint to work; the order follows when it is confirmed to run nothing.
+  /// Closes the VM's endpoint to work; the order follows when it is stored and confirmed.
   void BeginMove(const VmId& vm, const ServiceId& pool);
   void OrderPendingMoves();
   /// The VM gets work again, unless it is to be empty for another reason.
   void ForgetMove(const VmId& vm);
   /// Whether the move is not to be ordered, although no order for it is under way.
   bool IsMoveOutdated(const VmId& vm, const PendingMove& move) const;
+  /// No order for the move is under way any more.
+  void DropMoveRecord(const VmId& vm, const PendingMove& move);
   /// Null if the list doesn't show it.
   const jobs::VmRecord* FindVm(const VmId& id) const;
   /// What an order for the VM rests on at this time, for the log.
@@ -177,6 +193,10 @@
   std::map<std::uint64_t, jobs::WaveProgress> waves;
   /// Waves whose progress has yet to be stored.
   std::set<std::uint64_t> changed_waves;
+  /// VMs whose moves have yet to be stored, or to be removed from the store.
+  std::set<VmId> changed_moves;
+  /// Those of them that the records taken last contain.
+  std::set<VmId> recording_moves;
   /// An order waits for a report of an endpoint.
   bool awaits_report = false;
   /// Evacuated for a wave.
--- a/src/job_entry/vm_driver_moves.cc
+++ b/src/job_entry/vm_driver_moves.cc
@@ -20,6 +20,15 @@
 
 }  // namespace
 
+void VmDriver::Restore(const jobs::MoveRecord& move) {
+  this->scheduler.BeginEvacuation(move.endpoint, this->context.Now());
+  this->moving[move.vm] = {.pool = move.pool,
+                           .endpoint = move.endpoint,
+                           .since = this->context.Now(),
+                           .is_stored = true,
+                           .is_unanswered = true};
+}
+
 void VmDriver::BeginMove(const VmId& id, const ServiceId& pool) {
   const jobs::VmRecord* vm = this->FindVm(id);
   if (vm == nullptr) {
@@ -28,7 +37,9 @@
   const TimePoint now = this->context.Now();
   this->scheduler.BeginEvacuation(vm->endpoint, now);
   this->moving[id] = {.pool = pool, .endpoint = vm->endpoint, .since = now};
-  this->OrderPendingMoves();
+  this->changed_moves.insert(id);
+  this->CheckVm(id, false);
+  this->host.OnVmRecords();
 }
 
 void VmDriver::OrderPendingMoves() {
@@ -45,7 +56,8 @@
       dropped.push_back(vm);
       continue;
     }
-    if (now < move.next_try || !this->CheckVm(vm, move.is_unanswered)) {
+    const bool is_due = move.is_stored && now >= move.next_try;
+    if (!is_due || !this->CheckVm(vm, move.is_unanswered)) {
       continue;
     }
     // The first order was counted when it was decided.
@@ -76,9 +88,19 @@
   if (!is_kept_empty) {
     this->scheduler.EndEvacuation(move->second.endpoint);
   }
+  this->DropMoveRecord(vm, move->second);
   this->moving.erase(move);
 }
 
+void VmDriver::DropMoveRecord(const VmId& vm, const PendingMove& move) {
+  if (move.is_stored || this->recording_moves.contains(vm)) {
+    this->changed_moves.insert(vm);
+    this->host.OnVmRecords();
+  } else {
+    this->changed_moves.erase(vm);
+  }
+}
+
 bool VmDriver::IsMoveWanted(const VmId& vm, const ServiceId& pool) const {
   const auto move = this->moving.find(vm);
   return move != this->moving.end() && move->second.pool == pool &&
@@ -89,6 +111,9 @@
   VmOrderOutcome outcome = VmOrderOutcome::kNotSent;
   const bool is_owner = co_await this->IsStillOwner();
   std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
+  if (const auto move = this->moving.find(vm); move != this->moving.end()) {
+    fields.push_back({"waited_ms", MillisecondsText(this->context.Now() - move->second.since)});
+  }
   if (is_owner && this->IsMoveWanted(vm, pool)) {
     const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
     outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
@@ -115,6 +140,7 @@
       move.is_unanswered = false;
       move.is_done = true;
       move.since = now;
+      this->DropMoveRecord(vm, move);
       return;
     case VmOrderOutcome::kNoAnswer:
       move.is_unanswered = true;
--- a/src/jobs/wave_progress.cc
+++ b/src/jobs/wave_progress.cc
@@ -10,6 +10,24 @@
 
 namespace {
 
+json::array EncodeTexts(const std::set<std::string>& texts) {
+  json::array out;
+  for (const std::string& text : texts) {
+    out.emplace_back(text);
+  }
+  return out;
+}
+
+std::set<std::string> DecodeTexts(const json::object& in, const char* field) {
+  std::set<std::string> texts;
+  if (const json::array* values = ArrayOf(in, field)) {
+    for (const json::value& value : *values) {
+      texts.insert(std::string(value.as_string()));
+    }
+  }
+  return texts;
+}
+
 json::array EncodeVms(const std::set<VmId>& vms) {
   json::array out;
   for (const VmId& vm : vms) {
@@ -38,6 +56,9 @@
   if (!progress.ordered.empty()) {
     out["ordered"] = EncodeVms(progress.ordered);
   }
+  if (!progress.closed.empty()) {
+    out["closed"] = EncodeTexts(progress.closed);
+  }
   return json::serialize(out);
 }
 
@@ -52,6 +73,7 @@
     progress.is_complete = FlagOf(in, "complete");
     progress.rebooted = DecodeVms(in, "rebooted");
     progress.ordered = DecodeVms(in, "ordered");
+    progress.closed = DecodeTexts(in, "closed");
     return progress;
   } catch (const std::exception&) {
     return unreadable;
--- a/tests/job_entry/driver_world.h
+++ b/tests/job_entry/driver_world.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -89,7 +90,11 @@
   /// Stores the driver's records as the owner does.
   void Store() {
     for (const KeyedRecord& record : this->driver->TakeRecords()) {
-      this->stored = *jobs::DecodeWaveProgress(*record.value);
+      if (VmDriver::IsMoveKey(record.key)) {
+        this->stored_moves[record.key] = record.value;
+      } else {
+        this->stored = *jobs::DecodeWaveProgress(*record.value);
+      }
     }
     this->driver->OnRecordsStored();
   }
@@ -121,6 +126,8 @@
   std::map<std::string, std::vector<jobs::ActiveRun>> runs;
   /// The stored progress of the wave.
   jobs::WaveProgress stored;
+  /// The stored moves by key; nothing for one that was removed.
+  std::map<std::string, std::optional<std::string>> stored_moves;
   std::unique_ptr<VmDriver> driver;
 
  private:
@@ -135,6 +142,7 @@
     report.active = this->runs[endpoint];
     this->world.scheduler.OnRenewalAnswered(plan.order, report, now, now);
   }
+  void OnVmRecords() override {}
 };
 
 }  // namespace chervilspar::job_entry
--- a/tests/job_entry/vm_order_runs_test.cc
+++ b/tests/job_entry/vm_order_runs_test.cc
@@ -77,27 +77,35 @@
                                     }}),
     [](const auto& info) { return info.param.name; });
 
+/// Five VMs of "desk" are idle, and a job needs more VMs than the three of "shop".
+class LendingWorld : public DriverWorld {
+ public:
+  LendingWorld() : DriverWorld(8, true) {
+    this->fleet.store.At(Topic::kOperators, 0).records = {{"rules", "1"}};
+    this->fleet.vms.accepts_moves = true;
+    for (std::size_t i = 5; i < 8; ++i) {
+      this->fleet.vms.vms[i].pool = ServiceId{"shop"};
+    }
+    this->Register();
+    this->AddPool("shop");
+    jobs::Job busy =
+        jobs::SchedulerHarness::MakeJob(1, {jobs::SchedulerHarness::MakeStep(6, 8000)});
+    busy.queue = "shop";
+    busy.service = ServiceId{"shop"};
+    busy.steps[0].estimate_ms = 60000;
+    this->world.scheduler.AddJob(busy, WallTime{});
+  }
+};
+
 /// Guards against work for a VM whose move is under way: the service may execute it late.
 TEST(VmOrders, AVmThatIsLentGetsNoWorkWhileItsMoveIsUnderWay) {
-  DriverWorld world(8, true);
-  world.fleet.store.At(Topic::kOperators, 0).records = {{"rules", "1"}};
+  LendingWorld world;
   FakeVms& vms = world.fleet.vms;
-  vms.accepts_moves = true;
   vms.move_delay = milliseconds(700);
-  for (std::size_t i = 5; i < 8; ++i) {
-    vms.vms[i].pool = ServiceId{"shop"};
-  }
-  world.Register();
-  world.AddPool("shop");
   std::size_t ended = 0;
   vms.on_executed = [&](const jobs::VmRecord& vm) {
     ended += world.world.scheduler.UsageOf(vm.endpoint)->claims;
   };
-  jobs::Job busy = jobs::SchedulerHarness::MakeJob(1, {jobs::SchedulerHarness::MakeStep(6, 8000)});
-  busy.queue = "shop";
-  busy.service = ServiceId{"shop"};
-  busy.steps[0].estimate_ms = 60000;
-  world.world.scheduler.AddJob(busy, WallTime{});
   world.Start();
   world.RunUntil(std::chrono::seconds(4), [&] { return !vms.moves.empty(); });
   ASSERT_FALSE(vms.moves.empty());
@@ -108,6 +116,76 @@
   EXPECT_EQ(ended, 0U);
 }
 
+/// Guards against a move of which a successor doesn't know, as it was ordered before it was stored,
+/// and against records that stay once the outcome is known.
+TEST(VmOrders, AMoveIsStoredUntilItsOutcomeIsKnown) {
+  LendingWorld world;
+  FakeVms& vms = world.fleet.vms;
+  vms.move_delay = milliseconds(200);
+  world.stores_records = false;
+  world.Start();
+  world.io.run_for(milliseconds(800));
+  EXPECT_TRUE(vms.moves.empty());
+  world.stores_records = true;
+  world.RunUntil(std::chrono::seconds(4), [&] { return !vms.moves.empty(); });
+  ASSERT_FALSE(vms.moves.empty());
+  const jobs::MoveOrder& order = vms.moves.front();
+  const std::optional<std::string> record = world.stored_moves[VmDriver::MoveKey(order.vm)];
+  ASSERT_TRUE(record.has_value());
+  const Result<jobs::MoveRecord> stored = jobs::DecodeMoveRecord(*record);
+  ASSERT_TRUE(stored.HasValue());
+  EXPECT_EQ(stored->pool, order.pool);
+  EXPECT_EQ(stored->endpoint, vms.At(order.vm).endpoint);
+  const auto is_dropped = [&] {
+    return !world.stored_moves[VmDriver::MoveKey(vms.moves.front().vm)].has_value();
+  };
+  world.RunUntil(std::chrono::seconds(2), is_dropped);
+  EXPECT_TRUE(is_dropped());
+}
+
+/// Guards against a VM that stays closed, or is moved again, because of a predecessor's move.
+TEST(VmOrders, ARestoredMoveIsRepeatedOnce) {
+  DriverWorld world(4);
+  world.fleet.store.At(Topic::kOperators, 0).records = {{"rules", "1"}};
+  FakeVms& vms = world.fleet.vms;
+  vms.accepts_moves = true;
+  world.driver->Restore(jobs::MoveRecord{VmId{"m0"}, ServiceId{"shop"}, "i0"});
+  world.world.scheduler.AddJob(jobs::SchedulerHarness::MakeJob(1, {LongRunningStep(4)}),
+                               WallTime{});
+  EXPECT_EQ(world.world.Round().starts.size(), 3U);
+  world.Start();
+  world.RunUntil(std::chrono::seconds(3), [&] { return !vms.moves.empty(); });
+  world.io.run_for(milliseconds(1500));
+  EXPECT_EQ(vms.moves.size(), 1U);
+  EXPECT_EQ(vms.At(VmId{"m0"}).pool, ServiceId{"shop"});
+}
+
+/// Guards against work for a VM whose reboot a predecessor has ordered, before the list of VMs has
+/// been read.
+TEST(VmOrders, AVmWithARestoredRebootIsClosedAtOnce) {
+  DriverWorld world(2);
+  jobs::WaveProgress progress;
+  progress.number = 1;
+  progress.ordered = {VmId{"m0"}};
+  progress.closed = {"i0"};
+  world.driver->Restore(*jobs::DecodeWaveProgress(jobs::EncodeWaveProgress(progress)));
+  world.world.scheduler.AddJob(jobs::SchedulerHarness::MakeJob(1, {LongRunningStep(2)}),
+                               WallTime{});
+  const std::vector<jobs::StartOrder> starts = world.world.Round().starts;
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts.front().endpoint, "i1");
+}
+
+/// A stored move that can't be read.
+class UnreadableMove : public ::testing::TestWithParam<const char*> {};
+
+TEST_P(UnreadableMove, IsAnError) { EXPECT_FALSE(jobs::DecodeMoveRecord(GetParam()).HasValue()); }
+
+INSTANTIATE_TEST_SUITE_P(Records, UnreadableMove,
+                         ::testing::Values("", "[]", "{}", R"({"vm":"m"})", R"({"pool":"p"})",
+                                           R"({"vm":1,"pool":"p"})",
+                                           R"({"vm":"m","pool":"p","endpoint":7})"));
+
 /// Guards against work that a successor gives to a VM whose move its predecessor has ordered and
 /// that is executed late.
 TEST(VmOrders, ASuccessorGivesNoWorkToAVmWithAMoveUnderWay) {
