VmDriver: Give each order for a VM a higher token

Cause, by reading: an order that got no answer may be executed seconds later. It is repeated and answered, the VM takes work in its new pool or is moved on, and then the first order arrives: with the same token, the service can't tell that it is outdated, and moves a VM with work back. No such play was seen.

Change: orders for VMs carry the term's token times 2^30, plus the number of the order in the term. So an order is refused once a later one for the same VM has arrived, of this owner or of another. VmOrders.EachOrderHasAHigherToken failed before (all orders of a term had its token).

--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -115,6 +115,9 @@
   void DropUnwantedReboots(const std::map<std::uint64_t, jobs::Wave>& known);
   void ForgetReboot(const VmId& vm);
   void OrderPendingReboots();
+  /// The token of an order: higher than those of all orders before it, by any owner, so that the
+  /// service refuses an order that arrives after a later one for the same VM.
+  std::uint64_t NextOrderToken();
   /// Closes the VM's endpoint to work; the order follows when it is stored and confirmed.
   void BeginMove(const VmId& vm, const ServiceId& pool);
   void OrderPendingMoves();
@@ -173,6 +176,8 @@
   jobs::Scheduler& scheduler;
   VmDriverHost& host;
   const std::uint64_t token;
+  /// Orders to which `NextOrderToken` has given a token.
+  std::uint64_t order_count = 0;
   OwnerProof proof;
   std::weak_ptr<void> owner;
   bool is_stopped = false;
--- a/src/job_entry/vm_driver_moves.cc
+++ b/src/job_entry/vm_driver_moves.cc
@@ -115,7 +115,7 @@
     fields.push_back({"waited_ms", MillisecondsText(this->context.Now() - move->second.since)});
   }
   if (is_owner && this->IsMoveWanted(vm, pool)) {
-    const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->token};
+    const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->NextOrderToken()};
     outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
   }
   fields.push_back({"pool", pool.text});
--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -22,6 +22,9 @@
 /// Maximum age of the proof that an order needs. A successor waits longer than this plus the
 /// transit time of an order before its own first order.
 constexpr Duration kMaxOrderProofAge = std::chrono::milliseconds(300);
+/// Tokens of orders lie between the term's token and that of the next term, times this number. Even
+/// after a million terms, a double holds them exactly.
+constexpr std::uint64_t kOrderTokensPerTerm = std::uint64_t{1} << 30;
 
 }  // namespace
 
@@ -38,6 +41,11 @@
   this->orders->Add([owner = this->owner.lock(), order = std::move(order)] { return order(); });
 }
 
+std::uint64_t VmDriver::NextOrderToken() {
+  this->order_count = std::min(this->order_count + 1, kOrderTokensPerTerm - 1);
+  return this->token * kOrderTokensPerTerm + this->order_count;
+}
+
 jobs::Occupancy VmDriver::OccupancyOf(const jobs::VmRecord& vm) const {
   const std::shared_ptr<const jobs::Policy> policy = this->operators.Policy();
   const bool is_off = policy != nullptr && policy->standby.contains(vm.pool) &&
@@ -174,7 +182,7 @@
   const bool is_owner = co_await this->IsStillOwner();
   std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
   if (is_owner && this->IsRebootWanted(vm)) {
-    const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->token};
+    const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->NextOrderToken()};
     outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
   }
   fields.push_back({"wave", std::to_string(wave)});
--- a/tests/job_entry/vm_order_runs_test.cc
+++ b/tests/job_entry/vm_order_runs_test.cc
@@ -143,6 +143,23 @@
   EXPECT_TRUE(is_dropped());
 }
 
+/// Guards against a late order that takes effect after a later one for the same VM: the service
+/// refuses it only if its token is lower.
+TEST(VmOrders, EachOrderHasAHigherToken) {
+  LendingWorld world;
+  FakeVms& vms = world.fleet.vms;
+  for (const jobs::VmRecord& vm : vms.vms) {
+    vms.unanswered[vm.id] = 2;
+  }
+  vms.late_delay = std::chrono::seconds(5);
+  world.Start();
+  world.RunUntil(std::chrono::seconds(6), [&] { return vms.moves.size() >= 5; });
+  ASSERT_GE(vms.moves.size(), 5U);
+  for (std::size_t i = 1; i < vms.moves.size(); ++i) {
+    EXPECT_GT(vms.moves[i].token, vms.moves[i - 1].token);
+  }
+}
+
 /// Guards against a VM that stays closed, or is moved again, because of a predecessor's move.
 TEST(VmOrders, ARestoredMoveIsRepeatedOnce) {
   DriverWorld world(4);
