Platform: Refuse registrations with numbers, ports or ids out of range

Cause: `JsonObjectReader::Integer` bounded only numbers that were not integers, and each reader cast the rest. The class: a value from outside that is checked for its type and not for its range.

--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -182,6 +182,68 @@
         EndpointCase{"no_json", "\x01\x02", false}),
     [](const auto& info) { return info.param.name; });
 
+/// One odd field of a registration that is sound otherwise.
+struct OddFieldCase {
+  const char* name;
+  std::string id = "i-7";
+  std::string address = "\"10.1.0.9:80\"";
+  std::string cpu = "8000";
+  std::string born = "5";
+  std::string further;
+};
+
+std::string OddRegistration(const OddFieldCase& odd) {
+  return R"({"service":"s","zone":"a","phase":"ready","address":)" + odd.address + R"(,"born":)" +
+         odd.born + R"(,"capacity":{"cpu":)" + odd.cpu + R"(,"mem_mb":2},"labels":["a","r1-3"])" +
+         odd.further + "}";
+}
+
+class OddFieldTest : public ::testing::TestWithParam<OddFieldCase> {};
+
+/// Guards against an odd entry of another writer that is taken for an endpoint: its numbers would
+/// overflow the sums of its pool, or its id would end the header that names the endpoint.
+TEST_P(OddFieldTest, NamesNoEndpoint) {
+  EXPECT_TRUE(PlatformRecordReader().ReadEndpoint("i-7", OddRegistration({})).HasValue());
+  const Result<jobs::EndpointRecord> endpoint =
+      PlatformRecordReader().ReadEndpoint(GetParam().id, OddRegistration(GetParam()));
+  EXPECT_FALSE(endpoint.HasValue());
+}
+
+std::string Nested(int depth, char open, char close) {
+  return std::string(depth, open) + std::string(depth, close);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields, OddFieldTest,
+    ::testing::Values(
+        OddFieldCase{.name = "capacity_near_2_to_63", .cpu = "9223372036854775807"},
+        OddFieldCase{.name = "capacity_beyond_2_to_63", .cpu = "18446744073709551615"},
+        OddFieldCase{.name = "capacity_whose_sum_overflows", .cpu = "9000000000000000"},
+        OddFieldCase{.name = "capacity_beyond_a_double", .cpu = "1e999"},
+        OddFieldCase{.name = "negative_capacity", .cpu = "-8000"},
+        OddFieldCase{.name = "start_beyond_all_dates", .born = "9223372036854775807"},
+        OddFieldCase{.name = "start_before_all_dates", .born = "-9223372036854775808"},
+        OddFieldCase{.name = "port_out_of_range", .address = "\"10.1.0.9:65536\""},
+        OddFieldCase{.name = "port_0", .address = "\"10.1.0.9:0\""},
+        OddFieldCase{.name = "negative_port", .address = "\"10.1.0.9:-1\""},
+        OddFieldCase{.name = "long_port", .address = "\"10.1.0.9:" + std::string(5000, '9') + "\""},
+        OddFieldCase{.name = "host_name", .address = "\"server.example:80\""},
+        OddFieldCase{.name = "nested_address", .address = Nested(100000, '[', ']')},
+        OddFieldCase{.name = "nested_field",
+                     .further = ",\"labels_2\":" + Nested(100000, '[', ']')},
+        OddFieldCase{.name = "nested_and_cut", .further = ",\"a\":" + std::string(200000, '[')},
+        OddFieldCase{.name = "no_id", .id = ""},
+        OddFieldCase{.name = "id_with_a_line_break", .id = "i-7\r\nX: y"},
+        OddFieldCase{.name = "id_that_is_no_text", .id = "\xff\xfe"}),
+    [](const auto& info) { return info.param.name; });
+
+/// Guards against a listing that can't be read because of the key of another writer's record.
+TEST(StoreAnswerTest, ATextOfAnyBytesIsRead) {
+  const std::string body = "{\"items\":[{\"key\":\"\xff\xfe\",\"value\":\"\"}]}";
+  EXPECT_TRUE(ParseObjectOfAnyBytes(body).HasValue());
+  EXPECT_FALSE(ParseObjectOfAnyBytes(Nested(100000, '[', ']')).HasValue());
+}
+
 struct HeartbeatCase {
   const char* name;
   std::string one;
