EndpointRegistry: Report unreadable registrations as warnings

An entry that can't be read names no endpoint, also where one was known under its key. That was logged at level debug, so that operators could not see why an endpoint gets no work. Now a warning for each key, and debug for repeats. RegistryTest.GoesOnAfterAnUnreadableRecord: the others hold, and the endpoint is back with its next sound registration.

--- a/src/job_entry/endpoint_registry.cc
+++ b/src/job_entry/endpoint_registry.cc
@@ -15,6 +15,8 @@
 constexpr Duration kReadWait = std::chrono::milliseconds(700);
 /// Endpoints of VMs that were moved together register within a second.
 constexpr Duration kBatchingDelay = std::chrono::milliseconds(80);
+/// Unreadable records that are reported, until some of them are gone.
+constexpr std::size_t kMaxReported = 1000;
 /// After an outage of the store, lapsed registrations are renewed within this time.
 constexpr Duration kRecoveryPeriod = std::chrono::milliseconds(2500);
 
@@ -101,21 +103,30 @@
 
 void EndpointRegistry::OnStoreRecovered() { this->regained_at = this->context.Now(); }
 
-std::optional<jobs::EndpointRecord> EndpointRegistry::Read(const KeyedRecord& record) const {
+std::optional<jobs::EndpointRecord> EndpointRegistry::Read(const KeyedRecord& record) {
   if (!record.value) {
+    this->unreadable.erase(record.key);
     return std::nullopt;
   }
   Result<jobs::EndpointRecord> read =
       this->context.links.records->ReadEndpoint(record.key, *record.value);
   if (!read) {
-    this->context.metrics.Count({"chervilspar_unreadable_registrations_total", {}});
-    LogEvent(telemetry::LogLevel::kDebug, "registration_unreadable", ToString(read.LastReason()),
-             {{"key", record.key}});
+    this->ReportUnreadable(record.key, read.LastReason());
     return std::nullopt;
   }
+  this->unreadable.erase(record.key);
   return *std::move(read);
 }
 
+/// Another writer may renew such a record as often as endpoints renew theirs, and under any number
+/// of keys.
+void EndpointRegistry::ReportUnreadable(const std::string& key, const Reason& reason) {
+  this->context.metrics.Count({"chervilspar_unreadable_registrations_total", {}});
+  const bool is_new = this->unreadable.size() < kMaxReported && this->unreadable.insert(key).second;
+  LogEvent(is_new ? telemetry::LogLevel::kWarning : telemetry::LogLevel::kDebug,
+           "registration_unreadable", ToString(reason), {{"key", key}});
+}
+
 bool EndpointRegistry::Apply(const KeyedRecord& record) {
   const auto known = this->endpoints.find(record.key);
   if (known != this->endpoints.end() && record.value &&
--- a/src/job_entry/endpoint_registry.h
+++ b/src/job_entry/endpoint_registry.h
@@ -42,7 +42,8 @@
 
  private:
   /// The decoded registration; nothing for a removal or an unreadable record.
-  std::optional<jobs::EndpointRecord> Read(const KeyedRecord& record) const;
+  std::optional<jobs::EndpointRecord> Read(const KeyedRecord& record);
+  void ReportUnreadable(const std::string& key, const Reason& reason);
   bool Apply(const KeyedRecord& record);
   bool Remove(const std::string& id);
   bool IsInRecoveryPeriod() const;
@@ -64,6 +65,8 @@
   /// Lapsed during an outage of the store; kept until their endpoints have had time to register
   /// again.
   std::set<std::string> lapsed;
+  /// The keys of unreadable records that were reported.
+  std::set<std::string> unreadable;
   /// When the store last recovered from an outage.
   std::optional<TimePoint> regained_at;
   std::optional<std::uint64_t> next;
--- a/tests/job_entry/endpoint_registry_test.cc
+++ b/tests/job_entry/endpoint_registry_test.cc
@@ -53,6 +53,21 @@
   EXPECT_GE(this->changes, 1);
 }
 
+/// Guards against a registry that stops following the list at a record that it can't read.
+TEST_F(RegistryTest, GoesOnAfterAnUnreadableRecord) {
+  this->Write("odd", "?");
+  this->Write("", "?");
+  this->Write("i1", "?");
+  this->Write("i7", "x");
+  this->io.run_for(milliseconds(300));
+  ASSERT_EQ(this->registry.Count(), 2U);
+  EXPECT_EQ(this->registry.Endpoints()[0].id, "i0");
+  EXPECT_EQ(this->registry.Endpoints()[1].id, "i7");
+  this->Write("i1", "x");
+  this->io.run_for(milliseconds(300));
+  EXPECT_EQ(this->registry.Count(), 3U);
+}
+
 /// Guards against renewed registrations that count as changes: endpoints renew theirs every second
 /// or two, and each change causes a pass over all endpoints.
 TEST_F(RegistryTest, ReportsOnlyChanges) {
--- a/tests/job_entry/fake_fleet.cc
+++ b/tests/job_entry/fake_fleet.cc
@@ -70,6 +70,9 @@
 
 Result<jobs::EndpointRecord> FakeRecords::ReadEndpoint(std::string_view key,
                                                        std::string_view value) const {
+  if (value == "?") {
+    return Reason{ErrorCode::kMalformed, "endpoint", "is not one"};
+  }
   jobs::EndpointRecord record;
   record.id = std::string(key);
   record.service = ServiceId{"desk"};
--- a/tests/job_entry/fake_fleet.h
+++ b/tests/job_entry/fake_fleet.h
@@ -170,6 +170,7 @@
  public:
   bool IsPolicyKey(std::string_view key) const override { return key == "rules"; }
   Result<jobs::Policy> ReadPolicy(std::string_view value) const override;
+  /// Fails for the value "?".
   Result<jobs::EndpointRecord> ReadEndpoint(std::string_view key,
                                             std::string_view value) const override;
   bool IsCordonKey(std::string_view key) const override { return key.starts_with("cordon/"); }
