--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "tests/soak/odd_entries.h"
+
 namespace chervilspar::soak {
 
 namespace asio = boost::asio;
@@ -27,6 +29,13 @@
 constexpr int kDelayMs = 80;
 constexpr int kMostHangMs = 6000;
 constexpr int kMostRemovalMs = 4000;
+constexpr Duration kWatchInterval = milliseconds(50);
+
+asio::awaitable<void> Wait(asio::io_context& io, Duration duration) {
+  asio::steady_timer timer(io, duration);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
 
 }  // namespace
 
@@ -43,10 +52,7 @@
 
 asio::awaitable<void> Faults::PauseBy(SeededRandom& choice, int least_ms, int most_ms) {
   const auto span = static_cast<std::uint64_t>(most_ms - least_ms);
-  asio::steady_timer timer(this->fleet.io,
-                           milliseconds(least_ms + static_cast<int>(choice.Below(span))));
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  co_await Wait(this->fleet.io, milliseconds(least_ms + static_cast<int>(choice.Below(span))));
 }
 
 asio::awaitable<void> Faults::RunChanges(TimePoint until) {
@@ -62,6 +68,39 @@
   }
 }
 
+asio::awaitable<void> Faults::RunOddEntries(TimePoint until) {
+  const SystemClock clock;
+  const std::vector<OddEntry> odd = OddEntries();
+  while (clock.Now() < until) {
+    co_await this->PauseBy(this->entry_random, kLeastGapMs, kMostGapMs);
+    const OddEntry& entry = odd[this->entry_random.Below(odd.size())];
+    const std::size_t endpoint =
+        this->entry_random.Below(static_cast<std::uint64_t>(this->fleet.sizes.endpoints));
+    const bool replaces_endpoint = this->entry_random.Below(4) == 0;
+    this->Tell(std::string("an odd entry among the endpoints: ") + entry.name);
+    const std::string key =
+        replaces_endpoint ? SoakFleet::EndpointName(endpoint) : std::string(entry.key);
+    this->fleet.store.At(job_entry::Topic::kEndpoints, 0).records.push_back({key, entry.value});
+    if (replaces_endpoint) {
+      co_await this->PauseBy(this->entry_random, 100, kMostRestartMs);
+      this->fleet.Register(endpoint);
+    }
+  }
+}
+
+asio::awaitable<void> Faults::WatchProcesses() {
+  while (true) {
+    co_await Wait(this->fleet.io, kWatchInterval);
+    for (std::size_t i = 0; i < this->fleet.places.size(); ++i) {
+      if (this->ending[i] == 0 && !this->fleet.IsRunning(i)) {
+        this->fleet.endpoints.violations.push_back(this->fleet.places[i].name +
+                                                   " has ended by itself");
+        this->fleet.StartEntry(i);
+      }
+    }
+  }
+}
+
 asio::awaitable<void> Faults::HangEndpoint() {
   const std::string name = SoakFleet::EndpointName(
       this->change_random.Below(static_cast<std::uint64_t>(this->fleet.sizes.endpoints)));
@@ -149,6 +188,7 @@
     co_return;
   }
   this->Tell(this->fleet.places[entry].name + " gets signal " + std::to_string(signal));
+  ++this->ending[entry];
   this->fleet.Process(entry)->Signal(signal);
   while (this->fleet.IsRunning(entry)) {
     co_await this->Pause(10, 20);
@@ -156,6 +196,7 @@
   co_await this->Pause(100, kMostRestartMs);
   this->Tell(this->fleet.places[entry].name + " starts");
   this->fleet.StartEntry(entry);
+  --this->ending[entry];
 }
 
 asio::awaitable<void> Faults::InjectIntoProcess(Kind kind) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 
 #include "chervilspar/base/random.h"
@@ -15,12 +16,20 @@
 class Faults {
  public:
   Faults(SoakFleet& fleet, SoakCallers& callers, std::uint64_t seed)
-      : fleet(fleet), callers(callers), random(seed), change_random(~seed) {}
+      : fleet(fleet),
+        callers(callers),
+        random(seed),
+        change_random(~seed),
+        entry_random(seed + 1) {}
 
   /// Injects until `until`; returns when the last fault has been lifted.
   boost::asio::awaitable<void> Run(TimePoint until);
   /// Lets endpoints hang, and removes the queue for some time, until `until`.
   boost::asio::awaitable<void> RunChanges(TimePoint until);
+  /// Leaves odd entries among the registrations of the endpoints until `until`.
+  boost::asio::awaitable<void> RunOddEntries(TimePoint until);
+  /// Reports processes that end without a signal as violations, and starts them again.
+  boost::asio::awaitable<void> WatchProcesses();
 
  private:
   enum class Kind {
@@ -62,6 +71,9 @@
   SeededRandom random;
   /// Of its own, so that changes alter nothing in the faults of a seed.
   SeededRandom change_random;
+  SeededRandom entry_random;
+  /// Entries that were signalled to end and have not started since, by the number of signals.
+  std::map<std::size_t, int> ending;
   int under_way = 0;
   bool is_key_withdrawn = false;
 };
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -63,8 +63,10 @@
   const TimePoint until = clock.Now() + std::chrono::seconds(seconds);
   asio::co_spawn(fleet.io, callers.Load(until), asio::detached);
   asio::co_spawn(fleet.io, callers.WatchCounts(until + kSettleTime), asio::detached);
+  asio::co_spawn(fleet.io, faults.WatchProcesses(), asio::detached);
   if (fleet.sizes.has_changes) {
     asio::co_spawn(fleet.io, faults.RunChanges(until), asio::detached);
+    asio::co_spawn(fleet.io, faults.RunOddEntries(until), asio::detached);
   }
   co_await faults.Run(until);
   const TimePoint deadline = clock.Now() + kSettleTime;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -57,6 +57,8 @@
   static std::string EndpointName(std::size_t endpoint);
   /// The endpoint's process is gone and another one is there at once.
   void RestartEndpoint(std::size_t endpoint);
+  /// Writes the endpoint's registration.
+  void Register(std::size_t endpoint);
   /// Writes the operators' rules with these callers' keys, as the next version.
   void Publish(const std::vector<std::string>& keys);
   /// Publishes the rules once more, with or without the queue.
@@ -72,7 +74,6 @@
 
  private:
   void Listen(const SocketAddress& address, http::Handler& handler);
-  void Register(std::size_t endpoint);
 
   const std::string binary;
   const std::string log_dir;
