VmDriver: Forget the endpoint that a restored reboot has closed

By reading: the progress of a wave named closed endpoints as a list, and a successor, which restores only the VM, never took one off. Each later owner would have closed that endpoint again at its start, and an endpoint that keeps its id over the reboot would have got no work until the next list of VMs... and none after it, as no wave names its VM any more. Now the record names the endpoint of each VM, and both go together. LateReboot checks it, with a predecessor's record as well.

--- a/include/chervilspar/jobs/upkeep.h
+++ b/include/chervilspar/jobs/upkeep.h
@@ -83,8 +83,8 @@
   /// VMs whose reboot has been or will be ordered, and whose reboot is not known to have begun. An
   /// order without an answer may be executed seconds later, also under the next owner.
   std::set<VmId> ordered;
-  /// The endpoints on the VMs in `ordered`. They get no work until the outcome is known.
-  std::set<std::string> closed;
+  /// The endpoints on these VMs, as far as known. They get no work until the outcome is known.
+  std::map<VmId, std::string> closed;
   /// The start of the wave has been reported to the operators.
   bool is_reported = false;
   /// The completion of the wave has been reported to the operators.
--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -54,7 +54,7 @@
 bool VmDriver::IsMoveKey(std::string_view key) { return key.starts_with(kMovePrefix); }
 
 void VmDriver::Restore(const jobs::WaveProgress& progress) {
-  for (const std::string& endpoint : progress.closed) {
+  for (const auto& [vm, endpoint] : progress.closed) {
     this->scheduler.BeginEvacuation(endpoint, this->context.Now());
   }
   this->waves[progress.number] = progress;
@@ -300,12 +300,11 @@
   for (const VmId& vm : step.reboot) {
     // Counts as down before the order is sent.
     this->down[vm] = TimePoint::max();
-    const jobs::VmRecord* listed = this->FindVm(vm);
-    const std::string endpoint = listed == nullptr ? "" : listed->endpoint;
-    this->pending_reboots[vm] = {.wave = wave.number, .endpoint = endpoint};
+    this->pending_reboots[vm] = {.wave = wave.number};
     progress.ordered.insert(vm);
-    if (!endpoint.empty()) {
-      progress.closed.insert(endpoint);
+    const jobs::VmRecord* listed = this->FindVm(vm);
+    if (listed != nullptr && !listed->endpoint.empty()) {
+      progress.closed[vm] = listed->endpoint;
     }
     this->changed_waves.insert(wave.number);
     this->host.OnVmRecords();
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -92,8 +92,6 @@
   /// as an order without an answer may be executed seconds later.
   struct PendingReboot {
     std::uint64_t wave = 0;
-    /// The endpoint that gets no work; empty if there was none.
-    std::string endpoint;
     /// A successor knows of it.
     bool is_stored = false;
     /// An order got no answer, possibly one of a predecessor.
--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -149,7 +149,7 @@
   const auto reboot = this->pending_reboots.find(vm);
   const std::uint64_t wave = reboot->second.wave;
   this->waves[wave].ordered.erase(vm);
-  this->waves[wave].closed.erase(reboot->second.endpoint);
+  this->waves[wave].closed.erase(vm);
   this->changed_waves.insert(wave);
   this->down.erase(vm);
   this->pending_reboots.erase(reboot);
--- a/src/jobs/wave_progress.cc
+++ b/src/jobs/wave_progress.cc
@@ -10,22 +10,22 @@
 
 namespace {
 
-json::array EncodeTexts(const std::set<std::string>& texts) {
-  json::array out;
-  for (const std::string& text : texts) {
-    out.emplace_back(text);
+json::object EncodeEndpoints(const std::map<VmId, std::string>& endpoints) {
+  json::object out;
+  for (const auto& [vm, endpoint] : endpoints) {
+    out[vm.text] = endpoint;
   }
   return out;
 }
 
-std::set<std::string> DecodeTexts(const json::object& in, const char* field) {
-  std::set<std::string> texts;
-  if (const json::array* values = ArrayOf(in, field)) {
-    for (const json::value& value : *values) {
-      texts.insert(std::string(value.as_string()));
+std::map<VmId, std::string> DecodeEndpoints(const json::object& in, const char* field) {
+  std::map<VmId, std::string> endpoints;
+  if (const json::value* value = in.if_contains(field)) {
+    for (const auto& entry : value->as_object()) {
+      endpoints.emplace(VmId{std::string(entry.key())}, std::string(entry.value().as_string()));
     }
   }
-  return texts;
+  return endpoints;
 }
 
 json::array EncodeVms(const std::set<VmId>& vms) {
@@ -57,7 +57,7 @@
     out["ordered"] = EncodeVms(progress.ordered);
   }
   if (!progress.closed.empty()) {
-    out["closed"] = EncodeTexts(progress.closed);
+    out["closed"] = EncodeEndpoints(progress.closed);
   }
   return json::serialize(out);
 }
@@ -73,7 +73,7 @@
     progress.is_complete = FlagOf(in, "complete");
     progress.rebooted = DecodeVms(in, "rebooted");
     progress.ordered = DecodeVms(in, "ordered");
-    progress.closed = DecodeTexts(in, "closed");
+    progress.closed = DecodeEndpoints(in, "closed");
     return progress;
   } catch (const std::exception&) {
     return unreadable;
--- a/tests/job_entry/vm_driver_test.cc
+++ b/tests/job_entry/vm_driver_test.cc
@@ -172,6 +172,7 @@
     jobs::WaveProgress progress;
     progress.number = 1;
     progress.ordered = {VmId{"m0"}};
+    progress.closed = {{VmId{"m0"}, "i0"}};
     world.driver->Restore(progress);
   }
   world.Start();
@@ -186,6 +187,7 @@
   EXPECT_EQ(world.WaveStatus(), "complete");
   EXPECT_LE(vms.max_rebooting, 2U);
   EXPECT_TRUE(world.stored.ordered.empty());
+  EXPECT_TRUE(world.stored.closed.empty());
 }
 
 INSTANTIATE_TEST_SUITE_P(Orders, LateReboot,
--- a/tests/job_entry/vm_order_runs_test.cc
+++ b/tests/job_entry/vm_order_runs_test.cc
@@ -184,7 +184,7 @@
   jobs::WaveProgress progress;
   progress.number = 1;
   progress.ordered = {VmId{"m0"}};
-  progress.closed = {"i0"};
+  progress.closed = {{VmId{"m0"}, "i0"}};
   world.driver->Restore(*jobs::DecodeWaveProgress(jobs::EncodeWaveProgress(progress)));
   world.world.scheduler.AddJob(jobs::SchedulerHarness::MakeJob(1, {LongRunningStep(2)}),
                                WallTime{});
