VmDriver: Split what the moves of VMs need from the driver's main source

Found on reading the changes as a newcomer: `CheckVm` asked for a report and answered a question, which are two functions now; storing moves stands beside ordering them; two constants stood in three sources.

--- a/src/job_entry/vm_driver.cc
+++ b/src/job_entry/vm_driver.cc
@@ -7,6 +7,7 @@
 
 #include "job_entry/round_pause.h"
 #include "job_entry/vm_list_interval.h"
+#include "job_entry/vm_order_timing.h"
 
 namespace chervilspar::job_entry {
 
@@ -16,7 +17,6 @@
 
 /// Between two rounds. The demand of a queue doubles within a second, and a move takes 1.5 s.
 constexpr Duration kRoundInterval = std::chrono::milliseconds(150);
-constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(1200);
 const std::string kWavePrefix = "wave/";
 const std::string kMovePrefix = "move/";
@@ -74,16 +74,7 @@
   for (const auto& [vm, reboot] : this->pending_reboots) {
     this->recording_reboots.insert(vm);
   }
-  for (const VmId& vm : this->changed_moves) {
-    const auto move = this->moving.find(vm);
-    const bool is_settled = move == this->moving.end() || move->second.is_done;
-    std::optional<std::string> text;
-    if (!is_settled) {
-      text = jobs::EncodeMoveRecord({vm, move->second.pool, move->second.endpoint});
-    }
-    records.push_back({MoveKey(vm), std::move(text)});
-  }
-  this->recording_moves = std::exchange(this->changed_moves, {});
+  this->AddMoveRecords(records);
   return records;
 }
 
@@ -94,15 +85,8 @@
       reboot->second.is_stored = true;
     }
   }
-  for (const VmId& vm : std::exchange(this->recording_moves, {})) {
-    const auto move = this->moving.find(vm);
-    // A move of the VM that was decided meanwhile has yet to be stored.
-    if (move != this->moving.end() && !this->changed_moves.contains(vm)) {
-      move->second.is_stored = true;
-    }
-  }
   this->OrderPendingReboots();
-  this->OrderPendingMoves();
+  this->OnMovesStored();
 }
 
 void VmDriver::OnReports() {
@@ -138,7 +122,7 @@
 asio::awaitable<void> VmDriver::ReadList([[maybe_unused]] std::shared_ptr<void> self) {
   const ScopeGuard finished([this] { this->is_listing = false; });
   const TimePoint requested_at = this->context.Now();
-  Result<std::vector<jobs::VmRecord>> list = co_await this->context.links.vms->List(kCallTimeout);
+  Result<std::vector<jobs::VmRecord>> list = co_await this->context.links.vms->List(kVmCallTimeout);
   this->is_list_current = list.HasValue();
   if (this->is_stopped || !list) {
     co_return;
--- a/src/job_entry/vm_driver.h
+++ b/src/job_entry/vm_driver.h
@@ -116,6 +116,8 @@
   /// The token of an order: higher than those of all orders before it, by any owner, so that the
   /// service refuses an order that arrives after a later one for the same VM.
   std::uint64_t NextOrderToken();
+  void AddMoveRecords(std::vector<KeyedRecord>& records);
+  void OnMovesStored();
   /// Closes the VM's endpoint to work; the order follows when it is stored and confirmed.
   void BeginMove(const VmId& vm, const ServiceId& pool);
   void OrderPendingMoves();
@@ -133,11 +135,11 @@
   void CountClaimsUnder(const VmId& id, jobs::VmOrderOutcome outcome,
                         std::vector<telemetry::LogField>& fields) const;
   jobs::Occupancy OccupancyOf(const jobs::VmRecord& vm) const;
-  /// Whether the list shows the VM as up, and nothing runs on it. A VM that isn't listed may only
-  /// be ordered again.
-  bool MayBeOrdered(const VmId& vm, bool is_unanswered) const;
-  /// The same; requests a report of the endpoint if that is what an order lacks.
-  bool CheckVm(const VmId& vm, bool is_unanswered);
+  /// Whether the list shows the VM as up, and nothing runs on it. An order for a VM that isn't
+  /// listed may only be repeated.
+  bool MayBeOrdered(const VmId& vm, bool is_repeated) const;
+  /// Requests a report of the VM's endpoint if that is what an order lacks.
+  void RequestMissingReport(const VmId& vm);
   /// Whether an order that waited for its turn is still to be sent.
   bool IsRebootWanted(const VmId& vm) const;
   bool IsMoveWanted(const VmId& vm, const ServiceId& pool) const;
--- a/src/job_entry/vm_driver_moves.cc
+++ b/src/job_entry/vm_driver_moves.cc
@@ -1,6 +1,7 @@
-#include <algorithm>
+#include <utility>
 
 #include "job_entry/vm_driver.h"
+#include "job_entry/vm_order_timing.h"
 
 namespace chervilspar::job_entry {
 
@@ -9,10 +10,6 @@
 
 namespace {
 
-constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
-/// Before an order without a response is repeated. The service answers a repeat as if it were the
-/// first, so that the response tells the outcome.
-constexpr Duration kUnansweredOrderRetryDelay = std::chrono::seconds(1);
 /// Before the retry of an order that was not sent or was refused by a rate limit.
 constexpr Duration kUnsentOrderRetryDelay = std::chrono::milliseconds(100);
 /// A decision that can't be ordered for this long is dropped, and the VM gets work again.
@@ -29,6 +26,30 @@
                            .is_unanswered = true};
 }
 
+void VmDriver::AddMoveRecords(std::vector<KeyedRecord>& records) {
+  for (const VmId& vm : this->changed_moves) {
+    const auto move = this->moving.find(vm);
+    const bool is_settled = move == this->moving.end() || move->second.is_done;
+    std::optional<std::string> text;
+    if (!is_settled) {
+      text = jobs::EncodeMoveRecord({vm, move->second.pool, move->second.endpoint});
+    }
+    records.push_back({MoveKey(vm), std::move(text)});
+  }
+  this->recording_moves = std::exchange(this->changed_moves, {});
+}
+
+void VmDriver::OnMovesStored() {
+  for (const VmId& vm : std::exchange(this->recording_moves, {})) {
+    const auto move = this->moving.find(vm);
+    // A move of the VM that was decided meanwhile has yet to be stored.
+    if (move != this->moving.end() && !this->changed_moves.contains(vm)) {
+      move->second.is_stored = true;
+    }
+  }
+  this->OrderPendingMoves();
+}
+
 void VmDriver::BeginMove(const VmId& id, const ServiceId& pool) {
   const jobs::VmRecord* vm = this->FindVm(id);
   if (vm == nullptr) {
@@ -38,7 +59,7 @@
   this->scheduler.BeginEvacuation(vm->endpoint, now);
   this->moving[id] = {.pool = pool, .endpoint = vm->endpoint, .since = now};
   this->changed_moves.insert(id);
-  this->CheckVm(id, false);
+  this->RequestMissingReport(id);
   this->host.OnVmRecords();
 }
 
@@ -56,8 +77,9 @@
       dropped.push_back(vm);
       continue;
     }
+    this->RequestMissingReport(vm);
     const bool is_due = move.is_stored && now >= move.next_try;
-    if (!is_due || !this->CheckVm(vm, move.is_unanswered)) {
+    if (!is_due || !this->MayBeOrdered(vm, move.is_unanswered)) {
       continue;
     }
     // The first order was counted when it was decided.
@@ -116,7 +138,7 @@
   }
   if (is_owner && this->IsMoveWanted(vm, pool)) {
     const jobs::MoveOrder order{vm, pool, this->context.settings.id.text, this->NextOrderToken()};
-    outcome = co_await this->context.links.vms->Move(order, kCallTimeout);
+    outcome = co_await this->context.links.vms->Move(order, kVmCallTimeout);
   }
   fields.push_back({"pool", pool.text});
   this->CountClaimsUnder(vm, outcome, fields);
--- a/src/job_entry/vm_driver_orders.cc
+++ b/src/job_entry/vm_driver_orders.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "job_entry/vm_driver.h"
+#include "job_entry/vm_order_timing.h"
 
 namespace chervilspar::job_entry {
 
@@ -9,12 +10,8 @@
 
 namespace {
 
-constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
 /// A reboot with a response is visible in the list within this time.
 constexpr Duration kRebootVisibleDelay = std::chrono::milliseconds(500);
-/// Before an order without a response is repeated. The service answers a repeat as if it were the
-/// first, so that the response tells the outcome.
-constexpr Duration kUnansweredOrderRetryDelay = std::chrono::seconds(1);
 /// Before the retry of a reboot that the service has refused because the wave doesn't name the VM:
 /// the service may learn of a wave later than this entry, and operators must not read that the wave
 /// is complete before the reboot.
@@ -56,15 +53,15 @@
   return this->scheduler.OccupancyOf(vm.endpoint, this->context.Now());
 }
 
-bool VmDriver::MayBeOrdered(const VmId& id, bool is_unanswered) const {
+bool VmDriver::MayBeOrdered(const VmId& id, bool is_repeated) const {
   const jobs::VmRecord* vm = this->FindVm(id);
   if (vm == nullptr) {
-    return is_unanswered;
+    return is_repeated;
   }
   return vm->phase == jobs::VmPhase::kUp && this->OccupancyOf(*vm) == jobs::Occupancy::kEmpty;
 }
 
-bool VmDriver::CheckVm(const VmId& id, bool is_unanswered) {
+void VmDriver::RequestMissingReport(const VmId& id) {
   const jobs::VmRecord* vm = this->FindVm(id);
   if (vm != nullptr && this->OccupancyOf(*vm) == jobs::Occupancy::kUnconfirmed) {
     this->awaits_report = true;
@@ -72,7 +69,6 @@
       this->host.WakeEndpoint(vm->endpoint);
     }
   }
-  return this->MayBeOrdered(id, is_unanswered);
 }
 
 std::vector<telemetry::LogField> VmDriver::EvidenceFor(const VmId& id) const {
@@ -163,7 +159,11 @@
   std::vector<VmId> due;
   for (const auto& [vm, reboot] : this->pending_reboots) {
     const bool is_due = reboot.is_stored && !reboot.is_in_flight && now >= reboot.next_try;
-    if (is_due && this->CheckVm(vm, reboot.is_unanswered)) {
+    if (!is_due) {
+      continue;
+    }
+    this->RequestMissingReport(vm);
+    if (this->MayBeOrdered(vm, reboot.is_unanswered)) {
       due.push_back(vm);
     }
   }
@@ -183,7 +183,7 @@
   std::vector<telemetry::LogField> fields = this->EvidenceFor(vm);
   if (is_owner && this->IsRebootWanted(vm)) {
     const jobs::RebootOrder order{vm, wave, this->context.settings.id.text, this->NextOrderToken()};
-    outcome = co_await this->context.links.vms->Reboot(order, kCallTimeout);
+    outcome = co_await this->context.links.vms->Reboot(order, kVmCallTimeout);
   }
   fields.push_back({"wave", std::to_string(wave)});
   this->CountClaimsUnder(vm, outcome, fields);
