--- a/src/jobs/occupancy.cc
+++ b/src/jobs/occupancy.cc
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// No start that could still arrive was sent before the request that the endpoint answered.
+/// The endpoint has answered a request that was sent after its evacuation began and after the
+/// outcome of the last start was known.
 bool IsReportCurrent(const EndpointState& endpoint) {
   const TimePoint last_change = std::max(endpoint.evacuating_since, endpoint.last_start_settled);
   return endpoint.is_evacuating && endpoint.clock_ms && !endpoint.is_silent &&
