RunTracker: Tell in the log what a restart of an endpoint leaves open

The hypotheses on tasks that ran twice after restarts could not be told apart: a restart had no line, and the clock in the answer to a start, the only thing in it that gives the incarnation away, was thrown away.

Now `endpoint_restarted` tells from what the owner learned of it, how long after the last answer, and how many starts may still arrive; `run_lost` after a lapsed lease tells how long the endpoint was silent. Answers to starts carry the endpoint's clock through links and carriers (a new optional field of their frames), and `start_answered_by_other_incarnation` is logged if it is behind what was known. No decision changes.

--- a/include/chervilspar/job_entry/links.h
+++ b/include/chervilspar/job_entry/links.h
@@ -40,15 +40,15 @@
   /// Renews the endpoint's lease and returns the endpoint's report.
   virtual boost::asio::awaitable<RenewalOutcome> RenewLease(jobs::RenewalOrder order,
                                                             Duration timeout) = 0;
-  virtual boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order,
-                                                           Duration timeout) = 0;
+  virtual boost::asio::awaitable<jobs::StartAnswer> Start(jobs::StartOrder order,
+                                                          Duration timeout) = 0;
   virtual boost::asio::awaitable<jobs::OrderOutcome> Stop(jobs::StopOrder order,
                                                           Duration timeout) = 0;
   /// Sets the share of its full speed at which a run works.
   virtual boost::asio::awaitable<jobs::OrderOutcome> Throttle(jobs::ThrottleOrder order,
                                                               Duration timeout) = 0;
-  /// Called with the outcome of a start that was forwarded.
-  using StartCallback = std::function<void(jobs::OrderOutcome)>;
+  /// Called with the answer to a start that was forwarded.
+  using StartCallback = std::function<void(jobs::StartAnswer)>;
   /// Sends the order like `Start`, unless that takes a coroutine: then returns false and leaves the
   /// order as it was. A peak has thousands of starts a second, for which the coroutines and timers
   /// of `Start` cost more than the orders themselves.
--- a/include/chervilspar/jobs/endpoint.h
+++ b/include/chervilspar/jobs/endpoint.h
@@ -182,4 +182,17 @@
 
 const char* ToString(OrderOutcome outcome);
 
+/// What came of a start.
+struct StartAnswer {
+  // NOLINTNEXTLINE(google-explicit-constructor): an outcome alone is an answer without a clock.
+  StartAnswer(OrderOutcome outcome, std::optional<std::int64_t> clock_ms = std::nullopt)
+      : outcome(outcome), clock_ms(clock_ms) {}
+
+  OrderOutcome outcome;
+  /// The endpoint's own clock, as in `RenewalReport`, if it answered. Tells which incarnation did.
+  std::optional<std::int64_t> clock_ms;
+
+  friend bool operator==(const StartAnswer&, const StartAnswer&) = default;
+};
+
 }  // namespace chervilspar::jobs
--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -230,7 +230,7 @@
   void OnRenewalAnswered(const RenewalOrder& order, const RenewalReport& report, TimePoint sent,
                          TimePoint now);
   void OnRenewalFailed(const std::string& endpoint, OrderOutcome outcome, TimePoint now);
-  void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
+  void OnStartAnswered(const StartOrder& order, const StartAnswer& answer, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
   void OnThrottleAnswered(const ThrottleOrder& order, OrderOutcome outcome);
   /// Bytes that were handed to the owner's link since the last call.
--- a/include/chervilspar/rpc/carrier_message.h
+++ b/include/chervilspar/rpc/carrier_message.h
@@ -51,6 +51,8 @@
   std::optional<jobs::RenewalReport> report;
   /// Of a start: the carrier has its payload now. Carriers of earlier versions never say so.
   bool keeps_payload = false;
+  /// Of a start: as in `jobs::StartAnswer`. Carriers of earlier versions never give it.
+  std::optional<std::int64_t> clock_ms;
 
   friend bool operator==(const CarriedAnswer&, const CarriedAnswer&) = default;
 };
--- a/src/job_entry/carried_endpoints.cc
+++ b/src/job_entry/carried_endpoints.cc
@@ -251,12 +251,13 @@
   co_return answer.outcome;
 }
 
-asio::awaitable<OrderOutcome> CarriedEndpoints::Start(jobs::StartOrder order, Duration timeout) {
-  const auto outcome = std::make_shared<OrderOutcome>(OrderOutcome::kNoAnswer);
+asio::awaitable<jobs::StartAnswer> CarriedEndpoints::Start(jobs::StartOrder order,
+                                                           Duration timeout) {
+  const auto answer = std::make_shared<jobs::StartAnswer>(OrderOutcome::kNoAnswer);
   const auto wakeup = std::make_shared<http::Wakeup>(this->context.io.get_executor());
   const bool is_forwarded =
-      this->ForwardStart(order, timeout, [outcome, wakeup](OrderOutcome answered) {
-        *outcome = answered;
+      this->ForwardStart(order, timeout, [answer, wakeup](jobs::StartAnswer answered) {
+        *answer = answered;
         wakeup->Notify();
       });
   if (!is_forwarded) {
@@ -264,7 +265,7 @@
   }
   // Without an answer, the review calls back.
   co_await wakeup->WaitFor(kLongestOrder);
-  co_return *outcome;
+  co_return *answer;
 }
 
 bool CarriedEndpoints::ForwardStart(jobs::StartOrder& order, Duration timeout,
@@ -323,7 +324,7 @@
   if (answer.keeps_payload) {
     this->known_payloads.Add(start.carrier, start.order.task.job, start.payload_digest);
   }
-  start.on_outcome(answer.outcome);
+  start.on_outcome({answer.outcome, answer.clock_ms});
 }
 
 void CarriedEndpoints::ReviewForwardedLater() {
--- a/src/job_entry/carried_endpoints.h
+++ b/src/job_entry/carried_endpoints.h
@@ -40,8 +40,8 @@
 
   boost::asio::awaitable<RenewalOutcome> RenewLease(jobs::RenewalOrder order,
                                                     Duration timeout) override;
-  boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order,
-                                                   Duration timeout) override;
+  boost::asio::awaitable<jobs::StartAnswer> Start(jobs::StartOrder order,
+                                                  Duration timeout) override;
   boost::asio::awaitable<jobs::OrderOutcome> Stop(jobs::StopOrder order, Duration timeout) override;
   boost::asio::awaitable<jobs::OrderOutcome> Throttle(jobs::ThrottleOrder order,
                                                       Duration timeout) override;
--- a/src/job_entry/order_carrier.cc
+++ b/src/job_entry/order_carrier.cc
@@ -47,11 +47,12 @@
                            bool keeps_payload, Execute execute) {
   const WorkQueue::Work work = [this, carried, origin, keeps_payload,
                                 execute]() -> asio::awaitable<void> {
-    OrderOutcome outcome = OrderOutcome::kTooLate;
+    jobs::StartAnswer answer(OrderOutcome::kTooLate);
     if (this->context.Now() < origin.expires) {
-      outcome = co_await execute(carried.order, origin.timeout);
+      answer = co_await execute(carried.order, origin.timeout);
     }
-    this->Answer(origin, {carried.number, outcome, std::nullopt, keeps_payload});
+    this->Answer(origin,
+                 {carried.number, answer.outcome, std::nullopt, keeps_payload, answer.clock_ms});
   };
   WorkQueue& queue = this->QueueFor(carried.order.endpoint);
   if constexpr (std::is_same_v<Order, jobs::StopOrder>) {
@@ -102,9 +103,9 @@
                 });
 }
 
-asio::awaitable<OrderOutcome> OrderCarrier::Start(jobs::StartOrder order, Duration timeout) {
+asio::awaitable<jobs::StartAnswer> OrderCarrier::Start(jobs::StartOrder order, Duration timeout) {
   if (this->may_start && !this->may_start()) {
-    co_return OrderOutcome::kRefused;
+    co_return jobs::StartAnswer(OrderOutcome::kRefused);
   }
   co_return co_await this->link.Start(std::move(order), timeout);
 }
--- a/src/job_entry/order_carrier.h
+++ b/src/job_entry/order_carrier.h
@@ -45,7 +45,7 @@
   template <typename Order, typename Execute>
   void Enqueue(const rpc::Carried<Order>& carried, const Origin& origin, bool keeps_payload,
                Execute execute);
-  boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order, Duration timeout);
+  boost::asio::awaitable<jobs::StartAnswer> Start(jobs::StartOrder order, Duration timeout);
   boost::asio::awaitable<void> RenewLease(rpc::Carried<jobs::RenewalOrder> carried, Origin origin);
   void Answer(const Origin& origin, rpc::CarriedAnswer answer);
   WorkQueue& QueueFor(const std::string& endpoint);
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -104,15 +104,16 @@
     run.endpoint = order.endpoint;
     run.task = order.task;
     run.run = order.run;
+    run.token = order.token;
     if (const std::optional<OrderOutcome> obstacle = this->ObstacleTo(order)) {
-      this->OnStartOutcome(run, *obstacle);
+      this->OnStartAnswer(run, *obstacle);
       return true;
     }
     const bool is_forwarded = this->context.links.endpoints->ForwardStart(
         order, kOrderTimeout,
-        [self = this->shared_from_this(), run = std::move(run)](OrderOutcome outcome) {
+        [self = this->shared_from_this(), run = std::move(run)](const jobs::StartAnswer& answer) {
           --self->forwarded;
-          self->OnStartOutcome(run, outcome);
+          self->OnStartAnswer(run, answer);
           if (!self->is_stopped) {
             self->on_change();
             self->StartSenders();
@@ -135,20 +136,22 @@
 
   /// `order` must live until the coroutine ends; the sending loop keeps it.
   asio::awaitable<void> Execute(const jobs::StartOrder& order) {
-    std::optional<OrderOutcome> outcome = this->ObstacleTo(order);
-    if (!outcome) {
-      outcome = co_await this->context.links.endpoints->Start(order, kOrderTimeout);
+    if (const std::optional<OrderOutcome> obstacle = this->ObstacleTo(order)) {
+      this->OnStartAnswer(order, *obstacle);
+      co_return;
     }
-    this->OnStartOutcome(order, *outcome);
+    const jobs::StartAnswer answer =
+        co_await this->context.links.endpoints->Start(order, kOrderTimeout);
+    this->OnStartAnswer(order, answer);
   }
 
-  /// Only what names the run in `order` has to be set.
-  void OnStartOutcome(const jobs::StartOrder& order, OrderOutcome outcome) {
+  /// Only what names the run in `order` has to be set, and its token.
+  void OnStartAnswer(const jobs::StartOrder& order, const jobs::StartAnswer& answer) {
     this->context.metrics.Count(
-        {"chervilspar_starts_total", {{"outcome", jobs::ToString(outcome)}}});
+        {"chervilspar_starts_total", {{"outcome", jobs::ToString(answer.outcome)}}});
     if (!this->is_stopped) {
       const auto span = this->context.Measure(telemetry::WorkPart::kOrder);
-      this->scheduler.OnStartAnswered(order, outcome, this->context.Now());
+      this->scheduler.OnStartAnswered(order, answer, this->context.Now());
       this->wakeup->Notify();
     }
   }
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -290,6 +290,9 @@
     endpoint.born_ms = born_ms;
     return;
   }
+  if (!endpoint.is_silent || endpoint.clock_ms) {
+    this->ReportRestart(endpoint, "its registration", born_ms, now);
+  }
   endpoint.is_silent = true;
   endpoint.clock_ms.reset();
   // A start that was given after the last answered request may have reached the new incarnation,
@@ -304,6 +307,22 @@
   }
 }
 
+void RunTracker::ReportRestart(const EndpointState& endpoint, const std::string& source,
+                               std::int64_t born_ms, TimePoint now) {
+  const auto late_starts = std::count_if(
+      endpoint.claims.begin(), endpoint.claims.end(),
+      [this](const TaskKey& key) { return MayStartLate(*this->state.Find(key).task); });
+  this->state.ReportEvent(
+      {"endpoint_restarted",
+       {},
+       {},
+       endpoint.record.id,
+       source + " shows an incarnation born at " + std::to_string(born_ms) +
+           "; its last answer was " + std::to_string(ToMilliseconds(now - endpoint.last_response)) +
+           " ms ago, " + std::to_string(late_starts) + " of " +
+           std::to_string(endpoint.claims.size()) + " starts may still arrive"});
+}
+
 bool RunTracker::MayStartLate(const Task& task) {
   // Of several tries, a delayed one may arrive after the run was reported.
   const bool is_settled = task.is_reported && task.start_tries <= 1;
@@ -311,6 +330,7 @@
 }
 
 void RunTracker::OnRestart(EndpointState& endpoint, const RenewalReport& report, TimePoint now) {
+  this->ReportRestart(endpoint, "its answer", report.born_ms, now);
   const ListedRuns listed(report);
   std::vector<TaskRef> lost;
   const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
@@ -376,14 +396,22 @@
 void RunTracker::ReleaseExpiredLeases(TimePoint now) {
   for (const auto& [id, endpoint] : this->state.endpoints) {
     if (!endpoint->claims.empty() && now > endpoint->lease_end) {
-      this->ReleaseAll(*endpoint, "its lease has lapsed", now);
+      const std::int64_t silence = ToMilliseconds(now - endpoint->last_response);
+      this->ReleaseAll(
+          *endpoint,
+          "its lease has lapsed; its last answer was " + std::to_string(silence) + " ms ago", now);
     }
   }
 }
 
-void RunTracker::OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now) {
+void RunTracker::OnStartAnswered(const StartOrder& order, const StartAnswer& answer,
+                                 TimePoint now) {
+  const OrderOutcome outcome = answer.outcome;
   EndpointState* endpoint = this->state.FindEndpoint(order.endpoint);
   const TaskRef ref = this->state.Find(order.task);
+  if (endpoint != nullptr && answer.clock_ms) {
+    this->ReportForeignClock(*endpoint, order.task, *answer.clock_ms);
+  }
   if (endpoint == nullptr || !this->IsCurrentRun(ref, *endpoint, order.run)) {
     return;
   }
@@ -447,6 +475,18 @@
   this->state.StopGang(ref, now);
 }
 
+void RunTracker::ReportForeignClock(const EndpointState& endpoint, const TaskKey& task,
+                                    std::int64_t clock_ms) {
+  if (endpoint.clock_ms && clock_ms < *endpoint.clock_ms) {
+    this->state.ReportEvent({"start_answered_by_other_incarnation",
+                             task,
+                             {},
+                             endpoint.record.id,
+                             "its clock shows " + std::to_string(clock_ms) + " ms, and showed " +
+                                 std::to_string(*endpoint.clock_ms) + " ms before"});
+  }
+}
+
 void RunTracker::OnStartWithdrawn(const TaskRef& ref, TimePoint now) {
   Task& task = *ref.task;
   if (task.state == RunState::kActive || task.is_adopted) {
--- a/src/jobs/run_tracker.h
+++ b/src/jobs/run_tracker.h
@@ -17,7 +17,7 @@
 
   /// Processes an endpoint's answer to a request that was sent at `sent`.
   void OnHeld(EndpointState& endpoint, const RenewalReport& report, TimePoint sent, TimePoint now);
-  void OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now);
+  void OnStartAnswered(const StartOrder& order, const StartAnswer& answer, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
   /// The task's last start order was not sent.
   void OnStartWithdrawn(const TaskRef& ref, TimePoint now);
@@ -52,6 +52,12 @@
   /// Whether `run` is the current run of the task and its claim is on `endpoint`.
   bool IsCurrentRun(const TaskRef& ref, const EndpointState& endpoint, std::uint64_t run) const;
 
+  /// Reports to the log that the endpoint has restarted, and what of that is outstanding.
+  void ReportRestart(const EndpointState& endpoint, const std::string& source, std::int64_t born_ms,
+                     TimePoint now);
+  /// Reports a start that was answered with a clock that can't be that of the known incarnation.
+  void ReportForeignClock(const EndpointState& endpoint, const TaskKey& task,
+                          std::int64_t clock_ms);
   /// Whether a start of the task may be executed by an incarnation that the task was not meant for.
   static bool MayStartLate(const Task& task);
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -330,11 +330,12 @@
   }
 }
 
-void Scheduler::OnStartAnswered(const StartOrder& order, OrderOutcome outcome, TimePoint now) {
+void Scheduler::OnStartAnswered(const StartOrder& order, const StartAnswer& answer,
+                                TimePoint now) {
   if (EndpointState* endpoint = this->impl->state.FindEndpoint(order.endpoint)) {
     FormerLeases::OnStartSettled(*endpoint, now);
   }
-  this->impl->tracker.OnStartAnswered(order, outcome, now);
+  this->impl->tracker.OnStartAnswered(order, answer, now);
 }
 
 void Scheduler::OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now) {
--- a/src/rpc/carrier.thrift
+++ b/src/rpc/carrier.thrift
@@ -94,7 +94,8 @@
   1: required i64 number,
   2: required i32 outcome,
   3: optional WireReport report,
-  4: optional bool keeps_payload
+  4: optional bool keeps_payload,
+  5: optional i64 clock
 }
 
 // A question to the owner: the target of an HTTP request, and its body for a POST.
--- a/src/rpc/carrier_message.cc
+++ b/src/rpc/carrier_message.cc
@@ -281,7 +281,11 @@
   for (const gen::WireAnswer& answer : wire) {
     CarriedAnswer read{static_cast<std::uint64_t>(answer.number),
                        EnumOf(answer.outcome, jobs::OrderOutcome::kPayloadMissing, "outcome"),
-                       std::nullopt, answer.__isset.keeps_payload && answer.keeps_payload};
+                       std::nullopt, answer.__isset.keeps_payload && answer.keeps_payload,
+                       std::nullopt};
+    if (answer.__isset.clock) {
+      read.clock_ms = answer.clock;
+    }
     if (answer.__isset.report) {
       read.report = FromWire(answer.report);
     }
@@ -381,6 +385,9 @@
     if (answer.keeps_payload) {
       written.__set_keeps_payload(true);
     }
+    if (answer.clock_ms) {
+      written.__set_clock(*answer.clock_ms);
+    }
   }
   return EncodeCompact(wire);
 }
--- a/src/rpc/gen/carrier_types.cpp
+++ b/src/rpc/gen/carrier_types.cpp
@@ -2307,6 +2307,11 @@
   this->keeps_payload = val;
 __isset.keeps_payload = true;
 }
+
+void WireAnswer::__set_clock(const int64_t val) {
+  this->clock = val;
+__isset.clock = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireAnswer& obj)
 {
   obj.printTo(out);
@@ -2369,6 +2374,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock);
+          this->__isset.clock = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2408,6 +2421,11 @@
     xfer += oprot->writeBool(this->keeps_payload);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.clock) {
+    xfer += oprot->writeFieldBegin("clock", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->clock);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2419,6 +2437,7 @@
   swap(a.outcome, b.outcome);
   swap(a.report, b.report);
   swap(a.keeps_payload, b.keeps_payload);
+  swap(a.clock, b.clock);
   swap(a.__isset, b.__isset);
 }
 
@@ -2427,6 +2446,7 @@
   outcome = other88.outcome;
   report = other88.report;
   keeps_payload = other88.keeps_payload;
+  clock = other88.clock;
   __isset = other88.__isset;
 }
 WireAnswer::WireAnswer(WireAnswer&& other89) noexcept {
@@ -2434,6 +2454,7 @@
   outcome = other89.outcome;
   report = std::move(other89.report);
   keeps_payload = other89.keeps_payload;
+  clock = other89.clock;
   __isset = other89.__isset;
 }
 WireAnswer& WireAnswer::operator=(const WireAnswer& other90) {
@@ -2441,6 +2462,7 @@
   outcome = other90.outcome;
   report = other90.report;
   keeps_payload = other90.keeps_payload;
+  clock = other90.clock;
   __isset = other90.__isset;
   return *this;
 }
@@ -2449,6 +2471,7 @@
   outcome = other91.outcome;
   report = std::move(other91.report);
   keeps_payload = other91.keeps_payload;
+  clock = other91.clock;
   __isset = other91.__isset;
   return *this;
 }
@@ -2459,6 +2482,7 @@
   out << ", " << "outcome=" << to_string(outcome);
   out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "keeps_payload="; (__isset.keeps_payload ? (out << to_string(keeps_payload)) : (out << "<null>"));
+  out << ", " << "clock="; (__isset.clock ? (out << to_string(clock)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/rpc/gen/carrier_types.h
+++ b/src/rpc/gen/carrier_types.h
@@ -747,9 +747,10 @@
 std::ostream& operator<<(std::ostream& out, const WireReport& obj);
 
 typedef struct _WireAnswer__isset {
-  _WireAnswer__isset() : report(false), keeps_payload(false) {}
+  _WireAnswer__isset() : report(false), keeps_payload(false), clock(false) {}
   bool report :1;
   bool keeps_payload :1;
+  bool clock :1;
 } _WireAnswer__isset;
 
 class WireAnswer : public virtual ::apache::thrift::TBase {
@@ -762,7 +763,8 @@
   WireAnswer() noexcept
              : number(0),
                outcome(0),
-               keeps_payload(0) {
+               keeps_payload(0),
+               clock(0) {
   }
 
   virtual ~WireAnswer() noexcept;
@@ -770,6 +772,7 @@
   int32_t outcome;
   WireReport report;
   bool keeps_payload;
+  int64_t clock;
 
   _WireAnswer__isset __isset;
 
@@ -781,6 +784,8 @@
 
   void __set_keeps_payload(const bool val);
 
+  void __set_clock(const int64_t val);
+
   bool operator == (const WireAnswer & rhs) const
   {
     if (!(number == rhs.number))
@@ -795,6 +800,10 @@
       return false;
     else if (__isset.keeps_payload && !(keeps_payload == rhs.keeps_payload))
       return false;
+    if (__isset.clock != rhs.__isset.clock)
+      return false;
+    else if (__isset.clock && !(clock == rhs.clock))
+      return false;
     return true;
   }
   bool operator != (const WireAnswer &rhs) const {
--- a/tests/job_entry/carrier_entry.h
+++ b/tests/job_entry/carrier_entry.h
@@ -19,8 +19,8 @@
                                                     Duration timeout) override {
     return this->table.RenewLease(std::move(order), timeout);
   }
-  boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order,
-                                                   Duration timeout) override {
+  boost::asio::awaitable<jobs::StartAnswer> Start(jobs::StartOrder order,
+                                                  Duration timeout) override {
     return this->table.Start(std::move(order), timeout);
   }
   boost::asio::awaitable<jobs::OrderOutcome> Stop(jobs::StopOrder order,
--- a/tests/job_entry/endpoint_table.cc
+++ b/tests/job_entry/endpoint_table.cc
@@ -90,7 +90,7 @@
   co_return held;
 }
 
-asio::awaitable<OrderOutcome> EndpointTable::Start(jobs::StartOrder order, Duration) {
+asio::awaitable<jobs::StartAnswer> EndpointTable::Start(jobs::StartOrder order, Duration) {
   co_await this->Wait(kAnswerTime);
   const TimePoint now = this->clock.Now();
   const auto time = this->run_times.find(order.task.job.number);
--- a/tests/job_entry/endpoint_table.h
+++ b/tests/job_entry/endpoint_table.h
@@ -36,8 +36,8 @@
 
   boost::asio::awaitable<RenewalOutcome> RenewLease(jobs::RenewalOrder order,
                                                     Duration timeout) override;
-  boost::asio::awaitable<jobs::OrderOutcome> Start(jobs::StartOrder order,
-                                                   Duration timeout) override;
+  boost::asio::awaitable<jobs::StartAnswer> Start(jobs::StartOrder order,
+                                                  Duration timeout) override;
   boost::asio::awaitable<jobs::OrderOutcome> Stop(jobs::StopOrder order, Duration timeout) override;
   boost::asio::awaitable<jobs::OrderOutcome> Throttle(jobs::ThrottleOrder order,
                                                       Duration timeout) override;
--- a/tests/job_entry/fake_endpoints.cc
+++ b/tests/job_entry/fake_endpoints.cc
@@ -149,7 +149,8 @@
   co_return held;
 }
 
-asio::awaitable<OrderOutcome> FakeEndpointLink::Start(jobs::StartOrder order, Duration timeout) {
+asio::awaitable<jobs::StartAnswer> FakeEndpointLink::Start(jobs::StartOrder order,
+                                                           Duration timeout) {
   ++this->starts;
   FakeEndpoints::Endpoint* endpoint = co_await this->Reach(order.endpoint, timeout);
   if (endpoint == nullptr) {
--- a/tests/job_entry/kept_payloads_test.cc
+++ b/tests/job_entry/kept_payloads_test.cc
@@ -31,7 +31,7 @@
   asio::awaitable<RenewalOutcome> RenewLease(jobs::RenewalOrder, Duration) override {
     co_return RenewalOutcome{};
   }
-  asio::awaitable<OrderOutcome> Start(jobs::StartOrder order, Duration) override {
+  asio::awaitable<jobs::StartAnswer> Start(jobs::StartOrder order, Duration) override {
     this->payloads.push_back(order.payload);
     co_return OrderOutcome::kDone;
   }
