FormerLeases: End orders by tokens, not by timeouts

Callers saw tasks that must run once running twice, after endpoints restarted under their ids and were cut off soon after.

Cause: an order without an answer was taken to be over when our timeout said so. An endpoint may execute it seconds later, and its next incarnation executes what was meant for the former one: the end of the lease is a time on a clock that is gone, so that it grants its limit, to runs that were started for it as well. The owner counted the usual lease, or the limit from too early a moment. A start that the new incarnation had answered counted for the former one, too.

Change: each endpoint's orders carry a token of their own (the owner's, and a number that grows within its term). With each incarnation that the owner learns of, by an answer, the registration or the clock in the answer to a start, it issues a new one and asks for a report. Only an answer to an order with the current token counts: the endpoint refuses all earlier ones from then on, so that what it doesn't list can't start any more, and leases that it took before last no longer than the limit from then. The counting of pending orders, their timeouts and lease ends on former clocks is gone, and so is the stop that had to settle an unanswered start. The same in the leases that are renewed while the jobs are read. A notice for successors is stored when the restart is learned of, not only at the answer. An endpoint that was forgotten and comes back keeps what was known of its incarnation. A refusal of a token that the owner itself has outdated doesn't end its term.

What has no bound stays an assumption, as two options: how long an order may be outstanding where a restart is known and not confirmed (15 s), and the same for an incarnation that nobody has heard (off: it executes no start for a former one).

--- a/include/chervilspar/jobs/scheduler.h
+++ b/include/chervilspar/jobs/scheduler.h
@@ -12,6 +12,7 @@
 #include "chervilspar/base/time.h"
 #include "chervilspar/jobs/account_shares.h"
 #include "chervilspar/jobs/endpoint.h"
+#include "chervilspar/jobs/interim_leases.h"
 #include "chervilspar/jobs/job.h"
 #include "chervilspar/jobs/lapse_notice.h"
 #include "chervilspar/jobs/link_budget.h"
@@ -221,14 +222,16 @@
   void RestoreLapseNotices(const std::vector<LapseNotice>& notices);
   /// The same for the notices of the kind `LapseRecord::Kind::kLongLease`.
   void RestoreLongLeases(const std::vector<LapseNotice>& notices);
-  /// Records leases that were granted for this token before the jobs were loaded, with the times by
-  /// the local clock at which they have certainly lapsed. Call after `RestoreProgress`.
-  void RecordInterimLeases(const std::map<std::string, TimePoint>& lease_ends);
+  /// Records leases that were granted in this term before the jobs were loaded. Call after
+  /// `RestoreProgress`.
+  void RecordInterimLeases(const std::map<std::string, InterimLease>& leases);
   /// Cancels a job, including one that `AddJob` adds only later.
   void CancelJob(const JobId& id);
   /// `sent` is when the renewal was sent. The report may lack runs that ended after that.
   void OnRenewalAnswered(const RenewalOrder& order, const RenewalReport& report, TimePoint sent,
                          TimePoint now);
+  /// The endpoint restarted and has to answer a request before it gets orders again.
+  bool IsRestartUnconfirmed(const std::string& endpoint) const;
   void OnRenewalFailed(const std::string& endpoint, OrderOutcome outcome, TimePoint now);
   void OnStartAnswered(const StartOrder& order, const StartAnswer& answer, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
--- a/include/chervilspar/jobs/scheduler_options.h
+++ b/include/chervilspar/jobs/scheduler_options.h
@@ -17,6 +17,18 @@
   /// The longest lease that an endpoint grants whatever end it is told, from the contract of the
   /// endpoint.
   Duration lease_limit = std::chrono::milliseconds(10000);
+  /// How long after it was given an order without an answer may still be executed. Endpoints
+  /// promise no bound; this one matters only for an incarnation of an endpoint that is known of and
+  /// has not yet answered an order with a token of its own, after which it refuses all earlier
+  /// orders. Until then, a task whose start is without an outcome waits for this and the lease
+  /// limit.
+  Duration order_delay_limit = std::chrono::seconds(15);
+  /// The same for an incarnation that has neither answered nor registered: an endpoint may restart,
+  /// also a second time, and be cut off at once. Zero assumes that such an incarnation executes no
+  /// start for a former one. Otherwise a start is sent only once, and a task whose start has no
+  /// outcome waits for this, and for the lease limit if its endpoint is silent, though nearly
+  /// always the start was lost or the endpoint is gone.
+  Duration unheard_order_delay_limit{};
   /// The fraction by which the clock of an endpoint may be slower than the local clock, from the
   /// contract of the endpoint.
   double endpoint_clock_slowness = 0.02;
@@ -93,6 +105,11 @@
   }
   /// The same for the leases that the scheduler grants.
   Duration LongestLease() const { return this->TimeToLapse(this->lease); }
+  /// The same for an order given now that another incarnation may execute as late as `delay`.
+  Duration LongestLeaseOfLateOrder(Duration delay) const {
+    return delay > Duration::zero() ? delay + this->TimeToLapse(this->lease_limit)
+                                    : this->LongestLease();
+  }
 
   /// Whether events of the kind `EventImportance::kRoutine` are reported.
   bool reports_routine_events = true;
--- a/src/job_entry/lease_keeper.cc
+++ b/src/job_entry/lease_keeper.cc
@@ -49,17 +49,17 @@
 
 asio::awaitable<void> LeaseKeeper::SendRenewal([[maybe_unused]] std::shared_ptr<LeaseKeeper> self,
                                                jobs::RenewalOrder order) {
-  const std::string endpoint = order.endpoint;
   const RenewalOutcome renewed =
-      co_await this->context.links.endpoints->RenewLease(std::move(order), kRenewalTimeout);
+      co_await this->context.links.endpoints->RenewLease(order, kRenewalTimeout);
   if (this->is_stopped) {
     co_return;
   }
-  if (renewed.outcome == jobs::OrderOutcome::kTokenTooLow) {
+  if (renewed.outcome == jobs::OrderOutcome::kTokenTooLow &&
+      this->leases.IsTokenOfLaterOwner(order)) {
     this->on_superseded();
     co_return;
   }
-  this->leases.OnAnswered(endpoint, renewed.report, this->context.Now());
+  this->leases.OnAnswered(order, renewed.report, this->context.Now());
 }
 
 }  // namespace chervilspar::job_entry
--- a/src/job_entry/order_sender.cc
+++ b/src/job_entry/order_sender.cc
@@ -190,7 +190,8 @@
       }
       this->on_change();
       const bool has_waited = plan.order.wait > Duration::zero();
-      const bool is_renewal_due = is_renewed && plan.is_probe;
+      const bool is_renewal_due =
+          is_renewed && (plan.is_probe || this->scheduler.IsRestartUnconfirmed(this->endpoint));
       if (this->awaits_stored_ends) {
         this->awaiting->push_back(this->weak_from_this());
         co_await this->wakeup->WaitFor(kMaxStoreWait);
@@ -261,8 +262,10 @@
       co_return false;
     }
     const auto span = this->context.Measure(telemetry::WorkPart::kRenew);
-    this->awaits_stored_ends = !held.report->ended.empty();
     this->scheduler.OnRenewalAnswered(order, *held.report, sent, this->context.Now());
+    // The report of an endpoint that has restarted is asked for again before it counts.
+    this->awaits_stored_ends =
+        !held.report->ended.empty() && !this->scheduler.IsRestartUnconfirmed(this->endpoint);
     co_return true;
   }
 
--- a/src/job_entry/owner_term_load.cc
+++ b/src/job_entry/owner_term_load.cc
@@ -44,7 +44,7 @@
   this->LoadProgress(progress);
   this->LoadLapseNotices(progress);
   this->keeper->Stop();
-  this->scheduler.RecordInterimLeases(this->keeper->Leases().LeaseEnds());
+  this->scheduler.RecordInterimLeases(this->keeper->Leases().Leases());
   this->job_log.ApplyCancellations();
   this->ApplyOperatorSettings();
   co_return this->operators.Policy() != nullptr;
--- a/src/jobs/filler_throttle.cc
+++ b/src/jobs/filler_throttle.cc
@@ -56,14 +56,16 @@
     }
     task.speed_percent = endpoint.speed_percent;
     this->state.paces.push_back({endpoint.record.id, endpoint.record.address, key,
-                                 task.progress.run, endpoint.speed_percent, this->state.token});
+                                 task.progress.run, endpoint.speed_percent, endpoint.order_token});
   }
 }
 
 /// If the order that halts a filler were lost and taken as executed, no other would follow, as no
 /// speed is lower, and the filler would slow down its neighbour for as long as both run.
 void FillerThrottle::OnAnswered(const ThrottleOrder& order, OrderOutcome outcome) {
-  this->state.is_superseded = this->state.is_superseded || outcome == OrderOutcome::kTokenTooLow;
+  if (outcome == OrderOutcome::kTokenTooLow) {
+    this->state.OnTokenTooLow(order.endpoint, order.token);
+  }
   const TaskRef ref = this->state.Find(order.task);
   const bool is_newest =
       ref && ref.task->endpoint != nullptr && ref.task->endpoint->record.id == order.endpoint &&
--- a/src/jobs/interim_leases.cc
+++ b/src/jobs/interim_leases.cc
@@ -14,7 +14,11 @@
 
 void InterimLeases::SetEndpoints(const std::vector<EndpointRecord>& endpoints) {
   for (const EndpointRecord& endpoint : endpoints) {
-    this->endpoints[endpoint.id].address = endpoint.address;
+    EndpointLease& lease = this->endpoints[endpoint.id];
+    lease.address = endpoint.address;
+    if (lease.token == 0) {
+      lease.token = this->tokens.Next();
+    }
   }
 }
 
@@ -35,7 +39,7 @@
   RenewalOrder order;
   order.endpoint = id;
   order.address = lease.address;
-  order.token = this->token;
+  order.token = lease.token;
   if (lease.clock_ms && now - this->proof < this->options.predecessor_grace) {
     // The lowest value that its clock may show, so that a lease ends early rather than late.
     const auto passed = std::chrono::duration_cast<Duration>(
@@ -43,15 +47,16 @@
     const Duration ahead = passed + this->options.lease;
     order.lease_end_ms =
         *lease.clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(ahead).count();
-    TimePoint& lease_end = this->lease_ends[id];
-    lease_end = std::max(lease_end, now + this->options.LongestLease());
+    InterimLease& granted = this->leases[id];
+    granted.end = std::max(granted.end, now + this->options.LongestLease());
+    granted.born_ms = lease.born_ms;
   }
   return order;
 }
 
-void InterimLeases::OnAnswered(const std::string& endpoint,
+void InterimLeases::OnAnswered(const RenewalOrder& order,
                                const std::optional<RenewalReport>& report, TimePoint now) {
-  const auto found = this->endpoints.find(endpoint);
+  const auto found = this->endpoints.find(order.endpoint);
   if (found == this->endpoints.end()) {
     return;
   }
@@ -65,20 +70,42 @@
   }
   const bool has_restarted = lease.born_ms != 0 && report->born_ms != lease.born_ms;
   lease.born_ms = report->born_ms;
-  const auto granted = this->lease_ends.find(endpoint);
-  if (has_restarted && granted != this->lease_ends.end()) {
-    // The new incarnation may have taken an order for the former one, with the end of the lease on
-    // the former clock.
-    granted->second =
-        std::max(granted->second, now + this->options.TimeToLapse(this->options.lease_limit));
+  lease.has_runs = !report->active.empty();
+  if (has_restarted && lease.is_fenced) {
+    this->OnRestart(order.endpoint, lease, now);
+    return;
   }
+  const auto granted = this->leases.find(order.endpoint);
+  if (!lease.is_fenced && granted != this->leases.end()) {
+    // No order for a former incarnation is executed from now on.
+    granted->second.end = now + this->options.TimeToLapse(this->options.lease_limit);
+  }
+  lease.is_fenced = true;
   const bool is_renewed = lease.clock_ms.has_value();
   lease.clock_ms = report->clock_ms;
   lease.clock_at = now;
-  lease.has_runs = !report->active.empty();
   lease.next_request = is_renewed ? now + this->options.lease / kRenewalsPerLease : now;
 }
 
+/// The new incarnation may execute an order for the former one, with the end of the lease on the
+/// former clock, until it has answered one with a new token.
+void InterimLeases::OnRestart(const std::string& id, EndpointLease& lease, TimePoint now) {
+  lease.token = this->tokens.Next();
+  lease.is_fenced = false;
+  lease.has_runs = true;
+  lease.clock_ms.reset();
+  lease.next_request = now;
+  if (const auto granted = this->leases.find(id); granted != this->leases.end()) {
+    granted->second.end =
+        now + this->options.LongestLeaseOfLateOrder(this->options.order_delay_limit);
+  }
+}
+
+bool InterimLeases::IsTokenOfLaterOwner(const RenewalOrder& refused) const {
+  const auto found = this->endpoints.find(refused.endpoint);
+  return found != this->endpoints.end() && refused.token >= found->second.token;
+}
+
 bool InterimLeases::IsPollDone() const {
   return std::none_of(this->endpoints.begin(), this->endpoints.end(), [](const auto& entry) {
     return entry.second.is_request_pending && !entry.second.clock_ms;
--- a/src/jobs/lapse_review.cc
+++ b/src/jobs/lapse_review.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "jobs/former_leases.h"
+
 namespace chervilspar::jobs {
 
 namespace {
@@ -17,7 +19,7 @@
   const TimePoint last_response = std::max(endpoint.last_response, this->state.term_start);
   return is_unreachable && !endpoint.claims.empty() &&
          this->now - last_response >= this->state.options.unresponsive_after &&
-         this->now < endpoint.lease_end;
+         this->now < FormerLeases(this->state).LastRunEnd(endpoint);
 }
 
 void LapseReview::Run() {
@@ -27,8 +29,8 @@
                     this->now - endpoint->last_lapse_notice >= kNoticeInterval)) {
       endpoint->has_lapse_notice = true;
       endpoint->last_lapse_notice = this->now;
-      this->state.lapse_changes[id] =
-          EncodeLapseNotice({id, this->state.token, endpoint->lease_end - this->now});
+      this->state.lapse_changes[id] = EncodeLapseNotice(
+          {id, this->state.token, FormerLeases(this->state).LastRunEnd(*endpoint) - this->now});
     } else if (!is_left && endpoint->has_lapse_notice) {
       this->state.lapse_changes[id] = std::nullopt;
     }
@@ -45,8 +47,14 @@
       continue;
     }
     const TimePoint noticed_end = this->state.term_start + notice.remaining;
-    endpoint->lease_end =
-        is_from_predecessor ? noticed_end : std::max(endpoint->lease_end, noticed_end);
+    // A predecessor that counted the usual lease didn't know of a restart that is registered now.
+    const bool has_restarted =
+        std::any_of(endpoint->claims.begin(), endpoint->claims.end(), [&](const TaskKey& key) {
+          return this->state.Find(key).task->progress.endpoint_born_ms != endpoint->born_ms;
+        });
+    endpoint->lease_end = is_from_predecessor && !has_restarted
+                              ? noticed_end
+                              : std::max(endpoint->lease_end, noticed_end);
   }
 }
 
--- a/src/jobs/occupancy.cc
+++ b/src/jobs/occupancy.cc
@@ -36,9 +36,9 @@
 
 Occupancy OccupancyOf(SchedulerState& state, const std::string& id, TimePoint now) {
   TimePoint last_lease_end = FormerLeaseEnd(state);
-  if (const auto forgotten = state.forgotten_leases.find(id);
-      forgotten != state.forgotten_leases.end()) {
-    last_lease_end = std::max(last_lease_end, forgotten->second);
+  if (const auto forgotten = state.forgotten_endpoints.find(id);
+      forgotten != state.forgotten_endpoints.end()) {
+    last_lease_end = std::max(last_lease_end, forgotten->second.lease_end);
   }
   if (const EndpointState* endpoint = state.FindEndpoint(id)) {
     if (!endpoint->claims.empty() || !endpoint->orphaned_runs.empty()) {
--- a/src/jobs/order_round.cc
+++ b/src/jobs/order_round.cc
@@ -27,8 +27,9 @@
     this->state.link.budget.OnStartSent(StartBytes(ref), this->now);
   }
   task.last_order_sent = this->now;
+  task.last_start_sent = this->now;
   ++task.start_tries;
-  FormerLeases::OnStartOrdered(*task.endpoint, task.lease_end_ms);
+  FormerLeases::OnStartOrdered(*task.endpoint);
   const EndpointRecord& record = task.endpoint->record;
   return {.endpoint = record.id,
           .address = record.address,
@@ -37,7 +38,7 @@
           .payload = ref.job->job.payload,
           .checkpoint = task.progress.checkpoint,
           .ticket = task.ticket,
-          .token = this->state.token,
+          .token = task.endpoint->order_token,
           .lease_end_ms = task.lease_end_ms};
 }
 
@@ -69,13 +70,21 @@
 
 void OrderRound::GatherUnconfirmed(const TaskRef& ref, Orders& orders) {
   Task& task = *ref.task;
+  // The next answer tells whether the incarnation that it was placed on is still there.
+  if (!task.is_adopted && !task.endpoint->is_fenced) {
+    return;
+  }
   const bool is_cordoned = task.endpoint->is_cordoned;
   const Duration pause = is_cordoned ? kPollBeforeStop : this->state.options.start_retry;
   if (this->now - task.last_order_sent < pause) {
     return;
   }
   const bool takes_work = task.endpoint->is_registered && !task.endpoint->IsLeaving();
-  const bool may_repeat = takes_work && !is_cordoned && this->now < task.start_expires;
+  const bool is_same_incarnation = task.progress.endpoint_born_ms == task.endpoint->born_ms;
+  // Of several tries, one may be outstanding when the run has ended.
+  const bool is_single = this->state.options.unheard_order_delay_limit > Duration::zero();
+  const bool may_repeat = takes_work && !is_cordoned && is_same_incarnation && !is_single &&
+                          this->now < task.start_expires;
   if (task.start_tries < this->state.options.start_tries && may_repeat) {
     if (this->state.options.budgets_link &&
         !this->state.link.budget.Admits(StartBytes(ref), LinkBudget::Precedence::kHigh,
@@ -119,7 +128,7 @@
   task.last_order_sent = this->now;
   const EndpointRecord& record = task.endpoint->record;
   orders.stops.push_back(
-      {record.id, record.address, ref.key, task.progress.run, this->state.token});
+      {record.id, record.address, ref.key, task.progress.run, task.endpoint->order_token});
 }
 
 void OrderRound::GatherOrphanStops(EndpointState& endpoint, Orders& orders) {
@@ -129,7 +138,7 @@
     }
     last_order_sent = this->now;
     orders.stops.push_back({endpoint.record.id, endpoint.record.address, orphan.first,
-                            orphan.second, this->state.token});
+                            orphan.second, endpoint.order_token});
   }
 }
 
--- a/src/jobs/queued_start.cc
+++ b/src/jobs/queued_start.cc
@@ -20,7 +20,7 @@
 
 bool QueuedStart::HasEndpointRestarted() const {
   const std::int64_t placed_born_ms = this->ref.task->progress.endpoint_born_ms;
-  return this->endpoint->record.born_ms > placed_born_ms ||
+  return this->order.token != this->endpoint->order_token ||
          this->endpoint->born_ms != placed_born_ms ||
          !(this->endpoint->record.address == this->order.address);
 }
--- a/src/jobs/run_tracker.cc
+++ b/src/jobs/run_tracker.cc
@@ -13,6 +13,9 @@
 constexpr int kMaxRestartFactor = 10;
 /// An endpoint that refuses a start for lack of capacity is skipped for this long.
 constexpr Duration kFullBackoff = std::chrono::milliseconds(250);
+/// For the rounding of clocks. An incarnation that is only this much younger than the one before
+/// grants no longer leases than that.
+constexpr Duration kClockTolerance = std::chrono::milliseconds(50);
 
 /// The runs that a report lists as active.
 class ListedRuns {
@@ -41,18 +44,31 @@
          ref.task->progress.run == run;
 }
 
-void RunTracker::OnHeld(EndpointState& endpoint, const RenewalReport& report, TimePoint sent,
-                        TimePoint now) {
-  if (report.born_ms != 0 && endpoint.born_ms != 0 && report.born_ms < endpoint.born_ms) {
-    return;  // a delayed answer of a former incarnation
-  }
-  if (report.born_ms != 0 && report.born_ms != endpoint.born_ms) {
-    if (endpoint.born_ms != 0) {
-      this->OnRestart(endpoint, report, now);
+void RunTracker::OnHeld(EndpointState& endpoint, const RenewalOrder& order,
+                        const RenewalReport& report, TimePoint sent, TimePoint now) {
+  if (order.token < endpoint.order_token) {
+    return;  // A former incarnation may have given it.
+  }
+  const bool has_restarted =
+      report.born_ms != 0 && endpoint.born_ms != 0 && report.born_ms != endpoint.born_ms;
+  if (has_restarted && endpoint.is_fenced) {
+    // A former incarnation can't have answered what was sent after an answer of the current one,
+    // whatever the wall clocks say.
+    if (report.born_ms > endpoint.born_ms || sent >= endpoint.last_response) {
+      this->OnRestart(endpoint, "its answer", now);
     }
+    return;
+  }
+  if (has_restarted) {
+    endpoint.has_former_lease_orders |= endpoint.has_lease_orders;
+    ResetIncarnation(endpoint);
+  }
+  if (report.born_ms != 0) {
     endpoint.born_ms = report.born_ms;
   }
-  const bool is_first = !endpoint.clock_ms.has_value();
+  if (!std::exchange(endpoint.is_fenced, true)) {
+    this->former_leases.OnFenced(endpoint, report, now);
+  }
   endpoint.clock_ms = report.clock_ms;
   endpoint.clock_at = now;
   endpoint.last_response = now;
@@ -61,9 +77,6 @@
   if (sent > endpoint.evacuating_since) {
     endpoint.is_report_requested = false;
   }
-  if (is_first) {
-    this->former_leases.OnFirstAnswer(endpoint, report, sent, now);
-  }
   for (const EndedRun& ended : report.ended) {
     if (ended.number > endpoint.seen_end) {
       this->ProcessEnd(endpoint, ended, now);
@@ -212,6 +225,11 @@
   }
   Task& task = *ref.task;
   task.is_reported = true;
+  if (task.progress.endpoint_born_ms != endpoint.born_ms) {
+    // It executed a start for its former incarnation.
+    task.progress.endpoint_born_ms = endpoint.born_ms;
+    this->state.MarkDirty(*ref.job);
+  }
   // The start was executed after all. Ending a run that serves its users would be worse than the
   // wait for it was.
   const bool is_kept = task.state == RunState::kStopping && task.is_given_up &&
@@ -243,10 +261,16 @@
     return !listed.Contains(run.first.first, run.first.second);
   });
   std::vector<TaskRef> lost;
+  std::vector<TaskRef> restarted;
   for (const TaskKey& key : endpoint.claims) {
     const TaskRef ref = this->state.Find(key);
     const Task& task = *ref.task;
-    if (listed.Contains(key, task.progress.run)) {
+    if (listed.Contains(key, task.progress.run) || this->former_leases.MayStartUnheard(task, now)) {
+      continue;
+    }
+    // It refuses the starts for its former incarnation from now on, and so has none to execute.
+    if (task.progress.endpoint_born_ms != endpoint.born_ms) {
+      restarted.push_back(ref);
       continue;
     }
     const bool was_confirmed = task.state == RunState::kActive && task.since < sent;
@@ -270,7 +294,13 @@
          "not listed in a response to a request that was sent after its order"});
     this->state.Release(ref);
   }
+  for (const TaskRef& ref : restarted) {
+    this->state.ReportEvent(
+        {"run_lost", ref.key, {}, endpoint.record.id, "the endpoint restarted"});
+    this->state.Release(ref);
+  }
   this->StopGangsOf(lost, now);
+  this->StopGangsOf(restarted, now);
 }
 
 /// Called after all claims of an endpoint have been checked, because a member that is being stopped
@@ -285,88 +315,45 @@
 /// claim were released on the registration, the task would run twice. Therefore a registration only
 /// causes a status request, whose answer lists the active runs.
 void RunTracker::OnRestartRegistered(EndpointState& endpoint, std::int64_t born_ms, TimePoint now) {
-  if (endpoint.claims.empty()) {
-    ResetIncarnation(endpoint);
-    endpoint.born_ms = born_ms;
+  if (endpoint.last_response == TimePoint{}) {
+    if (endpoint.claims.empty()) {
+      endpoint.has_former_lease_orders |= endpoint.born_ms != 0 && endpoint.has_lease_orders;
+      endpoint.born_ms = born_ms;
+    } else {
+      this->former_leases.OnRestartBeforeFirstAnswer(endpoint);
+    }
     return;
   }
-  if (!endpoint.is_silent || endpoint.clock_ms) {
-    this->ReportRestart(endpoint, "its registration", born_ms, now);
-  }
-  endpoint.is_silent = true;
-  endpoint.clock_ms.reset();
-  // A start that was given after the last answered request may have reached the new incarnation,
-  // even if the start was answered.
-  const bool may_run =
-      std::any_of(endpoint.claims.begin(), endpoint.claims.end(), [&](const TaskKey& key) {
-        const Task& task = *this->state.Find(key).task;
-        return MayStartLate(task) || task.last_order_sent >= endpoint.last_answered_request;
-      });
-  if (may_run) {
-    this->former_leases.OnUnansweredRestart(endpoint, now);
+  const bool is_noted = born_ms == endpoint.fenced_registration_ms;
+  if (endpoint.is_fenced && !is_noted) {
+    endpoint.fenced_registration_ms = born_ms;
+    this->OnRestart(endpoint, "its registration", now);
   }
 }
 
-void RunTracker::ReportRestart(const EndpointState& endpoint, const std::string& source,
-                               std::int64_t born_ms, TimePoint now) {
-  const auto late_starts = std::count_if(
-      endpoint.claims.begin(), endpoint.claims.end(),
-      [this](const TaskKey& key) { return MayStartLate(*this->state.Find(key).task); });
-  this->state.ReportEvent(
-      {"endpoint_restarted",
-       {},
-       {},
-       endpoint.record.id,
-       source + " shows an incarnation born at " + std::to_string(born_ms) +
-           "; its last answer was " + std::to_string(ToMilliseconds(now - endpoint.last_response)) +
-           " ms ago, " + std::to_string(late_starts) + " of " +
-           std::to_string(endpoint.claims.size()) + " starts may still arrive"});
+void RunTracker::OnRestart(EndpointState& endpoint, const std::string& source, TimePoint now) {
+  this->ReportRestart(endpoint, source, now);
+  this->former_leases.OnRestart(endpoint, now);
 }
 
-bool RunTracker::MayStartLate(const Task& task) {
-  // Of several tries, a delayed one may arrive after the run was reported.
-  const bool is_settled = task.is_reported && task.start_tries <= 1;
-  return !task.is_adopted && !is_settled && task.state != RunState::kRecording;
-}
-
-void RunTracker::OnRestart(EndpointState& endpoint, const RenewalReport& report, TimePoint now) {
-  this->ReportRestart(endpoint, "its answer", report.born_ms, now);
-  const ListedRuns listed(report);
-  std::vector<TaskRef> lost;
-  const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
-  for (const TaskKey& key : claims) {
-    const TaskRef ref = this->state.Find(key);
-    Task& task = *ref.task;
-    if (task.progress.endpoint_born_ms == report.born_ms) {
-      continue;
-    }
-    if (listed.Contains(key, task.progress.run)) {
-      task.progress.endpoint_born_ms = report.born_ms;
-      this->state.MarkDirty(*ref.job);
-      continue;
-    }
-    lost.push_back(ref);
-    if (MayStartLate(task)) {
-      // The start is unanswered. Its deadline is on the former incarnation's clock and doesn't stop
-      // this one from executing it, and neither does a stop that the former one executed. Only a
-      // stop sent to this incarnation does.
-      this->state.BeginStop(ref, now);
-      task.last_order_sent = TimePoint{};
-      task.stop_answered.reset();
-      continue;
-    }
-    this->state.ReportEvent({"run_lost", key, {}, endpoint.record.id, "the endpoint restarted"});
-    this->state.Release(ref);
-  }
-  this->StopGangsOf(lost, now);
-  const bool is_first_contact = endpoint.last_response == TimePoint{};
-  endpoint.has_former_orders_of_predecessor |= is_first_contact && !claims.empty();
-  ResetIncarnation(endpoint);
+void RunTracker::ReportRestart(const EndpointState& endpoint, const std::string& source,
+                               TimePoint now) {
+  const auto late_starts =
+      std::count_if(endpoint.claims.begin(), endpoint.claims.end(), [this](const TaskKey& key) {
+        return FormerLeases::MayStartLate(*this->state.Find(key).task);
+      });
+  this->state.ReportEvent({"endpoint_restarted",
+                           {},
+                           {},
+                           endpoint.record.id,
+                           source + " shows another incarnation; its last answer was " +
+                               std::to_string(ToMilliseconds(now - endpoint.last_response)) +
+                               " ms ago, " + std::to_string(late_starts) + " of " +
+                               std::to_string(endpoint.claims.size()) +
+                               " starts may still arrive"});
 }
 
 void RunTracker::ResetIncarnation(EndpointState& endpoint) {
-  FormerLeases::OnNewIncarnation(endpoint);
-  endpoint.clock_ms.reset();
   endpoint.unstored_ends.clear();
   endpoint.seen_end = 0;
   endpoint.stored_end = 0;
@@ -378,12 +365,21 @@
 }
 
 void RunTracker::ReleaseAll(EndpointState& endpoint, const std::string& why, TimePoint now) {
+  this->ReleaseClaims(endpoint, why, now, [](const Task&) { return true; });
+}
+
+void RunTracker::ReleaseClaims(EndpointState& endpoint, const std::string& why, TimePoint now,
+                               const std::function<bool(const Task&)>& is_over) {
   std::vector<TaskRef> lost;
   const std::vector<TaskKey> claims(endpoint.claims.begin(), endpoint.claims.end());
   for (const TaskKey& key : claims) {
+    const TaskRef ref = this->state.Find(key);
+    if (!is_over(*ref.task)) {
+      continue;
+    }
     this->state.ReportEvent({"run_lost", key, {}, endpoint.record.id, why});
-    lost.push_back(this->state.Find(key));
-    this->state.Release(lost.back());
+    lost.push_back(ref);
+    this->state.Release(ref);
   }
   this->StopGangsOf(lost, now);
 }
@@ -395,11 +391,21 @@
 
 void RunTracker::ReleaseExpiredLeases(TimePoint now) {
   for (const auto& [id, endpoint] : this->state.endpoints) {
-    if (!endpoint->claims.empty() && now > endpoint->lease_end) {
+    if (endpoint->claims.empty() || now <= endpoint->lease_end) {
+      continue;
+    }
+    const auto is_over = [&, &at = *endpoint](const Task& task) {
+      return now > this->former_leases.LastRunEnd(at, task);
+    };
+    const bool is_any_over =
+        std::any_of(endpoint->claims.begin(), endpoint->claims.end(),
+                    [&](const TaskKey& key) { return is_over(*this->state.Find(key).task); });
+    if (is_any_over) {
       const std::int64_t silence = ToMilliseconds(now - endpoint->last_response);
-      this->ReleaseAll(
+      this->ReleaseClaims(
           *endpoint,
-          "its lease has lapsed; its last answer was " + std::to_string(silence) + " ms ago", now);
+          "its lease has lapsed; its last answer was " + std::to_string(silence) + " ms ago", now,
+          is_over);
     }
   }
 }
@@ -409,8 +415,9 @@
   const OrderOutcome outcome = answer.outcome;
   EndpointState* endpoint = this->state.FindEndpoint(order.endpoint);
   const TaskRef ref = this->state.Find(order.task);
-  if (endpoint != nullptr && answer.clock_ms) {
-    this->ReportForeignClock(*endpoint, order.task, *answer.clock_ms);
+  const std::optional<bool> is_own = this->IsOfKnownIncarnation(order, answer);
+  if (is_own == false) {
+    this->OnRestart(*endpoint, "the clock in an answer to a start", now);
   }
   if (endpoint == nullptr || !this->IsCurrentRun(ref, *endpoint, order.run)) {
     return;
@@ -423,17 +430,20 @@
   if (task.state != RunState::kStarting && task.state != RunState::kUnconfirmed) {
     return;
   }
+  if (outcome == OrderOutcome::kTokenTooLow) {
+    this->state.OnTokenTooLow(order.endpoint, order.token);
+    if (this->state.is_superseded) {
+      return;
+    }
+  }
   switch (outcome) {
     case OrderOutcome::kDone:
       this->state.MarkStarted(ref, *endpoint, now);
       task.state = RunState::kActive;
-      task.is_reported = true;
+      task.is_reported = is_own.value_or(false);
       task.since = now;
       task.percent_since = now;
       return;
-    case OrderOutcome::kTokenTooLow:
-      this->state.is_superseded = true;
-      return;
     case OrderOutcome::kRunTooOld:
     case OrderOutcome::kNoAnswer:
       task.state = RunState::kUnconfirmed;
@@ -454,6 +464,7 @@
       ref.step->advice.answers.erase(order.endpoint);
       break;
     case OrderOutcome::kPayloadMissing:
+    case OrderOutcome::kTokenTooLow:
     case OrderOutcome::kWithdrawn:
       break;
     case OrderOutcome::kTooLate:
@@ -475,16 +486,18 @@
   this->state.StopGang(ref, now);
 }
 
-void RunTracker::ReportForeignClock(const EndpointState& endpoint, const TaskKey& task,
-                                    std::int64_t clock_ms) {
-  if (endpoint.clock_ms && clock_ms < *endpoint.clock_ms) {
-    this->state.ReportEvent({"start_answered_by_other_incarnation",
-                             task,
-                             {},
-                             endpoint.record.id,
-                             "its clock shows " + std::to_string(clock_ms) + " ms, and showed " +
-                                 std::to_string(*endpoint.clock_ms) + " ms before"});
+/// The answer doesn't name the incarnation, but its clock tells: that of a later one is behind.
+std::optional<bool> RunTracker::IsOfKnownIncarnation(const StartOrder& order,
+                                                     const StartAnswer& answer) const {
+  const EndpointState* const endpoint = this->state.FindEndpoint(order.endpoint);
+  const TaskRef ref = this->state.Find(order.task);
+  if (endpoint == nullptr || !this->IsCurrentRun(ref, *endpoint, order.run) || !answer.clock_ms ||
+      !endpoint->is_fenced || order.token != endpoint->order_token) {
+    return std::nullopt;
   }
+  const std::int64_t earliest = endpoint->EarliestClockAt(
+      ref.task->last_start_sent, this->state.options.endpoint_clock_slowness);
+  return *answer.clock_ms >= earliest - ToMilliseconds(kClockTolerance);
 }
 
 void RunTracker::OnStartWithdrawn(const TaskRef& ref, TimePoint now) {
@@ -506,7 +519,7 @@
 
 void RunTracker::OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now) {
   if (outcome == OrderOutcome::kTokenTooLow) {
-    this->state.is_superseded = true;
+    this->state.OnTokenTooLow(order.endpoint, order.token);
     return;
   }
   EndpointState* endpoint = this->state.FindEndpoint(order.endpoint);
--- a/src/jobs/run_tracker.h
+++ b/src/jobs/run_tracker.h
@@ -1,5 +1,10 @@
 #pragma once
 
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include "jobs/former_leases.h"
 #include "jobs/scheduler_state.h"
 
@@ -16,7 +21,8 @@
   explicit RunTracker(SchedulerState& state) : state(state), former_leases(state) {}
 
   /// Processes an endpoint's answer to a request that was sent at `sent`.
-  void OnHeld(EndpointState& endpoint, const RenewalReport& report, TimePoint sent, TimePoint now);
+  void OnHeld(EndpointState& endpoint, const RenewalOrder& order, const RenewalReport& report,
+              TimePoint sent, TimePoint now);
   void OnStartAnswered(const StartOrder& order, const StartAnswer& answer, TimePoint now);
   void OnStopAnswered(const StopOrder& order, OrderOutcome outcome, TimePoint now);
   /// The task's last start order was not sent.
@@ -30,8 +36,9 @@
 
  private:
   void ProcessEnd(EndpointState& endpoint, const EndedRun& ended, TimePoint now);
-  /// The answer comes from another incarnation than the one that the claims belong to.
-  void OnRestart(EndpointState& endpoint, const RenewalReport& report, TimePoint now);
+  /// Another incarnation was learned of than the one that the claims belong to. What runs there is
+  /// known once it has answered an order with a new token.
+  void OnRestart(EndpointState& endpoint, const std::string& source, TimePoint now);
   /// Resets everything known about the former incarnation except its claims.
   static void ResetIncarnation(EndpointState& endpoint);
   /// Counts a failed run against its endpoint, and ejects an endpoint on which runs of several jobs
@@ -49,17 +56,18 @@
   void StopGangsOf(const std::vector<TaskRef>& lost, TimePoint now);
   /// Releases all claims on the endpoint; `why` is logged.
   void ReleaseAll(EndpointState& endpoint, const std::string& why, TimePoint now);
+  /// Releases those that `is_over` accepts.
+  void ReleaseClaims(EndpointState& endpoint, const std::string& why, TimePoint now,
+                     const std::function<bool(const Task&)>& is_over);
   /// Whether `run` is the current run of the task and its claim is on `endpoint`.
   bool IsCurrentRun(const TaskRef& ref, const EndpointState& endpoint, std::uint64_t run) const;
 
   /// Reports to the log that the endpoint has restarted, and what of that is outstanding.
-  void ReportRestart(const EndpointState& endpoint, const std::string& source, std::int64_t born_ms,
-                     TimePoint now);
-  /// Reports a start that was answered with a clock that can't be that of the known incarnation.
-  void ReportForeignClock(const EndpointState& endpoint, const TaskKey& task,
-                          std::int64_t clock_ms);
-  /// Whether a start of the task may be executed by an incarnation that the task was not meant for.
-  static bool MayStartLate(const Task& task);
+  void ReportRestart(const EndpointState& endpoint, const std::string& source, TimePoint now);
+  /// Whether the incarnation that the start was meant for has answered it; nothing if the answer
+  /// doesn't tell.
+  std::optional<bool> IsOfKnownIncarnation(const StartOrder& order,
+                                           const StartAnswer& answer) const;
 
   SchedulerState& state;
   FormerLeases former_leases;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -250,12 +250,10 @@
   FormerLeases(this->impl->state).Restore(notices);
 }
 
-void Scheduler::RecordInterimLeases(const std::map<std::string, TimePoint>& lease_ends) {
-  SchedulerState& state = this->impl->state;
-  for (const auto& [id, lease_end] : lease_ends) {
-    if (EndpointState* endpoint = state.FindEndpoint(id)) {
-      endpoint->lease_end = std::max(endpoint->lease_end, lease_end);
-      FormerLeases::OnGrantedBefore(*endpoint, lease_end, state.options);
+void Scheduler::RecordInterimLeases(const std::map<std::string, InterimLease>& leases) {
+  for (const auto& [id, lease] : leases) {
+    if (EndpointState* endpoint = this->impl->state.FindEndpoint(id)) {
+      FormerLeases::OnInterimLease(*endpoint, lease);
     }
   }
 }
@@ -282,8 +280,7 @@
   if (endpoint == nullptr) {
     return;
   }
-  FormerLeases::OnRenewalSettled(*endpoint, now);
-  this->impl->tracker.OnHeld(*endpoint, report, sent, now);
+  this->impl->tracker.OnHeld(*endpoint, order, report, sent, now);
   if (report.born_ms == endpoint->born_ms && order.confirmed_end <= endpoint->seen_end) {
     endpoint->confirmed_end = std::max(endpoint->confirmed_end, order.confirmed_end);
   }
@@ -317,21 +314,19 @@
 
 void Scheduler::OnRenewalFailed(const std::string& id, OrderOutcome outcome, TimePoint now) {
   EndpointState* endpoint = this->impl->state.FindEndpoint(id);
-  if (outcome == OrderOutcome::kTokenTooLow) {
-    this->impl->state.is_superseded = true;
-  }
   if (endpoint == nullptr) {
     return;
   }
-  FormerLeases::OnRenewalSettled(*endpoint, now);
+  if (outcome == OrderOutcome::kTokenTooLow) {
+    this->impl->state.OnTokenTooLow(id, endpoint->planned_token);
+  }
   endpoint->is_silent = true;
   if (outcome == OrderOutcome::kOtherIncarnation) {
     this->impl->tracker.OnEndpointReplaced(*endpoint, now);
   }
 }
 
-void Scheduler::OnStartAnswered(const StartOrder& order, const StartAnswer& answer,
-                                TimePoint now) {
+void Scheduler::OnStartAnswered(const StartOrder& order, const StartAnswer& answer, TimePoint now) {
   if (EndpointState* endpoint = this->impl->state.FindEndpoint(order.endpoint)) {
     FormerLeases::OnStartSettled(*endpoint, now);
   }
@@ -450,7 +445,8 @@
   RenewalPlan plan;
   plan.order.endpoint = id;
   plan.order.address = endpoint->record.address;
-  plan.order.token = state.token;
+  plan.order.token = endpoint->order_token;
+  endpoint->planned_token = endpoint->order_token;
   // An endpoint that restarted unnoticed would take the confirmation for an end of its current
   // incarnation.
   const bool has_to_confirm = endpoint->confirmed_end < endpoint->stored_end;
@@ -473,7 +469,7 @@
     plan.order.lease_end_ms =
         endpoint->EarliestClockAt(now, state.options.endpoint_clock_slowness) +
         ToMilliseconds(lease);
-    FormerLeases::OnRenewalPlanned(*endpoint, *plan.order.lease_end_ms);
+    FormerLeases::OnRenewalPlanned(*endpoint);
     endpoint->lease_end = std::max(endpoint->lease_end, now + state.options.LongestLease());
   }
   const bool may_wait =
@@ -488,6 +484,11 @@
   this->impl->state.proof = std::max(this->impl->state.proof, proof);
 }
 
+bool Scheduler::IsRestartUnconfirmed(const std::string& id) const {
+  const EndpointState* const endpoint = this->impl->state.FindEndpoint(id);
+  return endpoint != nullptr && !endpoint->is_fenced && endpoint->last_response != TimePoint{};
+}
+
 bool Scheduler::MayRenew(TimePoint now) const {
   const SchedulerState& state = this->impl->state;
   return now - state.proof < state.options.predecessor_grace;
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -88,6 +88,7 @@
     : options(options),
       token(token),
       term_start(term_start),
+      order_tokens(token, OrderTokens::Part::kScheduler),
       link(options.link_rate),
       proof(term_start) {}
 
@@ -123,6 +124,14 @@
   if (slot == nullptr) {
     slot = std::make_unique<EndpointState>();
     slot->record.id = id;
+    slot->order_token = this->order_tokens.Next();
+    if (const auto forgotten = this->forgotten_endpoints.find(id);
+        forgotten != this->forgotten_endpoints.end()) {
+      slot->born_ms = forgotten->second.born_ms;
+      slot->lease_end = forgotten->second.lease_end;
+      slot->long_lease_end = forgotten->second.lease_end;
+      slot->has_lease_orders = true;
+    }
     this->endpoint_index.emplace(id, slot.get());
   }
   return *slot;
@@ -130,14 +139,17 @@
 
 std::vector<std::string> SchedulerState::ForgetUnregisteredEndpoints(TimePoint now) {
   std::vector<std::string> forgotten;
-  std::erase_if(this->forgotten_leases, [now](const auto& lease) { return lease.second < now; });
+  std::erase_if(this->forgotten_endpoints, [now](const auto& entry) {
+    return entry.second.lease_end < now && entry.second.last_arrival < now;
+  });
   std::erase_if(this->endpoints, [&](const auto& entry) {
     const EndpointState& endpoint = *entry.second;
     const bool is_gone = !endpoint.is_registered && endpoint.claims.empty() &&
                          !endpoint.has_lapse_notice && !endpoint.has_long_lease_notice;
     if (is_gone) {
-      if (endpoint.lease_end >= now) {
-        this->forgotten_leases[entry.first] = endpoint.lease_end;
+      if (endpoint.lease_end >= now || endpoint.has_lease_orders) {
+        this->forgotten_endpoints[entry.first] = {
+            endpoint.lease_end, now + this->options.order_delay_limit, endpoint.born_ms};
       }
       this->endpoint_index.erase(entry.first);
       this->leaving.erase(entry.first);
@@ -312,9 +324,9 @@
   EndpointState& endpoint = this->GetOrCreateEndpoint(task.progress.endpoint);
   // If the registry already lists a newer incarnation, that one may have started the run before the
   // predecessor learned of it. The next status response tells which it is.
-  endpoint.has_former_orders_of_predecessor |=
-      endpoint.born_ms != 0 && endpoint.born_ms != task.progress.endpoint_born_ms;
+  const bool has_restarted = endpoint.born_ms > task.progress.endpoint_born_ms;
   endpoint.born_ms = std::max(endpoint.born_ms, task.progress.endpoint_born_ms);
+  endpoint.has_lease_orders = true;
   task.state = RunState::kUnconfirmed;
   task.is_adopted = true;
   this->retry_candidates.insert(ref.key);
@@ -325,10 +337,12 @@
   task.start_expires = this->term_start + this->options.predecessor_grace;
   // A predecessor's start is never repeated; a run that isn't reported is stopped.
   task.start_tries = this->options.start_tries;
-  const Duration longest_lease = endpoint.has_former_orders_of_predecessor
-                                     ? this->options.TimeToLapse(this->options.lease_limit)
-                                     : this->options.LongestLease();
-  endpoint.lease_end = this->term_start + this->options.predecessor_grace + longest_lease;
+  const Duration longest_lease =
+      has_restarted
+          ? this->options.LongestLeaseOfLateOrder(this->options.order_delay_limit)
+          : this->options.LongestLeaseOfLateOrder(this->options.unheard_order_delay_limit);
+  endpoint.lease_end = std::max(endpoint.lease_end,
+                                this->term_start + this->options.predecessor_grace + longest_lease);
   this->AccountUsage(ref, endpoint, true);
 }
 
@@ -352,6 +366,14 @@
   this->RefreshReady(*ref.job);
 }
 
+/// A token that this owner has issued since voids the order as well. Only a token that it has not
+/// issued shows a later owner.
+void SchedulerState::OnTokenTooLow(const std::string& id, std::uint64_t token) {
+  const EndpointState* const endpoint = this->FindEndpoint(id);
+  this->is_superseded =
+      this->is_superseded || (endpoint != nullptr && token >= endpoint->order_token);
+}
+
 /// If a member of a gang never starts or is lost, the others would occupy their capacity and wait
 /// for it until their endpoints end them.
 void SchedulerState::StopGang(const TaskRef& ref, TimePoint now) {
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "chervilspar/jobs/link_budget.h"
+#include "chervilspar/jobs/order_tokens.h"
 #include "chervilspar/jobs/scheduler.h"
 
 #include "jobs/account_division.h"
@@ -52,6 +53,7 @@
   TimePoint since{};
   /// When the last start or stop was sent.
   TimePoint last_order_sent{};
+  TimePoint last_start_sent{};
   /// The time on this process's clock after which an unanswered start can no longer be executed.
   TimePoint start_expires{};
   /// The end of the first lease on the endpoint's clock, after which it refuses the start.
@@ -63,7 +65,8 @@
   std::int64_t reserved_bytes = 0;
   /// Placed by a predecessor.
   bool is_adopted = false;
-  /// The endpoint has reported this run. If only one start was sent, none is in flight any more.
+  /// The incarnation that the start was meant for has executed it. If only one was sent, none is in
+  /// flight any more.
   bool is_reported = false;
   /// When the endpoint answered a stop of this run.
   std::optional<TimePoint> stop_answered;
@@ -249,17 +252,22 @@
   /// The time on this process's clock at which all leases on it have lapsed unless they are
   /// renewed.
   TimePoint lease_end{};
-  /// The latest lease end that this owner has asked for on the clock of its current incarnation,
-  /// and on that of a former one since whose end it has not answered; see `FormerLeases`.
-  std::optional<std::int64_t> asked_lease_end_ms;
-  std::optional<std::int64_t> former_lease_end_ms;
-  /// Such orders that have neither been answered nor failed, and when the last one was or did.
-  bool is_renewal_pending = false;
+  /// The token of its orders. A new one is issued when an incarnation is learned of that may have
+  /// executed orders for a former one.
+  std::uint64_t order_token = 0;
+  /// Its current incarnation has answered an order with `order_token`, and so refuses all orders
+  /// that were given before that token was issued.
+  bool is_fenced = false;
+  /// The token of the last renewal that was planned.
+  std::uint64_t planned_token = 0;
+  /// The newest registered incarnation that a token was issued for.
+  std::int64_t fenced_registration_ms = 0;
+  /// It was given orders that grant leases: some, and some for an incarnation before the current.
+  bool has_lease_orders = false;
+  bool has_former_lease_orders = false;
+  /// Starts that have neither been answered nor failed, and when the last one was or did.
   int pending_starts = 0;
-  TimePoint last_order_settled{};
   TimePoint last_start_settled{};
-  /// An earlier owner may have asked for leases on the clock of a former incarnation.
-  bool has_former_orders_of_predecessor = false;
   /// Leases that its current incarnation took from orders for a former one may last until then.
   TimePoint long_lease_end{};
   /// A notice of them is stored or may be.
@@ -304,9 +312,6 @@
   Resources FreeCapacity() const {
     return this->record.capacity - this->used - this->reserved_capacity;
   }
-  bool HasPendingLeaseOrders() const {
-    return this->is_renewal_pending || this->pending_starts > 0;
-  }
   bool IsLeaving() const { return this->is_evacuating || this->record.is_draining; }
   /// The lowest value, in milliseconds, that its clock may show at `now` if it is slower than this
   /// process's clock by the fraction `slowness`. A lease that is computed from it ends early rather
@@ -314,6 +319,16 @@
   std::int64_t EarliestClockAt(TimePoint now, double slowness) const;
 };
 
+/// What is kept of an endpoint that is no longer registered.
+struct ForgottenEndpoint {
+  /// When the leases on it have certainly lapsed.
+  TimePoint lease_end{};
+  /// Until then, an order that it was given may still be executed.
+  TimePoint last_arrival{};
+  /// The incarnation that answered last; 0 if none did.
+  std::int64_t born_ms = 0;
+};
+
 /// Capacity of an endpoint that is reserved for one task.
 struct CapacityReservation {
   std::string endpoint;
@@ -440,6 +455,8 @@
   /// Whether a long-running task on the endpoint isn't ready yet, or may be active there.
   bool HasStartingTask(const EndpointState& endpoint);
   bool IsWithinCap(const JobState& job, const Resources& need) const;
+  /// The endpoint has refused an order, as it knows a higher token than the order's.
+  void OnTokenTooLow(const std::string& endpoint, std::uint64_t token);
   /// Adds an event for the log; drops and counts it if too many are pending.
   void ReportEvent(DecisionEvent note);
 
@@ -472,8 +489,8 @@
   std::map<std::string, std::unique_ptr<EndpointState>> endpoints;
   /// A hash index of `endpoints`, for the thousands of lookups in a round.
   std::unordered_map<std::string, EndpointState*> endpoint_index;
-  /// When the leases on endpoints that were forgotten have certainly lapsed.
-  std::map<std::string, TimePoint> forgotten_leases;
+  std::map<std::string, ForgottenEndpoint> forgotten_endpoints;
+  OrderTokens order_tokens;
   /// The endpoints that are leaving, by id.
   std::map<std::string, EndpointState*> leaving;
   std::map<ServiceId, PoolState> pools;
