--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -29,6 +29,8 @@
   std::string advice_address;
   std::string key_proof_limit;
   std::string lease_limit;
+  std::string order_delay_limit;
+  std::string unheard_order_delay_limit;
   std::string cordon_bound;
   std::string job_partitions;
   std::string record_limit;
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -146,6 +146,11 @@
                      1, "a fraction from 0 to 1");
     scheduler.stop_limit =
         this->DurationValue("--stop-limit", raw.stop_limit, scheduler.stop_limit);
+    scheduler.order_delay_limit = this->DurationValue("--order-delay-limit", raw.order_delay_limit,
+                                                      scheduler.order_delay_limit);
+    scheduler.unheard_order_delay_limit =
+        this->DurationValue("--unheard-order-delay-limit", raw.unheard_order_delay_limit,
+                            scheduler.unheard_order_delay_limit);
     scheduler.budgets_link =
         this->Boolean("--link-budget", raw.link_budget, scheduler.budgets_link);
     scheduler.link_rate = settings.link_rate;
--- a/tests/job_entry/settings_test.cc
+++ b/tests/job_entry/settings_test.cc
@@ -106,6 +106,18 @@
         SettingsCase{"zero_lease",
                      [](RawJobEntrySettings& raw) { raw.lease_limit = "0s"; },
                      {"--lease-limit"}},
+        SettingsCase{"late_orders",
+                     [](RawJobEntrySettings& raw) {
+                       raw.order_delay_limit = "20s";
+                       raw.unheard_order_delay_limit = "12s";
+                     },
+                     {}},
+        SettingsCase{"late_orders_without_a_unit",
+                     [](RawJobEntrySettings& raw) {
+                       raw.order_delay_limit = "20";
+                       raw.unheard_order_delay_limit = "none";
+                     },
+                     {"--order-delay-limit", "--unheard-order-delay-limit"}},
         SettingsCase{"optional_address",
                      [](RawJobEntrySettings& raw) { raw.vm_service_address = "10.0.0.3"; },
                      {"--vm-service-address"}},
