HTTP: Test chunked bodies without end, however they are cut

What callers saw: clients outside the limits ended a process, which ran out of memory. They sent trailers without end behind a chunked body.

The tests feed the readers as a connection does: what isn't taken is offered again with the next 8 KB. Existing tests offer the header apart, or the whole request at once, and so never end a piece between chunks.

--- a/tests/http/request_reader_test.cc
+++ b/tests/http/request_reader_test.cc
@@ -82,6 +82,97 @@
                 BadInput::kDuplicateHeader, 400}),
     [](const testing::TestParamInfo<BadCase>& info) { return info.param.name; });
 
+/// As the server's connection reads.
+constexpr std::size_t kReadPiece = std::size_t{8} * 1024;
+
+struct EndlessCase {
+  std::string name;
+  /// The request's beginning, without its header.
+  std::string begin;
+  /// What follows again and again.
+  std::string more;
+};
+
+class EndlessChunkedRequestTest : public testing::TestWithParam<EndlessCase> {};
+
+// A body in chunks has no announced length, and what stands between its chunks counts as no part of
+// it. If it is refused only when a piece happens to end with the header, a caller can fill the
+// memory with trailers, with extensions or with the digits of a length.
+TEST_P(EndlessChunkedRequestTest, IsRefusedWithItsHeaderHoweverItIsCut) {
+  constexpr std::size_t kPieces = 50;
+  const std::string header = kPost + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string begin = header + GetParam().begin;
+  std::string more;
+  while (more.size() < kReadPiece) {
+    more += GetParam().more;
+  }
+  for (std::size_t cut = 1; cut <= begin.size(); ++cut) {
+    RequestReader reader(SmallLimits());
+    std::string pending = begin.substr(0, cut);
+    std::size_t offered = pending.size();
+    std::size_t most_untaken = 0;
+    for (std::size_t piece = 0; piece < kPieces && reader.State() == ReadState::kNeedMore;
+         ++piece) {
+      pending.erase(0, reader.Feed(pending));
+      most_untaken = std::max(most_untaken, pending.size());
+      if (offered >= header.size()) {
+        EXPECT_EQ(reader.State(), ReadState::kFault) << "cut at " << cut;
+      }
+      const std::string next = piece == 0 ? begin.substr(cut) : more;
+      pending += next;
+      offered += next.size();
+    }
+    EXPECT_LE(most_untaken, SmallLimits().header_bytes + more.size()) << "cut at " << cut;
+    ASSERT_EQ(reader.State(), ReadState::kFault) << "cut at " << cut;
+    EXPECT_EQ(reader.Fault(), BadInput::kChunked) << "cut at " << cut;
+    EXPECT_EQ(reader.FaultResponse().status, 411U) << "cut at " << cut;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, EndlessChunkedRequestTest,
+    testing::Values(EndlessCase{"Trailers", "0\r\n", "X-More: abcdefgh\r\n"},
+                    EndlessCase{"TrailersAfterAChunk", "1\r\na\r\n0\r\n", "X-More: a\r\n"},
+                    EndlessCase{"OneTrailer", "0\r\nX-More: ", "a"},
+                    EndlessCase{"DigitsOfALength", "0", "0"},
+                    EndlessCase{"Extension", "1;name=", "a"},
+                    EndlessCase{"LastChunksExtension", "0;name=\"", "a"},
+                    EndlessCase{"BetweenChunks", "1\r\na", "\t"},
+                    EndlessCase{"SmallChunks", "1\r\na\r\n", "1\r\na\r\n"}),
+    [](const testing::TestParamInfo<EndlessCase>& info) { return info.param.name; });
+
+class EndlessHeaderTest : public testing::TestWithParam<EndlessCase> {};
+
+// A header without end, in pieces of any size, must not be kept for longer than the limit.
+TEST_P(EndlessHeaderTest, IsRefusedWithinTheLimit) {
+  for (const std::size_t piece : {std::size_t{1}, std::size_t{100}, kReadPiece}) {
+    RequestReader reader(SmallLimits());
+    std::string more;
+    while (more.size() < piece) {
+      more += GetParam().more;
+    }
+    std::string pending = GetParam().begin;
+    std::size_t offered = pending.size();
+    while (reader.State() == ReadState::kNeedMore &&
+           offered <= 2 * SmallLimits().header_bytes + piece) {
+      pending.erase(0, reader.Feed(pending));
+      ASSERT_LE(pending.size(), SmallLimits().header_bytes + more.size());
+      pending += more;
+      offered += more.size();
+    }
+    EXPECT_EQ(reader.State(), ReadState::kFault) << piece;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, EndlessHeaderTest,
+                         testing::Values(EndlessCase{"Target", "POST /", "a"},
+                                         EndlessCase{"Fields", kPost, "X-More: a\r\n"},
+                                         EndlessCase{"FieldName", kPost, "a"},
+                                         EndlessCase{"FieldValue", kPost + "X-More: ", "a"}),
+                         [](const testing::TestParamInfo<EndlessCase>& info) {
+                           return info.param.name;
+                         });
+
 // Two lengths, equal or not, are the classic way to make two servers disagree on where a request
 // ends. Whichever part of the reader notices first, the request must not pass.
 TEST(RequestReaderTest, RefusesTwoLengths) {
