--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -153,8 +153,8 @@
     command.insert(command.end(), {"--record-limit", std::to_string(kSmallRecordBytes),
                                    "--append-limit", std::to_string(kSmallAppendBytes)});
   }
-  this->processes[entry] =
-      std::make_unique<scenario::ChildProcess>(std::move(command), scenario::OutputFiles{log, log});
+  this->processes[entry] = std::make_unique<scenario::ChildProcess>(
+      std::move(command), scenario::OutputFiles{log, log}, this->sizes.entry_environment);
 }
 
 void SoakFleet::Switch(const std::string& what, const std::string& group, std::int64_t delay_ms) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -34,6 +34,8 @@
   /// Jobs repeat and runs fail, endpoints hang, the queue is removed for some time, and the store
   /// takes small records only.
   bool has_changes = false;
+  /// NAME=VALUE additions to the entries' environment.
+  std::vector<std::string> entry_environment;
 
   friend bool operator==(const SoakSizes&, const SoakSizes&) = default;
 };
