HTTP: Check the header before anything behind it is looked at

What callers saw: a process that ran out of memory, as clients sent trailers without end behind a chunked body.

Cause: Feed() let the parser go on behind the header, and left when the parser wanted more, before the transfer encoding was looked at. A chunked body was refused only if a piece happened to end with the header. What stands between chunks and after them is not part of the header or the body for the parser, has no limit there, and is taken only when it is whole; so the connection kept it until its timeout.

The same piece ends a process at once where assertions are compiled in (RelWithDebInfo, the default build; the Release build of deploy/ defines NDEBUG): the parser asserts that five bytes are there when it looks at the last chunk a second time. A body cut behind "0\r\n" and continued with one byte fails that.

Change: the parser takes one part in each call, so that the header is checked when it is whole, wherever the piece ends. A request in chunks is refused with 411 there. In answers, where chunks are allowed, what is untaken has the header's limit, and the parser is not asked again with less than the shortest end of a chunked body.

--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -31,7 +31,9 @@
   CHERVILSPAR_ASSERT(limits.header_bytes <= std::numeric_limits<std::uint32_t>::max());
   this->parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   this->parser.body_limit(limits.body_bytes);
-  this->parser.eager(true);
+  // Each call of the parser takes one part at most, so that the header is checked before anything
+  // behind it is looked at.
+  this->parser.eager(false);
 }
 
 std::size_t RequestReader::Feed(std::string_view bytes) {
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -1,5 +1,7 @@
 #include "response_reader.h"
 
+#include <string>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -11,12 +13,18 @@
 
 namespace {
 constexpr unsigned kFirstFinalStatus = 200;
+/// The shortest end of a body in chunks, "0\r\n\r\n". With fewer bytes, a second look at the last
+/// chunk fails an assertion of the parser.
+constexpr std::size_t kMinChunkedEnd = 5;
 }  // namespace
 
-ResponseReader::ResponseReader(const ClientLimits& limits, BodyRule body_rule) {
+ResponseReader::ResponseReader(const ClientLimits& limits, BodyRule body_rule)
+    : max_untaken_bytes(limits.header_bytes) {
   this->parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   this->parser.body_limit(limits.body_bytes);
-  this->parser.eager(true);
+  // Each call of the parser takes one part at most, so that the header is checked before anything
+  // behind it is looked at.
+  this->parser.eager(false);
   this->parser.skip(body_rule == BodyRule::kNone);
 }
 
@@ -25,8 +33,12 @@
   while (this->state == State::kNeedMore && taken < bytes.size()) {
     beast::error_code error;
     const std::string_view rest = bytes.substr(taken);
+    if (this->header_checked && this->parser.chunked() && rest.size() < kMinChunkedEnd) {
+      break;
+    }
     taken += this->parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
     if (error == beast::http::error::need_more) {
+      this->CheckUntaken(bytes.size() - taken);
       break;
     }
     if (error) {
@@ -46,6 +58,15 @@
   this->fault = {code, "", std::move(message)};
 }
 
+/// The parser's own limits cover the header and the body, but not what stands between chunks and
+/// after them.
+void ResponseReader::CheckUntaken(std::size_t bytes) {
+  if (bytes > this->max_untaken_bytes) {
+    this->Fail(ErrorCode::kMalformed, "the answer has a part without end of more than " +
+                                          std::to_string(this->max_untaken_bytes) + " bytes");
+  }
+}
+
 void ResponseReader::CheckHeader() {
   if (this->header_checked || !this->parser.is_header_done()) {
     return;
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -41,8 +41,11 @@
 
   void Fail(ErrorCode code, std::string message);
   void CheckHeader();
+  void CheckUntaken(std::size_t bytes);
 
   Parser parser;
+  /// Of a header, or of what stands between chunks or after them.
+  const std::size_t max_untaken_bytes;
   State state = State::kNeedMore;
   Reason fault;
   bool header_checked = false;
--- a/tests/unruly_clients/crowd.cc
+++ b/tests/unruly_clients/crowd.cc
@@ -38,13 +38,17 @@
     error_code error;
     co_await this->socket.async_connect(this->server,
                                         asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      this->socket.set_option(tcp::no_delay(true), error);
+    }
     if (!error && this->crowd.reads_answers) {
       asio::co_spawn(this->socket.get_executor(), this->ReadAll(), asio::detached);
     }
-    co_await this->Send(this->crowd.begin);
+    co_await this->Send(this->crowd.begin,
+                        this->crowd.sends_single_bytes && !this->crowd.sends_begin_whole);
     const std::string piece = this->Piece();
     while (!this->has_failed && !piece.empty() && this->sent < this->crowd.max_bytes) {
-      co_await this->Send(piece);
+      co_await this->Send(piece, this->crowd.sends_single_bytes);
     }
     this->is_done = true;
   }
@@ -60,8 +64,8 @@
     return piece;
   }
 
-  asio::awaitable<void> Send(std::string bytes) {
-    const std::size_t step = this->crowd.sends_single_bytes ? 1 : bytes.size();
+  asio::awaitable<void> Send(std::string bytes, bool are_bytes_single) {
+    const std::size_t step = are_bytes_single ? 1 : bytes.size();
     for (std::size_t at = 0; at < bytes.size() && !this->has_failed; at += step) {
       error_code error;
       co_await asio::async_write(this->socket, asio::buffer(bytes.data() + at, step),
--- a/tests/unruly_clients/crowd.h
+++ b/tests/unruly_clients/crowd.h
@@ -18,6 +18,8 @@
   std::size_t max_bytes = 0;
   /// Whether each byte is sent alone.
   bool sends_single_bytes = false;
+  /// Whether `begin` goes in one piece all the same.
+  bool sends_begin_whole = false;
   /// Whether answers are read. A client that reads none stays until the crowd leaves.
   bool reads_answers = true;
 
--- a/tests/unruly_clients/unruly_clients_test.cc
+++ b/tests/unruly_clients/unruly_clients_test.cc
@@ -146,6 +146,13 @@
     testing::Values(
         CrowdCase{"TrailersWithoutEnd", {32, kChunked + "0\r\n", "X-More: a\r\n", 16 * kMiB}},
         CrowdCase{"ExtensionsWithoutEnd", {32, kChunked + "1;name=", kFiller, 16 * kMiB}},
+        CrowdCase{"ChunkedBodyCutBehindItsLastChunk",
+                  {.clients = 4,
+                   .begin = kChunked + "0\r\n",
+                   .more = "X-More: a\r\n",
+                   .max_bytes = 1000,
+                   .sends_single_bytes = true,
+                   .sends_begin_whole = true}},
         CrowdCase{"ChunksWithoutEnd", {32, kChunked, "1\r\na\r\n", 16 * kMiB}},
         CrowdCase{"AnnouncedHugeBodies", {32, WithLength(1024 * kMiB), kFiller, 16 * kMiB}},
         CrowdCase{"HugeBodiesThatAreJustSent", {32, kHeader + "\r\n", kFiller, 16 * kMiB}},
