Job entry: Play crowds of unruly clients at the address they are for

The crowds, their sizes and all bounds stay. The settings now allow bodies of 1 MiB, as before, so that a smaller default can't answer 413 in place of a bound on the sum.

--- a/tests/unruly_clients/unruly_clients_test.cc
+++ b/tests/unruly_clients/unruly_clients_test.cc
@@ -43,6 +43,7 @@
              .endpoints = 1,
              .are_orders_carried = true,
              .entry_environment = {"CHERVILSPAR_MAX_CONNECTIONS=" + std::to_string(kMaxConnections),
+                                   "CHERVILSPAR_MAX_BODY_BYTES=" + std::to_string(kMiB),
                                    "CHERVILSPAR_MAX_PENDING_BYTES=" + std::to_string(4 * kMiB)}},
             CHERVILSPAR_BINARY, LogDir()) {
     this->fleet.Publish({kKey});
@@ -121,7 +122,7 @@
   EntryUnderTest entry;
   ASSERT_TRUE(entry.IsAnswered());
   const ProcessWatch watch(entry.Pid());
-  Play(GetParam().crowd, entry.Callers(),
+  Play(GetParam().crowd, entry.AddressOf(GetParam().listener),
        [&] { return !entry.IsRunning() || watch.Peak().resident_bytes > kMaxResidentBytes; });
   EXPECT_TRUE(entry.IsRunning());
   EXPECT_TRUE(entry.IsAnswered());
