HTTP: Bound what all connections of a server hold together

What callers saw: a process that ran out of memory. Clients that each stay within the limits on one connection are enough: 240 with 900 KB of a body of 1 MiB hold 235 MB.

Cause: each limit was one connection's; 4,096 connections of 1 MiB make 4 GiB.

Change: ByteBudget, one bound for a server's connections. A request is charged from its first byte until the next one is waited for, an announced length in full, with what is read ahead. Above the bound it is answered 503 with Retry-After and Chervilspar-Verdict: not-run before anything of it is looked at, and the connection is closed. One request within the other limits always has room. A header may have 128 fields, as a field of three bytes takes many times that in memory.

--- a/include/chervilspar/http/server.h
+++ b/include/chervilspar/http/server.h
@@ -20,6 +20,10 @@
 struct ServerLimits {
   std::size_t header_bytes = std::size_t{16} * 1024;
   std::size_t body_bytes = std::size_t{1024} * 1024;
+  /// Bytes of requests that all connections together hold, from a request's first byte until it is
+  /// answered; a request that would go above that is answered 503 and its connection closed. A
+  /// single request within the other limits always has room.
+  std::size_t pending_bytes = std::size_t{64} * 1024 * 1024;
   /// Connections open at once; above that a new one is answered 503 and closed.
   std::size_t connections = 4096;
   /// How long a connection may wait between two requests.
@@ -45,6 +49,8 @@
   /// The caller was silent for longer than a timeout allows.
   kTimedOut,
   kTooManyConnections,
+  /// The requests of all callers together hold as much as the server allows.
+  kTooManyBytes,
 };
 
 /// The stable lower-case name of a fault, as it appears in error bodies and metrics.
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -1,5 +1,6 @@
 #include "connection.h"
 
+#include <algorithm>
 #include <array>
 #include <exception>
 
@@ -28,6 +29,11 @@
 
 }  // namespace
 
+ConnectionContext::ConnectionContext(const ServerLimits& limits)
+    : limits(limits),
+      pending_bytes(std::max(limits.pending_bytes,
+                             limits.header_bytes + limits.body_bytes + 2 * kMaxReadAhead)) {}
+
 void ConnectionContext::Report(BadInput fault) const {
   if (this->observer != nullptr) {
     this->observer->OnBadInput(fault);
@@ -36,7 +42,10 @@
 
 Connection::Connection(asio::ip::tcp::socket socket, std::shared_ptr<ConnectionContext> context,
                        ConnectionSet& set)
-    : socket(std::move(socket)), context(std::move(context)), set(set) {
+    : socket(std::move(socket)),
+      context(std::move(context)),
+      set(set),
+      held(this->context->pending_bytes) {
   this->set.Add(this);
 }
 
@@ -82,10 +91,14 @@
     if (!has_bytes) {
       co_return;
     }
-    const bool is_read = co_await this->ReadRequest();
-    if (!is_read) {
+    const ReadOutcome outcome = co_await this->ReadRequest();
+    if (outcome == ReadOutcome::kEnded) {
       co_return;
     }
+    if (outcome == ReadOutcome::kNoRoom) {
+      co_await this->RefuseForRoom();
+      break;
+    }
     const AfterAnswer after = co_await this->Answer();
     if (after == AfterAnswer::kClose) {
       break;
@@ -99,6 +112,7 @@
     co_return true;
   }
   this->buffer.shrink_to_fit();
+  this->held.Resize(0);
   this->EnterPhase(Phase::kIdle, this->context->limits.idle_timeout);
   error_code error;
   co_await this->socket.async_wait(asio::ip::tcp::socket::wait_read,
@@ -117,8 +131,9 @@
   co_return !error;
 }
 
-/// Reads until `reader` has a whole request or a fault; false when the connection has ended.
-asio::awaitable<bool> Connection::ReadRequest() {
+/// Reads until `reader` has a whole request or a fault, there is no room for more, or the
+/// connection has ended.
+asio::awaitable<Connection::ReadOutcome> Connection::ReadRequest() {
   this->EnterPhase(Phase::kReading, this->context->limits.read_timeout);
   this->reader = std::make_unique<RequestReader>(this->context->limits);
   bool is_continued = false;
@@ -126,7 +141,10 @@
   while (true) {
     this->buffer.erase(0, this->reader->Feed(this->buffer));
     if (this->reader->State() != ReadState::kNeedMore) {
-      co_return true;
+      co_return ReadOutcome::kSettled;
+    }
+    if (!this->MakeRoom(this->reader->HeldBytes())) {
+      co_return ReadOutcome::kNoRoom;
     }
     if (this->reader->IsContinueExpected() && !is_continued) {
       is_continued = true;
@@ -137,12 +155,31 @@
       if (has_begun && this->socket.is_open()) {
         this->context->Report(BadInput::kTruncated);
       }
-      co_return false;
+      co_return ReadOutcome::kEnded;
     }
     has_begun = true;
   }
 }
 
+bool Connection::MakeRoom(std::size_t request_bytes) {
+  return this->held.Resize(request_bytes +
+                           std::max(this->buffer.size() + kReadChunk, this->buffer.capacity()));
+}
+
+asio::awaitable<void> Connection::RefuseForRoom() {
+  this->context->Report(BadInput::kTooManyBytes);
+  this->reader.reset();
+  this->buffer.clear();
+  this->buffer.shrink_to_fit();
+  this->held.Resize(0);
+  Response refusal = ErrorResponse(
+      503, ToString(BadInput::kTooManyBytes),
+      "The requests that this server reads and handles hold all the memory for them.");
+  refusal.headers.Add("Retry-After", "1");
+  refusal.headers.Add("Chervilspar-Verdict", "not-run");
+  co_await this->Write(std::move(refusal), AfterAnswer::kClose);
+}
+
 asio::awaitable<void> Connection::WriteContinue() {
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   error_code error;
@@ -154,11 +191,16 @@
   if (this->reader->State() == ReadState::kFault) {
     this->context->Report(this->reader->Fault());
     Response refusal = this->reader->FaultResponse();
+    this->reader.reset();
     this->buffer.clear();
+    this->buffer.shrink_to_fit();
+    this->held.Resize(0);
     co_await this->Write(std::move(refusal), AfterAnswer::kClose);
     co_return AfterAnswer::kClose;
   }
   const bool is_kept = this->reader->IsKeepAlive();
+  this->request_bytes = this->reader->HeldBytes();
+  this->held.Resize(std::min(this->held.Bytes(), this->request_bytes + this->buffer.capacity()));
   Request request = this->reader->Take();
   const bool is_head = request.method == "HEAD";
   this->reader.reset();
@@ -214,7 +256,8 @@
 
 /// While a request is handled: either the caller has hung up or further requests have come.
 void Connection::OnCallerReadable(std::uint64_t watched_request) {
-  if (watched_request != this->request_number || this->buffer.size() >= kMaxReadAhead) {
+  if (watched_request != this->request_number || this->buffer.size() >= kMaxReadAhead ||
+      !this->MakeRoom(this->request_bytes)) {
     return;
   }
   const std::size_t before = this->buffer.size();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "chervilspar/base/byte_budget.h"
 #include "chervilspar/base/time.h"
 #include "chervilspar/http/server.h"
 
@@ -19,7 +20,10 @@
 
 /// What the connections of one server share.
 struct ConnectionContext {
-  ServerLimits limits;
+  explicit ConnectionContext(const ServerLimits& limits);
+
+  const ServerLimits limits;
+  ByteBudget pending_bytes;
   Handler* handler = nullptr;
   ServerObserver* observer = nullptr;
   SystemClock clock;
@@ -52,10 +56,14 @@
  private:
   enum class Phase { kIdle, kReading, kHandling, kWriting, kLingering };
   enum class AfterAnswer { kKeepOpen, kClose };
+  enum class ReadOutcome { kSettled, kNoRoom, kEnded };
 
   boost::asio::awaitable<bool> WaitForRequest();
-  boost::asio::awaitable<bool> ReadRequest();
+  boost::asio::awaitable<ReadOutcome> ReadRequest();
   boost::asio::awaitable<bool> ReadSome();
+  /// Makes room for `request_bytes` and the next piece of the buffer; false if there is none.
+  bool MakeRoom(std::size_t request_bytes);
+  boost::asio::awaitable<void> RefuseForRoom();
   boost::asio::awaitable<AfterAnswer> Answer();
   boost::asio::awaitable<Response> CallHandler(Request request);
   boost::asio::awaitable<bool> Write(Response response, AfterAnswer after);
@@ -75,6 +83,10 @@
   /// Bytes that have come and are not yet read.
   std::string buffer;
   std::unique_ptr<RequestReader> reader;
+  /// What the present request and `buffer` hold of the server's budget.
+  ByteBudget::Share held;
+  /// Of the request that is being handled.
+  std::size_t request_bytes = 0;
   std::shared_ptr<CancelToken> caller;
   /// Counts requests; a watch for an earlier request is void.
   std::uint64_t request_number = 0;
--- a/src/http/error_response.cc
+++ b/src/http/error_response.cc
@@ -23,6 +23,8 @@
       return "timed-out";
     case BadInput::kTooManyConnections:
       return "too-many-connections";
+    case BadInput::kTooManyBytes:
+      return "too-many-bytes";
   }
   return "malformed-request";
 }
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -1,5 +1,7 @@
 #include "request_reader.h"
 
+#include <cstddef>
+#include <iterator>
 #include <limits>
 
 #include <boost/asio/buffer.hpp>
@@ -14,6 +16,8 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
+/// Each field takes far more memory than the few bytes that a caller needs for it.
+constexpr std::ptrdiff_t kMaxFields = 128;
 
 BadInput FaultOf(const beast::error_code& error) {
   if (error == beast::http::error::header_limit) {
@@ -41,8 +45,12 @@
   while (this->state == ReadState::kNeedMore && taken < bytes.size()) {
     beast::error_code error;
     const std::string_view rest = bytes.substr(taken);
-    taken += this->parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
+    const std::size_t count =
+        this->parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
+    taken += count;
+    this->taken_bytes += count;
     if (error == beast::http::error::need_more) {
+      this->CheckFieldCount();
       break;
     }
     if (error) {
@@ -62,11 +70,31 @@
   this->fault = kind;
 }
 
+std::size_t RequestReader::HeldBytes() const {
+  if (!this->header_checked) {
+    return this->taken_bytes;
+  }
+  return this->taken_header_bytes +
+         static_cast<std::size_t>(this->parser.content_length().value_or(0));
+}
+
+void RequestReader::CheckFieldCount() {
+  const auto& fields = this->parser.get();
+  if (!this->header_checked && std::distance(fields.begin(), fields.end()) > kMaxFields) {
+    this->Fail(BadInput::kHeaderTooLarge);
+  }
+}
+
 void RequestReader::CheckHeader() {
   if (this->header_checked || !this->parser.is_header_done()) {
     return;
   }
+  this->CheckFieldCount();
+  if (this->state == ReadState::kFault) {
+    return;
+  }
   this->header_checked = true;
+  this->taken_header_bytes = this->taken_bytes;
   const auto& fields = this->parser.get();
   using beast::http::field;
   if (fields.count(field::transfer_encoding) > 0) {
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -29,6 +29,10 @@
   /// again together with what follows it.
   std::size_t Feed(std::string_view bytes);
 
+  /// Bytes that the request holds so far or, once its header has announced them, will hold as a
+  /// whole.
+  std::size_t HeldBytes() const;
+
   ReadState State() const { return this->state; }
   /// What is wrong; only after `kFault`.
   BadInput Fault() const { return this->fault; }
@@ -46,8 +50,11 @@
 
   void Fail(BadInput kind);
   void CheckHeader();
+  void CheckFieldCount();
 
   Parser parser;
+  std::size_t taken_bytes = 0;
+  std::size_t taken_header_bytes = 0;
   ReadState state = ReadState::kNeedMore;
   BadInput fault = BadInput::kMalformed;
   bool header_checked = false;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -51,8 +51,7 @@
  public:
   State(const std::vector<asio::io_context*>& contexts, const ServerLimits& limits,
         Handler& handler, ServerObserver* observer)
-      : shared(std::make_shared<ConnectionContext>()) {
-    this->shared->limits = limits;
+      : shared(std::make_shared<ConnectionContext>(limits)) {
     this->shared->handler = &handler;
     this->shared->observer = observer;
     for (asio::io_context* io : contexts) {
--- a/tests/http/request_reader_test.cc
+++ b/tests/http/request_reader_test.cc
@@ -82,6 +82,28 @@
                 BadInput::kDuplicateHeader, 400}),
     [](const testing::TestParamInfo<BadCase>& info) { return info.param.name; });
 
+// A field of three bytes takes many times that in memory, so that the bound on a header's bytes
+// alone would let each connection hold far more.
+TEST(RequestReaderTest, RefusesAHeaderOfManySmallFields) {
+  std::string bytes = kPost;
+  for (int i = 0; i < 200; ++i) {
+    bytes += "a:\r\n";
+  }
+  for (const std::string end : {"", "\r\n"}) {
+    RequestReader reader(ServerLimits{});
+    reader.Feed(bytes + end);
+    ASSERT_EQ(reader.State(), ReadState::kFault);
+    EXPECT_EQ(reader.Fault(), BadInput::kHeaderTooLarge);
+  }
+}
+
+TEST(RequestReaderTest, TellsWhatARequestWillHold) {
+  RequestReader reader(SmallLimits());
+  const std::string header = kPost + "Content-Length: 60\r\n\r\n";
+  reader.Feed(header + "ab");
+  EXPECT_EQ(reader.HeldBytes(), header.size() + 60);
+}
+
 /// As the server's connection reads.
 constexpr std::size_t kReadPiece = std::size_t{8} * 1024;
 
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -176,6 +176,59 @@
   EXPECT_TRUE(this->faults.Saw(BadInput::kTooManyConnections));
 }
 
+ServerLimits RoomForOneBody() {
+  ServerLimits limits;
+  limits.header_bytes = 1024;
+  limits.body_bytes = std::size_t{256} * 1024;
+  limits.pending_bytes = std::size_t{256} * 1024;
+  return limits;
+}
+
+// Many callers each announce a body within the limit and send a part of it. Together they must not
+// hold more than the server allows: the next one hears that its request has not run, and one that
+// comes when they have left is served.
+TEST_F(ServerTest, RefusesWhatAllCallersTogetherMayNotHold) {
+  const ServerLimits limits = RoomForOneBody();
+  this->Start(limits);
+  const std::string body(limits.body_bytes, 'b');
+  const std::string whole = Post("/a", body);
+  RawCaller first(this->server->Address());
+  first.Send("POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n");
+  first.ReadUntil("100 Continue\r\n\r\n");
+  RawCaller second(this->server->Address());
+  second.Send(whole.substr(0, whole.size() / 2));
+  second.ShutSending();
+  const std::string answer = second.ReadToEnd();
+  EXPECT_EQ(answer.rfind("HTTP/1.1 503", 0), 0U) << answer;
+  EXPECT_NE(answer.find("Retry-After: 1"), std::string::npos);
+  EXPECT_NE(answer.find("Chervilspar-Verdict: not-run"), std::string::npos);
+  EXPECT_TRUE(this->faults.Saw(BadInput::kTooManyBytes));
+  EXPECT_EQ(this->handler.started, 0);
+  first.Send(body);
+  EXPECT_EQ(first.ReadUntil(body).rfind("HTTP/1.1 200", 0), 0U);
+  first.Close();
+  ASSERT_TRUE(Eventually([&] { return this->server->ConnectionCount() == 0; }));
+  RawCaller third(this->server->Address());
+  third.Send(whole);
+  EXPECT_EQ(third.ReadUntil(body).rfind("HTTP/1.1 200", 0), 0U);
+}
+
+// A caller pipelines without end and reads what comes. What its connection holds is counted anew
+// for each request, so that it doesn't use up the room of others.
+TEST_F(ServerTest, CountsPipelinedRequestsAnew) {
+  this->Start(RoomForOneBody());
+  RawCaller caller(this->server->Address());
+  std::string many;
+  constexpr int kRequests = 500;
+  for (int i = 0; i < kRequests; ++i) {
+    many += Post("/a", "x");
+  }
+  caller.Send(many + Post("/last", "the end"));
+  EXPECT_NE(caller.ReadUntil("the end").find("the end"), std::string::npos);
+  EXPECT_EQ(this->handler.started, kRequests + 1);
+}
+
 // An entry is told to stop while one request is being handled, another waits in an idle
 // connection's socket and a third in a connection that was never accepted. A server that just
 // closes its sockets would cut all three.
