Rpc: Bound the frames that are not whole, over all connections

Whoever connects to the address for other entries may announce frames of 4 MiB (16 MiB in entry) on 512 connections (64) and send parts of them.

Cause: the limit is one frame's, and nothing bounds the sum.

Change: the connections of a transport share a ByteBudget. A connection whose frame would go above it is closed and counted as a bad frame; the peer connects again. Buffers of long frames are given back when empty.

--- a/include/chervilspar/rpc/peer_transport.h
+++ b/include/chervilspar/rpc/peer_transport.h
@@ -21,6 +21,9 @@
   std::size_t frame_bytes = 16U << 20U;
   /// Most bytes waiting for one peer; what comes on top is dropped and counted.
   std::size_t queue_bytes = 32U << 20U;
+  /// Most bytes of frames that have begun to arrive and are not whole, over all connections; a
+  /// connection that would go above that is closed. One frame always has room.
+  std::size_t arriving_bytes = 64U << 20U;
   /// Most connections accepted from other entries at once.
   std::size_t connections = 64;
   Duration connect_timeout = std::chrono::milliseconds(500);
--- a/src/rpc/incoming_peer.cc
+++ b/src/rpc/incoming_peer.cc
@@ -17,11 +17,14 @@
 }  // namespace
 
 IncomingPeer::IncomingPeer(asio::ip::tcp::socket socket, const TransportLimits& limits,
+                           std::shared_ptr<ByteBudget> budget,
                            std::shared_ptr<SharedCounters> counters,
                            PeerTransport::Receiver receiver)
     : socket(std::move(socket)),
       idle_timer(this->socket.get_executor()),
       limits(limits),
+      budget(std::move(budget)),
+      held(*this->budget),
       counters(std::move(counters)),
       receiver(std::move(receiver)) {}
 
@@ -66,7 +69,7 @@
 
 void IncomingPeer::OnRead(std::size_t received) {
   this->counters->bytes_received += received;
-  if (!this->TakeFrames()) {
+  if (!this->TakeFrames() || !this->MakeRoom()) {
     ++this->counters->bad_frames;
     this->Close();
     return;
@@ -74,6 +77,16 @@
   this->Read();
 }
 
+bool IncomingPeer::MakeRoom() {
+  if (this->arrived.empty()) {
+    if (this->arrived.capacity() > kChunkBytes) {
+      this->arrived.shrink_to_fit();
+    }
+    return this->held.Resize(0);
+  }
+  return this->held.Resize(std::max(this->arrived.size() + kChunkBytes, this->arrived.capacity()));
+}
+
 bool IncomingPeer::TakeFrames() {
   std::size_t taken = 0;
   while (this->arrived.size() - taken >= kFrameHeaderBytes) {
--- a/src/rpc/peer_transport.cc
+++ b/src/rpc/peer_transport.cc
@@ -1,5 +1,6 @@
 #include "chervilspar/rpc/peer_transport.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -46,6 +47,9 @@
           acceptor(std::move(acceptor)),
           limits(limits),
           receiver(std::move(receiver)),
+          // A frame's buffer grows by doubling.
+          budget(std::make_shared<ByteBudget>(
+              std::max(limits.arriving_bytes, 3 * limits.frame_bytes))),
           counters(std::make_shared<SharedCounters>()) {}
 
     void Accept() {
@@ -103,8 +107,8 @@
       if (this->stopped || this->incoming.size() >= this->limits.connections) {
         return;
       }
-      auto peer = std::make_shared<IncomingPeer>(std::move(socket), this->limits, this->counters,
-                                                 this->receiver);
+      auto peer = std::make_shared<IncomingPeer>(std::move(socket), this->limits, this->budget,
+                                                 this->counters, this->receiver);
       this->incoming.push_back(peer);
       peer->Start();
     }
@@ -129,6 +133,7 @@
     asio::ip::tcp::acceptor acceptor;
     const TransportLimits limits;
     Receiver receiver;
+    std::shared_ptr<ByteBudget> budget;
     std::shared_ptr<SharedCounters> counters;
     mutable std::mutex mutex;
     bool stopped = false;
--- a/tests/rpc/peer_transport_test.cc
+++ b/tests/rpc/peer_transport_test.cc
@@ -127,6 +127,39 @@
 
 // A peer is replaced: its connection breaks and what was queued for it is lost. The sender must
 // connect again by itself, or the replacement would never hear of a withdrawn key.
+// Anything that connects may announce a long frame and send a part of it. Many of these together
+// must not hold more than the bound on frames that are not whole, and a real peer is still heard.
+TEST_F(PeerTransportTest, ClosesConnectionsThatTogetherHoldTooMuch) {
+  constexpr std::size_t kFrameBytes = std::size_t{256} * 1024;
+  constexpr int kStrangers = 16;
+  TransportLimits limits;
+  limits.frame_bytes = kFrameBytes;
+  limits.arriving_bytes = 4 * kFrameBytes;
+  Inbox inbox;
+  Inbox unused;
+  const std::string address = this->Address();
+  const auto receiver = this->Open(address, inbox, limits);
+  const std::string part = std::string("\x00\x04\x00\x00", 4) + std::string(kFrameBytes - 1, 'a');
+  asio::io_context io;
+  std::vector<asio::ip::tcp::socket> strangers;
+  for (int i = 0; i < kStrangers; ++i) {
+    strangers.emplace_back(io);
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    strangers.back().connect({asio::ip::make_address(kIp), port});
+    boost::system::error_code ignored;
+    asio::write(strangers.back(), asio::buffer(part), ignored);
+  }
+  for (int i = 0; i < 1000 && receiver->Counters().bad_frames == 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_GT(receiver->Counters().bad_frames, 0U);
+  EXPECT_LE(receiver->Counters().bad_frames, static_cast<std::uint64_t>(kStrangers));
+  strangers.clear();
+  const auto sender = this->Open(this->Address(), unused);
+  sender->Send(address, "hello");
+  EXPECT_EQ(inbox.WaitFor(1), std::vector<std::string>{"hello"});
+}
+
 TEST_F(PeerTransportTest, ReconnectsToAReplacedPeer) {
   Inbox inbox;
   Inbox unused;
