Job entry: Limit callers' connections, bodies and bytes by settings

What callers saw: a process that ran out of memory, or would have run out of descriptors: 600 connections that say nothing take 600 of its 4,100.

Cause: job-entry listened with the server's defaults on each of its addresses, 4,096 connections of 1 MiB, without settings for them.

The bound on bytes holds again for the requests of other entries and for frames that are not whole. Health checks and metrics get narrow limits.

--- a/include/chervilspar/job_entry/settings.h
+++ b/include/chervilspar/job_entry/settings.h
@@ -37,6 +37,9 @@
   std::string vm_order_rate;
   std::string vm_move_cost;
   std::string drain_time;
+  std::string max_connections;
+  std::string max_body_bytes;
+  std::string max_pending_bytes;
   std::string cores;
   std::string link_rate;
   std::string progress_form;
@@ -99,6 +102,14 @@
   double vm_order_rate = 64;
   /// Maximum time that a shutdown waits for requests in flight.
   Duration drain_time = std::chrono::milliseconds(4500);
+  /// Callers' connections open at once; more are answered 503 and closed. With the entry's own
+  /// connections they must stay below the process's limit on descriptors.
+  std::uint32_t max_connections = 3072;
+  /// Largest body of a caller's request, in bytes.
+  std::uint32_t max_body_bytes = 256U * 1024;
+  /// Bytes of callers' requests that are read and handled at once; the same bound holds for the
+  /// requests of other entries, and for the frames from other entries that are not whole yet.
+  std::uint32_t max_pending_bytes = 32U * 1024 * 1024;
   /// Processor cores, possibly a fraction of one, that this VM provides. Entries with more are
   /// preferred as owner.
   double cores = 1.0;
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -68,6 +68,12 @@
           "The largest sum of the records that the store accepts at once, in bytes [2097152]");
   AddFlag(app, "--drain-time", raw.drain_time,
           "Longest that a shutdown waits for requests in flight [4500ms]");
+  AddFlag(app, "--max-connections", raw.max_connections,
+          "Connections of callers open at once; more are answered 503 [3072]");
+  AddFlag(app, "--max-body-bytes", raw.max_body_bytes, "Largest body of a request [262144]");
+  AddFlag(app, "--max-pending-bytes", raw.max_pending_bytes,
+          "Bytes of all requests that are read and handled at once; more are answered 503 "
+          "[33554432]");
   AddFlag(app, "--cores", raw.cores,
           "Part of the processor that this VM gives, in cores; more goes first as owner [1]");
   AddFlag(app, "--link-rate", raw.link_rate,
--- a/src/job_entry/order_exchange.cc
+++ b/src/job_entry/order_exchange.cc
@@ -22,6 +22,7 @@
   rpc::TransportLimits limits;
   limits.frame_bytes = kMaxFrameBytes;
   limits.queue_bytes = kMaxQueueBytes;
+  limits.arriving_bytes = this->context.settings.max_pending_bytes;
   limits.connections = kMaxConnections;
   limits.write_timeout = kWriteTimeout;
   const std::string address = ToString(*this->context.settings.carrier);
--- a/src/job_entry/run_job_entry.cc
+++ b/src/job_entry/run_job_entry.cc
@@ -30,10 +30,36 @@
 constexpr Duration kMaxReadyRulesAge = std::chrono::milliseconds(1700);
 /// After a SIGTERM, new connections arrive until two of the balancer's health checks have failed.
 constexpr Duration kBalancerDetectionTime = std::chrono::milliseconds(2300);
+/// Health checks and reads of metrics have no body and come from a few places.
+constexpr std::size_t kMaxHealthConnections = 256;
+constexpr std::size_t kMaxHealthBodyBytes = std::size_t{4} * 1024;
+constexpr std::size_t kMaxHealthPendingBytes = std::size_t{4} * 1024 * 1024;
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kSweepInterval = std::chrono::seconds(2);
 constexpr std::clock_t kMillisecondsPerSecond = 1000;
 
+http::ServerLimits CallerLimits(const JobEntrySettings& settings) {
+  http::ServerLimits limits;
+  limits.connections = settings.max_connections;
+  limits.body_bytes = settings.max_body_bytes;
+  limits.pending_bytes = settings.max_pending_bytes;
+  return limits;
+}
+
+http::ServerLimits PeerLimits(const JobEntrySettings& settings) {
+  http::ServerLimits limits;
+  limits.pending_bytes = settings.max_pending_bytes;
+  return limits;
+}
+
+http::ServerLimits HealthLimits() {
+  http::ServerLimits limits;
+  limits.connections = kMaxHealthConnections;
+  limits.body_bytes = kMaxHealthBodyBytes;
+  limits.pending_bytes = kMaxHealthPendingBytes;
+  return limits;
+}
+
 /// Answers the balancer's health checks and serves metrics.
 class HealthHandler final : public http::Handler {
  public:
@@ -100,21 +126,22 @@
   }
 
   Status Start() {
-    for (const auto& [address, handler, server] :
-         {std::tuple(this->context.settings.callers, static_cast<http::Handler*>(&this->callers),
-                     &this->caller_server),
-          std::tuple(this->context.settings.peers, static_cast<http::Handler*>(&this->peers),
-                     &this->peer_server),
-          std::tuple(this->context.settings.health, static_cast<http::Handler*>(&this->health),
+    const JobEntrySettings& settings = this->context.settings;
+    for (const auto& [address, limits, handler, server] :
+         {std::tuple(settings.callers, CallerLimits(settings),
+                     static_cast<http::Handler*>(&this->callers), &this->caller_server),
+          std::tuple(settings.peers, PeerLimits(settings),
+                     static_cast<http::Handler*>(&this->peers), &this->peer_server),
+          std::tuple(settings.health, HealthLimits(), static_cast<http::Handler*>(&this->health),
                      &this->health_server)}) {
-      if (Status status = this->Listen(address, *handler, *server); !status) {
+      if (Status status = this->Listen(address, limits, *handler, *server); !status) {
         return status;
       }
     }
-    if (this->context.settings.metrics) {
+    if (settings.metrics) {
       // An entry without metrics is better than none, so a failure here does not stop it.
       const Status status =
-          this->Listen(*this->context.settings.metrics, this->health, this->metrics_server);
+          this->Listen(*settings.metrics, HealthLimits(), this->health, this->metrics_server);
       if (!status) {
         LogEvent(telemetry::LogLevel::kWarning, "metrics_unavailable",
                  ToString(status.LastReason()));
@@ -131,9 +158,9 @@
   int ExitCode() const { return this->exit_code; }
 
  private:
-  Status Listen(const SocketAddress& address, http::Handler& handler,
-                std::unique_ptr<http::Server>& server) {
-    auto listening = http::Server::Listen({&this->context.io}, address, {}, handler);
+  Status Listen(const SocketAddress& address, const http::ServerLimits& limits,
+                http::Handler& handler, std::unique_ptr<http::Server>& server) {
+    auto listening = http::Server::Listen({&this->context.io}, address, limits, handler);
     if (!listening) {
       return listening.LastReason();
     }
--- a/src/job_entry/settings.cc
+++ b/src/job_entry/settings.cc
@@ -20,6 +20,9 @@
 constexpr std::uint32_t kMaxUsedPartitions = 8;
 constexpr std::uint32_t kMinLimitBytes = 1024;
 constexpr std::uint32_t kMaxLimitBytes = 1024U * 1024 * 1024;
+constexpr std::uint32_t kMaxConnectionLimit = 1000000;
+/// A submission has a payload of up to 4,000 bytes, each of which may be escaped as six.
+constexpr std::uint32_t kMinBodyLimitBytes = 32U * 1024;
 constexpr double kMinRate = 0.1;
 constexpr double kMaxRate = 100000;
 
@@ -207,6 +210,15 @@
   settings.vm_order_pause =
       check.DurationValue("--vm-order-pause", raw.vm_order_pause, settings.vm_order_pause);
   settings.drain_time = check.DurationValue("--drain-time", raw.drain_time, settings.drain_time);
+  settings.max_connections =
+      check.WholeNumber("--max-connections", raw.max_connections, settings.max_connections, 1,
+                        kMaxConnectionLimit, "a whole number of connections from 1 to 1000000");
+  settings.max_body_bytes = check.WholeNumber(
+      "--max-body-bytes", raw.max_body_bytes, settings.max_body_bytes, kMinBodyLimitBytes,
+      kMaxLimitBytes, "a whole number of bytes from 32768 to 1073741824");
+  settings.max_pending_bytes = check.WholeNumber(
+      "--max-pending-bytes", raw.max_pending_bytes, settings.max_pending_bytes, kMinBodyLimitBytes,
+      kMaxLimitBytes, "a whole number of bytes from 32768 to 1073741824");
   settings.job_partitions =
       std::min(kMaxUsedPartitions,
                check.WholeNumber("--job-partitions", raw.job_partitions, settings.job_partitions, 1,
--- a/tests/job_entry/settings_test.cc
+++ b/tests/job_entry/settings_test.cc
@@ -61,6 +61,20 @@
                        raw.link_budget = "yes";
                      },
                      {"--vm-order-rate", "--link-budget"}},
+        SettingsCase{"limits_of_callers",
+                     [](RawJobEntrySettings& raw) {
+                       raw.max_connections = "64";
+                       raw.max_body_bytes = "65536";
+                       raw.max_pending_bytes = "4194304";
+                     },
+                     {}},
+        SettingsCase{"limits_that_no_caller_fits",
+                     [](RawJobEntrySettings& raw) {
+                       raw.max_connections = "0";
+                       raw.max_body_bytes = "1000";
+                       raw.max_pending_bytes = "much";
+                     },
+                     {"--max-connections", "--max-body-bytes", "--max-pending-bytes"}},
         SettingsCase{"decisions_on_request",
                      [](RawJobEntrySettings& raw) {
                        raw.account_shares = "true";
