--- a/tests/unruly_clients/unruly_clients_test.cc
+++ b/tests/unruly_clients/unruly_clients_test.cc
@@ -97,7 +97,7 @@
 
  private:
   static std::string LogDir() {
-    const std::string folder = testing::TempDir() + "chervilspar-unruly-clients";
+    std::string folder = testing::TempDir() + "chervilspar-unruly-clients";
     std::filesystem::create_directories(folder);
     return folder;
   }
