--- a/src/jobs/run_tracker.h
+++ b/src/jobs/run_tracker.h
@@ -15,7 +15,8 @@
 /// If a lost or reordered answer were taken as proof that a run never started, the task would be
 /// started elsewhere, and both runs would charge the same deposit. Therefore a claim is released
 /// only on proof: the endpoint lists the run's end, or answers after the order's deadline without
-/// listing the run, or has restarted, or its leases have certainly lapsed.
+/// listing the run, or has restarted and refuses all earlier orders, or its leases have certainly
+/// lapsed.
 class RunTracker {
  public:
   explicit RunTracker(SchedulerState& state) : state(state), former_leases(state) {}
