--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -53,9 +53,10 @@
   AddFlag(app, "--order-delay-limit", raw.order_delay_limit,
           "So long after it was given an unanswered order may be executed by an endpoint that is "
           "known to have restarted and has not answered since [15s]");
-  AddFlag(app, "--unheard-order-delay-limit", raw.unheard_order_delay_limit,
-          "The same for an endpoint whose restart nobody can have noticed; tasks whose start got no "
-          "answer wait that long [such an endpoint executes none]");
+  AddFlag(
+      app, "--unheard-order-delay-limit", raw.unheard_order_delay_limit,
+      "The same for an endpoint whose restart nobody can have noticed; tasks whose start got no "
+      "answer wait that long [such an endpoint executes none]");
   AddFlag(app, "--cordon-bound", raw.cordon_bound,
           "So long after a zone was cordoned nothing may start there [no bound]");
   AddFlag(app, "--vm-order-pause", raw.vm_order_pause,
