--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -32,6 +32,16 @@
       ->allow_extra_args(false);
 }
 
+void AddOrderDelayFlags(CLI::App& app, job_entry::RawJobEntrySettings& raw) {
+  AddFlag(app, "--order-delay-limit", raw.order_delay_limit,
+          "So long after it was given an unanswered order may be executed by an endpoint that is "
+          "known to have restarted and has not answered since [15s]");
+  AddFlag(
+      app, "--unheard-order-delay-limit", raw.unheard_order_delay_limit,
+      "The same for an endpoint whose restart nobody can have noticed; tasks whose start got no "
+      "answer wait that long [such an endpoint executes none]");
+}
+
 void AddJobEntryFlags(CLI::App& app, job_entry::RawJobEntrySettings& raw) {
   AddFlag(app, "--id", raw.id, "Name of this entry");
   AddFlag(app, "--zone", raw.zone, "Availability zone of this entry");
@@ -50,13 +60,7 @@
   AddFlag(app, "--key-proof-limit", raw.key_proof_limit,
           "How long keys are trusted without news from the store [3500ms]");
   AddFlag(app, "--lease-limit", raw.lease_limit, "The longest lease that endpoints give [10s]");
-  AddFlag(app, "--order-delay-limit", raw.order_delay_limit,
-          "So long after it was given an unanswered order may be executed by an endpoint that is "
-          "known to have restarted and has not answered since [15s]");
-  AddFlag(
-      app, "--unheard-order-delay-limit", raw.unheard_order_delay_limit,
-      "The same for an endpoint whose restart nobody can have noticed; tasks whose start got no "
-      "answer wait that long [such an endpoint executes none]");
+  AddOrderDelayFlags(app, raw);
   AddFlag(app, "--cordon-bound", raw.cordon_bound,
           "So long after a zone was cordoned nothing may start there [no bound]");
   AddFlag(app, "--vm-order-pause", raw.vm_order_pause,
