--- a/tests/jobs/restart_world.cc
+++ b/tests/jobs/restart_world.cc
@@ -118,7 +118,7 @@
   return notices;
 }
 
-RestartWorld::RestartWorld(SchedulerOptions options) : options(std::move(options)) {
+RestartWorld::RestartWorld(const SchedulerOptions& options) : options(options) {
   for (LeasedEndpoint& endpoint : this->endpoints) {
     endpoint.Restart(TimePoint{});
   }
--- a/tests/jobs/restart_world.h
+++ b/tests/jobs/restart_world.h
@@ -56,7 +56,7 @@
 /// Two endpoints, successive owners with one store, and jobs whose tasks don't end by themselves.
 class RestartWorld {
  public:
-  explicit RestartWorld(SchedulerOptions options = {});
+  explicit RestartWorld(const SchedulerOptions& options = {});
 
   LeasedEndpoint& At(int endpoint) { return this->endpoints.at(endpoint % 2); }
 
