--- a/tests/jobs/scheduler_harness.h
+++ b/tests/jobs/scheduler_harness.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "chervilspar/jobs/scheduler.h"
@@ -76,11 +77,11 @@
 
   /// Sends a renewal to the endpoint, which answers 1 ms later, and another at once if that answer
   /// shows that it has restarted.
-  void AnswerRenewal(const std::string& id, const std::vector<ActiveRun>& active,
-                     const std::vector<EndedRun>& ended, std::int64_t born_ms = 1) {
+  void AnswerRenewal(const std::string& id, std::vector<ActiveRun> active,
+                     std::vector<EndedRun> ended, std::int64_t born_ms = 1) {
     this->AnswerOneRenewal(id, active, ended, born_ms);
     if (this->scheduler.IsRestartUnconfirmed(id)) {
-      this->AnswerOneRenewal(id, active, ended, born_ms);
+      this->AnswerOneRenewal(id, std::move(active), std::move(ended), born_ms);
     }
   }
 
