Review: Show that a late start runs beside its second run

Cause: an endpoint that is cut off, crashes and starts again under its id has neither answered nor registered, and the scheduler assumes that such an incarnation executes no start for a former one (unheard_order_delay_limit is 0). The claim is released with the lease of the former life. Nothing of the program is changed.

--- /dev/null
+++ b/review/standin-3/world.cpp
@@ -0,0 +1,201 @@
+// Runs one case of this review: world CASE DIR BINARY. Exits with 0 if the rule held, 1 if it was
+// broken, and 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+#include "fleet.hpp"
+
+namespace {
+
+bool HasTrouble() {
+  const char* value = std::getenv("TROUBLE");
+  return value == nullptr || std::string(value) != "0";
+}
+
+json::object OneStepJob(const std::string& spec, json::object step) {
+  return {{"spec", spec}, {"steps", json::array{std::move(step)}}};
+}
+
+/// A worker starts again under its id and is of another kind from then on.
+awaitable<int> KindChanges(Fleet& fleet) {
+  // The entry of a life is written within one heartbeat interval of its start.
+  TheTiming().first_entry_s = 1.0;
+  Worker& special = fleet.AddWorker("w-1", "kind-a", "r1", 64000);
+  for (int i = 2; i <= 6; ++i) {
+    fleet.AddWorker("w-" + std::to_string(i), "kind-b", "r" + std::to_string(1 + i % 3), 64000);
+  }
+  fleet.Configure(true);
+  fleet.StartEntries();
+  const bool is_ready = co_await fleet.AwaitReady(25);
+  if (!is_ready) {
+    co_return 2;
+  }
+  const std::string id = Fleet::NewId();
+  json::object step{{"count", 2},
+                    {"cpu", 8000},
+                    {"mem_mb", 1024},
+                    {"estimate_ms", 30000},
+                    {"requires", "kind-a"}};
+  const bool is_accepted = co_await fleet.Submit(id, OneStepJob("ms=30000", step));
+  co_await Sleep(3);
+  if (!is_accepted || special.runs.size() != 2) {
+    LINE("the job doesn't run");
+    co_return 2;
+  }
+  special.Crash();
+  co_await Sleep(1.0);
+  if (HasTrouble()) {
+    special.kind = "kind-b";
+  }
+  special.Start();
+  co_await Sleep(12);
+  if (!HasTrouble() && special.runs.size() != 2) {
+    LINE("the job doesn't run again");
+    co_return 2;
+  }
+  co_return Broken().lines.empty() ? 0 : 1;
+}
+
+/// The same for a worker that doesn't guard its capacity and is smaller after the restart.
+awaitable<int> CapacityChanges(Fleet& fleet) {
+  TheTiming().first_entry_s = 1.0;
+  Worker& special = fleet.AddWorker("w-1", "kind-a", "r1", 64000, false);
+  fleet.Configure(false);
+  fleet.StartEntries();
+  const bool is_ready = co_await fleet.AwaitReady(25);
+  if (!is_ready) {
+    co_return 2;
+  }
+  const std::string id = Fleet::NewId();
+  json::object step{{"count", 6}, {"cpu", 8000}, {"mem_mb", 1024}, {"estimate_ms", 30000}};
+  const bool is_accepted = co_await fleet.Submit(id, OneStepJob("ms=30000", step));
+  co_await Sleep(3);
+  if (!is_accepted || special.runs.size() != 6) {
+    LINE("the job doesn't run");
+    co_return 2;
+  }
+  special.Crash();
+  co_await Sleep(1.0);
+  if (HasTrouble()) {
+    special.kind = "kind-b";
+    special.cpu = 32000;
+  }
+  special.Start();
+  co_await Sleep(12);
+  co_return Broken().lines.empty() ? 0 : 1;
+}
+
+/// How long the worker is cut off, and how much later half of its starts are carried out: the first
+/// by so much, each further one by so much more.
+constexpr double kCutS = 5.5;
+constexpr double kFirstLateS = 5.55;
+constexpr double kLateStepS = 0.1;
+
+/// A worker leaves half of the starts of a job unanswered, is cut off, crashes behind the cut and
+/// starts again there. The starts arrive one after the other around the end of the cut.
+awaitable<int> LateStart(Fleet& fleet) {
+  for (int i = 1; i <= 3; ++i) {
+    fleet.AddWorker("w-" + std::to_string(i), "kind-a", "r" + std::to_string(i), 64000);
+  }
+  const std::string id = Fleet::NewId();
+  Worker* struck = nullptr;
+  for (const auto& worker : fleet.workers) {
+    Worker* const one = worker.get();
+    one->late = [&struck, one, id](const std::string& path,
+                                   const json::object& body) -> std::optional<double> {
+      if (path != "/-/run-start" || !body.at("task").as_string().starts_with(id)) {
+        return std::nullopt;
+      }
+      struck = struck == nullptr ? one : struck;
+      const std::uint32_t index = ParseTask(body.at("task").as_string().c_str()).index;
+      const bool is_late =
+          HasTrouble() && struck == one && index % 2 == 1 && body.at("run").to_number<int>() == 1;
+      return is_late ? std::optional(kFirstLateS + kLateStepS * (index / 2)) : std::nullopt;
+    };
+  }
+  fleet.Configure(true);
+  fleet.StartEntries();
+  const bool is_ready = co_await fleet.AwaitReady(25);
+  if (!is_ready) {
+    co_return 2;
+  }
+  json::object step{{"count", 16}, {"cpu", 2000}, {"mem_mb", 1024}, {"estimate_ms", 20000}};
+  const bool is_accepted = co_await fleet.Submit(id, OneStepJob("ms=20000", step));
+  const double begin = Now();
+  while (is_accepted && struck == nullptr && Now() < begin + 5) {
+    co_await Sleep(0.01);
+  }
+  if (struck == nullptr) {
+    co_return 2;
+  }
+  if (HasTrouble()) {
+    const double given = Now();
+    co_await Sleep(0.1);
+    struck->SetCut(true);
+    co_await Sleep(0.1);
+    struck->Crash();
+    co_await Sleep(2.0);
+    struck->Start();
+    co_await Sleep(given + 0.1 + kCutS - Now());
+    struck->SetCut(false);
+  }
+  co_await Sleep(8.0);
+  co_return Broken().lines.empty() ? 0 : 1;
+}
+
+awaitable<void> Run(std::string name, std::string binary, int& code) {
+  char logs[] = "/tmp/review-3-XXXXXX";
+  if (mkdtemp(logs) == nullptr) {
+    co_return;
+  }
+  {
+    Fleet fleet(std::move(binary), logs);
+    if (name == "kind") {
+      code = co_await KindChanges(fleet);
+    } else if (name == "capacity") {
+      code = co_await CapacityChanges(fleet);
+    } else if (name == "late-start") {
+      code = co_await LateStart(fleet);
+    }
+    LINE("result %d, %zu broken; %lu starts", code, Broken().lines.size(),
+         static_cast<unsigned long>(TheJudge().total_starts));
+    for (const auto& entry : fleet.entries) {
+      entry->Signal(SIGKILL);
+    }
+    const char* keep = std::getenv("KEEP_LOGS");
+    if (keep != nullptr) {
+      std::printf("logs in %s\n", logs);
+    } else {
+      const std::string command = std::string("rm -rf ") + logs;
+      const int removed = std::system(command.c_str());
+      static_cast<void>(removed);
+    }
+    for (const std::string& line : Broken().lines) {
+      std::printf("%s\n", line.c_str());
+    }
+    std::fflush(stdout);
+    std::_Exit(code);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 4) {
+    std::fprintf(stderr, "world CASE DIR BINARY\n");
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  Now();
+  Record::Get().Open(std::string(argv[2]) + "/record.txt");
+  int code = 2;
+  Spawn(Run(argv[1], argv[3], code));
+  net::steady_timer limit(Io());
+  limit.expires_after(std::chrono::seconds(115));
+  limit.async_wait([](const boost::system::error_code&) {
+    LINE("the case took too long");
+    for (const int child : Children()) {
+      kill(child, SIGKILL);
+    }
+    std::_Exit(2);
+  });
+  Io().run();
+  return code;
+}
