--- a/review/standin-3/fleet.hpp
+++ b/review/standin-3/fleet.hpp
@@ -1283,22 +1283,28 @@
   }
 
   /// The configuration, as the operator writes it.
-  void Configure(bool checks, std::int64_t cap = 0, int attempts = 3) {
+  void Configure(bool checks, std::int64_t cap = 0, int attempts = 3, double slack = 4.0,
+                 std::int64_t target_ms = 20000) {
     json::object tenant{{"name", "t1"}, {"weight", 1}, {"api_keys", json::array{"key-1"}}};
     if (cap > 0) {
       tenant["cap"] = {{"cpu", cap}, {"mem_mb", 0}, {"gpu", 0}};
     }
+    const auto route = [&](const std::string& name, int priority, double slack_factor,
+                           std::int64_t target) {
+      return json::object{{"name", name},
+                          {"host", "q.example"},
+                          {"path_prefix", "/" + name + "/"},
+                          {"service", "desk"},
+                          {"prio", priority},
+                          {"attempts", attempts},
+                          {"slack_factor", slack_factor},
+                          {"target_runtime_ms", target}};
+    };
     const json::object config{
         {"version", ++this->version},
-        {"routes", json::array{{{"name", "q"},
-                                {"host", "q.example"},
-                                {"path_prefix", "/q/"},
-                                {"service", "desk"},
-                                {"prio", 0},
-                                {"attempts", attempts},
-                                {"slack_factor", 4.0},
-                                {"target_runtime_ms", 20000}}}},
-        {"tenants", json::array{tenant}},
+        {"routes", json::array{route("q", 0, slack, target_ms), route("night", 1, 1.6, 60000)}},
+        {"tenants",
+         json::array{tenant, {{"name", "t2"}, {"weight", 1}, {"api_keys", json::array{"key-2"}}}}},
         {"services", json::array{{{"name", "desk"}, {"admission_check", checks}}}}};
     this->store.Put("keyed.op", "config", json::serialize(config));
   }
@@ -1370,15 +1376,17 @@
   }
 
   /// Hands a job in, with retries at other entries as the pages say; true when it was accepted.
-  awaitable<bool> Submit(std::string id, json::object body) {
+  awaitable<bool> Submit(std::string id, json::object body, std::string queue = "q",
+                         std::string key = "key-1") {
     JobInfo& job = TheJudge().jobs[id];
     job.body = body;
     job.sent = Now();
     const std::string text = json::serialize(body);
     for (int attempt = 0; attempt < 5; ++attempt) {
       Entry& entry = *this->entries[(this->next_entry++) % this->entries.size()];
-      LINE("POST %s at %s: %s", id.c_str(), entry.name.c_str(), text.c_str());
-      const auto [status, answer] = co_await Call(entry.callers, "POST", "/q/" + id, "key-1", text);
+      LINE("POST %s/%s at %s: %s", queue.c_str(), id.c_str(), entry.name.c_str(), text.c_str());
+      const auto [status, answer] =
+          co_await Call(entry.callers, "POST", "/" + queue + "/" + id, key, text);
       LINE("POST %s: %u %s", id.c_str(), status, answer.c_str());
       if (status >= 200 && status < 300) {
         TheJudge().jobs[id].accepted = Now();
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -140,6 +140,155 @@
   co_return Broken().lines.empty() ? 0 : 1;
 }
 
+/// Whether a task of the job is at work.
+bool IsAtWork(const Fleet& fleet, const std::string& id) {
+  for (const auto& worker : fleet.workers) {
+    for (const auto& [task, run] : worker->runs) {
+      if (ParseTask(task).job == id) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/// Whether all tasks of a job of one step have ended `done`.
+bool IsDone(const std::string& id) {
+  const Step step = StepOf(TheJudge().jobs[id].body.at("steps").as_array()[0]);
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    if (!TheJudge().done.contains(id + ".0.0." + std::to_string(i))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// From `finish_s` after now, the end of the traffic, looks whether one of the
+/// jobs has nothing at work for 3 s while less than half of the room is in use.
+awaitable<void> WatchForIdleJobs(Fleet& fleet, std::map<std::string, std::string> jobs) {
+  constexpr double kFinishS = 14;
+  constexpr double kLostS = 3;
+  constexpr double kWatchS = 12;
+  LINE("end of the traffic");
+  const double end = Now();
+  co_await Sleep(kFinishS);
+  for (const auto& [id, what] : jobs) {
+    const std::string phase = co_await fleet.Phase(id);
+    LINE("%s: %s", what.c_str(), phase.c_str());
+  }
+  std::map<std::string, double> idle_since;
+  std::set<std::string> broken;
+  while (Now() < end + kFinishS + kWatchS) {
+    co_await Sleep(0.1);
+    std::int64_t used = 0;
+    std::int64_t room = 0;
+    for (const auto& worker : fleet.workers) {
+      used += worker->is_up ? worker->UsedCpu() : 0;
+      room += worker->is_up ? worker->cpu : 0;
+    }
+    for (const auto& [id, what] : jobs) {
+      if (IsDone(id) || IsAtWork(fleet, id) || used >= room / 2) {
+        idle_since.erase(id);
+        continue;
+      }
+      idle_since.try_emplace(id, Now());
+      if (Now() - idle_since[id] > kLostS && broken.insert(id).second) {
+        Broken().Add("LOST " + what + " " + id + ": nothing of it runs for 3 s, " +
+                     std::to_string(used) + " of " + std::to_string(room) + " in use");
+      }
+    }
+  }
+}
+
+/// A rack is lost for good, and with it the tasks of a small job, which is late
+/// when their leases have lapsed. A gang whose tasks work faster on one rack is
+/// handed in; no other rack has room for it.
+awaitable<int> GangWaits(Fleet& fleet) {
+  constexpr double kSlackFactor = 1.6;
+  constexpr std::int64_t kTargetMs = 600;
+  for (int i = 1; i <= 8; ++i) {
+    const std::string rack = i <= 3 ? "r1" : "r" + std::to_string(i);
+    fleet.AddWorker("w-" + std::to_string(i), "kind-a", rack, 64000);
+  }
+  fleet.Configure(true, 0, 3, kSlackFactor, kTargetMs);
+  fleet.StartEntries();
+  const bool is_ready = co_await fleet.AwaitReady(25);
+  if (!is_ready) {
+    co_return 2;
+  }
+  const std::string small = Fleet::NewId();
+  json::object small_step{
+      {"count", 3}, {"cpu", 8000}, {"mem_mb", 1024}, {"estimate_ms", 6000}, {"max_per_server", 1}};
+  const bool is_small_accepted = co_await fleet.Submit(small, OneStepJob("ms=6000", small_step));
+  co_await Sleep(2);
+  if (!is_small_accepted || !IsAtWork(fleet, small)) {
+    co_return 2;
+  }
+  if (HasTrouble()) {
+    for (int i = 0; i < 3; ++i) {
+      fleet.workers[i]->Crash();
+    }
+  }
+  co_await Sleep(1);
+  const std::string gang = Fleet::NewId();
+  json::object gang_step{{"count", 6},           {"cpu", 20000}, {"mem_mb", 1024},
+                         {"estimate_ms", 20000}, {"gang", true}, {"same_rack", true}};
+  const bool is_gang_accepted =
+      co_await fleet.Submit(gang, OneStepJob("ms=20000", gang_step), "night", "key-2");
+  if (!is_gang_accepted) {
+    co_return 2;
+  }
+  const std::map<std::string, std::string> watched{{small, "the small job"}, {gang, "the gang"}};
+  co_await WatchForIdleJobs(fleet, watched);
+  co_return Broken().lines.empty() ? 0 : 1;
+}
+
+/// A large job fits on no worker beside the tasks that last, and waits; a
+/// worker is lost for good, and with it the task of a small job, which is late
+/// when its lease has lapsed.
+awaitable<int> LargeWaits(Fleet& fleet) {
+  constexpr double kSlackFactor = 1.6;
+  constexpr std::int64_t kTargetMs = 600;
+  for (int i = 1; i <= 5; ++i) {
+    fleet.AddWorker("w-" + std::to_string(i), "kind-a", "r" + std::to_string(i), 64000);
+  }
+  fleet.Configure(true, 0, 3, kSlackFactor, kTargetMs);
+  fleet.StartEntries();
+  const bool is_ready = co_await fleet.AwaitReady(25);
+  if (!is_ready) {
+    co_return 2;
+  }
+  const std::string lasting = Fleet::NewId();
+  json::object lasting_step{{"count", 5},
+                            {"cpu", 12000},
+                            {"mem_mb", 1024},
+                            {"max_per_server", 1},
+                            {"long_running", true}};
+  const bool is_lasting_accepted = co_await fleet.Submit(lasting, OneStepJob("ms=0", lasting_step));
+  co_await Sleep(2);
+  const std::string large = Fleet::NewId();
+  json::object large_step{{"count", 1}, {"cpu", 60000}, {"mem_mb", 1024}, {"estimate_ms", 20000}};
+  const bool is_large_accepted =
+      co_await fleet.Submit(large, OneStepJob("ms=20000", large_step), "night", "key-2");
+  const std::string small = Fleet::NewId();
+  json::object small_step{{"count", 1}, {"cpu", 8000}, {"mem_mb", 1024}, {"estimate_ms", 6000}};
+  const bool is_small_accepted = co_await fleet.Submit(small, OneStepJob("ms=6000", small_step));
+  co_await Sleep(2);
+  if (!is_lasting_accepted || !is_large_accepted || !is_small_accepted || !IsAtWork(fleet, small)) {
+    LINE("a job isn't accepted or doesn't run");
+    co_return 2;
+  }
+  for (const auto& worker : fleet.workers) {
+    if (HasTrouble() && worker->runs.contains(small + ".0.0.0")) {
+      worker->Crash();
+      break;
+    }
+  }
+  const std::map<std::string, std::string> watched{{small, "the small job"}};
+  co_await WatchForIdleJobs(fleet, watched);
+  co_return Broken().lines.empty() ? 0 : 1;
+}
+
 awaitable<void> Run(std::string name, std::string binary, int& code) {
   char logs[] = "/tmp/review-3-XXXXXX";
   if (mkdtemp(logs) == nullptr) {
@@ -147,7 +296,11 @@
   }
   {
     Fleet fleet(std::move(binary), logs);
-    if (name == "kind") {
+    if (name == "large-waits") {
+      code = co_await LargeWaits(fleet);
+    } else if (name == "gang-waits") {
+      code = co_await GangWaits(fleet);
+    } else if (name == "kind") {
       code = co_await KindChanges(fleet);
     } else if (name == "capacity") {
       code = co_await CapacityChanges(fleet);
