Review: Show a frozen owner that orders after its successor

Cause: an owner proves before an order for a machine that it is the owner, but then connects for up to a second and writes without another look. If it freezes while it connects, it sends the order when it wakes.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of cases 7 to 10 into target/review-3/. Needs the packages of the deploy file.
+# Builds the stand-ins of cases 7 to 11 into target/review-3/. Needs the packages of the deploy file.
 set -euo pipefail
 top=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$top/target/review-3"
--- a/review/standin-3/fleet.hpp
+++ b/review/standin-3/fleet.hpp
@@ -191,6 +191,32 @@
     }
     this->sockets.clear();
   }
+  /// Until GoBack, the connections are reset and no new one is taken: opening packets are dropped,
+  /// as the queue of connections is full.
+  void GoSilent() {
+    boost::system::error_code ignored;
+    this->is_silent = true;
+    this->acceptor->cancel(ignored);
+    this->acceptor->listen(0, ignored);
+    for (int i = 0; i < 4; ++i) {
+      auto filler = std::make_shared<tcp::socket>(Io());
+      filler->open(tcp::v4(), ignored);
+      filler->async_connect({net::ip::make_address("127.0.0.1"), this->port},
+                            [filler](const boost::system::error_code&) {});
+      this->fillers.push_back(filler);
+    }
+    this->Reset();
+  }
+  void GoBack() {
+    boost::system::error_code ignored;
+    for (const auto& filler : this->fillers) {
+      filler->close(ignored);
+    }
+    this->fillers.clear();
+    this->is_silent = false;
+    this->acceptor->listen(net::socket_base::max_listen_connections, ignored);
+    Spawn(this->Accept(this->shared_from_this(), this->acceptor));
+  }
   /// Connections that were used while cut are reset when the cut ends, as their peers gave up.
   void SetCut(bool cut) {
     this->is_cut = cut;
@@ -201,6 +227,7 @@
 
   const std::uint16_t port;
   bool is_cut = false;
+  bool is_silent = false;
 
  private:
   static awaitable<void> Accept(std::shared_ptr<Server> self,
@@ -249,6 +276,7 @@
   const Handler handler;
   std::shared_ptr<tcp::acceptor> acceptor;
   std::set<std::shared_ptr<tcp::socket>> sockets;
+  std::vector<std::shared_ptr<tcp::socket>> fillers;
 };
 
 inline std::map<std::string, std::string> QueryOf(std::string_view target) {
@@ -297,6 +325,8 @@
   }
 
   const std::shared_ptr<Server> server;
+  /// Called after each record that was appended, with its topic and key.
+  std::function<void(const std::string&, const std::string&)> on_append;
 
  private:
   struct Producer {
@@ -402,7 +432,11 @@
       for (int i = 0; i < 4; ++i) {
         size = size * 256 + static_cast<unsigned char>(body[at + i]);
       }
-      this->Add(part, body.substr(at + 4, size));
+      const std::string raw = body.substr(at + 4, size);
+      this->Add(part, raw);
+      if (this->on_append) {
+        this->on_append(query["topic"], raw.substr(1, static_cast<unsigned char>(raw.at(0))));
+      }
       at += 4 + size;
     }
     const Reply reply = Json(200, {{"offset", end}, {"end_offset", part.records.size()}});
@@ -1453,12 +1487,63 @@
       }
       co_return Reply{200, json::serialize(json::object{{"machines", rows}, {"next_token", ""}})};
     }
+    if (target == "/-/machine-upkeep") {
+      co_return this->Upkeep(*request);
+    }
     LINE("machine order %s %s: busy", target.c_str(), request->body().c_str());
     co_return Reply{409, "{\"reason\":\"busy\"}"};
   }
 
+  /// Fencing tokens aren't checked, as with `fencing_enabled` false.
+  Reply Upkeep(const Request& request) {
+    const json::object body = json::parse(request.body()).as_object();
+    const std::string host(body.at("host_id").as_string());
+    const std::string holder(request["Chervilspar-Lease-Holder"]);
+    const std::string text(request["Chervilspar-Fencing-Token"]);
+    const std::uint64_t token = std::stoull(text);
+    LINE("upkeep of %s, wave %d, ordered by %s with token %s", host.c_str(),
+         body.at("wave").to_number<int>(), holder.c_str(), text.c_str());
+    auto& [highest, highest_holder] = this->tokens[host];
+    if (token < highest) {
+      Broken().Add("ONE: " + holder + " orders the upkeep of " + host + " with the token " + text +
+                   " after " + highest_holder + " has ordered it with " + std::to_string(highest));
+    } else if (token == highest && holder != highest_holder) {
+      Broken().Add("ONE: two holders with the token " + text + " for " + host);
+    }
+    if (token > highest) {
+      highest = token;
+      highest_holder = holder;
+    }
+    this->holders.insert(holder);
+    for (const auto& worker : this->workers) {
+      if ("host-" + worker->id != host) {
+        continue;
+      }
+      if (this->kept_up.contains(host)) {
+        return Reply{200, "{}"};
+      }
+      if (!worker->is_up) {
+        return Reply{409, "{\"reason\":\"busy\"}"};
+      }
+      this->kept_up.insert(host);
+      worker->Crash();
+      Spawn(this->EndUpkeep(*worker));
+      return Reply{200, "{}"};
+    }
+    return Reply{400, "{}"};
+  }
+  /// The machine is back after `maintenance_s`.
+  static awaitable<void> EndUpkeep(Worker& worker) {
+    co_await Sleep(2.0);
+    worker.Start();
+  }
+
   const std::string binary;
   const std::string log_dir;
+  /// The highest token and its holder, by machine.
+  std::map<std::string, std::pair<std::uint64_t, std::string>> tokens;
+  std::set<std::string> holders;
+  std::set<std::string> kept_up;
   Store store;
   std::shared_ptr<Server> machines;
   std::vector<std::unique_ptr<Worker>> workers;
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -111,6 +111,12 @@
   co_return Broken().lines.empty() ? 0 : 1;
 }
 
+/// How long after the owner has stored an upkeep it stands still, how much later the service for
+/// machines is back, and how long the owner stands still.
+constexpr double kFreezeAfterS = 0.3;
+constexpr double kBackAfterS = 0.4;
+constexpr double kFreezeS = 4.0;
+
 /// Whether a task of the job is at work.
 bool IsAtWork(const Fleet& fleet, const std::string& id) {
   for (const auto& worker : fleet.workers) {
@@ -260,6 +266,68 @@
   co_return Broken().lines.empty() ? 0 : 1;
 }
 
+/// The owner stands still while it connects to the service for machines, until another entry has
+/// ordered the upkeep of the same machine.
+awaitable<int> StaleOrder(Fleet& fleet) {
+  for (int i = 1; i <= 8; ++i) {
+    fleet.AddWorker("w-" + std::to_string(i), "kind-a", "r" + std::to_string(1 + i % 3), 64000);
+  }
+  fleet.Configure(true);
+  fleet.StartEntries();
+  const bool is_ready = co_await fleet.AwaitReady(25);
+  if (!is_ready) {
+    co_return 2;
+  }
+  Entry& owner = *fleet.entries[*fleet.Owner()];
+  std::optional<double> stored;
+  fleet.store.on_append = [&](const std::string& topic, const std::string& key) {
+    if (stored || topic == "keyed.op" || topic.find("status") != std::string::npos ||
+        key.find("wave/1") == std::string::npos) {
+      return;
+    }
+    stored = Now();
+    LINE("the owner has stored in %s that it will order the upkeep (%s)", topic.c_str(),
+         key.c_str());
+    if (HasTrouble()) {
+      LINE("the service for machines is down");
+      fleet.machines->GoSilent();
+    }
+  };
+  const json::object wave{
+      {"wave", 1}, {"machines", json::array{"host-w-1"}}, {"deadline_s", 60}, {"cap", 1}};
+  LINE("op/wave/1: %s", json::serialize(wave).c_str());
+  fleet.store.Put("keyed.op", "wave/1", json::serialize(wave));
+  const double begin = Now();
+  while (!stored && Now() < begin + 20) {
+    co_await Sleep(0.01);
+  }
+  if (!stored) {
+    LINE("nothing is stored about the wave");
+    co_return 2;
+  }
+  if (HasTrouble()) {
+    co_await Sleep(kFreezeAfterS);
+    LINE("SIGSTOP to %s", owner.name.c_str());
+    owner.Signal(SIGSTOP);
+    const double stopped = Now();
+    co_await Sleep(kBackAfterS);
+    LINE("the service for machines is back");
+    fleet.machines->GoBack();
+    co_await Sleep(stopped + kFreezeS - Now());
+    if (fleet.holders.empty()) {
+      LINE("no other entry has ordered the upkeep yet");
+    }
+    LINE("SIGCONT to %s", owner.name.c_str());
+    owner.Signal(SIGCONT);
+  }
+  co_await Sleep(6);
+  if (fleet.holders.empty()) {
+    LINE("the upkeep isn't ordered at all");
+    co_return 2;
+  }
+  co_return Broken().lines.empty() ? 0 : 1;
+}
+
 awaitable<void> Run(std::string name, std::string binary, int& code) {
   char logs[] = "/tmp/review-3-XXXXXX";
   if (mkdtemp(logs) == nullptr) {
@@ -273,6 +341,8 @@
       code = co_await GangWaits(fleet);
     } else if (name == "kind") {
       code = co_await KindChanges(fleet);
+    } else if (name == "stale-order") {
+      code = co_await StaleOrder(fleet);
     } else if (name == "late-start") {
       code = co_await LateStart(fleet);
     }
