--- a/review/standin-3/fleet.hpp
+++ b/review/standin-3/fleet.hpp
@@ -195,7 +195,6 @@
   /// as the queue of connections is full.
   void GoSilent() {
     boost::system::error_code ignored;
-    this->is_silent = true;
     this->acceptor->cancel(ignored);
     this->acceptor->listen(0, ignored);
     for (int i = 0; i < 4; ++i) {
@@ -213,7 +212,6 @@
       filler->close(ignored);
     }
     this->fillers.clear();
-    this->is_silent = false;
     this->acceptor->listen(net::socket_base::max_listen_connections, ignored);
     Spawn(this->Accept(this->shared_from_this(), this->acceptor));
   }
@@ -227,7 +225,6 @@
 
   const std::uint16_t port;
   bool is_cut = false;
-  bool is_silent = false;
 
  private:
   static awaitable<void> Accept(std::shared_ptr<Server> self,
@@ -1488,7 +1485,9 @@
       co_return Reply{200, json::serialize(json::object{{"machines", rows}, {"next_token", ""}})};
     }
     if (target == "/-/machine-upkeep") {
-      co_return this->Upkeep(*request);
+      const Reply reply = this->Upkeep(*request);
+      LINE("upkeep answered: %u %s", reply.status, reply.body.c_str());
+      co_return reply;
     }
     LINE("machine order %s %s: busy", target.c_str(), request->body().c_str());
     co_return Reply{409, "{\"reason\":\"busy\"}"};
