--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -265,23 +265,6 @@
   return is_placed;
 }
 
-void PlacingRound::LogWaitReason(JobState& job) {
-  const bool is_late = this->wall_ms > job.deadline_ms;
-  const bool is_beyond_share = this->wait_reason == WaitReason::kNoCapacity &&
-                               job.reported_wait_reason == WaitReason::kBeyondShare;
-  if (this->wait_reason == WaitReason::kNone || this->wait_reason == job.reported_wait_reason ||
-      is_beyond_share || !is_late) {
-    return;
-  }
-  job.reported_wait_reason = this->wait_reason;
-  this->state.ReportEvent({"job_waits",
-                           {},
-                           job.job.id,
-                           "",
-                           std::string(ToString(this->wait_reason)) + "; late by " +
-                               std::to_string(this->wall_ms - job.deadline_ms) + " ms"});
-}
-
 bool PlacingRound::NeedsAdvice(const TaskRef& ref) const {
   if (!ref.job->needs_advice) {
     return false;
@@ -342,11 +325,6 @@
   return is_placed;
 }
 
-WaitReason PlacingRound::ReasonWithoutEndpoint(const TaskRef& ref) const {
-  return this->placement.IsBlockedByCordon(ref) ? WaitReason::kCordoned
-                                                : WaitReason::kNoEligibleEndpoint;
-}
-
 bool PlacingRound::IsReservedByPreemption(const TaskRef& ref) const {
   return this->state.options.preempts && !ref.spec->is_long_running &&
          this->state.reservations.contains(ref.key);
@@ -394,70 +372,4 @@
   return true;
 }
 
-bool PlacingRound::PlaceGang(const TaskRef& first) {
-  std::uint64_t run = 0;
-  std::string checkpoint;
-  Resources need;
-  for (const Task& member : first.step->tasks) {
-    if (!member.IsWaiting() || member.not_before > this->now) {
-      return true;  // Its last run has not ended on all endpoints.
-    }
-    run = std::max(run, member.progress.run);
-    if (checkpoint.empty()) {
-      checkpoint = member.progress.checkpoint;
-    }
-    need = need + first.spec->need;
-  }
-  if (!this->state.IsWithinCap(*first.job, need)) {
-    return true;
-  }
-  for (Task& member : first.step->tasks) {
-    member.progress.checkpoint = checkpoint;
-  }
-  if (first.spec->prefers_one_rack && this->PlaceOnOneRack(first, run + 1)) {
-    return true;
-  }
-  const bool may_spread = !first.spec->prefers_one_rack ||
-                          (first.job->ready && first.job->ready->latest_start_ms < this->wall_ms);
-  return may_spread && this->PlaceMembers(first, run + 1, this->reserved);
-}
-
-bool PlacingRound::PlaceMembers(const TaskRef& first, std::uint64_t run,
-                                const std::set<EndpointState*>& excluded) {
-  std::vector<TaskRef> placed;
-  for (std::uint32_t i = 0; i < first.step->tasks.size(); ++i) {
-    TaskKey key = first.key;
-    key.index = i;
-    const TaskRef member = this->state.Find(key);
-    if (!this->PlaceTask(member, excluded, run)) {
-      for (const TaskRef& earlier : placed) {
-        this->state.Release(earlier);
-      }
-      return false;
-    }
-    placed.push_back(member);
-  }
-  return true;
-}
-
-bool PlacingRound::PlaceOnOneRack(const TaskRef& first, std::uint64_t run) {
-  const PoolState& pool = this->state.pools.at(first.job->service);
-  std::set<std::string> racks;
-  for (const EndpointState* endpoint : pool.endpoints) {
-    racks.insert(endpoint->record.rack);
-  }
-  for (const std::string& rack : racks) {
-    std::set<EndpointState*> excluded = this->reserved;
-    for (EndpointState* endpoint : pool.endpoints) {
-      if (endpoint->record.rack != rack) {
-        excluded.insert(endpoint);
-      }
-    }
-    if (this->PlaceMembers(first, run, excluded)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 }  // namespace chervilspar::jobs
