Jobs: Log which job holds the endpoints that a late job waits for

Whether the job finds no capacity, no eligible endpoint or endpoints that are held for another can't be told from the log.

Change: the late jobs of such a round get a job_waits line that names the job that the endpoints are held for.

--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -135,7 +135,11 @@
       std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](EndpointState* endpoint) {
         return Placement::IsUsable(*endpoint, this->now) && !this->wanted.Contains(*endpoint);
       });
-  if (this->is_link_full || !has_unwanted) {
+  if (this->is_link_full) {
+    return;
+  }
+  if (!has_unwanted) {
+    this->LogAllHeld(pool);
     return;
   }
   this->reserved.merge(this->wanted.All());
@@ -242,6 +246,7 @@
 
 bool PlacingRound::PlaceJob(JobState& job) {
   this->wait_reason = WaitReason::kNone;
+  this->wait_detail.clear();
   if (job.is_rejected) {
     return true;
   }
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -54,6 +54,8 @@
   bool ReserveEndpointFor(const TaskRef& ref);
   /// Logs what a late job waits for, once per reason.
   void LogWaitReason(JobState& job);
+  /// Logs for the late jobs that the endpoints are held for others.
+  void LogAllHeld(const PoolState& pool);
   /// Runs are being stopped for the task, and their capacity is reserved for it.
   bool IsReservedByPreemption(const TaskRef& ref) const;
   /// Why a task waits that no endpoint may run now.
@@ -83,6 +85,8 @@
   bool has_placed = false;
   /// What the job that was handled last waits for.
   WaitReason wait_reason = WaitReason::kNone;
+  /// Added to the reason in the log.
+  std::string wait_detail;
   std::vector<TaskKey> blocked;
   /// More than one, as a single endpoint may stay busy for long.
   static constexpr std::size_t kMaxReserved = 2;
--- a/src/jobs/placing_round_waits.cc
+++ b/src/jobs/placing_round_waits.cc
@@ -17,8 +17,18 @@
                            {},
                            job.job.id,
                            "",
-                           std::string(ToString(this->wait_reason)) + "; late by " +
-                               std::to_string(this->wall_ms - job.deadline_ms) + " ms"});
+                           std::string(ToString(this->wait_reason)) + this->wait_detail +
+                               "; late by " + std::to_string(this->wall_ms - job.deadline_ms) +
+                               " ms"});
+}
+
+void PlacingRound::LogAllHeld(const PoolState& pool) {
+  const std::optional<JobId>& holder = this->wanted.FirstHolder();
+  this->wait_detail = holder ? ": all of the pool, for " + ToString(*holder) : "";
+  for (const ReadyKey& key : pool.ready) {
+    this->wait_reason = WaitReason::kHeldForOthers;
+    this->LogWaitReason(*this->state.FindJob(key.job));
+  }
 }
 
 WaitReason PlacingRound::ReasonWithoutEndpoint(const TaskRef& ref) const {
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -34,6 +34,8 @@
       return "waits behind";
     case WaitReason::kOwnerLink:
       return "the owner's link is full";
+    case WaitReason::kHeldForOthers:
+      return "the endpoints that may run it are held for other jobs";
   }
   return "unknown";
 }
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -151,6 +151,7 @@
   kAdvice,
   kBeyondShare,
   kOwnerLink,
+  kHeldForOthers,
 };
 
 const char* ToString(WaitReason reason);
--- a/src/jobs/wanted_endpoints.cc
+++ b/src/jobs/wanted_endpoints.cc
@@ -8,6 +8,7 @@
   this->pool = &next;
   this->is_wanted.assign(next.endpoints.size(), 0);
   this->added.clear();
+  this->first_holder.reset();
 }
 
 std::set<EndpointState*> WantedEndpoints::All() const {
@@ -32,6 +33,7 @@
 
 void WantedEndpoints::Add(const TaskRef& ref) {
   const Resources need = RequiredCapacity(*ref.spec);
+  this->first_holder = this->first_holder.value_or(ref.key.job);
   const auto covering = std::find_if(this->added.begin(), this->added.end(),
                                      [&](const Added& one) { return one.Covers(ref, need); });
   if (covering != this->added.end()) {
--- a/src/jobs/wanted_endpoints.h
+++ b/src/jobs/wanted_endpoints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +25,8 @@
   void Add(const TaskRef& ref);
   bool Contains(const EndpointState& endpoint) const { return this->is_wanted[endpoint.position]; }
   std::set<EndpointState*> All() const;
+  /// The job of the first blocked task; nothing if none was added.
+  const std::optional<JobId>& FirstHolder() const { return this->first_holder; }
 
  private:
   /// Blocked tasks whose endpoints were added.
@@ -46,6 +49,7 @@
   /// By the position in the pool.
   std::vector<char> is_wanted;
   std::vector<Added> added;
+  std::optional<JobId> first_holder;
 };
 
 }  // namespace chervilspar::jobs
