Jobs: Hold endpoints for blocked jobs only where room will come

Cause: an on-time job that found no free capacity kept each endpoint whose whole capacity is large enough from all late jobs, until its own latest start. Whether room can come there beside long-running tasks, when it comes, and how much stands idle until then, wasn't asked. The endpoints reserved against on-time jobs were chosen in the same way.

Change: ExpectedEnds says when an endpoint will have room, by the estimates of its batch tasks; never, if long-running tasks leave too little. A task that no endpoint can hold beside long-running tasks blocks nothing. HeldEndpoints reserves and holds endpoints only where room comes before the latest start. Unless the pool is nearly full, the held ones have at most a quarter of the cores free, and late tasks that end before the room comes may use them. UnplacedTasks spares the search for tasks that need at least as much as one that found nothing in the same round.

Why it works: what is held against late jobs stands idle only if the pool has little else free, or is a bounded part. In a full pool, late jobs still can't take what becomes free bit by bit.

All 726 tests of jobs_test pass.

--- a/src/jobs/evacuation.cc
+++ b/src/jobs/evacuation.cc
@@ -1,5 +1,6 @@
 #include "jobs/evacuation.h"
 
+#include "jobs/endpoint_filter.h"
 #include "jobs/target_search.h"
 
 namespace chervilspar::jobs {
@@ -81,7 +82,8 @@
     return nullptr;
   }
   // Its own endpoint is leaving and therefore accepts no tasks.
-  EndpointState* const target = this->placement.Choose(ref, {}, this->now);
+  AnyEndpoint any;
+  EndpointState* const target = this->placement.Choose(ref, any, this->now);
   if (target == nullptr) {
     this->without_target.insert(ref.step);
   }
--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -115,8 +115,7 @@
   return cost + (is_spread ? -left : left);
 }
 
-EndpointState* Placement::Choose(const TaskRef& ref, const std::set<EndpointState*>& reserved,
-                                 TimePoint now) const {
+EndpointState* Placement::Choose(const TaskRef& ref, EndpointFilter& filter, TimePoint now) const {
   const auto pool = this->state.pools.find(ref.job->service);
   if (pool == this->state.pools.end()) {
     return nullptr;
@@ -131,7 +130,7 @@
   const auto consider = [&](const FreeCpuIndex::Entry& entry, std::int64_t bound) {
     const bool can_improve = best.CanBeImprovedBy(bound, entry.position);
     if (can_improve) {
-      this->Consider(ref, *endpoints[entry.position], reserved, now, best);
+      this->Consider(ref, *endpoints[entry.position], filter, now, best);
     }
     return can_improve;
   };
@@ -164,12 +163,11 @@
          (bound == this->cost && position < this->endpoint->position);
 }
 
-void Placement::Consider(const TaskRef& ref, EndpointState& endpoint,
-                         const std::set<EndpointState*>& reserved, TimePoint now,
-                         Choice& best) const {
+void Placement::Consider(const TaskRef& ref, EndpointState& endpoint, EndpointFilter& filter,
+                         TimePoint now, Choice& best) const {
   ++this->state.endpoints_examined;
-  if (!endpoint.FreeCapacity().Fits(RequiredCapacity(*ref.spec)) || reserved.contains(&endpoint) ||
-      !this->MayRunOn(ref, endpoint, now)) {
+  if (!endpoint.FreeCapacity().Fits(RequiredCapacity(*ref.spec)) ||
+      !this->MayRunOn(ref, endpoint, now) || !filter.Allows(endpoint)) {
     return;
   }
   const std::int64_t cost = this->Cost(ref, endpoint);
@@ -210,45 +208,51 @@
   });
 }
 
-bool Placement::HasCapacityForGang(const TaskRef& ref, TimePoint now) const {
+Prospect Placement::ProspectOf(const TaskRef& ref, TimePoint now) const {
   const auto pool = this->state.pools.find(ref.job->service);
   if (pool == this->state.pools.end()) {
-    return false;
+    return Prospect::kNone;
   }
-  const std::size_t count = ref.step->tasks.size();
-  const std::size_t limit =
-      ref.spec->max_per_endpoint > 0 ? std::size_t{ref.spec->max_per_endpoint} : count;
   const Resources need = RequiredCapacity(*ref.spec);
-  std::size_t found = 0;
-  for (const EndpointState* endpoint : pool->second.endpoints) {
+  const std::vector<FreeCpuIndex::Entry>& entries = pool->second.by_free_cpu.Entries();
+  Prospect prospect = Prospect::kNone;
+  // Those with the most free cpu are the most likely to have room.
+  for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+    const EndpointState& endpoint = *pool->second.endpoints[entry->position];
     ++this->state.endpoints_examined;
-    if (this->MayRunOn(ref, *endpoint, now)) {
-      found += endpoint->record.capacity.CountFitting(need, limit);
+    if (!endpoint.record.capacity.Fits(need) || !this->MayRunOn(ref, endpoint, now)) {
+      continue;
+    }
+    if (endpoint.CapacityForBatch().Fits(need)) {
+      return Prospect::kRoom;
     }
+    prospect = Prospect::kLongRunningTasks;
   }
-  return found >= count;
+  return prospect;
 }
 
-EndpointState* Placement::ChooseToReserve(const TaskRef& ref, TimePoint now) const {
+Prospect Placement::ProspectOfGang(const TaskRef& ref, TimePoint now) const {
   const auto pool = this->state.pools.find(ref.job->service);
   if (pool == this->state.pools.end()) {
-    return nullptr;
+    return Prospect::kNone;
   }
+  const std::size_t count = ref.step->tasks.size();
+  const std::size_t limit =
+      ref.spec->max_per_endpoint > 0 ? std::size_t{ref.spec->max_per_endpoint} : count;
   const Resources need = RequiredCapacity(*ref.spec);
-  const FreeCpuIndex& index = pool->second.by_free_cpu;
-  const std::vector<FreeCpuIndex::Entry>& entries = index.Entries();
-  for (std::size_t end = entries.size(); end > 0;) {
-    const std::size_t begin = index.FirstWith(entries[end - 1].free_cpu);
-    for (std::size_t i = begin; i < end; ++i) {
-      EndpointState* const endpoint = pool->second.endpoints[entries[i].position];
-      ++this->state.endpoints_examined;
-      if (endpoint->record.capacity.Fits(need) && this->MayRunOn(ref, *endpoint, now)) {
-        return endpoint;
-      }
+  std::size_t of_empty = 0;
+  std::size_t for_batch = 0;
+  for (const EndpointState* endpoint : pool->second.endpoints) {
+    ++this->state.endpoints_examined;
+    if (this->MayRunOn(ref, *endpoint, now)) {
+      of_empty += endpoint->record.capacity.CountFitting(need, limit);
+      for_batch += endpoint->CapacityForBatch().CountFitting(need, limit);
     }
-    end = begin;
   }
-  return nullptr;
+  if (for_batch >= count) {
+    return Prospect::kRoom;
+  }
+  return of_empty >= count ? Prospect::kLongRunningTasks : Prospect::kNone;
 }
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/endpoint_filter.h"
 #include "jobs/scheduler_state.h"
 
 namespace chervilspar::jobs {
@@ -15,6 +16,16 @@
   friend auto operator<=>(const PricedEndpoint&, const PricedEndpoint&) = default;
 };
 
+/// Whether a task that fits nowhere now may find room without a change of the pool.
+enum class Prospect {
+  /// No usable endpoint is large enough.
+  kNone,
+  /// Those that are large enough have long-running tasks that leave too little.
+  kLongRunningTasks,
+  /// There will be room when batch tasks have ended.
+  kRoom,
+};
+
 /// Chooses the endpoint for a task.
 ///
 /// Batch tasks are placed by best fit, which keeps contiguous capacity for large tasks.
@@ -24,10 +35,9 @@
  public:
   explicit Placement(SchedulerState& state) : state(state) {}
 
-  /// Null if no endpoint has enough free capacity now. Endpoints in `reserved` are kept for tasks
-  /// that have waited longer.
-  EndpointState* Choose(const TaskRef& ref, const std::set<EndpointState*>& reserved,
-                        TimePoint now) const;
+  /// Null if no endpoint that `filter` allows has enough free capacity now. The filter is asked
+  /// only about endpoints that could run the task now.
+  EndpointState* Choose(const TaskRef& ref, EndpointFilter& filter, TimePoint now) const;
   /// The endpoints that `Choose` considers for the task, unordered. Their costs are without
   /// `FailureCost` and therefore the same for all tasks of the step.
   std::vector<PricedEndpoint> ListForStep(const TaskRef& ref, TimePoint now) const;
@@ -46,11 +56,9 @@
   std::int64_t Cost(const TaskRef& ref, const EndpointState& endpoint) const;
   /// True if some endpoint could run the task but for a cordon.
   bool IsBlockedByCordon(const TaskRef& ref) const;
-  /// Whether the pool could run the whole gang of the task if its endpoints were empty.
-  bool HasCapacityForGang(const TaskRef& ref, TimePoint now) const;
-  /// The endpoint to reserve for a task that fits nowhere now: the one with the most free cpu of
-  /// those that are large enough. Null if there is none.
-  EndpointState* ChooseToReserve(const TaskRef& ref, TimePoint now) const;
+  Prospect ProspectOf(const TaskRef& ref, TimePoint now) const;
+  /// The same for the whole gang of the task.
+  Prospect ProspectOfGang(const TaskRef& ref, TimePoint now) const;
 
  private:
   /// The cheapest endpoint so far.
@@ -64,8 +72,8 @@
   };
 
   /// Replaces the choice if the endpoint may run the task and is better.
-  void Consider(const TaskRef& ref, EndpointState& endpoint,
-                const std::set<EndpointState*>& reserved, TimePoint now, Choice& best) const;
+  void Consider(const TaskRef& ref, EndpointState& endpoint, EndpointFilter& filter, TimePoint now,
+                Choice& best) const;
   bool IsBelowLimitPerEndpoint(const TaskRef& ref, const EndpointState& endpoint) const;
   std::int64_t CostForStep(const TaskRef& ref, const EndpointState& endpoint) const;
   std::int64_t SharingCost(const TaskRef& ref, const EndpointState& endpoint) const;
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -94,8 +94,8 @@
 }
 
 void PlacingRound::PlacePool(PoolState& pool) {
-  this->reserved.clear();
-  this->wanted.Begin(pool);
+  this->held.Begin(pool);
+  this->unplaced.Clear();
   this->unplaced_jobs = 0;
   std::vector<std::uint32_t> ranks;
   for (auto place = pool.ready.begin(); place != pool.ready.end();) {
@@ -107,12 +107,12 @@
   if (!this->PlaceOnTime(pool, ranks,
                          divides ? JobFilter::kWithinShare : JobFilter::kExpectedOnTime) ||
       (divides && !this->PlaceOnTime(pool, ranks, JobFilter::kBeyondShare))) {
-    this->PlaceOnUnwanted(pool);
+    this->PlaceBehindBlocked(pool);
     return;
   }
   // The remaining capacity is for jobs that can still meet their deadlines.
   if (this->unplaced_jobs > 0) {
-    this->PlaceOnUnwanted(pool);
+    this->PlaceBehindBlocked(pool);
     return;
   }
   pool.resume_after.reset();
@@ -130,19 +130,10 @@
 
 /// The jobs that found no capacity may be the same in each round. If nothing else were placed, jobs
 /// that could run on other endpoints would never start.
-void PlacingRound::PlaceOnUnwanted(PoolState& pool) {
-  const bool has_unwanted =
-      std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](EndpointState* endpoint) {
-        return Placement::IsUsable(*endpoint, this->now) && !this->wanted.Contains(*endpoint);
-      });
+void PlacingRound::PlaceBehindBlocked(PoolState& pool) {
   if (this->is_link_full) {
     return;
   }
-  if (!has_unwanted) {
-    this->LogAllHeld(pool);
-    return;
-  }
-  this->reserved.merge(this->wanted.All());
   this->unplaced_jobs = 0;
   auto place = pool.resume_after ? pool.ready.upper_bound(*pool.resume_after) : pool.ready.begin();
   pool.resume_after.reset();
@@ -246,7 +237,7 @@
 
 bool PlacingRound::PlaceJob(JobState& job) {
   this->wait_reason = WaitReason::kNone;
-  this->wait_detail.clear();
+  this->refusal.reset();
   if (job.is_rejected) {
     return true;
   }
@@ -304,27 +295,23 @@
       if (this->PlaceGang(ref)) {
         return true;
       }
-      if (!this->placement.HasCapacityForGang(ref, this->now)) {
-        this->wait_reason = WaitReason::kNoEligibleEndpoint;
+      const Prospect prospect = this->placement.ProspectOfGang(ref, this->now);
+      if (prospect != Prospect::kRoom) {
+        this->wait_reason = this->ReasonToWait(ref, prospect);
         return true;  // A gang that the pool can't run doesn't block the jobs after it.
       }
-      this->wanted.Add(ref);
+      if (!this->IsLate(job)) {
+        this->held.HoldAgainstLate(ref);
+      }
       return false;
     }
-    if (!this->PlaceTask(ref, this->reserved, ref.task->progress.run + 1)) {
+    if (!this->PlaceSingle(ref)) {
       if (this->IsReservedByPreemption(ref)) {
         this->wait_reason = WaitReason::kNoCapacity;
         is_placed = false;
         continue;  // The capacity for the next task of the step may be free already.
       }
-      // A task that no endpoint can run doesn't block the jobs after it.
-      const bool could_run = this->ReserveEndpointFor(ref);
-      this->wanted.Add(ref);
-      if (could_run && this->state.options.preempts) {
-        this->blocked.push_back(ref.key);
-      }
-      this->wait_reason = could_run ? WaitReason::kNoCapacity : this->ReasonWithoutEndpoint(ref);
-      return is_placed && !could_run;
+      return !this->Block(ref) && is_placed;
     }
   }
   return is_placed;
@@ -335,22 +322,54 @@
          this->state.reservations.contains(ref.key);
 }
 
-bool PlacingRound::ReserveEndpointFor(const TaskRef& ref) {
-  EndpointState* endpoint = this->placement.ChooseToReserve(ref, this->now);
-  if (endpoint != nullptr && this->reserved.size() < kMaxReserved) {
-    this->reserved.insert(endpoint);
+bool PlacingRound::IsLate(const JobState& job) const {
+  return job.is_abandoned ||
+         (job.ready && job.ready->rank > 0 && job.ready->latest_start_ms < this->wall_ms);
+}
+
+bool PlacingRound::Block(const TaskRef& ref) {
+  const Prospect prospect = this->placement.ProspectOf(ref, this->now);
+  this->wait_reason = this->ReasonToWait(ref, prospect);
+  if (prospect != Prospect::kRoom) {
+    return false;
+  }
+  const bool is_late = this->IsLate(*ref.job);
+  this->held.Reserve(ref, is_late);
+  if (!is_late) {
+    this->held.HoldAgainstLate(ref);
+  }
+  // A job may be examined twice in a round.
+  const bool is_known =
+      std::find(this->blocked.begin(), this->blocked.end(), ref.key) != this->blocked.end();
+  if (this->state.options.preempts && !is_known) {
+    this->blocked.push_back(ref.key);
   }
-  return endpoint != nullptr;
+  return true;
+}
+
+bool PlacingRound::PlaceSingle(const TaskRef& ref) {
+  const bool is_late = this->IsLate(*ref.job);
+  const UnplacedTasks::Entry* const alike = this->unplaced.FindFor(ref, is_late);
+  if (alike != nullptr && !this->state.reservations.contains(ref.key)) {
+    this->refusal = alike->refusal;
+    return false;
+  }
+  HeldEndpoints::Filter filter = this->held.FilterFor(ref, is_late);
+  if (this->PlaceTask(ref, filter, ref.task->progress.run + 1)) {
+    return true;
+  }
+  this->refusal = filter.FindRefusal();
+  this->unplaced.Add(ref, is_late, this->refusal);
+  return false;
 }
 
-bool PlacingRound::PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded,
-                             std::uint64_t run) {
+bool PlacingRound::PlaceTask(const TaskRef& ref, EndpointFilter& filter, std::uint64_t run) {
   std::optional<CapacityReservation> kept;
   if (this->IsReservedByPreemption(ref)) {
     kept = this->state.reservations.at(ref.key);
   }
   this->state.ReleaseReservation(ref.key);  // The capacity was reserved for this task.
-  EndpointState* endpoint = this->placement.Choose(ref, excluded, this->now);
+  EndpointState* endpoint = this->placement.Choose(ref, filter, this->now);
   if (endpoint == nullptr) {
     if (kept) {
       this->state.ReserveCapacity(ref, *this->state.FindEndpoint(kept->endpoint), kept->until);
--- a/src/jobs/placing_round.h
+++ b/src/jobs/placing_round.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "jobs/endpoint_filter.h"
+#include "jobs/held_endpoints.h"
 #include "jobs/placement.h"
 #include "jobs/scheduler_state.h"
-#include "jobs/wanted_endpoints.h"
+#include "jobs/unplaced_tasks.h"
 
 namespace chervilspar::jobs {
 
@@ -18,7 +20,7 @@
   PlacingRound(SchedulerState& state, TimePoint now, std::int64_t wall_ms)
       : state(state),
         placement(state),
-        wanted(state, this->placement, now),
+        held(state, this->placement, now, wall_ms),
         now(now),
         wall_ms(wall_ms) {}
 
@@ -37,29 +39,33 @@
 
   /// Places jobs from `begin` up to, but not including, `end`. False if the round has to end.
   bool PlaceBetween(PoolState& pool, const ReadyKey& begin, const ReadyKey& end, JobFilter filter);
-  /// Places jobs of any kind on the endpoints that no blocked job could use. Examines a limited
+  /// Places jobs of any kind on the endpoints that aren't held for blocked ones. Examines a limited
   /// number of jobs that don't fit, and continues behind them in the next round.
-  void PlaceOnUnwanted(PoolState& pool);
+  void PlaceBehindBlocked(PoolState& pool);
   /// Decides which jobs to abandon if not all of them can meet their deadlines.
   void PlanOverload(PoolState& pool);
-  /// False if a task of the job found no free capacity, although some endpoint is large enough.
+  /// False if a task of the job found no free capacity, and there will be room for it when other
+  /// tasks have ended.
   bool PlaceJob(JobState& job);
   bool PlaceStep(JobState& job, std::uint32_t occurrence, std::uint32_t step);
   bool PlaceGang(const TaskRef& first);
-  bool PlaceMembers(const TaskRef& first, std::uint64_t run,
-                    const std::set<EndpointState*>& excluded);
-  bool PlaceOnOneRack(const TaskRef& first, std::uint64_t run);
-  bool PlaceTask(const TaskRef& ref, const std::set<EndpointState*>& excluded, std::uint64_t run);
-  /// Reserves an endpoint for the task. False if no usable endpoint of the pool is large enough.
-  bool ReserveEndpointFor(const TaskRef& ref);
+  bool PlaceMembers(const TaskRef& first, std::uint64_t run, EndpointFilter& filter);
+  bool PlaceOnOneRack(const TaskRef& first, std::uint64_t run, EndpointFilter& filter);
+  /// For a task that isn't part of a gang.
+  bool PlaceSingle(const TaskRef& ref);
+  bool PlaceTask(const TaskRef& ref, EndpointFilter& filter, std::uint64_t run);
+  /// Keeps endpoints for the task, which found none. False if the tasks that run now would not make
+  /// room for it by ending; such a task doesn't block the jobs after it.
+  bool Block(const TaskRef& ref);
+  /// Whether the job goes after those that can be on time: its latest start has passed, or it was
+  /// abandoned.
+  bool IsLate(const JobState& job) const;
   /// Logs what a late job waits for, once per reason.
   void LogWaitReason(JobState& job);
-  /// Logs for the late jobs that the endpoints are held for others.
-  void LogAllHeld(const PoolState& pool);
   /// Runs are being stopped for the task, and their capacity is reserved for it.
   bool IsReservedByPreemption(const TaskRef& ref) const;
-  /// Why a task waits that no endpoint may run now.
-  WaitReason ReasonWithoutEndpoint(const TaskRef& ref) const;
+  /// Why a task with this prospect waits that found no endpoint.
+  WaitReason ReasonToWait(const TaskRef& ref, Prospect prospect) const;
   bool NeedsAdvice(const TaskRef& ref) const;
   /// Whether the owner's link has room for `count` starts like that of this task. If not, the round
   /// ends, so that no job is placed before this one.
@@ -70,11 +76,10 @@
   SchedulerState& state;
   Placement placement;
   /// Of this pool.
-  WantedEndpoints wanted;
+  HeldEndpoints held;
+  UnplacedTasks unplaced;
   const TimePoint now;
   const std::int64_t wall_ms;
-  /// Endpoints reserved for jobs that found no free capacity in this pool.
-  std::set<EndpointState*> reserved;
   /// Jobs of this pool that did not fit in this round.
   int unplaced_jobs = 0;
   /// The division among accounts was computed in this round.
@@ -85,11 +90,9 @@
   bool has_placed = false;
   /// What the job that was handled last waits for.
   WaitReason wait_reason = WaitReason::kNone;
-  /// Added to the reason in the log.
-  std::string wait_detail;
+  /// What was refused to the task of that job that found no endpoint last.
+  std::optional<HeldEndpoints::Refusal> refusal;
   std::vector<TaskKey> blocked;
-  /// More than one, as a single endpoint may stay busy for long.
-  static constexpr std::size_t kMaxReserved = 2;
 };
 
 }  // namespace chervilspar::jobs
--- a/src/jobs/placing_round_gangs.cc
+++ b/src/jobs/placing_round_gangs.cc
@@ -22,22 +22,22 @@
   for (Task& member : first.step->tasks) {
     member.progress.checkpoint = checkpoint;
   }
-  if (first.spec->prefers_one_rack && this->PlaceOnOneRack(first, run + 1)) {
+  HeldEndpoints::Filter filter = this->held.FilterFor(first, this->IsLate(*first.job));
+  if (first.spec->prefers_one_rack && this->PlaceOnOneRack(first, run + 1, filter)) {
     return true;
   }
   const bool may_spread = !first.spec->prefers_one_rack ||
                           (first.job->ready && first.job->ready->latest_start_ms < this->wall_ms);
-  return may_spread && this->PlaceMembers(first, run + 1, this->reserved);
+  return may_spread && this->PlaceMembers(first, run + 1, filter);
 }
 
-bool PlacingRound::PlaceMembers(const TaskRef& first, std::uint64_t run,
-                                const std::set<EndpointState*>& excluded) {
+bool PlacingRound::PlaceMembers(const TaskRef& first, std::uint64_t run, EndpointFilter& filter) {
   std::vector<TaskRef> placed;
   for (std::uint32_t i = 0; i < first.step->tasks.size(); ++i) {
     TaskKey key = first.key;
     key.index = i;
     const TaskRef member = this->state.Find(key);
-    if (!this->PlaceTask(member, excluded, run)) {
+    if (!this->PlaceTask(member, filter, run)) {
       for (const TaskRef& earlier : placed) {
         this->state.Release(earlier);
       }
@@ -48,20 +48,15 @@
   return true;
 }
 
-bool PlacingRound::PlaceOnOneRack(const TaskRef& first, std::uint64_t run) {
+bool PlacingRound::PlaceOnOneRack(const TaskRef& first, std::uint64_t run, EndpointFilter& filter) {
   const PoolState& pool = this->state.pools.at(first.job->service);
   std::set<std::string> racks;
   for (const EndpointState* endpoint : pool.endpoints) {
     racks.insert(endpoint->record.rack);
   }
   for (const std::string& rack : racks) {
-    std::set<EndpointState*> excluded = this->reserved;
-    for (EndpointState* endpoint : pool.endpoints) {
-      if (endpoint->record.rack != rack) {
-        excluded.insert(endpoint);
-      }
-    }
-    if (this->PlaceMembers(first, run, excluded)) {
+    OnRack on_rack(rack, filter);
+    if (this->PlaceMembers(first, run, on_rack)) {
       return true;
     }
   }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -36,6 +36,8 @@
       return "the owner's link is full";
     case WaitReason::kHeldForOthers:
       return "the endpoints that may run it are held for other jobs";
+    case WaitReason::kLongRunningTasks:
+      return "long-running tasks leave too little on each endpoint that is eligible to run it";
   }
   return "unknown";
 }
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -152,6 +152,7 @@
   kBeyondShare,
   kOwnerLink,
   kHeldForOthers,
+  kLongRunningTasks,
 };
 
 const char* ToString(WaitReason reason);
@@ -313,6 +314,8 @@
   Resources FreeCapacity() const {
     return this->record.capacity - this->used - this->reserved_capacity;
   }
+  /// What batch tasks can use once all others of them have ended.
+  Resources CapacityForBatch() const { return this->record.capacity - this->used_by_long_running; }
   bool IsLeaving() const { return this->is_evacuating || this->record.is_draining; }
   /// The lowest value, in milliseconds, that its clock may show at `now` if it is slower than this
   /// process's clock by the fraction `slowness`. A lease that is computed from it ends early rather
--- a/tests/jobs/placing_cost_test.cc
+++ b/tests/jobs/placing_cost_test.cc
@@ -19,10 +19,12 @@
 
 struct CostCase {
   const char* name;
-  /// No endpoint has free capacity for the waiting jobs.
+  /// No endpoint has free capacity for the waiting jobs that they may use.
   bool is_full = true;
   std::uint32_t max_per_endpoint = 0;
   const char* label = "";
+  /// The waiting jobs are late, and others before them hold endpoints.
+  bool is_late = false;
 };
 
 /// Sizes of tasks in no particular order.
@@ -43,15 +45,22 @@
   world.scheduler.BeginEvacuation(records.front().id, world.now);
   if (param.is_full) {
     const auto count = static_cast<std::uint32_t>(endpoints);
-    world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(count, 8000)}), WallTime{});
+    const std::int64_t cpu = param.is_late ? 6000 : 8000;
+    world.scheduler.AddJob(World::MakeJob(1, {World::MakeStep(count, cpu)}), WallTime{});
     world.StartAll();
   }
+  if (param.is_late) {
+    Step holder = World::MakeStep(1, 8000);
+    holder.estimate_ms = 60000;
+    world.scheduler.AddJob(World::MakeJob(2, {holder}), WallTime(world.now.time_since_epoch()));
+  }
   for (int i = 0; i < jobs; ++i) {
     Step step = World::MakeStep(kTasksPerJob, CpuOf(i));
     step.max_per_endpoint = param.max_per_endpoint;
     step.required_label = param.label;
-    world.scheduler.AddJob(World::MakeJob(100 + static_cast<std::uint64_t>(i), {step}),
-                           WallTime(world.now.time_since_epoch()));
+    Job job = World::MakeJob(100 + static_cast<std::uint64_t>(i), {step});
+    job.accepted_ms = param.is_late ? -100000 : 0;
+    world.scheduler.AddJob(job, WallTime(world.now.time_since_epoch()));
   }
   const std::uint64_t before = world.scheduler.EndpointsExamined();
   world.Decide();
@@ -83,7 +92,8 @@
                       CostCase{
                           .name = "SpreadJobsThatFit", .is_full = false, .max_per_endpoint = 1},
                       CostCase{.name = "JobsWithALabelWithoutRoom", .label = "kind"},
-                      CostCase{.name = "JobsWithALabelThatFit", .is_full = false, .label = "kind"}),
+                      CostCase{.name = "JobsWithALabelThatFit", .is_full = false, .label = "kind"},
+                      CostCase{.name = "LateJobsBesideHeldEndpoints", .is_late = true}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
--- a/tests/jobs/target_search_test.cc
+++ b/tests/jobs/target_search_test.cc
@@ -115,22 +115,31 @@
   std::vector<EndpointState*> endpoints;
 };
 
+class NoneOf final : public EndpointFilter {
+ public:
+  bool Allows(const EndpointState& endpoint) override {
+    return !this->excluded.contains(&endpoint);
+  }
+
+  std::set<const EndpointState*> excluded;
+};
+
 /// Guards against a search that finds another target than `Placement::Choose` would for each task
 /// in turn.
 RC_GTEST_PROP(TargetSearchProperty, FindsWhatIsChosenForEachTaskInTurn, ()) {
   AnyPool pool;
   const Placement placement(pool.state);
-  std::set<EndpointState*> excluded;
+  NoneOf filter;
   for (const auto& [key, reservation] : pool.state.reservations) {
-    excluded.insert(pool.state.FindEndpoint(reservation.endpoint));
+    filter.excluded.insert(pool.state.FindEndpoint(reservation.endpoint));
   }
   TargetSearch search(pool.state, kNow);
   int found = 0;
   int missed = 0;
   for (const TaskRef& ref : pool.FindMoving()) {
-    EndpointState* const expected = placement.Choose(ref, excluded, kNow);
+    EndpointState* const expected = placement.Choose(ref, filter, kNow);
     RC_ASSERT(search.Find(ref) == expected);
-    excluded.insert(expected);
+    filter.excluded.insert(expected);
     found += expected != nullptr ? 1 : 0;
     missed += expected == nullptr ? 1 : 0;
   }
