Jobs: Spread a gang over racks at once if no rack could hold it

Cause: PlaceGang spread such a gang only after its latest start, also where no rack could ever hold it.

Change: it is spread at once if no rack could hold it beside the long-running tasks there. Where one could when its batch tasks end, it waits as before.

Measured: three of the five cases of GangForOneRack fail before (one endpoint on each rack, idle or beside batch tasks; racks full of serving tasks) and pass now; a free rack, and one that will be free, pass before and now.

--- a/src/jobs/placement.cc
+++ b/src/jobs/placement.cc
@@ -34,6 +34,12 @@
   return one.job == other.job && one.occurrence == other.occurrence && one.step == other.step;
 }
 
+/// How many tasks of the gang may run on one endpoint.
+std::size_t LimitPerEndpoint(const TaskRef& ref) {
+  return ref.spec->max_per_endpoint > 0 ? std::size_t{ref.spec->max_per_endpoint}
+                                        : ref.step->tasks.size();
+}
+
 bool IsServing(const Step& step) { return step.is_long_running && !step.is_filler; }
 
 }  // namespace
@@ -237,8 +243,7 @@
     return Prospect::kNone;
   }
   const std::size_t count = ref.step->tasks.size();
-  const std::size_t limit =
-      ref.spec->max_per_endpoint > 0 ? std::size_t{ref.spec->max_per_endpoint} : count;
+  const std::size_t limit = LimitPerEndpoint(ref);
   const Resources need = RequiredCapacity(*ref.spec);
   std::size_t of_empty = 0;
   std::size_t for_batch = 0;
@@ -255,4 +260,24 @@
   return of_empty >= count ? Prospect::kLongRunningTasks : Prospect::kNone;
 }
 
+bool Placement::CouldHoldOnOneRack(const TaskRef& ref, TimePoint now) const {
+  const auto pool = this->state.pools.find(ref.job->service);
+  if (pool == this->state.pools.end()) {
+    return false;
+  }
+  const Resources need = RequiredCapacity(*ref.spec);
+  std::map<std::string, std::size_t> found;
+  return std::any_of(pool->second.endpoints.begin(), pool->second.endpoints.end(),
+                     [&](const EndpointState* endpoint) {
+                       ++this->state.endpoints_examined;
+                       if (!this->MayRunOn(ref, *endpoint, now)) {
+                         return false;
+                       }
+                       std::size_t& there = found[endpoint->record.rack];
+                       there +=
+                           endpoint->CapacityForBatch().CountFitting(need, LimitPerEndpoint(ref));
+                       return there >= ref.step->tasks.size();
+                     });
+}
+
 }  // namespace chervilspar::jobs
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -59,6 +59,8 @@
   Prospect ProspectOf(const TaskRef& ref, TimePoint now) const;
   /// The same for the whole gang of the task.
   Prospect ProspectOfGang(const TaskRef& ref, TimePoint now) const;
+  /// Whether some rack could hold the whole gang of the task if all batch tasks there had ended.
+  bool CouldHoldOnOneRack(const TaskRef& ref, TimePoint now) const;
 
  private:
   /// The cheapest endpoint so far.
--- a/src/jobs/placing_round_gangs.cc
+++ b/src/jobs/placing_round_gangs.cc
@@ -27,7 +27,8 @@
     return true;
   }
   const bool may_spread = !first.spec->prefers_one_rack ||
-                          (first.job->ready && first.job->ready->latest_start_ms < this->wall_ms);
+                          (first.job->ready && first.job->ready->latest_start_ms < this->wall_ms) ||
+                          !this->placement.CouldHoldOnOneRack(first, this->now);
   return may_spread && this->PlaceMembers(first, run + 1, filter);
 }
 
--- a/tests/jobs/gang_test.cc
+++ b/tests/jobs/gang_test.cc
@@ -117,6 +117,60 @@
                                  SchedulerOptions{}.LongestLease() + std::chrono::seconds(1)}),
     [](const auto& info) { return info.param.name; });
 
+struct RackCase {
+  const char* name;
+  /// Endpoints on each of three racks.
+  int endpoints;
+  /// Runs beside the gang: one task on each endpoint, or none if its count is 0.
+  Step running;
+  /// How many of the gang's three members, of which each takes most of an endpoint, start at once.
+  std::size_t starts;
+};
+
+Step OnEach(std::uint32_t count, std::int64_t cpu, bool is_long_running) {
+  Step step = Harness::MakeStep(count, cpu);
+  step.max_per_endpoint = 1;
+  step.is_long_running = is_long_running;
+  return step;
+}
+
+class GangForOneRack : public ::testing::TestWithParam<RackCase> {};
+
+/// Guards against a gang that waits until it is nearly late for one rack to hold it, although none
+/// ever will.
+TEST_P(GangForOneRack, SpreadsIfNoRackWillHoldIt) {
+  Harness harness;
+  std::vector<EndpointRecord> records;
+  for (int i = 0; i < GetParam().endpoints; ++i) {
+    for (const char* rack : {"a", "b", "c"}) {
+      records.push_back(Harness::Endpoint(std::to_string(i) + rack));
+      records.back().rack = rack;
+    }
+  }
+  harness.Register(records);
+  const WallTime now(harness.now.time_since_epoch());
+  if (GetParam().running.count > 0) {
+    harness.scheduler.AddJob(Harness::MakeJob(1, {GetParam().running}), now);
+    harness.StartAll();
+  }
+  Step gang = Harness::MakeStep(3, 6000);
+  gang.is_gang = true;
+  gang.prefers_one_rack = true;
+  gang.estimate_ms = 60000;
+  harness.scheduler.AddJob(Harness::MakeJob(2, {gang}), now);
+  EXPECT_EQ(harness.StartAll().size(), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Racks, GangForOneRack,
+    ::testing::Values(RackCase{"one_endpoint_each", 1, OnEach(0, 0, false), 3},
+                      RackCase{"one_endpoint_each_beside_batch", 1, OnEach(3, 1000, false), 3},
+                      // One endpoint of each rack is left for the gang.
+                      RackCase{"full_of_serving_tasks", 3, OnEach(6, 3000, true), 3},
+                      RackCase{"one_is_free", 3, OnEach(0, 0, false), 3},
+                      RackCase{"one_will_be_free", 3, OnEach(6, 3000, false), 0}),
+    [](const auto& info) { return info.param.name; });
+
 /// Guards against a successor that keeps members of a gang that its predecessor never started
 /// completely.
 TEST(Gang, ASuccessorStopsMembersOfAnIncompleteGang) {
