Jobs: Log why a late gang waits

Cause: a gang that found no free capacity set no reason to wait.

Change: it sets the same reasons as single tasks. job_waits no longer gives the number of held endpoints, which a gang's search would count once for each member; it names one of them, as before.

Measured: HeldEndpoints.ALateGangLogsThatItWaits fails before and passes now; all 733 tests of jobs_test pass.

--- a/src/jobs/held_endpoints.cc
+++ b/src/jobs/held_endpoints.cc
@@ -37,9 +37,8 @@
     }
   }
   if (!this->refusal) {
-    this->refusal.emplace(Refusal{0, endpoint.record.id, kept->holder, kept->room});
+    this->refusal.emplace(Refusal{endpoint.record.id, kept->holder, kept->room});
   }
-  ++this->refusal->endpoints;
   return false;
 }
 
--- a/src/jobs/held_endpoints.h
+++ b/src/jobs/held_endpoints.h
@@ -27,12 +27,10 @@
 /// that late jobs always find the rest.
 class HeldEndpoints {
  public:
-  /// What a task was refused.
+  /// An endpoint that has free capacity for a task and is kept for another.
   struct Refusal {
-    /// The number of endpoints that have free capacity for it and are kept for others.
-    std::size_t endpoints = 0;
-    /// The first of them, and the job that it is kept for.
-    std::string first;
+    std::string endpoint;
+    /// The job that it is kept for.
     JobId holder;
     /// When the room for that job is expected.
     TimePoint room{};
@@ -47,7 +45,7 @@
         : held(held), ref(ref), is_late(is_late) {}
 
     bool Allows(const EndpointState& endpoint) override;
-    /// Nothing if no endpoint was refused.
+    /// The first endpoint that was refused, if any.
     const std::optional<Refusal>& FindRefusal() const { return this->refusal; }
 
    private:
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -297,8 +297,8 @@
         return true;
       }
       const Prospect prospect = this->placement.ProspectOfGang(ref, this->now);
+      this->wait_reason = this->ReasonToWait(ref, prospect);
       if (prospect != Prospect::kRoom) {
-        this->wait_reason = this->ReasonToWait(ref, prospect);
         return true;  // A gang that the pool can't run doesn't block the jobs after it.
       }
       if (!this->IsLate(job)) {
--- a/src/jobs/placing_round_gangs.cc
+++ b/src/jobs/placing_round_gangs.cc
@@ -29,7 +29,11 @@
   const bool may_spread = !first.spec->prefers_one_rack ||
                           (first.job->ready && first.job->ready->latest_start_ms < this->wall_ms) ||
                           !this->placement.CouldHoldOnOneRack(first, this->now);
-  return may_spread && this->PlaceMembers(first, run + 1, filter);
+  if (may_spread && this->PlaceMembers(first, run + 1, filter)) {
+    return true;
+  }
+  this->refusal = filter.FindRefusal();
+  return false;
 }
 
 bool PlacingRound::PlaceMembers(const TaskRef& first, std::uint64_t run, EndpointFilter& filter) {
--- a/src/jobs/placing_round_waits.cc
+++ b/src/jobs/placing_round_waits.cc
@@ -14,8 +14,8 @@
 }
 
 std::string Describe(const HeldEndpoints::Refusal& refusal, TimePoint now) {
-  return ": " + std::to_string(refusal.endpoints) + ", among them " + refusal.first + " for " +
-         ToString(refusal.holder) + ", which is expected to find room there in " +
+  return ": " + refusal.endpoint + " for " + ToString(refusal.holder) +
+         ", which is expected to find room there in " +
          std::to_string(ToMilliseconds(refusal.room - now)) + " ms";
 }
 
--- a/tests/jobs/held_endpoints_test.cc
+++ b/tests/jobs/held_endpoints_test.cc
@@ -200,6 +200,15 @@
   EXPECT_NE(WaitsOf(harness, JobId{3}).find(ToString(JobId{2})), std::string::npos);
 }
 
+/// Guards against a late gang that waits for room, while nothing in the log says so.
+TEST(HeldEndpoints, ALateGangLogsThatItWaits) {
+  Harness harness;
+  ASSERT_NO_FATAL_FAILURE(
+      Fill(harness, {"", kLong, AsGang(MakeStep(4, 60, 60000)), 1, 6000, -300000}));
+  harness.StartAll();
+  EXPECT_NE(WaitsOf(harness, JobId{10}).find("free capacity"), std::string::npos);
+}
+
 /// Guards against a job that waits for room which long-running tasks never give up, while the log
 /// names a lack of capacity.
 TEST(HeldEndpoints, ALateJobLogsThatLongRunningTasksLeaveTooLittle) {
