Jobs: Test several large jobs beside a stream of late ones

The stream ended on one endpoint after the other, so that the two reserved endpoints alone let the large job in; holding nothing passed all cases. Now tasks end on all endpoints alike, and one case has four large jobs on twelve endpoints.

--- a/tests/jobs/large_job_stream_test.cc
+++ b/tests/jobs/large_job_stream_test.cc
@@ -14,16 +14,15 @@
 using std::chrono::milliseconds;
 using Harness = SchedulerHarness;
 
-constexpr int kEndpoints = 3;
 constexpr std::int64_t kCores = 8;
 constexpr Duration kStep = milliseconds(100);
 
 /// A pool whose tasks run for a multiple of their estimates.
 class PlayedPool {
  public:
-  explicit PlayedPool(double duration_factor) : duration_factor(duration_factor) {
+  PlayedPool(int endpoints, double duration_factor) : duration_factor(duration_factor) {
     std::vector<EndpointRecord> records;
-    for (int i = 0; i < kEndpoints; ++i) {
+    for (int i = 0; i < endpoints; ++i) {
       records.push_back(Harness::Endpoint("e" + std::to_string(i), kCores));
     }
     this->harness.Register(records);
@@ -97,6 +96,8 @@
   std::int64_t estimate_ms = 0;
   /// By which tasks run longer than their estimates.
   double duration_factor = 1;
+  int large_jobs = 1;
+  int endpoints = 3;
 };
 
 class LargeJobInAStream : public ::testing::TestWithParam<StreamCase> {};
@@ -105,11 +106,13 @@
 /// free bit by bit.
 TEST_P(LargeJobInAStream, StartsInTime) {
   const StreamCase& param = GetParam();
-  PlayedPool pool(param.duration_factor);
+  PlayedPool pool(param.endpoints, param.duration_factor);
   Step small = Harness::MakeStep(1);
-  small.estimate_ms = param.estimate_ms;
+  int added = 0;
   const auto play = [&] {
     for (int i = 0; i < param.per_step; ++i) {
+      // Tasks end on all endpoints alike, not on one after the other.
+      small.estimate_ms = param.estimate_ms + param.estimate_ms / 10 * (7 * added++ % 11);
       pool.Add(small, pool.NowMs() - param.age_ms);
     }
     pool.Advance();
@@ -119,13 +122,18 @@
   }
   Step large = Harness::MakeStep(1, kCores * 1000);
   large.estimate_ms = 20000;
-  const JobId id = pool.Add(large, pool.NowMs());
+  std::vector<JobId> ids;
+  for (int i = 0; i < param.large_jobs; ++i) {
+    ids.push_back(pool.Add(large, pool.NowMs()));
+  }
   // The deadline is 500 ms and twice the estimate away.
   const std::int64_t latest_start = pool.NowMs() + 500 + large.estimate_ms;
-  while (!pool.StartOf(id) && pool.NowMs() < latest_start) {
+  while (pool.NowMs() < latest_start) {
     play();
   }
-  EXPECT_TRUE(pool.StartOf(id).has_value());
+  for (const JobId& id : ids) {
+    EXPECT_TRUE(pool.StartOf(id).has_value()) << ToString(id);
+  }
 }
 
 constexpr std::int64_t kLate = 60000;
@@ -138,6 +146,7 @@
                       StreamCase{"late_and_longer_than_estimated", 10, kLate, 1000, 2},
                       StreamCase{"late_a_few_longer_than_estimated", 1, kLate, 1000, 2},
                       StreamCase{"late_and_long", 1, kLate, 5000},
+                      StreamCase{"late_and_long_beside_four", 12, kLate, 7000, 1, 4, 12},
                       StreamCase{"on_time_half_of_the_pool", 1, 0, 1000}),
     [](const auto& info) { return info.param.name; });
 
