Rpc: Give each address of the transport test a port of its own

Cause: FreePort closed its probe while the thread of the same context could still poll it, and two calls could return the same port before the first was used. Another run of the test program shared the address.

Change: the probe has a context of its own, no port is returned twice, and each process uses a loopback address made from its id.

--- a/tests/rpc/peer_transport_test.cc
+++ b/tests/rpc/peer_transport_test.cc
@@ -2,8 +2,10 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -40,13 +42,26 @@
   std::vector<std::string> frames;
 };
 
-/// A loopback address that no other test program listens on. On 127.0.0.1 another one may take the
-/// port between the probe for a free one and its use.
-constexpr char kIp[] = "127.77.0.1";
+/// A loopback address of this process. On a shared one, another program may take the port between
+/// the probe for a free one and its use.
+std::string Ip() {
+  const int pid = getpid();
+  return "127." + std::to_string(64 + pid / 62500 % 100) + "." + std::to_string(pid / 250 % 250) +
+         "." + std::to_string(1 + pid % 250);
+}
 
-std::uint16_t FreePort(asio::io_context& context) {
-  asio::ip::tcp::acceptor probe(context, {asio::ip::make_address(kIp), 0});
-  return probe.local_endpoint().port();
+/// A port that was not returned before.
+std::uint16_t FreePort() {
+  static std::set<std::uint16_t> returned;
+  // A context of its own: a thread that polls the probe may keep it open after it is closed here.
+  asio::io_context context;
+  while (true) {
+    asio::ip::tcp::acceptor probe(context, {asio::ip::make_address(Ip()), 0});
+    const std::uint16_t port = probe.local_endpoint().port();
+    if (returned.insert(port).second) {
+      return port;
+    }
+  }
 }
 
 class PeerTransportTest : public testing::Test {
@@ -70,7 +85,7 @@
     return std::move(transport).Value();
   }
 
-  std::string Address() { return std::string(kIp) + ":" + std::to_string(FreePort(this->context)); }
+  static std::string Address() { return Ip() + ":" + std::to_string(FreePort()); }
 
   asio::io_context context;
   asio::executor_work_guard<asio::io_context::executor_type> work;
@@ -80,9 +95,9 @@
 TEST_F(PeerTransportTest, DeliversFramesInOrder) {
   Inbox inbox;
   Inbox unused;
-  const std::string address = this->Address();
+  const std::string address = Address();
   const auto receiver = this->Open(address, inbox);
-  const auto sender = this->Open(this->Address(), unused);
+  const auto sender = this->Open(Address(), unused);
   const std::string large(300'000, 'x');
   sender->Send(address, "first");
   sender->Send(address, large);
@@ -105,7 +120,7 @@
 TEST_P(GarbageFrameTest, RealPeersAreStillHeard) {
   Inbox inbox;
   Inbox unused;
-  const std::string address = this->Address();
+  const std::string address = Address();
   const auto receiver = this->Open(address, inbox);
   const auto colon = address.rfind(':');
   asio::ip::tcp::socket stranger(this->context);
@@ -113,7 +128,7 @@
                     static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
   boost::system::error_code ignored;
   asio::write(stranger, asio::buffer(GetParam().bytes), ignored);
-  const auto sender = this->Open(this->Address(), unused);
+  const auto sender = this->Open(Address(), unused);
   sender->Send(address, "real");
   EXPECT_EQ(inbox.WaitFor(1), (std::vector<std::string>{"real"}));
 }
@@ -137,7 +152,7 @@
   limits.arriving_bytes = 4 * kFrameBytes;
   Inbox inbox;
   Inbox unused;
-  const std::string address = this->Address();
+  const std::string address = Address();
   const auto receiver = this->Open(address, inbox, limits);
   const std::string part = std::string("\x00\x04\x00\x00", 4) + std::string(kFrameBytes - 1, 'a');
   asio::io_context io;
@@ -145,7 +160,7 @@
   for (int i = 0; i < kStrangers; ++i) {
     strangers.emplace_back(io);
     const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
-    strangers.back().connect({asio::ip::make_address(kIp), port});
+    strangers.back().connect({asio::ip::make_address(Ip()), port});
     boost::system::error_code ignored;
     asio::write(strangers.back(), asio::buffer(part), ignored);
   }
@@ -155,7 +170,7 @@
   EXPECT_GT(receiver->Counters().bad_frames, 0U);
   EXPECT_LE(receiver->Counters().bad_frames, static_cast<std::uint64_t>(kStrangers));
   strangers.clear();
-  const auto sender = this->Open(this->Address(), unused);
+  const auto sender = this->Open(Address(), unused);
   sender->Send(address, "hello");
   EXPECT_EQ(inbox.WaitFor(1), std::vector<std::string>{"hello"});
 }
@@ -163,8 +178,8 @@
 TEST_F(PeerTransportTest, ReconnectsToAReplacedPeer) {
   Inbox inbox;
   Inbox unused;
-  const std::string address = this->Address();
-  const auto sender = this->Open(this->Address(), unused);
+  const std::string address = Address();
+  const auto sender = this->Open(Address(), unused);
   sender->Send(address, "nobody listens yet");
   const auto receiver = this->Open(address, inbox);
   std::vector<std::string> frames;
@@ -179,7 +194,7 @@
 
 TEST_F(PeerTransportTest, RefusesAnAddressInUseWithTheReason) {
   Inbox inbox;
-  const std::string address = this->Address();
+  const std::string address = Address();
   const auto first = this->Open(address, inbox);
   // A second listener on the same port only fails while the first one listens, since both reuse
   // the address.
