Jobs: Keep the expected ends of an endpoint between rounds

Cause: a round of a pool with blocked and late jobs looked up each task of each endpoint, and examined 24 jobs behind the 24 that found no room.

Change: the expected ends are kept at the endpoint until its claims change, and eight jobs that find nothing are examined behind the others; the next round goes on behind them.

--- a/src/jobs/held_endpoints.cc
+++ b/src/jobs/held_endpoints.cc
@@ -44,7 +44,6 @@
 
 void HeldEndpoints::Begin(const PoolState& next) {
   this->pool = &next;
-  this->ends.Begin(next);
   this->kept.assign(next.endpoints.size(), std::nullopt);
   this->reserved = 0;
   this->scopes.clear();
@@ -103,7 +102,7 @@
   for (std::size_t end = entries.size(); end > 0;) {
     const std::size_t begin = index.FirstWith(entries[end - 1].free_cpu);
     for (std::size_t i = begin; i < end; ++i) {
-      const EndpointState& endpoint = *this->pool->endpoints[entries[i].position];
+      EndpointState& endpoint = *this->pool->endpoints[entries[i].position];
       ++this->state.endpoints_examined;
       if (!endpoint.CapacityForBatch().Fits(task.need) ||
           !this->placement.MayRunOn(ref, endpoint, this->now)) {
@@ -163,7 +162,7 @@
 }
 
 std::optional<HeldEndpoints::Candidate> HeldEndpoints::FindRoom(const Scope& scope,
-                                                                const EndpointState& endpoint,
+                                                                EndpointState& endpoint,
                                                                 std::int64_t any_until_ms) {
   std::optional<Candidate> found;
   for (const BlockedTasks& blocked : scope.blocked) {
@@ -178,10 +177,10 @@
 }
 
 void HeldEndpoints::HoldFor(const Scope& scope) {
-  std::vector<const EndpointState*> eligible;
+  std::vector<EndpointState*> eligible;
   double free = 0;
   double capacity = 0;
-  for (const EndpointState* endpoint : this->pool->endpoints) {
+  for (EndpointState* endpoint : this->pool->endpoints) {
     ++this->state.endpoints_examined;
     if (this->placement.MayRunOn(scope.sample, *endpoint, this->now)) {
       eligible.push_back(endpoint);
@@ -194,7 +193,7 @@
   // All on-time jobs of a busy pool go before late ones, not only those that were examined.
   const std::int64_t any_until_ms = is_strict ? this->LastLatestStartMs() : 0;
   std::vector<Candidate> candidates;
-  for (const EndpointState* endpoint : eligible) {
+  for (EndpointState* endpoint : eligible) {
     if (const auto found = this->FindRoom(scope, *endpoint, any_until_ms)) {
       candidates.push_back(*found);
     }
--- a/src/jobs/held_endpoints.h
+++ b/src/jobs/held_endpoints.h
@@ -99,7 +99,7 @@
   /// An endpoint that is to be held.
   struct Candidate {
     TimePoint room{};
-    const EndpointState* endpoint = nullptr;
+    EndpointState* endpoint = nullptr;
     JobId holder;
   };
 
@@ -111,7 +111,7 @@
   /// The latest start of the last job of the pool.
   std::int64_t LastLatestStartMs() const;
   /// Where room for a task of the scope is expected in time, or before `any_until_ms`.
-  std::optional<Candidate> FindRoom(const Scope& scope, const EndpointState& endpoint,
+  std::optional<Candidate> FindRoom(const Scope& scope, EndpointState& endpoint,
                                     std::int64_t any_until_ms);
   void Keep(const EndpointState& endpoint, const Kept& kept);
 
--- a/src/jobs/placing_round.cc
+++ b/src/jobs/placing_round.cc
@@ -23,6 +23,9 @@
 constexpr double kSlackToleranceMs = 200;
 /// Before the latest start of every job.
 constexpr std::int64_t kFirst = std::numeric_limits<std::int64_t>::min();
+/// How many jobs that find nothing are examined behind the blocked ones in a round. Rounds follow
+/// one another within milliseconds, and in a full pool hardly any of them finds something.
+constexpr int kMaxUnplacedBehind = 8;
 /// The minimum interval between two reports that the owner's link is full.
 constexpr Duration kLinkReportInterval = std::chrono::seconds(1);
 
@@ -141,8 +144,7 @@
   while (place != pool.ready.end()) {
     const ReadyKey key = *place;
     if (!this->PlaceJob(*this->state.FindJob(key.job)) &&
-        (this->is_link_full ||
-         ++this->unplaced_jobs >= this->state.options.max_unplaced_per_round)) {
+        (this->is_link_full || ++this->unplaced_jobs >= kMaxUnplacedBehind)) {
       pool.resume_after = key;
       return;
     }
--- a/src/jobs/scheduler_state.cc
+++ b/src/jobs/scheduler_state.cc
@@ -232,6 +232,7 @@
   ChangeFreeCapacity(endpoint, [&] {
     endpoint.used = is_added ? endpoint.used + capacity : endpoint.used - capacity;
   });
+  endpoint.batch_ends.reset();
   if (is_added) {
     team = team + ref.spec->need;
     endpoint.claims.insert(ref.key);
--- a/src/jobs/scheduler_state.h
+++ b/src/jobs/scheduler_state.h
@@ -230,6 +230,12 @@
 
 struct PoolState;
 
+/// When a batch task is expected to end, by its estimate, and what that frees.
+struct ExpectedEnd {
+  TimePoint at{};
+  Resources capacity;
+};
+
 struct EndpointState {
   EndpointRecord record;
   bool is_registered = false;
@@ -280,6 +286,9 @@
   /// Reserved for tasks that are moving here from an endpoint that is being evacuated.
   Resources reserved_capacity;
   std::set<TaskKey> claims;
+  /// Of the batch tasks among `claims`, by time; see `ExpectedEnds`. Nothing if not computed since
+  /// the last change of `claims`.
+  std::optional<std::vector<ExpectedEnd>> batch_ends;
   /// The last report lists a run without progress for longer than
   /// `SchedulerOptions::stall_timeout`.
   bool may_have_stalled_runs = false;
