Jobs: Count reserved endpoints as held

What callers saw: nothing yet; found while the code was read again. In a pool of two endpoints one was reserved for a large job as the one with the most free cpu, and the other held as the one that has room first. A late job that isn't short waited beside half of the cores idle.

Cause: the bound on what is held while free left out reserved endpoints.

Change: they count, and the one endpoint that is always kept may be one of these.

Measured: HeldEndpoints.LeaveHalfOfASmallPoolToLateJobs fails before and passes now.

--- a/src/jobs/held_endpoints.cc
+++ b/src/jobs/held_endpoints.cc
@@ -11,7 +11,7 @@
 /// More than one, as a single endpoint may stay busy for long.
 constexpr std::size_t kMaxReserved = 2;
 /// The share of the cpu that may be free and held at the same time, and below which free cpu counts
-/// as little. Far from the half at which the jobs that wait count as neglected.
+/// as little. A job that waits while half of its pool is free counts as lost.
 constexpr double kMaxIdleShare = 0.25;
 /// Estimates are rough, so a task must be expected to end well before the room that it delays.
 constexpr double kBackfillMargin = 1.2;
@@ -91,7 +91,7 @@
   }
   const BlockedTasks task{RequiredCapacity(*ref.spec), this->LatestStartMs(ref, is_late),
                           ref.key.job};
-  // An endpoint that suits a large task suits a small one too, so none is left for the large one.
+  // Where a smaller task with a later latest start found none, this one finds none.
   std::vector<BlockedTasks>& former = this->unreserved[ScopeOf(ref)];
   if (std::any_of(former.begin(), former.end(),
                   [&](const BlockedTasks& one) { return one.Covers(task); })) {
@@ -180,12 +180,18 @@
   std::vector<EndpointState*> eligible;
   double free = 0;
   double capacity = 0;
+  double idle = 0;
+  bool is_any_kept = false;
   for (EndpointState* endpoint : this->pool->endpoints) {
     ++this->state.endpoints_examined;
     if (this->placement.MayRunOn(scope.sample, *endpoint, this->now)) {
       eligible.push_back(endpoint);
       free += Cpu(endpoint->FreeCapacity());
       capacity += Cpu(endpoint->record.capacity);
+      if (this->kept[endpoint->position]) {
+        idle += Cpu(endpoint->FreeCapacity());
+        is_any_kept = true;
+      }
     }
   }
   const double max_idle = kMaxIdleShare * capacity;
@@ -201,12 +207,12 @@
   std::stable_sort(
       candidates.begin(), candidates.end(),
       [](const Candidate& one, const Candidate& other) { return one.room < other.room; });
-  double idle = 0;
   for (const Candidate& candidate : candidates) {
-    const double next = idle + Cpu(candidate.endpoint->FreeCapacity());
-    const bool is_first = &candidate == &candidates.front();
-    if (is_first || next <= max_idle) {
+    const bool is_kept = this->kept[candidate.endpoint->position].has_value();
+    const double next = idle + (is_kept ? 0 : Cpu(candidate.endpoint->FreeCapacity()));
+    if (is_kept || !is_any_kept || next <= max_idle) {
       idle = next;
+      is_any_kept = true;
       this->Keep(
           *candidate.endpoint,
           {.allows_backfill = !is_strict, .room = candidate.room, .holder = candidate.holder});
--- a/src/jobs/held_endpoints.h
+++ b/src/jobs/held_endpoints.h
@@ -23,8 +23,8 @@
 /// start. A late task may use a kept endpoint if it ends before that room is expected (backfill).
 ///
 /// If the pool has little free capacity, all of these endpoints are held, without backfill, as
-/// estimates are rough. Otherwise at most a quarter of the capacity is held while it is free, so
-/// that late jobs always find the rest.
+/// estimates are rough. Otherwise one is kept, and others as long as the kept ones have at most a
+/// quarter of the capacity free, so that late jobs find the rest.
 class HeldEndpoints {
  public:
   /// An endpoint that has free capacity for a task and is kept for another.
--- a/tests/jobs/held_endpoints_test.cc
+++ b/tests/jobs/held_endpoints_test.cc
@@ -155,6 +155,24 @@
         WaitingCase{"a_long_late_one_and_thirty_large", kLong, kLarge, 30, 50000}),
     [](const auto& info) { return info.param.name; });
 
+/// Guards against a small pool whose endpoints are kept for one job, one as it is reserved and the
+/// other as it is held.
+TEST(HeldEndpoints, LeaveHalfOfASmallPoolToLateJobs) {
+  Harness harness;
+  harness.Register({Harness::Endpoint("a", kCores), Harness::Endpoint("b", kCores)});
+  const WallTime now(harness.now.time_since_epoch());
+  // The one with the most free cpu isn't the one that has room first.
+  harness.scheduler.AddJob(Harness::MakeJob(1, {MakeStep(1, 33, 40000)}), now);
+  ASSERT_EQ(harness.StartAll().size(), 1U);
+  harness.scheduler.AddJob(Harness::MakeJob(2, {MakeStep(1, 32, 45000)}), now);
+  ASSERT_EQ(harness.StartAll().size(), 1U);
+  harness.scheduler.AddJob(Harness::MakeJob(10, {kLarge}), now);
+  Job late = Harness::MakeJob(1000, {MakeStep(1, 8, 50000)});
+  late.accepted_ms = -200000;
+  harness.scheduler.AddJob(late, now);
+  EXPECT_TRUE(StartsSoon(harness, JobId{1000}));
+}
+
 /// Guards against a late job that is never examined, as each round ends at the same late jobs
 /// before it, which find no room.
 TEST(LateJobs, AreTriedBehindManyThatWaitForRoom) {
