--- a/src/jobs/held_endpoints.cc
+++ b/src/jobs/held_endpoints.cc
@@ -161,14 +161,13 @@
   return last;
 }
 
-std::optional<HeldEndpoints::Candidate> HeldEndpoints::FindRoom(const Scope& scope,
-                                                                EndpointState& endpoint,
-                                                                std::int64_t any_until_ms) {
+std::optional<HeldEndpoints::Candidate> HeldEndpoints::FindRoom(
+    const Scope& scope, EndpointState& endpoint, std::int64_t common_latest_start_ms) {
   std::optional<Candidate> found;
   for (const BlockedTasks& blocked : scope.blocked) {
     const std::optional<TimePoint> room = this->ends.RoomFor(blocked.need, endpoint);
     const bool is_in_time =
-        room && this->IsInTime(*room, std::max(blocked.latest_start_ms, any_until_ms));
+        room && this->IsInTime(*room, std::max(blocked.latest_start_ms, common_latest_start_ms));
     if (is_in_time && (!found || *room < found->room)) {
       found = Candidate{*room, &endpoint, blocked.first};
     }
@@ -197,10 +196,10 @@
   const double max_idle = kMaxIdleShare * capacity;
   const bool is_strict = free <= max_idle;
   // All on-time jobs of a busy pool go before late ones, not only those that were examined.
-  const std::int64_t any_until_ms = is_strict ? this->LastLatestStartMs() : 0;
+  const std::int64_t common_latest_start_ms = is_strict ? this->LastLatestStartMs() : 0;
   std::vector<Candidate> candidates;
   for (EndpointState* endpoint : eligible) {
-    if (const auto found = this->FindRoom(scope, *endpoint, any_until_ms)) {
+    if (const auto found = this->FindRoom(scope, *endpoint, common_latest_start_ms)) {
       candidates.push_back(*found);
     }
   }
--- a/src/jobs/held_endpoints.h
+++ b/src/jobs/held_endpoints.h
@@ -110,9 +110,9 @@
   void HoldFor(const Scope& scope);
   /// The latest start of the last job of the pool.
   std::int64_t LastLatestStartMs() const;
-  /// Where room for a task of the scope is expected in time, or before `any_until_ms`.
+  /// Where room for a task of the scope is expected before its latest start or the common one.
   std::optional<Candidate> FindRoom(const Scope& scope, EndpointState& endpoint,
-                                    std::int64_t any_until_ms);
+                                    std::int64_t common_latest_start_ms);
   void Keep(const EndpointState& endpoint, const Kept& kept);
 
   SchedulerState& state;
